--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Targets for people and for CI; `make help` lists them.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES = $(shell git ls-files '*.cc' '*.h')
+
+.DEFAULT_GOAL := help
+.PHONY: help deps build format format-check layers lint test check demo bench clean
+
+help: ## List every target
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
+
+deps: ## Install what is missing (Debian 12, as root)
+	@tools/install-deps
+
+build: ## Build everything into $(BUILD)
+	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@ninja -C $(BUILD) -j $(JOBS) --quiet
+
+format: ## Format all sources
+	@clang-format -i $(SOURCES)
+
+format-check: ## Fail when a source is not formatted
+	@clang-format --dry-run -Werror $(SOURCES)
+
+layers: ## Fail when a layer includes one below it
+	@tools/check-layers
+
+lint: build ## Run clang-tidy over all sources
+	@tools/lint $(BUILD) $(JOBS)
+
+test: build ## Run unit tests and process tests
+	@tools/run-tests $(BUILD)
+
+check: format-check layers build lint test ## Everything that CI checks
+
+demo: deps build ## Run the whole path on loopback and print the answers
+	@$(BUILD)/tests/demo
+
+bench: build ## Measure the decisions and the path
+	@echo "bench: nothing to run yet"
+
+clean: ## Remove the build
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/src/coordination/entry.h
@@ -0,0 +1,124 @@
+// The entry's decisions without I/O: (time, message) in, actions out.
+//
+// A request is admitted or refused, claimed when it is not idempotent, run
+// stage by stage, assembled and answered once. Failures are short tests that
+// hand over messages late, twice, out of order or never.
+#ifndef ACACIACHUTE_SRC_COORDINATION_ENTRY_H_
+#define ACACIACHUTE_SRC_COORDINATION_ENTRY_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "messages.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "state/replica_table.h"
+#include "state/settings.h"
+#include "state/span.h"
+#include "state/store.h"
+#include "types.h"
+
+namespace acaciachute {
+
+// Names a caller's open connection to the transport.
+using CallerHandle = std::uint64_t;
+
+struct CallerRequest {
+  CallerHandle handle = 0;
+  std::string event;
+  std::string account;
+  std::string key;  // Idempotency key; required when not idempotent.
+  CallerClass caller_class = CallerClass::kPatient;
+  bool idempotent = true;
+  bool stream = false;
+  DurationUs deadline = 0;  // From arrival; zero takes the event's longest.
+  std::string body;
+  std::string traceparent;
+};
+
+struct StageCost {
+  std::string pool;
+  DurationUs service = 0;  // Upstream time of all attempts that answered.
+  std::uint32_t attempts = 0;
+};
+
+// The one final answer to a caller.
+struct CallerAnswer {
+  Verdict verdict = Verdict::kNotRun;
+  Refusal reason = Refusal::kNone;
+  std::string detail;
+  std::string body;
+  DurationUs retry_after = 0;  // Zero: a later try does not help.
+  std::vector<StageCost> cost;
+  std::string traceparent;
+  bool replayed = false;  // A stored answer given again.
+};
+
+// What the core asks its driver to do.
+class EntryOutput {
+ public:
+  virtual ~EntryOutput() = default;
+  virtual void Send(const NodeId& sidecar, const Message& message) = 0;
+  virtual void Answer(CallerHandle handle, const CallerAnswer& answer) = 0;
+  // Part of a streamed answer, in order; `Answer` ends the stream.
+  virtual void Stream(CallerHandle handle, std::string_view part) = 0;
+  virtual void CallStore(StoreTicket ticket, std::vector<StoreOp> ops) = 0;
+  virtual void Export(const Span& span) = 0;
+};
+
+struct EntryOptions {
+  NodeId node;
+  Incarnation incarnation = 0;
+  std::size_t max_requests = 4096;  // In progress at once.
+};
+
+class Entry {
+ public:
+  Entry(EntryOptions options,
+        EntryOutput* output,
+        Random* random,
+        Metrics* metrics);
+  ~Entry();
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  void OnSettings(TimeUs now, SettingsPtr settings);
+  void OnRequest(TimeUs now, CallerRequest request);
+  // What became of a request whose answer was lost.
+  void OnStatus(TimeUs now,
+                CallerHandle handle,
+                std::string_view account,
+                std::string_view key);
+  void OnCallerGone(TimeUs now, CallerHandle handle);
+  void OnMessage(TimeUs now, const NodeId& from, const Message& message);
+  void OnHeartbeat(TimeUs now,
+                   const NodeId& from,
+                   Incarnation incarnation,
+                   const Heartbeat& heartbeat);
+  // The connection to a sidecar broke: attempts there may have run.
+  void OnPeerLost(TimeUs now, const NodeId& sidecar);
+  // The connection was never made: `message` did not leave this process.
+  void OnUnsent(TimeUs now, const NodeId& sidecar, const Message& message);
+  void OnStoreAnswer(TimeUs now, StoreTicket ticket, StoreAnswer answer);
+  void OnTick(TimeUs now);
+  // When `OnTick` has work again; the far future when nothing waits.
+  TimeUs NextWakeup() const;
+
+  // From now on new requests are refused; those in progress finish.
+  void Leave();
+  std::size_t InProgress() const;
+
+  ReplicaTable& replicas();
+  const SettingsPtr& settings() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_ENTRY_H_
--- /dev/null
+++ b/src/coordination/sidecar.h
@@ -0,0 +1,79 @@
+// The sidecar's decisions without I/O: the last guard before an upstream.
+//
+// It queues, limits concurrency, drops duplicates, checks deadlines again at
+// hand-over, refuses new work as soon as its upstream leaves, and says of each
+// attempt whether it may have run.
+#ifndef ACACIACHUTE_SRC_COORDINATION_SIDECAR_H_
+#define ACACIACHUTE_SRC_COORDINATION_SIDECAR_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "messages.h"
+#include "state/metrics.h"
+#include "state/span.h"
+#include "types.h"
+
+namespace acaciachute {
+
+// Names a call handed to the upstream; never used again in one process.
+using UpstreamCallId = std::uint64_t;
+
+// How a call to the upstream ended without an answer.
+enum class UpstreamError {
+  kNotSent,   // The connection was refused; nothing reached the upstream.
+  kRejected,  // The upstream answered that it would not run it.
+  kBroken,    // The connection broke with the call in progress.
+  kMalformed  // The answer was cut, no JSON, or for another request.
+};
+
+class SidecarOutput {
+ public:
+  virtual ~SidecarOutput() = default;
+  virtual void Send(const NodeId& entry, const Message& message) = 0;
+  virtual void CallUpstream(UpstreamCallId id,
+                            const StageCall& call,
+                            DurationUs time_left) = 0;
+  virtual void CancelUpstream(UpstreamCallId id) = 0;
+  virtual void Export(const Span& span) = 0;
+};
+
+struct SidecarOptions {
+  NodeId node;
+  Incarnation incarnation = 0;
+  std::uint32_t limit = 4;       // Calls in progress at the upstream.
+  std::size_t max_queued = 256;  // Calls waiting.
+};
+
+class Sidecar {
+ public:
+  Sidecar(SidecarOptions options, SidecarOutput* output, Metrics* metrics);
+  ~Sidecar();
+  Sidecar(const Sidecar&) = delete;
+  Sidecar& operator=(const Sidecar&) = delete;
+
+  void OnMessage(TimeUs now, const NodeId& from, const Message& message);
+  void OnPeerLost(TimeUs now, const NodeId& entry);
+  void OnUpstreamChunk(TimeUs now,
+                       UpstreamCallId id,
+                       std::string body,
+                       bool last);
+  void OnUpstreamError(TimeUs now, UpstreamCallId id, UpstreamError error);
+  void OnTick(TimeUs now);
+  TimeUs NextWakeup() const;
+
+  // Ready and leaving; from the moment it leaves nothing new is started.
+  void SetState(NodeState state);
+  NodeState state() const;
+  std::size_t InProgress() const;  // Waiting and running calls.
+  Heartbeat MakeHeartbeat() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_SIDECAR_H_
--- /dev/null
+++ b/src/daemon/entry_node.cc
@@ -0,0 +1,348 @@
+#include "daemon/entry_node.h"
+
+#include <glog/logging.h>
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/entry.h"
+#include "daemon/startup.h"
+#include "protocol/caller_http.h"
+#include "protocol/platform_codec.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "text.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/peer_mesh.h"
+#include "transport/trace_log.h"
+
+namespace acaciachute {
+namespace {
+
+// Five heartbeats a second keep the load figures younger than a typical stage
+// and cost under 2 KB/s a replica.
+constexpr DurationUs kHeartbeatPeriod = 200 * kMillisecond;
+constexpr DurationUs kSettingsPeriod = kSecond;
+// The table's own limit on a transaction is below this.
+constexpr DurationUs kStoreTimeout = 2 * kSecond;
+// The balancer looks at /readyz every second or two; until it has noticed, a
+// draining entry still takes what it is sent.
+constexpr DurationUs kBalancerGrace = 3 * kSecond;
+constexpr DurationUs kDrainPoll = 20 * kMillisecond;
+
+constexpr std::string_view kSettingsPrefix = "settings/";
+
+}  // namespace
+
+struct EntryNode::Impl : EntryOutput, PeerHandler, HttpHandler {
+  Impl(const NodeSettings& node_settings, Loop* event_loop)
+      : settings(node_settings),
+        loop(event_loop),
+        random(FreshSeed()),
+        incarnation(random.Next() | 1),
+        traces(settings.node),
+        entry({settings.node, incarnation, settings.max_requests},
+              this,
+              &random,
+              &metrics),
+        mesh({settings.node, incarnation, settings.frame_key, settings.listen},
+             this,
+             &metrics),
+        server(this),
+        store(kStoreTimeout) {}
+
+  // EntryOutput:
+  void Send(const NodeId& sidecar, const Message& message) override {
+    mesh.Send(sidecar, message);
+  }
+  void Answer(CallerHandle handle, const CallerAnswer& answer) override;
+  void Stream(CallerHandle handle, std::string_view part) override {
+    streams.insert(handle);
+    server.StreamPart(handle, FormatStreamPart(part));
+  }
+  void CallStore(StoreTicket ticket, std::vector<StoreOp> ops) override;
+  void Export(const Span& span) override { traces.Add(span); }
+
+  // PeerHandler:
+  void OnPeerMessage(const NodeId& from,
+                     Incarnation from_incarnation,
+                     const Message& message) override {
+    entry.OnMessage(Loop::Now(), from, message);
+    Rearm();
+  }
+  void OnPeerDatagram(const NodeId& from,
+                      Incarnation from_incarnation,
+                      const Message& message) override {
+    if (const auto* it = std::get_if<Heartbeat>(&message)) {
+      entry.OnHeartbeat(Loop::Now(), from, from_incarnation, *it);
+    }
+  }
+  void OnPeerLost(const NodeId& peer) override {
+    LOG(INFO) << "event=connection_lost node=" << settings.node
+              << " peer=" << peer;
+    entry.OnPeerLost(Loop::Now(), peer);
+    Rearm();
+  }
+  void OnUnsent(const NodeId& peer, const Message& message) override {
+    entry.OnUnsent(Loop::Now(), peer, message);
+    Rearm();
+  }
+
+  // HttpHandler:
+  void OnHttpRequest(std::uint64_t handle,
+                     const HttpHead& head,
+                     std::string_view body) override;
+  void OnHttpGone(std::uint64_t handle) override {
+    streams.erase(handle);
+    entry.OnCallerGone(Loop::Now(), handle);
+    Rearm();
+  }
+
+  void OnOperatorRequest(std::uint64_t handle, const HttpHead& head);
+  std::string StatusJson();
+  void ReadSettings();
+  void OnSettingsRows(const std::vector<StoreRow>& rows);
+  void SendHeartbeats();
+  void Rearm();
+  void Transact(const std::vector<StoreOp>& ops,
+                std::function<void(StoreAnswer)> done);
+  void QuitWhenDone();
+
+  const NodeSettings settings;
+  Loop* const loop;
+  Random random;
+  const Incarnation incarnation;
+  Metrics metrics;
+  TraceLog traces;
+  Entry entry;
+  PeerMesh mesh;
+  HttpServer server;
+  HttpClient store;
+  std::set<CallerHandle> streams;
+  Loop::TimerId wakeup = 0;
+  TimeUs wakeup_at = 0;
+  std::uint64_t heartbeat_sequence = 0;
+  bool draining = false;
+};
+
+void EntryNode::Impl::Answer(CallerHandle handle, const CallerAnswer& answer) {
+  if (streams.erase(handle) > 0) {
+    server.StreamEnd(handle, FormatStreamEnd(answer));
+    return;
+  }
+  server.Reply(handle, FormatAnswer(answer));
+}
+
+void EntryNode::Impl::Transact(const std::vector<StoreOp>& ops,
+                               std::function<void(StoreAnswer)> done) {
+  HttpRequest request;
+  request.method = "POST";
+  request.url = StrCat(settings.platform_url, kTransactPath);
+  request.body = EncodeTransaction(ops);
+  store.Call(request, [done = std::move(done)](const HttpResult& result) {
+    if (!result.sent) {
+      done({StoreStatus::kUnavailable, {}});
+    } else if (!result.whole) {
+      done({StoreStatus::kUnknown, {}});
+    } else {
+      done(DecodeStoreAnswer(result.status, result.body));
+    }
+  });
+}
+
+void EntryNode::Impl::CallStore(StoreTicket ticket, std::vector<StoreOp> ops) {
+  Transact(ops, [this, ticket](StoreAnswer answer) {
+    entry.OnStoreAnswer(Loop::Now(), ticket, std::move(answer));
+    Rearm();
+  });
+}
+
+void EntryNode::Impl::OnHttpRequest(std::uint64_t handle,
+                                    const HttpHead& head,
+                                    std::string_view body) {
+  if (!head.path.starts_with("/v1/")) {
+    OnOperatorRequest(handle, head);
+    return;
+  }
+  CallerCall call = ParseCallerCall(head, body, *entry.settings());
+  if (auto* request = std::get_if<CallerRequest>(&call)) {
+    request->handle = handle;
+    entry.OnRequest(Loop::Now(), std::move(*request));
+  } else if (const auto* query = std::get_if<StatusQuery>(&call)) {
+    entry.OnStatus(Loop::Now(), handle, query->account, query->key);
+  } else {
+    const auto& rejection = std::get<Rejection>(call);
+    metrics.Count("acaciachute_refused_total", Name(rejection.reason));
+    CallerAnswer answer;
+    answer.reason = rejection.reason;
+    answer.detail = rejection.detail;
+    server.Reply(handle, FormatAnswer(answer));
+  }
+  Rearm();
+}
+
+void EntryNode::Impl::OnOperatorRequest(std::uint64_t handle,
+                                        const HttpHead& head) {
+  HttpReply reply;
+  if (head.path == "/healthz") {
+    reply.body = "{}";
+  } else if (head.path == "/readyz") {
+    const bool ready = !draining && !entry.settings()->branches().empty();
+    reply.status = ready ? 200 : 503;
+    reply.body = ready ? "{\"ready\":true}" : "{\"ready\":false}";
+  } else if (head.path == "/metrics") {
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = metrics.PrometheusText();
+  } else if (head.path == "/status") {
+    reply.body = StatusJson();
+  } else if (head.path.starts_with("/traces")) {
+    std::string_view id = head.path;
+    ConsumePrefix(&id, "/traces");
+    ConsumePrefix(&id, "/");
+    reply.body = traces.ToJson(id);
+  } else {
+    reply.status = 404;
+    reply.body = "{}";
+  }
+  server.Reply(handle, reply);
+}
+
+std::string EntryNode::Impl::StatusJson() {
+  nlohmann::json replicas = nlohmann::json::array();
+  for (const Replica* it : entry.replicas().All()) {
+    replicas.push_back({{"node", it->address.node},
+                        {"pool", it->pool},
+                        {"failure_domain", it->address.failure_domain},
+                        {"state", Name(it->state)},
+                        {"queued", it->load.queued},
+                        {"in_progress", it->load.in_progress},
+                        {"limit", it->load.limit},
+                        {"own_in_progress", it->own_in_progress}});
+  }
+  nlohmann::json branches = nlohmann::json::object();
+  for (const auto& [name, branch] : entry.settings()->branches()) {
+    branches[name] = branch.version;
+  }
+  return nlohmann::json{{"node", settings.node},
+                        {"role", Name(settings.role)},
+                        {"failure_domain", settings.failure_domain},
+                        {"draining", draining},
+                        {"in_progress", entry.InProgress()},
+                        {"replicas", std::move(replicas)},
+                        {"branches", std::move(branches)}}
+      .dump();
+}
+
+void EntryNode::Impl::ReadSettings() {
+  Transact({{StoreOpKind::kScan, std::string(kSettingsPrefix), "", 0}},
+           [this](const StoreAnswer& answer) {
+             if (answer.status == StoreStatus::kOk) {
+               OnSettingsRows(answer.rows);
+             }
+             loop->After(kSettingsPeriod, [this] { ReadSettings(); });
+           });
+}
+
+void EntryNode::Impl::OnSettingsRows(const std::vector<StoreRow>& rows) {
+  SettingsPtr next = entry.settings();
+  for (const auto& row : rows) {
+    const std::string name = row.key.substr(kSettingsPrefix.size());
+    const Branch* old = next->FindBranch(name);
+    if (old != nullptr && old->version >= row.version) {
+      continue;
+    }
+    auto branch = ParseBranch(name, row.version, row.value);
+    if (!branch.ok()) {
+      LOG(WARNING) << "event=branch_refused node=" << settings.node
+                   << " error=\"" << branch.status().message() << "\"";
+      continue;
+    }
+    if (auto it = next->With(*std::move(branch))) {
+      LOG(INFO) << "event=branch_applied node=" << settings.node
+                << " branch=" << name << " version=" << row.version;
+      next = std::move(it);
+    }
+  }
+  if (next == entry.settings()) {
+    return;
+  }
+  entry.OnSettings(Loop::Now(), next);
+  for (const Replica* it : entry.replicas().All()) {
+    mesh.SetAddress(it->address.node, {it->address.ip, it->address.port});
+  }
+  SendHeartbeats();
+}
+
+void EntryNode::Impl::SendHeartbeats() {
+  Heartbeat heartbeat;
+  heartbeat.role = Role::kEntry;
+  heartbeat.state = draining ? NodeState::kLeaving : NodeState::kReady;
+  heartbeat.sequence = ++heartbeat_sequence;
+  for (const Replica* it : entry.replicas().All()) {
+    mesh.SendDatagram(it->address.node, heartbeat);
+  }
+}
+
+void EntryNode::Impl::Rearm() {
+  const TimeUs next = entry.NextWakeup();
+  if (wakeup != 0 && wakeup_at <= next) {
+    return;
+  }
+  loop->Cancel(wakeup);
+  wakeup = 0;
+  if (next == std::numeric_limits<TimeUs>::max()) {
+    return;
+  }
+  wakeup_at = next;
+  wakeup = loop->After(std::max<DurationUs>(0, next - Loop::Now()), [this] {
+    wakeup = 0;
+    entry.OnTick(Loop::Now());
+    Rearm();
+  });
+}
+
+void EntryNode::Impl::QuitWhenDone() {
+  if (entry.InProgress() == 0 && server.Open() == 0) {
+    LOG(INFO) << "event=stopped node=" << settings.node;
+    loop->Quit();
+    return;
+  }
+  loop->After(kDrainPoll, [this] { QuitWhenDone(); });
+}
+
+EntryNode::EntryNode(const NodeSettings& settings, Loop* loop)
+    : impl_(std::make_unique<Impl>(settings, loop)) {}
+EntryNode::~EntryNode() = default;
+
+absl::Status EntryNode::Start() {
+  if (auto status = impl_->mesh.Listen(); !status.ok()) {
+    return status;
+  }
+  if (auto status = impl_->server.Listen(impl_->settings.http); !status.ok()) {
+    return status;
+  }
+  PrintListening(impl_->settings.node, impl_->mesh.port(),
+                 impl_->server.port());
+  impl_->ReadSettings();
+  impl_->loop->Every(kHeartbeatPeriod, [this] { impl_->SendHeartbeats(); });
+  return absl::OkStatus();
+}
+
+void EntryNode::Drain() {
+  if (impl_->draining) {
+    return;
+  }
+  impl_->draining = true;
+  LOG(INFO) << "event=draining node=" << impl_->settings.node
+            << " in_progress=" << impl_->entry.InProgress();
+  impl_->loop->After(kBalancerGrace, [this] {
+    impl_->entry.Leave();
+    impl_->QuitWhenDone();
+  });
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/daemon/sidecar_node.cc
@@ -0,0 +1,220 @@
+#include "daemon/sidecar_node.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "coordination/sidecar.h"
+#include "daemon/startup.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "text.h"
+#include "transport/http_server.h"
+#include "transport/peer_mesh.h"
+#include "transport/trace_log.h"
+#include "transport/upstream_client.h"
+
+namespace acaciachute {
+namespace {
+
+// How often the upstream is asked; bounds how late leaving is noticed.
+constexpr DurationUs kReportPeriod = 200 * kMillisecond;
+// Entries hear of the leaving by heartbeats in the meantime.
+constexpr DurationUs kLeavingGrace = 500 * kMillisecond;
+constexpr DurationUs kDrainPoll = 20 * kMillisecond;
+
+}  // namespace
+
+struct SidecarNode::Impl : SidecarOutput, PeerHandler, HttpHandler {
+  Impl(const NodeSettings& node_settings, Loop* event_loop)
+      : settings(node_settings),
+        loop(event_loop),
+        random(FreshSeed()),
+        incarnation(random.Next() | 1),
+        traces(settings.node),
+        sidecar({settings.node, incarnation, settings.upstream_limit,
+                 settings.max_queued},
+                this,
+                &metrics),
+        mesh({settings.node, incarnation, settings.frame_key, settings.listen},
+             this,
+             &metrics),
+        server(this),
+        upstream(settings.upstream_url,
+                 {[this](UpstreamCallId id, std::string body, bool last) {
+                    sidecar.OnUpstreamChunk(Loop::Now(), id, std::move(body),
+                                            last);
+                    Rearm();
+                  },
+                  [this](UpstreamCallId id, UpstreamError error) {
+                    sidecar.OnUpstreamError(Loop::Now(), id, error);
+                    Rearm();
+                  }}) {}
+
+  // SidecarOutput:
+  void Send(const NodeId& entry, const Message& message) override {
+    mesh.Send(entry, message);
+  }
+  void CallUpstream(UpstreamCallId id,
+                    const StageCall& call,
+                    DurationUs time_left) override {
+    upstream.Call(id, call, time_left);
+  }
+  void CancelUpstream(UpstreamCallId id) override { upstream.Cancel(id); }
+  void Export(const Span& span) override { traces.Add(span); }
+
+  // PeerHandler:
+  void OnPeerMessage(const NodeId& from,
+                     Incarnation from_incarnation,
+                     const Message& message) override {
+    sidecar.OnMessage(Loop::Now(), from, message);
+    Rearm();
+  }
+  void OnPeerDatagram(const NodeId& from,
+                      Incarnation from_incarnation,
+                      const Message& message) override {
+    if (!std::holds_alternative<Heartbeat>(message)) {
+      return;
+    }
+    Heartbeat heartbeat = sidecar.MakeHeartbeat();
+    heartbeat.sequence = std::get<Heartbeat>(message).sequence;
+    mesh.SendDatagram(from, heartbeat);
+  }
+  void OnPeerLost(const NodeId& peer) override {
+    sidecar.OnPeerLost(Loop::Now(), peer);
+    Rearm();
+  }
+  void OnUnsent(const NodeId& peer, const Message& message) override {}
+
+  // HttpHandler:
+  void OnHttpRequest(std::uint64_t handle,
+                     const HttpHead& head,
+                     std::string_view body) override;
+  void OnHttpGone(std::uint64_t handle) override {}
+
+  void AskReport();
+  void SetState(NodeState state);
+  void Rearm();
+  void QuitWhenDone();
+
+  const NodeSettings settings;
+  Loop* const loop;
+  Random random;
+  const Incarnation incarnation;
+  Metrics metrics;
+  TraceLog traces;
+  Sidecar sidecar;
+  PeerMesh mesh;
+  HttpServer server;
+  UpstreamClient upstream;
+  Loop::TimerId wakeup = 0;
+  TimeUs wakeup_at = 0;
+  bool draining = false;
+};
+
+void SidecarNode::Impl::OnHttpRequest(std::uint64_t handle,
+                                      const HttpHead& head,
+                                      std::string_view body) {
+  HttpReply reply;
+  if (head.path == "/healthz") {
+    reply.body = "{}";
+  } else if (head.path == "/readyz") {
+    const bool ready = sidecar.state() == NodeState::kReady;
+    reply.status = ready ? 200 : 503;
+    reply.body = ready ? "{\"ready\":true}" : "{\"ready\":false}";
+  } else if (head.path == "/metrics") {
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = metrics.PrometheusText();
+  } else if (head.path.starts_with("/traces")) {
+    std::string_view id = head.path;
+    ConsumePrefix(&id, "/traces");
+    ConsumePrefix(&id, "/");
+    reply.body = traces.ToJson(id);
+  } else {
+    reply.status = 404;
+    reply.body = "{}";
+  }
+  server.Reply(handle, reply);
+}
+
+void SidecarNode::Impl::SetState(NodeState state) {
+  if (sidecar.state() == state) {
+    return;
+  }
+  LOG(INFO) << "event=state node=" << settings.node << " state=" << Name(state);
+  sidecar.SetState(state);
+}
+
+void SidecarNode::Impl::AskReport() {
+  upstream.AskReport([this](const UpstreamReport& report) {
+    if (!draining) {
+      SetState(!report.reachable ? NodeState::kStarting
+               : report.leaving  ? NodeState::kLeaving
+                                 : NodeState::kReady);
+    }
+    loop->After(kReportPeriod, [this] { AskReport(); });
+  });
+}
+
+void SidecarNode::Impl::Rearm() {
+  const TimeUs next = sidecar.NextWakeup();
+  if (wakeup != 0 && wakeup_at <= next) {
+    return;
+  }
+  loop->Cancel(wakeup);
+  wakeup = 0;
+  if (next == std::numeric_limits<TimeUs>::max()) {
+    return;
+  }
+  wakeup_at = next;
+  wakeup = loop->After(std::max<DurationUs>(0, next - Loop::Now()), [this] {
+    wakeup = 0;
+    sidecar.OnTick(Loop::Now());
+    Rearm();
+  });
+}
+
+void SidecarNode::Impl::QuitWhenDone() {
+  if (sidecar.InProgress() == 0 && mesh.Flushed()) {
+    LOG(INFO) << "event=stopped node=" << settings.node;
+    loop->Quit();
+    return;
+  }
+  loop->After(kDrainPoll, [this] { QuitWhenDone(); });
+}
+
+SidecarNode::SidecarNode(const NodeSettings& settings, Loop* loop)
+    : impl_(std::make_unique<Impl>(settings, loop)) {}
+SidecarNode::~SidecarNode() = default;
+
+absl::Status SidecarNode::Start() {
+  if (auto status = impl_->mesh.Listen(); !status.ok()) {
+    return status;
+  }
+  if (!impl_->settings.http.ip.empty()) {
+    if (auto status = impl_->server.Listen(impl_->settings.http);
+        !status.ok()) {
+      return status;
+    }
+  }
+  PrintListening(impl_->settings.node, impl_->mesh.port(),
+                 impl_->server.port());
+  impl_->SetState(NodeState::kStarting);
+  impl_->AskReport();
+  return absl::OkStatus();
+}
+
+void SidecarNode::Drain() {
+  if (impl_->draining) {
+    return;
+  }
+  impl_->draining = true;
+  impl_->SetState(NodeState::kLeaving);
+  impl_->loop->After(kLeavingGrace, [this] { impl_->QuitWhenDone(); });
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/daemon/sidecar_node.h
@@ -0,0 +1,31 @@
+// A sidecar process: the core `Sidecar` between sockets and its upstream.
+#ifndef ACACIACHUTE_SRC_DAEMON_SIDECAR_NODE_H_
+#define ACACIACHUTE_SRC_DAEMON_SIDECAR_NODE_H_
+
+#include <memory>
+
+#include "absl/status/status.h"
+#include "protocol/node_settings.h"
+#include "transport/loop.h"
+
+namespace acaciachute {
+
+class SidecarNode {
+ public:
+  SidecarNode(const NodeSettings& settings, Loop* loop);
+  ~SidecarNode();
+  SidecarNode(const SidecarNode&) = delete;
+  SidecarNode& operator=(const SidecarNode&) = delete;
+
+  absl::Status Start();
+  // Refuses new work at once; ends the loop when nothing is in progress.
+  void Drain();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_DAEMON_SIDECAR_NODE_H_
--- /dev/null
+++ b/src/daemon/startup.cc
@@ -0,0 +1,20 @@
+#include "daemon/startup.h"
+
+#include <iostream>
+#include <random>
+
+namespace acaciachute {
+
+std::uint64_t FreshSeed() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+void PrintListening(const NodeId& node,
+                    std::uint16_t frame_port,
+                    std::uint16_t http_port) {
+  std::cout << "{\"listening\":\"" << node << "\",\"frames\":" << frame_port
+            << ",\"http\":" << http_port << "}" << std::endl;
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/protocol/frame.cc
@@ -0,0 +1,168 @@
+#include "protocol/frame.h"
+
+#include <glib.h>
+
+#include <array>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstring>
+#include <sstream>
+
+#include "absl/status/status.h"
+
+namespace acaciachute {
+
+template <class A>
+void serialize(A& a, RequestId& v) {
+  a(v.origin, v.sequence);
+}
+template <class A>
+void serialize(A& a, StageKey& v) {
+  a(v.request, v.stage, v.attempt);
+}
+template <class A>
+void serialize(A& a, LoadReport& v) {
+  a(v.queued, v.in_progress, v.limit, v.service_us);
+}
+template <class A>
+void serialize(A& a, StageCall& v) {
+  a(v.key, v.sidecar, v.caller_class, v.kind, v.idempotent, v.stream,
+    v.time_left, v.expected_service, v.fingerprint, v.account, v.path, v.body,
+    v.traceparent);
+}
+template <class A>
+void serialize(A& a, StageCancel& v) {
+  a(v.key, v.sidecar, v.time_left);
+}
+template <class A>
+void serialize(A& a, StageChunk& v) {
+  a(v.key, v.sidecar, v.sequence, v.last, v.service, v.body);
+}
+template <class A>
+void serialize(A& a, StageFailure& v) {
+  a(v.key, v.sidecar, v.verdict, v.reason, v.retry_after, v.crashed);
+}
+template <class A>
+void serialize(A& a, BranchVersion& v) {
+  a(v.branch, v.version);
+}
+template <class A>
+void serialize(A& a, Heartbeat& v) {
+  a(v.role, v.state, v.sequence, v.load, v.fence, v.versions, v.quarantined);
+}
+template <class A>
+void serialize(A& a, BranchPull& v) {
+  a(v.branch, v.version);
+}
+template <class A>
+void serialize(A& a, BranchBody& v) {
+  a(v.branch, v.version, v.json);
+}
+template <class A>
+void serialize(A& a, ControlOrder& v) {
+  a(v.order_id, v.kind, v.fence, v.model, v.model_version);
+}
+template <class A>
+void serialize(A& a, ControlOrderResult& v) {
+  a(v.order_id, v.reason, v.fence);
+}
+template <class A>
+void serialize(A& a, Envelope& v) {
+  a(v.sender, v.incarnation, v.sequence, v.message);
+}
+
+namespace {
+
+// "AC", a version that changes with any message's layout, and a spare byte.
+constexpr std::array<char, 4> kMagic = {'A', 'C', 1, 0};
+constexpr std::size_t kHashSize = 32;  // SHA-256.
+constexpr std::size_t kMinFrameSize = kFramePrefixSize + kHashSize;
+
+std::string KeyedHash(std::string_view data, std::string_view key) {
+  GHmac* hmac =
+      g_hmac_new(G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(key.data()),
+                 key.size());
+  g_hmac_update(hmac, reinterpret_cast<const guchar*>(data.data()),
+                static_cast<gssize>(data.size()));
+  std::string out(kHashSize, '\0');
+  gsize n = out.size();
+  g_hmac_get_digest(hmac, reinterpret_cast<guint8*>(out.data()), &n);
+  g_hmac_unref(hmac);
+  return out;
+}
+
+// In constant time, so that a forger learns nothing from how long it takes.
+bool SameBytes(std::string_view a, std::string_view b) {
+  unsigned char diff = a.size() == b.size() ? 0 : 1;
+  for (std::size_t n = 0; n < a.size() && n < b.size(); ++n) {
+    diff |= static_cast<unsigned char>(a[n] ^ b[n]);
+  }
+  return diff == 0;
+}
+
+}  // namespace
+
+std::string EncodeFrame(const Envelope& envelope, std::string_view key) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(envelope);
+  }
+  const std::string body = stream.str();
+  const auto size =
+      static_cast<std::uint32_t>(kFramePrefixSize + body.size() + kHashSize);
+  std::string frame(kMagic.data(), kMagic.size());
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    frame.push_back(static_cast<char>(size >> shift));
+  }
+  frame += body;
+  frame += KeyedHash(frame, key);
+  return frame;
+}
+
+absl::StatusOr<std::size_t> FrameSize(std::string_view prefix) {
+  if (prefix.size() < kFramePrefixSize) {
+    return absl::InvalidArgumentError("frame: short prefix");
+  }
+  if (std::memcmp(prefix.data(), kMagic.data(), kMagic.size()) != 0) {
+    return absl::InvalidArgumentError("frame: wrong magic or version");
+  }
+  std::size_t size = 0;
+  for (std::size_t n = kMagic.size(); n < kFramePrefixSize; ++n) {
+    size = size << 8 | static_cast<unsigned char>(prefix[n]);
+  }
+  if (size < kMinFrameSize || size > kMaxFrameSize) {
+    return absl::InvalidArgumentError("frame: length out of bounds");
+  }
+  return size;
+}
+
+absl::StatusOr<Envelope> DecodeFrame(std::string_view frame,
+                                     std::string_view key) {
+  const auto size = FrameSize(frame);
+  if (!size.ok()) {
+    return size.status();
+  }
+  if (*size != frame.size()) {
+    return absl::InvalidArgumentError("frame: wrong length");
+  }
+  const auto hashed = frame.substr(0, frame.size() - kHashSize);
+  if (!SameBytes(KeyedHash(hashed, key), frame.substr(hashed.size()))) {
+    return absl::UnauthenticatedError("frame: wrong hash");
+  }
+  Envelope envelope;
+  try {
+    std::istringstream stream(std::string(hashed.substr(kFramePrefixSize)));
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(envelope);
+  } catch (const std::exception&) {
+    // cereal throws on a short or malformed body; with a right hash that means
+    // a peer of another build.
+    return absl::InvalidArgumentError("frame: malformed message");
+  }
+  return envelope;
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/protocol/node_settings.h
@@ -0,0 +1,45 @@
+// A daemon's own settings file: who it is and where it finds the rest.
+#ifndef ACACIACHUTE_SRC_PROTOCOL_NODE_SETTINGS_H_
+#define ACACIACHUTE_SRC_PROTOCOL_NODE_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "types.h"
+
+namespace acaciachute {
+namespace detail {
+extern const char kNodeSettingsSchema[];
+}  // namespace detail
+
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;  // Zero: the system chooses.
+};
+
+struct NodeSettings {
+  Role role = Role::kEntry;
+  NodeId node;
+  std::string failure_domain;
+  std::string frame_key;
+  Address listen;  // Frames, over TCP and UDP.
+  Address http;    // Callers and operators.
+  std::string platform_url;
+  std::string upstream_url;
+  std::uint32_t upstream_limit = 4;
+  std::uint32_t max_queued = 256;
+  std::uint32_t max_requests = 4096;
+};
+
+struct NodeSettingsResult {
+  NodeSettings settings;
+  std::vector<std::string> errors;  // All that is wrong, each with its path.
+};
+
+NodeSettingsResult ParseNodeSettings(std::string_view json);
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_PROTOCOL_NODE_SETTINGS_H_
--- /dev/null
+++ b/src/text.h
@@ -0,0 +1,76 @@
+// Small helpers for text. Abseil's own take `absl::string_view`, which in
+// Debian's build is another type than `std::string_view`.
+#ifndef ACACIACHUTE_SRC_TEXT_H_
+#define ACACIACHUTE_SRC_TEXT_H_
+
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace acaciachute {
+namespace detail {
+
+template <typename T>
+void AppendTo(std::string* out, const T& value) {
+  if constexpr (std::is_arithmetic_v<T>) {
+    *out += std::to_string(value);
+  } else {
+    *out += std::string_view(value);
+  }
+}
+
+}  // namespace detail
+
+// Joins texts and numbers.
+template <typename... Parts>
+std::string StrCat(const Parts&... parts) {
+  std::string out;
+  (detail::AppendTo(&out, parts), ...);
+  return out;
+}
+
+inline std::vector<std::string> Split(std::string_view text, char separator) {
+  std::vector<std::string> parts;
+  for (auto end = text.find(separator); end != std::string_view::npos;
+       end = text.find(separator)) {
+    parts.emplace_back(text.substr(0, end));
+    text.remove_prefix(end + 1);
+  }
+  parts.emplace_back(text);
+  return parts;
+}
+
+// Whether `text` started with `prefix`, which is then cut off.
+inline bool ConsumePrefix(std::string_view* text, std::string_view prefix) {
+  if (!text->starts_with(prefix)) {
+    return false;
+  }
+  text->remove_prefix(prefix.size());
+  return true;
+}
+
+inline bool Contains(std::string_view text, std::string_view part) {
+  return text.find(part) != std::string_view::npos;
+}
+
+// In any case of ASCII letters.
+inline bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
+  const auto lower = [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  };
+  if (a.size() != b.size()) {
+    return false;
+  }
+  for (std::size_t n = 0; n < a.size(); ++n) {
+    if (lower(a[n]) != lower(b[n])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_TEXT_H_
--- /dev/null
+++ b/src/transport/loop.cc
@@ -0,0 +1,84 @@
+#include "transport/loop.h"
+
+#include <glib-unix.h>
+#include <glib.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciachute {
+namespace {
+
+struct TaskHolder {
+  Loop::Task task;
+  bool repeats;
+};
+
+gboolean RunTask(gpointer data) {
+  auto* holder = static_cast<TaskHolder*>(data);
+  const bool repeats = holder->repeats;
+  holder->task();
+  return repeats ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+void FreeTask(gpointer data) {
+  delete static_cast<TaskHolder*>(data);
+}
+
+guint MillisecondsOf(DurationUs delay) {
+  const DurationUs ms = (delay + kMillisecond - 1) / kMillisecond;
+  return static_cast<guint>(std::clamp<DurationUs>(ms, 0, G_MAXINT));
+}
+
+Loop::TimerId AddTimer(DurationUs delay, Loop::Task task, bool repeats) {
+  return g_timeout_add_full(G_PRIORITY_DEFAULT, MillisecondsOf(delay), RunTask,
+                            new TaskHolder{std::move(task), repeats}, FreeTask);
+}
+
+}  // namespace
+
+struct Loop::Impl {
+  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+};
+
+Loop::Loop() : impl_(std::make_unique<Impl>()) {}
+Loop::~Loop() {
+  g_main_loop_unref(impl_->loop);
+}
+
+TimeUs Loop::Now() {
+  return g_get_monotonic_time();
+}
+
+std::int64_t Loop::WallClock() {
+  return g_get_real_time();
+}
+
+Loop::TimerId Loop::After(DurationUs delay, Task task) {
+  return AddTimer(delay, std::move(task), false);
+}
+
+Loop::TimerId Loop::Every(DurationUs period, Task task) {
+  return AddTimer(period, std::move(task), true);
+}
+
+void Loop::Cancel(TimerId id) {
+  if (id != 0) {
+    g_source_remove(id);
+  }
+}
+
+void Loop::OnSignal(int signal, Task task) {
+  g_unix_signal_add_full(G_PRIORITY_DEFAULT, signal, RunTask,
+                         new TaskHolder{std::move(task), true}, FreeTask);
+}
+
+void Loop::Run() {
+  g_main_loop_run(impl_->loop);
+}
+
+void Loop::Quit() {
+  g_main_loop_quit(impl_->loop);
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/transport/peer_mesh.h
@@ -0,0 +1,68 @@
+// Frames between the system's processes: TCP for stage calls, results and
+// settings, UDP for heartbeats.
+#ifndef ACACIACHUTE_SRC_TRANSPORT_PEER_MESH_H_
+#define ACACIACHUTE_SRC_TRANSPORT_PEER_MESH_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "messages.h"
+#include "protocol/node_settings.h"
+#include "state/metrics.h"
+#include "types.h"
+
+namespace acaciachute {
+namespace detail {
+struct PeerMeshImpl;
+}  // namespace detail
+
+class PeerHandler {
+ public:
+  virtual ~PeerHandler() = default;
+  virtual void OnPeerMessage(const NodeId& from,
+                             Incarnation incarnation,
+                             const Message& message) = 0;
+  virtual void OnPeerDatagram(const NodeId& from,
+                              Incarnation incarnation,
+                              const Message& message) = 0;
+  // The connection broke: what was sent may have arrived.
+  virtual void OnPeerLost(const NodeId& peer) = 0;
+  // The connection was never made: `message` did not leave this process.
+  virtual void OnUnsent(const NodeId& peer, const Message& message) = 0;
+};
+
+struct PeerOptions {
+  NodeId node;
+  Incarnation incarnation = 0;
+  std::string frame_key;
+  Address listen;
+};
+
+class PeerMesh {
+ public:
+  PeerMesh(PeerOptions options, PeerHandler* handler, Metrics* metrics);
+  ~PeerMesh();
+  PeerMesh(const PeerMesh&) = delete;
+  PeerMesh& operator=(const PeerMesh&) = delete;
+
+  // Binds TCP and UDP to the same port.
+  absl::Status Listen();
+  std::uint16_t port() const;
+
+  // Where `peer` listens. Peers that have spoken first need none.
+  void SetAddress(const NodeId& peer, const Address& address);
+  void Send(const NodeId& peer, const Message& message);
+  void SendDatagram(const NodeId& peer, const Message& message);
+
+  // Whether everything sent has reached the kernel.
+  bool Flushed() const;
+
+ private:
+  std::unique_ptr<detail::PeerMeshImpl> impl_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_TRANSPORT_PEER_MESH_H_
--- /dev/null
+++ b/src/transport/upstream_client.cc
@@ -0,0 +1,189 @@
+#include "transport/upstream_client.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "protocol/event_stream.h"
+#include "text.h"
+#include "transport/http_client.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kRequestIdHeader[] = "X-Request-Id";
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpTooMany = 429;
+
+// A load report that takes longer is of no use.
+constexpr DurationUs kReportTimeout = kSecond;
+
+std::string CallName(const StageKey& key) {
+  return StrCat(key.request.origin, "-", key.request.sequence, "-", key.stage,
+                "-", key.attempt);
+}
+
+std::string HeaderOf(const HttpResult& result, std::string_view name) {
+  for (const auto& [key, value] : result.headers) {
+    if (EqualsIgnoreCase(key, name)) {
+      return value;
+    }
+  }
+  return "";
+}
+
+struct RunningCall {
+  HttpClient::CallId http = 0;
+  std::string name;
+  bool stream = false;
+  bool ended = false;  // The stream's end marker was seen.
+  EventStreamReader reader;
+};
+
+UpstreamError ErrorOf(const HttpResult& result) {
+  if (!result.sent) {
+    return UpstreamError::kNotSent;
+  }
+  if (result.status == kHttpUnavailable || result.status == kHttpTooMany) {
+    return UpstreamError::kRejected;
+  }
+  return result.whole ? UpstreamError::kMalformed : UpstreamError::kBroken;
+}
+
+}  // namespace
+
+struct UpstreamClient::Impl {
+  Impl(std::string url, Callbacks callbacks)
+      : url(std::move(url)), callbacks(std::move(callbacks)) {}
+
+  void OnDone(UpstreamCallId id, const HttpResult& result);
+  void OnPart(UpstreamCallId id, const std::string& part);
+
+  const std::string url;
+  const Callbacks callbacks;
+  HttpClient calls{0};
+  HttpClient reports{kReportTimeout};
+  std::map<UpstreamCallId, RunningCall> running;
+};
+
+// Failure: the upstream's answer is cut, no JSON, or another request's.
+// Symptom: a caller receives part of an answer, or somebody else's. Only a
+// whole body that names the call and parses is an answer.
+void UpstreamClient::Impl::OnDone(UpstreamCallId id, const HttpResult& result) {
+  const auto it = running.find(id);
+  if (it == running.end()) {
+    return;
+  }
+  const RunningCall call = std::move(it->second);
+  running.erase(it);
+  if (result.status != kHttpOk || !result.whole) {
+    callbacks.error(id, ErrorOf(result));
+    return;
+  }
+  const bool named = HeaderOf(result, kRequestIdHeader) == call.name;
+  if (call.stream) {
+    if (named && call.ended) {
+      callbacks.chunk(id, "", true);
+    } else {
+      callbacks.error(id, UpstreamError::kMalformed);
+    }
+    return;
+  }
+  if (!named || !Json::accept(result.body)) {
+    callbacks.error(id, UpstreamError::kMalformed);
+    return;
+  }
+  callbacks.chunk(id, result.body, true);
+}
+
+void UpstreamClient::Impl::OnPart(UpstreamCallId id, const std::string& part) {
+  const auto it = running.find(id);
+  if (it == running.end()) {
+    return;
+  }
+  const auto events = it->second.reader.Add(part);
+  for (const auto& event : events) {
+    const auto again = running.find(id);
+    if (again == running.end()) {
+      return;
+    }
+    if (event.name == "end") {
+      again->second.ended = true;
+    } else if (event.name.empty()) {
+      callbacks.chunk(id, event.data, false);
+    }
+  }
+}
+
+UpstreamClient::UpstreamClient(std::string url, Callbacks callbacks)
+    : impl_(std::make_unique<Impl>(std::move(url), std::move(callbacks))) {}
+UpstreamClient::~UpstreamClient() = default;
+
+void UpstreamClient::Call(UpstreamCallId id,
+                          const StageCall& call,
+                          DurationUs time_left) {
+  RunningCall& it = impl_->running[id];
+  it.name = CallName(call.key);
+  it.stream = call.stream;
+  HttpRequest request;
+  request.method = "POST";
+  request.url = StrCat(impl_->url, call.path);
+  request.body = call.body;
+  request.new_connection = !call.idempotent;
+  request.headers = {
+      {kRequestIdHeader, it.name},
+      {"X-Priority", std::string(Name(call.caller_class))},
+      {"X-Time-Left-Ms", StrCat(time_left / kMillisecond)},
+      {"Accept", call.stream ? "text/event-stream" : "application/json"},
+  };
+  if (!call.traceparent.empty()) {
+    request.headers.emplace_back("traceparent", call.traceparent);
+  }
+  HttpClient::PartFn part;
+  if (call.stream) {
+    part = [this, id](const std::string& bytes) { impl_->OnPart(id, bytes); };
+  }
+  it.http = impl_->calls.Call(
+      request,
+      [this, id](const HttpResult& result) { impl_->OnDone(id, result); },
+      std::move(part));
+}
+
+void UpstreamClient::Cancel(UpstreamCallId id) {
+  const auto it = impl_->running.find(id);
+  if (it == impl_->running.end()) {
+    return;
+  }
+  impl_->calls.Cancel(it->second.http);
+  HttpRequest request;
+  request.method = "POST";
+  request.url = StrCat(impl_->url, "/v1/cancel");
+  request.body = Json{{"id", it->second.name}}.dump();
+  impl_->running.erase(it);
+  // Its connection is closed as well; the call only frees the slot earlier.
+  impl_->reports.Call(request, [](const HttpResult&) {});
+}
+
+void UpstreamClient::AskReport(
+    const std::function<void(const UpstreamReport&)>& done) {
+  HttpRequest request;
+  request.url = StrCat(impl_->url, "/v1/load");
+  impl_->reports.Call(request, [done](const HttpResult& result) {
+    UpstreamReport report;
+    const Json in = Json::parse(result.body, nullptr, false);
+    if (result.status == kHttpOk && in.is_object()) {
+      report.reachable = true;
+      report.leaving = in.value("state", "ready") == "leaving";
+      report.load.queued = in.value("queued", 0U);
+      report.load.in_progress = in.value("in_progress", 0U);
+      report.load.limit = in.value("limit", 0U);
+    }
+    done(report);
+  });
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/transport/upstream_client.h
@@ -0,0 +1,46 @@
+// The sidecar's HTTP towards its upstream (docs/PLATFORM.md gives the
+// protocol): stage calls, cancels and load reports.
+#ifndef ACACIACHUTE_SRC_TRANSPORT_UPSTREAM_CLIENT_H_
+#define ACACIACHUTE_SRC_TRANSPORT_UPSTREAM_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coordination/sidecar.h"
+#include "messages.h"
+#include "types.h"
+
+namespace acaciachute {
+
+// What an upstream says of itself.
+struct UpstreamReport {
+  bool reachable = false;
+  bool leaving = false;
+  LoadReport load;
+};
+
+class UpstreamClient {
+ public:
+  struct Callbacks {
+    std::function<void(UpstreamCallId, std::string body, bool last)> chunk;
+    std::function<void(UpstreamCallId, UpstreamError)> error;
+  };
+
+  UpstreamClient(std::string url, Callbacks callbacks);
+  ~UpstreamClient();
+  UpstreamClient(const UpstreamClient&) = delete;
+  UpstreamClient& operator=(const UpstreamClient&) = delete;
+
+  void Call(UpstreamCallId id, const StageCall& call, DurationUs time_left);
+  void Cancel(UpstreamCallId id);
+  void AskReport(const std::function<void(const UpstreamReport&)>& done);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_TRANSPORT_UPSTREAM_CLIENT_H_
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,190 @@
+// The small vocabulary shared by every layer: identifiers, units, the enums
+// with their name tables, and the verdict.
+#ifndef ACACIACHUTE_SRC_TYPES_H_
+#define ACACIACHUTE_SRC_TYPES_H_
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace acaciachute {
+
+// Microseconds. `TimeUs` is a point on the local monotonic clock, never sent
+// between nodes; `DurationUs` is a length and may be.
+using TimeUs = std::int64_t;
+using DurationUs = std::int64_t;
+inline constexpr DurationUs kMillisecond = 1000;
+inline constexpr DurationUs kSecond = 1000 * kMillisecond;
+
+// Name of a node as the settings give it, such as "entry-1".
+using NodeId = std::string;
+
+// Drawn at random when a process starts. Two processes that follow one another
+// under the same NodeId differ in it; zero stands for "not known yet".
+using Incarnation = std::uint64_t;
+
+// Version of a settings branch; grows by one with each accepted change.
+using SettingsVersion = std::uint64_t;
+
+// Fencing number of a lease; a larger one supersedes every smaller one.
+using FenceNumber = std::uint64_t;
+
+// Identifies a caller's request across restarts of the entry that accepted it.
+struct RequestId {
+  Incarnation origin = 0;
+  std::uint64_t sequence = 0;
+  auto operator<=>(const RequestId&) const = default;
+};
+
+// One try of one stage of one request. A result that carries another key than
+// the try in progress belongs to somebody else and is dropped.
+struct StageKey {
+  RequestId request;
+  std::uint32_t stage = 0;
+  std::uint32_t attempt = 0;
+  auto operator<=>(const StageKey&) const = default;
+};
+
+template <typename H>
+H AbslHashValue(H h, const RequestId& id) {
+  return H::combine(std::move(h), id.origin, id.sequence);
+}
+template <typename H>
+H AbslHashValue(H h, const StageKey& key) {
+  return H::combine(std::move(h), key.request, key.stage, key.attempt);
+}
+
+namespace detail {
+template <typename E, std::size_t N>
+constexpr std::string_view NameIn(const std::array<std::string_view, N>& names,
+                                  E value) {
+  const auto n = static_cast<std::size_t>(value);
+  return n < N ? names[n] : std::string_view("unknown");
+}
+template <typename E, std::size_t N>
+constexpr std::optional<E> ValueIn(const std::array<std::string_view, N>& names,
+                                   std::string_view name) {
+  for (std::size_t n = 0; n < N; ++n) {
+    if (names[n] == name) {
+      return static_cast<E>(n);
+    }
+  }
+  return std::nullopt;
+}
+}  // namespace detail
+
+enum class Role { kEntry, kSidecar };
+inline constexpr std::array<std::string_view, 2> kRoleNames = {"entry",
+                                                               "sidecar"};
+constexpr std::string_view Name(Role v) {
+  return detail::NameIn(kRoleNames, v);
+}
+
+// How long a caller can wait. Urgent work is never queued behind patient work.
+enum class CallerClass { kUrgent, kPatient };
+inline constexpr std::array<std::string_view, 2> kCallerClassNames = {
+    "urgent", "patient"};
+constexpr std::string_view Name(CallerClass v) {
+  return detail::NameIn(kCallerClassNames, v);
+}
+
+enum class StageKind { kEncode, kRetrieve, kRerank, kGenerate, kService };
+inline constexpr std::array<std::string_view, 5> kStageKindNames = {
+    "encode", "retrieve", "rerank", "generate", "service"};
+constexpr std::string_view Name(StageKind v) {
+  return detail::NameIn(kStageKindNames, v);
+}
+
+// Whether a request may have run. `kNotRun` is a promise: nothing of the stage
+// in question reached an upstream and nothing will.
+enum class Verdict { kAnswered, kNotRun, kMayHaveRun };
+inline constexpr std::array<std::string_view, 3> kVerdictNames = {
+    "answered", "not_run", "may_have_run"};
+constexpr std::string_view Name(Verdict v) {
+  return detail::NameIn(kVerdictNames, v);
+}
+
+// What a node says of itself. Leaving is a state of its own: the node is
+// healthy, finishes what it has, and takes nothing new.
+enum class NodeState { kStarting, kReady, kLeaving, kSuspect, kDead };
+inline constexpr std::array<std::string_view, 5> kNodeStateNames = {
+    "starting", "ready", "leaving", "suspect", "dead"};
+constexpr std::string_view Name(NodeState v) {
+  return detail::NameIn(kNodeStateNames, v);
+}
+
+// Why a request was refused or failed. `kRefusals` gives each its HTTP status.
+enum class Refusal {
+  kNone,
+  kMalformed,
+  kUnauthorized,
+  kForbidden,
+  kUnknownEvent,
+  kKeyReused,
+  kTooLarge,
+  kQuarantined,
+  kOverShare,
+  kFull,
+  kLeaving,
+  kLate,
+  kStoreDown,
+  kNoReplica,
+  kUpstreamFailed,
+  kInProgress,
+  kFenced,
+  kCancelled,
+  kNotCurrent,
+};
+
+struct RefusalInfo {
+  std::string_view name;
+  int http_status;
+  std::string_view title;
+  bool later_may_help;  // Whether the answer carries Retry-After.
+};
+
+inline constexpr std::array<RefusalInfo, 19> kRefusals = {{
+    {"none", 200, "OK", false},
+    {"malformed", 400, "The request is malformed", false},
+    {"unauthorized", 401, "The bearer token is missing or unknown", false},
+    {"forbidden", 403, "The account may not call this event", false},
+    {"unknown_event", 404, "There is no such event", false},
+    {"key_reused", 409, "The key was used with another body", false},
+    {"too_large", 413, "The body is too large", false},
+    {"quarantined", 422, "Requests like this one crashed upstreams", false},
+    {"over_share", 429, "The account is over its share", true},
+    {"full", 503, "No capacity within the deadline", true},
+    {"leaving", 503, "The node is leaving", true},
+    {"late", 504, "The deadline passed", true},
+    {"store_down", 503, "The claim could not be written", true},
+    {"no_replica", 503, "No replica takes work", true},
+    {"upstream_failed", 502, "The upstream failed", true},
+    {"in_progress", 409, "The same request is in progress", true},
+    {"fenced", 409, "The order carries an old fencing number", false},
+    {"cancelled", 499, "The caller gave up", false},
+    {"not_current", 503, "The node cannot show that it is current", true},
+}};
+constexpr const RefusalInfo& Info(Refusal v) {
+  return kRefusals[static_cast<std::size_t>(v)];
+}
+constexpr std::string_view Name(Refusal v) {
+  return Info(v).name;
+}
+
+// What an upstream reports of itself, always late by some amount; a node adds
+// its own work in progress to it.
+struct LoadReport {
+  std::uint32_t queued = 0;
+  std::uint32_t in_progress = 0;
+  std::uint32_t limit = 0;
+  std::uint32_t service_us = 0;  // Recent mean service time of one stage call.
+  bool operator==(const LoadReport&) const = default;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_TYPES_H_
--- /dev/null
+++ b/tests/process/harness.cc
@@ -0,0 +1,295 @@
+#include "tests/process/harness.h"
+
+#include <gio/gio.h>
+#include <glib/gstdio.h>
+
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "protocol/caller_http.h"
+#include "text.h"
+#include "transport/glib_ptr.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kFrameKey[] = "0123456789abcdef0123456789abcdef";
+constexpr DurationUs kReadyTimeout = 20 * kSecond;
+constexpr DurationUs kPoll = 10 * kMillisecond;
+
+std::string ReplicaName(const std::string& pool, int n) {
+  return StrCat(pool, "-", n);
+}
+
+}  // namespace
+
+struct Process::Impl {
+  GPtr<GSubprocess> process;
+  Json listening;
+};
+
+Process::Process(const std::string& program,
+                 const std::vector<std::string>& args)
+    : impl_(std::make_unique<Impl>()) {
+  std::vector<const char*> argv = {program.c_str()};
+  for (const auto& it : args) {
+    argv.push_back(it.c_str());
+  }
+  argv.push_back(nullptr);
+  GError* error = nullptr;
+  impl_->process.reset(
+      g_subprocess_newv(argv.data(), G_SUBPROCESS_FLAGS_STDOUT_PIPE, &error));
+  const GErrorPtr owned(error);
+  if (!impl_->process) {
+    throw std::runtime_error(StrCat(program, ": ", error->message));
+  }
+  const GPtr<GDataInputStream> lines(g_data_input_stream_new(
+      g_subprocess_get_stdout_pipe(impl_->process.get())));
+  g_filter_input_stream_set_close_base_stream(
+      G_FILTER_INPUT_STREAM(lines.get()), FALSE);
+  gchar* line =
+      g_data_input_stream_read_line(lines.get(), nullptr, nullptr, nullptr);
+  impl_->listening = Json::parse(line == nullptr ? "" : line, nullptr, false);
+  g_free(line);
+  if (!impl_->listening.is_object()) {
+    throw std::runtime_error(program + " did not start");
+  }
+}
+
+Process::~Process() {
+  if (Running()) {
+    Signal(SIGKILL);
+    Wait();
+  }
+}
+
+std::uint16_t Process::http_port() const {
+  return impl_->listening.value("http", 0);
+}
+
+std::uint16_t Process::frame_port() const {
+  return impl_->listening.value("frames", 0);
+}
+
+std::string Process::url() const {
+  return StrCat("http://127.0.0.1:", http_port());
+}
+
+void Process::Signal(int signal) {
+  g_subprocess_send_signal(impl_->process.get(), signal);
+}
+
+bool Process::Running() const {
+  return g_subprocess_get_identifier(impl_->process.get()) != nullptr;
+}
+
+int Process::Wait() {
+  g_subprocess_wait(impl_->process.get(), nullptr, nullptr);
+  return g_subprocess_get_if_exited(impl_->process.get())
+             ? g_subprocess_get_exit_status(impl_->process.get())
+             : -1;
+}
+
+Deployment::Deployment(std::string bin,
+                       std::vector<PoolSpec> pools,
+                       int entry_count)
+    : bin_dir(std::move(bin)), pools_(std::move(pools)), client_(0) {
+  gchar* dir = g_dir_make_tmp("acaciachute-XXXXXX", nullptr);
+  dir_ = dir;
+  g_free(dir);
+  platform = std::make_unique<Process>(bin_dir + "/tests/standin-platform",
+                                       std::vector<std::string>{});
+  for (const auto& pool : pools_) {
+    for (int n = 1; n <= pool.replicas; ++n) {
+      const std::string node = ReplicaName(pool.name, n);
+      upstreams[node] = std::make_unique<Process>(
+          bin_dir + "/tests/standin-upstream",
+          std::vector<std::string>{"--kind", pool.kind, "--name", node,
+                                   "--service-ms", StrCat(pool.service_ms),
+                                   "--slots", StrCat(pool.slots)});
+      slots_[node].pool = pool.name;
+      StartSidecar(node);
+    }
+  }
+  WriteSettings();
+  entries.resize(entry_count);
+  for (int n = 0; n < entry_count; ++n) {
+    StartEntry(n);
+  }
+}
+
+Deployment::~Deployment() {
+  entries.clear();
+  sidecars.clear();
+  upstreams.clear();
+  platform.reset();
+  for (const auto& [node, unused] : slots_) {
+    g_remove(StrCat(dir_, "/", node, ".json").c_str());
+  }
+  for (std::size_t n = 0; n < entries.capacity(); ++n) {
+    g_remove(StrCat(dir_, "/entry-", n, ".json").c_str());
+  }
+  g_rmdir(dir_.c_str());
+}
+
+std::string Deployment::WriteNodeFile(const std::string& node,
+                                      const std::string& json) {
+  std::string path = StrCat(dir_, "/", node, ".json");
+  std::ofstream(path) << json;
+  return path;
+}
+
+void Deployment::StartSidecar(const std::string& node) {
+  Slot& slot = slots_[node];
+  int limit = 4;
+  for (const auto& pool : pools_) {
+    limit = pool.name == slot.pool ? pool.slots : limit;
+  }
+  const Json json = {
+      {"role", "sidecar"},
+      {"node", node},
+      {"frame_key", kFrameKey},
+      {"listen", {{"ip", "127.0.0.1"}, {"port", slot.port}}},
+      {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
+      {"upstream", {{"url", upstreams[node]->url()}, {"limit", limit}}}};
+  sidecars[node] = std::make_unique<Process>(
+      bin_dir + "/acaciachuted",
+      std::vector<std::string>{"--settings", WriteNodeFile(node, json.dump())});
+  slot.port = sidecars[node]->frame_port();
+}
+
+void Deployment::StartEntry(int n) {
+  const std::string node = StrCat("entry-", n);
+  const Json json = {{"role", "entry"},
+                     {"node", node},
+                     {"frame_key", kFrameKey},
+                     {"listen", {{"ip", "127.0.0.1"}, {"port", 0}}},
+                     {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
+                     {"platform", {{"url", platform->url()}}}};
+  entries[n] = std::make_unique<Process>(
+      bin_dir + "/acaciachuted",
+      std::vector<std::string>{"--settings", WriteNodeFile(node, json.dump())});
+}
+
+void Deployment::WriteSettings() {
+  Json pools = Json::object();
+  Json stages = Json::array();
+  for (const auto& pool : pools_) {
+    Json replicas = Json::array();
+    for (const auto& [node, slot] : slots_) {
+      if (slot.pool == pool.name) {
+        replicas.push_back({{"node", node},
+                            {"ip", "127.0.0.1"},
+                            {"port", slot.port},
+                            {"failure_domain", "hall-a"}});
+      }
+    }
+    pools[pool.name] = {{"kind", pool.kind}, {"replicas", replicas}};
+    stages.push_back({{"pool", pool.name}, {"path", "/v1/run"}});
+  }
+  const Json branch = {
+      {"owner", "platform"},
+      {"pools", pools},
+      {"accounts",
+       {{"office",
+         {{"token_salt", "s1"}, {"token_hash", TokenHash("s1", kToken)}}}}},
+      {"events",
+       {{"round",
+         {{"max_deadline_ms", 5000},
+          {"stages", stages},
+          {"accounts", {"office"}}}}}}};
+  const Json write = {{"ops",
+                       {{{"op", "insert"},
+                         {"key", "settings/platform"},
+                         {"value", branch.dump()}}}}};
+  if (Post(platform->url() + "/v1/table/transact", write.dump()).status !=
+      200) {
+    throw std::runtime_error("settings were not accepted");
+  }
+}
+
+HttpResult Deployment::Call(const HttpRequest& request) {
+  HttpResult out;
+  client_.Call(request, [&](const HttpResult& result) {
+    out = result;
+    loop_.Quit();
+  });
+  loop_.Run();
+  return out;
+}
+
+HttpResult Deployment::Get(const std::string& url) {
+  HttpRequest request;
+  request.url = url;
+  return Call(request);
+}
+
+HttpResult Deployment::Post(const std::string& url, const std::string& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.url = url;
+  request.body = body;
+  return Call(request);
+}
+
+HttpRequest Deployment::EventRequest(int entry, const std::string& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.url = entries[entry]->url() + "/v1/events/round/requests";
+  request.body = body;
+  request.headers = {{"Authorization", StrCat("Bearer ", kToken)}};
+  return request;
+}
+
+bool Deployment::WaitFor(const std::function<bool()>& condition,
+                         DurationUs timeout) {
+  const TimeUs end = Loop::Now() + timeout;
+  while (!condition()) {
+    if (Loop::Now() >= end) {
+      return false;
+    }
+    loop_.After(kPoll, [this] { loop_.Quit(); });
+    loop_.Run();
+  }
+  return true;
+}
+
+bool Deployment::WaitReady() {
+  return WaitFor(
+      [this] {
+        for (const auto& entry : entries) {
+          const auto status = Get(entry->url() + "/status");
+          const Json in = Json::parse(status.body, nullptr, false);
+          if (!in.is_object() || in["replicas"].size() != slots_.size()) {
+            return false;
+          }
+          for (const auto& it : in["replicas"]) {
+            if (it["state"] != "ready") {
+              return false;
+            }
+          }
+        }
+        return true;
+      },
+      kReadyTimeout);
+}
+
+int Deployment::RunsOf(const std::string& text) {
+  int runs = 0;
+  for (const auto& [unused, upstream] : upstreams) {
+    const auto result = Get(upstream->url() + "/runs");
+    const Json log = Json::parse(result.body, nullptr, false);
+    for (const auto& it : log) {
+      const bool hit =
+          it["body"].get<std::string>().find(text) != std::string::npos;
+      runs += hit ? 1 : 0;
+    }
+  }
+  return runs;
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/standins/upstream.cc
@@ -0,0 +1,216 @@
+// Stand-in for an upstream: a model engine, encoder, retriever, reranker or
+// plain service with a fixed number of slots and a service time. It keeps a log
+// of every run, which is what failure tests count. docs/PLATFORM.md gives the
+// protocol; faults are ordered by POST /faults.
+#include <unistd.h>
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "text.h"
+#include "transport/http_server.h"
+#include "transport/loop.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kStreamParts = 4;
+constexpr int kCrashExit = 9;
+
+struct Config {
+  std::string kind;
+  std::string name;
+  std::uint32_t slots = 4;
+  std::int64_t service_ms = 5;
+  std::string crash_on;  // A body that contains this ends the process.
+  bool leaving = false;
+};
+
+struct Run {
+  std::string id;
+  std::string body;
+  bool stream = false;
+};
+
+class Upstream : public HttpHandler {
+ public:
+  Upstream(Config config, Loop* loop)
+      : config_(std::move(config)), loop_(loop), server_(this) {}
+
+  int Start(std::uint16_t port) {
+    const auto status = server_.Listen({"127.0.0.1", port});
+    if (!status.ok()) {
+      std::cerr << status.message() << "\n";
+      return 1;
+    }
+    std::cout << Json{{"listening", config_.name}, {"http", server_.port()}}
+              << std::endl;
+    return 0;
+  }
+
+  void OnHttpRequest(std::uint64_t handle,
+                     const HttpHead& head,
+                     std::string_view body) override {
+    if (head.path == "/v1/load") {
+      Reply(handle, 200,
+            {{"state", config_.leaving ? "leaving" : "ready"},
+             {"queued", waiting_.size()},
+             {"in_progress", running_},
+             {"limit", config_.slots}});
+    } else if (head.path == "/v1/cancel") {
+      Cancel(handle, body);
+    } else if (head.path == "/faults") {
+      SetFaults(handle, body);
+    } else if (head.path == "/runs") {
+      Reply(handle, 200, runs_);
+    } else if (head.method == "POST") {
+      Accept(handle, head, body);
+    } else {
+      Reply(handle, 404, {{"error", "no such path"}});
+    }
+  }
+  void OnHttpGone(std::uint64_t handle) override { Drop(handle); }
+
+ private:
+  void Reply(std::uint64_t handle, int status, const Json& json) {
+    HttpReply reply;
+    reply.status = status;
+    reply.body = json.dump();
+    server_.Reply(handle, reply);
+  }
+
+  void SetFaults(std::uint64_t handle, std::string_view body) {
+    const Json in = Json::parse(body, nullptr, false);
+    if (!in.is_object()) {
+      Reply(handle, 400, {{"error", "no JSON object"}});
+      return;
+    }
+    config_.crash_on = in.value("crash_on", config_.crash_on);
+    config_.leaving = in.value("leaving", config_.leaving);
+    config_.service_ms = in.value("service_ms", config_.service_ms);
+    Reply(handle, 200, Json::object());
+  }
+
+  void Cancel(std::uint64_t handle, std::string_view body) {
+    const Json in = Json::parse(body, nullptr, false);
+    const std::string id = in.is_object() ? in.value("id", "") : "";
+    for (const auto& [key, run] : calls_) {
+      if (run.id == id) {
+        Drop(key);
+        break;
+      }
+    }
+    Reply(handle, 200, Json::object());
+  }
+
+  void Drop(std::uint64_t handle) {
+    std::erase(waiting_, handle);
+    calls_.erase(handle);
+  }
+
+  void Accept(std::uint64_t handle,
+              const HttpHead& head,
+              std::string_view body) {
+    Run run;
+    run.id = head.header("X-Request-Id").value_or("");
+    run.body = body;
+    run.stream = Contains(head.header("Accept").value_or(""), "event-stream");
+    calls_[handle] = std::move(run);
+    waiting_.push_back(handle);
+    StartWaiting();
+  }
+
+  void StartWaiting() {
+    while (running_ < config_.slots && !waiting_.empty()) {
+      const std::uint64_t handle = waiting_.front();
+      waiting_.pop_front();
+      const Run& run = calls_[handle];
+      runs_.push_back({{"id", run.id}, {"body", run.body}});
+      if (!config_.crash_on.empty() && Contains(run.body, config_.crash_on)) {
+        _exit(kCrashExit);
+      }
+      ++running_;
+      loop_->After(config_.service_ms * kMillisecond,
+                   [this, handle] { Finish(handle); });
+    }
+  }
+
+  void Finish(std::uint64_t handle) {
+    --running_;
+    const auto it = calls_.find(handle);
+    if (it != calls_.end()) {
+      const Run run = std::move(it->second);
+      calls_.erase(it);
+      Answer(handle, run);
+    }
+    StartWaiting();
+  }
+
+  void Answer(std::uint64_t handle, const Run& run) {
+    if (!run.stream) {
+      HttpReply reply;
+      reply.headers.emplace_back("X-Request-Id", run.id);
+      reply.body = Json{{"stage", config_.kind},
+                        {"by", config_.name},
+                        {"input", Json::parse(run.body, nullptr, false)}}
+                       .dump();
+      server_.Reply(handle, reply);
+      return;
+    }
+    server_.SetHeader(handle, "X-Request-Id", run.id);
+    for (int n = 0; n < kStreamParts; ++n) {
+      server_.StreamPart(handle, FormatStreamPart(StrCat("part", n, " ")));
+    }
+    server_.StreamEnd(handle, "event: end\n\n");
+  }
+
+  Config config_;
+  Loop* const loop_;
+  HttpServer server_;
+  std::uint32_t running_ = 0;
+  std::map<std::uint64_t, Run> calls_;
+  std::deque<std::uint64_t> waiting_;
+  Json runs_ = Json::array();
+};
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("standin-upstream", "Stand-in upstream for tests.");
+  options.add_options()("port", "HTTP port, 0 lets the system choose",
+                        cxxopts::value<std::uint16_t>()->default_value("0"))(
+      "kind", "encode, retrieve, rerank, generate or service",
+      cxxopts::value<std::string>()->default_value("service"))(
+      "name", "Named in answers",
+      cxxopts::value<std::string>()->default_value("upstream"))(
+      "slots", "Runs at once",
+      cxxopts::value<std::uint32_t>()->default_value("4"))(
+      "service-ms", "Time of one run",
+      cxxopts::value<std::int64_t>()->default_value("5"));
+  const auto args = options.parse(argc, argv);
+  Config config;
+  config.kind = args["kind"].as<std::string>();
+  config.name = args["name"].as<std::string>();
+  config.slots = args["slots"].as<std::uint32_t>();
+  config.service_ms = args["service-ms"].as<std::int64_t>();
+  Loop loop;
+  Upstream upstream(std::move(config), &loop);
+  if (upstream.Start(args["port"].as<std::uint16_t>()) != 0) {
+    return 1;
+  }
+  loop.OnSignal(SIGTERM, [&loop] { loop.Quit(); });
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace acaciachute
+
+int main(int argc, char** argv) {
+  return acaciachute::Main(argc, argv);
+}
