Drive the cores in virtual time for failure tests

Cause: failures of several processes at once need exact times, which real processes cannot give.

A driver in tests/ runs real Entry and Sidecar cores with a fake store and upstreams, delivers messages late, twice or never, kills, pauses and restarts processes, and counts runs at the upstream's side.

Ruled out: a simulator of the cluster; the driver knows nothing of hosts, routing or load beyond one delay and one service time.

No functional change

--- /dev/null
+++ b/tests/core_driver.cc
@@ -0,0 +1,456 @@
+#include "tests/core_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr DurationUs kHeartbeatPeriod = 200 * kMillisecond;
+// Ticks come late by up to this, as from a loop with millisecond timers.
+constexpr DurationUs kTickPeriod = kMillisecond;
+
+SettingsPtr MakeSettings(const DriverOptions& options) {
+  std::string pools;
+  std::string stages;
+  for (const auto& pool : options.pools) {
+    std::string replicas;
+    for (int n = 1; n <= pool.replicas; ++n) {
+      replicas += StrCat(n == 1 ? "" : ",", R"({"node":")", pool.name, "-", n,
+                         R"(","ip":"127.0.0.1","port":)", 7000 + n,
+                         R"(,"failure_domain":"domain-)", n % 3, R"("})");
+    }
+    const char* comma = pools.empty() ? "" : ",";
+    pools += StrCat(comma, "\"", pool.name, R"(":{"kind":")", Name(pool.kind),
+                    R"(","replicas":[)", replicas, "]}");
+    stages += StrCat(comma, R"({"pool":")", pool.name, "\"}");
+  }
+  const std::string json =
+      StrCat(R"({"owner":"platform","pools":{)", pools,
+             R"(},"accounts":{"office":{}},"events":{"round":{"stages":[)",
+             stages, R"(],"accounts":["office","depot"]}}})");
+  return Settings().With(*ParseBranch("platform", 1, json));
+}
+
+}  // namespace
+
+struct CoreDriver::EntryPort : EntryOutput {
+  EntryPort(CoreDriver* owner, int index) : driver(owner), n(index) {}
+  void Send(const NodeId& sidecar, const Message& message) override {
+    driver->EntryToSidecar(n, sidecar, message);
+  }
+  void Answer(CallerHandle handle, const CallerAnswer& answer) override {
+    driver->answers_.push_back({handle, n, driver->now_, answer});
+  }
+  void Stream(CallerHandle handle, std::string_view part) override {
+    driver->streams_[handle] += part;
+  }
+  void CallStore(StoreTicket ticket, std::vector<StoreOp> ops) override {
+    driver->CallStore(n, ticket, std::move(ops));
+  }
+  void Export(const Span& span) override {}
+
+  CoreDriver* const driver;
+  const int n;
+};
+
+struct CoreDriver::SidecarPort : SidecarOutput {
+  SidecarPort(CoreDriver* owner, NodeId name)
+      : driver(owner), node(std::move(name)) {}
+  void Send(const NodeId& entry, const Message& message) override {
+    driver->SidecarToEntry(node, entry, message);
+  }
+  void CallUpstream(UpstreamCallId id,
+                    const StageCall& call,
+                    DurationUs time_left) override {
+    driver->RunUpstream(node, id, call);
+  }
+  void CancelUpstream(UpstreamCallId id) override {
+    driver->sidecars_.at(node).running.erase(id);
+  }
+  void Export(const Span& span) override {}
+
+  CoreDriver* const driver;
+  const NodeId node;
+};
+
+CoreDriver::CoreDriver(DriverOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      settings_(MakeSettings(options_)),
+      entries_(options_.entries) {
+  for (const auto& pool : options_.pools) {
+    for (int n = 1; n <= pool.replicas; ++n) {
+      StartSidecar(StrCat(pool.name, "-", n));
+    }
+  }
+  for (int n = 0; n < options_.entries; ++n) {
+    StartEntry(n);
+  }
+  Heartbeats();
+  Ticks();
+  Run(3 * options_.one_way);
+}
+
+CoreDriver::~CoreDriver() = default;
+
+NodeId CoreDriver::EntryName(int n) const {
+  return StrCat("entry-", n);
+}
+
+int CoreDriver::EntryIndex(const NodeId& node) const {
+  return std::stoi(node.substr(sizeof("entry-") - 1));
+}
+
+void CoreDriver::At(TimeUs at, std::function<void()> task) {
+  tasks_[{std::max(at, now_), next_task_++}] = std::move(task);
+}
+
+void CoreDriver::Run(DurationUs duration) {
+  const TimeUs end = now_ + duration;
+  while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
+    const auto it = tasks_.begin();
+    now_ = it->first.first;
+    const auto task = std::move(it->second);
+    tasks_.erase(it);
+    task();
+  }
+  now_ = end;
+}
+
+template <typename Process>
+void CoreDriver::Deliver(Process* process, std::function<void()> task) {
+  if (process->paused) {
+    process->held.push_back(std::move(task));
+  } else {
+    task();
+  }
+}
+
+// Runs `task` in `process` after `delay`, unless it died or was replaced.
+template <typename Process>
+void CoreDriver::Later(Process* process,
+                       DurationUs delay,
+                       std::function<void()> task) {
+  const std::uint64_t life = process->life;
+  At(now_ + delay, [this, process, life, task = std::move(task)] {
+    if (process->alive && process->life == life) {
+      Deliver(process, task);
+    }
+  });
+}
+
+Fate CoreDriver::FateOf(const NodeId& from,
+                        const NodeId& to,
+                        const Message& message) {
+  return network ? network(from, to, message) : Fate{{options_.one_way}};
+}
+
+void CoreDriver::EntryToSidecar(int n,
+                                const NodeId& to,
+                                const Message& message) {
+  const NodeId from = EntryName(n);
+  for (const DurationUs delay : FateOf(from, to, message).delays) {
+    // By name: what is late may arrive at a successor.
+    At(now_ + delay, [this, from, to, message] {
+      SidecarProcess& process = sidecars_.at(to);
+      if (process.alive) {
+        Deliver(&process, [this, &process, from, message] {
+          process.core->OnMessage(now_, from, message);
+        });
+      }
+    });
+  }
+}
+
+void CoreDriver::SidecarToEntry(const NodeId& from,
+                                const NodeId& to,
+                                const Message& message) {
+  EntryProcess* process = &entries_[EntryIndex(to)];
+  for (const DurationUs delay : FateOf(from, to, message).delays) {
+    At(now_ + delay, [this, process, from, message] {
+      if (process->alive) {
+        Deliver(process, [this, process, from, message] {
+          process->core->OnMessage(now_, from, message);
+        });
+      }
+    });
+  }
+}
+
+StoreAnswer CoreDriver::ApplyStore(const std::vector<StoreOp>& ops) {
+  StoreAnswer answer;
+  for (const auto& op : ops) {
+    const StoreRow& row = rows_[op.key];
+    const bool holds = op.kind == StoreOpKind::kInsert ? row.version == 0
+                       : op.kind == StoreOpKind::kUpdate
+                           ? row.version != 0 && row.version == op.version
+                           : true;
+    if (!holds) {
+      answer.rows.push_back(row);
+    }
+  }
+  if (!answer.rows.empty()) {
+    answer.status = StoreStatus::kConflict;
+    return answer;
+  }
+  answer.status = StoreStatus::kOk;
+  for (const auto& op : ops) {
+    if (op.kind == StoreOpKind::kScan) {
+      for (const auto& [key, row] : rows_) {
+        if (key.starts_with(op.key) && row.version != 0) {
+          answer.rows.push_back(row);
+        }
+      }
+      continue;
+    }
+    StoreRow& row = rows_[op.key];
+    row.key = op.key;
+    if (op.kind != StoreOpKind::kRead) {
+      row.value = op.value;
+      ++row.version;
+    }
+    answer.rows.push_back(row);
+  }
+  return answer;
+}
+
+void CoreDriver::CallStore(int n,
+                           StoreTicket ticket,
+                           std::vector<StoreOp> ops) {
+  EntryProcess* process = &entries_[n];
+  const StoreFault fault = store_fault ? store_fault(ops) : StoreFault::kNone;
+  const auto answer = [this, process, ticket](DurationUs delay,
+                                              StoreAnswer it) {
+    Later(process, delay, [this, process, ticket, it = std::move(it)] {
+      process->core->OnStoreAnswer(now_, ticket, it);
+    });
+  };
+  const DurationUs half = options_.store_time / 2;
+  if (fault == StoreFault::kDown) {
+    answer(half, {StoreStatus::kUnavailable, {}});
+    return;
+  }
+  // The write takes effect even when its sender dies in the meantime.
+  At(now_ + half, [this, fault, answer, half, ops = std::move(ops)] {
+    StoreAnswer it;
+    if (fault != StoreFault::kLoseBefore) {
+      it = ApplyStore(ops);
+    }
+    if (fault != StoreFault::kNone) {
+      it = {StoreStatus::kUnknown, {}};
+    }
+    answer(half, std::move(it));
+  });
+}
+
+void CoreDriver::RunUpstream(const NodeId& node,
+                             UpstreamCallId id,
+                             const StageCall& call) {
+  SidecarProcess* process = &sidecars_.at(node);
+  runs_.push_back({node, call.key, call.body, now_});
+  process->running[id] = call;
+  const DurationUs service =
+      service_time ? service_time(node, call) : options_.service;
+  const std::string body =
+      upstream ? upstream(node, call)
+               : StrCat(R"({"by":")", node, R"(","input":)", call.body, "}");
+  const int parts = call.stream ? stream_parts : 0;
+  for (int n = 0; n < parts; ++n) {
+    Later(process, service * (n + 1) / (parts + 1), [this, process, id, n] {
+      if (process->running.contains(id)) {
+        process->core->OnUpstreamChunk(now_, id, StrCat("part", n, ";"), false);
+      }
+    });
+  }
+  Later(process, service, [this, process, id, body, parts] {
+    if (process->running.erase(id) > 0) {
+      process->core->OnUpstreamChunk(now_, id, parts > 0 ? "" : body, true);
+    }
+  });
+}
+
+void CoreDriver::Heartbeats() {
+  for (auto& [node, sidecar] : sidecars_) {
+    for (std::size_t n = 0; n < entries_.size(); ++n) {
+      if (!sidecar.alive || sidecar.paused || !entries_[n].alive) {
+        continue;
+      }
+      EntryProcess* process = &entries_[n];
+      const Heartbeat heartbeat = sidecar.core->MakeHeartbeat();
+      const Incarnation incarnation = sidecar.incarnation;
+      for (const DurationUs delay :
+           FateOf(node, EntryName(static_cast<int>(n)), heartbeat).delays) {
+        Later(process, delay,
+              [this, process, from = node, incarnation, heartbeat] {
+                process->core->OnHeartbeat(now_, from, incarnation, heartbeat);
+              });
+      }
+    }
+  }
+  At(now_ + kHeartbeatPeriod, [this] { Heartbeats(); });
+}
+
+void CoreDriver::Ticks() {
+  for (auto& it : entries_) {
+    if (it.alive && !it.paused && it.core->NextWakeup() <= now_) {
+      it.core->OnTick(now_);
+    }
+  }
+  for (auto& [unused, it] : sidecars_) {
+    if (it.alive && !it.paused && it.core->NextWakeup() <= now_) {
+      it.core->OnTick(now_);
+    }
+  }
+  At(now_ + kTickPeriod, [this] { Ticks(); });
+}
+
+CallerHandle CoreDriver::Ask(int n, CallerRequest request) {
+  request.handle = next_handle_++;
+  const CallerHandle handle = request.handle;
+  EntryProcess* process = &entries_[n];
+  if (process->alive) {
+    Deliver(process, [this, process, request = std::move(request)] {
+      process->core->OnRequest(now_, request);
+    });
+  }
+  return handle;
+}
+
+CallerRequest CoreDriver::MakeRequest(const std::string& body) {
+  CallerRequest request;
+  request.event = "round";
+  request.account = "office";
+  request.body = body;
+  return request;
+}
+
+CallerRequest CoreDriver::MakeOnce(const std::string& key,
+                                   const std::string& body) {
+  CallerRequest request = MakeRequest(body);
+  request.key = key;
+  request.idempotent = false;
+  return request;
+}
+
+void CoreDriver::KillEntry(int n) {
+  entries_[n].alive = false;
+  entries_[n].held.clear();
+  for (auto& [unused, sidecar] : sidecars_) {
+    if (sidecar.alive) {
+      Later(&sidecar, options_.one_way, [this, n, it = &sidecar] {
+        it->core->OnPeerLost(now_, EntryName(n));
+      });
+    }
+  }
+}
+
+void CoreDriver::StartEntry(int n) {
+  EntryProcess& it = entries_[n];
+  ++it.life;
+  it.alive = true;
+  it.paused = false;
+  it.held.clear();
+  it.output = std::make_unique<EntryPort>(this, n);
+  it.random = std::make_unique<Random>(random_.Next());
+  it.metrics = std::make_unique<Metrics>();
+  EntryOptions options;
+  options.node = EntryName(n);
+  options.incarnation = random_.Next() | 1;
+  it.core = std::make_unique<Entry>(options, it.output.get(), it.random.get(),
+                                    it.metrics.get());
+  it.core->OnSettings(now_, settings_);
+}
+
+void CoreDriver::PauseEntry(int n, bool paused) {
+  EntryProcess& it = entries_[n];
+  it.paused = paused;
+  if (!paused) {
+    for (const auto& task : std::exchange(it.held, {})) {
+      task();
+    }
+  }
+}
+
+void CoreDriver::KillSidecar(const NodeId& node) {
+  SidecarProcess& it = sidecars_.at(node);
+  it.alive = false;
+  it.held.clear();
+  it.running.clear();
+  for (auto& entry : entries_) {
+    if (entry.alive) {
+      Later(&entry, options_.one_way, [this, node, process = &entry] {
+        process->core->OnPeerLost(now_, node);
+      });
+    }
+  }
+}
+
+void CoreDriver::StartSidecar(const NodeId& node) {
+  SidecarProcess& it = sidecars_[node];
+  ++it.life;
+  it.alive = true;
+  it.paused = false;
+  it.held.clear();
+  it.incarnation = random_.Next() | 1;
+  it.output = std::make_unique<SidecarPort>(this, node);
+  it.metrics = std::make_unique<Metrics>();
+  SidecarOptions options;
+  options.node = node;
+  options.incarnation = it.incarnation;
+  options.limit = options_.sidecar_limit;
+  it.core =
+      std::make_unique<Sidecar>(options, it.output.get(), it.metrics.get());
+}
+
+void CoreDriver::PauseSidecar(const NodeId& node, bool paused) {
+  SidecarProcess& it = sidecars_.at(node);
+  it.paused = paused;
+  if (!paused) {
+    for (const auto& task : std::exchange(it.held, {})) {
+      task();
+    }
+  }
+}
+
+void CoreDriver::CrashUpstream(const NodeId& node) {
+  SidecarProcess* process = &sidecars_.at(node);
+  const auto running = std::exchange(process->running, {});
+  for (const auto& [id, unused] : running) {
+    process->core->OnUpstreamError(now_, id, UpstreamError::kBroken);
+  }
+}
+
+void CoreDriver::SetSettings(SettingsPtr settings) {
+  settings_ = std::move(settings);
+  for (auto& it : entries_) {
+    if (it.alive) {
+      it.core->OnSettings(now_, settings_);
+    }
+  }
+}
+
+std::vector<DriverAnswer> CoreDriver::AnswersTo(CallerHandle handle) const {
+  std::vector<DriverAnswer> out;
+  for (const auto& it : answers_) {
+    if (it.handle == handle) {
+      out.push_back(it);
+    }
+  }
+  return out;
+}
+
+int CoreDriver::RunsOf(const std::string& body) const {
+  return static_cast<int>(std::count_if(
+      runs_.begin(), runs_.end(),
+      [&](const UpstreamRun& it) { return Contains(it.body, body); }));
+}
+
+std::string CoreDriver::StreamOf(CallerHandle handle) const {
+  const auto it = streams_.find(handle);
+  return it == streams_.end() ? "" : it->second;
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/core_driver.h
@@ -0,0 +1,182 @@
+// Runs real `Entry` and `Sidecar` cores in virtual time without sockets, so
+// that a failure is a short test: messages late, twice, out of order or never,
+// processes killed, restarted or paused, a store that loses answers. Counts of
+// runs are kept at the upstream's side.
+#ifndef ACACIACHUTE_TESTS_CORE_DRIVER_H_
+#define ACACIACHUTE_TESTS_CORE_DRIVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/entry.h"
+#include "coordination/sidecar.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "state/settings.h"
+#include "state/store.h"
+
+namespace acaciachute {
+
+// A pool with its replicas; nodes are named "<name>-1" and so on.
+struct DriverPool {
+  std::string name;
+  StageKind kind = StageKind::kService;
+  int replicas = 1;
+};
+
+struct DriverOptions {
+  std::uint64_t seed = 1;
+  int entries = 1;
+  std::vector<DriverPool> pools = {{"orders"}};
+  DurationUs one_way = 1500;  // Between any two nodes, as at Brookvale.
+  DurationUs store_time = 3 * kMillisecond;  // There and back.
+  DurationUs service = 5 * kMillisecond;
+  std::uint32_t sidecar_limit = 4;
+};
+
+// One run at an upstream.
+struct UpstreamRun {
+  NodeId node;
+  StageKey key;
+  std::string body;
+  TimeUs at = 0;
+};
+
+// One answer to a caller.
+struct DriverAnswer {
+  CallerHandle handle = 0;
+  int entry = 0;
+  TimeUs at = 0;
+  CallerAnswer answer;
+};
+
+// What happens to one message or store call. Each element of `delays` delivers
+// a copy after that time; none loses it.
+struct Fate {
+  std::vector<DurationUs> delays;
+};
+
+enum class StoreFault { kNone, kDown, kLoseBefore, kLoseAfter };
+
+class CoreDriver {
+ public:
+  explicit CoreDriver(DriverOptions options);
+  ~CoreDriver();
+  CoreDriver(const CoreDriver&) = delete;
+  CoreDriver& operator=(const CoreDriver&) = delete;
+
+  TimeUs now() const { return now_; }
+  void Run(DurationUs duration);
+  void At(TimeUs at, std::function<void()> task);
+
+  Entry& entry(int n) { return *entries_[n].core; }
+  Sidecar& sidecar(const NodeId& node) { return *sidecars_.at(node).core; }
+  Metrics& entry_metrics(int n) { return *entries_[n].metrics; }
+  Metrics& sidecar_metrics(const NodeId& node) {
+    return *sidecars_.at(node).metrics;
+  }
+
+  // Sends a request to entry `n` and returns its handle.
+  CallerHandle Ask(int n, CallerRequest request);
+  // A request of event "round" by account "office".
+  static CallerRequest MakeRequest(const std::string& body);
+  static CallerRequest MakeOnce(const std::string& key,
+                                const std::string& body);
+
+  // A killed process loses its state and everything on its way to it; callers
+  // of a killed entry receive nothing. A paused one handles everything late.
+  void KillEntry(int n);
+  void StartEntry(int n);
+  void PauseEntry(int n, bool paused);
+  void KillSidecar(const NodeId& node);
+  void StartSidecar(const NodeId& node);
+  void PauseSidecar(const NodeId& node, bool paused);
+  // The upstream dies with its runs in progress and is back at once.
+  void CrashUpstream(const NodeId& node);
+
+  void SetSettings(SettingsPtr settings);
+  const SettingsPtr& settings() const { return settings_; }
+
+  const std::vector<DriverAnswer>& answers() const { return answers_; }
+  std::vector<DriverAnswer> AnswersTo(CallerHandle handle) const;
+  const std::vector<UpstreamRun>& runs() const { return runs_; }
+  int RunsOf(const std::string& body) const;  // Bodies that contain `body`.
+  std::map<std::string, StoreRow>& rows() { return rows_; }
+  std::string StreamOf(CallerHandle handle) const;
+
+  // Hooks; each may be replaced at any time.
+  std::function<Fate(const NodeId& from, const NodeId& to, const Message&)>
+      network;
+  std::function<StoreFault(const std::vector<StoreOp>&)> store_fault;
+  std::function<DurationUs(const NodeId& node, const StageCall&)> service_time;
+  // Answers of the upstream; by default {"by":node,"input":body}.
+  std::function<std::string(const NodeId& node, const StageCall&)> upstream;
+  // Parts of a streamed answer.
+  int stream_parts = 3;
+
+ private:
+  struct EntryProcess;
+  struct SidecarProcess;
+  struct EntryProcess {
+    std::unique_ptr<EntryOutput> output;
+    std::unique_ptr<Random> random;
+    std::unique_ptr<Metrics> metrics;
+    std::unique_ptr<Entry> core;
+    std::uint64_t life = 0;  // Grows with each start.
+    bool alive = false;
+    bool paused = false;
+    std::vector<std::function<void()>> held;
+  };
+  struct SidecarProcess {
+    std::unique_ptr<SidecarOutput> output;
+    std::unique_ptr<Metrics> metrics;
+    std::unique_ptr<Sidecar> core;
+    Incarnation incarnation = 0;
+    std::uint64_t life = 0;
+    bool alive = false;
+    bool paused = false;
+    std::vector<std::function<void()>> held;
+    std::map<UpstreamCallId, StageCall> running;
+  };
+  struct EntryPort;
+  struct SidecarPort;
+
+  NodeId EntryName(int n) const;
+  int EntryIndex(const NodeId& node) const;
+  template <typename Process>
+  void Deliver(Process* process, std::function<void()> task);
+  template <typename Process>
+  void Later(Process* process, DurationUs delay, std::function<void()> task);
+  Fate FateOf(const NodeId& from, const NodeId& to, const Message& message);
+  void EntryToSidecar(int n, const NodeId& to, const Message& message);
+  void SidecarToEntry(const NodeId& from, const NodeId& to, const Message& m);
+  void CallStore(int n, StoreTicket ticket, std::vector<StoreOp> ops);
+  StoreAnswer ApplyStore(const std::vector<StoreOp>& ops);
+  void RunUpstream(const NodeId& node,
+                   UpstreamCallId id,
+                   const StageCall& call);
+  void Heartbeats();
+  void Ticks();
+
+  const DriverOptions options_;
+  TimeUs now_ = kSecond;
+  std::uint64_t next_task_ = 0;
+  std::map<std::pair<TimeUs, std::uint64_t>, std::function<void()>> tasks_;
+  Random random_;
+  SettingsPtr settings_;
+  std::vector<EntryProcess> entries_;
+  std::map<NodeId, SidecarProcess> sidecars_;
+  std::map<std::string, StoreRow> rows_;
+  std::vector<DriverAnswer> answers_;
+  std::map<CallerHandle, std::string> streams_;
+  std::vector<UpstreamRun> runs_;
+  CallerHandle next_handle_ = 1;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_TESTS_CORE_DRIVER_H_
