Reuse HTTP connections for calls that may be repeated

Cause: the new path bench took minutes; the upstream polled 766 sockets. libsoup opens a connection for every POST that is not flagged idempotent and keeps the old one open, so each call paid for a new connection and left one behind.

Ruled out: an unread or unclosed body stream (closing it changed nothing, 208 descriptors after 200 calls before and after); the server closing connections (a second request on one connection is served).

A request now says whether it is repeatable. One that is reuses connections; one that is not gets its own and closes it after the answer.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	@$(BUILD)/tests/demo
 
 bench: build ## Measure the decisions and the path
-	@echo "bench: nothing to run yet"
+	@$(BUILD)/bench/bench_path
 
 clean: ## Remove the build
 	@rm -rf $(BUILD)
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -143,6 +143,8 @@
   request.method = "POST";
   request.url = StrCat(settings.platform_url, kTransactPath);
   request.body = EncodeTransaction(ops);
+  // Every write is conditional, and its outcome is settled by nonce or version.
+  request.repeatable = true;
   store.Call(request, [done = std::move(done)](const HttpResult& result) {
     if (!result.sent) {
       done({StoreStatus::kUnavailable, {}});
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -42,6 +42,10 @@
   }
   call->dropped = true;
   call->calls->erase(call->id);
+  if (call->stream) {
+    g_input_stream_close(call->stream.get(), nullptr, nullptr);
+    call->stream.reset();
+  }
   call->done(call->result);
 }
 
@@ -153,8 +157,12 @@
     soup_message_set_request_body_from_bytes(message, "application/json",
                                              bytes.get());
   }
-  if (request.new_connection) {
+  if (request.repeatable) {
+    soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
+  } else {
     soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+    soup_message_headers_replace(soup_message_get_request_headers(message),
+                                 "Connection", "close");
   }
   g_signal_connect(message, "starting",
                    G_CALLBACK(+[](SoupMessage*, gpointer data) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -18,9 +18,10 @@
   std::string url;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
-  // A connection that was idle may be closed by the other end just as it is
-  // used; a call that may not be repeated gets one of its own.
-  bool new_connection = false;
+  // An idle connection may be closed by the other end just as it is used.
+  // libsoup then sends a repeatable request again on another one; one that may
+  // not be repeated gets a connection of its own, closed after its answer.
+  bool repeatable = false;
 };
 
 struct HttpResult {
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -133,7 +133,7 @@
   request.method = "POST";
   request.url = StrCat(impl_->url, call.path);
   request.body = call.body;
-  request.new_connection = !call.idempotent;
+  request.repeatable = call.idempotent;
   request.headers = {
       {kRequestIdHeader, it.name},
       {"X-Priority", std::string(Name(call.caller_class))},
@@ -163,6 +163,7 @@
   request.method = "POST";
   request.url = StrCat(impl_->url, "/v1/cancel");
   request.body = Json{{"id", it->second.name}}.dump();
+  request.repeatable = true;
   impl_->running.erase(it);
   // Its connection is closed as well; the call only frees the slot earlier.
   impl_->reports.Call(request, [](const HttpResult&) {});
@@ -172,6 +173,7 @@
     const std::function<void(const UpstreamReport&)>& done) {
   HttpRequest request;
   request.url = StrCat(impl_->url, "/v1/load");
+  request.repeatable = true;
   impl_->reports.Call(request, [done](const HttpResult& result) {
     UpstreamReport report;
     const Json in = Json::parse(result.body, nullptr, false);
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -79,6 +79,11 @@
   return StrCat("http://127.0.0.1:", http_port());
 }
 
+int Process::pid() const {
+  const gchar* id = g_subprocess_get_identifier(impl_->process.get());
+  return id == nullptr ? 0 : std::stoi(id);
+}
+
 void Process::Signal(int signal) {
   g_subprocess_send_signal(impl_->process.get(), signal);
 }
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -27,6 +27,7 @@
   std::uint16_t http_port() const;
   std::uint16_t frame_port() const;
   std::string url() const;  // Of its HTTP side.
+  int pid() const;          // Zero after its end.
   void Signal(int signal);
   bool Running() const;
   // Exit status, or -1 when a signal ended it; waits for the end.
