Write settings by compare-and-set with owner, history and rollback

Cause: the command line wrote a branch by a bare update: an answer lost after its write could not be told from a lost race, no owner was checked and nothing was kept of earlier versions. Ruled out: a nonce inside the branch body, which an operator's next edit would carry on. The history row of a version is inserted in the same transaction and holds the nonce, so a conflict tells our own write from another's. Before: the lost answer ends as "not known". After: it is settled by the history row also when another change followed (LostAnswerIsSettledByTheHistory).

--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/entry.h"
+#include "coordination/settings_write.h"
 #include "daemon/startup.h"
 #include "protocol/caller_http.h"
 #include "protocol/platform_codec.h"
@@ -34,8 +35,6 @@
 constexpr DurationUs kBalancerGrace = 3 * kSecond;
 constexpr DurationUs kDrainPoll = 20 * kMillisecond;
 
-constexpr std::string_view kSettingsPrefix = "settings/";
-
 }  // namespace
 
 struct EntryNode::Impl : EntryOutput, PeerHandler, HttpHandler {
--- /dev/null
+++ b/tests/settings_write_test.cc
@@ -0,0 +1,150 @@
+// Operators' changes of settings branches, racing, retried and refused.
+#include "coordination/settings_write.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/fake_table.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+std::string Body(const std::string& owner, int share = 1) {
+  return StrCat(R"({"owner":")", owner, R"(","accounts":{"a":{"share":)", share,
+                "}}}");
+}
+
+SettingsChange Change(const std::string& branch,
+                      const std::string& team,
+                      const std::string& json) {
+  SettingsChange change;
+  change.branch = branch;
+  change.team = team;
+  change.json = json;
+  return change;
+}
+
+SettingsWriteResult Drive(FakeTable* table, SettingsWrite* write) {
+  while (!write->result()) {
+    write->OnAnswer(table->Transact(write->Next()));
+  }
+  return *write->result();
+}
+
+SettingsWriteResult Drive(FakeTable* table,
+                          const SettingsChange& change,
+                          std::uint64_t nonce) {
+  SettingsWrite write(change, nonce);
+  return Drive(table, &write);
+}
+
+TEST(SettingsWriteTest, EachChangeIsOneVersionWithItsHistory) {
+  FakeTable table;
+  EXPECT_EQ(Drive(&table, Change("depot", "depot", Body("depot")), 1).version,
+            1U);
+  EXPECT_EQ(
+      Drive(&table, Change("depot", "depot", Body("depot", 2)), 2).version, 2U);
+  const auto rows =
+      table.Transact({{StoreOpKind::kScan, "history/depot/", "", 0}}).rows;
+  const auto history = ReadHistory("depot", rows);
+  ASSERT_EQ(history.size(), 2U);
+  EXPECT_EQ(history[0].json, Body("depot"));
+  EXPECT_EQ(history[1].version, 2U);
+}
+
+// Two operators read version 1 and both write. The table takes the first; the
+// second is told version 2, and its body is nowhere.
+TEST(SettingsWriteTest, RaceHasOneWinnerAndTellsTheOther) {
+  FakeTable table;
+  Drive(&table, Change("depot", "depot", Body("depot")), 1);
+  SettingsWrite first(Change("depot", "depot", Body("depot", 2)), 2);
+  SettingsWrite second(Change("depot", "depot", Body("depot", 3)), 3);
+  first.OnAnswer(table.Transact(first.Next()));
+  second.OnAnswer(table.Transact(second.Next()));
+  EXPECT_EQ(Drive(&table, &first).outcome, WriteOutcome::kAccepted);
+  const auto told = Drive(&table, &second);
+  EXPECT_EQ(told.outcome, WriteOutcome::kLostRace);
+  EXPECT_EQ(told.version, 2U);
+  EXPECT_EQ(table.Row("settings/depot").value, Body("depot", 2));
+}
+
+// The change takes effect, its answer is lost, and another operator's change
+// follows before the retry. The retry finds its own nonce in the history: the
+// operator is told "accepted", and nothing is written twice.
+TEST(SettingsWriteTest, LostAnswerIsSettledByTheHistory) {
+  FakeTable table;
+  SettingsWrite write(Change("depot", "depot", Body("depot")), 1);
+  write.OnAnswer(table.Transact(write.Next()));
+  table.lose_answers = 1;
+  write.OnAnswer(table.Transact(write.Next()));
+  ASSERT_FALSE(write.result());
+  Drive(&table, Change("depot", "depot", Body("depot", 2)), 2);
+  const auto result = Drive(&table, &write);
+  EXPECT_EQ(result.outcome, WriteOutcome::kAccepted);
+  EXPECT_EQ(result.version, 1U);
+  EXPECT_EQ(table.Row("settings/depot").version, 2U);
+}
+
+// The answer is lost and then the platform goes down: nobody can say whether
+// the change stands, and the operator is told just that.
+TEST(SettingsWriteTest, UnknownIsNeverCalledUnavailable) {
+  FakeTable table;
+  SettingsWrite write(Change("depot", "depot", Body("depot")), 1);
+  write.OnAnswer(table.Transact(write.Next()));
+  table.lose_answers = 1;
+  write.OnAnswer(table.Transact(write.Next()));
+  table.down = true;
+  EXPECT_EQ(Drive(&table, &write).outcome, WriteOutcome::kUnknown);
+  EXPECT_EQ(Drive(&table, Change("other", "a", Body("a")), 2).outcome,
+            WriteOutcome::kUnavailable);
+}
+
+TEST(SettingsWriteTest, TeamChangesOnlyItsOwnSubtree) {
+  FakeTable table;
+  Drive(&table, Change("brookvale", "office", Body("office")), 1);
+  // The owner above delegates a branch; from then on it is the depot's.
+  EXPECT_EQ(Drive(&table, Change("brookvale/depot", "office", Body("depot")), 2)
+                .outcome,
+            WriteOutcome::kAccepted);
+  EXPECT_EQ(
+      Drive(&table, Change("brookvale/depot", "office", Body("office")), 3)
+          .outcome,
+      WriteOutcome::kNotOwner);
+  EXPECT_EQ(
+      Drive(&table, Change("brookvale", "depot", Body("depot")), 4).outcome,
+      WriteOutcome::kNotOwner);
+  EXPECT_EQ(
+      Drive(&table, Change("brookvale/depot/vans", "depot", Body("depot")), 5)
+          .outcome,
+      WriteOutcome::kAccepted);
+  EXPECT_EQ(Drive(&table, Change("correo", "depot", Body("office")), 6).outcome,
+            WriteOutcome::kNotOwner);
+  EXPECT_EQ(Drive(&table, Change("correo", "depot", "{"), 7).outcome,
+            WriteOutcome::kInvalid);
+}
+
+TEST(SettingsWriteTest, EditOfAnOldVersionIsToldTheNewOne) {
+  FakeTable table;
+  Drive(&table, Change("depot", "depot", Body("depot")), 1);
+  Drive(&table, Change("depot", "depot", Body("depot", 2)), 2);
+  auto stale = Change("depot", "depot", Body("depot", 3));
+  stale.base = 1;
+  const auto result = Drive(&table, stale, 3);
+  EXPECT_EQ(result.outcome, WriteOutcome::kLostRace);
+  EXPECT_EQ(result.version, 2U);
+}
+
+TEST(SettingsWriteTest, RollbackIsANewVersion) {
+  FakeTable table;
+  Drive(&table, Change("depot", "depot", Body("depot")), 1);
+  Drive(&table, Change("depot", "depot", Body("depot", 2)), 2);
+  auto back = Change("depot", "depot", "");
+  back.roll_back_to = 1;
+  EXPECT_EQ(Drive(&table, back, 3).version, 3U);
+  EXPECT_EQ(table.Row("settings/depot").value, Body("depot"));
+  back.roll_back_to = 9;
+  EXPECT_EQ(Drive(&table, back, 4).outcome, WriteOutcome::kInvalid);
+}
+
+}  // namespace
+}  // namespace acaciachute
