Spread settings between entries and serve only while current

Cause: every entry polled the table each second and served whatever it had: a cut or paused entry kept its old version for ever, an entry that started during an outage never got ready, and 380 entries would spend a fifth of the read budget. Now three entries read one row, the others ask random peers and pull; an entry serves while a read of the table or a majority of witnesses from the last 4.5 s shows nothing newer.

--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -552,6 +552,11 @@
 }
 
 void Entry::OnRequest(TimeUs now, CallerRequest request) {
+  const Currency* currency = impl_->options.currency;
+  if (currency != nullptr && !currency->IsCurrent(now)) {
+    impl_->Refuse(request.handle, Refusal::kNotCurrent, "");
+    return;
+  }
   const Event* event = nullptr;
   const Refusal reason = impl_->Check(request, &event);
   if (reason != Refusal::kNone) {
--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/currency.h"
 #include "messages.h"
 #include "state/metrics.h"
 #include "state/random.h"
@@ -72,7 +73,8 @@
 struct EntryOptions {
   NodeId node;
   Incarnation incarnation = 0;
-  std::size_t max_requests = 4096;  // In progress at once.
+  std::size_t max_requests = 4096;     // In progress at once.
+  const Currency* currency = nullptr;  // Without one, always current.
 };
 
 class Entry {
--- a/src/coordination/settings_write.cc
+++ b/src/coordination/settings_write.cc
@@ -125,6 +125,7 @@
 std::vector<StoreOp> SettingsWrite::Next() const {
   if (!read_) {
     std::vector<StoreOp> ops = {
+        {StoreOpKind::kRead, std::string(kSettingsEpochKey), "", 0},
         {StoreOpKind::kScan, std::string(kSettingsPrefix), "", 0}};
     if (change_.roll_back_to) {
       ops.push_back({StoreOpKind::kRead,
@@ -138,7 +139,9 @@
   return {{base_ == 0 ? StoreOpKind::kInsert : StoreOpKind::kUpdate,
            SettingsRowKey(change_.branch), change_.json, base_},
           {StoreOpKind::kInsert, HistoryRowKey(change_.branch, base_ + 1),
-           EncodeHistory(entry), 0}};
+           EncodeHistory(entry), 0},
+          {epoch_ == 0 ? StoreOpKind::kInsert : StoreOpKind::kUpdate,
+           std::string(kSettingsEpochKey), "", epoch_}};
 }
 
 void SettingsWrite::OnAnswer(const StoreAnswer& answer) {
@@ -159,6 +162,8 @@
   }
   const StoreRow* found = FindRow(answer.rows, SettingsRowKey(change_.branch));
   base_ = found == nullptr ? 0 : found->version;
+  const StoreRow* epoch = FindRow(answer.rows, kSettingsEpochKey);
+  epoch_ = epoch == nullptr ? 0 : epoch->version;
   if (change_.roll_back_to) {
     const StoreRow* old = FindRow(
         answer.rows, HistoryRowKey(change_.branch, *change_.roll_back_to));
@@ -170,6 +175,12 @@
     }
     change_.json = entry->json;
   }
+  if (change_.json.size() > kMaxBranchBytes) {
+    End(WriteOutcome::kInvalid, base_,
+        StrCat("found ", change_.json.size(),
+               " bytes, allowed: ", kMaxBranchBytes));
+    return;
+  }
   const auto branch = ParseBranch(change_.branch, base_ + 1, change_.json);
   if (!branch.ok()) {
     End(WriteOutcome::kInvalid, base_, std::string(branch.status().message()));
@@ -188,6 +199,8 @@
                " is in force"));
     return;
   }
+  // A second read, after another branch moved the epoch, must find the same.
+  change_.base = base_;
   read_ = true;
 }
 
@@ -222,6 +235,14 @@
     }
   }
   const StoreRow* won = FindRow(rows, SettingsRowKey(change_.branch));
+  if (history == nullptr && won == nullptr &&
+      FindRow(rows, kSettingsEpochKey) != nullptr) {
+    // Only the epoch moved: another branch changed, and this one is as it was.
+    // None of our writes stands, or its history row would.
+    read_ = false;
+    CountTry();
+    return;
+  }
   const SettingsVersion version = won == nullptr ? base_ + 1 : won->version;
   End(WriteOutcome::kLostRace, version,
       StrCat("another change won, version ", version));
--- a/src/coordination/settings_write.h
+++ b/src/coordination/settings_write.h
@@ -26,6 +26,11 @@
 
 inline constexpr std::string_view kSettingsPrefix = "settings/";
 inline constexpr std::string_view kHistoryPrefix = "history/";
+// Grows with every change of any branch, in the same transaction, so that a
+// reader learns from one small row that nothing changed.
+inline constexpr std::string_view kSettingsEpochKey = "settings_epoch";
+// Bound on one branch; several fit into a frame between processes.
+inline constexpr std::size_t kMaxBranchBytes = 1 << 20;
 
 std::string SettingsRowKey(std::string_view branch);
 // Versions are padded, so that a scan gives them in order.
@@ -116,6 +121,7 @@
   bool may_have_landed_ = false;
   int tries_ = 0;
   SettingsVersion base_ = 0;
+  std::uint64_t epoch_ = 0;
   std::optional<SettingsWriteResult> result_;
 };
 
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "coordination/entry.h"
-#include "coordination/settings_write.h"
+#include "coordination/settings_sync.h"
 #include "daemon/startup.h"
 #include "protocol/caller_http.h"
 #include "protocol/platform_codec.h"
@@ -27,7 +27,10 @@
 // Five heartbeats a second keep the load figures younger than a typical stage
 // and cost under 2 KB/s a replica.
 constexpr DurationUs kHeartbeatPeriod = 200 * kMillisecond;
-constexpr DurationUs kSettingsPeriod = kSecond;
+// Decisions on settings are made on the tick; a third of the gossip period.
+constexpr DurationUs kSettingsTick = 100 * kMillisecond;
+// A slow table's answer is still news when it comes.
+constexpr DurationUs kSettingsReadTimeout = 10 * kSecond;
 // The table's own limit on a transaction is below this.
 constexpr DurationUs kStoreTimeout = 2 * kSecond;
 // The balancer looks at /readyz every second or two; until it has noticed, a
@@ -35,16 +38,34 @@
 constexpr DurationUs kBalancerGrace = 3 * kSecond;
 constexpr DurationUs kDrainPoll = 20 * kMillisecond;
 
+std::vector<NodeId> PeerNames(const std::vector<PeerAddress>& peers) {
+  std::vector<NodeId> names;
+  names.reserve(peers.size());
+  for (const auto& it : peers) {
+    names.push_back(it.node);
+  }
+  return names;
+}
+
 }  // namespace
 
-struct EntryNode::Impl : EntryOutput, PeerHandler, HttpHandler {
+struct EntryNode::Impl : EntryOutput,
+                         SettingsSyncOutput,
+                         PeerHandler,
+                         HttpHandler {
   Impl(const NodeSettings& node_settings, Loop* event_loop)
       : settings(node_settings),
         loop(event_loop),
         random(FreshSeed()),
         incarnation(random.Next() | 1),
         traces(settings.node),
-        entry({settings.node, incarnation, settings.max_requests},
+        sync(settings.node,
+             PeerNames(settings.peers),
+             Loop::Now(),
+             this,
+             &random,
+             &metrics),
+        entry({settings.node, incarnation, settings.max_requests, &sync},
               this,
               &random,
               &metrics),
@@ -52,7 +73,12 @@
              this,
              &metrics),
         server(this),
-        store(kStoreTimeout) {}
+        store(kStoreTimeout),
+        settings_store(kSettingsReadTimeout) {
+    for (const auto& it : settings.peers) {
+      mesh.SetAddress(it.node, it.address);
+    }
+  }
 
   // EntryOutput:
   void Send(const NodeId& sidecar, const Message& message) override {
@@ -66,17 +92,46 @@
   void CallStore(StoreTicket ticket, std::vector<StoreOp> ops) override;
   void Export(const Span& span) override { traces.Add(span); }
 
+  // SettingsSyncOutput:
+  void Ask(const NodeId& peer, std::uint64_t sequence) override {
+    SendEntryHeartbeat(peer, sequence, 0);
+  }
+  void SendSettings(const NodeId& peer, const Message& message) override {
+    mesh.Send(peer, message);
+  }
+  void ReadTable(StoreTicket ticket, std::vector<StoreOp> ops) override {
+    Transact(&settings_store, ops, [this, ticket](const StoreAnswer& answer) {
+      sync.OnTableAnswer(Loop::Now(), ticket, answer);
+    });
+  }
+  void OnBranchRefused(std::string_view error) override {
+    LOG(WARNING) << "event=branch_refused node=" << settings.node << " error=\""
+                 << error << "\"";
+  }
+  void OnApplied(const SettingsPtr& next) override;
+
   // PeerHandler:
   void OnPeerMessage(const NodeId& from,
                      Incarnation from_incarnation,
                      const Message& message) override {
+    if (const auto* pull = std::get_if<SettingsPull>(&message)) {
+      sync.OnPull(Loop::Now(), from, *pull);
+      return;
+    }
+    if (const auto* bodies = std::get_if<SettingsBodies>(&message)) {
+      sync.OnBodies(Loop::Now(), from, *bodies);
+      return;
+    }
     entry.OnMessage(Loop::Now(), from, message);
     Rearm();
   }
   void OnPeerDatagram(const NodeId& from,
                       Incarnation from_incarnation,
                       const Message& message) override {
-    if (const auto* it = std::get_if<Heartbeat>(&message)) {
+    const auto* it = std::get_if<Heartbeat>(&message);
+    if (it != nullptr && it->role == Role::kEntry) {
+      OnEntryHeartbeat(from, *it);
+    } else if (it != nullptr) {
       entry.OnHeartbeat(Loop::Now(), from, from_incarnation, *it);
     }
   }
@@ -103,11 +158,15 @@
 
   void OnOperatorRequest(std::uint64_t handle, const HttpHead& head);
   std::string StatusJson();
-  void ReadSettings();
-  void OnSettingsRows(const std::vector<StoreRow>& rows);
+  void OnEntryHeartbeat(const NodeId& from, const Heartbeat& heartbeat);
+  void SendEntryHeartbeat(const NodeId& peer,
+                          std::uint64_t sequence,
+                          std::uint64_t reply_to);
+  void LogCurrency();
   void SendHeartbeats();
   void Rearm();
-  void Transact(const std::vector<StoreOp>& ops,
+  void Transact(HttpClient* client,
+                const std::vector<StoreOp>& ops,
                 std::function<void(StoreAnswer)> done);
   void QuitWhenDone();
 
@@ -117,15 +176,18 @@
   const Incarnation incarnation;
   Metrics metrics;
   TraceLog traces;
+  SettingsSync sync;
   Entry entry;
   PeerMesh mesh;
   HttpServer server;
   HttpClient store;
+  HttpClient settings_store;
   std::set<CallerHandle> streams;
   Loop::TimerId wakeup = 0;
   TimeUs wakeup_at = 0;
   std::uint64_t heartbeat_sequence = 0;
   bool draining = false;
+  bool was_current = false;
 };
 
 void EntryNode::Impl::Answer(CallerHandle handle, const CallerAnswer& answer) {
@@ -136,7 +198,8 @@
   server.Reply(handle, FormatAnswer(answer));
 }
 
-void EntryNode::Impl::Transact(const std::vector<StoreOp>& ops,
+void EntryNode::Impl::Transact(HttpClient* client,
+                               const std::vector<StoreOp>& ops,
                                std::function<void(StoreAnswer)> done) {
   HttpRequest request;
   request.method = "POST";
@@ -144,7 +207,7 @@
   request.body = EncodeTransaction(ops);
   // Every write is conditional, and its outcome is settled by nonce or version.
   request.repeatable = true;
-  store.Call(request, [done = std::move(done)](const HttpResult& result) {
+  client->Call(request, [done = std::move(done)](const HttpResult& result) {
     if (!result.sent) {
       done({StoreStatus::kUnavailable, {}});
     } else if (!result.whole) {
@@ -156,7 +219,7 @@
 }
 
 void EntryNode::Impl::CallStore(StoreTicket ticket, std::vector<StoreOp> ops) {
-  Transact(ops, [this, ticket](StoreAnswer answer) {
+  Transact(&store, ops, [this, ticket](StoreAnswer answer) {
     entry.OnStoreAnswer(Loop::Now(), ticket, std::move(answer));
     Rearm();
   });
@@ -192,7 +255,7 @@
   if (head.path == "/healthz") {
     reply.body = "{}";
   } else if (head.path == "/readyz") {
-    const bool ready = !draining && !entry.settings()->branches().empty();
+    const bool ready = !draining && sync.IsCurrent(Loop::Now());
     reply.status = ready ? 200 : 503;
     reply.body = ready ? "{\"ready\":true}" : "{\"ready\":false}";
   } else if (head.path == "/metrics") {
@@ -234,42 +297,25 @@
                         {"draining", draining},
                         {"in_progress", entry.InProgress()},
                         {"replicas", std::move(replicas)},
+                        {"settings",
+                         {{"current", sync.IsCurrent(Loop::Now())},
+                          {"proof_age_us", sync.ProofAge(Loop::Now())},
+                          {"witnesses", sync.Witnesses()},
+                          {"holders", sync.Holders()}}},
                         {"branches", std::move(branches)}}
       .dump();
 }
 
-void EntryNode::Impl::ReadSettings() {
-  Transact({{StoreOpKind::kScan, std::string(kSettingsPrefix), "", 0}},
-           [this](const StoreAnswer& answer) {
-             if (answer.status == StoreStatus::kOk) {
-               OnSettingsRows(answer.rows);
-             }
-             loop->After(kSettingsPeriod, [this] { ReadSettings(); });
-           });
-}
-
-void EntryNode::Impl::OnSettingsRows(const std::vector<StoreRow>& rows) {
-  SettingsPtr next = entry.settings();
-  for (const auto& row : rows) {
-    const std::string name = row.key.substr(kSettingsPrefix.size());
-    const Branch* old = next->FindBranch(name);
-    if (old != nullptr && old->version >= row.version) {
-      continue;
-    }
-    auto branch = ParseBranch(name, row.version, row.value);
-    if (!branch.ok()) {
-      LOG(WARNING) << "event=branch_refused node=" << settings.node
-                   << " error=\"" << branch.status().message() << "\"";
-      continue;
-    }
-    if (auto it = next->With(*std::move(branch))) {
+void EntryNode::Impl::OnApplied(const SettingsPtr& next) {
+  for (const auto& [name, branch] : next->branches()) {
+    const Branch* old = entry.settings()->FindBranch(name);
+    if (old == nullptr || old->version < branch.version) {
       LOG(INFO) << "event=branch_applied node=" << settings.node
-                << " branch=" << name << " version=" << row.version;
-      next = std::move(it);
+                << " branch=" << name << " version=" << branch.version;
+    }
+    for (const auto& it : branch.entries) {
+      mesh.SetAddress(it.node, {it.ip, it.port});
     }
-  }
-  if (next == entry.settings()) {
-    return;
   }
   entry.OnSettings(Loop::Now(), next);
   for (const Replica* it : entry.replicas().All()) {
@@ -278,6 +324,35 @@
   SendHeartbeats();
 }
 
+void EntryNode::Impl::OnEntryHeartbeat(const NodeId& from,
+                                       const Heartbeat& heartbeat) {
+  sync.OnHeartbeat(Loop::Now(), from, heartbeat);
+  if (heartbeat.reply_to == 0) {
+    SendEntryHeartbeat(from, 0, heartbeat.sequence);
+  }
+}
+
+void EntryNode::Impl::SendEntryHeartbeat(const NodeId& peer,
+                                         std::uint64_t sequence,
+                                         std::uint64_t reply_to) {
+  Heartbeat heartbeat;
+  heartbeat.role = Role::kEntry;
+  heartbeat.state = draining ? NodeState::kLeaving : NodeState::kReady;
+  heartbeat.sequence = sequence;
+  heartbeat.reply_to = reply_to;
+  heartbeat.settings = sync.Digest(Loop::Now());
+  mesh.SendDatagram(peer, heartbeat);
+}
+
+void EntryNode::Impl::LogCurrency() {
+  const bool current = sync.IsCurrent(Loop::Now());
+  if (current != was_current) {
+    was_current = current;
+    LOG(INFO) << "event=currency node=" << settings.node
+              << " current=" << current;
+  }
+}
+
 void EntryNode::Impl::SendHeartbeats() {
   Heartbeat heartbeat;
   heartbeat.role = Role::kEntry;
@@ -328,7 +403,11 @@
   }
   PrintListening(impl_->settings.node, impl_->mesh.port(),
                  impl_->server.port());
-  impl_->ReadSettings();
+  impl_->loop->Every(kSettingsTick, [this] {
+    impl_->sync.OnTick(Loop::Now());
+    impl_->LogCurrency();
+  });
+  impl_->sync.OnTick(Loop::Now());
   impl_->loop->Every(kHeartbeatPeriod, [this] { impl_->SendHeartbeats(); });
   return absl::OkStatus();
 }
--- a/src/messages.h
+++ b/src/messages.h
@@ -67,21 +67,44 @@
   SettingsVersion version = 0;
 };
 
-// Both ways over UDP. An entry's heartbeat asks for the sidecar's.
+// Stands for "no such moment" where an age is given.
+inline constexpr DurationUs kNever = -1;
+
+// This long ago a witness had nothing newer than the sender of the message has.
+struct WitnessAge {
+  std::uint64_t witness = 0;  // Hash of its NodeId.
+  DurationUs age = 0;
+};
+
+// What a node has of the settings tree, in a size that does not grow with it.
+// Ages are measured at the sender, when it sends.
+struct SettingsDigest {
+  std::uint64_t hash = 0;  // Over all branches and versions.
+  std::uint64_t sum = 0;   // Of all versions: the larger one is asked.
+  // Everything that the table took before this long ago is included.
+  DurationUs proof_age = kNever;
+  // Whether the sender may itself be counted as a witness.
+  bool established = false;
+  std::vector<WitnessAge> witnesses;  // At most `SettingsSync::kWitnesses`.
+};
+
+// Both ways over UDP. One with `reply_to` zero asks; the answer repeats the
+// sequence number of the question, so that the asker can tell how old it is.
 struct Heartbeat {
   Role role = Role::kEntry;
   NodeState state = NodeState::kStarting;
   std::uint64_t sequence = 0;
+  std::uint64_t reply_to = 0;
   LoadReport load;
   FenceNumber fence = 0;
-  std::vector<BranchVersion> versions;
+  SettingsDigest settings;                 // Of entries.
   std::vector<std::uint64_t> quarantined;  // Fingerprints convicted lately.
 };
 
-// Between peers over TCP: asks for a branch newer than `version`.
-struct BranchPull {
-  std::string branch;
-  SettingsVersion version = 0;
+// Between entries over TCP: asks for every branch newer than those known.
+struct SettingsPull {
+  std::uint64_t sequence = 0;
+  std::vector<BranchVersion> known;
 };
 
 struct BranchBody {
@@ -90,6 +113,15 @@
   std::string json;
 };
 
+// Answers a pull, in as many parts as its size asks for; the digest stands in
+// the last one.
+struct SettingsBodies {
+  std::uint64_t reply_to = 0;
+  bool last = false;
+  SettingsDigest digest;
+  std::vector<BranchBody> bodies;
+};
+
 enum class OrderKind { kLoadModel, kUnloadModel, kChangeRole };
 inline constexpr std::array<std::string_view, 3> kOrderKindNames = {
     "load_model", "unload_model", "change_role"};
@@ -118,8 +150,8 @@
                              StageChunk,
                              StageFailure,
                              Heartbeat,
-                             BranchPull,
-                             BranchBody,
+                             SettingsPull,
+                             SettingsBodies,
                              ControlOrder,
                              ControlOrderResult>;
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -49,18 +49,31 @@
   a(v.branch, v.version);
 }
 template <class A>
+void serialize(A& a, WitnessAge& v) {
+  a(v.witness, v.age);
+}
+template <class A>
+void serialize(A& a, SettingsDigest& v) {
+  a(v.hash, v.sum, v.proof_age, v.established, v.witnesses);
+}
+template <class A>
 void serialize(A& a, Heartbeat& v) {
-  a(v.role, v.state, v.sequence, v.load, v.fence, v.versions, v.quarantined);
+  a(v.role, v.state, v.sequence, v.reply_to, v.load, v.fence, v.settings,
+    v.quarantined);
 }
 template <class A>
-void serialize(A& a, BranchPull& v) {
-  a(v.branch, v.version);
+void serialize(A& a, SettingsPull& v) {
+  a(v.sequence, v.known);
 }
 template <class A>
 void serialize(A& a, BranchBody& v) {
   a(v.branch, v.version, v.json);
 }
 template <class A>
+void serialize(A& a, SettingsBodies& v) {
+  a(v.reply_to, v.last, v.digest, v.bodies);
+}
+template <class A>
 void serialize(A& a, ControlOrder& v) {
   a(v.order_id, v.kind, v.fence, v.model, v.model_version);
 }
--- a/src/protocol/node_settings.cc
+++ b/src/protocol/node_settings.cc
@@ -118,6 +118,13 @@
   out.frame_key = in.at("frame_key");
   out.listen = ReadAddress(in, "listen");
   out.http = ReadAddress(in, "http");
+  if (in.contains("peers")) {
+    for (const auto& it : in.at("peers")) {
+      out.peers.push_back({it.at("node").get<std::string>(),
+                           {it.at("ip").get<std::string>(),
+                            it.at("port").get<std::uint16_t>()}});
+    }
+  }
   out.platform_url = ReadUrl(in, "platform");
   out.upstream_url = ReadUrl(in, "upstream");
   out.max_requests = in.value("max_requests", out.max_requests);
--- a/src/protocol/node_settings.h
+++ b/src/protocol/node_settings.h
@@ -19,6 +19,12 @@
   std::uint16_t port = 0;  // Zero: the system chooses.
 };
 
+// Another entry; the settings tree may name more.
+struct PeerAddress {
+  NodeId node;
+  Address address;
+};
+
 struct NodeSettings {
   Role role = Role::kEntry;
   NodeId node;
@@ -26,6 +32,7 @@
   std::string frame_key;
   Address listen;  // Frames, over TCP and UDP.
   Address http;    // Callers and operators.
+  std::vector<PeerAddress> peers;
   std::string platform_url;
   std::string upstream_url;
   std::uint32_t upstream_limit = 4;
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -130,6 +130,15 @@
   return replica;
 }
 
+EntryAddress ReadEntryAddress(const Reader& in) {
+  EntryAddress entry;
+  entry.node = in.Text("node");
+  entry.ip = in.Text("ip");
+  entry.port = in.Integer("port", 0, 1, 65535);
+  entry.failure_domain = in.Text("failure_domain");
+  return entry;
+}
+
 Pool ReadPool(const Reader& in) {
   Pool pool;
   const auto kind = in.Text("kind", "service");
@@ -204,6 +213,9 @@
   std::string error;
   const Reader in(value, "", &error);
   branch.owner = in.Text("owner");
+  in.EachElement("entries", [&](const Json& it, const std::string& path) {
+    branch.entries.push_back(ReadEntryAddress(Reader(it, path, in.error())));
+  });
   in.EachMember("pools", [&](const std::string& key, const Reader& it) {
     branch.pools[key] = ReadPool(it);
   });
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -49,12 +49,21 @@
   std::uint32_t share = 1;
 };
 
+// An entry process, so that entries find one another.
+struct EntryAddress {
+  NodeId node;
+  std::string ip;
+  std::uint16_t port = 0;  // TCP and UDP.
+  std::string failure_domain;
+};
+
 // One team's part of the tree, a row of the platform's table.
 struct Branch {
   std::string name;
   SettingsVersion version = 0;
   std::string owner;
   std::string json;  // As accepted.
+  std::vector<EntryAddress> entries;
   std::map<std::string, Pool, std::less<>> pools;
   std::map<std::string, Event, std::less<>> events;
   std::map<std::string, Account, std::less<>> accounts;
--- a/tests/settings_write_test.cc
+++ b/tests/settings_write_test.cc
@@ -134,6 +134,23 @@
   EXPECT_EQ(result.version, 2U);
 }
 
+// Teams write different branches at once. Both change the epoch row, so one
+// transaction fails; it is no lost race, and the operator is not told of it.
+TEST(SettingsWriteTest, OtherBranchesDoNotLoseRaces) {
+  FakeTable table;
+  Drive(&table, Change("depot", "depot", Body("depot")), 1);
+  SettingsWrite first(Change("depot", "depot", Body("depot", 2)), 2);
+  SettingsWrite second(Change("office", "office", Body("office")), 3);
+  SettingsWrite third(Change("depot", "depot", Body("depot", 3)), 4);
+  for (auto* write : {&first, &second, &third}) {
+    write->OnAnswer(table.Transact(write->Next()));
+  }
+  EXPECT_EQ(Drive(&table, &first).outcome, WriteOutcome::kAccepted);
+  EXPECT_EQ(Drive(&table, &second).outcome, WriteOutcome::kAccepted);
+  EXPECT_EQ(Drive(&table, &third).outcome, WriteOutcome::kLostRace);
+  EXPECT_EQ(table.Row("settings_epoch").version, 3U);
+}
+
 TEST(SettingsWriteTest, RollbackIsANewVersion) {
   FakeTable table;
   Drive(&table, Change("depot", "depot", Body("depot")), 1);
