Split the entry into claims, pipeline and admission

Cause: entry.cc held admission, claims, the stages and the answer in 700 lines; each non-idempotent request cost two transactions, a claim whose write had no answer stayed in the table as claimed, its outcome was written once and lost with a lost answer, and an answer that was no UTF-8 came back changed.

Now: claims.cc keeps a row a request through taking, held, waiting for another copy, and settling; claim_batch.cc groups writes into few transactions and sends the rest again after a conflict; an outcome is written until it stands, bounded in memory and effort; a refused row may be claimed again by its version, because nothing ran under it. pipeline.cc runs the stages under the pool as it was when the request was admitted, drops what belongs to another attempt, and resumes a streamed answer only by one that begins with what the caller has. A request's key and answer are kept byte for byte.

Ruled out: taking a claim again under the same nonce after it was given up; a late write of the refusal could then land under a running request.

--- /dev/null
+++ b/src/coordination/caller.h
@@ -0,0 +1,65 @@
+// What a caller asks of an entry and the one answer it receives.
+#ifndef ACACIACHUTE_SRC_COORDINATION_CALLER_H_
+#define ACACIACHUTE_SRC_COORDINATION_CALLER_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace acaciachute {
+
+// Names a caller's open connection to the transport.
+using CallerHandle = std::uint64_t;
+
+struct CallerRequest {
+  CallerHandle handle = 0;
+  std::string event;
+  std::string account;
+  std::string key;  // Idempotency key; required when not idempotent.
+  CallerClass caller_class = CallerClass::kPatient;
+  bool idempotent = true;
+  bool stream = false;
+  DurationUs deadline = 0;  // From arrival; zero takes the event's longest.
+  DurationUs waited = 0;    // Since arrival, in this process's own loop.
+  std::string body;
+  std::string traceparent;
+};
+
+struct StageCost {
+  std::string pool;
+  DurationUs service = 0;  // Upstream time of all attempts that answered.
+  std::uint32_t attempts = 0;
+};
+
+// The one final answer to a caller.
+struct CallerAnswer {
+  Verdict verdict = Verdict::kNotRun;
+  Refusal reason = Refusal::kNone;
+  std::string detail;
+  std::string body;
+  DurationUs retry_after = 0;  // Zero: a later try does not help.
+  std::vector<StageCost> cost;
+  std::string traceparent;
+  bool replayed = false;  // A stored answer given again.
+};
+
+// Told to callers until the overload signal gives a better figure.
+inline constexpr DurationUs kDefaultRetryAfter = kSecond;
+
+inline CallerAnswer MakeRefusal(Verdict verdict,
+                                Refusal reason,
+                                std::string detail = "",
+                                DurationUs retry_after = kDefaultRetryAfter) {
+  CallerAnswer answer;
+  answer.verdict = verdict;
+  answer.reason = reason;
+  answer.detail = std::move(detail);
+  answer.retry_after = Info(reason).later_may_help ? retry_after : 0;
+  return answer;
+}
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_CALLER_H_
--- /dev/null
+++ b/src/coordination/claim_batch.cc
@@ -0,0 +1,134 @@
+#include "coordination/claim_batch.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace acaciachute {
+namespace {
+
+// Transactions that may leave at once after a quiet time.
+constexpr int kBurst = 8;
+
+}  // namespace
+
+ClaimBatch::ClaimBatch(StoreCalls* calls, Metrics* metrics, double rate)
+    : calls_(calls),
+      metrics_(metrics),
+      period_(static_cast<DurationUs>(kSecond / std::max(rate, 0.1))) {}
+
+void ClaimBatch::Add(TimeUs now, StoreOp op, DoneFn done) {
+  queue_.push_back({std::move(op), std::move(done)});
+  Flush(now);
+}
+
+void ClaimBatch::OnTick(TimeUs now) {
+  Flush(now);
+}
+
+TimeUs ClaimBatch::NextWakeup() const {
+  return queue_.empty() || in_flight_ >= kMaxInFlight
+             ? std::numeric_limits<TimeUs>::max()
+             : next_at_;
+}
+
+void ClaimBatch::Flush(TimeUs now) {
+  while (!queue_.empty() && in_flight_ < kMaxInFlight && next_at_ <= now) {
+    next_at_ = std::max(next_at_, now - kBurst * period_) + period_;
+    Send(now, TakeItems());
+  }
+}
+
+// One write a row: the table checks every condition before the first
+// effect, so two inserts of one row would both hold. The second one waits.
+ClaimBatch::Items ClaimBatch::TakeItems() {
+  Items items;
+  std::deque<Item> later;
+  std::set<std::string> keys;
+  std::size_t bytes = 0;
+  while (!queue_.empty() && items.size() < kMaxOps) {
+    Item item = std::move(queue_.front());
+    queue_.pop_front();
+    bytes += item.op.key.size() + item.op.value.size();
+    if (bytes > kMaxBytes && !items.empty()) {
+      queue_.push_front(std::move(item));
+      break;
+    }
+    if (item.op.kind == StoreOpKind::kRead || keys.insert(item.op.key).second) {
+      items.push_back(std::move(item));
+    } else {
+      later.push_back(std::move(item));
+    }
+  }
+  queue_.insert(queue_.begin(), std::make_move_iterator(later.begin()),
+                std::make_move_iterator(later.end()));
+  return items;
+}
+
+void ClaimBatch::Send(TimeUs now, Items items) {
+  metrics_->Count("acaciachute_claim_transactions_total");
+  metrics_->Count("acaciachute_claim_writes_total", "", items.size());
+  std::vector<StoreOp> ops;
+  ops.reserve(items.size());
+  for (const auto& it : items) {
+    ops.push_back(it.op);
+  }
+  ++in_flight_;
+  calls_->Call(std::move(ops),
+               [this, items = std::move(items)](
+                   TimeUs at, const StoreAnswer& answer) mutable {
+                 --in_flight_;
+                 OnAnswer(at, std::move(items), answer);
+                 Flush(at);
+               });
+}
+
+void ClaimBatch::OnAnswer(TimeUs now, Items items, const StoreAnswer& answer) {
+  if (answer.status == StoreStatus::kConflict) {
+    SplitConflict(now, std::move(items), answer);
+    return;
+  }
+  // Rows that do not match what was asked prove nothing.
+  StoreStatus status = answer.status;
+  if (status == StoreStatus::kOk && answer.rows.size() != items.size()) {
+    status = StoreStatus::kUnknown;
+  }
+  for (std::size_t n = 0; n < items.size(); ++n) {
+    items[n].done(now, status,
+                  status == StoreStatus::kOk ? answer.rows[n] : StoreRow{});
+  }
+}
+
+void ClaimBatch::SplitConflict(TimeUs now,
+                               Items items,
+                               const StoreAnswer& answer) {
+  std::map<std::string_view, const StoreRow*> rows;
+  for (const auto& row : answer.rows) {
+    rows[row.key] = &row;
+  }
+  Items hit;
+  Items rest;
+  for (auto& it : items) {
+    (rows.contains(it.op.key) ? hit : rest).push_back(std::move(it));
+  }
+  // A conflict that names none of our rows proves nothing and would come
+  // again for ever.
+  if (hit.empty()) {
+    for (const auto& it : rest) {
+      it.done(now, StoreStatus::kUnknown, {});
+    }
+    return;
+  }
+  if (!rest.empty()) {
+    metrics_->Count("acaciachute_claim_resubmitted_total", "", rest.size());
+    Send(now, std::move(rest));
+  }
+  for (const auto& it : hit) {
+    it.done(now, StoreStatus::kConflict, *rows[it.op.key]);
+  }
+}
+
+}  // namespace acaciachute
--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -7,12 +7,15 @@
 #define ACACIACHUTE_SRC_COORDINATION_ENTRY_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
+#include "coordination/caller.h"
+#include "coordination/claims.h"
 #include "coordination/currency.h"
+#include "coordination/store_calls.h"
 #include "messages.h"
 #include "state/metrics.h"
 #include "state/random.h"
@@ -24,49 +27,13 @@
 
 namespace acaciachute {
 
-// Names a caller's open connection to the transport.
-using CallerHandle = std::uint64_t;
-
-struct CallerRequest {
-  CallerHandle handle = 0;
-  std::string event;
-  std::string account;
-  std::string key;  // Idempotency key; required when not idempotent.
-  CallerClass caller_class = CallerClass::kPatient;
-  bool idempotent = true;
-  bool stream = false;
-  DurationUs deadline = 0;  // From arrival; zero takes the event's longest.
-  std::string body;
-  std::string traceparent;
-};
-
-struct StageCost {
-  std::string pool;
-  DurationUs service = 0;  // Upstream time of all attempts that answered.
-  std::uint32_t attempts = 0;
-};
-
-// The one final answer to a caller.
-struct CallerAnswer {
-  Verdict verdict = Verdict::kNotRun;
-  Refusal reason = Refusal::kNone;
-  std::string detail;
-  std::string body;
-  DurationUs retry_after = 0;  // Zero: a later try does not help.
-  std::vector<StageCost> cost;
-  std::string traceparent;
-  bool replayed = false;  // A stored answer given again.
-};
-
 // What the core asks its driver to do.
-class EntryOutput {
+class EntryOutput : public StoreOutput {
  public:
-  virtual ~EntryOutput() = default;
   virtual void Send(const NodeId& sidecar, const Message& message) = 0;
   virtual void Answer(CallerHandle handle, const CallerAnswer& answer) = 0;
   // Part of a streamed answer, in order; `Answer` ends the stream.
   virtual void Stream(CallerHandle handle, std::string_view part) = 0;
-  virtual void CallStore(StoreTicket ticket, std::vector<StoreOp> ops) = 0;
   virtual void Export(const Span& span) = 0;
 };
 
@@ -75,14 +42,21 @@
   Incarnation incarnation = 0;
   std::size_t max_requests = 4096;     // In progress at once.
   const Currency* currency = nullptr;  // Without one, always current.
+  // Transactions on claims: this entry's share of what the table takes.
+  double claim_transactions_per_second = 100;
 };
 
+// Makes the keeper of claims; tests give another to show what rests on it.
+using ClaimKeeperFactory =
+    std::function<std::unique_ptr<ClaimKeeper>(ClaimEvents* events)>;
+
 class Entry {
  public:
   Entry(EntryOptions options,
         EntryOutput* output,
         Random* random,
-        Metrics* metrics);
+        Metrics* metrics,
+        const ClaimKeeperFactory& make_claims = nullptr);
   ~Entry();
   Entry(const Entry&) = delete;
   Entry& operator=(const Entry&) = delete;
@@ -104,7 +78,7 @@
   void OnPeerLost(TimeUs now, const NodeId& sidecar);
   // The connection was never made: `message` did not leave this process.
   void OnUnsent(TimeUs now, const NodeId& sidecar, const Message& message);
-  void OnStoreAnswer(TimeUs now, StoreTicket ticket, StoreAnswer answer);
+  void OnStoreAnswer(TimeUs now, StoreTicket ticket, const StoreAnswer& answer);
   void OnTick(TimeUs now);
   // When `OnTick` has work again; the far future when nothing waits.
   TimeUs NextWakeup() const;
@@ -112,6 +86,8 @@
   // From now on new requests are refused; those in progress finish.
   void Leave();
   std::size_t InProgress() const;
+  // Outcomes of claims that are not known to stand in the table yet.
+  std::size_t Unsettled() const;
 
   ReplicaTable& replicas();
   const SettingsPtr& settings() const;
--- /dev/null
+++ b/src/coordination/pipeline.cc
@@ -0,0 +1,273 @@
+#include "coordination/pipeline.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "state/claim.h"
+#include "text.h"
+
+namespace acaciachute::detail {
+namespace {
+
+// Weight of the newest answer in a replica's moving latency.
+constexpr int kLatencyWeight = 8;
+
+// A stage's answer is the next stage's body, so its bound is of the same
+// order as that on callers' bodies; more is a broken upstream that would fill
+// the entry's memory.
+constexpr std::size_t kMaxAnswerBytes = 8 << 20;
+// Chunks ahead of their turn; TCP keeps order, so few are.
+constexpr std::uint32_t kMaxEarlyChunks = 4096;
+
+bool Complete(const StageAttempt& attempt) {
+  return attempt.last_chunk && attempt.next_chunk > *attempt.last_chunk;
+}
+
+}  // namespace
+
+// A request keeps the pool as it was defined when it was admitted: a replica
+// that moved to another pool in between would get the wrong stage.
+Replica* Pipeline::ChooseReplica(const EntryRequest& request) {
+  const Stage& stage = request.event->stages[request.stage];
+  const Pool* pool = request.settings->FindPool(stage.pool);
+  if (pool == nullptr) {
+    return nullptr;
+  }
+  std::vector<Replica*> known;
+  known.reserve(pool->replicas.size());
+  for (const auto& address : pool->replicas) {
+    if (Replica* replica = replicas_->Find(address.node)) {
+      known.push_back(replica);
+    }
+  }
+  return router_.Choose(known, request.tried);
+}
+
+StageCall Pipeline::MakeCall(TimeUs now, const EntryRequest& request) const {
+  const Stage& stage = request.event->stages[request.stage];
+  const Pool* pool = request.settings->FindPool(stage.pool);
+  const StageAttempt& attempt = *request.attempt;
+  StageCall call;
+  call.key = attempt.key;
+  call.sidecar = attempt.incarnation;
+  call.caller_class = request.call.caller_class;
+  call.kind = pool == nullptr ? StageKind::kService : pool->kind;
+  call.idempotent = request.call.idempotent;
+  call.stream = request.Streams();
+  call.time_left = request.deadline - now;
+  call.fingerprint = BodyHash(request.call.account, request.call.body);
+  call.account = request.call.account;
+  call.path = stage.path;
+  call.body = request.input;
+  call.traceparent = FormatTraceparent(
+      {request.trace.trace_high, request.trace.trace_low, attempt.span});
+  return call;
+}
+
+void Pipeline::Start(TimeUs now, EntryRequest& request) {
+  Replica* replica = ChooseReplica(request);
+  if (replica == nullptr) {
+    output_->OnPipelineFailure(now, request, Refusal::kNoReplica,
+                               kDefaultRetryAfter);
+    return;
+  }
+  if (request.tried.empty()) {
+    retries_.OnFirstTry();
+  }
+  StageAttempt attempt;
+  attempt.key = {request.id, request.stage, ++request.attempts};
+  attempt.node = replica->address.node;
+  attempt.incarnation = replica->incarnation;
+  attempt.sent_at = now;
+  attempt.span = random_->Next() | 1;
+  request.tried.push_back(attempt.node);
+  if (request.cost.size() <= request.stage) {
+    request.cost.push_back({request.event->stages[request.stage].pool, 0, 0});
+  }
+  ++request.cost.back().attempts;
+  ++replica->own_in_progress;
+  request.attempt = std::move(attempt);
+  output_->SendStage(replica->address.node, MakeCall(now, request));
+}
+
+bool Pipeline::Belongs(const EntryRequest* request,
+                       const NodeId& from,
+                       const StageKey& key,
+                       Incarnation incarnation) {
+  const bool ours = request != nullptr && request->attempt &&
+                    request->attempt->key == key &&
+                    request->attempt->node == from &&
+                    request->attempt->incarnation == incarnation;
+  if (!ours) {
+    metrics_->Count("acaciachute_stale_results_total");
+  }
+  return ours;
+}
+
+// Failure: an answer comes late, twice, out of order or for another attempt.
+// Symptom: a caller receives part of an answer, or somebody else's. Only the
+// attempt in progress takes chunks, each number once, and the stage ends when
+// every number up to the last one is there.
+void Pipeline::OnChunk(TimeUs now,
+                       EntryRequest* request,
+                       const NodeId& from,
+                       const StageChunk& chunk) {
+  if (!Belongs(request, from, chunk.key, chunk.sidecar)) {
+    return;
+  }
+  StageAttempt& attempt = *request->attempt;
+  if (chunk.sequence < attempt.next_chunk ||
+      attempt.early.contains(chunk.sequence)) {
+    metrics_->Count("acaciachute_duplicate_chunks_total");
+    return;
+  }
+  if (!TakeChunk(attempt, chunk) || !StreamNew(*request)) {
+    metrics_->Count("acaciachute_broken_answers_total");
+    output_->SendStage(from, StageCancel{attempt.key, attempt.incarnation,
+                                         request->deadline - now});
+    FailAttempt(now, *request, Verdict::kMayHaveRun, Refusal::kUpstreamFailed,
+                0);
+    return;
+  }
+  if (Complete(attempt)) {
+    FinishStage(now, *request);
+  }
+}
+
+// False when the chunk cannot belong to one sequence with the others.
+bool Pipeline::TakeChunk(StageAttempt& attempt, const StageChunk& chunk) {
+  const bool after_last = attempt.last_chunk &&
+                          (chunk.last || chunk.sequence > *attempt.last_chunk);
+  const bool last_too_low = chunk.last && !attempt.early.empty() &&
+                            attempt.early.rbegin()->first > chunk.sequence;
+  attempt.bytes += chunk.body.size();
+  if (after_last || last_too_low || attempt.bytes > kMaxAnswerBytes ||
+      chunk.sequence - attempt.next_chunk > kMaxEarlyChunks) {
+    return false;
+  }
+  attempt.service = std::max(attempt.service, chunk.service);
+  if (chunk.last) {
+    attempt.last_chunk = chunk.sequence;
+  }
+  attempt.early.emplace(chunk.sequence, chunk.body);
+  for (auto it = attempt.early.begin();
+       it != attempt.early.end() && it->first == attempt.next_chunk;
+       it = attempt.early.erase(it)) {
+    attempt.answer += it->second;
+    ++attempt.next_chunk;
+  }
+  return true;
+}
+
+// Hands the caller what is new of a streamed answer. After a retry the new
+// attempt first repeats what the caller already has; false when it says
+// something else, because the caller's stream could not be continued by it.
+bool Pipeline::StreamNew(EntryRequest& request) {
+  const std::string& answer = request.attempt->answer;
+  if (!request.Streams()) {
+    return true;
+  }
+  if (Complete(*request.attempt) && answer.size() < request.streamed.size()) {
+    metrics_->Count("acaciachute_streams_diverged_total");
+    return false;
+  }
+  const std::size_t common = std::min(answer.size(), request.streamed.size());
+  if (answer.compare(0, common, request.streamed, 0, common) != 0) {
+    metrics_->Count("acaciachute_streams_diverged_total");
+    return false;
+  }
+  if (answer.size() > request.streamed.size()) {
+    const auto part = std::string_view(answer).substr(request.streamed.size());
+    if (!request.caller_gone) {
+      output_->StreamPart(request, part);
+    }
+    request.streamed += part;
+  }
+  return true;
+}
+
+void Pipeline::FinishStage(TimeUs now, EntryRequest& request) {
+  std::string body = std::move(request.attempt->answer);
+  request.cost.back().service += request.attempt->service;
+  request.may_have_run = true;
+  EndAttempt(now, request, "answered");
+  if (request.InLastStage()) {
+    output_->OnPipelineAnswer(now, request, std::move(body));
+    return;
+  }
+  ++request.stage;
+  request.input = std::move(body);
+  request.tried.clear();
+  Start(now, request);
+}
+
+void Pipeline::OnFailure(TimeUs now,
+                         EntryRequest* request,
+                         const NodeId& from,
+                         const StageFailure& failure) {
+  if (Belongs(request, from, failure.key, failure.sidecar)) {
+    FailAttempt(now, *request, failure.verdict, failure.reason,
+                failure.retry_after);
+  }
+}
+
+// Failure: an attempt ends without an answer. Symptom: a blind retry runs a
+// non-idempotent request twice. Only an attempt that was never handed over, or
+// an idempotent request, goes to another replica, and the retry budget bounds
+// both.
+void Pipeline::FailAttempt(TimeUs now,
+                           EntryRequest& request,
+                           Verdict verdict,
+                           Refusal reason,
+                           DurationUs retry_after) {
+  EndAttempt(now, request, Name(reason));
+  if (verdict != Verdict::kNotRun) {
+    request.may_have_run = true;
+  }
+  const bool may_repeat =
+      verdict == Verdict::kNotRun || request.call.idempotent;
+  if (may_repeat && now < request.deadline && retries_.Take()) {
+    metrics_->Count("acaciachute_retries_total", Name(reason));
+    Start(now, request);
+    return;
+  }
+  output_->OnPipelineFailure(
+      now, request, reason, retry_after > 0 ? retry_after : kDefaultRetryAfter);
+}
+
+void Pipeline::Cancel(TimeUs now, EntryRequest& request, Refusal reason) {
+  if (!request.attempt) {
+    return;
+  }
+  const StageAttempt& attempt = *request.attempt;
+  request.may_have_run = true;
+  output_->SendStage(attempt.node, StageCancel{attempt.key, attempt.incarnation,
+                                               std::max<DurationUs>(
+                                                   0, request.deadline - now)});
+  EndAttempt(now, request, Name(reason));
+}
+
+void Pipeline::EndAttempt(TimeUs now,
+                          EntryRequest& request,
+                          std::string_view outcome) {
+  const StageAttempt& attempt = *request.attempt;
+  const DurationUs took = now - attempt.sent_at;
+  if (Replica* replica = replicas_->Find(attempt.node)) {
+    replica->own_in_progress -= replica->own_in_progress > 0 ? 1 : 0;
+    replica->latency += (took - replica->latency) / kLatencyWeight;
+  }
+  const Stage& stage = request.event->stages[request.stage];
+  metrics_->Observe("acaciachute_stage_seconds", stage.pool, took);
+  Span span;
+  span.context = {request.trace.trace_high, request.trace.trace_low,
+                  attempt.span};
+  span.parent = request.trace.span;
+  span.name = StrCat("stage ", stage.pool);
+  span.start = attempt.sent_at;
+  span.end = now;
+  span.attributes = {{"node", attempt.node}, {"outcome", std::string(outcome)}};
+  output_->ExportSpan(span);
+  request.attempt.reset();
+}
+
+}  // namespace acaciachute::detail
--- /dev/null
+++ b/src/coordination/pipeline.h
@@ -0,0 +1,96 @@
+// Runs the stages of a request one after another and assembles the answer.
+//
+// Each result carries (request, stage, attempt, sidecar incarnation); whatever
+// belongs to another attempt is dropped and counted, and only a complete
+// sequence of chunks is an answer.
+#ifndef ACACIACHUTE_SRC_COORDINATION_PIPELINE_H_
+#define ACACIACHUTE_SRC_COORDINATION_PIPELINE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/entry_request.h"
+#include "coordination/retry_budget.h"
+#include "coordination/router.h"
+#include "messages.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "state/replica_table.h"
+
+namespace acaciachute::detail {
+
+class PipelineOutput {
+ public:
+  virtual ~PipelineOutput() = default;
+  virtual void SendStage(const NodeId& sidecar, const Message& message) = 0;
+  virtual void StreamPart(const EntryRequest& request,
+                          std::string_view part) = 0;
+  virtual void ExportSpan(const Span& span) = 0;
+  // The last stage answered.
+  virtual void OnPipelineAnswer(TimeUs now,
+                                EntryRequest& request,
+                                std::string body) = 0;
+  // No further attempt is made; `request.may_have_run` says what is known.
+  virtual void OnPipelineFailure(TimeUs now,
+                                 EntryRequest& request,
+                                 Refusal reason,
+                                 DurationUs retry_after) = 0;
+};
+
+class Pipeline {
+ public:
+  Pipeline(PipelineOutput* output,
+           ReplicaTable* replicas,
+           Random* random,
+           Metrics* metrics)
+      : output_(output),
+        replicas_(replicas),
+        random_(random),
+        metrics_(metrics),
+        router_(random) {}
+
+  // Sends the request's current stage to a replica.
+  void Start(TimeUs now, EntryRequest& request);
+  // `request` may be null when it is no longer in progress.
+  void OnChunk(TimeUs now,
+               EntryRequest* request,
+               const NodeId& from,
+               const StageChunk& chunk);
+  void OnFailure(TimeUs now,
+                 EntryRequest* request,
+                 const NodeId& from,
+                 const StageFailure& failure);
+  // The attempt in progress ended without an answer.
+  void FailAttempt(TimeUs now,
+                   EntryRequest& request,
+                   Verdict verdict,
+                   Refusal reason,
+                   DurationUs retry_after);
+  // Nobody waits any longer: the attempt in progress is cancelled through to
+  // the upstream.
+  void Cancel(TimeUs now, EntryRequest& request, Refusal reason);
+
+ private:
+  Replica* ChooseReplica(const EntryRequest& request);
+  StageCall MakeCall(TimeUs now, const EntryRequest& request) const;
+  bool Belongs(const EntryRequest* request,
+               const NodeId& from,
+               const StageKey& key,
+               Incarnation incarnation);
+  bool TakeChunk(StageAttempt& attempt, const StageChunk& chunk);
+  bool StreamNew(EntryRequest& request);
+  void FinishStage(TimeUs now, EntryRequest& request);
+  void EndAttempt(TimeUs now, EntryRequest& request, std::string_view outcome);
+
+  PipelineOutput* const output_;
+  ReplicaTable* const replicas_;
+  Random* const random_;
+  Metrics* const metrics_;
+  Router router_;
+  RetryBudget retries_;
+};
+
+}  // namespace acaciachute::detail
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_PIPELINE_H_
--- a/src/state/claim.cc
+++ b/src/state/claim.cc
@@ -1,5 +1,6 @@
 #include "state/claim.h"
 
+#include <glib.h>
 #include <xxhash.h>
 
 #include <nlohmann/json.hpp>
@@ -8,22 +9,84 @@
 #include "text.h"
 
 namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+// Rows are JSON and so UTF-8; bytes of a key that are not plain ASCII are
+// written as %XX, or two keys could meet in one row.
+void AppendEscaped(std::string* out, std::string_view text) {
+  constexpr char kHex[] = "0123456789ABCDEF";
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte > 0x20 && byte < 0x7f && c != '%') {
+      *out += c;
+    } else {
+      *out += '%';
+      *out += kHex[byte >> 4];
+      *out += kHex[byte & 15];
+    }
+  }
+}
+
+bool IsUtf8(std::string_view text) {
+  return g_utf8_validate_len(text.data(), text.size(), nullptr) != FALSE;
+}
+
+std::string ToBase64(std::string_view bytes) {
+  gchar* text = g_base64_encode(reinterpret_cast<const guchar*>(bytes.data()),
+                                bytes.size());
+  std::string out(text);
+  g_free(text);
+  return out;
+}
+
+std::string FromBase64(const std::string& text) {
+  gsize size = 0;
+  guchar* bytes = g_base64_decode(text.c_str(), &size);
+  std::string out(reinterpret_cast<const char*>(bytes), size);
+  g_free(bytes);
+  return out;
+}
+
+Refusal ReasonNamed(std::string_view name) {
+  for (std::size_t n = 0; n < kRefusals.size(); ++n) {
+    if (kRefusals[n].name == name) {
+      return static_cast<Refusal>(n);
+    }
+  }
+  return Refusal::kNone;
+}
+
+}  // namespace
 
 std::string ClaimRowKey(std::string_view account, std::string_view key) {
-  return StrCat("claim/", account.size(), ":", account, "/", key);
+  std::string out = StrCat("claim/", account.size(), ":");
+  AppendEscaped(&out, account);
+  out += '/';
+  AppendEscaped(&out, key);
+  return out;
 }
 
 std::string EncodeClaim(const Claim& claim) {
-  nlohmann::json out = {
-      {"state", Name(claim.state)},   {"body_hash", claim.body_hash},
-      {"nonce", claim.nonce},         {"holder", claim.holder},
-      {"reason", Name(claim.reason)}, {"answer", claim.answer},
+  Json out = {
+      {"state", Name(claim.state)},
+      {"body_hash", claim.body_hash},
+      {"nonce", claim.nonce},
+      {"holder", claim.holder},
+      {"holder_incarnation", claim.holder_incarnation},
+      {"reason", Name(claim.reason)},
   };
-  return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (IsUtf8(claim.answer)) {
+    out["answer"] = claim.answer;
+  } else {
+    out["answer_base64"] = ToBase64(claim.answer);
+  }
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 absl::StatusOr<Claim> DecodeClaim(std::string_view text) {
-  const auto in = nlohmann::json::parse(text, nullptr, false);
+  const auto in = Json::parse(text, nullptr, false);
   if (!in.is_object()) {
     return absl::DataLossError("claim row is no JSON object");
   }
@@ -38,15 +101,13 @@
     claim.body_hash = in.at("body_hash").get<std::uint64_t>();
     claim.nonce = in.at("nonce").get<std::uint64_t>();
     claim.holder = in.at("holder").get<std::string>();
-    claim.answer = in.at("answer").get<std::string>();
-    const auto reason = in.at("reason").get<std::string>();
-    for (std::size_t n = 0; n < kRefusals.size(); ++n) {
-      if (kRefusals[n].name == reason) {
-        claim.reason = static_cast<Refusal>(n);
-      }
-    }
+    claim.holder_incarnation = in.value("holder_incarnation", Incarnation{0});
+    claim.reason = ReasonNamed(in.at("reason").get<std::string>());
+    claim.answer = in.contains("answer_base64")
+                       ? FromBase64(in.at("answer_base64").get<std::string>())
+                       : in.at("answer").get<std::string>();
     return claim;
-  } catch (const nlohmann::json::exception& e) {
+  } catch (const Json::exception& e) {
     return absl::DataLossError(StrCat("claim row: ", e.what()));
   }
 }
--- a/src/state/claim.h
+++ b/src/state/claim.h
@@ -1,9 +1,9 @@
 // The row that lets a non-idempotent request run at most once.
 //
-// A claim is inserted conditionally before any stage may run, and is never
-// taken over: a paused entry that wakes still holds its own, and nobody else
-// has run it. The price is that a claim held by a dead entry is answered with
-// "may have run" for ever.
+// A claim is inserted conditionally before any stage may run. While it may run
+// it is never taken over: a paused entry that wakes still holds its own, and
+// nobody else has run it. The price is that a claim held by a dead entry is
+// answered with "may have run" for ever.
 #ifndef ACACIACHUTE_SRC_STATE_CLAIM_H_
 #define ACACIACHUTE_SRC_STATE_CLAIM_H_
 
@@ -17,7 +17,8 @@
 
 namespace acaciachute {
 
-// `kRefused` is written only when nothing ran; the key may not be used again.
+// `kRefused` is written only when nothing ran and nothing will: a later copy of
+// the same key and body may claim the row again, by its version.
 enum class ClaimState { kClaimed, kAnswered, kRefused, kMayHaveRun };
 inline constexpr std::array<std::string_view, 4> kClaimStateNames = {
     "claimed", "answered", "refused", "may_have_run"};
@@ -30,6 +31,7 @@
   std::uint64_t body_hash = 0;
   std::uint64_t nonce = 0;  // Tells our own write from another's.
   NodeId holder;
+  Incarnation holder_incarnation = 0;
   Refusal reason = Refusal::kNone;
   std::string answer;
 };
--- a/src/types.h
+++ b/src/types.h
@@ -138,6 +138,7 @@
   kFenced,
   kCancelled,
   kNotCurrent,
+  kNotFound,
 };
 
 struct RefusalInfo {
@@ -147,7 +148,7 @@
   bool later_may_help;  // Whether the answer carries Retry-After.
 };
 
-inline constexpr std::array<RefusalInfo, 19> kRefusals = {{
+inline constexpr std::array<RefusalInfo, 20> kRefusals = {{
     {"none", 200, "OK", false},
     {"malformed", 400, "The request is malformed", false},
     {"unauthorized", 401, "The bearer token is missing or unknown", false},
@@ -167,6 +168,7 @@
     {"fenced", 409, "The order carries an old fencing number", false},
     {"cancelled", 499, "The caller gave up", false},
     {"not_current", 503, "The node cannot show that it is current", true},
+    {"not_found", 404, "There is no such resource", false},
 }};
 constexpr const RefusalInfo& Info(Refusal v) {
   return kRefusals[static_cast<std::size_t>(v)];
