Age calls by their sender's clock and close a silent or leaving upstream

Cause: a sidecar that was paused took a call from its socket's buffer as fresh, because the call carries the time left and not when it was sent; a refused call left no tombstone, so its late copy could run after "not run" was told; a waiting call stayed queued when the upstream began to leave; the last load report counted for ever.

Now a message's age comes from its sender's clock and the smallest difference seen lately, every input first applies what time alone has changed, tombstones are bounded (what was dropped is answered "may have run"), an order past its deadline keeps its slot, and an upstream is given nothing new later than 2 s after it last said that it was ready or as soon as any route says that it leaves. Ruled out: wall-clock deadlines (clocks disagree), a longer tombstone (a pause has no bound).

No functional change to entries but the stamp on calls and heartbeats.

--- a/src/coordination/pipeline.cc
+++ b/src/coordination/pipeline.cc
@@ -55,6 +55,7 @@
   call.idempotent = request.call.idempotent;
   call.stream = request.Streams();
   call.time_left = request.deadline - now;
+  call.sent_at = now;
   call.fingerprint = BodyHash(request.call.account, request.call.body);
   call.account = request.call.account;
   call.path = stage.path;
--- a/src/coordination/sidecar.cc
+++ b/src/coordination/sidecar.cc
@@ -8,6 +8,9 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "coordination/class_queue.h"
+#include "coordination/leaving.h"
+#include "coordination/message_age.h"
+#include "coordination/tombstones.h"
 
 namespace acaciachute {
 namespace {
@@ -15,9 +18,14 @@
 // Told with a refusal when the queue is full.
 constexpr DurationUs kQueueFullRetryAfter = 200 * kMillisecond;
 
-// How long a call may stay in the network after it was sent. TCP gives up on a
-// silent peer within the transport's limit, which is below this.
-constexpr DurationUs kTombstoneSlack = 30 * kSecond;
+// A copy that comes after its deadline is refused by its age; a tombstone
+// outlives the deadline by what an age may be wrong by, with room to spare.
+constexpr DurationUs kTombstoneSlack = 5 * kSecond;
+
+// A call that may not be repeated is not cut at its deadline: the upstream
+// would stop half-way through an order. Its slot stays taken until it ends, or
+// until this long after, when the upstream is taken to have lost it.
+constexpr DurationUs kOverrun = 30 * kSecond;
 
 // Weight of the newest answer in the mean service time.
 constexpr int kServiceWeight = 8;
@@ -40,6 +48,12 @@
 
   void OnCall(TimeUs now, const NodeId& from, const StageCall& call);
   void OnCancel(TimeUs now, const NodeId& from, const StageCancel& cancel);
+  void BeforeInput(TimeUs now);
+  Refusal Closed(TimeUs now) const;
+  void EndLate(TimeUs now);
+  void EndOverrun(TimeUs now, UpstreamCallId id);
+  void HandBackWaiting(TimeUs now, Refusal reason);
+  void StopRunning(TimeUs now, const Work& work);
   void StartWaiting(TimeUs now);
   void HandOver(TimeUs now, Work& work);
   void Fail(TimeUs now,
@@ -47,6 +61,7 @@
             Verdict verdict,
             Refusal reason,
             bool crashed = false);
+  void Refuse(TimeUs now, const Work& work, Refusal reason);
   void Forget(TimeUs now, const StageKey& key);
   void ExportSpan(TimeUs now, const Work& work, std::string_view outcome);
   Work* FindRunning(UpstreamCallId id);
@@ -60,12 +75,45 @@
   absl::flat_hash_map<StageKey, Work> work;
   absl::flat_hash_map<UpstreamCallId, StageKey> running;
   std::set<std::pair<TimeUs, StageKey>> deadlines;
-  // Attempts that ended or were cancelled, kept until their deadline.
-  absl::flat_hash_map<StageKey, TimeUs> tombstones;
-  std::set<std::pair<TimeUs, StageKey>> tombstone_ends;
+  // Calls nobody waits for any longer, which still hold a slot.
+  absl::flat_hash_map<UpstreamCallId, TimeUs> overrunning;
+  Tombstones tombstones;
+  MessageAge ages;
+  Leaving leaving;
+  TimeUs clock = 0;  // Of the last input.
   DurationUs mean_service = 0;
 };
 
+// Failure: this process wakes from a pause and handles what its buffers hold in
+// any order. Symptom: an answer frees a slot and a call whose time is over, or
+// whose upstream began to leave in the meantime, is started. Whatever the input
+// is, what time alone has changed comes first.
+void Sidecar::Impl::BeforeInput(TimeUs now) {
+  clock = std::max(clock, now);
+  EndLate(now);
+  tombstones.Expire(now);
+  if (const Refusal reason = Closed(now); reason != Refusal::kNone) {
+    HandBackWaiting(now, reason);
+  }
+}
+
+// Why nothing new may be started; `kNone` when it may.
+Refusal Sidecar::Impl::Closed(TimeUs now) const {
+  if (leaving.IsLeaving(now) || state == NodeState::kLeaving) {
+    return Refusal::kLeaving;
+  }
+  return state == NodeState::kReady && leaving.IsReachable(now)
+             ? Refusal::kNone
+             : Refusal::kNoReplica;
+}
+
+void Sidecar::Impl::HandBackWaiting(TimeUs now, Refusal reason) {
+  while (const auto key = queue.Pop()) {
+    Fail(now, work[*key], Verdict::kNotRun, reason);
+    Forget(now, *key);
+  }
+}
+
 void Sidecar::Impl::OnCall(TimeUs now,
                            const NodeId& from,
                            const StageCall& call) {
@@ -82,25 +130,30 @@
   }
   // Failure: the network delivers a call twice, or after its cancel. Symptom: a
   // second run, or a run after "not run" was told. A key is taken once.
-  if (work.contains(call.key) || tombstones.contains(call.key)) {
+  if (work.contains(call.key) || tombstones.Contains(call.key)) {
     metrics->Count("acaciachute_sidecar_duplicates_total");
     return;
   }
+  const DurationUs age = ages.Of(call.key.request.origin, call.sent_at, now);
   Work item;
   item.entry = from;
   item.call = call;
   item.received = now;
-  item.deadline = now + call.time_left;
-  if (state != NodeState::kReady) {
-    Fail(now, item, Verdict::kNotRun, Refusal::kLeaving);
+  item.deadline = now + call.time_left - age;
+  if (tombstones.MayBeDropped(call.key)) {
+    Fail(now, item, Verdict::kMayHaveRun, Refusal::kFull);
+    return;
+  }
+  if (const Refusal reason = Closed(now); reason != Refusal::kNone) {
+    Refuse(now, item, reason);
     return;
   }
-  if (call.time_left <= 0) {
-    Fail(now, item, Verdict::kNotRun, Refusal::kLate);
+  if (item.deadline <= now) {
+    Refuse(now, item, Refusal::kLate);
     return;
   }
   if (queue.size() >= options.max_queued) {
-    Fail(now, item, Verdict::kNotRun, Refusal::kFull);
+    Refuse(now, item, Refusal::kFull);
     return;
   }
   deadlines.emplace(item.deadline, call.key);
@@ -110,7 +163,7 @@
 }
 
 void Sidecar::Impl::StartWaiting(TimeUs now) {
-  while (running.size() < options.limit) {
+  while (running.size() + overrunning.size() < options.limit) {
     const auto key = queue.Pop();
     if (!key) {
       return;
@@ -156,8 +209,15 @@
   output->Send(item.entry, failure);
 }
 
-// Ends the work under `key` and leaves a tombstone that outlives any late copy
-// of the call: its deadline and the longest stay in the network.
+// Failure: a call is refused here, and a second copy of it, delayed in the
+// network, comes when there is room again. Symptom: it runs although "not run"
+// was told. A refused attempt is remembered like one that ended.
+void Sidecar::Impl::Refuse(TimeUs now, const Work& item, Refusal reason) {
+  Fail(now, item, Verdict::kNotRun, reason);
+  tombstones.Add(item.call.key, std::max(item.deadline, now) + kTombstoneSlack);
+}
+
+// Ends the work under `key`; its tombstone outlives any late copy of the call.
 void Sidecar::Impl::Forget(TimeUs now, const StageKey& key) {
   const auto it = work.find(key);
   if (it == work.end()) {
@@ -167,8 +227,16 @@
   deadlines.erase({deadline, key});
   running.erase(it->second.upstream_call);
   work.erase(it);
-  tombstones[key] = std::max(deadline, now) + kTombstoneSlack;
-  tombstone_ends.emplace(tombstones[key], key);
+  tombstones.Add(key, std::max(deadline, now) + kTombstoneSlack);
+}
+
+// Nobody waits for what runs. It is stopped where that does no harm.
+void Sidecar::Impl::StopRunning(TimeUs now, const Work& item) {
+  if (item.call.idempotent) {
+    output->CancelUpstream(item.upstream_call);
+  } else {
+    overrunning[item.upstream_call] = now + kOverrun;
+  }
 }
 
 void Sidecar::Impl::OnCancel(TimeUs now,
@@ -179,24 +247,50 @@
   }
   const auto it = work.find(cancel.key);
   if (it == work.end()) {
-    if (!tombstones.contains(cancel.key)) {
-      tombstones[cancel.key] = now + cancel.time_left + kTombstoneSlack;
-      tombstone_ends.emplace(tombstones[cancel.key], cancel.key);
-    }
+    // The call may still be on its way and must not run when it comes.
+    tombstones.Add(cancel.key, now + cancel.time_left + kTombstoneSlack);
     return;
   }
-  Work& item = it->second;
+  const Work& item = it->second;
   if (item.upstream_call == 0) {
     queue.Remove(cancel.key);
     Fail(now, item, Verdict::kNotRun, Refusal::kCancelled);
   } else {
-    output->CancelUpstream(item.upstream_call);
+    StopRunning(now, item);
     Fail(now, item, Verdict::kMayHaveRun, Refusal::kCancelled);
   }
   Forget(now, cancel.key);
   StartWaiting(now);
 }
 
+void Sidecar::Impl::EndLate(TimeUs now) {
+  while (!deadlines.empty() && deadlines.begin()->first <= now) {
+    const StageKey key = deadlines.begin()->second;
+    const Work& item = work[key];
+    if (item.upstream_call == 0) {
+      queue.Remove(key);
+      Fail(now, item, Verdict::kNotRun, Refusal::kLate);
+    } else {
+      StopRunning(now, item);
+      Fail(now, item, Verdict::kMayHaveRun, Refusal::kLate);
+    }
+    Forget(now, key);
+  }
+  for (auto it = overrunning.begin(); it != overrunning.end();) {
+    const auto current = it++;
+    if (current->second <= now) {
+      output->CancelUpstream(current->first);
+      overrunning.erase(current);
+    }
+  }
+}
+
+void Sidecar::Impl::EndOverrun(TimeUs now, UpstreamCallId id) {
+  if (overrunning.erase(id) > 0) {
+    StartWaiting(now);
+  }
+}
+
 void Sidecar::Impl::ExportSpan(TimeUs now,
                                const Work& item,
                                std::string_view outcome) {
@@ -235,6 +329,7 @@
 void Sidecar::OnMessage(TimeUs now,
                         const NodeId& from,
                         const Message& message) {
+  impl_->BeforeInput(now);
   if (const auto* call = std::get_if<StageCall>(&message)) {
     impl_->OnCall(now, from, *call);
   } else if (const auto* cancel = std::get_if<StageCancel>(&message)) {
@@ -244,7 +339,35 @@
   }
 }
 
+void Sidecar::OnHeartbeat(TimeUs now,
+                          const NodeId& from,
+                          Incarnation incarnation,
+                          const Heartbeat& heartbeat) {
+  const DurationUs age = impl_->ages.Of(incarnation, heartbeat.sent_at, now);
+  // An entry's word counts from when it was sent.
+  impl_->leaving.OnWord(now - age, LeaveRoute::kEntry,
+                        heartbeat.receiver_leaving);
+  impl_->BeforeInput(now);
+}
+
+void Sidecar::OnUpstreamReport(TimeUs now,
+                               TimeUs asked_at,
+                               const UpstreamReport& report) {
+  impl_->leaving.OnReport(asked_at, report.reachable);
+  if (report.reachable) {
+    impl_->leaving.OnWord(now, LeaveRoute::kUpstream, report.leaving);
+  }
+  impl_->BeforeInput(now);
+  impl_->StartWaiting(now);
+}
+
+void Sidecar::OnHostList(TimeUs now, bool leaving) {
+  impl_->leaving.OnWord(now, LeaveRoute::kHostList, leaving);
+  impl_->BeforeInput(now);
+}
+
 void Sidecar::OnPeerLost(TimeUs now, const NodeId& entry) {
+  impl_->BeforeInput(now);
   std::vector<StageKey> keys;
   for (const auto& [key, item] : impl_->work) {
     // What runs and may not be repeated is finished; its answer has nowhere to
@@ -264,9 +387,13 @@
                               UpstreamCallId id,
                               std::string body,
                               bool last) {
+  impl_->BeforeInput(now);
   Work* item = impl_->FindRunning(id);
   if (item == nullptr) {
     impl_->metrics->Count("acaciachute_sidecar_stale_answers_total");
+    if (last) {
+      impl_->EndOverrun(now, id);
+    }
     return;
   }
   StageChunk chunk;
@@ -291,9 +418,11 @@
 void Sidecar::OnUpstreamError(TimeUs now,
                               UpstreamCallId id,
                               UpstreamError error) {
+  impl_->BeforeInput(now);
   Work* item = impl_->FindRunning(id);
   if (item == nullptr) {
     impl_->metrics->Count("acaciachute_sidecar_stale_answers_total");
+    impl_->EndOverrun(now, id);
     return;
   }
   const bool not_run =
@@ -305,56 +434,54 @@
 }
 
 void Sidecar::OnTick(TimeUs now) {
-  while (!impl_->deadlines.empty() && impl_->deadlines.begin()->first <= now) {
-    const StageKey key = impl_->deadlines.begin()->second;
-    Work& item = impl_->work[key];
-    const bool waits = item.upstream_call == 0;
-    if (waits) {
-      impl_->queue.Remove(key);
-    } else if (item.call.idempotent) {
-      impl_->output->CancelUpstream(item.upstream_call);
-    }
-    impl_->Fail(now, item, waits ? Verdict::kNotRun : Verdict::kMayHaveRun,
-                Refusal::kLate);
-    impl_->Forget(now, key);
-  }
-  auto& ends = impl_->tombstone_ends;
-  while (!ends.empty() && ends.begin()->first <= now) {
-    impl_->tombstones.erase(ends.begin()->second);
-    ends.erase(ends.begin());
-  }
+  impl_->BeforeInput(now);
   impl_->StartWaiting(now);
 }
 
 TimeUs Sidecar::NextWakeup() const {
-  TimeUs next = std::numeric_limits<TimeUs>::max();
+  TimeUs next = std::min(impl_->tombstones.NextEnd(),
+                         impl_->leaving.NextChange(impl_->clock));
   if (!impl_->deadlines.empty()) {
-    next = impl_->deadlines.begin()->first;
+    next = std::min(next, impl_->deadlines.begin()->first);
   }
-  if (!impl_->tombstone_ends.empty()) {
-    next = std::min(next, impl_->tombstone_ends.begin()->first);
+  for (const auto& [unused, until] : impl_->overrunning) {
+    next = std::min(next, until);
   }
   return next;
 }
 
 void Sidecar::SetState(NodeState state) {
   impl_->state = state;
+  impl_->BeforeInput(impl_->clock);
+}
+
+void Sidecar::Leave(TimeUs now) {
+  impl_->leaving.OnWord(now, LeaveRoute::kSignal, true);
+  impl_->BeforeInput(now);
 }
 
 NodeState Sidecar::state() const {
-  return impl_->state;
+  switch (impl_->Closed(impl_->clock)) {
+    case Refusal::kNone:
+      return NodeState::kReady;
+    case Refusal::kLeaving:
+      return NodeState::kLeaving;
+    default:
+      return NodeState::kStarting;
+  }
 }
 
 std::size_t Sidecar::InProgress() const {
-  return impl_->work.size();
+  return impl_->work.size() + impl_->overrunning.size();
 }
 
 Heartbeat Sidecar::MakeHeartbeat() const {
   Heartbeat heartbeat;
   heartbeat.role = Role::kSidecar;
-  heartbeat.state = impl_->state;
+  heartbeat.state = state();
   heartbeat.load.queued = impl_->queue.size();
-  heartbeat.load.in_progress = impl_->running.size();
+  heartbeat.load.in_progress =
+      impl_->running.size() + impl_->overrunning.size();
   heartbeat.load.limit = impl_->options.limit;
   heartbeat.load.service_us = impl_->mean_service;
   return heartbeat;
--- a/src/coordination/sidecar.h
+++ b/src/coordination/sidecar.h
@@ -28,6 +28,13 @@
   kMalformed  // The answer was cut, no JSON, or for another request.
 };
 
+// What an upstream says of itself.
+struct UpstreamReport {
+  bool reachable = false;
+  bool leaving = false;
+  LoadReport load;
+};
+
 class SidecarOutput {
  public:
   virtual ~SidecarOutput() = default;
@@ -54,7 +61,18 @@
   Sidecar& operator=(const Sidecar&) = delete;
 
   void OnMessage(TimeUs now, const NodeId& from, const Message& message);
+  // An entry's heartbeat; `MakeHeartbeat` answers it.
+  void OnHeartbeat(TimeUs now,
+                   const NodeId& from,
+                   Incarnation incarnation,
+                   const Heartbeat& heartbeat);
   void OnPeerLost(TimeUs now, const NodeId& entry);
+  // The upstream's answer to a question asked at `asked_at`.
+  void OnUpstreamReport(TimeUs now,
+                        TimeUs asked_at,
+                        const UpstreamReport& report);
+  // What the platform's host list says of the upstream's host.
+  void OnHostList(TimeUs now, bool leaving);
   void OnUpstreamChunk(TimeUs now,
                        UpstreamCallId id,
                        std::string body,
@@ -63,8 +81,10 @@
   void OnTick(TimeUs now);
   TimeUs NextWakeup() const;
 
-  // Ready and leaving; from the moment it leaves nothing new is started.
+  // Ready or not yet; leaving comes on top of it, from what the inputs say.
   void SetState(NodeState state);
+  // This process was told to end: nothing new from now on.
+  void Leave(TimeUs now);
   NodeState state() const;
   std::size_t InProgress() const;  // Waiting and running calls.
   Heartbeat MakeHeartbeat() const;
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -358,6 +358,7 @@
   heartbeat.role = Role::kEntry;
   heartbeat.state = draining ? NodeState::kLeaving : NodeState::kReady;
   heartbeat.sequence = ++heartbeat_sequence;
+  heartbeat.sent_at = Loop::Now();
   for (const Replica* it : entry.replicas().All()) {
     mesh.SendDatagram(it->address.node, heartbeat);
   }
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -80,8 +80,10 @@
     if (!std::holds_alternative<Heartbeat>(message)) {
       return;
     }
+    const auto& asked = std::get<Heartbeat>(message);
+    sidecar.OnHeartbeat(Loop::Now(), from, from_incarnation, asked);
     Heartbeat heartbeat = sidecar.MakeHeartbeat();
-    heartbeat.sequence = std::get<Heartbeat>(message).sequence;
+    heartbeat.sequence = asked.sequence;
     mesh.SendDatagram(from, heartbeat);
   }
   void OnPeerLost(const NodeId& peer) override {
@@ -97,7 +99,7 @@
   void OnHttpGone(std::uint64_t handle) override {}
 
   void AskReport();
-  void SetState(NodeState state);
+  void LogState();
   void Rearm();
   void QuitWhenDone();
 
@@ -114,6 +116,7 @@
   Loop::TimerId wakeup = 0;
   TimeUs wakeup_at = 0;
   bool draining = false;
+  NodeState logged_state = NodeState::kDead;
 };
 
 void SidecarNode::Impl::OnHttpRequest(std::uint64_t handle,
@@ -141,26 +144,29 @@
   server.Reply(handle, reply);
 }
 
-void SidecarNode::Impl::SetState(NodeState state) {
-  if (sidecar.state() == state) {
+void SidecarNode::Impl::LogState() {
+  if (sidecar.state() == logged_state) {
     return;
   }
-  LOG(INFO) << "event=state node=" << settings.node << " state=" << Name(state);
-  sidecar.SetState(state);
+  logged_state = sidecar.state();
+  LOG(INFO) << "event=state node=" << settings.node
+            << " state=" << Name(logged_state);
 }
 
 void SidecarNode::Impl::AskReport() {
-  upstream.AskReport([this](const UpstreamReport& report) {
-    if (!draining) {
-      SetState(!report.reachable ? NodeState::kStarting
-               : report.leaving  ? NodeState::kLeaving
-                                 : NodeState::kReady);
+  const TimeUs asked_at = Loop::Now();
+  upstream.AskReport([this, asked_at](const UpstreamReport& report) {
+    if (report.reachable) {
+      sidecar.SetState(NodeState::kReady);
     }
+    sidecar.OnUpstreamReport(Loop::Now(), asked_at, report);
+    Rearm();
     loop->After(kReportPeriod, [this] { AskReport(); });
   });
 }
 
 void SidecarNode::Impl::Rearm() {
+  LogState();
   const TimeUs next = sidecar.NextWakeup();
   if (wakeup != 0 && wakeup_at <= next) {
     return;
@@ -203,7 +209,8 @@
   }
   PrintListening(impl_->settings.node, impl_->mesh.port(),
                  impl_->server.port());
-  impl_->SetState(NodeState::kStarting);
+  impl_->sidecar.SetState(NodeState::kStarting);
+  impl_->LogState();
   impl_->AskReport();
   return absl::OkStatus();
 }
@@ -213,7 +220,8 @@
     return;
   }
   impl_->draining = true;
-  impl_->SetState(NodeState::kLeaving);
+  impl_->sidecar.Leave(Loop::Now());
+  impl_->Rearm();
   impl_->loop->After(kLeavingGrace, [this] { impl_->QuitWhenDone(); });
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -24,6 +24,7 @@
   bool idempotent = true;
   bool stream = false;
   DurationUs time_left = 0;
+  TimeUs sent_at = 0;  // Sender's clock; only differences to its others count.
   DurationUs expected_service = 0;  // Entry's estimate; zero when unknown.
   std::uint64_t fingerprint = 0;    // Hash of account and body, for blame.
   std::string account;
@@ -95,6 +96,8 @@
   NodeState state = NodeState::kStarting;
   std::uint64_t sequence = 0;
   std::uint64_t reply_to = 0;
+  TimeUs sent_at = 0;             // As in `StageCall`.
+  bool receiver_leaving = false;  // The entry heard that the receiver leaves.
   LoadReport load;
   FenceNumber fence = 0;
   SettingsDigest settings;                 // Of entries.
@@ -122,9 +125,9 @@
   std::vector<BranchBody> bodies;
 };
 
-enum class OrderKind { kLoadModel, kUnloadModel, kChangeRole };
-inline constexpr std::array<std::string_view, 3> kOrderKindNames = {
-    "load_model", "unload_model", "change_role"};
+enum class OrderKind { kLoadModel, kUnloadModel, kChangeRole, kLeave };
+inline constexpr std::array<std::string_view, 4> kOrderKindNames = {
+    "load_model", "unload_model", "change_role", "leave"};
 constexpr std::string_view Name(OrderKind v) {
   return detail::NameIn(kOrderKindNames, v);
 }
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -29,8 +29,8 @@
 template <class A>
 void serialize(A& a, StageCall& v) {
   a(v.key, v.sidecar, v.caller_class, v.kind, v.idempotent, v.stream,
-    v.time_left, v.expected_service, v.fingerprint, v.account, v.path, v.body,
-    v.traceparent);
+    v.time_left, v.sent_at, v.expected_service, v.fingerprint, v.account,
+    v.path, v.body, v.traceparent);
 }
 template <class A>
 void serialize(A& a, StageCancel& v) {
@@ -58,8 +58,8 @@
 }
 template <class A>
 void serialize(A& a, Heartbeat& v) {
-  a(v.role, v.state, v.sequence, v.reply_to, v.load, v.fence, v.settings,
-    v.quarantined);
+  a(v.role, v.state, v.sequence, v.reply_to, v.sent_at, v.receiver_leaving,
+    v.load, v.fence, v.settings, v.quarantined);
 }
 template <class A>
 void serialize(A& a, SettingsPull& v) {
@@ -89,7 +89,7 @@
 namespace {
 
 // "AC", a version that changes with any message's layout, and a spare byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 1, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 2, 0};
 constexpr std::size_t kHashSize = 32;  // SHA-256.
 constexpr std::size_t kMinFrameSize = kFramePrefixSize + kHashSize;
 
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -13,13 +13,6 @@
 
 namespace acaciachute {
 
-// What an upstream says of itself.
-struct UpstreamReport {
-  bool reachable = false;
-  bool leaving = false;
-  LoadReport load;
-};
-
 class UpstreamClient {
  public:
   struct Callbacks {
--- a/src/types.h
+++ b/src/types.h
@@ -13,8 +13,9 @@
 
 namespace acaciachute {
 
-// Microseconds. `TimeUs` is a point on the local monotonic clock, never sent
-// between nodes; `DurationUs` is a length and may be.
+// Microseconds. `TimeUs` is a point on the local monotonic clock, which means
+// nothing to another node but for its differences (see
+// coordination/message_age.h); `DurationUs` is a length.
 using TimeUs = std::int64_t;
 using DurationUs = std::int64_t;
 inline constexpr DurationUs kMillisecond = 1000;
--- a/tests/core_driver.cc
+++ b/tests/core_driver.cc
@@ -281,9 +281,28 @@
   });
 }
 
+void CoreDriver::EntryHeartbeat(int n, const NodeId& to) {
+  if (!entries_[n].alive || entries_[n].paused) {
+    return;
+  }
+  Heartbeat heartbeat;
+  heartbeat.state = NodeState::kReady;
+  heartbeat.sent_at = now_;
+  const NodeId from = EntryName(n);
+  SidecarProcess* process = &sidecars_.at(to);
+  for (const DurationUs delay : FateOf(from, to, heartbeat).delays) {
+    Later(process, delay,
+          [this, process, from, incarnation = entries_[n].incarnation,
+           heartbeat] {
+            process->core->OnHeartbeat(now_, from, incarnation, heartbeat);
+          });
+  }
+}
+
 void CoreDriver::Heartbeats() {
   for (auto& [node, sidecar] : sidecars_) {
     for (std::size_t n = 0; n < entries_.size(); ++n) {
+      EntryHeartbeat(static_cast<int>(n), node);
       if (!sidecar.alive || sidecar.paused || !entries_[n].alive) {
         continue;
       }
@@ -377,6 +396,7 @@
   EntryOptions options;
   options.node = EntryName(n);
   options.incarnation = random_.Next() | 1;
+  it.incarnation = options.incarnation;
   it.core = std::make_unique<Entry>(options, it.output.get(), it.random.get(),
                                     it.metrics.get(), options_.make_claims);
   it.core->OnSettings(now_, settings_);
--- a/tests/core_driver.h
+++ b/tests/core_driver.h
@@ -139,6 +139,7 @@
     std::unique_ptr<Random> random;
     std::unique_ptr<Metrics> metrics;
     std::unique_ptr<Entry> core;
+    Incarnation incarnation = 0;
     std::uint64_t life = 0;  // Grows with each start.
     bool alive = false;
     bool paused = false;
@@ -172,6 +173,7 @@
   void RunUpstream(const NodeId& node,
                    UpstreamCallId id,
                    const StageCall& call);
+  void EntryHeartbeat(int n, const NodeId& to);
   void Heartbeats();
   void Ticks();
 
--- /dev/null
+++ b/tests/sidecar_test.cc
@@ -0,0 +1,271 @@
+// The last guard before an upstream: duplicates, cancels, deadlines, pauses.
+#include <gtest/gtest.h>
+
+#include "coordination/message_age.h"
+#include "coordination/tombstones.h"
+#include "tests/sidecar_rig.h"
+
+namespace acaciachute {
+namespace {
+
+// The caller was told "not run" because its queued call was cancelled. A second
+// copy of the call, delayed in the network, comes when the slot is free. Run
+// then, the answer already given would be false.
+TEST(SidecarTest, LateCopyAfterCancelNeverRuns) {
+  SidecarRig rig;
+  const StageCall first = rig.Call(1);
+  const StageCall second = rig.Call(2);
+  rig.Deliver(first);
+  rig.Deliver(second);
+  rig.Deliver(StageCancel{second.key, SidecarRig::kIncarnation, kSecond});
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kNotRun);
+  rig.Answer(0);
+  rig.Deliver(second);
+  EXPECT_EQ(rig.started.size(), 1);
+}
+
+// The cancel overtakes its call on another connection. The caller has its
+// answer; the call must find that nobody waits.
+TEST(SidecarTest, CallAfterItsCancelNeverRuns) {
+  SidecarRig rig;
+  const StageCall call = rig.Call(1);
+  rig.Deliver(StageCancel{call.key, SidecarRig::kIncarnation, kSecond});
+  rig.Pass(kSecond);
+  rig.Deliver(call);
+  EXPECT_TRUE(rig.started.empty());
+}
+
+// The queue is full and the call is refused with "not run"; the entry sends the
+// stage elsewhere. The network delivers a second copy when there is room.
+// Without a tombstone for refused calls the stage runs twice.
+TEST(SidecarTest, CopyOfRefusedCallNeverRuns) {
+  SidecarOptions options = SidecarRig::Options(1);
+  options.max_queued = 1;
+  SidecarRig rig(options);
+  rig.Deliver(rig.Call(1));
+  rig.Deliver(rig.Call(2));
+  const StageCall refused = rig.Call(3);
+  rig.Deliver(refused);
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].reason, Refusal::kFull);
+  rig.Answer(0);
+  rig.Answer(1);
+  rig.Deliver(refused);
+  EXPECT_EQ(rig.started.size(), 2);
+}
+
+// The sidecar was replaced while a call was on its way. The successor cannot
+// know what ran before it, so it neither runs the call nor says "not run".
+TEST(SidecarTest, CallForPredecessorMayHaveRun) {
+  SidecarRig rig;
+  StageCall call = rig.Call(1);
+  call.sidecar = SidecarRig::kIncarnation - 1;
+  rig.Deliver(call);
+  EXPECT_TRUE(rig.started.empty());
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(rig.failures[0].sidecar, call.sidecar);
+}
+
+// The sidecar is paused for a minute with a call in its socket's buffer. The
+// caller was answered long ago, yet the call still says "five seconds left".
+// Its sender's clock gives its age away.
+TEST(SidecarTest, CallFromBeforePauseIsLate) {
+  SidecarRig rig;
+  rig.EntrySays(false);
+  const StageCall call = rig.Call(1);
+  rig.now += 60 * kSecond;
+  rig.Deliver(call);
+  EXPECT_TRUE(rig.started.empty());
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kNotRun);
+  EXPECT_EQ(rig.failures[0].reason, Refusal::kLate);
+}
+
+// A shorter pause eats only part of the time left: the call runs, but ends at
+// its caller's deadline and not five seconds after the pause.
+TEST(SidecarTest, PauseCountsAgainstTimeLeft) {
+  SidecarRig rig;
+  rig.EntrySays(false);
+  const StageCall call = rig.Call(1);
+  rig.now += 3 * kSecond;
+  rig.Deliver(call);
+  ASSERT_EQ(rig.started.size(), 1);
+  rig.Pass(2 * kSecond - 1);
+  EXPECT_TRUE(rig.cancelled.empty());
+  rig.Pass(1);
+  EXPECT_EQ(rig.cancelled.size(), 1);
+}
+
+// Long after its tombstone is gone a copy of an answered call arrives. Only its
+// age can tell.
+TEST(SidecarTest, CopyAfterTombstoneIsLate) {
+  SidecarRig rig;
+  rig.EntrySays(false);
+  const StageCall call = rig.Call(1);
+  rig.Deliver(call);
+  rig.Answer(0);
+  rig.Pass(3600 * kSecond);
+  rig.Deliver(call);
+  EXPECT_EQ(rig.started.size(), 1);
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].reason, Refusal::kLate);
+}
+
+// A call waits while the sidecar is paused past its deadline. On wake-up the
+// upstream's answer to another call is handled first and frees the slot. The
+// waiting call must not take it.
+TEST(SidecarTest, WaitingCallIsLateAfterPauseWhateverComesFirst) {
+  SidecarRig rig;
+  rig.Deliver(rig.Call(1, 60 * kSecond));
+  rig.Deliver(rig.Call(2, kSecond));
+  rig.now += 30 * kSecond;
+  rig.Answer(0);
+  EXPECT_EQ(rig.started.size(), 1);
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].key.request.sequence, 2);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kNotRun);
+}
+
+// The upstream hangs. The caller is told at the deadline that the call may have
+// run, the idempotent call is stopped and its slot serves the next one.
+TEST(SidecarTest, HangingCallEndsAtItsDeadline) {
+  SidecarRig rig;
+  rig.Deliver(rig.Call(1, kSecond));
+  rig.Deliver(rig.Call(2, 5 * kSecond));
+  rig.Pass(kSecond);
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(rig.failures[0].reason, Refusal::kLate);
+  EXPECT_EQ(rig.cancelled.size(), 1);
+  EXPECT_EQ(rig.started.size(), 2);
+}
+
+// An order that may not be repeated outlasts its deadline. Cutting it could
+// leave it half done, so it keeps its slot until the upstream answers; a
+// sidecar that forgot the slot would overload the upstream.
+TEST(SidecarTest, OrderPastItsDeadlineIsNotCutAndKeepsItsSlot) {
+  SidecarRig rig;
+  StageCall order = rig.Call(1, kSecond);
+  order.idempotent = false;
+  rig.Deliver(order);
+  rig.Deliver(rig.Call(2, 10 * kSecond));
+  rig.Pass(2 * kSecond);
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kMayHaveRun);
+  EXPECT_TRUE(rig.cancelled.empty());
+  EXPECT_EQ(rig.started.size(), 1);
+  EXPECT_EQ(rig.core.InProgress(), 2);
+  rig.Answer(0);
+  EXPECT_TRUE(rig.chunks.empty());
+  EXPECT_EQ(rig.started.size(), 2);
+}
+
+// The upstream loses an order for good. Its slot comes back in the end.
+TEST(SidecarTest, LostOrderGivesItsSlotBack) {
+  SidecarRig rig;
+  StageCall order = rig.Call(1, kSecond);
+  order.idempotent = false;
+  rig.Deliver(order);
+  rig.Pass(40 * kSecond);
+  EXPECT_EQ(rig.cancelled.size(), 1);
+  EXPECT_EQ(rig.core.InProgress(), 0);
+}
+
+// The caller gave up and was answered; what the upstream says afterwards
+// belongs to nobody.
+TEST(SidecarTest, AnswerAfterCancelIsDropped) {
+  SidecarRig rig;
+  const StageCall call = rig.Call(1);
+  rig.Deliver(call);
+  rig.Deliver(StageCancel{call.key, SidecarRig::kIncarnation, kSecond});
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kMayHaveRun);
+  rig.Answer(0);
+  rig.core.OnUpstreamError(rig.now, rig.ids[0], UpstreamError::kBroken);
+  EXPECT_TRUE(rig.chunks.empty());
+  EXPECT_EQ(rig.failures.size(), 1);
+}
+
+// The upstream falls silent. Its last word ages; what waits goes back with "not
+// run" so that it can run elsewhere, and nothing new is taken until it speaks.
+TEST(SidecarTest, SilentUpstreamIsGivenNothingNew) {
+  SidecarRig rig;
+  rig.Report();
+  rig.Deliver(rig.Call(1));
+  rig.Deliver(rig.Call(2));
+  rig.Pass(2 * kSecond);
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kNotRun);
+  EXPECT_EQ(rig.failures[0].reason, Refusal::kNoReplica);
+  EXPECT_EQ(rig.core.state(), NodeState::kStarting);
+  rig.Deliver(rig.Call(3));
+  EXPECT_EQ(rig.started.size(), 1);
+  rig.Report();
+  rig.Answer(0);
+  rig.Deliver(rig.Call(4));
+  EXPECT_EQ(rig.started.size(), 2);
+}
+
+TEST(TombstonesTest, MemoryIsBoundedAndTheDroppedOnesAreStillNotRun) {
+  Tombstones tombstones(/*most=*/100);
+  for (std::uint64_t n = 1; n <= 1000; ++n) {
+    tombstones.Add({{1, n}, 0, 1}, static_cast<TimeUs>(n) * kSecond);
+  }
+  EXPECT_EQ(tombstones.size(), 100);
+  EXPECT_FALSE(tombstones.Contains({{1, 5}, 0, 1}));
+  EXPECT_TRUE(tombstones.MayBeDropped({{1, 5}, 0, 1}));
+  EXPECT_FALSE(tombstones.MayBeDropped({{1, 2000}, 0, 1}));
+  EXPECT_FALSE(tombstones.MayBeDropped({{2, 5}, 0, 1}));
+  tombstones.Expire(2000 * kSecond);
+  EXPECT_EQ(tombstones.size(), 0);
+  EXPECT_FALSE(tombstones.MayBeDropped({{1, 5}, 0, 1}));
+}
+
+// Failure: a call's tombstone was dropped for want of room and a copy comes.
+// The sidecar cannot tell it from a new call, so it says that it may have run.
+TEST(SidecarTest, CopyWithDroppedTombstoneMayHaveRun) {
+  SidecarRig rig;
+  const StageCall call = rig.Call(1);
+  rig.Deliver(call);
+  rig.Answer(0);
+  for (std::uint64_t n = 2; n <= Tombstones::kMost + 1; ++n) {
+    rig.Deliver(StageCancel{{{SidecarRig::kEntry, n}, 0, 1},
+                            SidecarRig::kIncarnation,
+                            kSecond * 9});
+  }
+  rig.Deliver(call);
+  EXPECT_EQ(rig.started.size(), 1);
+  ASSERT_EQ(rig.failures.size(), 1);
+  EXPECT_EQ(rig.failures[0].verdict, Verdict::kMayHaveRun);
+}
+
+// Clocks that drift apart by NTP's limit of 500 ppm for a day must not make
+// fresh messages look old.
+TEST(MessageAgeTest, DriftStaysWithinItsBound) {
+  MessageAge ages;
+  DurationUs oldest = 0;
+  for (std::int64_t n = 1; n < 24 * 3600; ++n) {
+    const TimeUs sent_at = n * kSecond;
+    oldest = std::max(oldest, ages.Of(1, sent_at, sent_at + n * 500));
+  }
+  EXPECT_LE(oldest, 61 * kMillisecond);
+}
+
+// A pause of 100 s is followed by 300 heartbeats that the kernel kept. None of
+// them may become the new measure of a fresh message.
+TEST(MessageAgeTest, BacklogOfPauseDoesNotMoveTheBase) {
+  MessageAge ages;
+  for (TimeUs at = kSecond; at < 100 * kSecond; at += 200 * kMillisecond) {
+    ages.Of(1, at, at);
+  }
+  const TimeUs woken = 200 * kSecond;
+  for (int n = 0; n < 300; ++n) {
+    ages.Of(1, 100 * kSecond + n * 200 * kMillisecond, woken);
+  }
+  EXPECT_EQ(ages.Of(1, 110 * kSecond, woken), 90 * kSecond);
+}
+
+}  // namespace
+}  // namespace acaciachute
