Prove at most once in real processes under kills, freezes and cuts

Cause: the claim, the tombstones and the incarnation check were argued for but not tried with real signals, half-open connections and lost answers. Now: a table of failures (entry killed, frozen, cut from the platform; sidecars killed, frozen, cut from entries, silent; upstreams cut) at each of four points (before and after the claim, after hand-over, after the answer), with the same key resent to two other entries in one moment, and to all three after the repair. Claim answers lost after the write, once to four times, and the platform down before and during. Counts are read from the upstreams' logs; each copy told "not run" is looked up there by its trace.

Ruled out: sleeping to the points in time; every point is a condition (a claim row, a run, an answer), held open by service time, a slow store or a link that holds back. The links lie in the harness: a small relay for TCP and UDP that can be frozen or cut.

Before: no proof. Without the claim (the stand-in platform takes every insert) the same schedule runs an order twice; that is kept as a test of the proof. The status page gives each sidecar's incarnation, so that a test, and an operator, can see a restart noticed.

Found and not mended here: an entry that loses the platform before its claim is answered says "not_run", truly, but the claim may still land, and its key is then answered "may_have_run" for ever although nothing ran.

--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -282,6 +282,7 @@
                         {"pool", it->pool},
                         {"failure_domain", it->address.failure_domain},
                         {"state", Name(it->state)},
+                        {"incarnation", it->incarnation},
                         {"queued", it->load.queued},
                         {"in_progress", it->load.in_progress},
                         {"limit", it->load.limit},
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -3,6 +3,7 @@
 #include <gio/gio.h>
 #include <glib/gstdio.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -25,6 +26,10 @@
   return StrCat(pool, "-", n);
 }
 
+std::string UrlOf(std::uint16_t port) {
+  return StrCat("http://127.0.0.1:", port);
+}
+
 }  // namespace
 
 struct Process::Impl {
@@ -76,7 +81,7 @@
 }
 
 std::string Process::url() const {
-  return StrCat("http://127.0.0.1:", http_port());
+  return UrlOf(http_port());
 }
 
 int Process::pid() const {
@@ -101,13 +106,20 @@
 
 Deployment::Deployment(std::string bin,
                        std::vector<PoolSpec> pools,
-                       int entry_count)
-    : bin_dir(std::move(bin)), pools_(std::move(pools)), client_(0) {
+                       int entry_count,
+                       bool relays)
+    : bin_dir(std::move(bin)),
+      pools_(std::move(pools)),
+      relays_(relays),
+      client_(0) {
   gchar* dir = g_dir_make_tmp("acaciachute-XXXXXX", nullptr);
   dir_ = dir;
   g_free(dir);
   platform = std::make_unique<Process>(bin_dir + "/tests/standin-platform",
                                        std::vector<std::string>{});
+  if (relays_) {
+    platform_link = std::make_unique<Relay>(platform->http_port());
+  }
   for (const auto& pool : pools_) {
     for (int n = 1; n <= pool.replicas; ++n) {
       const std::string node = ReplicaName(pool.name, n);
@@ -117,7 +129,14 @@
                                    "--service-ms", StrCat(pool.service_ms),
                                    "--slots", StrCat(pool.slots)});
       slots_[node].pool = pool.name;
+      if (relays_) {
+        upstream_links[node] =
+            std::make_unique<Relay>(upstreams[node]->http_port());
+      }
       StartSidecar(node);
+      if (relays_) {
+        sidecar_links[node] = std::make_unique<Relay>(slots_[node].port);
+      }
     }
   }
   WriteSettings();
@@ -154,13 +173,14 @@
   for (const auto& pool : pools_) {
     limit = pool.name == slot.pool ? pool.slots : limit;
   }
-  const Json json = {
-      {"role", "sidecar"},
-      {"node", node},
-      {"frame_key", kFrameKey},
-      {"listen", {{"ip", "127.0.0.1"}, {"port", slot.port}}},
-      {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
-      {"upstream", {{"url", upstreams[node]->url()}, {"limit", limit}}}};
+  const std::string upstream_url =
+      relays_ ? UrlOf(upstream_links[node]->port()) : upstreams[node]->url();
+  const Json json = {{"role", "sidecar"},
+                     {"node", node},
+                     {"frame_key", kFrameKey},
+                     {"listen", {{"ip", "127.0.0.1"}, {"port", slot.port}}},
+                     {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
+                     {"upstream", {{"url", upstream_url}, {"limit", limit}}}};
   sidecars[node] = std::make_unique<Process>(
       bin_dir + "/acaciachuted",
       std::vector<std::string>{"--settings", WriteNodeFile(node, json.dump())});
@@ -169,12 +189,14 @@
 
 void Deployment::StartEntry(int n) {
   const std::string node = StrCat("entry-", n);
+  const std::string platform_url =
+      relays_ && n == 0 ? UrlOf(platform_link->port()) : platform->url();
   const Json json = {{"role", "entry"},
                      {"node", node},
                      {"frame_key", kFrameKey},
                      {"listen", {{"ip", "127.0.0.1"}, {"port", 0}}},
                      {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
-                     {"platform", {{"url", platform->url()}}}};
+                     {"platform", {{"url", platform_url}}}};
   entries[n] = std::make_unique<Process>(
       bin_dir + "/acaciachuted",
       std::vector<std::string>{"--settings", WriteNodeFile(node, json.dump())});
@@ -187,9 +209,10 @@
     Json replicas = Json::array();
     for (const auto& [node, slot] : slots_) {
       if (slot.pool == pool.name) {
+        const auto port = relays_ ? sidecar_links[node]->port() : slot.port;
         replicas.push_back({{"node", node},
                             {"ip", "127.0.0.1"},
-                            {"port", slot.port},
+                            {"port", port},
                             {"failure_domain", "hall-a"}});
       }
     }
@@ -227,6 +250,25 @@
   return out;
 }
 
+StartedCallPtr Deployment::Start(const HttpRequest& request) {
+  auto call = std::make_shared<StartedCall>();
+  client_.Call(request, [call](const HttpResult& result) {
+    call->result = result;
+    call->done = true;
+  });
+  return call;
+}
+
+bool Deployment::WaitDone(const std::vector<StartedCallPtr>& calls,
+                          DurationUs timeout) {
+  return WaitFor(
+      [&] {
+        return std::all_of(calls.begin(), calls.end(),
+                           [](const auto& it) { return it->done; });
+      },
+      timeout);
+}
+
 HttpResult Deployment::Get(const std::string& url) {
   HttpRequest request;
   request.url = url;
@@ -241,6 +283,24 @@
   return Call(request);
 }
 
+void Deployment::Fault(const Process& standin, const std::string& json) {
+  if (Post(standin.url() + "/faults", json).status != 200) {
+    throw std::runtime_error("a fault was not accepted: " + json);
+  }
+}
+
+double Deployment::Metric(const Process& process, const std::string& name) {
+  double sum = 0;
+  for (const auto& line : Split(Get(process.url() + "/metrics").body, '\n')) {
+    const bool named =
+        line.starts_with(name + " ") || line.starts_with(name + "{");
+    if (named) {
+      sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+  }
+  return sum;
+}
+
 HttpRequest Deployment::EventRequest(int entry, const std::string& body) {
   HttpRequest request;
   request.method = "POST";
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/process/relay.h"
 #include "transport/http_client.h"
 #include "transport/loop.h"
 
@@ -46,14 +47,29 @@
   int slots = 4;
 };
 
+// A call that goes on while the test does something else.
+struct StartedCall {
+  bool done = false;
+  HttpResult result;
+};
+using StartedCallPtr = std::shared_ptr<StartedCall>;
+
 // A platform, upstreams with sidecars, and entries, with one event "round"
 // that runs through all pools in order. The account is "office".
 class Deployment {
  public:
-  Deployment(std::string bin_dir, std::vector<PoolSpec> pools, int entries);
+  // With `relays`, links that can be cut lie before each sidecar, each upstream
+  // and the platform of entry 0.
+  Deployment(std::string bin_dir,
+             std::vector<PoolSpec> pools,
+             int entries,
+             bool relays = false);
   ~Deployment();
 
   HttpResult Call(const HttpRequest& request);
+  StartedCallPtr Start(const HttpRequest& request);
+  // False when one of `calls` has no end within `timeout`.
+  bool WaitDone(const std::vector<StartedCallPtr>& calls, DurationUs timeout);
   HttpResult Get(const std::string& url);
   HttpResult Post(const std::string& url, const std::string& body);
   // A request of event "round" at entry `n`.
@@ -66,6 +82,11 @@
   // Runs that upstreams of all pools logged for bodies that contain `text`.
   int RunsOf(const std::string& text);
 
+  // Orders faults of a stand-in.
+  void Fault(const Process& standin, const std::string& json);
+  // Value of a member of entry `n`'s counts, summed over label values.
+  double Metric(const Process& process, const std::string& name);
+
   void WriteSettings();
   void StartEntry(int n);
   void StartSidecar(const std::string& node);
@@ -74,6 +95,9 @@
   std::map<std::string, std::unique_ptr<Process>> upstreams;
   std::map<std::string, std::unique_ptr<Process>> sidecars;
   std::vector<std::unique_ptr<Process>> entries;
+  std::map<std::string, std::unique_ptr<Relay>> sidecar_links;
+  std::map<std::string, std::unique_ptr<Relay>> upstream_links;
+  std::unique_ptr<Relay> platform_link;
 
   static constexpr char kToken[] = "office-token";
   const std::string bin_dir;
@@ -86,6 +110,7 @@
     std::uint16_t port = 0;
   };
   const std::vector<PoolSpec> pools_;
+  const bool relays_;
   std::map<std::string, Slot> slots_;
   std::string dir_;
   Loop loop_;
--- a/tests/standins/platform.cc
+++ b/tests/standins/platform.cc
@@ -28,6 +28,7 @@
   bool down = false;              // Refuse before any effect.
   std::int64_t delay_ms = 0;      // Before the effect.
   std::int64_t lose_answers = 0;  // Drop this many answers after the effect.
+  bool skip_conditions = false;   // Write whether or not the row is there.
 };
 
 class Platform : public HttpHandler {
@@ -91,6 +92,8 @@
     faults_.down = in.value("down", faults_.down);
     faults_.delay_ms = in.value("delay_ms", faults_.delay_ms);
     faults_.lose_answers = in.value("lose_answers", faults_.lose_answers);
+    faults_.skip_conditions =
+        in.value("skip_conditions", faults_.skip_conditions);
     Reply(handle, 200, Json::object());
   }
 
@@ -148,6 +151,9 @@
   }
 
   bool Holds(const Json& op) const {
+    if (faults_.skip_conditions) {
+      return true;
+    }
     const auto it = table_.find(op.at("key").get<std::string>());
     const std::uint64_t version = it == table_.end() ? 0 : it->second.version;
     if (op.at("op") == "insert") {
--- a/tests/standins/upstream.cc
+++ b/tests/standins/upstream.cc
@@ -36,6 +36,7 @@
 struct Run {
   std::string id;
   std::string body;
+  std::string traceparent;
   bool stream = false;
 };
 
@@ -121,6 +122,7 @@
     Run run;
     run.id = head.header("X-Request-Id").value_or("");
     run.body = body;
+    run.traceparent = head.header("traceparent").value_or("");
     run.stream = Contains(head.header("Accept").value_or(""), "event-stream");
     calls_[handle] = std::move(run);
     waiting_.push_back(handle);
@@ -132,7 +134,9 @@
       const std::uint64_t handle = waiting_.front();
       waiting_.pop_front();
       const Run& run = calls_[handle];
-      runs_.push_back({{"id", run.id}, {"body", run.body}});
+      runs_.push_back({{"id", run.id},
+                       {"body", run.body},
+                       {"traceparent", run.traceparent}});
       if (!config_.crash_on.empty() && Contains(run.body, config_.crash_on)) {
         _exit(kCrashExit);
       }
