Fit the settings check to the split entry, wait for sidecars between faults

The test went on before the sidecars had heard from their upstreams again; each round now starts from a ready deployment, and its checks are the same.

No functional change

--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -277,7 +277,7 @@
 void Entry::OnRequest(TimeUs now, CallerRequest request) {
   const Currency* currency = impl_->options.currency;
   if (currency != nullptr && !currency->IsCurrent(now)) {
-    impl_->Refuse(request.handle, Refusal::kNotCurrent, "");
+    impl_->Refuse(request.handle, Refusal::kNotCurrent);
     return;
   }
   const Event* event = nullptr;
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -262,6 +262,8 @@
       SCOPED_TRACE(order);
       const bool holds = past_deadline && (point == Point::kAfterClaim ||
                                            point == Point::kAfterHandOver);
+      // A sidecar that lost its upstream takes nothing until it is back.
+      ASSERT_TRUE(deployment_.WaitReady());
       const Copy first =
           BringTo(point, order, holds ? kShortDeadlineMs : kDeadlineMs);
       fault();
