Give operators a command line over settings, events, requests and views

Cause: settings could only be set whole, from a file, with no owner, history, race or lost answer told apart, and nothing showed cost, traces or why a request would be refused.

Commands now stand in one table, each a few lines over settings_write; tables for people, JSON for programs, seven documented exit codes, one line for a mistake.

Ruled out: talking to an entry to change settings; the table decides races, and a dead entry must not stop an operator.

No functional change to decisions

--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -83,6 +83,7 @@
   ReplicaTable replicas;
   detail::Pipeline pipeline;
   const std::unique_ptr<ClaimKeeper> claims;
+  CostTable costs;
   bool leaving = false;
   std::uint64_t next_sequence = 1;
   absl::flat_hash_map<RequestId, std::unique_ptr<EntryRequest>> requests;
@@ -252,6 +253,10 @@
                      {"verdict", std::string(Name(answer.verdict))},
                      {"reason", std::string(Name(answer.reason))}};
   output->Export(span);
+  for (const auto& it : answer.cost) {
+    costs.Add(request.call.event, request.call.account, it.pool, it.attempts,
+              it.service);
+  }
   metrics->Count("acaciachute_answers_total", Name(answer.verdict));
   metrics->Observe("acaciachute_request_seconds",
                    Name(request.call.caller_class), now - request.arrived);
@@ -400,6 +405,10 @@
   return impl_->claims->Unsettled();
 }
 
+const CostTable& Entry::costs() const {
+  return impl_->costs;
+}
+
 ReplicaTable& Entry::replicas() {
   return impl_->replicas;
 }
--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -17,6 +17,7 @@
 #include "coordination/currency.h"
 #include "coordination/store_calls.h"
 #include "messages.h"
+#include "state/cost_table.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "state/replica_table.h"
@@ -89,6 +90,7 @@
   // Outcomes of claims that are not known to stand in the table yet.
   std::size_t Unsettled() const;
 
+  const CostTable& costs() const;
   ReplicaTable& replicas();
   const SettingsPtr& settings() const;
 
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,169 +1,133 @@
 // acaciachutectl: the operators' command line.
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <map>
-#include <sstream>
 #include <string>
 #include <vector>
 
-#include "ctl/platform_table.h"
-#include "state/settings.h"
+#include "ctl/command.h"
 #include "text.h"
 
 namespace acaciachute {
 namespace {
 
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-constexpr int kExitConflict = 3;
-constexpr int kExitUnavailable = 4;
+constexpr char kVersion[] = "acaciachutectl 0.1.0";
 
-using Args = cxxopts::ParseResult;
+constexpr char kExitCodes[] =
+    "Exit codes: 0 done, 1 refused or not found, 2 wrong command line or "
+    "file,\n"
+    "3 another change won, 4 platform or entry does not answer, 5 not known\n"
+    "whether the change was accepted, 6 the branch belongs to another team.\n";
 
-std::string Option(const Args& args, const char* name) {
-  return args.count(name) > 0 ? args[name].as<std::string>() : "";
-}
-
-int Usage(std::string_view text) {
-  std::cerr << "acaciachutectl: " << text << "\n";
-  return kExitUsage;
-}
-
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("acaciachutectl", "Operates acaciachute.");
+  const auto text = [] { return cxxopts::value<std::string>(); };
+  options.add_options()("platform", "Base URL of the platform", text(), "URL")(
+      "entry", "Base URLs of entries, or of any process for traces",
+      cxxopts::value<std::vector<std::string>>(),
+      "URL,...")("team", "Team that makes the change", text())(
+      "file", "JSON file", text(), "FILE")("body", "Body of a request", text(),
+                                           "JSON")(
+      "token", "Bearer token", text())("class", "urgent or patient",
+                                       text()->default_value("patient"))(
+      "deadline-ms", "Deadline of a request in ms",
+      cxxopts::value<std::int64_t>()->default_value("0"),
+      "MS")("key", "Idempotency key; makes the request non-idempotent", text())(
+      "note", "Why the change is made", text())(
+      "base", "Version that was edited", cxxopts::value<SettingsVersion>(),
+      "VERSION")("output", "table or json", text()->default_value("table"))(
+      "dry-run", "Show what a change would do")("stream", "Stream the answer")(
+      "version", "Print the version")("help", "Print this help")(
+      "words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"words"});
+  options.positional_help("COMMAND ...");
+  return options;
 }
 
-int SettingsGet(const Args& args, const std::vector<std::string>& words) {
-  PlatformTable table(Option(args, "platform"));
-  const auto answer =
-      table.Transact({{StoreOpKind::kRead, "settings/" + words[2], "", 0}});
-  if (answer.status != StoreStatus::kOk || answer.rows.empty()) {
-    std::cerr << "acaciachutectl: the platform's table does not answer\n";
-    return kExitUnavailable;
-  }
-  std::cout << answer.rows[0].value << "\n";
-  std::cerr << "version " << answer.rows[0].version << "\n";
-  return answer.rows[0].version == 0 ? kExitFailed : 0;
+std::string TextOf(const cxxopts::ParseResult& args, const char* name) {
+  return args.count(name) > 0 || args[name].has_default()
+             ? args[name].as<std::string>()
+             : "";
 }
 
-int SettingsSet(const Args& args, const std::vector<std::string>& words) {
-  const std::string json = ReadFile(Option(args, "file"));
-  const auto branch = ParseBranch(words[2], 1, json);
-  if (!branch.ok()) {
-    std::cerr << "acaciachutectl: " << branch.status().message() << "\n";
-    return kExitUsage;
-  }
-  PlatformTable table(Option(args, "platform"));
-  const std::string key = "settings/" + words[2];
-  const auto read = table.Transact({{StoreOpKind::kRead, key, "", 0}});
-  if (read.status != StoreStatus::kOk || read.rows.empty()) {
-    std::cerr << "acaciachutectl: the platform's table does not answer\n";
-    return kExitUnavailable;
-  }
-  const auto version = read.rows[0].version;
-  const auto kind = version == 0 ? StoreOpKind::kInsert : StoreOpKind::kUpdate;
-  const auto written = table.Transact({{kind, key, json, version}});
-  if (written.status == StoreStatus::kConflict) {
-    std::cerr << "acaciachutectl: another change won, version "
-              << written.rows[0].version << "\n";
-    return kExitConflict;
+Command MakeCommand(const cxxopts::ParseResult& args) {
+  Command command;
+  command.platform_url = TextOf(args, "platform");
+  command.team = TextOf(args, "team");
+  command.file = TextOf(args, "file");
+  command.body = TextOf(args, "body");
+  command.token = TextOf(args, "token");
+  command.caller_class = TextOf(args, "class");
+  command.key = TextOf(args, "key");
+  command.note = TextOf(args, "note");
+  command.deadline_ms = args["deadline-ms"].as<std::int64_t>();
+  command.dry_run = args.count("dry-run") > 0;
+  command.stream = args.count("stream") > 0;
+  if (args.count("base") > 0) {
+    command.base = args["base"].as<SettingsVersion>();
   }
-  if (written.status != StoreStatus::kOk) {
-    std::cerr << "acaciachutectl: not known whether the change was accepted\n";
-    return kExitUnavailable;
+  if (args.count("entry") > 0) {
+    command.entry_urls = args["entry"].as<std::vector<std::string>>();
   }
-  std::cout << "version " << written.rows[0].version << "\n";
-  return 0;
+  return command;
 }
 
-int RequestSend(const Args& args, const std::vector<std::string>& words) {
-  HttpRequest request;
-  request.method = "POST";
-  request.url =
-      StrCat(Option(args, "entry"), "/v1/events/", words[2], "/requests");
-  request.body = Option(args, "body");
-  request.headers = {{"Authorization", "Bearer " + Option(args, "token")},
-                     {"Acaciachute-Class", Option(args, "class")}};
-  if (args.count("key") > 0) {
-    request.headers.emplace_back("Idempotency-Key", Option(args, "key"));
-    request.headers.emplace_back("Acaciachute-Idempotent", "false");
+ExitCode RunCommand(const CommandTable& table,
+                    const cxxopts::ParseResult& args) {
+  const auto words = args["words"].as<std::vector<std::string>>();
+  Command command = MakeCommand(args);
+  const auto format =
+      detail::ValueIn<OutputFormat>(kOutputFormatNames, TextOf(args, "output"));
+  if (!format) {
+    return Complain(ExitCode::kUsage, "--output: allowed are table and json");
   }
-  if (args.count("stream") > 0) {
-    request.headers.emplace_back("Accept", "text/event-stream");
-  }
-  const HttpResult result = CallAndWait(request);
-  std::cout << "HTTP " << result.status << "\n";
-  for (const auto& [name, value] : result.headers) {
-    std::cout << name << ": " << value << "\n";
+  command.format = *format;
+  // The longest name that fits: "trace show" before "trace".
+  for (std::size_t n = std::min<std::size_t>(2, words.size()); n > 0; --n) {
+    const auto it = table.find(n == 2 ? words[0] + " " + words[1] : words[0]);
+    if (it == table.end()) {
+      continue;
+    }
+    command.words.assign(words.begin() + static_cast<std::ptrdiff_t>(n),
+                         words.end());
+    const CommandInfo& info = it->second;
+    if (command.words.size() < info.min_words ||
+        command.words.size() > info.max_words) {
+      return Complain(ExitCode::kUsage, StrCat("usage: ", info.usage));
+    }
+    return info.run(command);
   }
-  std::cout << "\n" << result.body << "\n";
-  return result.status == 200 && result.whole ? 0 : kExitFailed;
-}
-
-int Status(const Args& args, const std::vector<std::string>&) {
-  HttpRequest request;
-  request.url = StrCat(Option(args, "entry"), "/status");
-  const HttpResult result = CallAndWait(request);
-  std::cout << result.body << "\n";
-  return result.status == 200 ? 0 : kExitUnavailable;
-}
-
-struct Command {
-  std::size_t words;
-  int (*run)(const Args&, const std::vector<std::string>&);
-};
-
-const std::map<std::string, Command>& Commands() {
-  static const auto* const kCommands = new std::map<std::string, Command>{
-      {"settings get", {3, SettingsGet}},
-      {"settings set", {3, SettingsSet}},
-      {"request send", {3, RequestSend}},
-      {"status", {1, Status}},
-  };
-  return *kCommands;
+  return Complain(ExitCode::kUsage,
+                  StrCat("no command \"", words[0], "\"; see --help"));
 }
 
 int Main(int argc, char** argv) {
-  cxxopts::Options options("acaciachutectl", "Operates acaciachute.");
-  options.add_options()("platform", "Base URL of the platform",
-                        cxxopts::value<std::string>())(
-      "entry", "Base URL of an entry", cxxopts::value<std::string>())(
-      "file", "JSON file", cxxopts::value<std::string>())(
-      "body", "Request body", cxxopts::value<std::string>())(
-      "token", "Bearer token", cxxopts::value<std::string>())(
-      "class", "urgent or patient",
-      cxxopts::value<std::string>()->default_value("patient"))(
-      "key", "Idempotency key", cxxopts::value<std::string>())(
-      "stream", "Stream the answer")("help", "Print this help")(
-      "words", "", cxxopts::value<std::vector<std::string>>());
-  options.parse_positional({"words"});
-  options.positional_help("COMMAND ...");
+  CommandTable table;
+  AddSettingsCommands(&table);
+  AddEventCommands(&table);
+  AddRequestCommands(&table);
+  AddViewCommands(&table);
+  cxxopts::Options options = MakeOptions();
   try {
-    const Args args = options.parse(argc, argv);
+    const auto args = options.parse(argc, argv);
     if (args.count("help") > 0) {
-      std::cout << options.help();
+      std::cout << options.help() << "\nCommands:\n";
+      for (const auto& [unused, info] : table) {
+        std::cout << "  " << info.usage << "\n";
+      }
+      std::cout << "\n" << kExitCodes;
       return 0;
     }
-    if (args.count("words") == 0) {
-      return Usage("a command is required, see --help");
+    if (args.count("version") > 0) {
+      std::cout << kVersion << "\n";
+      return 0;
     }
-    const auto words = args["words"].as<std::vector<std::string>>();
-    for (const auto& [name, command] : Commands()) {
-      const bool one = words[0] == name;
-      const bool two = words.size() > 1 && words[0] + " " + words[1] == name;
-      if (one || two) {
-        return words.size() == command.words
-                   ? command.run(args, words)
-                   : Usage("wrong number of words for " + name);
-      }
+    if (args.count("words") == 0) {
+      return static_cast<int>(
+          Complain(ExitCode::kUsage, "a command is required; see --help"));
     }
-    return Usage("no such command: " + words[0]);
+    return static_cast<int>(RunCommand(table, args));
   } catch (const cxxopts::exceptions::exception& e) {
-    return Usage(e.what());
+    return static_cast<int>(Complain(ExitCode::kUsage, e.what()));
   }
 }
 
--- /dev/null
+++ b/src/ctl/request_commands.cc
@@ -0,0 +1,80 @@
+// `request send|status`: what a caller would see.
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "ctl/command.h"
+#include "ctl/platform_table.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kHttpOk = 200;
+
+ExitCode ShowAnswer(const Command& command, const HttpResult& result) {
+  if (result.status == 0) {
+    return Complain(ExitCode::kUnavailable,
+                    StrCat("the entry does not answer: ", result.error));
+  }
+  Json shown = {{"http_status", result.status}, {"whole", result.whole}};
+  for (const auto& [name, value] : result.headers) {
+    if (name.starts_with("Acaciachute-") || name == "traceparent" ||
+        name == "Retry-After") {
+      shown[name] = value;
+    }
+  }
+  const Json body = Json::parse(result.body, nullptr, false);
+  shown["body"] = body.is_discarded() ? Json(result.body) : body;
+  PrintObject(command.format, shown);
+  return result.status == kHttpOk && result.whole ? ExitCode::kOk
+                                                  : ExitCode::kFailed;
+}
+
+ExitCode Call(const Command& command, HttpRequest request) {
+  if (command.entry_urls.empty()) {
+    return Complain(ExitCode::kUsage, "--entry URL is required");
+  }
+  request.url = command.entry_urls[0] + request.url;
+  request.headers.emplace_back("Authorization", "Bearer " + command.token);
+  return ShowAnswer(command, CallAndWait(request));
+}
+
+ExitCode Send(const Command& command) {
+  HttpRequest request;
+  request.method = "POST";
+  request.url = StrCat("/v1/events/", command.words[0], "/requests");
+  request.body = command.body;
+  request.headers = {{"Acaciachute-Class", command.caller_class}};
+  if (command.deadline_ms > 0) {
+    request.headers.emplace_back("Acaciachute-Deadline-Ms",
+                                 StrCat(command.deadline_ms));
+  }
+  if (!command.key.empty()) {
+    request.headers.emplace_back("Idempotency-Key", command.key);
+    request.headers.emplace_back("Acaciachute-Idempotent", "false");
+  }
+  if (command.stream) {
+    request.headers.emplace_back("Accept", "text/event-stream");
+  }
+  return Call(command, std::move(request));
+}
+
+ExitCode Status(const Command& command) {
+  HttpRequest request;
+  request.url =
+      StrCat("/v1/events/", command.words[0], "/requests/", command.words[1]);
+  return Call(command, std::move(request));
+}
+
+}  // namespace
+
+void AddRequestCommands(CommandTable* table) {
+  table->insert({
+      {"request send", {1, 1, "request send EVENT --body JSON", Send}},
+      {"request status", {2, 2, "request status EVENT KEY", Status}},
+  });
+}
+
+}  // namespace acaciachute
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -158,6 +158,7 @@
 
   void OnOperatorRequest(std::uint64_t handle, const HttpHead& head);
   std::string StatusJson();
+  std::string CostJson();
   void OnEntryHeartbeat(const NodeId& from, const Heartbeat& heartbeat);
   void SendEntryHeartbeat(const NodeId& peer,
                           std::uint64_t sequence,
@@ -263,6 +264,8 @@
     reply.body = metrics.PrometheusText();
   } else if (head.path == "/status") {
     reply.body = StatusJson();
+  } else if (head.path == "/cost") {
+    reply.body = CostJson();
   } else if (head.path.starts_with("/traces")) {
     std::string_view id = head.path;
     ConsumePrefix(&id, "/traces");
@@ -275,6 +278,19 @@
   server.Reply(handle, reply);
 }
 
+std::string EntryNode::Impl::CostJson() {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [key, sum] : entry.costs().rows()) {
+    rows.push_back({{"event", std::get<0>(key)},
+                    {"account", std::get<1>(key)},
+                    {"pool", std::get<2>(key)},
+                    {"requests", sum.requests},
+                    {"attempts", sum.attempts},
+                    {"service_us", sum.service}});
+  }
+  return rows.dump();
+}
+
 std::string EntryNode::Impl::StatusJson() {
   nlohmann::json replicas = nlohmann::json::array();
   for (const Replica* it : entry.replicas().All()) {
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -72,6 +72,34 @@
   }
 }
 
+ProgramResult RunProgram(const std::string& program,
+                         const std::vector<std::string>& args) {
+  std::vector<const char*> argv = {program.c_str()};
+  for (const auto& it : args) {
+    argv.push_back(it.c_str());
+  }
+  argv.push_back(nullptr);
+  const GPtr<GSubprocess> process(g_subprocess_newv(
+      argv.data(),
+      static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDOUT_PIPE |
+                                    G_SUBPROCESS_FLAGS_STDERR_PIPE),
+      nullptr));
+  gchar* output = nullptr;
+  gchar* errors = nullptr;
+  ProgramResult result;
+  if (process && g_subprocess_communicate_utf8(process.get(), nullptr, nullptr,
+                                               &output, &errors, nullptr)) {
+    result.output = output;
+    result.errors = errors;
+    result.exit_code = g_subprocess_get_if_exited(process.get())
+                           ? g_subprocess_get_exit_status(process.get())
+                           : -1;
+  }
+  g_free(output);
+  g_free(errors);
+  return result;
+}
+
 std::uint16_t Process::http_port() const {
   return impl_->listening.value("http", 0);
 }
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -39,6 +39,15 @@
   std::unique_ptr<Impl> impl_;
 };
 
+// What a program that ends by itself printed.
+struct ProgramResult {
+  int exit_code = -1;
+  std::string output;
+  std::string errors;
+};
+ProgramResult RunProgram(const std::string& program,
+                         const std::vector<std::string>& args);
+
 struct PoolSpec {
   std::string name;
   std::string kind;
