Suspect silent sidecars, ask other entries, count replies by question

Cause: an entry believed the last heartbeat of a sidecar for ever, so a host that went silent was sent work until the connection broke, and with missed heartbeats as the sign a fifth of lost datagrams shuns healthy ones (LossCondemnsNobody fails without quick repeats). Ruled out: the host list as judge, which lags and names a predecessor (HostListIsOnlyAHint). Each of own pause, help, repeats and list age switched off fails one test.

--- a/src/coordination/settings_sync.cc
+++ b/src/coordination/settings_sync.cc
@@ -183,12 +183,17 @@
   witnesses_ = std::move(next);
 }
 
-void SettingsSync::Gossip(TimeUs now) {
-  std::vector<NodeId> open;
-  open.reserve(peers_.size());
+std::vector<NodeId> SettingsSync::Peers() const {
+  std::vector<NodeId> names;
+  names.reserve(peers_.size());
   for (const auto& [name, unused] : peers_) {
-    open.push_back(name);
+    names.push_back(name);
   }
+  return names;
+}
+
+void SettingsSync::Gossip(TimeUs now) {
+  std::vector<NodeId> open = Peers();
   for (std::size_t n = 0; n < kFanout && !open.empty(); ++n) {
     std::swap(open[random_->Below(open.size())], open.back());
     const std::uint64_t sequence = next_sequence_++;
--- a/src/coordination/settings_sync.h
+++ b/src/coordination/settings_sync.h
@@ -64,7 +64,7 @@
   // Without news for this long, plus up to as much again, an entry reads for
   // itself; twice this and a read still fit into the bound.
   static constexpr DurationUs kSelfReadAge = 1500 * kMillisecond;
-  // Survives the loss of three; their ages add about 100 bytes to a datagram.
+  // Survives the loss of three; their ages add 112 bytes to an answer.
   static constexpr std::size_t kWitnesses = 7;
   // Most reads take only the epoch row; every tenth takes the branches as well
   // and so finds a row that was written without moving the epoch.
@@ -72,10 +72,10 @@
   // In progress at once: a silent read ends after ten seconds, and the next
   // ones still find out within a second that the table is back.
   static constexpr std::size_t kMaxReads = 16;
-  // Three questions each 300 ms reach 380 entries in about seven rounds and
-  // cost under 4 KB/s a node, question and answer together.
+  // Two questions of 170 bytes each 300 ms, and as many answers of 280, are
+  // 3 KB/s a node.
   static constexpr DurationUs kGossipPeriod = 300 * kMillisecond;
-  static constexpr std::size_t kFanout = 3;
+  static constexpr std::size_t kFanout = 2;
   static constexpr DurationUs kPullPatience = kSecond;
   static constexpr std::size_t kMaxPulls = 2;
   static constexpr std::size_t kMaxPartBytes = 1 << 20;
@@ -100,6 +100,7 @@
   std::size_t Holders() const;
   std::size_t Witnesses() const { return witnesses_.size(); }
   const SettingsPtr& settings() const { return settings_; }
+  std::vector<NodeId> Peers() const;
   // Age of what makes the node current; `kNever` without any.
   DurationUs ProofAge(TimeUs now) const;
 
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/entry.h"
+#include "coordination/membership.h"
 #include "coordination/settings_sync.h"
 #include "daemon/startup.h"
 #include "protocol/caller_http.h"
@@ -24,9 +25,8 @@
 namespace acaciachute {
 namespace {
 
-// Five heartbeats a second keep the load figures younger than a typical stage
-// and cost under 2 KB/s a replica.
-constexpr DurationUs kHeartbeatPeriod = 200 * kMillisecond;
+// A hint that lags by up to 30 s is not worth more reads than this.
+constexpr DurationUs kHostListPeriod = 10 * kSecond;
 // Decisions on settings are made on the tick; a third of the gossip period.
 constexpr DurationUs kSettingsTick = 100 * kMillisecond;
 // A slow table's answer is still news when it comes.
@@ -37,6 +37,7 @@
 // draining entry still takes what it is sent.
 constexpr DurationUs kBalancerGrace = 3 * kSecond;
 constexpr DurationUs kDrainPoll = 20 * kMillisecond;
+constexpr int kHttpOk = 200;
 
 std::vector<NodeId> PeerNames(const std::vector<PeerAddress>& peers) {
   std::vector<NodeId> names;
@@ -51,6 +52,7 @@
 
 struct EntryNode::Impl : EntryOutput,
                          SettingsSyncOutput,
+                         MembershipOutput,
                          PeerHandler,
                          HttpHandler {
   Impl(const NodeSettings& node_settings, Loop* event_loop)
@@ -65,6 +67,7 @@
              this,
              &random,
              &metrics),
+        members(this, &random, &metrics),
         entry({settings.node, incarnation, settings.max_requests, &sync},
               this,
               &random,
@@ -110,6 +113,17 @@
   }
   void OnApplied(const SettingsPtr& next) override;
 
+  // MembershipOutput:
+  void AskSidecar(const NodeId& sidecar, std::uint64_t sequence) override;
+  void SendToEntry(const NodeId& peer, const Message& message) override {
+    mesh.SendDatagram(peer, message);
+  }
+  void OnMemberState(const NodeId& sidecar, NodeState state) override;
+  void OnMemberLost(const NodeId& sidecar) override {
+    entry.OnPeerLost(Loop::Now(), sidecar);
+    Rearm();
+  }
+
   // PeerHandler:
   void OnPeerMessage(const NodeId& from,
                      Incarnation from_incarnation,
@@ -128,11 +142,17 @@
   void OnPeerDatagram(const NodeId& from,
                       Incarnation from_incarnation,
                       const Message& message) override {
-    const auto* it = std::get_if<Heartbeat>(&message);
-    if (it != nullptr && it->role == Role::kEntry) {
-      OnEntryHeartbeat(from, *it);
-    } else if (it != nullptr) {
-      entry.OnHeartbeat(Loop::Now(), from, from_incarnation, *it);
+    const TimeUs now = Loop::Now();
+    if (const auto* query = std::get_if<ReachQuery>(&message)) {
+      members.OnReachQuery(now, from, *query);
+    } else if (const auto* report = std::get_if<ReachReport>(&message)) {
+      members.OnReachReport(now, *report);
+    } else if (const auto* it = std::get_if<Heartbeat>(&message)) {
+      if (it->role == Role::kEntry) {
+        OnEntryHeartbeat(from, *it);
+      } else {
+        OnSidecarHeartbeat(now, from, from_incarnation, *it);
+      }
     }
   }
   void OnPeerLost(const NodeId& peer) override {
@@ -163,8 +183,12 @@
   void SendEntryHeartbeat(const NodeId& peer,
                           std::uint64_t sequence,
                           std::uint64_t reply_to);
+  void OnSidecarHeartbeat(TimeUs now,
+                          const NodeId& from,
+                          Incarnation from_incarnation,
+                          const Heartbeat& heartbeat);
   void LogCurrency();
-  void SendHeartbeats();
+  void ReadHostList();
   void Rearm();
   void Transact(HttpClient* client,
                 const std::vector<StoreOp>& ops,
@@ -178,6 +202,7 @@
   Metrics metrics;
   TraceLog traces;
   SettingsSync sync;
+  Membership members;
   Entry entry;
   PeerMesh mesh;
   HttpServer server;
@@ -186,7 +211,6 @@
   std::set<CallerHandle> streams;
   Loop::TimerId wakeup = 0;
   TimeUs wakeup_at = 0;
-  std::uint64_t heartbeat_sequence = 0;
   bool draining = false;
   bool was_current = false;
 };
@@ -335,10 +359,13 @@
     }
   }
   entry.OnSettings(Loop::Now(), next);
+  std::vector<NodeId> targets;
   for (const Replica* it : entry.replicas().All()) {
     mesh.SetAddress(it->address.node, {it->address.ip, it->address.port});
+    targets.push_back(it->address.node);
   }
-  SendHeartbeats();
+  members.SetTargets(Loop::Now(), targets);
+  members.SetHelpers(sync.Peers());
 }
 
 void EntryNode::Impl::OnEntryHeartbeat(const NodeId& from,
@@ -358,6 +385,9 @@
   heartbeat.sequence = sequence;
   heartbeat.reply_to = reply_to;
   heartbeat.settings = sync.Digest(Loop::Now());
+  if (reply_to == 0) {
+    heartbeat.settings.witnesses.clear();  // Only answers prove anything.
+  }
   mesh.SendDatagram(peer, heartbeat);
 }
 
@@ -370,15 +400,47 @@
   }
 }
 
-void EntryNode::Impl::SendHeartbeats() {
+void EntryNode::Impl::AskSidecar(const NodeId& sidecar,
+                                 std::uint64_t sequence) {
   Heartbeat heartbeat;
   heartbeat.role = Role::kEntry;
   heartbeat.state = draining ? NodeState::kLeaving : NodeState::kReady;
-  heartbeat.sequence = ++heartbeat_sequence;
+  heartbeat.sequence = sequence;
   heartbeat.sent_at = Loop::Now();
-  for (const Replica* it : entry.replicas().All()) {
-    mesh.SendDatagram(it->address.node, heartbeat);
+  heartbeat.receiver_leaving = members.ListedLeaving(sidecar);
+  mesh.SendDatagram(sidecar, heartbeat);
+}
+
+void EntryNode::Impl::OnSidecarHeartbeat(TimeUs now,
+                                         const NodeId& from,
+                                         Incarnation from_incarnation,
+                                         const Heartbeat& heartbeat) {
+  if (!members.OnAnswer(now, from, from_incarnation, heartbeat)) {
+    return;
   }
+  Heartbeat judged = heartbeat;
+  judged.state = members.StateOf(from);
+  entry.OnHeartbeat(now, from, from_incarnation, judged);
+}
+
+void EntryNode::Impl::OnMemberState(const NodeId& sidecar, NodeState state) {
+  LOG(INFO) << "event=member node=" << settings.node << " peer=" << sidecar
+            << " state=" << Name(state);
+  if (Replica* it = entry.replicas().Find(sidecar)) {
+    it->state = state;
+  }
+}
+
+void EntryNode::Impl::ReadHostList() {
+  HttpRequest request;
+  request.url = StrCat(settings.platform_url, "/v1/hosts");
+  request.repeatable = true;
+  store.Call(request, [this](const HttpResult& result) {
+    if (result.status == kHttpOk && result.whole) {
+      members.OnHostList(Loop::Now(), DecodeHostList(result.body));
+    }
+    loop->After(kHostListPeriod, [this] { ReadHostList(); });
+  });
 }
 
 void EntryNode::Impl::Rearm() {
@@ -426,7 +488,12 @@
     impl_->LogCurrency();
   });
   impl_->sync.OnTick(Loop::Now());
-  impl_->loop->Every(kHeartbeatPeriod, [this] { impl_->SendHeartbeats(); });
+  impl_->loop->Every(Membership::kTick,
+                     [this] { impl_->members.OnTick(Loop::Now()); });
+  // Entries that started together do not read the list together.
+  const auto delay =
+      static_cast<DurationUs>(impl_->random.Below(kHostListPeriod));
+  impl_->loop->After(delay, [this] { impl_->ReadHostList(); });
   return absl::OkStatus();
 }
 
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -83,7 +83,7 @@
     const auto& asked = std::get<Heartbeat>(message);
     sidecar.OnHeartbeat(Loop::Now(), from, from_incarnation, asked);
     Heartbeat heartbeat = sidecar.MakeHeartbeat();
-    heartbeat.sequence = asked.sequence;
+    heartbeat.reply_to = asked.sequence;
     mesh.SendDatagram(from, heartbeat);
   }
   void OnPeerLost(const NodeId& peer) override {
--- a/src/messages.h
+++ b/src/messages.h
@@ -104,6 +104,17 @@
   std::vector<std::uint64_t> quarantined;  // Fingerprints convicted lately.
 };
 
+// Between entries over UDP: does the other one hear this sidecar? Answered only
+// when it does.
+struct ReachQuery {
+  NodeId sidecar;
+};
+
+struct ReachReport {
+  NodeId sidecar;
+  Incarnation incarnation = 0;
+};
+
 // Between entries over TCP: asks for every branch newer than those known.
 struct SettingsPull {
   std::uint64_t sequence = 0;
@@ -155,6 +166,8 @@
                              Heartbeat,
                              SettingsPull,
                              SettingsBodies,
+                             ReachQuery,
+                             ReachReport,
                              ControlOrder,
                              ControlOrderResult>;
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -62,6 +62,14 @@
     v.load, v.fence, v.settings, v.quarantined);
 }
 template <class A>
+void serialize(A& a, ReachQuery& v) {
+  a(v.sidecar);
+}
+template <class A>
+void serialize(A& a, ReachReport& v) {
+  a(v.sidecar, v.incarnation);
+}
+template <class A>
 void serialize(A& a, SettingsPull& v) {
   a(v.sequence, v.known);
 }
--- a/src/protocol/platform_codec.cc
+++ b/src/protocol/platform_codec.cc
@@ -67,4 +67,19 @@
   return answer;
 }
 
+std::vector<HostHint> DecodeHostList(std::string_view body) {
+  std::vector<HostHint> hosts;
+  const Json in = Json::parse(body, nullptr, false);
+  if (!in.is_object() || !in.contains("hosts")) {
+    return hosts;
+  }
+  for (const auto& it : in.at("hosts")) {
+    if (it.is_object() && it.contains("node") && it.at("node").is_string()) {
+      hosts.push_back({it.at("node").get<std::string>(),
+                       it.value("state", Json()) == "leaving"});
+    }
+  }
+  return hosts;
+}
+
 }  // namespace acaciachute
--- a/src/protocol/platform_codec.h
+++ b/src/protocol/platform_codec.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/membership.h"
 #include "state/store.h"
 
 namespace acaciachute {
@@ -18,6 +19,9 @@
 // cannot be read is `kUnknown`: only a clear answer proves that nothing landed.
 StoreAnswer DecodeStoreAnswer(int http_status, std::string_view body);
 
+// The body of GET /v1/hosts; lines that cannot be read are passed over.
+std::vector<HostHint> DecodeHostList(std::string_view body);
+
 }  // namespace acaciachute
 
 #endif  // ACACIACHUTE_SRC_PROTOCOL_PLATFORM_CODEC_H_
