Hold calls of the platform to budgets and tell down from slow

Cause: in an outage each claim waited two seconds for its timeout before its caller heard "not run", and status calls shared connections with claims. Ruled out: an error rate, which opens at one lost answer in four and at late answers.

--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -10,6 +10,7 @@
 
 #include "coordination/entry.h"
 #include "coordination/membership.h"
+#include "coordination/platform_client.h"
 #include "coordination/settings_sync.h"
 #include "daemon/startup.h"
 #include "protocol/caller_http.h"
@@ -68,6 +69,7 @@
              &random,
              &metrics),
         members(this, &random, &metrics),
+        platform(&random, &metrics),
         entry({settings.node, incarnation, settings.max_requests, &sync},
               this,
               &random,
@@ -103,9 +105,10 @@
     mesh.Send(peer, message);
   }
   void ReadTable(StoreTicket ticket, std::vector<StoreOp> ops) override {
-    Transact(&settings_store, ops, [this, ticket](const StoreAnswer& answer) {
-      sync.OnTableAnswer(Loop::Now(), ticket, answer);
-    });
+    Transact(StorePurpose::kSettings, ops,
+             [this, ticket](const StoreAnswer& answer) {
+               sync.OnTableAnswer(Loop::Now(), ticket, answer);
+             });
   }
   void OnBranchRefused(std::string_view error) override {
     LOG(WARNING) << "event=branch_refused node=" << settings.node << " error=\""
@@ -190,7 +193,7 @@
   void LogCurrency();
   void ReadHostList();
   void Rearm();
-  void Transact(HttpClient* client,
+  void Transact(StorePurpose purpose,
                 const std::vector<StoreOp>& ops,
                 std::function<void(StoreAnswer)> done);
   void QuitWhenDone();
@@ -203,6 +206,7 @@
   TraceLog traces;
   SettingsSync sync;
   Membership members;
+  PlatformClient platform;
   Entry entry;
   PeerMesh mesh;
   HttpServer server;
@@ -223,28 +227,40 @@
   server.Reply(handle, FormatAnswer(answer));
 }
 
-void EntryNode::Impl::Transact(HttpClient* client,
+void EntryNode::Impl::Transact(StorePurpose purpose,
                                const std::vector<StoreOp>& ops,
                                std::function<void(StoreAnswer)> done) {
+  const auto call = platform.Start(Loop::Now(), purpose);
+  if (!call) {
+    // From the loop, as every answer: the caller is in the middle of its step.
+    loop->After(0, [done = std::move(done)] {
+      done({StoreStatus::kUnavailable, {}});
+    });
+    return;
+  }
   HttpRequest request;
   request.method = "POST";
   request.url = StrCat(settings.platform_url, kTransactPath);
   request.body = EncodeTransaction(ops);
   // Every write is conditional, and its outcome is settled by nonce or version.
   request.repeatable = true;
-  client->Call(request, [done = std::move(done)](const HttpResult& result) {
+  HttpClient& client =
+      purpose == StorePurpose::kSettings ? settings_store : store;
+  client.Call(request, [this, call = *call,
+                        done = std::move(done)](const HttpResult& result) {
+    StoreAnswer answer;
     if (!result.sent) {
-      done({StoreStatus::kUnavailable, {}});
-    } else if (!result.whole) {
-      done({StoreStatus::kUnknown, {}});
-    } else {
-      done(DecodeStoreAnswer(result.status, result.body));
+      answer.status = StoreStatus::kUnavailable;
+    } else if (result.whole) {
+      answer = DecodeStoreAnswer(result.status, result.body);
     }
+    platform.End(Loop::Now(), call, answer.status);
+    done(std::move(answer));
   });
 }
 
 void EntryNode::Impl::CallStore(StoreTicket ticket, std::vector<StoreOp> ops) {
-  Transact(&store, ops, [this, ticket](const StoreAnswer& answer) {
+  Transact(PurposeOf(ops), ops, [this, ticket](const StoreAnswer& answer) {
     entry.OnStoreAnswer(Loop::Now(), ticket, answer);
     Rearm();
   });
@@ -338,6 +354,7 @@
                         {"draining", draining},
                         {"in_progress", entry.InProgress()},
                         {"replicas", std::move(replicas)},
+                        {"platform", Name(platform.state(Loop::Now()))},
                         {"settings",
                          {{"current", sync.IsCurrent(Loop::Now())},
                           {"proof_age_us", sync.ProofAge(Loop::Now())},
@@ -432,14 +449,21 @@
 }
 
 void EntryNode::Impl::ReadHostList() {
+  loop->After(kHostListPeriod, [this] { ReadHostList(); });
+  const auto call = platform.Start(Loop::Now(), StorePurpose::kHosts);
+  if (!call) {
+    return;
+  }
   HttpRequest request;
   request.url = StrCat(settings.platform_url, "/v1/hosts");
   request.repeatable = true;
-  store.Call(request, [this](const HttpResult& result) {
-    if (result.status == kHttpOk && result.whole) {
+  store.Call(request, [this, call = *call](const HttpResult& result) {
+    const bool whole = result.status == kHttpOk && result.whole;
+    platform.End(Loop::Now(), call,
+                 whole ? StoreStatus::kOk : StoreStatus::kUnavailable);
+    if (whole) {
       members.OnHostList(Loop::Now(), DecodeHostList(result.body));
     }
-    loop->After(kHostListPeriod, [this] { ReadHostList(); });
   });
 }
 
--- /dev/null
+++ b/tests/platform_client_test.cc
@@ -0,0 +1,97 @@
+// When the platform is asked and when not: down, slow, busy.
+#include "coordination/platform_client.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciachute {
+namespace {
+
+class PlatformClientTest : public testing::Test {
+ protected:
+  // Makes a call that ends after `took`; false when it is not made.
+  bool Call(StorePurpose purpose, DurationUs took, StoreStatus status) {
+    const auto call = client_.Start(now_, purpose);
+    now_ += took;
+    if (call) {
+      client_.End(now_, *call, status);
+    }
+    return call.has_value();
+  }
+  bool Claim(DurationUs took, StoreStatus status) {
+    return Call(StorePurpose::kClaimWrites, took, status);
+  }
+
+  TimeUs now_ = kSecond;
+  Random random_{1};
+  Metrics metrics_;
+  PlatformClient client_{&random_, &metrics_};
+};
+
+// The platform refuses everything for an hour. After half a second claims are
+// refused without a call, and only a few tries a minute are made; the first
+// answer opens the way again.
+TEST_F(PlatformClientTest, DownIsNoticedAndLeft) {
+  int made = 0;
+  for (int n = 0; n < 36000; ++n) {
+    made += Claim(kMillisecond, StoreStatus::kUnavailable) ? 1 : 0;
+    now_ += 99 * kMillisecond;
+  }
+  EXPECT_EQ(client_.state(now_), PlatformState::kDown);
+  EXPECT_LT(made, 3600 * 2 + 10);
+  EXPECT_GT(made, 3600);
+  Call(StorePurpose::kSettings, kMillisecond, StoreStatus::kOk);
+  EXPECT_EQ(client_.state(now_), PlatformState::kUp);
+  EXPECT_TRUE(Claim(kMillisecond, StoreStatus::kOk));
+}
+
+// Every answer takes 800 ms. That is slow and not down: no claim is refused.
+TEST_F(PlatformClientTest, SlowIsNotDown) {
+  for (int n = 0; n < 200; ++n) {
+    EXPECT_TRUE(Claim(800 * kMillisecond, StoreStatus::kOk));
+  }
+  EXPECT_EQ(client_.state(now_), PlatformState::kSlow);
+}
+
+// One answer in four is lost, or refused for being over the rate. The platform
+// is up, and claims go on.
+TEST_F(PlatformClientTest, LostAnswersAreNoOutage) {
+  for (int n = 0; n < 400; ++n) {
+    EXPECT_TRUE(Claim(20 * kMillisecond,
+                      n % 4 == 0 ? StoreStatus::kUnknown : StoreStatus::kOk));
+  }
+  EXPECT_EQ(client_.state(now_), PlatformState::kUp);
+}
+
+// The platform takes calls and never answers. The caller of the next claim is
+// refused after a second instead of at its own timeout.
+TEST_F(PlatformClientTest, SilenceIsDown) {
+  ASSERT_TRUE(client_.Start(now_, StorePurpose::kClaimWrites));
+  now_ += Breaker::kSilence + kMillisecond;
+  EXPECT_EQ(client_.state(now_), PlatformState::kDown);
+  EXPECT_TRUE(client_.Start(now_, StorePurpose::kClaimWrites));  // Tries it.
+  EXPECT_FALSE(client_.Start(now_, StorePurpose::kClaimWrites));
+  EXPECT_TRUE(client_.Start(now_, StorePurpose::kSettings));
+}
+
+// One slow call among quick ones does not make the platform down.
+TEST_F(PlatformClientTest, OneSilentCallAmongAnsweredOnes) {
+  ASSERT_TRUE(client_.Start(now_, StorePurpose::kClaimWrites));
+  for (int n = 0; n < 100; ++n) {
+    EXPECT_TRUE(Claim(20 * kMillisecond, StoreStatus::kOk));
+  }
+  EXPECT_EQ(client_.state(now_), PlatformState::kUp);
+}
+
+// A hot caller polls for a status without end. Its reads are held to their
+// rate and places; claims pass.
+TEST_F(PlatformClientTest, HotReaderDoesNotTakeTheClaimsPlaces) {
+  int reads = 0;
+  for (int n = 0; n < 1000; ++n) {
+    reads += client_.Start(now_, StorePurpose::kClaimReads) ? 1 : 0;
+  }
+  EXPECT_EQ(reads, Rule(StorePurpose::kClaimReads).side_by_side);
+  EXPECT_TRUE(client_.Start(now_, StorePurpose::kClaimWrites));
+}
+
+}  // namespace
+}  // namespace acaciachute
