--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -27,14 +27,17 @@
         random(random),
         metrics(metrics),
         store(output),
-        pipeline(this, &replicas, random, metrics),
+        pipeline(this, &replicas, &quarantine, random, metrics),
         claims(make_claims ? make_claims(this) : MakeClaims()) {}
 
   std::unique_ptr<ClaimKeeper> MakeClaims();
 
   // Admission.
   Refusal Check(const CallerRequest& call, const Event** event) const;
-  void Refuse(CallerHandle handle, Refusal reason);
+  std::string ConvictedBy(TimeUs now,
+                          const CallerRequest& call,
+                          const Event& event) const;
+  void Refuse(CallerHandle handle, Refusal reason, std::string detail = "");
   void Admit(TimeUs now, CallerRequest call, const Event* event);
   void StartTrace(EntryRequest& request);
 
@@ -81,6 +84,7 @@
   StoreCalls store;
   SettingsPtr settings = std::make_shared<Settings>();
   ReplicaTable replicas;
+  Quarantine quarantine;
   detail::Pipeline pipeline;
   const std::unique_ptr<ClaimKeeper> claims;
   CostTable costs;
@@ -135,9 +139,25 @@
   return Refusal::kNone;
 }
 
-void Entry::Impl::Refuse(CallerHandle handle, Refusal reason) {
+// Why the request is quarantined in one of its stages; empty when it is not.
+std::string Entry::Impl::ConvictedBy(TimeUs now,
+                                     const CallerRequest& call,
+                                     const Event& event) const {
+  for (const Stage& stage : event.stages) {
+    const auto it = StageFingerprint(call.account, call.body, stage.pool);
+    if (quarantine.Of(now, it) == Standing::kConvicted) {
+      return quarantine.Explain(it);
+    }
+  }
+  return "";
+}
+
+void Entry::Impl::Refuse(CallerHandle handle,
+                         Refusal reason,
+                         std::string detail) {
   metrics->Count("acaciachute_refused_total", Name(reason));
-  output->Answer(handle, MakeRefusal(Verdict::kNotRun, reason));
+  output->Answer(handle,
+                 MakeRefusal(Verdict::kNotRun, reason, std::move(detail)));
 }
 
 void Entry::Impl::Admit(TimeUs now, CallerRequest call, const Event* event) {
@@ -291,6 +311,11 @@
     impl_->Refuse(request.handle, reason);
     return;
   }
+  auto convicted = impl_->ConvictedBy(now, request, *event);
+  if (!convicted.empty()) {
+    impl_->Refuse(request.handle, Refusal::kQuarantined, std::move(convicted));
+    return;
+  }
   impl_->Admit(now, std::move(request), event);
 }
 
@@ -340,6 +365,7 @@
   replica->state = heartbeat.state;
   replica->load = heartbeat.load;
   replica->heard_at = now;
+  impl_->quarantine.Merge(now, heartbeat.quarantined);
 }
 
 void Entry::OnPeerLost(TimeUs now, const NodeId& sidecar) {
@@ -409,6 +435,10 @@
   return impl_->costs;
 }
 
+Quarantine& Entry::quarantine() {
+  return impl_->quarantine;
+}
+
 ReplicaTable& Entry::replicas() {
   return impl_->replicas;
 }
--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -15,6 +15,7 @@
 #include "coordination/caller.h"
 #include "coordination/claims.h"
 #include "coordination/currency.h"
+#include "coordination/quarantine.h"
 #include "coordination/store_calls.h"
 #include "messages.h"
 #include "state/cost_table.h"
@@ -92,6 +93,7 @@
 
   const CostTable& costs() const;
   ReplicaTable& replicas();
+  Quarantine& quarantine();
   const SettingsPtr& settings() const;
 
  private:
--- a/src/coordination/pipeline.cc
+++ b/src/coordination/pipeline.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "state/claim.h"
 #include "text.h"
 
 namespace acaciachute::detail {
@@ -19,6 +18,11 @@
 // Chunks ahead of their turn; TCP keeps order, so few are.
 constexpr std::uint32_t kMaxEarlyChunks = 4096;
 
+std::uint64_t Fingerprint(const EntryRequest& request) {
+  return StageFingerprint(request.call.account, request.call.body,
+                          request.event->stages[request.stage].pool);
+}
+
 bool Complete(const StageAttempt& attempt) {
   return attempt.last_chunk && attempt.next_chunk > *attempt.last_chunk;
 }
@@ -56,7 +60,8 @@
   call.stream = request.Streams();
   call.time_left = request.deadline - now;
   call.sent_at = now;
-  call.fingerprint = BodyHash(request.call.account, request.call.body);
+  call.fingerprint = Fingerprint(request);
+  call.quarantined = quarantine_->RecordOf(now, call.fingerprint);
   call.account = request.call.account;
   call.path = stage.path;
   call.body = request.input;
@@ -66,6 +71,18 @@
 }
 
 void Pipeline::Start(TimeUs now, EntryRequest& request) {
+  const std::uint64_t fingerprint = Fingerprint(request);
+  const Standing standing = quarantine_->Of(now, fingerprint);
+  if (standing == Standing::kConvicted) {
+    output_->OnPipelineFailure(now, request, Refusal::kQuarantined, 0);
+    return;
+  }
+  if (standing == Standing::kSuspect) {
+    // Only a crash at another upstream tells the request from its host.
+    const auto crashed_at = quarantine_->CrashedAt(fingerprint);
+    request.tried.insert(request.tried.end(), crashed_at.begin(),
+                         crashed_at.end());
+  }
   Replica* replica = ChooseReplica(request);
   if (replica == nullptr) {
     output_->OnPipelineFailure(now, request, Refusal::kNoReplica,
@@ -206,9 +223,13 @@
                          EntryRequest* request,
                          const NodeId& from,
                          const StageFailure& failure) {
+  quarantine_->Merge(now, failure.quarantined);
   if (Belongs(request, from, failure.key, failure.sidecar)) {
+    // What an upstream's end hands back comes once and cannot feed on itself;
+    // the budget is for retries under load.
+    const bool spend = !failure.crashed && failure.reason != Refusal::kLeaving;
     FailAttempt(now, *request, failure.verdict, failure.reason,
-                failure.retry_after);
+                failure.retry_after, spend);
   }
 }
 
@@ -220,14 +241,15 @@
                            EntryRequest& request,
                            Verdict verdict,
                            Refusal reason,
-                           DurationUs retry_after) {
+                           DurationUs retry_after,
+                           bool spend) {
   EndAttempt(now, request, Name(reason));
   if (verdict != Verdict::kNotRun) {
     request.may_have_run = true;
   }
   const bool may_repeat =
       verdict == Verdict::kNotRun || request.call.idempotent;
-  if (may_repeat && now < request.deadline && retries_.Take()) {
+  if (may_repeat && now < request.deadline && (!spend || retries_.Take())) {
     metrics_->Count("acaciachute_retries_total", Name(reason));
     Start(now, request);
     return;
--- a/src/coordination/pipeline.h
+++ b/src/coordination/pipeline.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "coordination/entry_request.h"
+#include "coordination/quarantine.h"
 #include "coordination/retry_budget.h"
 #include "coordination/router.h"
 #include "messages.h"
@@ -42,10 +43,12 @@
  public:
   Pipeline(PipelineOutput* output,
            ReplicaTable* replicas,
+           Quarantine* quarantine,
            Random* random,
            Metrics* metrics)
       : output_(output),
         replicas_(replicas),
+        quarantine_(quarantine),
         random_(random),
         metrics_(metrics),
         router_(random) {}
@@ -61,12 +64,14 @@
                  EntryRequest* request,
                  const NodeId& from,
                  const StageFailure& failure);
-  // The attempt in progress ended without an answer.
+  // The attempt in progress ended without an answer. `spend`: a retry is paid
+  // for from the budget.
   void FailAttempt(TimeUs now,
                    EntryRequest& request,
                    Verdict verdict,
                    Refusal reason,
-                   DurationUs retry_after);
+                   DurationUs retry_after,
+                   bool spend = true);
   // Nobody waits any longer: the attempt in progress is cancelled through to
   // the upstream.
   void Cancel(TimeUs now, EntryRequest& request, Refusal reason);
@@ -85,6 +90,7 @@
 
   PipelineOutput* const output_;
   ReplicaTable* const replicas_;
+  Quarantine* const quarantine_;
   Random* const random_;
   Metrics* const metrics_;
   Router router_;
--- /dev/null
+++ b/src/coordination/quarantine.cc
@@ -0,0 +1,240 @@
+#include "coordination/quarantine.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include "state/claim.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+// Crashes that a record names; more tell an operator nothing new.
+constexpr std::size_t kMostCrashes = 4;
+
+constexpr std::size_t kMostAccountSize = 64;
+
+// A cleared record outlives every suspicion and conviction that it clears, so
+// that an old word cannot come back.
+constexpr std::array<DurationUs, kStandingNames.size()> kKeptFor = {
+    Quarantine::kConvictedFor, Quarantine::kSuspectFor,
+    Quarantine::kConvictedFor};
+
+void AddOnce(const NodeId& node, std::vector<NodeId>* nodes) {
+  if (nodes->size() < kMostCrashes &&
+      std::find(nodes->begin(), nodes->end(), node) == nodes->end()) {
+    nodes->push_back(node);
+  }
+}
+
+}  // namespace
+
+std::uint64_t StageFingerprint(std::string_view account,
+                               std::string_view body,
+                               std::string_view pool) {
+  // The size keeps account and pool apart.
+  return BodyHash(StrCat(account.size(), ":", account, pool), body) | 1;
+}
+
+std::string FingerprintText(std::uint64_t fingerprint) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (int shift = 60; shift >= 0; shift -= 4) {
+    text += kDigits[fingerprint >> shift & 0xf];
+  }
+  return text;
+}
+
+bool Quarantine::IsOver(TimeUs now, const Entry& entry) {
+  return now - entry.changed_at >=
+         kKeptFor[static_cast<std::size_t>(entry.standing)];
+}
+
+QuarantineRecord Quarantine::ToRecord(TimeUs now,
+                                      std::uint64_t fingerprint,
+                                      const Entry& entry) {
+  return {fingerprint,    entry.epoch,
+          entry.standing, now - entry.changed_at,
+          entry.account,  entry.crashed_at};
+}
+
+Standing Quarantine::Of(TimeUs now, std::uint64_t fingerprint) const {
+  const auto it = records_.find(fingerprint);
+  return it == records_.end() || IsOver(now, it->second) ? Standing::kClear
+                                                         : it->second.standing;
+}
+
+std::vector<NodeId> Quarantine::CrashedAt(std::uint64_t fingerprint) const {
+  const auto it = records_.find(fingerprint);
+  return it == records_.end() ? std::vector<NodeId>() : it->second.crashed_at;
+}
+
+std::string Quarantine::Explain(std::uint64_t fingerprint) const {
+  std::string text = StrCat("fingerprint ", FingerprintText(fingerprint),
+                            " was in progress when upstreams died at");
+  for (const NodeId& node : CrashedAt(fingerprint)) {
+    text += StrCat(" ", node);
+  }
+  return text;
+}
+
+Quarantine::Entry& Quarantine::Touch(TimeUs now, std::uint64_t fingerprint) {
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end()) {
+    MakeRoom(now);
+  } else if (IsOver(now, it->second)) {
+    it->second = {};
+  }
+  Entry& entry = records_[fingerprint];
+  entry.changed_at = now;
+  return entry;
+}
+
+void Quarantine::OnCrash(TimeUs now,
+                         const NodeId& node,
+                         const std::vector<Suspect>& in_progress) {
+  std::map<std::uint64_t, Suspect> distinct;
+  for (const Suspect& it : in_progress) {
+    distinct.emplace(it.fingerprint, it);
+  }
+  for (const auto& [fingerprint, suspect] : distinct) {
+    if (fingerprint != 0) {
+      Blame(now, node, suspect, /*alone=*/distinct.size() == 1);
+    }
+  }
+}
+
+void Quarantine::Blame(TimeUs now,
+                       const NodeId& node,
+                       const Suspect& suspect,
+                       bool alone) {
+  Entry& entry = Touch(now, suspect.fingerprint);
+  const bool elsewhere =
+      std::any_of(entry.crashed_at.begin(), entry.crashed_at.end(),
+                  [&](const NodeId& it) { return it != node; });
+  entry.standing =
+      std::max(entry.standing,
+               alone && elsewhere ? Standing::kConvicted : Standing::kSuspect);
+  entry.account = suspect.account.substr(0, kMostAccountSize);
+  AddOnce(node, &entry.crashed_at);
+}
+
+void Quarantine::Clear(TimeUs now, std::uint64_t fingerprint) {
+  Entry& entry = Touch(now, fingerprint);
+  ++entry.epoch;
+  entry.standing = Standing::kClear;
+  entry.crashed_at.clear();
+}
+
+void Quarantine::OnAnsweredApart(TimeUs now, std::uint64_t fingerprint) {
+  if (Of(now, fingerprint) == Standing::kSuspect) {
+    Clear(now, fingerprint);
+  }
+}
+
+bool Quarantine::Lift(TimeUs now, std::uint64_t fingerprint) {
+  if (Of(now, fingerprint) == Standing::kClear) {
+    return false;
+  }
+  Clear(now, fingerprint);
+  return true;
+}
+
+bool Quarantine::Merge(TimeUs now,
+                       const std::vector<QuarantineRecord>& records) {
+  bool changed = false;
+  for (const QuarantineRecord& it : records) {
+    if (it.standing > Standing::kConvicted) {
+      continue;  // A standing of another build.
+    }
+    const Entry theirs = {it.epoch, it.standing,
+                          now - std::max<DurationUs>(0, it.age), it.account,
+                          it.crashed_at};
+    if (it.fingerprint == 0 || IsOver(now, theirs)) {
+      continue;
+    }
+    const auto ours = records_.find(it.fingerprint);
+    if (ours == records_.end()) {
+      MakeRoom(now);
+      records_[it.fingerprint] = theirs;
+      changed = true;
+      continue;
+    }
+    Entry& entry = ours->second;
+    const auto rank = [](const Entry& e) {
+      return std::tuple(e.epoch, e.standing);
+    };
+    if (rank(theirs) > rank(entry)) {
+      entry = theirs;
+      changed = true;
+    } else if (rank(theirs) == rank(entry)) {
+      entry.changed_at = std::max(entry.changed_at, theirs.changed_at);
+      for (const NodeId& node : it.crashed_at) {
+        AddOnce(node, &entry.crashed_at);
+      }
+    }
+  }
+  return changed;
+}
+
+std::vector<QuarantineRecord> Quarantine::Told(TimeUs now) {
+  std::erase_if(records_,
+                [now](const auto& it) { return IsOver(now, it.second); });
+  std::vector<QuarantineRecord> all;
+  for (const auto& [fingerprint, entry] : records_) {
+    all.push_back(ToRecord(now, fingerprint, entry));
+  }
+  if (all.size() <= kTold) {
+    return all;
+  }
+  const auto newest = [](const QuarantineRecord& a, const QuarantineRecord& b) {
+    return a.age < b.age;
+  };
+  std::vector<QuarantineRecord> told(kTold / 2);
+  std::partial_sort_copy(all.begin(), all.end(), told.begin(), told.end(),
+                         newest);
+  auto it = records_.upper_bound(told_last_);
+  while (told.size() < kTold) {
+    it = it == records_.end() ? records_.begin() : it;
+    told.push_back(ToRecord(now, it->first, it->second));
+    told_last_ = it->first;
+    ++it;
+  }
+  return told;
+}
+
+std::vector<QuarantineRecord> Quarantine::RecordOf(
+    TimeUs now,
+    std::uint64_t fingerprint) const {
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end() || IsOver(now, it->second)) {
+    return {};
+  }
+  return {ToRecord(now, fingerprint, it->second)};
+}
+
+std::vector<QuarantineRecord> Quarantine::All(TimeUs now) const {
+  std::vector<QuarantineRecord> all;
+  for (const auto& [fingerprint, entry] : records_) {
+    if (Of(now, fingerprint) != Standing::kClear) {
+      all.push_back(ToRecord(now, fingerprint, entry));
+    }
+  }
+  return all;
+}
+
+// Drops the record that can best be done without: a cleared one before a
+// suspect, a suspect before a convict, the oldest among equals.
+void Quarantine::MakeRoom(TimeUs now) {
+  if (records_.size() < kMost) {
+    return;
+  }
+  records_.erase(std::min_element(
+      records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.second.standing, a.second.changed_at) <
+               std::tie(b.second.standing, b.second.changed_at);
+      }));
+}
+
+}  // namespace acaciachute
--- a/src/coordination/sidecar.cc
+++ b/src/coordination/sidecar.cc
@@ -2,21 +2,17 @@
 
 #include <algorithm>
 #include <limits>
-#include <set>
 #include <utility>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
-#include "coordination/class_queue.h"
-#include "coordination/leaving.h"
-#include "coordination/message_age.h"
-#include "coordination/tombstones.h"
+#include "coordination/sidecar_impl.h"
 
 namespace acaciachute {
 namespace {
 
-// Told with a refusal when the queue is full.
-constexpr DurationUs kQueueFullRetryAfter = 200 * kMillisecond;
+// Least time after which a refused call may come back. Shorter would only move
+// the waiting from this queue into the network.
+constexpr DurationUs kMinRetryAfter = 200 * kMillisecond;
 
 // A copy that comes after its deadline is refused by its age; a tombstone
 // outlives the deadline by what an age may be wrong by, with room to spare.
@@ -27,62 +23,20 @@
 // until this long after, when the upstream is taken to have lost it.
 constexpr DurationUs kOverrun = 30 * kSecond;
 
-// Weight of the newest answer in the mean service time.
-constexpr int kServiceWeight = 8;
-
-struct Work {
-  NodeId entry;
-  StageCall call;
-  TimeUs received = 0;
-  TimeUs deadline = 0;
-  TimeUs handed_over = 0;
-  UpstreamCallId upstream_call = 0;  // Zero while it waits.
-  std::uint32_t next_chunk = 0;
-};
+// How long slots are kept free for a call that must run apart. Calls behind it
+// wait no longer than this and one service; after it the call is handed back,
+// to try a replica with shorter jobs.
+constexpr DurationUs kApartHold = 500 * kMillisecond;
 
 }  // namespace
 
-struct Sidecar::Impl {
-  Impl(SidecarOptions options, SidecarOutput* output, Metrics* metrics)
-      : options(std::move(options)), output(output), metrics(metrics) {}
-
-  void OnCall(TimeUs now, const NodeId& from, const StageCall& call);
-  void OnCancel(TimeUs now, const NodeId& from, const StageCancel& cancel);
-  void BeforeInput(TimeUs now);
-  Refusal Closed(TimeUs now) const;
-  void EndLate(TimeUs now);
-  void EndOverrun(TimeUs now, UpstreamCallId id);
-  void HandBackWaiting(TimeUs now, Refusal reason);
-  void StopRunning(TimeUs now, const Work& work);
-  void StartWaiting(TimeUs now);
-  void HandOver(TimeUs now, Work& work);
-  void Fail(TimeUs now,
-            const Work& work,
-            Verdict verdict,
-            Refusal reason,
-            bool crashed = false);
-  void Refuse(TimeUs now, const Work& work, Refusal reason);
-  void Forget(TimeUs now, const StageKey& key);
-  void ExportSpan(TimeUs now, const Work& work, std::string_view outcome);
-  Work* FindRunning(UpstreamCallId id);
-
-  const SidecarOptions options;
-  SidecarOutput* const output;
-  Metrics* const metrics;
-  NodeState state = NodeState::kReady;
-  UpstreamCallId next_upstream_call = 1;
-  ClassQueue queue;
-  absl::flat_hash_map<StageKey, Work> work;
-  absl::flat_hash_map<UpstreamCallId, StageKey> running;
-  std::set<std::pair<TimeUs, StageKey>> deadlines;
-  // Calls nobody waits for any longer, which still hold a slot.
-  absl::flat_hash_map<UpstreamCallId, TimeUs> overrunning;
-  Tombstones tombstones;
-  MessageAge ages;
-  Leaving leaving;
-  TimeUs clock = 0;  // Of the last input.
-  DurationUs mean_service = 0;
-};
+Sidecar::Impl::Impl(SidecarOptions sidecar_options,
+                    SidecarOutput* out,
+                    Metrics* counters)
+    : options(std::move(sidecar_options)),
+      output(out),
+      metrics(counters),
+      limit(options.limit) {}
 
 // Failure: this process wakes from a pause and handles what its buffers hold in
 // any order. Symptom: an answer frees a slot and a call whose time is over, or
@@ -91,6 +45,7 @@
 void Sidecar::Impl::BeforeInput(TimeUs now) {
   clock = std::max(clock, now);
   EndLate(now);
+  EndApartHold(now);
   tombstones.Expire(now);
   if (const Refusal reason = Closed(now); reason != Refusal::kNone) {
     HandBackWaiting(now, reason);
@@ -108,9 +63,11 @@
 }
 
 void Sidecar::Impl::HandBackWaiting(TimeUs now, Refusal reason) {
-  while (const auto key = queue.Pop()) {
-    Fail(now, work[*key], Verdict::kNotRun, reason);
-    Forget(now, *key);
+  while (!apart_waiting.empty()) {
+    EndWaiting(now, StageKey(apart_waiting.front()), reason);
+  }
+  while (const auto next = queue.Pop()) {
+    EndWaiting(now, next->key, reason);
   }
 }
 
@@ -135,61 +92,167 @@
     return;
   }
   const DurationUs age = ages.Of(call.key.request.origin, call.sent_at, now);
+  quarantine.Merge(now, call.quarantined);
+  const Standing standing = quarantine.Of(now, call.fingerprint);
   Work item;
   item.entry = from;
   item.call = call;
   item.received = now;
   item.deadline = now + call.time_left - age;
+  item.is_long = times.IsLong(call);
+  item.apart = standing == Standing::kSuspect;
   if (tombstones.MayBeDropped(call.key)) {
     Fail(now, item, Verdict::kMayHaveRun, Refusal::kFull);
     return;
   }
-  if (const Refusal reason = Closed(now); reason != Refusal::kNone) {
+  Refusal reason = Closed(now);
+  if (standing == Standing::kConvicted) {
+    reason = Refusal::kQuarantined;
+  } else if (reason == Refusal::kNone && item.deadline <= now) {
+    reason = Refusal::kLate;
+  } else if (reason == Refusal::kNone && !CanMeetDeadline(now, item)) {
+    reason = Refusal::kFull;
+  }
+  if (reason != Refusal::kNone) {
     Refuse(now, item, reason);
     return;
   }
-  if (item.deadline <= now) {
-    Refuse(now, item, Refusal::kLate);
-    return;
+  Enqueue(now, std::move(item));
+}
+
+void Sidecar::Impl::Enqueue(TimeUs now, Work item) {
+  if (queue.size() + apart_waiting.size() >= options.max_queued) {
+    // Failure: the queue is full of patient work when urgent work comes.
+    // Symptom: the urgent call is refused behind work that can wait.
+    const auto out = item.call.caller_class == CallerClass::kUrgent
+                         ? queue.PopLastPatient()
+                         : std::nullopt;
+    if (!out) {
+      Refuse(now, item, Refusal::kFull);
+      return;
+    }
+    EndWaiting(now, out->key, Refusal::kFull);
   }
-  if (queue.size() >= options.max_queued) {
-    Refuse(now, item, Refusal::kFull);
-    return;
+  const StageKey key = item.call.key;
+  deadlines.emplace(item.deadline, key);
+  if (item.apart) {
+    apart_waiting.push_back(key);
+  } else {
+    queue.Push({key, item.call.caller_class, item.deadline, item.is_long});
   }
-  deadlines.emplace(item.deadline, call.key);
-  queue.Push(call.caller_class, call.key);
-  work[call.key] = std::move(item);
+  work[key] = std::move(item);
   StartWaiting(now);
 }
 
+// Work that would end after its deadline costs a slot and helps nobody. An idle
+// upstream takes a call in any case: an estimate that went wrong would
+// otherwise refuse all work for ever, as only answers correct it.
+bool Sidecar::Impl::CanMeetDeadline(TimeUs now, const Work& item) const {
+  return Occupied() == 0 ||
+         now + ExpectedWait(item) + times.Expected(item.call) <= item.deadline;
+}
+
+DurationUs Sidecar::Impl::ExpectedWait(const Work& item) const {
+  if (Occupied() < limit.Current()) {
+    return 0;
+  }
+  const auto ahead = static_cast<DurationUs>(
+      queue.Ahead(item.call.caller_class, item.deadline) + 1);
+  return ahead * times.Mean() / limit.Current();
+}
+
+// When the calls that wait now will have been started.
+DurationUs Sidecar::Impl::RetryAfter() const {
+  const auto waiting = static_cast<DurationUs>(queue.size() + 1);
+  return std::max(kMinRetryAfter, waiting * times.Mean() / limit.Current());
+}
+
+std::uint32_t Sidecar::Impl::Occupied() const {
+  return static_cast<std::uint32_t>(running.size() + overrunning.size());
+}
+
 void Sidecar::Impl::StartWaiting(TimeUs now) {
-  while (running.size() + overrunning.size() < options.limit) {
-    const auto key = queue.Pop();
-    if (!key) {
+  while (crash_check_at == 0 && !apart_running) {
+    if (ApartIsNext()) {
+      if (!StartApart(now)) {
+        return;
+      }
+      continue;
+    }
+    if (Occupied() >= limit.Current()) {
       return;
     }
-    Work& item = work[*key];
-    // Failure: this process was paused with the call in its queue. Symptom: a
-    // stale call runs after its caller was answered. The time left is checked
-    // again here, the last point before the upstream.
-    if (now >= item.deadline) {
-      Fail(now, item, Verdict::kNotRun, Refusal::kLate);
-      Forget(now, *key);
-      continue;
+    const auto next = queue.Pop(running_long < LongSlots(limit.Current()));
+    if (!next) {
+      return;
+    }
+    if (HandOver(now, next->key) && starts_owed > 0) {
+      --starts_owed;
     }
-    HandOver(now, item);
   }
 }
 
-void Sidecar::Impl::HandOver(TimeUs now, Work& item) {
+bool Sidecar::Impl::ApartIsNext() const {
+  return !apart_waiting.empty() && (starts_owed == 0 || queue.size() == 0);
+}
+
+// A suspect waits for an idle upstream and nothing starts until it has ended.
+// In between, other calls get a slot each, so that a row of suspects does not
+// shut them out. False while it has to wait.
+bool Sidecar::Impl::StartApart(TimeUs now) {
+  if (Occupied() > 0) {
+    apart_hold_until =
+        apart_hold_until == 0 ? now + kApartHold : apart_hold_until;
+    return false;
+  }
+  const StageKey key = apart_waiting.front();
+  apart_waiting.pop_front();
+  apart_hold_until = 0;
+  starts_owed = limit.Current();
+  apart_running = HandOver(now, key);
+  return true;
+}
+
+void Sidecar::Impl::EndApartHold(TimeUs now) {
+  if (apart_hold_until == 0 || now < apart_hold_until) {
+    return;
+  }
+  apart_hold_until = 0;
+  starts_owed = limit.Current();
+  EndWaiting(now, StageKey(apart_waiting.front()), Refusal::kFull);
+}
+
+// The last point before the upstream. False when the call may not start: it is
+// too late, or news of a crash came while it waited.
+bool Sidecar::Impl::HandOver(TimeUs now, const StageKey& key) {
+  Work& item = work[key];
+  const Standing standing = quarantine.Of(now, item.call.fingerprint);
+  if (standing == Standing::kConvicted) {
+    EndWaiting(now, key, Refusal::kQuarantined);
+    return false;
+  }
+  if (standing == Standing::kSuspect && !item.apart) {
+    item.apart = true;
+    apart_waiting.push_back(key);
+    return false;
+  }
+  // Half of the expected time is what few calls stay below; one with less time
+  // left would most likely take a slot for nothing.
+  const DurationUs least = Occupied() == 0 ? 0 : times.Expected(item.call) / 2;
+  if (now + least >= item.deadline) {
+    EndWaiting(now, key, Refusal::kLate);
+    return false;
+  }
   item.upstream_call = next_upstream_call++;
   item.handed_over = now;
-  running[item.upstream_call] = item.call.key;
+  running[item.upstream_call] = key;
+  running_long += item.is_long ? 1 : 0;
   metrics->Count("acaciachute_sidecar_handed_over_total",
                  Name(item.call.caller_class));
   metrics->Observe("acaciachute_sidecar_wait_seconds",
                    Name(item.call.caller_class), now - item.received);
   output->CallUpstream(item.upstream_call, item.call, item.deadline - now);
+  return true;
 }
 
 void Sidecar::Impl::Fail(TimeUs now,
@@ -204,7 +267,8 @@
   failure.verdict = verdict;
   failure.reason = reason;
   failure.crashed = crashed;
-  failure.retry_after = reason == Refusal::kFull ? kQueueFullRetryAfter : 0;
+  failure.retry_after = reason == Refusal::kFull ? RetryAfter() : 0;
+  failure.quarantined = quarantine.RecordOf(now, item.call.fingerprint);
   ExportSpan(now, item, Name(reason));
   output->Send(item.entry, failure);
 }
@@ -217,26 +281,52 @@
   tombstones.Add(item.call.key, std::max(item.deadline, now) + kTombstoneSlack);
 }
 
-// Ends the work under `key`; its tombstone outlives any late copy of the call.
-void Sidecar::Impl::Forget(TimeUs now, const StageKey& key) {
-  const auto it = work.find(key);
-  if (it == work.end()) {
-    return;
+void Sidecar::Impl::EndWaiting(TimeUs now,
+                               const StageKey& key,
+                               Refusal reason) {
+  const Work& item = work.at(key);
+  if (!item.apart) {
+    queue.Remove(key);
+  } else if (const auto it =
+                 std::find(apart_waiting.begin(), apart_waiting.end(), key);
+             it != apart_waiting.end()) {
+    apart_hold_until = it == apart_waiting.begin() ? 0 : apart_hold_until;
+    apart_waiting.erase(it);
   }
-  const TimeUs deadline = it->second.deadline;
-  deadlines.erase({deadline, key});
-  running.erase(it->second.upstream_call);
-  work.erase(it);
-  tombstones.Add(key, std::max(deadline, now) + kTombstoneSlack);
+  Fail(now, item, Verdict::kNotRun, reason);
+  Forget(now, key);
 }
 
 // Nobody waits for what runs. It is stopped where that does no harm.
-void Sidecar::Impl::StopRunning(TimeUs now, const Work& item) {
+void Sidecar::Impl::EndRunning(TimeUs now,
+                               const StageKey& key,
+                               Refusal reason) {
+  const Work& item = work.at(key);
   if (item.call.idempotent) {
     output->CancelUpstream(item.upstream_call);
-  } else {
-    overrunning[item.upstream_call] = now + kOverrun;
+  } else if (!item.broken) {
+    overrunning[item.upstream_call] = {
+        now + kOverrun, {item.call.fingerprint, item.call.account}};
   }
+  Fail(now, item, Verdict::kMayHaveRun, reason);
+  Forget(now, key);
+}
+
+// Ends the work under `key`; its tombstone outlives any late copy of the call.
+void Sidecar::Impl::Forget(TimeUs now, const StageKey& key) {
+  const auto it = work.find(key);
+  const Work& item = it->second;
+  const TimeUs deadline = item.deadline;
+  if (!item.waits()) {
+    apart_running = apart_running && !item.apart;
+    running_long -= item.is_long ? 1 : 0;
+  }
+  deadlines.erase({deadline, key});
+  running.erase(item.upstream_call);
+  // The key may live in the work that is erased.
+  const StageKey kept = key;
+  work.erase(it);
+  tombstones.Add(kept, std::max(deadline, now) + kTombstoneSlack);
 }
 
 void Sidecar::Impl::OnCancel(TimeUs now,
@@ -251,43 +341,32 @@
     tombstones.Add(cancel.key, now + cancel.time_left + kTombstoneSlack);
     return;
   }
-  const Work& item = it->second;
-  if (item.upstream_call == 0) {
-    queue.Remove(cancel.key);
-    Fail(now, item, Verdict::kNotRun, Refusal::kCancelled);
+  if (it->second.waits()) {
+    EndWaiting(now, cancel.key, Refusal::kCancelled);
   } else {
-    StopRunning(now, item);
-    Fail(now, item, Verdict::kMayHaveRun, Refusal::kCancelled);
+    EndRunning(now, cancel.key, Refusal::kCancelled);
   }
-  Forget(now, cancel.key);
   StartWaiting(now);
 }
 
 void Sidecar::Impl::EndLate(TimeUs now) {
   while (!deadlines.empty() && deadlines.begin()->first <= now) {
     const StageKey key = deadlines.begin()->second;
-    const Work& item = work[key];
-    if (item.upstream_call == 0) {
-      queue.Remove(key);
-      Fail(now, item, Verdict::kNotRun, Refusal::kLate);
+    if (work.at(key).waits()) {
+      EndWaiting(now, key, Refusal::kLate);
     } else {
-      StopRunning(now, item);
-      Fail(now, item, Verdict::kMayHaveRun, Refusal::kLate);
+      EndRunning(now, key, Refusal::kLate);
     }
-    Forget(now, key);
   }
-  for (auto it = overrunning.begin(); it != overrunning.end();) {
-    const auto current = it++;
-    if (current->second <= now) {
-      output->CancelUpstream(current->first);
-      overrunning.erase(current);
+  std::vector<UpstreamCallId> lost;
+  for (const auto& [id, overrun] : overrunning) {
+    if (overrun.until <= now) {
+      lost.push_back(id);
     }
   }
-}
-
-void Sidecar::Impl::EndOverrun(TimeUs now, UpstreamCallId id) {
-  if (overrunning.erase(id) > 0) {
-    StartWaiting(now);
+  for (const UpstreamCallId id : lost) {
+    output->CancelUpstream(id);
+    overrunning.erase(id);
   }
 }
 
@@ -315,11 +394,6 @@
   output->Export(span);
 }
 
-Work* Sidecar::Impl::FindRunning(UpstreamCallId id) {
-  const auto it = running.find(id);
-  return it == running.end() ? nullptr : &work[it->second];
-}
-
 Sidecar::Sidecar(SidecarOptions options,
                  SidecarOutput* output,
                  Metrics* metrics)
@@ -347,20 +421,10 @@
   // An entry's word counts from when it was sent.
   impl_->leaving.OnWord(now - age, LeaveRoute::kEntry,
                         heartbeat.receiver_leaving);
+  impl_->quarantine.Merge(now, heartbeat.quarantined);
   impl_->BeforeInput(now);
 }
 
-void Sidecar::OnUpstreamReport(TimeUs now,
-                               TimeUs asked_at,
-                               const UpstreamReport& report) {
-  impl_->leaving.OnReport(asked_at, report.reachable);
-  if (report.reachable) {
-    impl_->leaving.OnWord(now, LeaveRoute::kUpstream, report.leaving);
-  }
-  impl_->BeforeInput(now);
-  impl_->StartWaiting(now);
-}
-
 void Sidecar::OnHostList(TimeUs now, bool leaving) {
   impl_->leaving.OnWord(now, LeaveRoute::kHostList, leaving);
   impl_->BeforeInput(now);
@@ -372,8 +436,7 @@
   for (const auto& [key, item] : impl_->work) {
     // What runs and may not be repeated is finished; its answer has nowhere to
     // go, but a cut run would be worse for the caller.
-    if (item.entry == entry &&
-        (item.upstream_call == 0 || item.call.idempotent)) {
+    if (item.entry == entry && (item.waits() || item.call.idempotent)) {
       keys.push_back(key);
     }
   }
@@ -383,58 +446,12 @@
   }
 }
 
-void Sidecar::OnUpstreamChunk(TimeUs now,
-                              UpstreamCallId id,
-                              std::string body,
-                              bool last) {
-  impl_->BeforeInput(now);
-  Work* item = impl_->FindRunning(id);
-  if (item == nullptr) {
-    impl_->metrics->Count("acaciachute_sidecar_stale_answers_total");
-    if (last) {
-      impl_->EndOverrun(now, id);
-    }
-    return;
-  }
-  StageChunk chunk;
-  chunk.key = item->call.key;
-  chunk.sidecar = impl_->options.incarnation;
-  chunk.sequence = item->next_chunk++;
-  chunk.last = last;
-  chunk.service = now - item->handed_over;
-  chunk.body = std::move(body);
-  impl_->output->Send(item->entry, chunk);
-  if (!last) {
-    return;
-  }
-  auto& mean = impl_->mean_service;
-  mean = mean == 0 ? chunk.service
-                   : mean + (chunk.service - mean) / kServiceWeight;
-  impl_->ExportSpan(now, *item, "answered");
-  impl_->Forget(now, chunk.key);
-  impl_->StartWaiting(now);
-}
-
-void Sidecar::OnUpstreamError(TimeUs now,
-                              UpstreamCallId id,
-                              UpstreamError error) {
-  impl_->BeforeInput(now);
-  Work* item = impl_->FindRunning(id);
-  if (item == nullptr) {
-    impl_->metrics->Count("acaciachute_sidecar_stale_answers_total");
-    impl_->EndOverrun(now, id);
-    return;
-  }
-  const bool not_run =
-      error == UpstreamError::kNotSent || error == UpstreamError::kRejected;
-  impl_->Fail(now, *item, not_run ? Verdict::kNotRun : Verdict::kMayHaveRun,
-              Refusal::kUpstreamFailed, error == UpstreamError::kBroken);
-  impl_->Forget(now, StageKey(item->call.key));
-  impl_->StartWaiting(now);
-}
-
 void Sidecar::OnTick(TimeUs now) {
   impl_->BeforeInput(now);
+  if (impl_->crash_check_at != 0 &&
+      now >= impl_->crash_check_at + kCrashCheckTime) {
+    impl_->EndCrashCheck(now, /*crashed=*/true);
+  }
   impl_->StartWaiting(now);
 }
 
@@ -444,8 +461,14 @@
   if (!impl_->deadlines.empty()) {
     next = std::min(next, impl_->deadlines.begin()->first);
   }
-  for (const auto& [unused, until] : impl_->overrunning) {
-    next = std::min(next, until);
+  for (const auto& [unused, overrun] : impl_->overrunning) {
+    next = std::min(next, overrun.until);
+  }
+  if (impl_->apart_hold_until != 0) {
+    next = std::min(next, impl_->apart_hold_until);
+  }
+  if (impl_->crash_check_at != 0) {
+    next = std::min(next, impl_->crash_check_at + kCrashCheckTime);
   }
   return next;
 }
@@ -475,15 +498,20 @@
   return impl_->work.size() + impl_->overrunning.size();
 }
 
-Heartbeat Sidecar::MakeHeartbeat() const {
+Quarantine& Sidecar::quarantine() {
+  return impl_->quarantine;
+}
+
+Heartbeat Sidecar::MakeHeartbeat() {
   Heartbeat heartbeat;
   heartbeat.role = Role::kSidecar;
   heartbeat.state = state();
-  heartbeat.load.queued = impl_->queue.size();
-  heartbeat.load.in_progress =
-      impl_->running.size() + impl_->overrunning.size();
-  heartbeat.load.limit = impl_->options.limit;
-  heartbeat.load.service_us = impl_->mean_service;
+  heartbeat.load.queued = static_cast<std::uint32_t>(
+      impl_->queue.size() + impl_->apart_waiting.size());
+  heartbeat.load.in_progress = impl_->Occupied();
+  heartbeat.load.limit = impl_->limit.Current();
+  heartbeat.load.service_us = static_cast<std::uint32_t>(impl_->times.Mean());
+  heartbeat.quarantined = impl_->quarantine.Told(impl_->clock);
   return heartbeat;
 }
 
--- a/src/coordination/sidecar.h
+++ b/src/coordination/sidecar.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "coordination/quarantine.h"
 #include "messages.h"
 #include "state/metrics.h"
 #include "state/span.h"
@@ -33,6 +34,9 @@
   bool reachable = false;
   bool leaving = false;
   LoadReport load;
+  // Differs between two processes that follow one another; empty when the
+  // upstream does not say, and then only its silence tells of a crash.
+  std::string instance;
 };
 
 class SidecarOutput {
@@ -43,6 +47,10 @@
                             const StageCall& call,
                             DurationUs time_left) = 0;
   virtual void CancelUpstream(UpstreamCallId id) = 0;
+  // Asks for a report at once. One that never comes counts as silence.
+  virtual void CheckUpstream() {}
+  // Sends a heartbeat to every entry at once.
+  virtual void TellEntries() {}
   virtual void Export(const Span& span) = 0;
 };
 
@@ -55,6 +63,10 @@
 
 class Sidecar {
  public:
+  // How long the question whether an upstream died may stay without an answer.
+  // Its report is given up after a second.
+  static constexpr DurationUs kCrashCheckTime = 1200 * kMillisecond;
+
   Sidecar(SidecarOptions options, SidecarOutput* output, Metrics* metrics);
   ~Sidecar();
   Sidecar(const Sidecar&) = delete;
@@ -87,7 +99,8 @@
   void Leave(TimeUs now);
   NodeState state() const;
   std::size_t InProgress() const;  // Waiting and running calls.
-  Heartbeat MakeHeartbeat() const;
+  Quarantine& quarantine();
+  Heartbeat MakeHeartbeat();
 
  private:
   struct Impl;
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -15,6 +15,7 @@
 #include "daemon/startup.h"
 #include "protocol/caller_http.h"
 #include "protocol/platform_codec.h"
+#include "protocol/quarantine_http.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "text.h"
@@ -269,6 +270,11 @@
 void EntryNode::Impl::OnHttpRequest(std::uint64_t handle,
                                     const HttpHead& head,
                                     std::string_view body) {
+  if (const auto it =
+          ServeQuarantine(head, body, Loop::Now(), &entry.quarantine())) {
+    server.Reply(handle, *it);
+    return;
+  }
   if (!head.path.starts_with("/v1/")) {
     OnOperatorRequest(handle, head);
     return;
@@ -424,6 +430,7 @@
   heartbeat.state = draining ? NodeState::kLeaving : NodeState::kReady;
   heartbeat.sequence = sequence;
   heartbeat.sent_at = Loop::Now();
+  heartbeat.quarantined = entry.quarantine().Told(Loop::Now());
   heartbeat.receiver_leaving = members.ListedLeaving(sidecar);
   mesh.SendDatagram(sidecar, heartbeat);
 }
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -10,6 +10,7 @@
 
 #include "coordination/sidecar.h"
 #include "daemon/startup.h"
+#include "protocol/quarantine_http.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "text.h"
@@ -65,6 +66,12 @@
     upstream.Call(id, call, time_left);
   }
   void CancelUpstream(UpstreamCallId id) override { upstream.Cancel(id); }
+  void CheckUpstream() override { AskReport(); }
+  void TellEntries() override {
+    for (const NodeId& it : entries) {
+      mesh.SendDatagram(it, sidecar.MakeHeartbeat());
+    }
+  }
   void Export(const Span& span) override { traces.Add(span); }
 
   // PeerHandler:
@@ -81,6 +88,7 @@
       return;
     }
     const auto& asked = std::get<Heartbeat>(message);
+    entries.insert(from);
     sidecar.OnHeartbeat(Loop::Now(), from, from_incarnation, asked);
     Heartbeat heartbeat = sidecar.MakeHeartbeat();
     heartbeat.reply_to = asked.sequence;
@@ -115,6 +123,7 @@
   UpstreamClient upstream;
   Loop::TimerId wakeup = 0;
   TimeUs wakeup_at = 0;
+  std::set<NodeId> entries;  // Those that sent a heartbeat.
   bool draining = false;
   NodeState logged_state = NodeState::kDead;
 };
@@ -122,6 +131,11 @@
 void SidecarNode::Impl::OnHttpRequest(std::uint64_t handle,
                                       const HttpHead& head,
                                       std::string_view body) {
+  if (const auto it =
+          ServeQuarantine(head, body, Loop::Now(), &sidecar.quarantine())) {
+    server.Reply(handle, *it);
+    return;
+  }
   HttpReply reply;
   if (head.path == "/healthz") {
     reply.body = "{}";
@@ -161,7 +175,6 @@
     }
     sidecar.OnUpstreamReport(Loop::Now(), asked_at, report);
     Rearm();
-    loop->After(kReportPeriod, [this] { AskReport(); });
   });
 }
 
@@ -212,6 +225,7 @@
   impl_->sidecar.SetState(NodeState::kStarting);
   impl_->LogState();
   impl_->AskReport();
+  impl_->loop->Every(kReportPeriod, [this] { impl_->AskReport(); });
   return absl::OkStatus();
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -12,6 +12,17 @@
 
 namespace acaciachute {
 
+// What a node knows of a request that was in progress when an upstream died;
+// coordination/quarantine.h says how records of two nodes are put together.
+struct QuarantineRecord {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t epoch = 0;
+  Standing standing = Standing::kClear;
+  DurationUs age = 0;  // Since its last change.
+  std::string account;
+  std::vector<NodeId> crashed_at;
+};
+
 // Entry to sidecar: run one stage. It is addressed to one incarnation and
 // carries the time left instead of a wall-clock deadline, because clocks
 // disagree and a call may arrive at a successor of the sidecar it was meant
@@ -26,7 +37,9 @@
   DurationUs time_left = 0;
   TimeUs sent_at = 0;  // Sender's clock; only differences to its others count.
   DurationUs expected_service = 0;  // Entry's estimate; zero when unknown.
-  std::uint64_t fingerprint = 0;    // Hash of account and body, for blame.
+  std::uint64_t fingerprint = 0;    // See `StageFingerprint`; for blame.
+  // What the sender holds against it, so that the sidecar knows as much.
+  std::vector<QuarantineRecord> quarantined;
   std::string account;
   std::string path;  // Below the upstream's base address.
   std::string body;
@@ -60,6 +73,7 @@
   Refusal reason = Refusal::kUpstreamFailed;
   DurationUs retry_after = 0;
   bool crashed = false;  // The upstream died with the attempt in progress.
+  std::vector<QuarantineRecord> quarantined;  // The attempt's, when it crashed.
 };
 
 // A settings branch and the version a node has of it.
@@ -100,8 +114,8 @@
   bool receiver_leaving = false;  // The entry heard that the receiver leaves.
   LoadReport load;
   FenceNumber fence = 0;
-  SettingsDigest settings;                 // Of entries.
-  std::vector<std::uint64_t> quarantined;  // Fingerprints convicted lately.
+  SettingsDigest settings;  // Of entries.
+  std::vector<QuarantineRecord> quarantined;
 };
 
 // Between entries over UDP: does the other one hear this sidecar? Answered only
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -27,10 +27,14 @@
   a(v.queued, v.in_progress, v.limit, v.service_us);
 }
 template <class A>
+void serialize(A& a, QuarantineRecord& v) {
+  a(v.fingerprint, v.epoch, v.standing, v.age, v.account, v.crashed_at);
+}
+template <class A>
 void serialize(A& a, StageCall& v) {
   a(v.key, v.sidecar, v.caller_class, v.kind, v.idempotent, v.stream,
-    v.time_left, v.sent_at, v.expected_service, v.fingerprint, v.account,
-    v.path, v.body, v.traceparent);
+    v.time_left, v.sent_at, v.expected_service, v.fingerprint, v.quarantined,
+    v.account, v.path, v.body, v.traceparent);
 }
 template <class A>
 void serialize(A& a, StageCancel& v) {
@@ -42,7 +46,8 @@
 }
 template <class A>
 void serialize(A& a, StageFailure& v) {
-  a(v.key, v.sidecar, v.verdict, v.reason, v.retry_after, v.crashed);
+  a(v.key, v.sidecar, v.verdict, v.reason, v.retry_after, v.crashed,
+    v.quarantined);
 }
 template <class A>
 void serialize(A& a, BranchVersion& v) {
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -183,6 +183,7 @@
       report.load.queued = in.value("queued", 0U);
       report.load.in_progress = in.value("in_progress", 0U);
       report.load.limit = in.value("limit", 0U);
+      report.instance = in.value("instance", "");
     }
     done(report);
   });
--- a/src/types.h
+++ b/src/types.h
@@ -118,6 +118,15 @@
   return detail::NameIn(kNodeStateNames, v);
 }
 
+// What is held against a request that was in progress when an upstream died.
+// In the order in which one outranks another.
+enum class Standing { kClear, kSuspect, kConvicted };
+inline constexpr std::array<std::string_view, 3> kStandingNames = {
+    "clear", "suspect", "convicted"};
+constexpr std::string_view Name(Standing v) {
+  return detail::NameIn(kStandingNames, v);
+}
+
 // Why a request was refused or failed. `kRefusals` gives each its HTTP status.
 enum class Refusal {
   kNone,
--- a/tests/core_driver.cc
+++ b/tests/core_driver.cc
@@ -70,6 +70,8 @@
   void CancelUpstream(UpstreamCallId id) override {
     driver->sidecars_.at(node).running.erase(id);
   }
+  void CheckUpstream() override { driver->AnswerReport(node); }
+  void TellEntries() override { driver->SidecarHeartbeat(node); }
   void Export(const Span& span) override {}
 
   CoreDriver* const driver;
@@ -261,6 +263,13 @@
   SidecarProcess* process = &sidecars_.at(node);
   runs_.push_back({node, call.key, call.body, now_});
   process->running[id] = call;
+  if (crashes && crashes(node, call)) {
+    Later(process, kMillisecond, [this, process, node, id] {
+      if (process->running.contains(id)) {
+        CrashUpstream(node);
+      }
+    });
+  }
   const DurationUs service =
       service_time ? service_time(node, call) : options_.service;
   const std::string body =
@@ -288,6 +297,7 @@
   Heartbeat heartbeat;
   heartbeat.state = NodeState::kReady;
   heartbeat.sent_at = now_;
+  heartbeat.quarantined = entries_[n].core->quarantine().Told(now_);
   const NodeId from = EntryName(n);
   SidecarProcess* process = &sidecars_.at(to);
   for (const DurationUs delay : FateOf(from, to, heartbeat).delays) {
@@ -299,24 +309,45 @@
   }
 }
 
+void CoreDriver::SidecarHeartbeat(const NodeId& node) {
+  SidecarProcess& sidecar = sidecars_.at(node);
+  if (!sidecar.alive || sidecar.paused) {
+    return;
+  }
+  const Heartbeat heartbeat = sidecar.core->MakeHeartbeat();
+  const Incarnation incarnation = sidecar.incarnation;
+  for (std::size_t n = 0; n < entries_.size(); ++n) {
+    if (!entries_[n].alive) {
+      continue;
+    }
+    EntryProcess* process = &entries_[n];
+    for (const DurationUs delay :
+         FateOf(node, EntryName(static_cast<int>(n)), heartbeat).delays) {
+      Later(process, delay, [this, process, node, incarnation, heartbeat] {
+        process->core->OnHeartbeat(now_, node, incarnation, heartbeat);
+      });
+    }
+  }
+}
+
+// The upstream is back at once after a crash, as another instance.
+void CoreDriver::AnswerReport(const NodeId& node) {
+  SidecarProcess* process = &sidecars_.at(node);
+  UpstreamReport report;
+  report.reachable = true;
+  report.instance = StrCat("instance-", upstream_crashes_[node]);
+  Later(process, 0, [this, process, asked_at = now_, report] {
+    process->core->OnUpstreamReport(now_, asked_at, report);
+  });
+}
+
 void CoreDriver::Heartbeats() {
-  for (auto& [node, sidecar] : sidecars_) {
+  for (auto& [node, unused] : sidecars_) {
     for (std::size_t n = 0; n < entries_.size(); ++n) {
       EntryHeartbeat(static_cast<int>(n), node);
-      if (!sidecar.alive || sidecar.paused || !entries_[n].alive) {
-        continue;
-      }
-      EntryProcess* process = &entries_[n];
-      const Heartbeat heartbeat = sidecar.core->MakeHeartbeat();
-      const Incarnation incarnation = sidecar.incarnation;
-      for (const DurationUs delay :
-           FateOf(node, EntryName(static_cast<int>(n)), heartbeat).delays) {
-        Later(process, delay,
-              [this, process, from = node, incarnation, heartbeat] {
-                process->core->OnHeartbeat(now_, from, incarnation, heartbeat);
-              });
-      }
     }
+    SidecarHeartbeat(node);
+    AnswerReport(node);
   }
   At(now_ + kHeartbeatPeriod, [this] { Heartbeats(); });
 }
@@ -455,6 +486,7 @@
 
 void CoreDriver::CrashUpstream(const NodeId& node) {
   SidecarProcess* process = &sidecars_.at(node);
+  ++upstream_crashes_[node];
   const auto running = std::exchange(process->running, {});
   for (const auto& [id, unused] : running) {
     process->core->OnUpstreamError(now_, id, UpstreamError::kBroken);
@@ -486,6 +518,14 @@
       [&](const UpstreamRun& it) { return Contains(it.body, body); }));
 }
 
+int CoreDriver::UpstreamCrashes() const {
+  int crashed = 0;
+  for (const auto& [unused, n] : upstream_crashes_) {
+    crashed += n;
+  }
+  return crashed;
+}
+
 std::string CoreDriver::StreamOf(CallerHandle handle) const {
   const auto it = streams_.find(handle);
   return it == streams_.end() ? "" : it->second;
--- a/tests/core_driver.h
+++ b/tests/core_driver.h
@@ -118,6 +118,7 @@
   std::vector<DriverAnswer> AnswersTo(CallerHandle handle) const;
   const std::vector<UpstreamRun>& runs() const { return runs_; }
   int RunsOf(const std::string& body) const;  // Bodies that contain `body`.
+  int UpstreamCrashes() const;
   std::map<std::string, StoreRow>& rows() { return rows_; }
   std::string StreamOf(CallerHandle handle) const;
 
@@ -128,6 +129,8 @@
   std::function<DurationUs(const NodeId& node, const StageCall&)> service_time;
   // Answers of the upstream; by default {"by":node,"input":body}.
   std::function<std::string(const NodeId& node, const StageCall&)> upstream;
+  // Whether a run ends its upstream, a millisecond after it started.
+  std::function<bool(const NodeId& node, const StageCall&)> crashes;
   // Parts of a streamed answer.
   int stream_parts = 3;
 
@@ -174,6 +177,8 @@
                    UpstreamCallId id,
                    const StageCall& call);
   void EntryHeartbeat(int n, const NodeId& to);
+  void SidecarHeartbeat(const NodeId& node);
+  void AnswerReport(const NodeId& node);
   void Heartbeats();
   void Ticks();
 
@@ -186,6 +191,7 @@
   std::vector<EntryProcess> entries_;
   std::map<NodeId, SidecarProcess> sidecars_;
   std::map<std::string, StoreRow> rows_;
+  std::map<NodeId, int> upstream_crashes_;
   std::vector<DriverAnswer> answers_;
   std::map<CallerHandle, std::string> streams_;
   std::vector<UpstreamRun> runs_;
--- /dev/null
+++ b/tests/process/sidecar_test.cc
@@ -0,0 +1,127 @@
+// Sidecars as real processes: signals, real deaths of upstreams, real sockets.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "tests/process/harness.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr DurationUs kPatience = 20 * kSecond;
+
+int RunsAt(Deployment* deployment, const std::string& node) {
+  const auto log = Json::parse(
+      deployment->Get(deployment->upstreams[node]->url() + "/runs").body,
+      nullptr, false);
+  return static_cast<int>(log.size());
+}
+
+// Sends `count` requests at once and gives back their answers in the end.
+std::vector<HttpResult> SendAll(Deployment* deployment,
+                                HttpClient* client,
+                                int count,
+                                const std::function<void()>& meanwhile) {
+  std::vector<HttpResult> results;
+  for (int n = 0; n < count; ++n) {
+    client->Call(deployment->EventRequest(0, StrCat("{\"n\":", n, "}")),
+                 [&](const HttpResult& it) { results.push_back(it); });
+  }
+  meanwhile();
+  EXPECT_TRUE(deployment->WaitFor(
+      [&] { return static_cast<int>(results.size()) == count; }, kPatience));
+  return results;
+}
+
+// SIGTERM reaches one of two sidecars while both are full. What it runs is
+// finished and its answers are sent; what waits in it goes back with "not run"
+// and is answered by the other one. The process ends by itself with status 0.
+TEST(SidecarProcessTest, ShutdownUnderLoadCutsNoRequest) {
+  Deployment deployment(ACACIACHUTE_BIN_DIR,
+                        {{"models", "generate", 2, /*service_ms=*/100, 4}}, 1);
+  ASSERT_TRUE(deployment.WaitReady());
+  HttpClient client(0);
+  const auto results = SendAll(&deployment, &client, 40, [&] {
+    ASSERT_TRUE(deployment.WaitFor(
+        [&] { return RunsAt(&deployment, "models-1") >= 2; }, kPatience));
+    deployment.sidecars["models-1"]->Signal(SIGTERM);
+  });
+  for (const auto& it : results) {
+    EXPECT_EQ(it.status, 200) << it.body << it.error;
+  }
+  EXPECT_EQ(deployment.sidecars["models-1"]->Wait(), 0);
+}
+
+// The upstream says that it leaves while an entry goes on sending. Within the
+// bound its sidecar refuses, so that its run log stands still while the other
+// replica answers everything.
+TEST(SidecarProcessTest, LeavingUpstreamGetsNothingNew) {
+  Deployment deployment(ACACIACHUTE_BIN_DIR,
+                        {{"models", "generate", 2, /*service_ms=*/5, 4}}, 1);
+  ASSERT_TRUE(deployment.WaitReady());
+  deployment.Post(deployment.upstreams["models-1"]->url() + "/faults",
+                  R"({"leaving":true})");
+  ASSERT_TRUE(deployment.WaitFor(
+      [&] {
+        return deployment
+                   .Get(deployment.sidecars["models-1"]->url() + "/readyz")
+                   .status == 503;
+      },
+      kPatience));
+  const int before = RunsAt(&deployment, "models-1");
+  for (int n = 0; n < 50; ++n) {
+    const auto result =
+        deployment.Call(deployment.EventRequest(0, StrCat("{\"n\":", n, "}")));
+    EXPECT_EQ(result.status, 200) << result.body;
+  }
+  EXPECT_EQ(RunsAt(&deployment, "models-1"), before);
+}
+
+// A request ends every upstream that runs it. Two of four die; the resend
+// through the other entry is refused at once with its reason, an operator sees
+// the conviction there and lifts it.
+TEST(SidecarProcessTest, PoisonIsConvictedSeenAndLifted) {
+  Deployment deployment(ACACIACHUTE_BIN_DIR, {{"models", "generate", 4}}, 2);
+  ASSERT_TRUE(deployment.WaitReady());
+  for (const auto& [unused, upstream] : deployment.upstreams) {
+    deployment.Post(upstream->url() + "/faults", R"({"crash_on":"poison"})");
+  }
+  const auto poison = [&](int entry) {
+    return deployment.Call(deployment.EventRequest(entry, R"({"x":"poison"})"));
+  };
+  EXPECT_EQ(poison(0).status, 422);
+  const auto resend = poison(1);
+  EXPECT_EQ(resend.status, 422) << resend.body;
+  EXPECT_TRUE(Contains(resend.body, "\"verdict\":\"not_run\"")) << resend.body;
+  int dead = 0;
+  for (const auto& [unused, upstream] : deployment.upstreams) {
+    dead += upstream->Running() ? 0 : 1;
+  }
+  EXPECT_EQ(dead, 2);
+  const auto listed = Json::parse(
+      deployment.Get(deployment.entries[1]->url() + "/quarantine").body,
+      nullptr, false);
+  ASSERT_EQ(listed["quarantine"].size(), 1) << listed;
+  EXPECT_EQ(listed["quarantine"][0]["standing"], "convicted");
+  for (const auto& [unused, upstream] : deployment.upstreams) {
+    if (upstream->Running()) {
+      deployment.Post(upstream->url() + "/faults", R"({"crash_on":""})");
+    }
+  }
+  const Json lift = {{"fingerprint", listed["quarantine"][0]["fingerprint"]}};
+  EXPECT_EQ(
+      deployment
+          .Post(deployment.entries[1]->url() + "/quarantine/lift", lift.dump())
+          .status,
+      200);
+  EXPECT_TRUE(
+      deployment.WaitFor([&] { return poison(0).status == 200; }, kPatience));
+}
+
+}  // namespace
+}  // namespace acaciachute
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -41,6 +41,7 @@
     ids.push_back(id);
   }
   void CancelUpstream(UpstreamCallId id) override { cancelled.push_back(id); }
+  void CheckUpstream() override { ++checks; }
   void Export(const Span& span) override {}
 
   // A call that the entry sends now, with `time_left`.
@@ -54,6 +55,14 @@
     call.body = "{}";
     return call;
   }
+  // A call that was in progress when another upstream died.
+  StageCall Suspect(std::uint64_t request) const {
+    StageCall call = Call(request);
+    call.fingerprint = 1000 + request;
+    call.quarantined = {
+        {call.fingerprint, 1, Standing::kSuspect, 0, "office", {"orders-9"}}};
+    return call;
+  }
   void Deliver(const Message& message) {
     core.OnMessage(now, "entry-0", message);
   }
@@ -89,6 +98,7 @@
   std::vector<StageCall> started;
   std::vector<UpstreamCallId> ids;
   std::vector<UpstreamCallId> cancelled;
+  int checks = 0;
   Sidecar core;
 };
 
--- a/tests/standins/upstream.cc
+++ b/tests/standins/upstream.cc
@@ -64,7 +64,8 @@
             {{"state", config_.leaving ? "leaving" : "ready"},
              {"queued", waiting_.size()},
              {"in_progress", running_},
-             {"limit", config_.slots}});
+             {"limit", config_.slots},
+             {"instance", StrCat(getpid(), "-", started_at_)}});
     } else if (head.path == "/v1/cancel") {
       Cancel(handle, body);
     } else if (head.path == "/faults") {
@@ -175,6 +176,7 @@
     server_.StreamEnd(handle, "event: end\n\n");
   }
 
+  const TimeUs started_at_ = Loop::Now();
   Config config_;
   Loop* const loop_;
   HttpServer server_;
