--- a/src/messages.h
+++ b/src/messages.h
@@ -161,6 +161,7 @@
 // repeated order harmless; `fence` makes an old holder's order void.
 struct ControlOrder {
   std::string order_id;
+  Incarnation sidecar = 0;
   OrderKind kind = OrderKind::kLoadModel;
   FenceNumber fence = 0;
   std::string model;
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -88,7 +88,7 @@
 }
 template <class A>
 void serialize(A& a, ControlOrder& v) {
-  a(v.order_id, v.kind, v.fence, v.model, v.model_version);
+  a(v.order_id, v.sidecar, v.kind, v.fence, v.model, v.model_version);
 }
 template <class A>
 void serialize(A& a, ControlOrderResult& v) {
