Pass fenced orders to upstreams and drop their bad answers

Cause: orders reached the sidecar's guard and no upstream, and the checks of an upstream's answer were there without a proof.

Sidecars read the lease's row and the upstream's number over HTTP, pass orders and give their outcome; an order to leave closes the upstream at once. The stand-in keeps or ignores numbers and gives answers that are cut, late, doubled, for another request, no JSON, or streams cut at each part.

Five kinds of bad answers: each caller is told "may have run", none receives any of it; streams cut after 0 to 3 of 4 parts never carry the end marker.

--- a/src/coordination/sidecar.cc
+++ b/src/coordination/sidecar.cc
@@ -478,6 +478,11 @@
   impl_->BeforeInput(impl_->clock);
 }
 
+void Sidecar::LeaveByOrder(TimeUs now) {
+  impl_->leaving.OnWord(now, LeaveRoute::kOrder, true);
+  impl_->BeforeInput(now);
+}
+
 void Sidecar::Leave(TimeUs now) {
   impl_->leaving.OnWord(now, LeaveRoute::kSignal, true);
   impl_->BeforeInput(now);
--- a/src/coordination/sidecar.h
+++ b/src/coordination/sidecar.h
@@ -95,6 +95,8 @@
 
   // Ready or not yet; leaving comes on top of it, from what the inputs say.
   void SetState(NodeState state);
+  // An order of the lease's holder: the upstream is to be given nothing new.
+  void LeaveByOrder(TimeUs now);
   // This process was told to end: nothing new from now on.
   void Leave(TimeUs now);
   NodeState state() const;
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -8,12 +8,16 @@
 #include <string>
 #include <utility>
 
+#include "coordination/fence.h"
 #include "coordination/sidecar.h"
 #include "daemon/startup.h"
+#include "protocol/lease_codec.h"
+#include "protocol/platform_codec.h"
 #include "protocol/quarantine_http.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "text.h"
+#include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/peer_mesh.h"
 #include "transport/trace_log.h"
@@ -24,13 +28,20 @@
 
 // How often the upstream is asked; bounds how late leaving is noticed.
 constexpr DurationUs kReportPeriod = 200 * kMillisecond;
+// A read of the lease's row; an order waits for it.
+constexpr DurationUs kPlatformTimeout = 2 * kSecond;
+// Until the upstream has said whether it keeps numbers, no order is passed.
+constexpr DurationUs kFenceRetry = kSecond;
 // Entries hear of the leaving by heartbeats in the meantime.
 constexpr DurationUs kLeavingGrace = 500 * kMillisecond;
 constexpr DurationUs kDrainPoll = 20 * kMillisecond;
 
 }  // namespace
 
-struct SidecarNode::Impl : SidecarOutput, PeerHandler, HttpHandler {
+struct SidecarNode::Impl : SidecarOutput,
+                           FenceOutput,
+                           PeerHandler,
+                           HttpHandler {
   Impl(const NodeSettings& node_settings, Loop* event_loop)
       : settings(node_settings),
         loop(event_loop),
@@ -41,6 +52,7 @@
                  settings.max_queued},
                 this,
                 &metrics),
+        fence(incarnation, this, &metrics),
         mesh({settings.node, incarnation, settings.frame_key, settings.listen},
              this,
              &metrics),
@@ -74,10 +86,23 @@
   }
   void Export(const Span& span) override { traces.Add(span); }
 
+  // FenceOutput:
+  void ReadLease(std::uint64_t ticket) override;
+  void ReadUpstreamFence() override;
+  void PassOrder(const ControlOrder& order) override;
+  void AnswerOrder(const NodeId& holder,
+                   const ControlOrderResult& result) override {
+    mesh.Send(holder, result);
+  }
+
   // PeerHandler:
   void OnPeerMessage(const NodeId& from,
                      Incarnation from_incarnation,
                      const Message& message) override {
+    if (const auto* order = std::get_if<ControlOrder>(&message)) {
+      fence.OnOrder(Loop::Now(), from, *order);
+      return;
+    }
     sidecar.OnMessage(Loop::Now(), from, message);
     Rearm();
   }
@@ -92,6 +117,7 @@
     sidecar.OnHeartbeat(Loop::Now(), from, from_incarnation, asked);
     Heartbeat heartbeat = sidecar.MakeHeartbeat();
     heartbeat.reply_to = asked.sequence;
+    heartbeat.fence = fence.in_force();
     mesh.SendDatagram(from, heartbeat);
   }
   void OnPeerLost(const NodeId& peer) override {
@@ -118,8 +144,10 @@
   Metrics metrics;
   TraceLog traces;
   Sidecar sidecar;
+  FenceGuard fence;
   PeerMesh mesh;
   HttpServer server;
+  HttpClient platform{kPlatformTimeout};
   UpstreamClient upstream;
   Loop::TimerId wakeup = 0;
   TimeUs wakeup_at = 0;
@@ -158,6 +186,54 @@
   server.Reply(handle, reply);
 }
 
+// Without a platform or a pool there is no lease, and orders are refused.
+void SidecarNode::Impl::ReadLease(std::uint64_t ticket) {
+  if (settings.platform_url.empty() || settings.upstream_pool.empty()) {
+    loop->After(0, [this, ticket] {
+      fence.OnLease(Loop::Now(), ticket, std::nullopt);
+    });
+    return;
+  }
+  HttpRequest request;
+  request.method = "POST";
+  request.url = StrCat(settings.platform_url, kTransactPath);
+  request.body = EncodeTransaction(
+      {{StoreOpKind::kRead, StrCat("lease/", settings.upstream_pool), "", 0}});
+  platform.Call(request, [this, ticket](const HttpResult& result) {
+    const auto answer = DecodeStoreAnswer(result.status, result.body);
+    std::optional<FenceNumber> number;
+    if (result.whole && answer.status == StoreStatus::kOk &&
+        !answer.rows.empty()) {
+      number = FenceOfLeaseRow(answer.rows[0]);
+    }
+    fence.OnLease(Loop::Now(), ticket, number);
+  });
+}
+
+void SidecarNode::Impl::ReadUpstreamFence() {
+  upstream.ReadFence([this](bool known, bool keeps, FenceNumber number) {
+    if (known) {
+      fence.OnUpstreamFence(keeps, number);
+      return;
+    }
+    loop->After(kFenceRetry, [this] { ReadUpstreamFence(); });
+  });
+}
+
+void SidecarNode::Impl::PassOrder(const ControlOrder& order) {
+  LOG(INFO) << "event=order node=" << settings.node
+            << " order_id=" << order.order_id << " kind=" << Name(order.kind)
+            << " fence=" << order.fence;
+  if (order.kind == OrderKind::kLeave) {
+    sidecar.LeaveByOrder(Loop::Now());
+    Rearm();
+  }
+  upstream.PassOrder(order, [this, id = order.order_id](OrderOutcome outcome,
+                                                        FenceNumber number) {
+    fence.OnOutcome(Loop::Now(), id, outcome, number);
+  });
+}
+
 void SidecarNode::Impl::LogState() {
   if (sidecar.state() == logged_state) {
     return;
@@ -224,6 +300,7 @@
                  impl_->server.port());
   impl_->sidecar.SetState(NodeState::kStarting);
   impl_->LogState();
+  impl_->fence.Start(Loop::Now());
   impl_->AskReport();
   impl_->loop->Every(kReportPeriod, [this] { impl_->AskReport(); });
   return absl::OkStatus();
--- a/src/protocol/node_settings.cc
+++ b/src/protocol/node_settings.cc
@@ -129,6 +129,7 @@
   out.upstream_url = ReadUrl(in, "upstream");
   out.max_requests = in.value("max_requests", out.max_requests);
   if (in.contains("upstream")) {
+    out.upstream_pool = in.at("upstream").value("pool", "");
     out.upstream_limit = in.at("upstream").value("limit", out.upstream_limit);
     out.max_queued = in.at("upstream").value("max_queued", out.max_queued);
   }
--- a/src/protocol/node_settings.h
+++ b/src/protocol/node_settings.h
@@ -35,6 +35,7 @@
   std::vector<PeerAddress> peers;
   std::string platform_url;
   std::string upstream_url;
+  std::string upstream_pool;  // Empty: it takes no orders.
   std::uint32_t upstream_limit = 4;
   std::uint32_t max_queued = 256;
   std::uint32_t max_requests = 4096;
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -18,6 +18,8 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpUnavailable = 503;
 constexpr int kHttpTooMany = 429;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpNotFound = 404;
 
 // A load report that takes longer is of no use.
 constexpr DurationUs kReportTimeout = kSecond;
@@ -54,6 +56,28 @@
   return result.whole ? UpstreamError::kMalformed : UpstreamError::kBroken;
 }
 
+// Zero when the answer names none.
+FenceNumber FenceIn(const HttpResult& result) {
+  const Json in = Json::parse(result.body, nullptr, false);
+  return in.is_object() && in.contains("fence") &&
+                 in["fence"].is_number_unsigned()
+             ? in["fence"].get<FenceNumber>()
+             : 0;
+}
+
+OrderOutcome OutcomeOf(const HttpResult& result) {
+  if (!result.sent || result.status == kHttpUnavailable ||
+      result.status == kHttpTooMany) {
+    return OrderOutcome::kNotSent;
+  }
+  if (!result.whole) {
+    return OrderOutcome::kUnknown;
+  }
+  return result.status == kHttpOk         ? OrderOutcome::kDone
+         : result.status == kHttpConflict ? OrderOutcome::kRefused
+                                          : OrderOutcome::kUnknown;
+}
+
 }  // namespace
 
 struct UpstreamClient::Impl {
@@ -169,6 +193,34 @@
   impl_->reports.Call(request, [](const HttpResult&) {});
 }
 
+void UpstreamClient::ReadFence(
+    const std::function<void(bool known, bool keeps, FenceNumber)>& done) {
+  HttpRequest request;
+  request.url = StrCat(impl_->url, "/v1/fence");
+  request.repeatable = true;
+  impl_->reports.Call(request, [done](const HttpResult& result) {
+    const bool keeps = result.status == kHttpOk && result.whole;
+    done(keeps || result.status == kHttpNotFound, keeps, FenceIn(result));
+  });
+}
+
+void UpstreamClient::PassOrder(
+    const ControlOrder& order,
+    const std::function<void(OrderOutcome, FenceNumber)>& done) {
+  HttpRequest request;
+  request.method = "POST";
+  request.url = StrCat(impl_->url, "/v1/orders");
+  request.body = Json{{"order_id", order.order_id},
+                      {"fence", order.fence},
+                      {"kind", Name(order.kind)},
+                      {"model", order.model},
+                      {"version", order.model_version}}
+                     .dump();
+  impl_->calls.Call(request, [done](const HttpResult& result) {
+    done(OutcomeOf(result), FenceIn(result));
+  });
+}
+
 void UpstreamClient::AskReport(
     const std::function<void(const UpstreamReport&)>& done) {
   HttpRequest request;
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "coordination/fence.h"
 #include "coordination/sidecar.h"
 #include "messages.h"
 #include "types.h"
@@ -27,6 +28,12 @@
 
   void Call(UpstreamCallId id, const StageCall& call, DurationUs time_left);
   void Cancel(UpstreamCallId id);
+  // The upstream's own fencing number. `known` is false when it did not answer,
+  // `keeps` when it ignores numbers.
+  void ReadFence(
+      const std::function<void(bool known, bool keeps, FenceNumber)>& done);
+  void PassOrder(const ControlOrder& order,
+                 const std::function<void(OrderOutcome, FenceNumber)>& done);
   void AskReport(const std::function<void(const UpstreamReport&)>& done);
 
  private:
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -64,6 +64,12 @@
             0);
 }
 
+TEST(LeavingTest, OrderAlone) {
+  EXPECT_EQ(StartsAfterBound(
+                [](SidecarRig& rig) { rig.core.LeaveByOrder(rig.now); }, 0),
+            0);
+}
+
 TEST(LeavingTest, SignalAlone) {
   EXPECT_EQ(
       StartsAfterBound([](SidecarRig& rig) { rig.core.Leave(rig.now); }, 0), 0);
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -203,12 +203,15 @@
   }
   const std::string upstream_url =
       relays_ ? UrlOf(upstream_links[node]->port()) : upstreams[node]->url();
-  const Json json = {{"role", "sidecar"},
-                     {"node", node},
-                     {"frame_key", kFrameKey},
-                     {"listen", {{"ip", "127.0.0.1"}, {"port", slot.port}}},
-                     {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
-                     {"upstream", {{"url", upstream_url}, {"limit", limit}}}};
+  const Json json = {
+      {"role", "sidecar"},
+      {"node", node},
+      {"frame_key", kFrameKey},
+      {"listen", {{"ip", "127.0.0.1"}, {"port", slot.port}}},
+      {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
+      {"platform", {{"url", platform->url()}}},
+      {"upstream",
+       {{"url", upstream_url}, {"pool", slot.pool}, {"limit", limit}}}};
   sidecars[node] = std::make_unique<Process>(
       bin_dir + "/acaciachuted",
       std::vector<std::string>{"--settings", WriteNodeFile(node, json.dump())});
--- a/tests/process/sidecar_test.cc
+++ b/tests/process/sidecar_test.cc
@@ -123,5 +123,52 @@
       deployment.WaitFor([&] { return poison(0).status == 200; }, kPatience));
 }
 
+// Sends one request with what is wrong with its upstream's answer.
+HttpResult AskWithFault(Deployment* deployment,
+                        const std::string& faults,
+                        bool stream = false) {
+  deployment->Post(deployment->upstreams["models-1"]->url() + "/faults",
+                   faults);
+  HttpRequest request = deployment->EventRequest(0, R"({"x":"bad"})");
+  request.headers.emplace_back("Acaciachute-Deadline-Ms", "600");
+  if (stream) {
+    request.headers.emplace_back("Accept", "text/event-stream");
+  }
+  return deployment->Call(request);
+}
+
+// The only upstream gives answers that are cut, late, doubled, for another
+// request or no JSON. Each caller is told that its request may have run, none
+// receives any of it, and the next good answer passes.
+TEST(SidecarProcessTest, BadAnswersNeverReachACaller) {
+  Deployment deployment(ACACIACHUTE_BIN_DIR, {{"models", "generate", 1}}, 1);
+  ASSERT_TRUE(deployment.WaitReady());
+  for (const char* fault : {"cut", "late", "doubled", "foreign", "no_json"}) {
+    const auto result = AskWithFault(
+        &deployment, Json{{"answer", fault}, {"late_ms", 1500}}.dump());
+    EXPECT_GE(result.status, 500) << fault << result.body;
+    EXPECT_TRUE(Contains(result.body, "\"verdict\":\"may_have_run\""))
+        << fault << result.body;
+    EXPECT_FALSE(Contains(result.body, "input")) << fault << result.body;
+    const auto good = AskWithFault(&deployment, R"({"answer":"none"})");
+    EXPECT_EQ(good.status, 200) << fault << good.body;
+  }
+}
+
+// A stream breaks off after each possible number of parts. None of them looks
+// whole: without the end marker the caller knows that it was cut.
+TEST(SidecarProcessTest, CutStreamNeverLooksWhole) {
+  Deployment deployment(ACACIACHUTE_BIN_DIR, {{"models", "generate", 1}}, 1);
+  ASSERT_TRUE(deployment.WaitReady());
+  for (int parts = 0; parts < 4; ++parts) {
+    const auto result = AskWithFault(
+        &deployment, Json{{"stream_parts", parts}}.dump(), /*stream=*/true);
+    EXPECT_FALSE(Contains(result.body, "event: end")) << result.body;
+  }
+  const auto whole =
+      AskWithFault(&deployment, R"({"stream_parts":4})", /*stream=*/true);
+  EXPECT_TRUE(Contains(whole.body, "event: end")) << whole.body;
+}
+
 }  // namespace
 }  // namespace acaciachute
--- a/tests/standins/upstream.cc
+++ b/tests/standins/upstream.cc
@@ -4,12 +4,14 @@
 // protocol; faults are ordered by POST /faults.
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <deque>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 #include "text.h"
@@ -24,6 +26,11 @@
 constexpr int kStreamParts = 4;
 constexpr int kCrashExit = 9;
 
+// What goes wrong with the answer to a body that contains `fault_on`.
+enum class AnswerFault { kNone, kCut, kLate, kDoubled, kForeign, kNoJson };
+constexpr std::array<std::string_view, 6> kAnswerFaultNames = {
+    "none", "cut", "late", "doubled", "foreign", "no_json"};
+
 struct Config {
   std::string kind;
   std::string name;
@@ -31,6 +38,11 @@
   std::int64_t service_ms = 5;
   std::string crash_on;  // A body that contains this ends the process.
   bool leaving = false;
+  AnswerFault fault = AnswerFault::kNone;
+  std::string fault_on;
+  std::int64_t late_ms = 0;
+  int stream_parts = kStreamParts;  // Fewer than all: the stream is cut there.
+  bool keeps_fence = true;          // Or ignores fencing numbers.
 };
 
 struct Run {
@@ -68,6 +80,12 @@
              {"instance", StrCat(getpid(), "-", started_at_)}});
     } else if (head.path == "/v1/cancel") {
       Cancel(handle, body);
+    } else if (head.path == "/v1/orders") {
+      TakeOrder(handle, body);
+    } else if (head.path == "/v1/fence" && config_.keeps_fence) {
+      Reply(handle, 200, {{"fence", fence_}});
+    } else if (head.path == "/orders") {
+      Reply(handle, 200, orders_);
     } else if (head.path == "/faults") {
       SetFaults(handle, body);
     } else if (head.path == "/runs") {
@@ -97,6 +115,13 @@
     config_.crash_on = in.value("crash_on", config_.crash_on);
     config_.leaving = in.value("leaving", config_.leaving);
     config_.service_ms = in.value("service_ms", config_.service_ms);
+    const auto fault = detail::ValueIn<AnswerFault>(
+        kAnswerFaultNames, in.value("answer", std::string("none")));
+    config_.fault = fault.value_or(AnswerFault::kNone);
+    config_.fault_on = in.value("fault_on", config_.fault_on);
+    config_.late_ms = in.value("late_ms", config_.late_ms);
+    config_.stream_parts = in.value("stream_parts", config_.stream_parts);
+    config_.keeps_fence = in.value("keeps_fence", config_.keeps_fence);
     Reply(handle, 200, Json::object());
   }
 
@@ -147,33 +172,87 @@
     }
   }
 
+  AnswerFault FaultOf(const Run& run) const {
+    return Contains(run.body, config_.fault_on) ? config_.fault
+                                                : AnswerFault::kNone;
+  }
+
   void Finish(std::uint64_t handle) {
     --running_;
     const auto it = calls_.find(handle);
     if (it != calls_.end()) {
       const Run run = std::move(it->second);
       calls_.erase(it);
-      Answer(handle, run);
+      if (FaultOf(run) == AnswerFault::kLate) {
+        loop_->After(config_.late_ms * kMillisecond,
+                     [this, handle, run] { Answer(handle, run); });
+      } else {
+        Answer(handle, run);
+      }
     }
     StartWaiting();
   }
 
   void Answer(std::uint64_t handle, const Run& run) {
-    if (!run.stream) {
-      HttpReply reply;
-      reply.headers.emplace_back("X-Request-Id", run.id);
-      reply.body = Json{{"stage", config_.kind},
-                        {"by", config_.name},
-                        {"input", Json::parse(run.body, nullptr, false)}}
-                       .dump();
-      server_.Reply(handle, reply);
+    const AnswerFault fault = FaultOf(run);
+    const std::string id =
+        fault == AnswerFault::kForeign ? "another-request" : run.id;
+    if (run.stream) {
+      AnswerStream(handle, id);
+      return;
+    }
+    const std::string whole =
+        Json{{"stage", config_.kind},
+             {"by", config_.name},
+             {"input", Json::parse(run.body, nullptr, false)}}
+            .dump();
+    if (fault == AnswerFault::kCut) {
+      server_.SetHeader(handle, "X-Request-Id", id);
+      server_.StreamPart(handle, whole.substr(0, whole.size() / 2));
+      // Once the part has left; a connection dropped at once sends nothing.
+      loop_->After(kMillisecond, [this, handle] { server_.Drop(handle); });
       return;
     }
-    server_.SetHeader(handle, "X-Request-Id", run.id);
-    for (int n = 0; n < kStreamParts; ++n) {
+    HttpReply reply;
+    reply.headers.emplace_back("X-Request-Id", id);
+    reply.body = fault == AnswerFault::kDoubled  ? whole + whole
+                 : fault == AnswerFault::kNoJson ? "no JSON"
+                                                 : whole;
+    server_.Reply(handle, reply);
+  }
+
+  void AnswerStream(std::uint64_t handle, const std::string& id) {
+    server_.SetHeader(handle, "X-Request-Id", id);
+    for (int n = 0; n < config_.stream_parts; ++n) {
       server_.StreamPart(handle, FormatStreamPart(StrCat("part", n, " ")));
     }
-    server_.StreamEnd(handle, "event: end\n\n");
+    if (config_.stream_parts >= kStreamParts) {
+      server_.StreamEnd(handle, "event: end\n\n");
+      return;
+    }
+    loop_->After(kMillisecond, [this, handle] { server_.Drop(handle); });
+  }
+
+  // An upstream that keeps numbers refuses older ones and answers a repeated
+  // order id again; one that ignores them does as it is told.
+  void TakeOrder(std::uint64_t handle, std::string_view body) {
+    const Json order = Json::parse(body, nullptr, false);
+    if (!order.is_object()) {
+      Reply(handle, 400, {{"error", "no JSON object"}});
+      return;
+    }
+    const auto number = order.value("fence", std::uint64_t{0});
+    if (config_.keeps_fence && number < fence_) {
+      Reply(handle, 409, {{"fence", fence_}});
+      return;
+    }
+    fence_ = std::max(fence_, number);
+    const auto id = order.value("order_id", "");
+    if (!config_.keeps_fence || order_ids_.insert(id).second) {
+      orders_.push_back(order);
+      config_.leaving = config_.leaving || order.value("kind", "") == "leave";
+    }
+    Reply(handle, 200, {{"fence", fence_}});
   }
 
   const TimeUs started_at_ = Loop::Now();
@@ -184,6 +263,9 @@
   std::map<std::uint64_t, Run> calls_;
   std::deque<std::uint64_t> waiting_;
   Json runs_ = Json::array();
+  std::uint64_t fence_ = 0;
+  std::set<std::string> order_ids_;
+  Json orders_ = Json::array();  // Carried out.
 };
 
 int Main(int argc, char** argv) {
