Compare the real core with a naive version on generated schedules

Cause: a proof that passes says little unless the same schedule breaks a version without the safeguards. The naive one has round robin, blind retries, no claims, and matches results by a counter that starts again.

No functional change

--- /dev/null
+++ b/tests/naive_system.h
@@ -0,0 +1,86 @@
+// What the real system is measured against: round robin, blind retries after a
+// timeout, no claims, results matched by a counter that starts again with each
+// process. It takes the same schedules as `CoreDriver`.
+#ifndef ACACIACHUTE_TESTS_NAIVE_SYSTEM_H_
+#define ACACIACHUTE_TESTS_NAIVE_SYSTEM_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/core_driver.h"
+
+namespace acaciachute {
+
+class NaiveSystem {
+ public:
+  explicit NaiveSystem(DriverOptions options);
+
+  TimeUs now() const { return now_; }
+  void Run(DurationUs duration);
+  void At(TimeUs at, std::function<void()> task);
+  CallerHandle Ask(int n, CallerRequest request);
+  void KillEntry(int n);
+  void StartEntry(int n);
+  void PauseEntry(int n, bool paused);
+  void KillSidecar(const NodeId& node);
+  void StartSidecar(const NodeId& node);
+  void PauseSidecar(const NodeId& node, bool paused);
+  void CrashUpstream(const NodeId& node);
+  const std::vector<DriverAnswer>& answers() const { return answers_; }
+  const std::vector<UpstreamRun>& runs() const { return runs_; }
+
+  std::function<Fate(const NodeId& from, const NodeId& to, const Message&)>
+      network;
+  std::function<StoreFault(const std::vector<StoreOp>&)>
+      store_fault;  // Unused.
+  std::function<std::string(const NodeId& node, const StageCall&)> upstream;
+  int stream_parts = 3;
+
+ private:
+  // A process of either kind.
+  struct Process {
+    int life = 1;
+    bool alive = true;
+    bool paused = false;
+    std::vector<std::function<void()>> held;
+  };
+  struct Request {
+    CallerRequest call;
+    std::size_t stage = 0;
+    int tries = 0;
+    std::string input;
+    std::string received;
+  };
+  struct EntryProcess : Process {
+    std::uint64_t next_id = 1;
+    std::map<std::uint64_t, Request> requests;
+  };
+
+  void Deliver(Process* process, std::function<void()> task);
+  void Later(Process* process,
+             DurationUs delay,
+             const std::function<void()>& task);
+  void Pause(Process* process, bool paused);
+  void Try(int n, std::uint64_t id);
+  void OnCall(const NodeId& node, int n, const StageCall& call);
+  void OnChunk(int n, const StageChunk& chunk);
+
+  const DriverOptions options_;
+  TimeUs now_ = kSecond;
+  std::uint64_t next_task_ = 0;
+  std::map<std::pair<TimeUs, std::uint64_t>, std::function<void()>> tasks_;
+  std::vector<EntryProcess> entries_;
+  std::map<NodeId, Process> sidecars_;
+  std::uint64_t next_replica_ = 0;
+  CallerHandle next_handle_ = 1;
+  std::vector<DriverAnswer> answers_;
+  std::vector<UpstreamRun> runs_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_TESTS_NAIVE_SYSTEM_H_
