Measure decisions under load by what callers receive

Cause: nothing measured the decisions when the system is full. bench/ drives the real Entry and Sidecar cores in virtual time over thirteen load patterns at both deployments' sizes, beside a naive version (round robin, first come first served, blind retries) and a fluid bound on generation's work in time.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 bench: build ## Measure the decisions and the path
 	@$(BUILD)/bench/bench_path
+	@$(BUILD)/bench/bench_decisions
 
 clean: ## Remove the build
 	@rm -rf $(BUILD)
--- /dev/null
+++ b/bench/decisions_main.cc
@@ -0,0 +1,110 @@
+// Prints what callers receive under each load pattern, beside the naive
+// version, and one signature over all decisions.
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <string>
+
+#include "bench/decisions.h"
+
+namespace acaciachute::bench {
+namespace {
+
+// Seeds that figures in the code were tuned on, and those kept back.
+constexpr std::uint64_t kTuned = 11;
+constexpr std::uint64_t kKeptBack = 1009;
+
+void PrintHead() {
+  std::printf(
+      "%-20s %-5s | %6s %6s %6s %6s %6s | %5s %5s %5s | %6s %5s %6s %6s | "
+      "%5s %6s %4s | %5s %6s %6s | %s\n",
+      "pattern", "", "urgent", "patien", "worst", "bound", "after", "p50",
+      "p99", "p99.9", "refuse", "late", "soon99", "gap", "waste", "retry",
+      "dbl", "early", "genera", "refcst", "reasons");
+}
+
+void PrintRow(std::string_view name, Policy policy, const Result& it) {
+  double worst = 1;
+  for (const Tally& tally : it.by_account) {
+    worst = std::min(worst, tally.Share());
+  }
+  std::printf(
+      "%-20s %-5s | %6.2f %6.2f %6.2f %6.2f %6.2f | %5.2f %5.2f %5.2f | "
+      "%6llu %5llu %6.3f %6.2f | %5.3f %6.3f %4llu | %5.3f %6.3f %6.3f |",
+      std::string(name).c_str(), policy == Policy::kReal ? "" : "naive",
+      100 * it.by_class[0].Share(), 100 * it.by_class[1].Share(), 100 * worst,
+      100 * it.bound_share, 100 * it.after.Share(), it.urgent_waits[0] * 1e-6,
+      it.urgent_waits[1] * 1e-6, it.urgent_waits[2] * 1e-6,
+      static_cast<unsigned long long>(it.refused),
+      static_cast<unsigned long long>(it.late), it.refusal_p99 * 1e-6,
+      it.longest_gap * 1e-6, it.wasted, it.retries,
+      static_cast<unsigned long long>(it.doubled),
+      it.cost[0] + it.cost[1] + it.cost[2], it.cost[3], it.refused_cost);
+  for (std::size_t n = 0; n < it.reasons.size(); ++n) {
+    if (it.reasons[n] > 0) {
+      std::printf(" %s=%llu", std::string(kRefusals[n].name).c_str(),
+                  static_cast<unsigned long long>(it.reasons[n]));
+    }
+  }
+  std::printf(" accounts=");
+  for (const Tally& tally : it.by_account) {
+    std::printf("%.1f ", 100 * tally.Share());
+  }
+  std::printf("\n");
+}
+
+std::uint64_t PrintTable(std::uint64_t seed,
+                         bool naive,
+                         const std::string& only) {
+  std::uint64_t signature = 0;
+  for (const Deployment& deployment : kDeployments) {
+    std::printf("\n%s, %d model replicas, seed %llu\n",
+                std::string(deployment.name).c_str(), deployment.model_replicas,
+                static_cast<unsigned long long>(seed));
+    PrintHead();
+    for (const Pattern& pattern : Patterns()) {
+      if (pattern.name.find(only) == std::string_view::npos) {
+        continue;
+      }
+      const Result real = Run(deployment, pattern, Policy::kReal, seed);
+      signature = (signature ^ real.signature) * 0x9E3779B97F4A7C15ULL;
+      PrintRow(pattern.name, Policy::kReal, real);
+      if (naive) {
+        PrintRow("", Policy::kNaive,
+                 Run(deployment, pattern, Policy::kNaive, seed));
+      }
+    }
+  }
+  return signature;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("bench_decisions");
+  options.add_options()("only", "part of a pattern's name",
+                        cxxopts::value<std::string>()->default_value(""))(
+      "no-naive", "leave the naive version out")(
+      "tuned", "only the seed that was tuned on");
+  const auto args = options.parse(argc, argv);
+  const auto only = args["only"].as<std::string>();
+  const bool naive = args.count("no-naive") == 0;
+  std::printf(
+      "In %% of requests sent: urgent, patient, worst account, work in time of "
+      "the capacity bound,\nand after the change ended by 5 s. Seconds: urgent "
+      "answers, refusals, longest gap of any\naccount, cost an answer before "
+      "generation and of it, cost of a request not in time;\n"
+      "dbl: non-idempotent requests that ran twice.\n");
+  std::uint64_t signature = PrintTable(kTuned, naive, only);
+  if (args.count("tuned") == 0) {
+    std::printf("\nSeed kept back from tuning:\n");
+    signature ^= PrintTable(kKeptBack, naive, only);
+  }
+  std::printf("\nsignature: %016llx\n",
+              static_cast<unsigned long long>(signature));
+  return 0;
+}
+
+}  // namespace
+}  // namespace acaciachute::bench
+
+int main(int argc, char** argv) {
+  return acaciachute::bench::Main(argc, argv);
+}
