Use a part of a large pool, and measure what a decision costs

Cause: an admission and a choice looked at every replica of a pool, and 380 entries before 1,500 replicas would each hold a fraction of a call at each. An entry now uses 32 of a pool by rendezvous hashing with failure domains taking turns (subset); pools of today are below that and used whole. The cost bench runs one admission over four stages and one choice.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 bench: build ## Measure the decisions and the path
 	@$(BUILD)/bench/bench_path
 	@$(BUILD)/bench/bench_decisions
+	@$(BUILD)/bench/decision_cost
 
 clean: ## Remove the build
 	@rm -rf $(BUILD)
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -21,9 +21,11 @@
 
 namespace acaciachute {
 
+// A pool as one entry uses it.
 struct SharedPool {
   PoolLoad load;
   FairShare shares;
+  std::vector<Replica*> subset;
 };
 
 // One event's stages, with what is known of their cost.
--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -27,7 +27,7 @@
         random(random),
         metrics(metrics),
         store(output),
-        load(&replicas, random),
+        load(this->options.node, &replicas, random),
         pipeline(this, &replicas, &quarantine, &load, random, metrics),
         claims(make_claims ? make_claims(this) : MakeClaims()) {}
 
--- a/src/coordination/load_control.cc
+++ b/src/coordination/load_control.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "coordination/subset.h"
+
 namespace acaciachute {
 namespace {
 
@@ -11,8 +13,11 @@
 
 }  // namespace
 
-LoadControl::LoadControl(ReplicaTable* replicas, Random* random)
-    : replicas_(replicas), router_(random), returns_(random) {}
+LoadControl::LoadControl(NodeId entry, ReplicaTable* replicas, Random* random)
+    : entry_(std::move(entry)),
+      replicas_(replicas),
+      router_(random),
+      returns_(random) {}
 
 SharedPool* LoadControl::PoolNamed(std::string_view name) {
   const auto it = pools_.find({name.data(), name.size()});
@@ -31,25 +36,41 @@
   // again, because replicas may have gone.
   for (auto& [unused, pool] : pools_) {
     pool->load.Clear();
+    pool->subset.clear();
   }
   for (Replica* replica : replicas_->All()) {
     replica->counted = {};
-    PoolNamed(replica->pool)->load.Update(replica);
+    replica->in_subset = false;
+    PoolNamed(replica->pool);
+  }
+  for (auto& [name, pool] : pools_) {
+    pool->subset = SubsetOf(replicas_->InPool(name), entry_);
+    for (Replica* replica : pool->subset) {
+      replica->in_subset = true;
+      pool->load.Update(replica);
+    }
   }
   // A request keeps the estimate it was admitted under.
   events_.clear();
 }
 
+// Sums are of the subset: what the entry may use and help to fill.
+void LoadControl::Update(Replica* replica) {
+  if (replica->in_subset) {
+    PoolNamed(replica->pool)->load.Update(replica);
+  }
+}
+
 void LoadControl::OnReport(Replica* replica) {
   replica->own_at_report = replica->own_in_progress;
   replica->own_urgent_at_report = replica->own_urgent;
   replica->health.OnHeard();
-  PoolNamed(replica->pool)->load.Update(replica);
+  Update(replica);
 }
 
 void LoadControl::OnUnreachable(Replica* replica) {
   replica->health.OnUnreachable();
-  PoolNamed(replica->pool)->load.Update(replica);
+  Update(replica);
 }
 
 const std::shared_ptr<PipelineEstimate>& LoadControl::EstimateOf(
@@ -122,8 +143,12 @@
                              CallerClass caller_class,
                              bool idempotent) {
   if (settings == settings_) {
-    return router_.Choose(now, replicas_->InPool(pool), tried, caller_class,
-                          idempotent);
+    Replica* replica = router_.Choose(now, PoolNamed(pool)->subset, tried,
+                                      caller_class, idempotent);
+    // The whole pool only when nothing of the subset is left.
+    return replica != nullptr ? replica
+                              : router_.Choose(now, replicas_->InPool(pool),
+                                               tried, caller_class, idempotent);
   }
   // Failure: a replica moved to another pool after the request was admitted.
   // Symptom: it gets the wrong stage. The request keeps the pool of its own
@@ -147,7 +172,7 @@
   }
   ++replica->own_in_progress;
   replica->own_urgent += load->caller_class == CallerClass::kUrgent ? 1 : 0;
-  PoolNamed(replica->pool)->load.Update(replica);
+  Update(replica);
 }
 
 void LoadControl::OnAttemptEnd(TimeUs now,
@@ -168,7 +193,7 @@
     } else if (end == AttemptEnd::kUnsent) {
       replica->health.OnUnreachable();
     }
-    PoolNamed(replica->pool)->load.Update(replica);
+    Update(replica);
   }
   if (end != AttemptEnd::kAnswered) {
     return;
--- a/src/coordination/load_control.h
+++ b/src/coordination/load_control.h
@@ -42,7 +42,7 @@
 
 class LoadControl {
  public:
-  LoadControl(ReplicaTable* replicas, Random* random);
+  LoadControl(NodeId entry, ReplicaTable* replicas, Random* random);
 
   // After the replica table took the settings over.
   void OnSettings(SettingsPtr settings);
@@ -85,8 +85,10 @@
   SharedPool* PoolNamed(std::string_view name);
   const std::shared_ptr<PipelineEstimate>& EstimateOf(std::string_view name,
                                                       const Event& event);
+  void Update(Replica* replica);
   void LeaveStage(RequestLoad* load);
 
+  const NodeId entry_;
   ReplicaTable* const replicas_;
   SettingsPtr settings_;
   AccountTable accounts_;
--- a/src/state/replica_table.h
+++ b/src/state/replica_table.h
@@ -38,6 +38,7 @@
   std::uint32_t own_at_report = 0;
   std::uint32_t own_urgent_at_report = 0;
   ReplicaLoad counted;
+  bool in_subset = false;  // Of this entry's part of the pool.
   ReplicaHealth health;
   DurationUs latency = 0;  // Moving mean of answers to this entry.
 
