Refuse nobody for a pool that has not answered yet

Cause: a replica without a service time counted as one second a call, so a burst on a fresh system was refused although it was served in 5 ms each (ClaimsTest.WritesOfABurstAreGrouped, 200 requests, failed for it; it passes now, unchanged). Such a replica counts as fast as the known ones; a pool of such refuses nobody.

--- a/src/coordination/pool_load.cc
+++ b/src/coordination/pool_load.cc
@@ -5,11 +5,6 @@
 namespace acaciachute {
 namespace {
 
-// A replica that has answered nothing yet has no service time; its slots count,
-// its rate is taken from this until the first report. It is long on purpose:
-// an unknown replica must not look like spare capacity.
-constexpr DurationUs kUnknownService = kSecond;
-
 // The newest answers' weight in the share of urgent work: at 40 answers a
 // second, the last second and a half.
 constexpr double kShareWeight = 1.0 / 64;
@@ -31,6 +26,7 @@
   const auto apply = [this](const ReplicaLoad& it, int sign) {
     replicas_ += sign * (it.slots > 0 ? 1 : 0);
     slots_ += sign * it.slots;
+    known_slots_ += sign * it.known_slots;
     rate_ += sign * it.rate;
     others_ += sign * it.others;
     others_urgent_ += sign * it.others_urgent;
@@ -42,11 +38,14 @@
   if (replica->TakesWork()) {
     const LoadReport& load = replica->load;
     counted.slots = std::max<std::int64_t>(1, load.limit);
-    const auto service = load.service_us > 0
-                             ? static_cast<DurationUs>(load.service_us)
-                             : kUnknownService;
-    counted.rate = static_cast<std::int64_t>(counted.slots * kScale * kSecond /
-                                             static_cast<double>(service));
+    // A replica that has answered nothing yet counts as fast as the others; a
+    // pool of such is not known, and nobody is refused for it.
+    if (load.service_us > 0) {
+      counted.known_slots = counted.slots;
+      counted.rate = static_cast<std::int64_t>(
+          static_cast<double>(counted.slots) * kScale * kSecond /
+          static_cast<double>(load.service_us));
+    }
     counted.others = replica->OthersWork();
     counted.others_urgent = replica->OthersUrgent();
     counted.own = replica->own_in_progress;
@@ -56,8 +55,8 @@
 }
 
 void PoolLoad::Clear() {
-  replicas_ = slots_ = rate_ = others_ = others_urgent_ = own_ = own_urgent_ =
-      0;
+  replicas_ = slots_ = known_slots_ = rate_ = others_ = others_urgent_ = own_ =
+      own_urgent_ = 0;
 }
 
 void PoolLoad::OnAnswer(CallerClass caller_class) {
@@ -73,8 +72,17 @@
                                    static_cast<double>(own_));
 }
 
+double PoolLoad::CallTime() const {
+  if (!known()) {
+    return 0;
+  }
+  const double known_share =
+      static_cast<double>(known_slots_) / static_cast<double>(slots_);
+  return kSecond * kScale * known_share / static_cast<double>(rate_);
+}
+
 DurationUs PoolLoad::Wait(CallerClass caller_class) const {
-  if (rate_ <= 0) {
+  if (!known()) {
     return 0;
   }
   const double per_own = AllPerOwn();
--- a/src/coordination/pool_load.h
+++ b/src/coordination/pool_load.h
@@ -35,6 +35,7 @@
   // An answer of the pool to this entry.
   void OnAnswer(CallerClass caller_class);
 
+  // Whether any replica has told how long a call takes.
   bool known() const { return rate_ > 0; }
   // Until a call that comes now is handed over. Zero while slots are free.
   DurationUs Wait(CallerClass caller_class) const;
@@ -42,7 +43,7 @@
   DurationUs MeanService() const;
   // Pool time that one call takes: the time until the pool as a whole finishes
   // one more.
-  double CallTime() const { return rate_ > 0 ? kSecond * kScale / rate_ : 0; }
+  double CallTime() const;
 
  private:
   // Rates are whole numbers of 1/kScale calls a second, so that sums do not
@@ -53,7 +54,8 @@
 
   std::int64_t replicas_ = 0;
   std::int64_t slots_ = 0;
-  std::int64_t rate_ = 0;
+  std::int64_t known_slots_ = 0;  // Of replicas with a known service time.
+  std::int64_t rate_ = 0;         // Of those.
   std::int64_t others_ = 0;
   std::int64_t others_urgent_ = 0;
   std::int64_t own_ = 0;
--- a/src/state/replica_table.h
+++ b/src/state/replica_table.h
@@ -18,6 +18,7 @@
 // What a pool's sums hold of one replica, to be taken out before the next.
 struct ReplicaLoad {
   std::int64_t slots = 0;
+  std::int64_t known_slots = 0;
   std::int64_t rate = 0;
   std::int64_t others = 0;
   std::int64_t others_urgent = 0;
