--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -58,6 +58,7 @@
   int generations = 0;    // Runs of the last stage.
   double size = 1;
   double cost = 0;  // Upstream seconds of all its attempts.
+  bool ended = false;
   bool done = false;
 };
 
@@ -394,6 +395,8 @@
   const bool answered = answer.verdict == Verdict::kAnswered;
   const bool in_time = answered && took <= kDeadlines[nth];
   ask.done = in_time;
+  result_.twice += ask.ended;
+  ask.ended = true;
   if (ask.sent < kWarm || ask.sent >= end_) {
     return;
   }
@@ -419,6 +422,7 @@
       ask.resends < kMostResends) {
     Ask again = ask;
     ++again.resends;
+    again.ended = false;
     again.cost = 0;
     again.generations = 0;
     asks_.push_back(again);
@@ -599,6 +603,7 @@
     wasted += it.done ? 0 : it.cost;
     refused_cost += it.done ? 0 : it.cost;
     answered += it.done;
+    result_.unanswered += !it.ended;
     if (it.first_sent < kWarm || it.first_sent >= end_) {
       continue;
     }
@@ -682,6 +687,8 @@
     sum.late += it.late;
     sum.refusal_p99 = std::max(sum.refusal_p99, it.refusal_p99);
     sum.longest_gap = std::max(sum.longest_gap, it.longest_gap);
+    sum.unanswered += it.unanswered;
+    sum.twice += it.twice;
     sum.doubled += it.doubled;
     sum.wasted += it.wasted / n;
     sum.refused_cost += it.refused_cost / n;
--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -72,11 +72,13 @@
   std::array<DurationUs, 3> urgent_waits{};  // 50, 99 and 99.9 %, answered.
   std::uint64_t refused = 0;
   std::array<std::uint64_t, kRefusals.size()> reasons{};
-  std::uint64_t late = 0;      // Answered or given up after the deadline.
-  DurationUs refusal_p99 = 0;  // From arrival to the refusal.
-  DurationUs longest_gap = 0;  // Without an answer, of any account.
-  std::uint64_t doubled = 0;   // Non-idempotent requests that ran twice.
-  double wasted = 0;           // Share of upstream time.
+  std::uint64_t late = 0;        // Answered or given up after the deadline.
+  DurationUs refusal_p99 = 0;    // From arrival to the refusal.
+  DurationUs longest_gap = 0;    // Without an answer, of any account.
+  std::uint64_t unanswered = 0;  // Requests that got no answer at all.
+  std::uint64_t twice = 0;       // Answers to requests that had one.
+  std::uint64_t doubled = 0;     // Non-idempotent requests that ran twice.
+  double wasted = 0;             // Share of upstream time.
   std::array<double, kStages> cost{};  // Upstream seconds an answer.
   double refused_cost = 0;             // Upstream seconds a refused request.
   double retries = 0;                  // A request.
--- a/tests/decisions_bench_test.cc
+++ b/tests/decisions_bench_test.cc
@@ -20,8 +20,10 @@
   return Patterns().front();
 }
 
-Result Short(std::string_view name, std::uint64_t seed) {
-  return Run(kDeployments[0], Named(name), Policy::kReal, seed, kShort);
+Result Short(std::string_view name,
+             std::uint64_t seed,
+             Policy policy = Policy::kReal) {
+  return Run(kDeployments[0], Named(name), policy, seed, kShort);
 }
 
 TEST(DecisionsBenchTest, OneSeedGivesOneSignature) {
@@ -30,5 +32,17 @@
   EXPECT_NE(first, Short("overload 2x", kSeed + 1).signature);
 }
 
+// Twice the load that generation can serve. A caller who is not served hears so
+// in the same turn of the entry's loop, before any stage ran for the request;
+// urgent callers are all served, because their work alone fits.
+TEST(DecisionsBenchTest, RefusalsAreAtOnceAndCostNothing) {
+  const Result result = Short("overload 2x", kSeed);
+  ASSERT_GT(result.refused, 0U);
+  EXPECT_EQ(result.refusal_p99, 0);
+  EXPECT_GE(result.by_class[0].Share(), 0.995);
+  const Result naive = Short("overload 2x", kSeed, Policy::kNaive);
+  EXPECT_LT(naive.by_class[0].Share(), result.by_class[0].Share());
+}
+
 }  // namespace
 }  // namespace acaciachute::bench
--- /dev/null
+++ b/tests/load_decisions_test.cc
@@ -0,0 +1,228 @@
+// The decisions under load, one by one and without a network.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/admission.h"
+#include "coordination/fair_share.h"
+#include "coordination/load_control.h"
+#include "coordination/return_schedule.h"
+#include "coordination/router.h"
+#include "coordination/subset.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr DurationUs kService = 500 * kMillisecond;
+
+Replica MakeReplica(const std::string& node, std::uint32_t in_progress) {
+  Replica replica;
+  replica.address.node = node;
+  replica.address.failure_domain = "domain-1";
+  replica.pool = "generate";
+  replica.incarnation = 1;
+  replica.state = NodeState::kReady;
+  replica.load = {0, in_progress, 0, 4, kService};
+  return replica;
+}
+
+// A pool of one replica with `queued` patient calls before its four slots.
+struct OnePool {
+  explicit OnePool(std::uint32_t queued) : replica(MakeReplica("g-1", 4)) {
+    replica.load.queued = queued;
+    pool.load.Update(&replica);
+  }
+  AdmissionVerdict Decide(CallerClass caller_class, DurationUs time_left) {
+    return Admission().Decide({{&pool, kService}},
+                              {caller_class, 0, 1, time_left});
+  }
+  Replica replica;
+  SharedPool pool;
+};
+
+// The caller sends a patient request whose wait and service cannot fit into its
+// deadline. It is refused before it costs anything, and told how long the
+// shortage lasts; with more time left it is taken.
+TEST(AdmissionTest, RefusesWhatCannotBeInTime) {
+  OnePool full(40);  // Five seconds of work before four slots.
+  const auto verdict = full.Decide(CallerClass::kPatient, 5 * kSecond);
+  EXPECT_EQ(verdict.reason, Refusal::kFull);
+  EXPECT_GT(verdict.wait, 0);
+  EXPECT_EQ(full.Decide(CallerClass::kPatient, 30 * kSecond).reason,
+            Refusal::kNone);
+}
+
+// Forty patient calls wait. An urgent caller waits for none of them but the one
+// service that ends next, so the same deadline is enough for it.
+TEST(AdmissionTest, UrgentIsNotRefusedForPatientWork) {
+  OnePool full(40);
+  EXPECT_EQ(full.Decide(CallerClass::kUrgent, kSecond).reason, Refusal::kNone);
+  EXPECT_LE(full.pool.load.Wait(CallerClass::kUrgent), kService / 4 + 1);
+}
+
+TEST(AdmissionTest, RefusesNobodyForAPoolThatHasNotAnswered) {
+  OnePool fresh(1000);
+  fresh.replica.load.service_us = 0;
+  fresh.pool.load.Update(&fresh.replica);
+  EXPECT_EQ(fresh.Decide(CallerClass::kPatient, kSecond).reason,
+            Refusal::kNone);
+}
+
+// Own calls are in the report and in the own count. Counted twice, a pool would
+// look full at half its load; not at all, calls sent since the report would be
+// forgotten.
+TEST(PoolLoadTest, CountsOwnWorkOnce) {
+  Replica replica = MakeReplica("g-1", 4);
+  replica.own_in_progress = replica.own_at_report = 3;
+  EXPECT_EQ(replica.Work(), 4U);
+  replica.own_in_progress = 8;
+  EXPECT_EQ(replica.Work(), 9U);
+}
+
+TEST(PoolLoadTest, ReplicaThatLeavesTakesItsSlotsAlong) {
+  Replica replica = MakeReplica("g-1", 4);
+  PoolLoad load;
+  load.Update(&replica);
+  EXPECT_TRUE(load.known());
+  replica.state = NodeState::kLeaving;
+  load.Update(&replica);
+  EXPECT_FALSE(load.known());
+}
+
+// One replica answers nothing and fails fast, so it always has the least work
+// in progress. Callers lose the few requests it takes to notice; after that it
+// gets one idempotent probe in a while, never a request that may run only once.
+TEST(RouterTest, FailingReplicaIsShunnedAndProbed) {
+  Random random(1);
+  Router router(&random);
+  Replica good = MakeReplica("good", 4);
+  Replica bad = MakeReplica("bad", 0);
+  const std::vector<Replica*> pool = {&good, &bad};
+  TimeUs now = kSecond;
+  const auto choose = [&](bool idempotent) {
+    return router.Choose(now, pool, {}, CallerClass::kPatient, idempotent);
+  };
+  int failures = 0;
+  while (choose(false) == &bad) {
+    bad.health.OnFailure(now);
+    ASSERT_LE(++failures, 3);
+  }
+  now += ReplicaHealth::kProbeEvery;
+  EXPECT_EQ(choose(false), &good);
+  EXPECT_EQ(choose(true), &bad);
+  EXPECT_EQ(choose(true), &good);
+  while (bad.health.shunned()) {
+    bad.health.OnSuccess();
+    ASSERT_LE(++failures, 9);
+  }
+  EXPECT_EQ(choose(false), &bad);
+}
+
+// A replica four times as slow with the same work in progress would answer
+// last; it is used again when the others are that much fuller.
+TEST(RouterTest, SlowReplicaGetsItsPart) {
+  Random random(1);
+  Router router(&random);
+  Replica fast = MakeReplica("fast", 4);
+  Replica slow = MakeReplica("slow", 4);
+  slow.load.service_us = 4 * kService;
+  const std::vector<Replica*> pool = {&fast, &slow};
+  const auto choose = [&] {
+    return router.Choose(kSecond, pool, {}, CallerClass::kPatient, true);
+  };
+  EXPECT_EQ(choose(), &fast);
+  fast.load.queued = 40;
+  EXPECT_EQ(choose(), &slow);
+}
+
+TEST(RouterTest, NothingGoesToAReplicaThatWasTriedOrCannotBeReached) {
+  Random random(1);
+  Router router(&random);
+  Replica only = MakeReplica("only", 0);
+  const std::vector<Replica*> pool = {&only};
+  const auto choose = [&](const std::vector<NodeId>& tried) {
+    return router.Choose(kSecond, pool, tried, CallerClass::kUrgent, true);
+  };
+  EXPECT_EQ(choose({"only"}), nullptr);
+  only.health.OnUnreachable();
+  EXPECT_EQ(choose({}), nullptr);
+  only.health.OnHeard();
+  EXPECT_EQ(choose({}), &only);
+}
+
+// A thousand callers are refused in one moment. Told the same time, they would
+// all be back in it; here no second has many more than the pool can serve.
+TEST(ReturnScheduleTest, RefusedCallersComeBackApart) {
+  Random random(1);
+  ReturnSchedule returns(&random);
+  constexpr DurationUs kCallTime = 25 * kMillisecond;  // 40 a second.
+  std::map<DurationUs, int> by_second;
+  for (int n = 0; n < 1000; ++n) {
+    const DurationUs wait = returns.Next(0, 0, kCallTime);
+    EXPECT_GE(wait, ReturnSchedule::kLeast);
+    EXPECT_LE(wait, ReturnSchedule::kMost);
+    ++by_second[wait / kSecond];
+  }
+  for (const auto& [second, n] : by_second) {
+    EXPECT_LE(n, 41) << second;
+  }
+}
+
+// 1,500 replicas in eight domains: each entry takes its own part, from every
+// domain, and the loss of one replica changes a part by that one only.
+TEST(SubsetTest, SpreadsOverDomainsAndMovesLittle) {
+  std::vector<Replica> replicas;
+  replicas.reserve(1500);
+  for (int n = 0; n < 1500; ++n) {
+    replicas.push_back(MakeReplica(StrCat("g-", n), 0));
+    replicas.back().address.failure_domain = StrCat("domain-", n % 8);
+  }
+  std::vector<Replica*> pool;
+  pool.reserve(replicas.size());
+  for (Replica& it : replicas) {
+    pool.push_back(&it);
+  }
+  const auto chosen = SubsetOf(pool, "entry-1");
+  std::map<std::string, int> by_domain;
+  for (const Replica* it : chosen) {
+    ++by_domain[it->address.failure_domain];
+  }
+  ASSERT_EQ(by_domain.size(), 8U);
+  for (const auto& [domain, n] : by_domain) {
+    EXPECT_EQ(n, static_cast<int>(kSubsetSize) / 8) << domain;
+  }
+  EXPECT_NE(chosen, SubsetOf(pool, "entry-2"));
+  std::erase(pool, chosen.front());
+  const auto after = SubsetOf(pool, "entry-1");
+  const std::set<Replica*> before(chosen.begin(), chosen.end());
+  std::size_t kept = 0;
+  for (Replica* it : after) {
+    kept += before.count(it);
+  }
+  EXPECT_EQ(kept, kSubsetSize - 1);
+}
+
+// Once a pool's answers pay for retries, a tenth of the first tries may be
+// repeated, whatever fails; a message that never left is not one of them.
+TEST(LoadControlTest, RetriesStayWithinTheirBudget) {
+  RetryBudget budget;
+  int taken = 0;
+  for (int n = 0; n < 1000; ++n) {
+    budget.OnFirstTry();
+    taken += budget.Take() ? 1 : 0;
+  }
+  EXPECT_LE(taken, 1000 * RetryBudget::kShare + RetryBudget::kMost);
+  Random random(1);
+  ReplicaTable replicas;
+  LoadControl control("entry-1", &replicas, &random);
+  for (int n = 0; n < 100; ++n) {
+    EXPECT_TRUE(control.TakeRetry(AttemptEnd::kUnsent));
+  }
+}
+
+}  // namespace
+}  // namespace acaciachute
