--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 SOURCES = $(shell git ls-files '*.cc' '*.h')
 
 .DEFAULT_GOAL := help
-.PHONY: help deps build format format-check layers lint test check demo bench clean
+.PHONY: help deps build format format-check layers lint test check demo bench \
+  dissemination clean
 
 help: ## List every target
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -41,5 +42,8 @@
 	@$(BUILD)/bench/bench_decisions
 	@$(BUILD)/bench/decision_cost
 
+dissemination: build ## Measure how fast settings spread (up to 60 processes)
+	@$(BUILD)/bench/bench_dissemination
+
 clean: ## Remove the build
 	@rm -rf $(BUILD)
