Give a pool's load orders under its lease, one at a time

Cause: nothing brought a model that the settings name to the upstreams. Ruled out: all replicas at once (the pool is gone while it reloads).

--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -61,7 +61,8 @@
     return;
   }
   if (ours_) {
-    StartWrite(now, leaving_ ? Write::kRelease : Write::kRenew, fence_);
+    StartWrite(now, leaving_ ? Write::kRelease : Write::kRenew,
+               std::exchange(raise_, false) ? fence_ + 1 : fence_);
     return;
   }
   if (leaving_) {
--- a/src/coordination/lease.h
+++ b/src/coordination/lease.h
@@ -84,6 +84,8 @@
   void OnFenced(FenceNumber seen);
   const std::string& pool() const { return pool_; }
   FenceNumber fence() const { return fence_; }
+  // The next renewal takes a larger number, as an acquisition does.
+  void RaiseNumber() { raise_ = true; }
 
  private:
   enum class Write { kNone, kAcquire, kRenew, kRelease };
@@ -119,6 +121,7 @@
   TimeUs first_sent_at_ = 0;
   bool may_have_landed_ = false;
   bool leaving_ = false;
+  bool raise_ = false;
   // Held.
   TimeUs held_until_ = 0;
   bool ours_ = false;  // The row is this process's own, held or run out.
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/control_duty.h"
 #include "coordination/entry.h"
 #include "coordination/membership.h"
 #include "coordination/platform_client.h"
@@ -55,6 +56,8 @@
 struct EntryNode::Impl : EntryOutput,
                          SettingsSyncOutput,
                          MembershipOutput,
+                         LeaseOutput,
+                         PoolControlOutput,
                          PeerHandler,
                          HttpHandler {
   Impl(const NodeSettings& node_settings, Loop* event_loop)
@@ -71,6 +74,7 @@
              &metrics),
         members(this, &random, &metrics),
         platform(&random, &metrics),
+        control(settings.node, this, this, &random, &metrics),
         entry({settings.node, incarnation, settings.max_requests, &sync},
               this,
               &random,
@@ -117,6 +121,21 @@
   }
   void OnApplied(const SettingsPtr& next) override;
 
+  // LeaseOutput:
+  void CallTable(const std::string& pool,
+                 StoreTicket ticket,
+                 std::vector<StoreOp> ops) override {
+    Transact(StorePurpose::kLeases, ops,
+             [this, pool, ticket](const StoreAnswer& answer) {
+               control.OnTableAnswer(Loop::Now(), pool, ticket, answer);
+             });
+  }
+
+  // PoolControlOutput:
+  void SendOrder(const NodeId& sidecar, const ControlOrder& order) override {
+    mesh.Send(sidecar, order);
+  }
+
   // MembershipOutput:
   void AskSidecar(const NodeId& sidecar, std::uint64_t sequence) override;
   void SendToEntry(const NodeId& peer, const Message& message) override {
@@ -136,6 +155,10 @@
       sync.OnPull(Loop::Now(), from, *pull);
       return;
     }
+    if (const auto* result = std::get_if<ControlOrderResult>(&message)) {
+      control.OnResult(Loop::Now(), from, *result);
+      return;
+    }
     if (const auto* bodies = std::get_if<SettingsBodies>(&message)) {
       sync.OnBodies(Loop::Now(), from, *bodies);
       return;
@@ -208,6 +231,7 @@
   SettingsSync sync;
   Membership members;
   PlatformClient platform;
+  ControlDuty control;
   Entry entry;
   PeerMesh mesh;
   HttpServer server;
@@ -360,6 +384,7 @@
                         {"draining", draining},
                         {"in_progress", entry.InProgress()},
                         {"replicas", std::move(replicas)},
+                        {"leases", control.Held(Loop::Now())},
                         {"platform", Name(platform.state(Loop::Now()))},
                         {"settings",
                          {{"current", sync.IsCurrent(Loop::Now())},
@@ -389,6 +414,7 @@
   }
   members.SetTargets(Loop::Now(), targets);
   members.SetHelpers(sync.Peers());
+  control.OnSettings(*next, sync.Peers());
 }
 
 void EntryNode::Impl::OnEntryHeartbeat(const NodeId& from,
@@ -516,6 +542,7 @@
                  impl_->server.port());
   impl_->loop->Every(kSettingsTick, [this] {
     impl_->sync.OnTick(Loop::Now());
+    impl_->control.OnTick(Loop::Now(), impl_->entry.replicas());
     impl_->LogCurrency();
   });
   impl_->sync.OnTick(Loop::Now());
@@ -533,6 +560,7 @@
     return;
   }
   impl_->draining = true;
+  impl_->control.Leave();
   LOG(INFO) << "event=draining node=" << impl_->settings.node
             << " in_progress=" << impl_->entry.InProgress();
   impl_->loop->After(kBalancerGrace, [this] {
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -151,6 +151,10 @@
   in.EachElement("replicas", [&](const Json& value, const std::string& path) {
     pool.replicas.push_back(ReadReplica(Reader(value, path, in.error())));
   });
+  in.EachElement("models", [&](const Json& value, const std::string& path) {
+    const Reader model(value, path, in.error());
+    pool.models.push_back({model.Text("name"), model.Text("version")});
+  });
   return pool;
 }
 
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -24,10 +24,17 @@
   std::string failure_domain;
 };
 
+// A model that each replica of a pool is to have loaded.
+struct ModelSpec {
+  std::string name;
+  std::string version;
+};
+
 struct Pool {
   StageKind kind = StageKind::kService;
   bool checks_fence = false;  // Whether its upstreams refuse an old number.
   std::vector<ReplicaAddress> replicas;
+  std::vector<ModelSpec> models;
 };
 
 struct Stage {
