Prove fenced orders with real processes

A holder on the real transport: orders under the number in force are carried out once, one under an older number is refused with the number in force, also right after the sidecar was killed and replaced at an upstream that ignores numbers; an order to leave alone closes the upstream. Counted in the upstream's own log.

No functional change.

--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -18,7 +18,6 @@
 
 using Json = nlohmann::json;
 
-constexpr char kFrameKey[] = "0123456789abcdef0123456789abcdef";
 constexpr DurationUs kReadyTimeout = 20 * kSecond;
 constexpr DurationUs kPoll = 10 * kMillisecond;
 
@@ -206,7 +205,7 @@
   const Json json = {
       {"role", "sidecar"},
       {"node", node},
-      {"frame_key", kFrameKey},
+      {"frame_key", Deployment::kFrameKey},
       {"listen", {{"ip", "127.0.0.1"}, {"port", slot.port}}},
       {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
       {"platform", {{"url", platform->url()}}},
@@ -224,7 +223,7 @@
       relays_ && n == 0 ? UrlOf(platform_link->port()) : platform->url();
   const Json json = {{"role", "entry"},
                      {"node", node},
-                     {"frame_key", kFrameKey},
+                     {"frame_key", Deployment::kFrameKey},
                      {"listen", {{"ip", "127.0.0.1"}, {"port", 0}}},
                      {"http", {{"ip", "127.0.0.1"}, {"port", 0}}},
                      {"platform", {{"url", platform_url}}}};
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -109,6 +109,7 @@
   std::unique_ptr<Relay> platform_link;
 
   static constexpr char kToken[] = "office-token";
+  static constexpr char kFrameKey[] = "0123456789abcdef0123456789abcdef";
   const std::string bin_dir;
 
  private:
--- a/tests/process/sidecar_test.cc
+++ b/tests/process/sidecar_test.cc
@@ -5,8 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "state/metrics.h"
 #include "tests/process/harness.h"
 #include "text.h"
+#include "transport/peer_mesh.h"
 
 namespace acaciachute {
 namespace {
@@ -170,5 +172,157 @@
   EXPECT_TRUE(Contains(whole.body, "event: end")) << whole.body;
 }
 
+// A node that sends orders to a sidecar over the real transport.
+struct Holder : PeerHandler {
+  explicit Holder(const Deployment& deployment)
+      : mesh({"entry-9",
+              99,
+              std::string(Deployment::kFrameKey),
+              {"127.0.0.1", 0}},
+             this,
+             &metrics) {
+    EXPECT_TRUE(mesh.Listen().ok());
+    mesh.SetAddress(
+        "models-1",
+        {"127.0.0.1", deployment.sidecars.at("models-1")->frame_port()});
+  }
+  void OnPeerMessage(const NodeId& from,
+                     Incarnation incarnation,
+                     const Message& message) override {
+    if (const auto* it = std::get_if<ControlOrderResult>(&message)) {
+      results.push_back(*it);
+    }
+  }
+  void OnPeerDatagram(const NodeId& from,
+                      Incarnation incarnation,
+                      const Message& message) override {
+    if (const auto* it = std::get_if<Heartbeat>(&message)) {
+      sidecar = incarnation;
+      fence = it->fence;
+    }
+  }
+  void OnPeerLost(const NodeId& peer) override {}
+  void OnUnsent(const NodeId& peer, const Message& message) override {}
+
+  Refusal Order(Deployment* deployment,
+                const std::string& id,
+                FenceNumber fence,
+                OrderKind kind = OrderKind::kLoadModel) {
+    ControlOrder order;
+    order.order_id = id;
+    order.sidecar = sidecar;
+    order.kind = kind;
+    order.fence = fence;
+    order.model = "notices";
+    const std::size_t before = results.size();
+    mesh.Send("models-1", order);
+    // Just started, the sidecar may not have heard from its upstream yet.
+    EXPECT_TRUE(deployment->WaitFor(
+        [&] {
+          if (results.size() == before) {
+            return false;
+          }
+          if (results.back().reason != Refusal::kNotCurrent) {
+            return true;
+          }
+          results.pop_back();
+          mesh.Send("models-1", order);
+          return false;
+        },
+        kPatience));
+    return results.empty() ? Refusal::kNotCurrent : results.back().reason;
+  }
+  // Until the sidecar has read the number in force.
+  bool MeetSidecar(Deployment* deployment, FenceNumber in_force) {
+    sidecar = 0;
+    return deployment->WaitFor(
+        [&] {
+          mesh.SendDatagram("models-1", Heartbeat());
+          return sidecar != 0 && fence == in_force;
+        },
+        kPatience);
+  }
+
+  Metrics metrics;
+  Incarnation sidecar = 0;
+  FenceNumber fence = 0;
+  std::vector<ControlOrderResult> results;
+  PeerMesh mesh;
+};
+
+// Writes the lease's row as its holder would.
+void SetLease(Deployment* deployment, FenceNumber fence, int version) {
+  const Json op = {
+      {"op", version == 0 ? "insert" : "update"},
+      {"key", "lease/models"},
+      {"version", version},
+      {"value", Json{{"holder", "entry-9"}, {"fence", fence}}.dump()}};
+  const auto result =
+      deployment->Post(deployment->platform->url() + "/v1/table/transact",
+                       Json{{"ops", Json::array({op})}}.dump());
+  ASSERT_EQ(result.status, 200) << result.body;
+}
+
+std::size_t OrdersDone(Deployment* deployment) {
+  return Json::parse(
+             deployment
+                 ->Get(deployment->upstreams["models-1"]->url() + "/orders")
+                 .body,
+             nullptr, false)
+      .size();
+}
+
+void ReplaceSidecar(Deployment* deployment) {
+  deployment->sidecars["models-1"]->Signal(SIGKILL);
+  deployment->sidecars["models-1"]->Wait();
+  deployment->StartSidecar("models-1");
+}
+
+// A holder orders, its lease passes to another, and its next order comes late,
+// at an upstream that ignores numbers and after the sidecar was replaced. The
+// upstream's own log shows that only orders in force were carried out, once.
+TEST(SidecarProcessTest, OldOrderIsNeverCarriedOut) {
+  Deployment deployment(ACACIACHUTE_BIN_DIR, {{"models", "generate", 1}}, 1);
+  ASSERT_TRUE(deployment.WaitReady());
+  deployment.Post(deployment.upstreams["models-1"]->url() + "/faults",
+                  R"({"keeps_fence":false})");
+  SetLease(&deployment, 1, 0);
+  ReplaceSidecar(&deployment);
+  Holder holder(deployment);
+  ASSERT_TRUE(holder.MeetSidecar(&deployment, 1));
+  SetLease(&deployment, 2, 1);
+  EXPECT_EQ(holder.Order(&deployment, "a", 2), Refusal::kNone);
+  EXPECT_EQ(holder.Order(&deployment, "a", 2), Refusal::kNone);
+  EXPECT_EQ(OrdersDone(&deployment), 1);
+  SetLease(&deployment, 3, 2);
+  EXPECT_EQ(holder.Order(&deployment, "b", 2), Refusal::kFenced);
+  EXPECT_EQ(holder.results.back().fence, 3);
+  ReplaceSidecar(&deployment);
+  ASSERT_TRUE(holder.MeetSidecar(&deployment, 3));
+  EXPECT_EQ(holder.Order(&deployment, "b", 2), Refusal::kFenced);
+  EXPECT_EQ(OrdersDone(&deployment), 1);
+  SetLease(&deployment, 4, 3);
+  EXPECT_EQ(holder.Order(&deployment, "c", 4), Refusal::kNone);
+  EXPECT_EQ(OrdersDone(&deployment), 2);
+}
+
+// An order to leave, alone, closes the upstream to new work.
+TEST(SidecarProcessTest, OrderToLeaveClosesTheUpstream) {
+  Deployment deployment(ACACIACHUTE_BIN_DIR, {{"models", "generate", 2}}, 1);
+  ASSERT_TRUE(deployment.WaitReady());
+  Holder holder(deployment);
+  ASSERT_TRUE(holder.MeetSidecar(&deployment, 0));
+  SetLease(&deployment, 1, 0);
+  EXPECT_EQ(holder.Order(&deployment, "a", 1, OrderKind::kLeave),
+            Refusal::kNone);
+  const int before = RunsAt(&deployment, "models-1");
+  for (int n = 0; n < 20; ++n) {
+    const auto result =
+        deployment.Call(deployment.EventRequest(0, StrCat("{\"n\":", n, "}")));
+    EXPECT_EQ(result.status, 200) << result.body;
+  }
+  EXPECT_EQ(RunsAt(&deployment, "models-1"), before);
+}
+
 }  // namespace
 }  // namespace acaciachute
