Prove four pairs of failures, the second at every moment of the first

Cause: single failures were covered, pairs only by chance in generated schedules.

No functional change

--- /dev/null
+++ b/tests/pairs_test.cc
@@ -0,0 +1,206 @@
+// Two failures at once, with the second at every moment of the first.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tests/core_driver.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr DurationUs kDeadline = 2 * kSecond;
+// The loop's timers and the answer's way; later than this is no answer.
+constexpr DurationUs kSlack = 50 * kMillisecond;
+
+CallerRequest Once(const std::string& key) {
+  CallerRequest request = CoreDriver::MakeOnce(key, StrCat("\"", key, "\""));
+  request.deadline = kDeadline;
+  return request;
+}
+
+CallerRequest Repeatable(const std::string& name) {
+  CallerRequest request = CoreDriver::MakeRequest(StrCat("\"", name, "\""));
+  request.deadline = kDeadline;
+  return request;
+}
+
+std::string VerdictOf(const CoreDriver& driver, CallerHandle handle) {
+  const auto answers = driver.AnswersTo(handle);
+  if (answers.size() != 1) {
+    return StrCat(answers.size(), " answers");
+  }
+  return std::string(Name(answers[0].answer.verdict));
+}
+
+// The platform takes 300 ms for each call, and the entry dies at some moment of
+// its request; the caller resends at once to another entry. Whatever had come
+// through, the order runs at most once, and the second entry does not call it
+// "not run" when it ran.
+TEST(PairsTest, PlatformSlowAndEntryKilled) {
+  std::map<std::string, int> told;
+  for (DurationUs at = 0; at <= kSecond; at += 10 * kMillisecond) {
+    DriverOptions options;
+    options.entries = 2;
+    options.store_time = 300 * kMillisecond;
+    options.service = 200 * kMillisecond;
+    options.pools = {{"orders", StageKind::kService, 2}};
+    CoreDriver driver(options);
+    driver.Ask(0, Once("order-1"));
+    driver.Run(at);
+    driver.KillEntry(0);
+    const CallerHandle resent = driver.Ask(1, Once("order-1"));
+    driver.Run(kDeadline + kSlack);
+    const std::string verdict = VerdictOf(driver, resent);
+    ++told[verdict];
+    const int runs = driver.RunsOf("order-1");
+    EXPECT_LE(runs, 1) << "killed after " << at;
+    if (verdict == "answered") {
+      EXPECT_EQ(runs, 1) << "killed after " << at;
+    } else if (verdict == "not_run") {
+      EXPECT_EQ(runs, 0) << "killed after " << at;
+    } else {
+      EXPECT_EQ(verdict, "may_have_run") << "killed after " << at;
+    }
+  }
+  for (const auto& [verdict, n] : told) {
+    std::cout << "resent copy told " << verdict << ": " << n << "\n";
+  }
+}
+
+// One replica takes twenty times as long and the sidecar of another is paused
+// with calls in its hands for longer than their deadline. Every caller has one
+// final answer by its deadline; most are answered, since a third replica is
+// well; no order runs twice.
+TEST(PairsTest, UpstreamStragglingAndSidecarPaused) {
+  constexpr int kRequests = 300;
+  DriverOptions options;
+  options.entries = 2;
+  options.service = 20 * kMillisecond;
+  options.pools = {{"orders", StageKind::kService, 3}};
+  CoreDriver driver(options);
+  driver.service_time = [](const NodeId& node, const StageCall&) {
+    return node == "orders-1" ? 400 * kMillisecond : 20 * kMillisecond;
+  };
+  std::vector<CallerHandle> handles;
+  for (int n = 0; n < kRequests; ++n) {
+    if (n == kRequests / 4) {
+      driver.PauseSidecar("orders-2", true);
+    }
+    if (n == kRequests - 1) {
+      driver.PauseSidecar("orders-2", false);
+    }
+    const std::string name = StrCat("r", n, "e");
+    handles.push_back(
+        driver.Ask(n % 2, n % 3 == 0 ? Once(name) : Repeatable(name)));
+    driver.Run(10 * kMillisecond);
+  }
+  driver.Run(kDeadline + kSlack);
+  int answered = 0;
+  for (int n = 0; n < kRequests; ++n) {
+    const std::string verdict = VerdictOf(driver, handles[n]);
+    const int runs = driver.RunsOf(StrCat("r", n, "e"));
+    answered += verdict == "answered" ? 1 : 0;
+    EXPECT_FALSE(verdict.ends_with("answers")) << "request " << n;
+    if (n % 3 == 0) {
+      EXPECT_LE(runs, 1) << "request " << n;
+    }
+    if (verdict == "not_run") {
+      EXPECT_EQ(runs, 0) << "request " << n;
+    }
+  }
+  std::cout << "answered " << answered << " of " << kRequests << "\n";
+  EXPECT_GT(answered, kRequests / 2);
+}
+
+// A burst fills both replicas, and one begins to leave in the middle of it,
+// with calls running and waiting. Nothing is started there any more; what runs
+// is finished; what waits is handed back and goes to the other or is refused.
+TEST(PairsTest, BurstAndUpstreamLeaving) {
+  constexpr int kRequests = 200;
+  DriverOptions options;
+  options.entries = 2;
+  options.service = 30 * kMillisecond;
+  options.pools = {{"orders", StageKind::kService, 2}};
+  CoreDriver driver(options);
+  std::vector<CallerHandle> handles;
+  TimeUs left_at = 0;
+  for (int n = 0; n < kRequests; ++n) {
+    if (n == kRequests / 2) {
+      driver.sidecar("orders-1").SetState(NodeState::kLeaving);
+      left_at = driver.now();
+    }
+    const std::string name = StrCat("r", n, "e");
+    handles.push_back(
+        driver.Ask(n % 2, n % 3 == 0 ? Once(name) : Repeatable(name)));
+    driver.Run(kMillisecond);
+  }
+  driver.Run(kDeadline + kSlack);
+  const auto started_late = std::count_if(
+      driver.runs().begin(), driver.runs().end(), [&](const UpstreamRun& it) {
+        return it.node == "orders-1" && it.at > left_at;
+      });
+  EXPECT_EQ(started_late, 0);
+  int answered = 0;
+  for (int n = 0; n < kRequests; ++n) {
+    const std::string verdict = VerdictOf(driver, handles[n]);
+    const int runs = driver.RunsOf(StrCat("r", n, "e"));
+    answered += verdict == "answered" ? 1 : 0;
+    EXPECT_TRUE(verdict == "answered" || verdict == "not_run")
+        << "request " << n << ": " << verdict;
+    EXPECT_EQ(runs, verdict == "answered" ? 1 : 0) << "request " << n;
+  }
+  std::cout << "answered " << answered << " of " << kRequests << "\n";
+  EXPECT_GT(answered, 0);
+}
+
+// The answer to one of the first table calls is lost, before or after its
+// effect, or it lands late, while the caller's second copy reaches another
+// entry some time later. One of them runs the order, never both.
+TEST(PairsTest, LostStoreAnswerAndResend) {
+  constexpr std::array<StoreFault, 4> kFaults = {
+      StoreFault::kLoseBefore, StoreFault::kLoseAfter, StoreFault::kLandLate,
+      StoreFault::kAnswerTwice};
+  constexpr int kCalls = 6;
+  int answered = 0;
+  int cases = 0;
+  for (const StoreFault fault : kFaults) {
+    for (int lost = 0; lost < kCalls; ++lost) {
+      for (DurationUs gap = 0; gap <= 400 * kMillisecond;
+           gap += 20 * kMillisecond) {
+        DriverOptions options;
+        options.entries = 2;
+        options.service = 100 * kMillisecond;
+        options.pools = {{"orders", StageKind::kService, 2}};
+        CoreDriver driver(options);
+        int calls = 0;
+        driver.store_fault = [&](const std::vector<StoreOp>&) {
+          return calls++ == lost ? fault : StoreFault::kNone;
+        };
+        const CallerHandle first = driver.Ask(0, Once("order-1"));
+        driver.Run(gap);
+        const CallerHandle second = driver.Ask(1, Once("order-1"));
+        driver.Run(kDeadline + kSlack);
+        ++cases;
+        const int runs = driver.RunsOf("order-1");
+        EXPECT_LE(runs, 1) << "call " << lost << " gap " << gap;
+        for (const CallerHandle handle : {first, second}) {
+          const std::string verdict = VerdictOf(driver, handle);
+          EXPECT_FALSE(verdict.ends_with("answers"))
+              << "call " << lost << " gap " << gap << ": " << verdict;
+          answered += verdict == "answered" ? 1 : 0;
+        }
+      }
+    }
+  }
+  std::cout << "copies answered " << answered << " of " << 2 * cases << "\n";
+  EXPECT_GT(answered, cases);
+}
+
+}  // namespace
+}  // namespace acaciachute
