--- a/src/coordination/caller.h
+++ b/src/coordination/caller.h
@@ -4,8 +4,10 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "text.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -16,6 +18,9 @@
 struct CallerRequest {
   CallerHandle handle = 0;
   std::string event;
+  // In place of an event: one call of a plain service.
+  std::string service_pool;
+  std::string service_path;
   std::string account;
   std::string key;  // Idempotency key; required when not idempotent.
   CallerClass caller_class = CallerClass::kPatient;
@@ -42,9 +47,15 @@
   DurationUs retry_after = 0;  // Zero: a later try does not help.
   std::vector<StageCost> cost;
   std::string traceparent;
+  std::string request_id;
   bool replayed = false;  // A stored answer given again.
 };
 
+// How callers and logs name a request.
+inline std::string FormatRequestId(const RequestId& id) {
+  return StrCat(id.origin, "-", id.sequence);
+}
+
 // Told to callers until the overload signal gives a better figure.
 inline constexpr DurationUs kDefaultRetryAfter = kSecond;
 
--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -34,18 +34,15 @@
   std::unique_ptr<ClaimKeeper> MakeClaims();
 
   // Admission.
-  Refusal Check(const CallerRequest& call, const Event** event) const;
   std::string ConvictedBy(TimeUs now,
                           const CallerRequest& call,
                           const Event& event) const;
-  void Refuse(CallerHandle handle,
-              Refusal reason,
-              std::string detail = "",
-              DurationUs retry_after = kDefaultRetryAfter);
+  std::shared_ptr<const Event> FindEvent(const CallerRequest& call) const;
+  CallerAnswer Check(const CallerRequest& call, const Event* event) const;
+  void Refuse(CallerHandle handle, CallerAnswer answer);
   void Admit(TimeUs now,
              CallerRequest call,
-             const Event* event,
-             RequestLoad request_load);
+             std::shared_ptr<const Event> event);
   void StartTrace(EntryRequest& request);
 
   // The end of a request.
@@ -115,36 +112,59 @@
   return it == requests.end() ? nullptr : it->second.get();
 }
 
-Refusal Entry::Impl::Check(const CallerRequest& call,
-                           const Event** event) const {
+// The event of the settings in force, which live as long as it does; a plain
+// service is an event of one stage.
+std::shared_ptr<const Event> Entry::Impl::FindEvent(
+    const CallerRequest& call) const {
+  if (call.service_pool.empty()) {
+    return {settings, settings->FindEvent(call.event)};
+  }
+  const Pool* pool = settings->FindPool(call.service_pool);
+  if (pool == nullptr || pool->kind != StageKind::kService) {
+    return nullptr;
+  }
+  auto event = std::make_shared<Event>();
+  event->max_deadline = pool->max_deadline;
+  event->stages = {{call.service_pool, call.service_path}};
+  event->accounts = pool->accounts;
+  return event;
+}
+
+// `kNone` when the request may be admitted.
+CallerAnswer Entry::Impl::Check(const CallerRequest& call,
+                                const Event* event) const {
+  const auto refuse = [](Refusal reason, std::string detail = "") {
+    return MakeRefusal(Verdict::kNotRun, reason, std::move(detail));
+  };
   if (leaving) {
-    return Refusal::kLeaving;
+    return refuse(Refusal::kLeaving);
   }
-  *event = settings->FindEvent(call.event);
-  if (*event == nullptr) {
-    return Refusal::kUnknownEvent;
+  if (event == nullptr) {
+    return refuse(Refusal::kUnknownEvent);
   }
-  const auto& accounts = (*event)->accounts;
-  if (std::find(accounts.begin(), accounts.end(), call.account) ==
-      accounts.end()) {
-    return Refusal::kForbidden;
+  if (std::find(event->accounts.begin(), event->accounts.end(), call.account) ==
+      event->accounts.end()) {
+    return refuse(Refusal::kForbidden);
   }
-  if (call.deadline < 0 || call.deadline > (*event)->max_deadline) {
-    return Refusal::kMalformed;
+  const DurationUs deadline =
+      call.deadline == 0 ? event->max_deadline : call.deadline;
+  if (deadline < 0 || deadline > event->max_deadline) {
+    return refuse(Refusal::kMalformed,
+                  StrCat("the deadline is past the event's longest, ",
+                         event->max_deadline / kMillisecond, " ms"));
   }
   if (!call.idempotent && call.key.empty()) {
-    return Refusal::kMalformed;
+    return refuse(Refusal::kMalformed, "a key is required");
   }
   // The loop is a queue too: what waited in it past its deadline is refused
   // before it costs anything.
-  if (call.waited >=
-      (call.deadline == 0 ? (*event)->max_deadline : call.deadline)) {
-    return Refusal::kLate;
+  if (call.waited >= deadline) {
+    return refuse(Refusal::kLate);
   }
   if (requests.size() >= options.max_requests) {
-    return Refusal::kFull;
+    return refuse(Refusal::kFull);
   }
-  return Refusal::kNone;
+  return {};
 }
 
 // Why the request is quarantined in one of its stages; empty when it is not.
@@ -160,27 +180,25 @@
   return "";
 }
 
-void Entry::Impl::Refuse(CallerHandle handle,
-                         Refusal reason,
-                         std::string detail,
-                         DurationUs retry_after) {
-  metrics->Count("acaciachute_refused_total", Name(reason));
-  output->Answer(handle, MakeRefusal(Verdict::kNotRun, reason,
-                                     std::move(detail), retry_after));
+void Entry::Impl::Refuse(CallerHandle handle, CallerAnswer answer) {
+  metrics->Count("acaciachute_refused_total", Name(answer.reason));
+  answer.request_id = FormatRequestId({options.incarnation, next_sequence++});
+  output->Answer(handle, answer);
 }
 
 void Entry::Impl::Admit(TimeUs now,
                         CallerRequest call,
-                        const Event* event,
+                        std::shared_ptr<const Event> event,
                         RequestLoad request_load) {
   auto owned = std::make_unique<EntryRequest>();
   EntryRequest& request = *owned;
   request.id = {options.incarnation, next_sequence++};
   request.settings = settings;
-  request.event = event;
+  request.event = std::move(event);
   request.arrived = now - call.waited;
-  request.deadline = request.arrived +
-                     (call.deadline == 0 ? event->max_deadline : call.deadline);
+  request.deadline =
+      request.arrived +
+      (call.deadline == 0 ? request.event->max_deadline : call.deadline);
   request.input = call.body;
   request.load = std::move(request_load);
   request.call = std::move(call);
@@ -193,8 +211,13 @@
     pipeline.Start(now, request);
     return;
   }
-  claims->Take(now, {request.id, request.call.account, request.call.key,
-                     BodyHash(request.call.event, request.call.body)});
+  const CallerRequest& it = request.call;
+  const std::string target =
+      it.service_pool.empty()
+          ? it.event
+          : StrCat("service ", it.service_pool, " ", it.service_path);
+  claims->Take(now,
+               {request.id, it.account, it.key, BodyHash(target, it.body)});
 }
 
 void Entry::Impl::StartTrace(EntryRequest& request) {
@@ -259,6 +282,7 @@
                          CallerAnswer answer) {
   answer.cost = request.cost;
   answer.traceparent = FormatTraceparent(request.trace);
+  answer.request_id = FormatRequestId(request.id);
   ExportRequest(now, request, answer);
   const RequestId id = request.id;
   const CallerHandle handle = request.call.handle;
@@ -279,7 +303,9 @@
   Span span;
   span.context = request.trace;
   span.parent = request.parent_span;
-  span.name = StrCat("request ", request.call.event);
+  span.name = StrCat("request ", request.call.service_pool.empty()
+                                     ? request.call.event
+                                     : request.call.service_pool);
   span.start = request.arrived;
   span.end = now;
   span.attributes = {{"node", options.node},
@@ -317,18 +343,21 @@
 void Entry::OnRequest(TimeUs now, CallerRequest request) {
   const Currency* currency = impl_->options.currency;
   if (currency != nullptr && !currency->IsCurrent(now)) {
-    impl_->Refuse(request.handle, Refusal::kNotCurrent);
+    impl_->Refuse(request.handle,
+                  MakeRefusal(Verdict::kNotRun, Refusal::kNotCurrent));
     return;
   }
-  const Event* event = nullptr;
-  const Refusal reason = impl_->Check(request, &event);
-  if (reason != Refusal::kNone) {
-    impl_->Refuse(request.handle, reason);
+  auto event = impl_->FindEvent(request);
+  CallerAnswer refusal = impl_->Check(request, event.get());
+  if (refusal.reason != Refusal::kNone) {
+    impl_->Refuse(request.handle, std::move(refusal));
     return;
   }
   auto convicted = impl_->ConvictedBy(now, request, *event);
   if (!convicted.empty()) {
-    impl_->Refuse(request.handle, Refusal::kQuarantined, std::move(convicted));
+    impl_->Refuse(request.handle,
+                  MakeRefusal(Verdict::kNotRun, Refusal::kQuarantined,
+                              std::move(convicted)));
     return;
   }
   RequestLoad load;
@@ -338,10 +367,11 @@
       impl_->load.Admit(now, request.event, *event, request.account,
                         request.caller_class, deadline - request.waited, &load);
   if (decision.reason != Refusal::kNone) {
-    impl_->Refuse(request.handle, decision.reason, "", decision.retry_after);
+    impl_->Refuse(request.handle, MakeRefusal(Verdict::kNotRun, decision.reason,
+                                              "", decision.retry_after));
     return;
   }
-  impl_->Admit(now, std::move(request), event, std::move(load));
+  impl_->Admit(now, std::move(request), std::move(event), std::move(load));
 }
 
 void Entry::OnStatus(TimeUs now,
--- a/src/coordination/entry_request.h
+++ b/src/coordination/entry_request.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,7 +37,7 @@
   CallerRequest call;
   bool caller_gone = false;
   SettingsPtr settings;  // Those it was admitted under.
-  const Event* event = nullptr;
+  std::shared_ptr<const Event> event;
   TimeUs arrived = 0;
   TimeUs deadline = 0;
   std::uint32_t stage = 0;
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -2,8 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <map>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,9 +36,10 @@
 constexpr DurationUs kSettingsReadTimeout = 10 * kSecond;
 // The table's own limit on a transaction is below this.
 constexpr DurationUs kStoreTimeout = 2 * kSecond;
-// The balancer looks at /readyz every second or two; until it has noticed, a
-// draining entry still takes what it is sent.
-constexpr DurationUs kBalancerGrace = 3 * kSecond;
+// A draining entry waits this long for outcomes of claims to stand. During an
+// outage of the table it then leaves without them, and their callers are told
+// "may have run" from the claims that stand.
+constexpr DurationUs kSettleBeforeExit = 10 * kSecond;
 constexpr DurationUs kDrainPoll = 20 * kMillisecond;
 constexpr int kHttpOk = 200;
 
@@ -51,6 +52,13 @@
   return names;
 }
 
+HttpLimits LimitsOf(const NodeSettings& settings) {
+  HttpLimits limits;
+  limits.max_body = kMaxBodySize;
+  limits.max_connections = settings.max_connections;
+  return limits;
+}
+
 }  // namespace
 
 struct EntryNode::Impl : EntryOutput,
@@ -75,14 +83,15 @@
         members(this, &random, &metrics),
         platform(&random, &metrics),
         control(settings.node, this, this, &random, &metrics),
-        entry({settings.node, incarnation, settings.max_requests, &sync},
+        entry({settings.node, incarnation, settings.max_requests, &sync,
+               settings.claim_transactions_per_second},
               this,
               &random,
               &metrics),
         mesh({settings.node, incarnation, settings.frame_key, settings.listen},
              this,
              &metrics),
-        server(this),
+        server(this, LimitsOf(settings)),
         store(kStoreTimeout),
         settings_store(kSettingsReadTimeout) {
     for (const auto& it : settings.peers) {
@@ -96,7 +105,7 @@
   }
   void Answer(CallerHandle handle, const CallerAnswer& answer) override;
   void Stream(CallerHandle handle, std::string_view part) override {
-    streams.insert(handle);
+    streams.insert_or_assign(handle, true);
     server.StreamPart(handle, FormatStreamPart(part));
   }
   void CallStore(StoreTicket ticket, std::vector<StoreOp> ops) override;
@@ -237,15 +246,28 @@
   HttpServer server;
   HttpClient store;
   HttpClient settings_store;
-  std::set<CallerHandle> streams;
+  // Callers that asked for a stream, and whether it has started.
+  std::map<CallerHandle, bool> streams;
   Loop::TimerId wakeup = 0;
   TimeUs wakeup_at = 0;
   bool draining = false;
   bool was_current = false;
+  TimeUs settle_until = 0;
 };
 
 void EntryNode::Impl::Answer(CallerHandle handle, const CallerAnswer& answer) {
-  if (streams.erase(handle) > 0) {
+  const auto it = streams.find(handle);
+  const bool asked = it != streams.end();
+  const bool started = asked && it->second;
+  if (asked) {
+    streams.erase(it);
+  }
+  // A stored answer has not been streamed; a refusal before the first part is
+  // an ordinary one, with its status.
+  if (asked && !started && answer.verdict == Verdict::kAnswered) {
+    server.StreamPart(handle, FormatStreamPart(answer.body));
+  }
+  if (started || (asked && answer.verdict == Verdict::kAnswered)) {
     server.StreamEnd(handle, FormatStreamEnd(answer));
     return;
   }
@@ -306,15 +328,19 @@
   CallerCall call = ParseCallerCall(head, body, *entry.settings());
   if (auto* request = std::get_if<CallerRequest>(&call)) {
     request->handle = handle;
+    if (request->stream) {
+      streams[handle] = false;
+    }
+    metrics.Observe("acaciachute_loop_wait_seconds", "", request->waited);
     entry.OnRequest(Loop::Now(), std::move(*request));
   } else if (const auto* query = std::get_if<StatusQuery>(&call)) {
     entry.OnStatus(Loop::Now(), handle, query->account, query->key);
   } else {
     const auto& rejection = std::get<Rejection>(call);
     metrics.Count("acaciachute_refused_total", Name(rejection.reason));
-    CallerAnswer answer;
-    answer.reason = rejection.reason;
-    answer.detail = rejection.detail;
+    CallerAnswer answer =
+        MakeRefusal(Verdict::kNotRun, rejection.reason, rejection.detail);
+    answer.request_id = StrCat(incarnation, "-http-", handle);
     server.Reply(handle, FormatAnswer(answer));
   }
   Rearm();
@@ -519,7 +545,8 @@
 }
 
 void EntryNode::Impl::QuitWhenDone() {
-  if (entry.InProgress() == 0 && server.Open() == 0) {
+  const bool settled = entry.Unsettled() == 0 || Loop::Now() >= settle_until;
+  if (entry.InProgress() == 0 && server.Open() == 0 && settled) {
     LOG(INFO) << "event=stopped node=" << settings.node;
     loop->Quit();
     return;
@@ -563,8 +590,12 @@
   impl_->control.Leave();
   LOG(INFO) << "event=draining node=" << impl_->settings.node
             << " in_progress=" << impl_->entry.InProgress();
-  impl_->loop->After(kBalancerGrace, [this] {
+  // The balancer looks at /readyz every second or two; until it has noticed,
+  // what it sends is taken, and its idle connections are closed by answers.
+  impl_->server.CloseConnections();
+  impl_->loop->After(impl_->settings.balancer_grace, [this] {
     impl_->entry.Leave();
+    impl_->settle_until = Loop::Now() + kSettleBeforeExit;
     impl_->QuitWhenDone();
   });
 }
--- a/src/protocol/caller_http.cc
+++ b/src/protocol/caller_http.cc
@@ -1,10 +1,13 @@
 #include "protocol/caller_http.h"
-#include "text.h"
 
 #include <glib.h>
 
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <utility>
+
+#include "protocol/bearer.h"
+#include "text.h"
 
 namespace acaciachute {
 namespace {
@@ -38,61 +41,85 @@
   return *text == no ? std::optional<bool>(false) : std::nullopt;
 }
 
-std::optional<DurationUs> ParseDeadline(std::string_view text) {
-  std::int64_t ms = 0;
-  const auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), ms);
-  if (ec != std::errc() || end != text.data() + text.size() || ms <= 0 ||
-      ms > 600'000) {
+constexpr std::int64_t kMaxDeadlineMs = 600'000;
+
+bool IsUtf8(std::string_view text) {
+  return g_utf8_validate_len(text.data(), text.size(), nullptr) != FALSE;
+}
+
+// One segment of a path without its escapes; none when it is empty, over long
+// or no UTF-8.
+std::optional<std::string> ReadSegment(const std::string& part,
+                                       std::size_t longest) {
+  gchar* text = g_uri_unescape_string(part.c_str(), nullptr);
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::string out(text);
+  g_free(text);
+  if (out.empty() || out.size() > longest || !IsUtf8(out)) {
     return std::nullopt;
   }
-  return ms * kMillisecond;
+  return out;
 }
 
-std::string ReadBearer(const HttpHead& head) {
-  const auto text = head.header("Authorization");
-  if (!text || !text->starts_with(kBearer)) {
-    return "";
+std::optional<Rejection> ReadDeadline(const HttpHead& head,
+                                      CallerRequest* request) {
+  const auto text = head.header("Acaciachute-Deadline-Ms");
+  if (!text) {
+    return std::nullopt;
   }
-  return text->substr(kBearer.size());
+  std::int64_t ms = 0;
+  const char* last = text->data() + text->size();
+  const auto [end, ec] = std::from_chars(text->data(), last, ms);
+  if (ec != std::errc() || end != last || ms > kMaxDeadlineMs) {
+    return Malformed(
+        StrCat("Acaciachute-Deadline-Ms: allowed is a whole number from 1 to ",
+               kMaxDeadlineMs));
+  }
+  request->deadline = ms * kMillisecond;
+  if (request->deadline <= head.waited) {
+    return Rejection{Refusal::kLate, "the deadline has passed"};
+  }
+  return std::nullopt;
 }
 
-CallerCall ParseRequest(const HttpHead& head,
-                        std::string_view body,
-                        std::string event,
-                        std::string account) {
-  CallerRequest request;
-  request.event = std::move(event);
-  request.account = std::move(account);
+std::optional<Rejection> ReadKey(const HttpHead& head, CallerRequest* request) {
+  request->key = head.header("Idempotency-Key").value_or("");
+  if (request->key.size() > kMaxKeySize) {
+    return Malformed(
+        StrCat("Idempotency-Key: longer than ", kMaxKeySize, " bytes"));
+  }
+  if (!IsUtf8(request->key)) {
+    return Malformed("Idempotency-Key: no UTF-8");
+  }
+  if (!request->idempotent && request->key.empty()) {
+    return Malformed("Idempotency-Key: required when not idempotent");
+  }
+  return std::nullopt;
+}
+
+std::optional<Rejection> ReadKind(const HttpHead& head,
+                                  CallerRequest* request) {
   const auto urgent =
       Choice(head, "Acaciachute-Class", "urgent", "patient", false);
-  const auto idempotent =
-      Choice(head, "Acaciachute-Idempotent", "true", "false", true);
   if (!urgent) {
     return Malformed("Acaciachute-Class: allowed are urgent and patient");
   }
+  // A plain service's call may be repeated only when its caller says so.
+  const auto idempotent = Choice(head, "Acaciachute-Idempotent", "true",
+                                 "false", request->service_pool.empty());
   if (!idempotent) {
     return Malformed("Acaciachute-Idempotent: allowed are true and false");
   }
-  request.caller_class = *urgent ? CallerClass::kUrgent : CallerClass::kPatient;
-  request.idempotent = *idempotent;
-  if (const auto text = head.header("Acaciachute-Deadline-Ms")) {
-    const auto deadline = ParseDeadline(*text);
-    if (!deadline) {
-      return Malformed(
-          "Acaciachute-Deadline-Ms: allowed is a whole number from 1 to "
-          "600000");
-    }
-    request.deadline = *deadline;
-  }
-  request.key = head.header("Idempotency-Key").value_or("");
-  if (request.key.size() > kMaxKeySize) {
-    return Malformed(
-        StrCat("Idempotency-Key: longer than ", kMaxKeySize, " bytes"));
-  }
-  if (!request.idempotent && request.key.empty()) {
-    return Malformed("Idempotency-Key: required when not idempotent");
-  }
+  request->caller_class =
+      *urgent ? CallerClass::kUrgent : CallerClass::kPatient;
+  request->idempotent = *idempotent;
+  return std::nullopt;
+}
+
+std::optional<Rejection> ReadBody(std::string_view body,
+                                  CallerRequest* request) {
   if (body.size() > kMaxBodySize) {
     return Rejection{Refusal::kTooLarge,
                      StrCat("the body is over ", kMaxBodySize, " bytes")};
@@ -100,12 +127,93 @@
   if (!Json::accept(body)) {
     return Malformed("the body is no valid JSON in UTF-8");
   }
+  request->body = body;
+  return std::nullopt;
+}
+
+std::string ReadBearer(const HttpHead& head) {
+  const auto text = head.header("Authorization");
+  if (!text || !text->starts_with(kBearer)) {
+    return "";
+  }
+  return text->substr(kBearer.size());
+}
+
+// Fills in what headers and body say of a request whose target is known.
+CallerCall ReadRequest(const HttpHead& head,
+                       std::string_view body,
+                       CallerRequest request) {
+  request.waited = head.waited;
+  using HeaderReader =
+      std::optional<Rejection> (*)(const HttpHead&, CallerRequest*);
+  static constexpr HeaderReader kHeaderReaders[] = {ReadKind, ReadDeadline,
+                                                    ReadKey};
+  for (const auto reader : kHeaderReaders) {
+    if (auto rejection = reader(head, &request)) {
+      return *std::move(rejection);
+    }
+  }
+  if (auto rejection = ReadBody(body, &request)) {
+    return *std::move(rejection);
+  }
   request.stream = Contains(head.header("Accept").value_or(""), "event-stream");
   request.traceparent = head.header("traceparent").value_or("");
-  request.body = body;
   return request;
 }
 
+// What a path and method ask for; account, headers and body come later.
+CallerCall ReadTarget(const HttpHead& head) {
+  const std::vector<std::string> parts = Split(head.path, '/');
+  // "", "v1", "events", event, "requests"[, key]
+  const bool event = parts.size() >= 5 && parts.size() <= 6 &&
+                     parts[2] == "events" && parts[4] == "requests";
+  // "", "v1", "requests", key
+  const bool status = parts.size() == 4 && parts[2] == "requests";
+  // "", "v1", "services", pool, path...
+  const bool service = parts.size() >= 5 && parts[2] == "services";
+  if (head.path.size() > kMaxPathSize || parts.size() < 4 || parts[1] != "v1" ||
+      !(event || status || service)) {
+    return Rejection{Refusal::kNotFound, "no such path"};
+  }
+  const auto name = ReadSegment(parts[3], kMaxNameSize);
+  if (!name) {
+    return Malformed("the path has a name that is empty, too long or no UTF-8");
+  }
+  if (head.method == "GET" && (status || (event && parts.size() == 6))) {
+    const auto key = ReadSegment(parts.back(), kMaxKeySize);
+    if (!key) {
+      return Malformed("the key is empty, too long or no UTF-8");
+    }
+    return StatusQuery{"", *key};
+  }
+  CallerRequest request;
+  if (head.method == "POST" && event && parts.size() == 5) {
+    request.event = *name;
+    return request;
+  }
+  if (head.method != "POST" || !service) {
+    return Malformed("no such method here");
+  }
+  request.service_pool = *name;
+  for (std::size_t n = 4; n < parts.size(); ++n) {
+    const auto part = ReadSegment(parts[n], kMaxNameSize);
+    // What the upstream would resolve to another path than the one given.
+    if (!part || *part == "." || *part == ".." || Contains(*part, "/")) {
+      return Malformed("the path of the service is malformed");
+    }
+    request.service_path += "/" + parts[n];
+  }
+  return request;
+}
+
+std::string ToBase64(std::string_view bytes) {
+  gchar* text = g_base64_encode(reinterpret_cast<const guchar*>(bytes.data()),
+                                bytes.size());
+  std::string out(text);
+  g_free(text);
+  return out;
+}
+
 // Every line of a server-sent event has its own field name.
 std::string Indent(std::string_view part) {
   std::string out;
@@ -125,6 +233,11 @@
   return cost;
 }
 
+// Whole seconds, rounded up, as RFC 9110 has it.
+std::int64_t RetryAfterSeconds(const CallerAnswer& answer) {
+  return (answer.retry_after + kSecond - 1) / kSecond;
+}
+
 Json ProblemOf(const CallerAnswer& answer) {
   const RefusalInfo& info = Info(answer.reason);
   Json problem = {
@@ -136,67 +249,44 @@
   if (!answer.detail.empty()) {
     problem["detail"] = answer.detail;
   }
+  if (!answer.request_id.empty()) {
+    problem["request_id"] = answer.request_id;
+  }
+  if (answer.retry_after > 0) {
+    problem["retry_after_s"] = RetryAfterSeconds(answer);
+  }
   return problem;
 }
 
 }  // namespace
 
-std::string TokenHash(std::string_view salt, std::string_view token) {
-  const std::string text = StrCat(salt, token);
-  gchar* hex = g_compute_checksum_for_data(
-      G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(text.data()),
-      text.size());
-  std::string out(hex);
-  g_free(hex);
-  return out;
-}
-
-std::string AccountOfToken(const Settings& settings, std::string_view token) {
-  std::string found;
-  for (const auto& [unused, branch] : settings.branches()) {
-    for (const auto& [name, account] : branch.accounts) {
-      const std::string hash = TokenHash(account.token_salt, token);
-      unsigned char diff = hash.size() == account.token_hash.size() ? 0 : 1;
-      for (std::size_t n = 0; n < hash.size(); ++n) {
-        const char other =
-            n < account.token_hash.size() ? account.token_hash[n] : '\0';
-        diff |= static_cast<unsigned char>(hash[n] ^ other);
-      }
-      if (diff == 0) {
-        found = name;
-      }
-    }
-  }
-  return found;
-}
-
 CallerCall ParseCallerCall(const HttpHead& head,
                            std::string_view body,
                            const Settings& settings) {
-  // "", "v1", "events", event, "requests"[, key]
-  const std::vector<std::string> parts = Split(head.path, '/');
-  if (parts.size() < 5 || parts.size() > 6 || parts[1] != "v1" ||
-      parts[2] != "events" || parts[4] != "requests") {
-    return Rejection{Refusal::kUnknownEvent, "no such path"};
+  CallerCall call = ReadTarget(head);
+  if (std::holds_alternative<Rejection>(call)) {
+    return call;
   }
-  const std::string token = ReadBearer(head);
-  std::string account = token.empty() ? "" : AccountOfToken(settings, token);
+  std::string account = AccountOfToken(settings, ReadBearer(head));
   if (account.empty()) {
     return Rejection{Refusal::kUnauthorized, ""};
   }
-  if (head.method == "GET" && parts.size() == 6) {
-    return StatusQuery{std::move(account), parts[5]};
-  }
-  if (head.method == "POST" && parts.size() == 5) {
-    return ParseRequest(head, body, parts[3], std::move(account));
+  if (auto* query = std::get_if<StatusQuery>(&call)) {
+    query->account = std::move(account);
+    return call;
   }
-  return Malformed("no such method here");
+  auto& request = std::get<CallerRequest>(call);
+  request.account = std::move(account);
+  return ReadRequest(head, body, std::move(request));
 }
 
 HttpReply FormatAnswer(const CallerAnswer& answer) {
   HttpReply reply;
   reply.headers.emplace_back("Acaciachute-Verdict",
                              std::string(Name(answer.verdict)));
+  if (!answer.request_id.empty()) {
+    reply.headers.emplace_back("Acaciachute-Request-Id", answer.request_id);
+  }
   if (!answer.traceparent.empty()) {
     reply.headers.emplace_back("traceparent", answer.traceparent);
   }
@@ -213,24 +303,28 @@
   reply.status = Info(answer.reason).http_status;
   reply.content_type = kProblemType;
   if (answer.retry_after > 0) {
-    // Whole seconds, rounded up, as RFC 9110 has it.
-    const auto seconds = (answer.retry_after + kSecond - 1) / kSecond;
-    reply.headers.emplace_back("Retry-After", StrCat(seconds));
+    reply.headers.emplace_back("Retry-After",
+                               StrCat(RetryAfterSeconds(answer)));
   }
   reply.body = Dump(ProblemOf(answer));
   return reply;
 }
 
 std::string FormatStreamPart(std::string_view part) {
+  if (Contains(part, "\r") || !IsUtf8(part)) {
+    return StrCat("event: base64\ndata: ", ToBase64(part), "\n\n");
+  }
   return StrCat("data: ", Indent(part), "\n\n");
 }
 
 std::string FormatStreamEnd(const CallerAnswer& answer) {
   if (answer.verdict == Verdict::kAnswered) {
-    return StrCat(
-        "event: end\ndata: ",
-        Dump({{"verdict", Name(answer.verdict)}, {"cost", CostOf(answer)}}),
-        "\n\n");
+    return StrCat("event: end\ndata: ",
+                  Dump({{"verdict", Name(answer.verdict)},
+                        {"bytes", answer.body.size()},
+                        {"request_id", answer.request_id},
+                        {"cost", CostOf(answer)}}),
+                  "\n\n");
   }
   return StrCat("event: error\ndata: ", Dump(ProblemOf(answer)), "\n\n");
 }
--- a/src/protocol/caller_http.h
+++ b/src/protocol/caller_http.h
@@ -19,10 +19,13 @@
 // Bounds on what a caller sends; longer is refused before it is stored.
 inline constexpr std::size_t kMaxBodySize = 1 << 20;
 inline constexpr std::size_t kMaxKeySize = 256;
+inline constexpr std::size_t kMaxNameSize = 256;  // Of events and pools.
+inline constexpr std::size_t kMaxPathSize = 1024;
 
 struct HttpHead {
   std::string method;
-  std::string path;
+  std::string path;       // As sent, with its escapes.
+  DurationUs waited = 0;  // Since arrival, in this process's own loop.
   // Value of a header, by its name in any case.
   std::function<std::optional<std::string>(const char* name)> header;
 };
@@ -46,9 +49,8 @@
 
 using CallerCall = std::variant<CallerRequest, StatusQuery, Rejection>;
 
-// Account whose bearer token this is; empty for none.
-std::string AccountOfToken(const Settings& settings, std::string_view token);
-
+// Reads a call by its path, headers and body. The time that it waited in this
+// process is compared with its deadline before the body is read.
 CallerCall ParseCallerCall(const HttpHead& head,
                            std::string_view body,
                            const Settings& settings);
@@ -56,13 +58,12 @@
 HttpReply FormatAnswer(const CallerAnswer& answer);
 
 // Parts of a streamed answer as server-sent events. A whole answer ends with
-// the `end` event, a failed one with `error`; a cut one has neither.
+// the `end` event, which gives its length in bytes, a failed one with `error`;
+// a cut one has neither. A part that such an event cannot carry as it is (a
+// carriage return, no UTF-8) goes as base64 in an event `base64`.
 std::string FormatStreamPart(std::string_view part);
 std::string FormatStreamEnd(const CallerAnswer& answer);
 
-// Hex SHA-256 of salt followed by token, as settings keep it.
-std::string TokenHash(std::string_view salt, std::string_view token);
-
 }  // namespace acaciachute
 
 #endif  // ACACIACHUTE_SRC_PROTOCOL_CALLER_HTTP_H_
--- a/src/protocol/node_settings.cc
+++ b/src/protocol/node_settings.cc
@@ -128,6 +128,12 @@
   out.platform_url = ReadUrl(in, "platform");
   out.upstream_url = ReadUrl(in, "upstream");
   out.max_requests = in.value("max_requests", out.max_requests);
+  out.max_connections = in.value("max_connections", out.max_connections);
+  out.claim_transactions_per_second = in.value(
+      "claim_transactions_per_second", out.claim_transactions_per_second);
+  out.balancer_grace =
+      in.value("balancer_grace_ms", out.balancer_grace / kMillisecond) *
+      kMillisecond;
   if (in.contains("upstream")) {
     out.upstream_pool = in.at("upstream").value("pool", "");
     out.upstream_limit = in.at("upstream").value("limit", out.upstream_limit);
--- a/src/protocol/node_settings.h
+++ b/src/protocol/node_settings.h
@@ -39,6 +39,11 @@
   std::uint32_t upstream_limit = 4;
   std::uint32_t max_queued = 256;
   std::uint32_t max_requests = 4096;
+  std::uint32_t max_connections = 4096;  // Of callers.
+  // Of an entry at the table, for claims; its share of what the table takes.
+  double claim_transactions_per_second = 100;
+  // From SIGTERM on, new requests are still taken for this long.
+  DurationUs balancer_grace = 3 * kSecond;
 };
 
 struct NodeSettingsResult {
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -121,6 +121,22 @@
   std::string* error_;
 };
 
+std::vector<std::string> ReadNames(const Reader& in, const char* key) {
+  std::vector<std::string> names;
+  in.EachElement(key, [&](const Json& value, const std::string& path) {
+    if (!value.is_string()) {
+      Reader(Json::object(), path, in.error()).Fail("", "a string", value);
+      return;
+    }
+    names.push_back(value.get<std::string>());
+  });
+  return names;
+}
+
+DurationUs ReadMaxDeadline(const Reader& in) {
+  return in.Integer("max_deadline_ms", 5000, 1, kMaxDeadlineMs) * kMillisecond;
+}
+
 ReplicaAddress ReadReplica(const Reader& in) {
   ReplicaAddress replica;
   replica.node = in.Text("node");
@@ -155,6 +171,8 @@
     const Reader model(value, path, in.error());
     pool.models.push_back({model.Text("name"), model.Text("version")});
   });
+  pool.accounts = ReadNames(in, "accounts");
+  pool.max_deadline = ReadMaxDeadline(in);
   return pool;
 }
 
@@ -163,19 +181,12 @@
   event.start_unix_ms =
       in.Integer("start_unix_ms", 0, 0, std::int64_t{1} << 52);
   event.expected_callers = in.Integer("expected_callers", 0, 0, 1'000'000);
-  event.max_deadline =
-      in.Integer("max_deadline_ms", 5000, 1, kMaxDeadlineMs) * kMillisecond;
+  event.max_deadline = ReadMaxDeadline(in);
   in.EachElement("stages", [&](const Json& value, const std::string& path) {
     const Reader stage(value, path, in.error());
     event.stages.push_back({stage.Text("pool"), stage.Text("path", "/v1/run")});
   });
-  in.EachElement("accounts", [&](const Json& value, const std::string& path) {
-    if (!value.is_string()) {
-      Reader(Json::object(), path, in.error()).Fail("", "a string", value);
-      return;
-    }
-    event.accounts.push_back(value.get<std::string>());
-  });
+  event.accounts = ReadNames(in, "accounts");
   return event;
 }
 
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -35,6 +35,9 @@
   bool checks_fence = false;  // Whether its upstreams refuse an old number.
   std::vector<ReplicaAddress> replicas;
   std::vector<ModelSpec> models;
+  // Of a plain service that callers may call directly, and who may.
+  std::vector<std::string> accounts;
+  DurationUs max_deadline = 5 * kSecond;
 };
 
 struct Stage {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -2,98 +2,288 @@
 
 #include <gio/gio.h>
 #include <libsoup/soup.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <map>
 
 #include "text.h"
 #include "transport/glib_ptr.h"
+#include "transport/http_connection.h"
+#include "transport/loop.h"
 
 namespace acaciachute {
 namespace {
 
+using detail::HttpConnection;
+using detail::HttpExchange;
+
 // Connections that wait to be accepted. GIO's own default of ten resets some
 // callers when forty connect at once, as at the start of an event; the kernel
 // lowers it to its own bound.
 constexpr int kListenBacklog = 1024;
 
-struct OpenRequest {
-  GPtr<SoupServerMessage> message;
-  bool streaming = false;
-  bool complete = false;  // The whole answer was given to libsoup.
-};
-
-}  // namespace
+// File descriptors left for frames, the platform and logs.
+constexpr rlim_t kReservedFiles = 256;
+// A refused body is read and thrown away up to this multiple of the limit, so
+// that a caller that is only a little over it reads its refusal.
+constexpr std::size_t kDiscardFactor = 4;
+// Closed connections that may be remembered beside twice the open ones.
+constexpr std::size_t kSweepStep = 64;
 
-struct HttpServer::Impl {
-  explicit Impl(HttpHandler* handler) : handler(handler) {}
+std::size_t BoundConnections(std::size_t wanted) {
+  struct rlimit files = {};
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0 ||
+      files.rlim_cur == RLIM_INFINITY) {
+    return wanted;
+  }
+  const rlim_t usable = files.rlim_cur > 2 * kReservedFiles
+                            ? files.rlim_cur - kReservedFiles
+                            : files.rlim_cur / 2;
+  return std::min<std::size_t>(wanted, usable);
+}
 
-  void OnRequest(SoupServerMessage* message, const char* path);
-  void OnFinished(SoupServerMessage* message);
-  OpenRequest* Find(std::uint64_t handle);
+// Puts a whole reply into the message.
+void Fill(SoupServerMessage* message, const HttpReply& reply) {
+  soup_server_message_set_status(message, reply.status, nullptr);
+  SoupMessageHeaders* headers =
+      soup_server_message_get_response_headers(message);
+  for (const auto& [name, value] : reply.headers) {
+    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+  }
+  soup_server_message_set_response(message, reply.content_type.c_str(),
+                                   SOUP_MEMORY_COPY, reply.body.data(),
+                                   reply.body.size());
+}
 
-  HttpHandler* const handler;
-  GPtr<SoupServer> server{
-      soup_server_new("server-header", "acaciachute", nullptr)};
-  std::uint64_t next_handle = 1;
-  std::map<std::uint64_t, OpenRequest> open;
-};
+void AskToClose(SoupServerMessage* message) {
+  soup_message_headers_replace(
+      soup_server_message_get_response_headers(message), "Connection", "close");
+}
 
-void HttpServer::Impl::OnRequest(SoupServerMessage* message, const char* path) {
-  const std::uint64_t handle = next_handle++;
-  open[handle].message = Share(message);
-  g_signal_connect(message, "finished",
-                   G_CALLBACK(+[](SoupServerMessage* it, gpointer data) {
-                     static_cast<Impl*>(data)->OnFinished(it);
-                   }),
-                   this);
-  soup_server_message_pause(message);
+HttpHead HeadOf(SoupServerMessage* message, const char* path) {
   HttpHead head;
   head.method = soup_server_message_get_method(message);
   head.path = path;
+  head.waited = Loop::Now() - Loop::OldestEvent();
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
   head.header = [headers](const char* name) -> std::optional<std::string> {
     const char* value = soup_message_headers_get_one(headers, name);
     return value == nullptr ? std::nullopt : std::optional<std::string>(value);
   };
+  return head;
+}
+
+}  // namespace
+
+struct HttpServer::Impl {
+  Impl(HttpHandler* handler, const HttpLimits& limits)
+      : handler(handler),
+        limits(limits),
+        max_connections(BoundConnections(limits.max_connections)) {}
+
+  void OnStarted(SoupServerMessage* message);
+  void ForgetClosed();
+  void OnHead(SoupServerMessage* message);
+  void OnChunk(SoupServerMessage* message, gsize size);
+  void OnRequest(SoupServerMessage* message, const char* path);
+  void OnEnded(SoupServerMessage* message);
+  void OnHangUp(SoupServerMessage* message);
+  void RefuseBody(HttpExchange& exchange);
+  HttpExchange* Find(SoupServerMessage* message);
+  HttpExchange* Find(std::uint64_t handle);
+
+  HttpHandler* const handler;
+  const HttpLimits limits;
+  const std::size_t max_connections;
+  // Paths come as they were sent: an escaped slash is part of a key.
+  GPtr<SoupServer> server{soup_server_new("server-header",
+                                          "acaciachute",
+                                          "raw-paths",
+                                          TRUE,
+                                          nullptr)};
+  std::uint64_t next_handle = 1;
+  bool closing = false;
+  std::map<GSocket*, std::unique_ptr<HttpConnection>> connections;
+  std::size_t next_sweep = kSweepStep;  // Closed ones are forgotten then.
+  std::map<SoupServerMessage*, std::unique_ptr<HttpExchange>> exchanges;
+  std::map<std::uint64_t, HttpExchange*> open;
+};
+
+HttpExchange* HttpServer::Impl::Find(SoupServerMessage* message) {
+  const auto it = exchanges.find(message);
+  return it == exchanges.end() ? nullptr : it->second.get();
+}
+
+HttpExchange* HttpServer::Impl::Find(std::uint64_t handle) {
+  const auto it = open.find(handle);
+  return it == open.end() ? nullptr : it->second;
+}
+
+// The first message of a connection starts when it is accepted, each later one
+// with its first byte; either way its head has to follow.
+void HttpServer::Impl::OnStarted(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) {
+    return;
+  }
+  if (connections.size() >= std::min(max_connections, next_sweep)) {
+    ForgetClosed();
+    next_sweep = 2 * connections.size() + kSweepStep;
+  }
+  auto& connection = connections[socket];
+  if (!connection) {
+    connection = std::make_unique<HttpConnection>(socket);
+  }
+  if (connections.size() > max_connections) {
+    connection->Cut();
+  } else {
+    connection->StopWatch();
+    connection->CutAfter(limits.head);
+  }
+}
+
+// libsoup tells of the end of a request, not of a connection.
+void HttpServer::Impl::ForgetClosed() {
+  std::erase_if(connections,
+                [](const auto& it) { return it.second->closed(); });
+}
+
+void HttpServer::Impl::OnHead(SoupServerMessage* message) {
+  const auto connection =
+      connections.find(soup_server_message_get_socket(message));
+  if (connection == connections.end()) {
+    return;
+  }
+  auto owned =
+      std::make_unique<HttpExchange>(message, connection->second.get());
+  HttpExchange& exchange = *owned;
+  exchanges[message] = std::move(owned);
+  exchange.connection()->CutAfter(limits.body);
+  g_signal_connect(
+      message, "got-chunk",
+      G_CALLBACK(+[](SoupServerMessage* it, GBytes* bytes, gpointer data) {
+        static_cast<Impl*>(data)->OnChunk(it, g_bytes_get_size(bytes));
+      }),
+      this);
+  const auto length = soup_message_headers_get_content_length(
+      soup_server_message_get_request_headers(message));
+  if (length > static_cast<goffset>(limits.max_body)) {
+    RefuseBody(exchange);
+  }
+}
+
+void HttpServer::Impl::RefuseBody(HttpExchange& exchange) {
+  exchange.refused = true;
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(exchange.message()), FALSE);
+}
+
+void HttpServer::Impl::OnChunk(SoupServerMessage* message, gsize size) {
+  HttpExchange* exchange = Find(message);
+  if (exchange == nullptr) {
+    return;
+  }
+  exchange->received += size;
+  if (exchange->received > kDiscardFactor * limits.max_body) {
+    exchange->connection()->Cut();
+  } else if (exchange->received > limits.max_body && !exchange->refused) {
+    RefuseBody(*exchange);
+  }
+}
+
+void HttpServer::Impl::OnRequest(SoupServerMessage* message, const char* path) {
+  HttpExchange* exchange = Find(message);
+  if (exchange == nullptr) {
+    return;
+  }
+  exchange->connection()->StopTimer();
+  if (exchange->refused) {
+    Fill(message, FormatAnswer(MakeRefusal(
+                      Verdict::kNotRun, Refusal::kTooLarge,
+                      StrCat("the body is over ", limits.max_body, " bytes"))));
+    AskToClose(message);
+    exchange->connection()->CutAfter(limits.answer);
+    return;
+  }
+  exchange->handle = next_handle++;
+  open[exchange->handle] = exchange;
+  exchange->OnHangUp([this, message] { OnHangUp(message); });
+  soup_server_message_pause(message);
   SoupMessageBody* body = soup_server_message_get_request_body(message);
   const GBytesPtr bytes(soup_message_body_flatten(body));
   const std::string text = TextOf(bytes.get());
-  handler->OnHttpRequest(handle, head, text);
-}
-
-void HttpServer::Impl::OnFinished(SoupServerMessage* message) {
-  for (auto it = open.begin(); it != open.end(); ++it) {
-    if (it->second.message.get() == message) {
-      const std::uint64_t handle = it->first;
-      const bool complete = it->second.complete;
-      open.erase(it);
-      if (!complete) {
-        handler->OnHttpGone(handle);
-      }
-      return;
-    }
+  handler->OnHttpRequest(exchange->handle, HeadOf(message, path), text);
+}
+
+// The message is let go on, so that libsoup finds the broken connection and
+// ends it; until then the exchange is closed for the handler.
+void HttpServer::Impl::OnHangUp(SoupServerMessage* message) {
+  HttpExchange* exchange = Find(message);
+  if (exchange == nullptr || exchange->complete) {
+    return;
   }
+  const std::uint64_t handle = exchange->handle;
+  open.erase(handle);
+  exchange->complete = true;
+  exchange->connection()->Cut();
+  soup_server_message_set_status(message, Info(Refusal::kCancelled).http_status,
+                                 nullptr);
+  soup_message_body_complete(soup_server_message_get_response_body(message));
+  soup_server_message_unpause(message);
+  handler->OnHttpGone(handle);
 }
 
-OpenRequest* HttpServer::Impl::Find(std::uint64_t handle) {
-  const auto it = open.find(handle);
-  return it == open.end() ? nullptr : &it->second;
+void HttpServer::Impl::OnEnded(SoupServerMessage* message) {
+  const auto it = exchanges.find(message);
+  if (it == exchanges.end()) {
+    return;
+  }
+  const auto exchange = std::move(it->second);
+  exchanges.erase(it);
+  g_signal_handlers_disconnect_by_data(message, this);
+  exchange->connection()->CutAfter(limits.idle);
+  exchange->connection()->WatchIdle();
+  const bool was_open = open.erase(exchange->handle) > 0;
+  if (was_open && !exchange->complete) {
+    handler->OnHttpGone(exchange->handle);
+  }
 }
 
-HttpServer::HttpServer(HttpHandler* handler)
-    : impl_(std::make_unique<Impl>(handler)) {
+HttpServer::HttpServer(HttpHandler* handler, const HttpLimits& limits)
+    : impl_(std::make_unique<Impl>(handler, limits)) {
+  SoupServer* server = impl_->server.get();
+  const auto connect = [this, server](const char* signal, GCallback callback) {
+    g_signal_connect(server, signal, callback, impl_.get());
+  };
+  connect("request-started",
+          G_CALLBACK(+[](SoupServer*, SoupServerMessage* it, gpointer data) {
+            static_cast<Impl*>(data)->OnStarted(it);
+          }));
+  const auto ended = +[](SoupServer*, SoupServerMessage* it, gpointer data) {
+    static_cast<Impl*>(data)->OnEnded(it);
+  };
+  connect("request-finished", G_CALLBACK(ended));
+  connect("request-aborted", G_CALLBACK(ended));
+  soup_server_add_early_handler(
+      server, nullptr,
+      [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
+         gpointer data) { static_cast<Impl*>(data)->OnHead(message); },
+      impl_.get(), nullptr);
   soup_server_add_handler(
-      impl_->server.get(), nullptr,
+      server, nullptr,
       [](SoupServer*, SoupServerMessage* message, const char* path, GHashTable*,
          gpointer data) { static_cast<Impl*>(data)->OnRequest(message, path); },
       impl_.get(), nullptr);
 }
 
 HttpServer::~HttpServer() {
-  for (auto& [unused, it] : impl_->open) {
-    g_signal_handlers_disconnect_by_data(it.message.get(), impl_.get());
+  g_signal_handlers_disconnect_by_data(impl_->server.get(), impl_.get());
+  for (auto& [message, unused] : impl_->exchanges) {
+    g_signal_handlers_disconnect_by_data(message, impl_.get());
   }
+  impl_->exchanges.clear();
   soup_server_disconnect(impl_->server.get());
 }
 
@@ -129,40 +319,35 @@
 }
 
 void HttpServer::Reply(std::uint64_t handle, const HttpReply& reply) {
-  OpenRequest* it = impl_->Find(handle);
+  HttpExchange* it = impl_->Find(handle);
   if (it == nullptr || it->complete) {
     return;
   }
-  SoupServerMessage* message = it->message.get();
   it->complete = true;
-  soup_server_message_set_status(message, reply.status, nullptr);
-  SoupMessageHeaders* headers =
-      soup_server_message_get_response_headers(message);
-  for (const auto& [name, value] : reply.headers) {
-    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+  Fill(it->message(), reply);
+  if (impl_->closing) {
+    AskToClose(it->message());
   }
-  soup_server_message_set_response(message, reply.content_type.c_str(),
-                                   SOUP_MEMORY_COPY, reply.body.data(),
-                                   reply.body.size());
-  soup_server_message_unpause(message);
+  it->connection()->CutAfter(impl_->limits.answer);
+  soup_server_message_unpause(it->message());
 }
 
 void HttpServer::SetHeader(std::uint64_t handle,
                            const std::string& name,
                            const std::string& value) {
-  if (OpenRequest* it = impl_->Find(handle)) {
+  if (HttpExchange* it = impl_->Find(handle)) {
     soup_message_headers_replace(
-        soup_server_message_get_response_headers(it->message.get()),
-        name.c_str(), value.c_str());
+        soup_server_message_get_response_headers(it->message()), name.c_str(),
+        value.c_str());
   }
 }
 
 void HttpServer::StreamPart(std::uint64_t handle, const std::string& bytes) {
-  OpenRequest* it = impl_->Find(handle);
+  HttpExchange* it = impl_->Find(handle);
   if (it == nullptr || it->complete) {
     return;
   }
-  SoupServerMessage* message = it->message.get();
+  SoupServerMessage* message = it->message();
   SoupMessageBody* body = soup_server_message_get_response_body(message);
   if (!it->streaming) {
     it->streaming = true;
@@ -172,6 +357,9 @@
     soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
     soup_message_headers_replace(headers, "Content-Type", "text/event-stream");
     soup_message_headers_replace(headers, "Cache-Control", "no-store");
+    if (impl_->closing) {
+      AskToClose(message);
+    }
     soup_message_body_set_accumulate(body, FALSE);
   }
   soup_message_body_append(body, SOUP_MEMORY_COPY, bytes.data(), bytes.size());
@@ -180,24 +368,26 @@
 
 void HttpServer::StreamEnd(std::uint64_t handle, const std::string& bytes) {
   StreamPart(handle, bytes);
-  OpenRequest* it = impl_->Find(handle);
+  HttpExchange* it = impl_->Find(handle);
   if (it == nullptr || it->complete) {
     return;
   }
   it->complete = true;
   soup_message_body_complete(
-      soup_server_message_get_response_body(it->message.get()));
-  soup_server_message_unpause(it->message.get());
+      soup_server_message_get_response_body(it->message()));
+  it->connection()->CutAfter(impl_->limits.answer);
+  soup_server_message_unpause(it->message());
 }
 
 void HttpServer::Drop(std::uint64_t handle) {
-  OpenRequest* it = impl_->Find(handle);
+  HttpExchange* it = impl_->Find(handle);
   if (it == nullptr) {
     return;
   }
-  const auto message = std::move(it->message);
+  const GPtr<SoupServerMessage> message = Share(it->message());
   g_signal_handlers_disconnect_by_data(message.get(), impl_.get());
   impl_->open.erase(handle);
+  impl_->exchanges.erase(message.get());
   const GPtr<GIOStream> stream(
       soup_server_message_steal_connection(message.get()));
   if (stream) {
@@ -205,8 +395,17 @@
   }
 }
 
+void HttpServer::CloseConnections() {
+  impl_->closing = true;
+}
+
 std::size_t HttpServer::Open() const {
   return impl_->open.size();
 }
 
+std::size_t HttpServer::connections() const {
+  impl_->ForgetClosed();
+  return impl_->connections.size();
+}
+
 }  // namespace acaciachute
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,4 +1,10 @@
 // HTTP towards callers and operators, by libsoup.
+//
+// Failure: a caller sends without end, slowly, or not at all, or opens
+// connections without end. Symptom: the process runs out of memory or file
+// descriptors and refuses everybody. Bodies, connections and the time to send
+// a request are bounded. A caller that hangs up is noticed while its request
+// is in progress, although libsoup reads nothing from a paused message.
 #ifndef ACACIACHUTE_SRC_TRANSPORT_HTTP_SERVER_H_
 #define ACACIACHUTE_SRC_TRANSPORT_HTTP_SERVER_H_
 
@@ -13,6 +19,22 @@
 
 namespace acaciachute {
 
+struct HttpLimits {
+  // Above the table's largest transaction, for the stand-ins' sake.
+  std::size_t max_body = 16 << 20;
+  // Also kept below the process's limit on open files.
+  std::size_t max_connections = 4096;
+  // Between requests; a balancer keeps an idle connection for a minute.
+  DurationUs idle = 75 * kSecond;
+  // From the connection's start, or the first byte of a later request on it, to
+  // the end of the head, then to the end of the body. A caller's own deadline
+  // is 5 s; one that needs longer to send is too late.
+  DurationUs head = 10 * kSecond;
+  DurationUs body = 10 * kSecond;
+  // For the caller to read an answer that is whole.
+  DurationUs answer = 30 * kSecond;
+};
+
 class HttpHandler {
  public:
   virtual ~HttpHandler() = default;
@@ -26,7 +48,7 @@
 
 class HttpServer {
  public:
-  explicit HttpServer(HttpHandler* handler);
+  explicit HttpServer(HttpHandler* handler, const HttpLimits& limits = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -44,8 +66,11 @@
   void StreamEnd(std::uint64_t handle, const std::string& bytes);
   // Closes the connection without an answer, as a process that dies would.
   void Drop(std::uint64_t handle);
-  // Answers that are not yet written to their end.
+  // From now on each answer asks the other side to close its connection.
+  void CloseConnections();
+  // Requests whose answers are not yet written to their end.
   std::size_t Open() const;
+  std::size_t connections() const;
 
  private:
   struct Impl;
--- a/src/transport/loop.cc
+++ b/src/transport/loop.cc
@@ -35,13 +35,40 @@
                             new TaskHolder{std::move(task), repeats}, FreeTask);
 }
 
+// A poll that blocked for at least this long found nothing to do before.
+constexpr DurationUs kBlocked = 100;
+
+struct PollTimes {
+  TimeUs last = g_get_monotonic_time();    // When poll returned last.
+  TimeUs oldest = g_get_monotonic_time();  // See `Loop::OldestEvent`.
+};
+
+PollTimes& Times() {
+  static PollTimes times;
+  return times;
+}
+
+// Events found by a poll that blocked came just now; those found at once may
+// have come as early as the poll before.
+gint TimedPoll(GPollFD* fds, guint n, gint timeout) {
+  PollTimes& times = Times();
+  const TimeUs before = g_get_monotonic_time();
+  const gint ready = g_poll(fds, n, timeout);
+  const TimeUs after = g_get_monotonic_time();
+  times.oldest = after - before >= kBlocked ? after : times.last;
+  times.last = after;
+  return ready;
+}
+
 }  // namespace
 
 struct Loop::Impl {
   GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
 };
 
-Loop::Loop() : impl_(std::make_unique<Impl>()) {}
+Loop::Loop() : impl_(std::make_unique<Impl>()) {
+  g_main_context_set_poll_func(nullptr, TimedPoll);
+}
 Loop::~Loop() {
   g_main_loop_unref(impl_->loop);
 }
@@ -50,6 +77,10 @@
   return g_get_monotonic_time();
 }
 
+TimeUs Loop::OldestEvent() {
+  return Times().oldest;
+}
+
 std::int64_t Loop::WallClock() {
   return g_get_real_time();
 }
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -22,6 +22,11 @@
   static TimeUs Now();
   static std::int64_t WallClock();  // Microseconds since 1970, for spans only.
 
+  // Since when the events that are handled now may have waited for this loop,
+  // at the earliest. The loop is a queue: while it handles one event, others
+  // wait unseen, and that time counts against their deadlines.
+  static TimeUs OldestEvent();
+
   // Rounds up to GLib's millisecond. A timer that ran is gone.
   TimerId After(DurationUs delay, Task task);
   TimerId Every(DurationUs period, Task task);
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "protocol/bearer.h"
 #include "protocol/caller_http.h"
 #include "text.h"
 #include "transport/glib_ptr.h"
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -108,7 +108,7 @@
   std::map<std::string, std::unique_ptr<Relay>> upstream_links;
   std::unique_ptr<Relay> platform_link;
 
-  static constexpr char kToken[] = "office-token";
+  static constexpr char kToken[] = "office.token";
   static constexpr char kFrameKey[] = "0123456789abcdef0123456789abcdef";
   const std::string bin_dir;
 
