Tell entries at once when a sidecar's state changes

Entries heard of a leaving or silent upstream with the answer to their next question, up to 0.9 s later; what they sent meanwhile was handed back. The sidecar now sends its word itself.

No functional change to decisions.

--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -241,6 +241,8 @@
   logged_state = sidecar.state();
   LOG(INFO) << "event=state node=" << settings.node
             << " state=" << Name(logged_state);
+  // Entries need not wait for their next question to hear of it.
+  TellEntries();
 }
 
 void SidecarNode::Impl::AskReport() {
