--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -22,6 +22,7 @@
 constexpr int kPlainReplicas = 5;  // Of each pool before generation.
 constexpr DurationUs kToClient = 3 * kMillisecond;
 constexpr DurationUs kHeartbeatPeriod = 200 * kMillisecond;
+constexpr DurationUs kEngineLag = 500 * kMillisecond;
 constexpr DurationUs kTickPeriod = 5 * kMillisecond;
 // An engine runs this many calls at once, each slower by a tenth for each
 // other one in its batch.
@@ -153,6 +154,7 @@
   void EndCall(int n, UpstreamCallId id, bool ok);
   void Charge(const Engine& engine, const Engine::Call& call);
   void Heartbeats();
+  void EngineReports();
   void Ticks();
   void Change(bool on);
   double Capacity() const;  // Work a second, of generation.
@@ -542,6 +544,29 @@
   }
 }
 
+// What an engine says of itself when it is asked: its load of a while ago.
+void World::EngineReports() {
+  for (std::size_t n = 0; n < engines_.size(); ++n) {
+    const Engine& engine = engines_[n];
+    if (engine.dead) {
+      continue;
+    }
+    UpstreamReport report;
+    report.reachable = true;
+    report.load.queued = static_cast<std::uint32_t>(engine.waiting.size());
+    report.load.in_progress = static_cast<std::uint32_t>(engine.running.size());
+    report.load.limit = kBatch;
+    After(kEngineLag + (changed_ ? pattern_.report_lag : 0), [this, n, report] {
+      if (!engines_[n].dead) {
+        sidecars_[n]->OnUpstreamReport(now_, now_, report);
+      }
+    });
+  }
+  if (now_ < end_) {
+    After(kHeartbeatPeriod, [this] { EngineReports(); });
+  }
+}
+
 void World::Ticks() {
   for (auto& it : entries_) {
     it->OnTick(now_);
@@ -639,6 +664,7 @@
 
 Result World::Run() {
   Heartbeats();
+  EngineReports();
   Ticks();
   StepBound();
   At(kSecond, [this] { Arrive(); });
--- a/src/coordination/concurrency_limit.cc
+++ b/src/coordination/concurrency_limit.cc
@@ -37,7 +37,13 @@
                                 DurationUs service,
                                 std::uint32_t in_progress) {
   Observe(now, service);
-  if (static_cast<double>(median_) > kSlow * static_cast<double>(Best())) {
+  // Failure: the work itself becomes slower, as in a longer prompt mix.
+  // Symptom: latency reads as a queue, the limit falls to one, and the engine's
+  // batch runs empty while calls wait. An upstream that reports its slots says
+  // itself whether calls wait in it; latency speaks only for one that does not.
+  const bool slow =
+      static_cast<double>(median_) > kSlow * static_cast<double>(Best());
+  if (upstream_slots_ == 0 && slow) {
     Decrease(now);
     return;
   }
