--- a/src/coordination/control_duty.cc
+++ b/src/coordination/control_duty.cc
@@ -44,14 +44,19 @@
         it = duties_.emplace(name, std::move(duty)).first;
       }
       it->second->control.SetModels(pool.models);
-      const std::uint64_t own = PlaceOf(name, node_);
-      it->second->lease.SetRank(std::count_if(
-          peers.begin(), peers.end(),
-          [&](const NodeId& peer) { return PlaceOf(name, peer) < own; }));
+      it->second->lease.SetRank(RankOf(name, peers));
     }
   }
 }
 
+std::size_t ControlDuty::RankOf(const std::string& pool,
+                                const std::vector<NodeId>& peers) const {
+  const std::uint64_t own = PlaceOf(pool, node_);
+  return std::count_if(peers.begin(), peers.end(), [&](const NodeId& peer) {
+    return PlaceOf(pool, peer) < own;
+  });
+}
+
 void ControlDuty::OnTick(TimeUs now, const ReplicaTable& replicas) {
   for (const auto& [pool, duty] : duties_) {
     duty->lease.OnTick(now);
--- a/src/coordination/control_duty.h
+++ b/src/coordination/control_duty.h
@@ -48,6 +48,10 @@
     PoolControl control;
   };
 
+  // Place of this entry among those that compete for the pool's lease.
+  std::size_t RankOf(const std::string& pool,
+                     const std::vector<NodeId>& peers) const;
+
   const NodeId node_;
   LeaseOutput* const leases_;
   PoolControlOutput* const orders_;
