--- a/tests/process/entry_group.cc
+++ b/tests/process/entry_group.cc
@@ -23,6 +23,10 @@
   return StrCat("entry-", n);
 }
 
+std::string ReplicaName(std::size_t n) {
+  return StrCat("generators-", n);
+}
+
 }  // namespace
 
 EntryGroup::EntryGroup(std::string bin_dir, int count)
@@ -41,6 +45,10 @@
 }
 
 EntryGroup::~EntryGroup() {
+  sidecars.clear();
+  for (std::size_t n = 0; n < upstreams.size(); ++n) {
+    g_remove(StrCat(dir_, "/", ReplicaName(n), ".json").c_str());
+  }
   for (std::size_t n = 0; n < entries.size(); ++n) {
     g_remove(StrCat(dir_, "/", NodeName(n), ".json").c_str());
   }
@@ -69,7 +77,65 @@
   ports_[n] = entries[n]->frame_port();
 }
 
+void EntryGroup::StartReplica(bool keeps_fence) {
+  const std::string node = ReplicaName(upstreams.size());
+  upstreams.push_back(std::make_unique<Process>(
+      bin_dir_ + "/tests/standin-upstream",
+      std::vector<std::string>{"--kind", "generate", "--name", node}));
+  HttpRequest fault;
+  fault.method = "POST";
+  fault.url = StrCat(upstreams.back()->url(), "/faults");
+  fault.body = Json{{"keeps_fence", keeps_fence}}.dump();
+  Call(fault);
+  const Json json = {
+      {"role", "sidecar"},
+      {"node", node},
+      {"frame_key", kFrameKey},
+      {"listen", {{"ip", "127.0.0.1"}, {"port", 0}}},
+      {"platform", {{"url", platform->url()}}},
+      {"upstream", {{"url", upstreams.back()->url()}, {"pool", "generators"}}}};
+  const std::string path = StrCat(dir_, "/", node, ".json");
+  std::ofstream(path) << json.dump();
+  sidecars.push_back(
+      std::make_unique<Process>(bin_dir_ + "/acaciachuted",
+                                std::vector<std::string>{"--settings", path}));
+}
+
+std::vector<std::string> EntryGroup::OrdersAt(int n) {
+  const auto result = Get(StrCat(upstreams[n]->url(), "/orders"));
+  std::vector<std::string> orders;
+  for (const auto& it : Json::parse(result.body, nullptr, false)) {
+    orders.push_back(StrCat(it.value("version", ""), "@",
+                            it.value("fence", FenceNumber{0})));
+  }
+  return orders;
+}
+
+int EntryGroup::Holder() {
+  for (std::size_t n = 0; n < entries.size(); ++n) {
+    const auto result = Get(StrCat(entries[n]->url(), "/status"));
+    const Json in = Json::parse(result.body, nullptr, false);
+    if (in.is_object() && in["leases"].contains("generators")) {
+      return static_cast<int>(n);
+    }
+  }
+  return -1;
+}
+
 std::string EntryGroup::BranchJson() const {
+  Json replicas = Json::array();
+  for (std::size_t n = 0; n < sidecars.size(); ++n) {
+    replicas.push_back({{"node", ReplicaName(n)},
+                        {"ip", "127.0.0.1"},
+                        {"port", sidecars[n]->frame_port()}});
+  }
+  Json pools = Json::object();
+  if (!replicas.empty()) {
+    pools["generators"] = {
+        {"kind", "generate"},
+        {"replicas", replicas},
+        {"models", {{{"name", "notices"}, {"version", model_version_}}}}};
+  }
   Json list = Json::array();
   for (std::size_t n = 0; n < ports_.size(); ++n) {
     list.push_back(
@@ -77,6 +143,7 @@
   }
   return Json{{"owner", "ops"},
               {"entries", list},
+              {"pools", pools},
               {"accounts", {{"a", {{"share", changes_}}}}}}
       .dump();
 }
@@ -91,6 +158,12 @@
   return out;
 }
 
+HttpResult EntryGroup::Get(const std::string& url) {
+  HttpRequest request;
+  request.url = url;
+  return Call(request);
+}
+
 StoreAnswer EntryGroup::Transact(const std::vector<StoreOp>& ops) {
   HttpRequest request;
   request.method = "POST";
@@ -124,15 +197,12 @@
 }
 
 bool EntryGroup::Ready(int n) {
-  HttpRequest request;
-  request.url = StrCat(entries[n]->url(), "/readyz");
-  return Call(request).status == 200;
+  return Get(StrCat(entries[n]->url(), "/readyz")).status == 200;
 }
 
 SettingsVersion EntryGroup::VersionAt(int n) {
-  HttpRequest request;
-  request.url = StrCat(entries[n]->url(), "/status");
-  const Json in = Json::parse(Call(request).body, nullptr, false);
+  const auto result = Get(StrCat(entries[n]->url(), "/status"));
+  const Json in = Json::parse(result.body, nullptr, false);
   if (!in.is_object()) {
     return 0;
   }
