--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -42,7 +42,8 @@
   void Refuse(CallerHandle handle, CallerAnswer answer);
   void Admit(TimeUs now,
              CallerRequest call,
-             std::shared_ptr<const Event> event);
+             std::shared_ptr<const Event> event,
+             RequestLoad request_load);
   void StartTrace(EntryRequest& request);
 
   // The end of a request.
