Hand membership's word to the entry through one method

Cause: the daemon wrote a replica's state into the table past the entry, which may keep sums over it.

No functional change

--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -425,6 +425,12 @@
   impl_->load.OnReport(replica);
 }
 
+void Entry::OnMemberState(TimeUs now, const NodeId& sidecar, NodeState state) {
+  if (Replica* replica = impl_->replicas.Find(sidecar)) {
+    replica->state = state;
+  }
+}
+
 void Entry::OnPeerLost(TimeUs now, const NodeId& sidecar) {
   std::vector<RequestId> hit;
   for (const auto& [id, request] : impl_->requests) {
--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -76,6 +76,8 @@
                    const NodeId& from,
                    Incarnation incarnation,
                    const Heartbeat& heartbeat);
+  // What membership judges of a sidecar that did not say so itself.
+  void OnMemberState(TimeUs now, const NodeId& sidecar, NodeState state);
   // The connection to a sidecar broke: attempts there may have run.
   void OnPeerLost(TimeUs now, const NodeId& sidecar);
   // The connection was never made: `message` did not leave this process.
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -502,9 +502,7 @@
 void EntryNode::Impl::OnMemberState(const NodeId& sidecar, NodeState state) {
   LOG(INFO) << "event=member node=" << settings.node << " peer=" << sidecar
             << " state=" << Name(state);
-  if (Replica* it = entry.replicas().Find(sidecar)) {
-    it->state = state;
-  }
+  entry.OnMemberState(Loop::Now(), sidecar, state);
 }
 
 void EntryNode::Impl::ReadHostList() {
