Prove poison with failover, and a settings race with a node's restart

Cause: the two pairs had no test. Two operators edit one version while each of four entries is replaced before each of four steps: one wins, the other is told version 2, and all entries serve the winner's change 5 s later (virtual time).

No functional change

--- a/tests/pairs_test.cc
+++ b/tests/pairs_test.cc
@@ -8,7 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "coordination/settings_write.h"
 #include "tests/core_driver.h"
+#include "tests/settings_net.h"
 #include "text.h"
 
 namespace acaciachute {
@@ -202,5 +204,86 @@
   EXPECT_GT(answered, cases);
 }
 
+// A request ends each upstream that runs it, and the entry that sent it dies at
+// some moment, with what it knows of the crash; its caller goes to the next
+// entry. The pool of nine loses few replicas, wherever that moment falls, and
+// the last resend is refused with its reason.
+TEST(PairsTest, PoisonAndFailover) {
+  constexpr int kPoolEntries = 4;
+  constexpr int kSends = 12;
+  int most = 0;
+  for (DurationUs at = 0; at <= 200 * kMillisecond; at += 5 * kMillisecond) {
+    DriverOptions options;
+    options.entries = kPoolEntries;
+    options.service = 20 * kMillisecond;
+    options.pools = {{"models", StageKind::kGenerate, 9}};
+    CoreDriver driver(options);
+    driver.crashes = [](const NodeId&, const StageCall& call) {
+      return Contains(call.body, "poison");
+    };
+    CallerHandle last = 0;
+    for (int n = 0; n < kSends; ++n) {
+      const int entry = n % kPoolEntries;
+      last = driver.Ask(entry, Repeatable("poison"));
+      driver.Run(at);
+      if (n < kPoolEntries) {
+        driver.KillEntry(entry);
+        driver.StartEntry(entry);
+      }
+      driver.Run(kSecond);
+    }
+    most = std::max(most, driver.UpstreamCrashes());
+    ASSERT_EQ(driver.AnswersTo(last).size(), 1) << "killed after " << at;
+    EXPECT_EQ(driver.AnswersTo(last)[0].answer.reason, Refusal::kQuarantined)
+        << "killed after " << at;
+  }
+  std::cout << "replicas lost at most " << most << "\n";
+  EXPECT_LE(most, 4);
+}
+
+// Two operators edit one version of a branch, and an entry is replaced before
+// some step of theirs. One change is accepted and the other operator is told
+// the version that won; every entry, the new one too, then serves the winner's.
+TEST(PairsTest, SettingsRaceAndNodeRestart) {
+  constexpr int kNodes = 4;
+  constexpr int kSteps = 4;
+  for (int restarted = 0; restarted < kNodes * kSteps; ++restarted) {
+    SettingsNet net(kNodes, 11 + restarted);
+    ASSERT_EQ(net.Change("depot", 1), 1U);
+    net.Run(5 * kSecond);
+    std::vector<SettingsWrite> writes;
+    writes.reserve(2);
+    for (int n = 0; n < 2; ++n) {
+      SettingsChange change;
+      change.branch = "depot";
+      change.team = "ops";
+      change.json =
+          StrCat(R"({"owner":"ops","accounts":{"a":{"share":)", 10 + n, "}}}");
+      writes.emplace_back(change, 500 + n);
+    }
+    for (int step = 0; step < kSteps; ++step) {
+      if (step == restarted / kNodes) {
+        net.Kill(restarted % kNodes);
+        net.Run(100 * kMillisecond);
+        net.Start(restarted % kNodes);
+      }
+      SettingsWrite& write = writes[step % 2];
+      write.OnAnswer(net.table.Transact(write.Next()));
+      net.Run(50 * kMillisecond);
+    }
+    ASSERT_TRUE(writes[0].result() && writes[1].result());
+    EXPECT_EQ(writes[0].result()->outcome, WriteOutcome::kAccepted);
+    EXPECT_EQ(writes[1].result()->outcome, WriteOutcome::kLostRace);
+    EXPECT_EQ(writes[1].result()->version, 2U);
+    net.Run(5 * kSecond);
+    for (int n = 0; n < kNodes; ++n) {
+      EXPECT_TRUE(net.Serves(n)) << "case " << restarted << " node " << n;
+      const Account* account = net.sync(n).settings()->FindAccount("a");
+      ASSERT_NE(account, nullptr);
+      EXPECT_EQ(account->share, 10U) << "case " << restarted << " node " << n;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace acaciachute
