Prove the verdict over two stages

Cause: the property on "not run" ran over one stage.

Measured: 400 schedules over two stages, no caller that was told "not run" finds a run.

No functional change

--- a/tests/claims_property_test.cc
+++ b/tests/claims_property_test.cc
@@ -253,5 +253,16 @@
       "");
 }
 
+// The same over two stages: a request whose first stage ran is never told "not
+// run" when its second one was refused, lost or late.
+TEST(ClaimsPropertyTest, NotRunIsTrueOverAllStages) {
+  DriverOptions options = Options();
+  options.pools.insert(options.pools.begin(),
+                       {"encoders", StageKind::kEncode, kSidecars});
+  EXPECT_EQ(
+      CounterExample(13, 400, [&] { CheckAnswers(*AnySchedule(), options); }),
+      "");
+}
+
 }  // namespace
 }  // namespace acaciachute
