--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -341,18 +341,6 @@
   }
 }
 
-double Deployment::Metric(const Process& process, const std::string& name) {
-  double sum = 0;
-  for (const auto& line : Split(Get(process.url() + "/metrics").body, '\n')) {
-    const bool named =
-        line.starts_with(name + " ") || line.starts_with(name + "{");
-    if (named) {
-      sum += std::stod(line.substr(line.rfind(' ') + 1));
-    }
-  }
-  return sum;
-}
-
 HttpRequest Deployment::EventRequest(int entry, const std::string& body) {
   HttpRequest request;
   request.method = "POST";
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -93,8 +93,6 @@
 
   // Orders faults of a stand-in.
   void Fault(const Process& standin, const std::string& json);
-  // Value of a member of entry `n`'s counts, summed over label values.
-  double Metric(const Process& process, const std::string& name);
 
   void WriteSettings();
   void StartEntry(int n);
