--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -41,7 +41,6 @@
   std::string_view name;
   double load = 0.7;          // Of generation's capacity, while it lasts.
   double hot = 1;             // Factor on one account's requests.
-  double hot_key = 0;         // Share of requests under one prompt prefix.
   double slow = 1;            // Service factor of one model replica.
   double all_slow = 1;        // Service factor of every model replica.
   bool failing = false;       // One model replica breaks every call.
