Use a shunned replica when there is no other, and trust it again in time

Cause: SidecarProcessTest.BadAnswersNeverReachACaller and .CutStreamNeverLooksWhole were refused with no_replica after three bad answers of the only upstream. Two faults of one kind: shunning left nothing to choose from, and a replica of a pool that only gets orders, which are never probes, was shunned for ever.

Ruled out: the sidecar's state (it stayed ready); sending retries there as well, because a retry of an order at a failing replica ends as "may have run" where "not run" was true.

First tries go to shunned replicas when no other is open, and shunning lapses after ten probes' time.

--- a/src/coordination/router.cc
+++ b/src/coordination/router.cc
@@ -27,10 +27,15 @@
                         CallerClass caller_class,
                         bool idempotent) {
   open_.clear();
+  shunned_.clear();
   for (Replica* it : pool) {
     const bool again =
         std::find(tried.begin(), tried.end(), it->address.node) != tried.end();
-    if (again || !it->TakesWork() || !it->health.Takes(now, idempotent)) {
+    if (again || !it->TakesWork() || !it->health.reachable()) {
+      continue;
+    }
+    if (!it->health.Takes(now, idempotent)) {
+      shunned_.push_back(it);
       continue;
     }
     if (it->health.probing(now)) {
@@ -39,6 +44,9 @@
     }
     open_.push_back(it);
   }
+  if (open_.empty() && tried.empty()) {
+    open_.swap(shunned_);
+  }
   Replica* best = nullptr;
   double best_score = 0;
   const std::size_t samples = std::min<std::size_t>(kSamples, open_.size());
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -26,6 +26,11 @@
 
   // Null when no replica outside `tried` takes work. Only an idempotent call
   // may be spent on finding out whether a shunned replica is well again.
+  //
+  // Failure: every replica of a pool, or its only one, is shunned. Symptom:
+  // callers are refused although the pool may be well again. Shunning chooses
+  // between replicas; with nothing to choose from, the shunned ones get first
+  // tries.
   Replica* Choose(TimeUs now,
                   const std::vector<Replica*>& pool,
                   const std::vector<NodeId>& tried,
@@ -34,7 +39,9 @@
 
  private:
   Random* const random_;
-  std::vector<Replica*> open_;  // Kept between calls for its memory.
+  // Kept between calls for their memory.
+  std::vector<Replica*> open_;
+  std::vector<Replica*> shunned_;
 };
 
 }  // namespace acaciachute
--- a/src/state/replica_health.h
+++ b/src/state/replica_health.h
@@ -23,6 +23,10 @@
   // sizes, and brings a mended replica back within two seconds.
   static constexpr DurationUs kProbeEvery = 500 * kMillisecond;
 
+  // A pool that only gets calls that may not be repeated has no probes; there a
+  // shunned replica is taken for sound again after ten probes' time.
+  static constexpr DurationUs kTrustAgainAfter = 10 * kProbeEvery;
+
   void OnSuccess() { failing_ -= failing_ * kSuccessWeight; }
   void OnFailure(TimeUs now) {
     failing_ += (1 - failing_) * kFailureWeight;
@@ -37,8 +41,11 @@
     if (unreachable_) {
       return false;
     }
-    return failing_ < kShunAt || (may_probe && now >= next_probe_);
+    const TimeUs again =
+        may_probe ? next_probe_ : next_probe_ - kProbeEvery + kTrustAgainAfter;
+    return failing_ < kShunAt || now >= again;
   }
+  bool reachable() const { return !unreachable_; }
   bool shunned() const { return unreachable_ || failing_ >= kShunAt; }
   bool probing(TimeUs now) const {
     return !unreachable_ && failing_ >= kShunAt && now >= next_probe_;
--- a/tests/load_decisions_test.cc
+++ b/tests/load_decisions_test.cc
@@ -122,6 +122,49 @@
   EXPECT_EQ(choose(false), &bad);
 }
 
+// The only replica of a pool breaks three calls and is well again. Refusing its
+// callers until a probe comes would refuse them for nothing, and orders, which
+// are never probes, for ever. Retries still stay away from it.
+TEST(RouterTest, OnlyReplicaIsUsedThoughShunned) {
+  Random random(1);
+  Router router(&random);
+  Replica only = MakeReplica("only", 0);
+  for (int n = 0; n < 5; ++n) {
+    only.health.OnFailure(kSecond);
+  }
+  ASSERT_TRUE(only.health.shunned());
+  EXPECT_EQ(router.Choose(kSecond, {&only}, {}, CallerClass::kUrgent, false),
+            &only);
+  EXPECT_EQ(
+      router.Choose(kSecond, {&only}, {"other"}, CallerClass::kUrgent, false),
+      nullptr);
+}
+
+// A pool gets only orders, which are never probes. One replica fails for a
+// while; without a limit to the shunning it would stay idle for ever.
+TEST(RouterTest, ShunnedReplicaIsTrustedAgainWithoutProbes) {
+  Random random(1);
+  Router router(&random);
+  Replica good = MakeReplica("good", 4);
+  Replica bad = MakeReplica("bad", 0);
+  const std::vector<Replica*> pool = {&good, &bad};
+  for (int n = 0; n < 5; ++n) {
+    bad.health.OnFailure(kSecond);
+  }
+  const auto chosen = [&](TimeUs now) {
+    int n = 0;
+    for (int tries = 0; tries < 50; ++tries) {
+      const Replica* it =
+          router.Choose(now, pool, {}, CallerClass::kPatient, false);
+      n += it == &bad ? 1 : 0;
+    }
+    return n;
+  };
+  const TimeUs again = kSecond + ReplicaHealth::kTrustAgainAfter;
+  EXPECT_EQ(chosen(again - 1), 0);
+  EXPECT_GT(chosen(again), 0);
+}
+
 // A replica four times as slow with the same work in progress would answer
 // last; it is used again when the others are that much fuller.
 TEST(RouterTest, SlowReplicaGetsItsPart) {
