Watch only the replicas that an entry uses, and count a state change at once

Cause: heartbeats still went to every replica of every pool, though an entry uses at most 32 of each; and a replica that membership condemned kept its slots in the pool's sum until its next report, which a dead one never sends.

Ruled out: asking the others less often; an entry has no use for their state.

--- a/src/coordination/entry.cc
+++ b/src/coordination/entry.cc
@@ -428,6 +428,7 @@
 void Entry::OnMemberState(TimeUs now, const NodeId& sidecar, NodeState state) {
   if (Replica* replica = impl_->replicas.Find(sidecar)) {
     replica->state = state;
+    impl_->load.Update(replica);
   }
 }
 
--- a/src/coordination/load_control.h
+++ b/src/coordination/load_control.h
@@ -46,8 +46,10 @@
 
   // After the replica table took the settings over.
   void OnSettings(SettingsPtr settings);
-  // After a replica's report or state changed.
+  // After a replica's report.
   void OnReport(Replica* replica);
+  // After its state changed without one.
+  void Update(Replica* replica);
   // Its connection broke; attempts there end on their own.
   void OnUnreachable(Replica* replica);
 
@@ -85,7 +87,6 @@
   SharedPool* PoolNamed(std::string_view name);
   const std::shared_ptr<PipelineEstimate>& EstimateOf(std::string_view name,
                                                       const Event& event);
-  void Update(Replica* replica);
   void LeaveStage(RequestLoad* load);
 
   const NodeId entry_;
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -436,7 +436,9 @@
   std::vector<NodeId> targets;
   for (const Replica* it : entry.replicas().All()) {
     mesh.SetAddress(it->address.node, {it->address.ip, it->address.port});
-    targets.push_back(it->address.node);
+    if (it->in_subset) {
+      targets.push_back(it->address.node);
+    }
   }
   members.SetTargets(Loop::Now(), targets);
   members.SetHelpers(sync.Peers());
