Let both roles share their wake-up timer and operators' pages

Cause: entry_node.cc and sidecar_node.cc had the same timer and the same four pages in words of their own, 18 lines and more.

Ruled out: a base class of both nodes; they share no state, only these two pieces. transport/wakeup.h and daemon/node_pages.cc now serve both.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .DEFAULT_GOAL := help
 .PHONY: help deps build format format-check layers lint test check demo bench \
-  dissemination clean
+  dissemination capacity clean
 
 help: ## List every target
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -45,5 +45,8 @@
 dissemination: build ## Measure how fast settings spread (up to 60 processes)
 	@$(BUILD)/bench/bench_dissemination
 
+capacity: build ## Measure the slopes that docs/CAPACITY.md quotes
+	@$(BUILD)/bench/bench_capacity 2> /dev/null
+
 clean: ## Remove the build
 	@rm -rf $(BUILD)
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -13,6 +13,7 @@
 #include "coordination/membership.h"
 #include "coordination/platform_client.h"
 #include "coordination/settings_sync.h"
+#include "daemon/node_pages.h"
 #include "daemon/startup.h"
 #include "protocol/caller_http.h"
 #include "protocol/platform_codec.h"
@@ -24,6 +25,7 @@
 #include "transport/http_server.h"
 #include "transport/peer_mesh.h"
 #include "transport/trace_log.h"
+#include "transport/wakeup.h"
 
 namespace acaciachute {
 namespace {
@@ -248,8 +250,10 @@
   HttpClient settings_store;
   // Callers that asked for a stream, and whether it has started.
   std::map<CallerHandle, bool> streams;
-  Loop::TimerId wakeup = 0;
-  TimeUs wakeup_at = 0;
+  Wakeup wakeup{loop, [this] {
+                  entry.OnTick(Loop::Now());
+                  Rearm();
+                }};
   bool draining = false;
   bool was_current = false;
   TimeUs settle_until = 0;
@@ -349,27 +353,13 @@
 void EntryNode::Impl::OnOperatorRequest(std::uint64_t handle,
                                         const HttpHead& head) {
   HttpReply reply;
-  if (head.path == "/healthz") {
-    reply.body = "{}";
-  } else if (head.path == "/readyz") {
-    const bool ready = !draining && sync.IsCurrent(Loop::Now());
-    reply.status = ready ? 200 : 503;
-    reply.body = ready ? "{\"ready\":true}" : "{\"ready\":false}";
-  } else if (head.path == "/metrics") {
-    reply.content_type = "text/plain; version=0.0.4";
-    reply.body = metrics.PrometheusText();
-  } else if (head.path == "/status") {
+  if (head.path == "/status") {
     reply.body = StatusJson();
   } else if (head.path == "/cost") {
     reply.body = CostJson();
-  } else if (head.path.starts_with("/traces")) {
-    std::string_view id = head.path;
-    ConsumePrefix(&id, "/traces");
-    ConsumePrefix(&id, "/");
-    reply.body = traces.ToJson(id);
   } else {
-    reply.status = 404;
-    reply.body = "{}";
+    const bool ready = !draining && sync.IsCurrent(Loop::Now());
+    reply = ServeNodePage(head, ready, metrics, traces);
   }
   server.Reply(handle, reply);
 }
@@ -527,21 +517,7 @@
 }
 
 void EntryNode::Impl::Rearm() {
-  const TimeUs next = entry.NextWakeup();
-  if (wakeup != 0 && wakeup_at <= next) {
-    return;
-  }
-  loop->Cancel(wakeup);
-  wakeup = 0;
-  if (next == std::numeric_limits<TimeUs>::max()) {
-    return;
-  }
-  wakeup_at = next;
-  wakeup = loop->After(std::max<DurationUs>(0, next - Loop::Now()), [this] {
-    wakeup = 0;
-    entry.OnTick(Loop::Now());
-    Rearm();
-  });
+  wakeup.At(entry.NextWakeup());
 }
 
 void EntryNode::Impl::QuitWhenDone() {
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -10,6 +10,7 @@
 
 #include "coordination/fence.h"
 #include "coordination/sidecar.h"
+#include "daemon/node_pages.h"
 #include "daemon/startup.h"
 #include "protocol/lease_codec.h"
 #include "protocol/platform_codec.h"
@@ -22,6 +23,7 @@
 #include "transport/peer_mesh.h"
 #include "transport/trace_log.h"
 #include "transport/upstream_client.h"
+#include "transport/wakeup.h"
 
 namespace acaciachute {
 namespace {
@@ -149,8 +151,10 @@
   HttpServer server;
   HttpClient platform{kPlatformTimeout};
   UpstreamClient upstream;
-  Loop::TimerId wakeup = 0;
-  TimeUs wakeup_at = 0;
+  Wakeup wakeup{loop, [this] {
+                  sidecar.OnTick(Loop::Now());
+                  Rearm();
+                }};
   std::set<NodeId> entries;  // Those that sent a heartbeat.
   bool draining = false;
   NodeState logged_state = NodeState::kDead;
@@ -164,26 +168,8 @@
     server.Reply(handle, *it);
     return;
   }
-  HttpReply reply;
-  if (head.path == "/healthz") {
-    reply.body = "{}";
-  } else if (head.path == "/readyz") {
-    const bool ready = sidecar.state() == NodeState::kReady;
-    reply.status = ready ? 200 : 503;
-    reply.body = ready ? "{\"ready\":true}" : "{\"ready\":false}";
-  } else if (head.path == "/metrics") {
-    reply.content_type = "text/plain; version=0.0.4";
-    reply.body = metrics.PrometheusText();
-  } else if (head.path.starts_with("/traces")) {
-    std::string_view id = head.path;
-    ConsumePrefix(&id, "/traces");
-    ConsumePrefix(&id, "/");
-    reply.body = traces.ToJson(id);
-  } else {
-    reply.status = 404;
-    reply.body = "{}";
-  }
-  server.Reply(handle, reply);
+  const bool ready = sidecar.state() == NodeState::kReady;
+  server.Reply(handle, ServeNodePage(head, ready, metrics, traces));
 }
 
 // Without a platform or a pool there is no lease, and orders are refused.
@@ -258,21 +244,7 @@
 
 void SidecarNode::Impl::Rearm() {
   LogState();
-  const TimeUs next = sidecar.NextWakeup();
-  if (wakeup != 0 && wakeup_at <= next) {
-    return;
-  }
-  loop->Cancel(wakeup);
-  wakeup = 0;
-  if (next == std::numeric_limits<TimeUs>::max()) {
-    return;
-  }
-  wakeup_at = next;
-  wakeup = loop->After(std::max<DurationUs>(0, next - Loop::Now()), [this] {
-    wakeup = 0;
-    sidecar.OnTick(Loop::Now());
-    Rearm();
-  });
+  wakeup.At(sidecar.NextWakeup());
 }
 
 void SidecarNode::Impl::QuitWhenDone() {
--- a/src/transport/peer_mesh.cc
+++ b/src/transport/peer_mesh.cc
@@ -172,6 +172,8 @@
 }
 
 void Connection::Queue(const std::string& bytes) {
+  mesh->metrics->Count("acaciachute_frame_bytes_total", "tcp_out",
+                       bytes.size());
   writing.push_back(BytesOf(bytes));
   if (!write_active) {
     WriteNext();
@@ -290,6 +292,8 @@
 }
 
 void PeerMeshImpl::OnFrame(const ConnectionPtr& connection) {
+  metrics->Count("acaciachute_frame_bytes_total", "tcp_in",
+                 connection->frame.size());
   const auto envelope = DecodeFrame(connection->frame, options.frame_key);
   if (!envelope.ok()) {
     metrics->Count("acaciachute_bad_frames_total", "tcp");
@@ -333,6 +337,8 @@
   if (n <= 0 || !from) {
     return;
   }
+  metrics->Count("acaciachute_frame_bytes_total", "udp_in",
+                 static_cast<std::uint64_t>(n));
   const auto envelope =
       DecodeFrame({buf.data(), static_cast<std::size_t>(n)}, options.frame_key);
   if (!envelope.ok()) {
@@ -448,6 +454,8 @@
     return;
   }
   const std::string frame = impl_->FrameOf(message);
+  impl_->metrics->Count("acaciachute_frame_bytes_total", "udp_out",
+                        frame.size());
   // A datagram that cannot be sent is lost like any other.
   g_socket_send_to(impl_->udp.get(), it->second.get(), frame.data(),
                    frame.size(), nullptr, nullptr);
