Work out the target's needs from measured slopes

Ruled out: more than 32 sidecars in one pool as a point of the idle slope; an entry uses no more of one, so pools of 24 make up the larger points.

No functional change

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -25,6 +25,7 @@
 constexpr char kFrameKey[] = "0123456789abcdef0123456789abcdef";
 constexpr DurationUs kIdleTime = 5 * kSecond;
 constexpr int kLookups = 2000;
+constexpr int kPoolSize = 24;
 
 struct Point {
   double x;
@@ -207,7 +208,13 @@
                  std::vector<Point>* bytes,
                  std::vector<Point>* entry_memory,
                  std::vector<Point>* sidecar_cpu) {
-  Deployment deployment(ACACIACHUTE_BIN_DIR, {{"model", "generate", count}}, 1);
+  // Pools are used whole up to the size of a subset.
+  std::vector<PoolSpec> pools;
+  for (int left = count; left > 0; left -= kPoolSize) {
+    pools.push_back(
+        {StrCat("model", pools.size()), "generate", std::min(left, kPoolSize)});
+  }
+  Deployment deployment(ACACIACHUTE_BIN_DIR, pools, 1);
   if (!deployment.WaitReady()) {
     std::printf("  %d sidecars: not ready, not measured\n", count);
     return;
