--- /dev/null
+++ b/src/coordination/attempt_budget.h
@@ -0,0 +1,80 @@
+// Bounds how often one service is sent a request again, over a sliding window
+// and over all entries together.
+//
+// Load pattern: replicas of a service refuse or lose calls, and every entry
+// sends each request again at once. Without a bound that all entries keep in
+// sum, the repeats are a second load on a service that fails under the first.
+// Each entry spends an equal part of the fixed allowance and its share of the
+// requests that it sent itself, so that the sum holds without messages. Half of
+// both is left unspent: an entry that restarts forgets what it has spent, and
+// the number of entries is a belief.
+#ifndef ACACIACHUTE_SRC_COORDINATION_ATTEMPT_BUDGET_H_
+#define ACACIACHUTE_SRC_COORDINATION_ATTEMPT_BUDGET_H_
+
+#include <algorithm>
+#include <deque>
+
+#include "state/host_settings.h"
+#include "types.h"
+
+namespace acaciachute {
+
+class AttemptBudget {
+ public:
+  static constexpr double kSpend = 0.5;
+
+  void SetLimits(const AttemptBudgetLimits& limits) { limits_ = limits; }
+  // Entries that are believed to share the allowance, this one included.
+  void SetEntries(std::size_t n) { entries_ = std::max<std::size_t>(1, n); }
+
+  void OnRequest(TimeUs now) { Add(&requests_, now, 1); }
+
+  // Whether `n` repeats may be sent; they are counted if so.
+  bool Take(TimeUs now, std::uint32_t n = 1) {
+    const double allowed =
+        kSpend * (limits_.slack / static_cast<double>(entries_) +
+                  limits_.ratio * Sum(&requests_, now));
+    if (Sum(&repeats_, now) + n > allowed) {
+      return false;
+    }
+    Add(&repeats_, now, n);
+    return true;
+  }
+  // Repeats that happened without being asked for, such as those that a replica
+  // refused.
+  void Spend(TimeUs now, std::uint32_t n) { Add(&repeats_, now, n); }
+
+ private:
+  struct Bucket {
+    TimeUs start = 0;
+    std::uint32_t count = 0;
+  };
+  static constexpr DurationUs kBucket = 250 * kMillisecond;
+
+  static void Add(std::deque<Bucket>* buckets, TimeUs now, std::uint32_t n) {
+    if (buckets->empty() || now - buckets->back().start >= kBucket) {
+      buckets->push_back({now, 0});
+    }
+    buckets->back().count += n;
+  }
+  double Sum(std::deque<Bucket>* buckets, TimeUs now) const {
+    while (!buckets->empty() &&
+           now - buckets->front().start > limits_.window + kBucket) {
+      buckets->pop_front();
+    }
+    double sum = 0;
+    for (const auto& it : *buckets) {
+      sum += it.count;
+    }
+    return sum;
+  }
+
+  AttemptBudgetLimits limits_;
+  std::size_t entries_ = 1;
+  std::deque<Bucket> requests_;
+  std::deque<Bucket> repeats_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_ATTEMPT_BUDGET_H_
--- /dev/null
+++ b/src/coordination/engine_choice.h
@@ -0,0 +1,102 @@
+// Chooses the model replica that reads a prompt and generates.
+//
+// Load pattern: prompts of 12,000 tokens beside prompts of 600, sessions that
+// come back with the same first parts, and engines whose every running request
+// slows the tokens of all others. Sent to a random engine, a session's parts
+// are read again each time, and two long prompts that meet delay the first
+// token of both by their sum. Each engine is scored by the time until this
+// request's first token: the prompt tokens that are still unread there, those
+// of this prompt that it does not hold, and what the running requests add. What
+// an engine holds is believed from what was sent there and ended well; engines
+// report their load late and at a price, so nobody asks them.
+#ifndef ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
+#define ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "state/client_call.h"
+#include "state/random.h"
+#include "state/replica_directory.h"
+#include "state/replica_health.h"
+#include "types.h"
+
+namespace acaciachute {
+
+// What an engine has in progress, from this entry or as another tells it.
+struct EngineLoad {
+  std::uint32_t running = 0;
+  std::uint64_t unread_tokens = 0;  // Of prompts without a first token yet.
+};
+
+struct EngineRequest {
+  const std::vector<PromptPart>* prompt = nullptr;
+  std::uint64_t prompt_tokens = 0;
+  // Failure domain of most of the bytes that the engine has to fetch.
+  std::string near_domain;
+};
+
+class EngineChoice {
+ public:
+  // Prompt tokens that an engine reads in a millisecond, by the users' sheets.
+  static constexpr double kTokensPerMs = 157;
+  // What one more running request adds until the first token: it lengthens each
+  // step, and a prompt waits for the step in progress.
+  static constexpr double kRunningMs = 0.6;
+  // Fetching results from another failure domain. Mostly a matter of their
+  // price: a detour is worth this much reading time.
+  static constexpr double kFarMs = 25;
+  // Parts remembered an engine. A part is 16 bytes and a time here; this is
+  // several times what an engine's memory holds.
+  static constexpr std::size_t kPartsRemembered = 4096;
+
+  EngineChoice(const ReplicaDirectory* directory, Random* random);
+
+  // Null when no engine outside `tried` takes work.
+  const ReplicaEntry* Choose(TimeUs now,
+                             const std::string& service,
+                             const EngineRequest& request,
+                             const std::vector<ReplicaId>& tried,
+                             bool may_repeat);
+
+  void OnSent(const ReplicaId& replica, const EngineRequest& request);
+  // The first event came: the prompt is read.
+  void OnFirstEvent(TimeUs now,
+                    const ReplicaId& replica,
+                    const EngineRequest& request);
+  // After either; `read` tells whether `OnFirstEvent` came before.
+  void OnEnded(const ReplicaId& replica,
+               const EngineRequest& request,
+               bool read);
+  void OnSuccess(const ReplicaId& replica);
+  void OnFailure(TimeUs now, const ReplicaId& replica);
+  void OnReplicaGone(const ReplicaId& replica);
+
+  // Work of other entries at an engine; replaces what `from` told before.
+  void SetOthers(const NodeId& from,
+                 const std::map<ReplicaId, EngineLoad>& loads);
+  const std::map<ReplicaId, EngineLoad>& own() const { return own_; }
+
+ private:
+  struct Engine {
+    absl::flat_hash_map<std::string, TimeUs> parts;  // When used last.
+    ReplicaHealth health;
+  };
+
+  std::uint64_t Unheld(const Engine& engine, const EngineRequest& request) const;
+  double Score(const ReplicaEntry& replica, const EngineRequest& request);
+  EngineLoad LoadOf(const ReplicaId& replica) const;
+
+  const ReplicaDirectory* const directory_;
+  Random* const random_;
+  std::map<ReplicaId, Engine> engines_;
+  std::map<ReplicaId, EngineLoad> own_;
+  std::map<NodeId, std::map<ReplicaId, EngineLoad>> others_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
--- /dev/null
+++ b/src/coordination/gateway.h
@@ -0,0 +1,146 @@
+// Serves clients' requests straight to replicas: finds the route and the client
+// account, has the stages made, chooses the replica, passes the answer on, and
+// refuses what cannot be served.
+//
+// A request runs at most once unless it may be repeated: it is sent again only
+// when no byte of it left, when the replica itself said that it did not run it,
+// or when its route allows repeats. A refusal that says "not run" is given in
+// these cases only. Everything here is without I/O; time, connections and
+// timers come through `GatewayPorts`, so that a failure is a short test.
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/attempt_budget.h"
+#include "coordination/engine_choice.h"
+#include "coordination/piece_desk.h"
+#include "state/client_call.h"
+#include "state/event_log.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "state/replica_directory.h"
+#include "state/serving_config.h"
+#include "types.h"
+
+namespace acaciachute {
+
+// This system's own answer to a client, in place of a replica's.
+struct OwnAnswer {
+  Refusal reason = Refusal::kNone;
+  Verdict verdict = Verdict::kNotRun;
+  DurationUs retry_after = 0;  // Zero: a later try does not help.
+  std::string detail;
+};
+
+// One attempt of a request at one replica.
+struct SendOrder {
+  const ClientCall* call = nullptr;
+  ReplicaId replica;
+  Address address;
+  DurationUs time_left = 0;
+  std::string account;  // Empty when the route needs none.
+  std::vector<std::string> inputs;
+  std::optional<std::uint32_t> priority;  // For engines.
+  std::optional<std::uint64_t> resume_after;
+  // Whether a kept connection that turns out closed would cost the request: it
+  // could not be told from one that was lost after it ran.
+  bool may_repeat = false;
+};
+
+class GatewayPorts {
+ public:
+  virtual ~GatewayPorts() = default;
+  // Counts on while the host is suspended, because clients' deadlines do.
+  virtual TimeUs Now() = 0;
+
+  virtual void Refuse(ExchangeId id, const OwnAnswer& answer) = 0;
+  virtual void Answer(ExchangeId id,
+                      const ReplicaHead& head,
+                      std::string_view body) = 0;
+  virtual void BeginStream(ExchangeId id, const ReplicaHead& head) = 0;
+  virtual void StreamData(ExchangeId id, std::string_view bytes) = 0;
+  virtual void EndStream(ExchangeId id) = 0;
+  virtual void Break(ExchangeId id) = 0;
+  // Bytes that the client has not taken yet.
+  virtual std::size_t Unsent(ExchangeId id) = 0;
+
+  virtual CallId Send(const SendOrder& order) = 0;
+  virtual void Cancel(CallId id) = 0;
+  virtual void SetReading(CallId id, bool reading) = 0;
+  virtual void FreeResults(const std::vector<std::string>& handles) = 0;
+};
+
+struct GatewayOptions {
+  std::string domain;  // Failure domain of this host.
+  // A key is used only while the configuration was confirmed this recently.
+  DurationUs key_age = 4 * kSecond;
+  AttemptBudgetLimits budget;
+};
+
+class Gateway {
+ public:
+  // A client that takes its answer slowly makes the replica wait instead of
+  // filling this process's memory.
+  static constexpr std::size_t kMostUnsent = 128 << 10;
+  // A plain answer is passed on whole; one above this fails.
+  static constexpr std::size_t kMostAnswer = 8 << 20;
+  // Replicas asked for one request, those that refused included.
+  static constexpr std::size_t kMostReplicas = 3;
+  // Times that a request's stages are begun again because a result was gone.
+  static constexpr int kMostRestarts = 2;
+  // Of the time from a client to here, which its deadline includes.
+  static constexpr DurationUs kLink = 3 * kMillisecond;
+
+  Gateway(GatewayOptions options,
+          GatewayPorts* ports,
+          PieceDesk* desk,
+          const ReplicaDirectory* directory,
+          Random* random,
+          Metrics* metrics,
+          EventLog* log);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // A configuration of a lower version than the one in force is passed over.
+  void OnConfig(std::shared_ptr<const ServingConfig> config);
+  // The configuration in force was the newest at `asked_at`.
+  void OnConfirmed(TimeUs asked_at);
+  void OnReplica(const ReplicaEntry& replica, DirectoryChange change);
+
+  void OnCall(ExchangeId id, ClientCall call);
+  void OnGone(ExchangeId id);
+  void OnWritten(ExchangeId id);
+
+  void OnReplicaHead(CallId id, ReplicaHead head);
+  void OnReplicaBody(CallId id, std::string_view bytes);
+  void OnReplicaEnd(CallId id);
+  void OnReplicaFailed(CallId id, bool sent, std::string_view why);
+  void OnPiece(const PieceResult& result);
+
+  // Ends what is over its time; call it every 10 ms.
+  void OnTick();
+
+  void SetEntries(std::size_t n);
+  EngineChoice* engines();
+  // The retry budget of a service, which its batched pieces share.
+  AttemptBudget* BudgetOf(const std::string& service);
+  bool configured() const;
+  // Whether keys may be used now.
+  bool current() const;
+  std::size_t in_progress() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_H_
--- /dev/null
+++ b/src/coordination/gateway_attempt.cc
@@ -0,0 +1,261 @@
+// One request at its replicas: the choice, the answer, and what follows when
+// there is none.
+#include <algorithm>
+
+#include "coordination/gateway_impl.h"
+#include "text.h"
+
+namespace acaciachute {
+
+bool Gateway::Impl::IsEngine(const ServingRequest& request) const {
+  const Service* service = request.config->FindService(request.service);
+  return service != nullptr && service->engine.has_value();
+}
+
+const ReplicaEntry* Gateway::Impl::ChooseReplica(ServingRequest* request) {
+  const TimeUs now = ports->Now();
+  const bool repeat = request->route->MayRepeat();
+  if (IsEngine(*request)) {
+    return engines.Choose(now, request->service, request->ForEngine(),
+                          request->tried, repeat);
+  }
+  return Plain(request->service)
+      .Choose(now, request->service, options.domain, request->tried, repeat);
+}
+
+void Gateway::Impl::StartAttempt(ServingRequest* request) {
+  const ReplicaEntry* replica = request->tried.size() < kMostReplicas
+                                    ? ChooseReplica(request)
+                                    : nullptr;
+  if (replica == nullptr) {
+    const bool listed = !directory->Of(request->service).empty();
+    Refuse(request,
+           {listed ? Refusal::kFull : Refusal::kNoReplica, Verdict::kNotRun, 0,
+            StrCat(request->tried.size(), " replicas asked")});
+    return;
+  }
+  const TimeUs now = ports->Now();
+  SendOrder order;
+  order.call = &request->call;
+  order.replica = replica->id;
+  order.address = replica->address;
+  order.time_left = request->deadline_at - now;
+  order.account = request->account != nullptr ? request->account->name : "";
+  order.inputs = request->progress.FinalResults();
+  order.resume_after = request->resume_after;
+  order.may_repeat = request->route->MayRepeat();
+  if (IsEngine(*request)) {
+    order.priority = request->priority;
+    engines.OnSent(replica->id, request->ForEngine());
+  } else {
+    Plain(request->service).OnSent(now, replica->id);
+  }
+  request->tried.push_back(replica->id);
+  request->attempt = {};
+  request->attempt.replica = *replica;
+  request->attempt.sent_at = now;
+  request->attempt.call = ports->Send(order);
+  by_call[request->attempt.call] = request;
+}
+
+void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
+  request->attempt.head = std::move(head);
+}
+
+void Gateway::Impl::OnBody(ServingRequest* request, std::string_view bytes) {
+  Attempt& attempt = request->attempt;
+  const bool stream =
+      request->route->kind == RouteKind::kStream && attempt.head->ok();
+  if (!stream) {
+    attempt.body += bytes;
+    if (attempt.body.size() > kMostAnswer) {
+      CancelAttempt(request);
+      OnMayHaveRun(request, "the answer is too long");
+    }
+    return;
+  }
+  if (!attempt.head->sealed || attempt.head->encoded) {
+    return;  // Judged at its end.
+  }
+  const std::string events = request->events.Add(bytes);
+  if (!events.empty()) {
+    PassEvents(request, events);
+  }
+}
+
+void Gateway::Impl::PassEvents(ServingRequest* request,
+                               std::string_view events) {
+  Attempt& attempt = request->attempt;
+  if (!attempt.read) {
+    attempt.read = true;
+    engines.OnFirstEvent(ports->Now(), attempt.replica.id,
+                         request->ForEngine());
+    // The replica fetched its inputs before it read the prompt.
+    ports->FreeResults(request->progress.TakeAll());
+  }
+  if (!request->begun) {
+    request->begun = true;
+    request->begun_at = ports->Now();
+    metrics->Observe("first_event_us", request->route->name,
+                     request->begun_at - request->received_at);
+    ports->BeginStream(request->id, *attempt.head);
+  }
+  ports->StreamData(request->id, events);
+  if (!attempt.paused && ports->Unsent(request->id) > kMostUnsent) {
+    attempt.paused = true;
+    ports->SetReading(attempt.call, false);
+  }
+}
+
+void Gateway::Impl::OnEnd(ServingRequest* request) {
+  Attempt& attempt = request->attempt;
+  const ReplicaHead& head = *attempt.head;
+  if (head.not_run || head.other_replica) {
+    EndAttempt(request);
+    OnNotRun(request);
+    return;
+  }
+  if (head.ok() && (!head.sealed || head.encoded)) {
+    EndAttempt(request);
+    OnMayHaveRun(request, head.sealed ? "the body is encoded"
+                                      : "the answer bears no proof");
+    return;
+  }
+  const bool stream = request->route->kind == RouteKind::kStream && head.ok();
+  if (!stream) {
+    AnswerWhole(request);
+    return;
+  }
+  const std::string rest = request->events.rest();
+  if (!rest.empty() || !attempt.read) {
+    PassEvents(request, rest);
+  }
+  engines.OnSuccess(attempt.replica.id);
+  EndAttempt(request);
+  ports->EndStream(request->id);
+  Finish(request, Name(Verdict::kAnswered), head.status);
+}
+
+void Gateway::Impl::AnswerWhole(ServingRequest* request) {
+  const Attempt attempt = request->attempt;
+  const TimeUs now = ports->Now();
+  const bool failed = attempt.head->status >= 500;
+  if (!IsEngine(*request)) {
+    Plain(request->service).OnAnswer(now, attempt.replica.id, attempt.sent_at);
+  }
+  EndAttempt(request);
+  ++request->runs;
+  if (request->begun) {
+    // A replica that was to go on with a stream failed instead.
+    Refuse(request, {Refusal::kUpstreamFailed, Verdict::kMayHaveRun, 0,
+                     "the stream could not be resumed"});
+    return;
+  }
+  if (failed && MayTryAgain(*request) &&
+      Budget(request->service).Take(now)) {
+    metrics->Count("retries_total", "failed");
+    StartAttempt(request);
+    return;
+  }
+  ports->Answer(request->id, *attempt.head, attempt.body);
+  Finish(request, failed ? "replica_failed" : Name(Verdict::kAnswered),
+         attempt.head->status);
+}
+
+bool Gateway::Impl::MayTryAgain(const ServingRequest& request) const {
+  return request.route->MayRepeat() &&
+         request.runs < request.route->max_attempts &&
+         request.tried.size() < kMostReplicas &&
+         ports->Now() < request.deadline_at;
+}
+
+// The replica itself said so, or no byte of the request left.
+void Gateway::Impl::OnNotRun(ServingRequest* request) {
+  const Attempt& attempt = request->attempt;
+  constexpr int kConflict = 409;
+  const int status = attempt.head ? attempt.head->status : 0;
+  log->Write("not_run", {{"id", request->call.id},
+                         {"replica", attempt.replica.id},
+                         {"status", status}});
+  if (status == kConflict) {
+    request->tried.clear();
+    RestartStages(request);
+    return;
+  }
+  if (attempt.head && !Budget(request->service).Take(ports->Now())) {
+    Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
+                     "the replica refused, and the retry budget is spent"});
+    return;
+  }
+  metrics->Count("retries_total", "not_run");
+  StartAttempt(request);
+}
+
+void Gateway::Impl::OnMayHaveRun(ServingRequest* request,
+                                 std::string_view why) {
+  ++request->runs;
+  const TimeUs now = ports->Now();
+  log->Write("lost", {{"id", request->call.id},
+                      {"replica", request->attempt.replica.id},
+                      {"why", why},
+                      {"begun", request->begun}});
+  if (MayTryAgain(*request) && Budget(request->service).Take(now)) {
+    metrics->Count("retries_total", "lost");
+    request->events.DropRest();
+    if (request->begun) {
+      request->resume_after = request->events.last_id();
+    }
+    if (request->route->stages.empty() || !request->attempt.read) {
+      StartAttempt(request);
+    } else {
+      RestartStages(request);  // The results were freed at the first event.
+    }
+    return;
+  }
+  Refuse(request, {Refusal::kUpstreamFailed, Verdict::kMayHaveRun, 0,
+                   std::string(why)});
+}
+
+void Gateway::Impl::OnFailed(ServingRequest* request,
+                             bool sent,
+                             std::string_view why) {
+  const Attempt attempt = request->attempt;
+  const TimeUs now = ports->Now();
+  if (IsEngine(*request)) {
+    engines.OnFailure(now, attempt.replica.id);
+  } else {
+    Plain(request->service).OnFailure(now, attempt.replica.id);
+  }
+  const bool said_not_run =
+      attempt.head && (attempt.head->not_run || attempt.head->other_replica);
+  EndAttempt(request);
+  if (!sent || said_not_run) {
+    OnNotRun(request);
+  } else {
+    OnMayHaveRun(request, why);
+  }
+}
+
+// The call is over; what is known of its replica is brought up to date.
+void Gateway::Impl::EndAttempt(ServingRequest* request) {
+  Attempt& attempt = request->attempt;
+  if (attempt.call == 0) {
+    return;
+  }
+  by_call.erase(attempt.call);
+  attempt.call = 0;
+  if (IsEngine(*request)) {
+    engines.OnEnded(attempt.replica.id, request->ForEngine(), attempt.read);
+  } else {
+    Plain(request->service).OnEnded(attempt.replica.id, attempt.sent_at);
+  }
+}
+
+void Gateway::Impl::CancelAttempt(ServingRequest* request) {
+  if (request->attempt.call != 0) {
+    ports->Cancel(request->attempt.call);
+    EndAttempt(request);
+  }
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/gateway_impl.h
@@ -0,0 +1,143 @@
+// The inside of `Gateway`, shared by its source files.
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "coordination/event_splitter.h"
+#include "coordination/gateway.h"
+#include "coordination/plain_choice.h"
+#include "coordination/stage_progress.h"
+
+namespace acaciachute {
+
+// A request in progress at one replica.
+struct Attempt {
+  CallId call = 0;  // Zero: none is in progress.
+  ReplicaEntry replica;
+  TimeUs sent_at = 0;
+  std::optional<ReplicaHead> head;
+  std::string body;  // Of a plain answer, until it is whole.
+  bool read = false;  // The first event came.
+  bool paused = false;
+};
+
+struct ServingRequest {
+  ServingRequest(ExchangeId id_in,
+                 ClientCall call_in,
+                 std::shared_ptr<const ServingConfig> config_in,
+                 const Route* route_in)
+      : id(id_in),
+        call(std::move(call_in)),
+        config(std::move(config_in)),
+        route(route_in),
+        progress(route_in->stages, call.pieces) {}
+
+  EngineRequest ForEngine() const {
+    return {&call.prompt, call.prompt_tokens, near_domain};
+  }
+
+  const ExchangeId id;
+  const ClientCall call;
+  const std::shared_ptr<const ServingConfig> config;  // Owns `route`.
+  const Route* const route;
+  const ClientAccount* account = nullptr;
+  std::string service;
+  std::uint32_t priority = 0;
+  TimeUs received_at = 0;
+  TimeUs target_by = 0;
+  TimeUs deadline_at = 0;
+
+  StageProgress progress;
+  bool staged = false;  // Every result that the replica needs was made.
+  TimeUs staged_at = 0;
+  int restarts = 0;
+  std::string near_domain;  // Where most of the results lie.
+
+  Attempt attempt;
+  std::uint32_t runs = 0;  // Attempts that may have run.
+  std::vector<ReplicaId> tried;
+  EventSplitter events;
+  bool begun = false;  // The client has the head of a stream.
+  TimeUs begun_at = 0;
+  std::optional<std::uint64_t> resume_after;
+};
+
+struct Gateway::Impl {
+  Impl(GatewayOptions options_in,
+       GatewayPorts* ports_in,
+       PieceDesk* desk_in,
+       const ReplicaDirectory* directory_in,
+       Random* random_in,
+       Metrics* metrics_in,
+       EventLog* log_in);
+
+  using RequestPtr = std::unique_ptr<ServingRequest>;
+
+  // gateway.cc: admission, stages, ends.
+  void Admit(ExchangeId id, ClientCall call);
+  bool FindAccount(const Route& route,
+                   const ClientCall& call,
+                   const ClientAccount** account,
+                   OwnAnswer* refusal);
+  std::string ChooseService(const Route& route);
+  void RunStages(ServingRequest* request);
+  void OnStagesDone(ServingRequest* request);
+  void RestartStages(ServingRequest* request);
+  void Refuse(ServingRequest* request, OwnAnswer answer);
+  void RefuseAtOnce(ExchangeId id, const ClientCall& call, OwnAnswer answer);
+  void Finish(ServingRequest* request, std::string_view outcome, int status);
+  void Expire(ServingRequest* request);
+  DurationUs RetryAfter(const ServingRequest& request);
+
+  // gateway_attempt.cc: one request at its replicas.
+  void StartAttempt(ServingRequest* request);
+  const ReplicaEntry* ChooseReplica(ServingRequest* request);
+  void OnHead(ServingRequest* request, ReplicaHead head);
+  void OnBody(ServingRequest* request, std::string_view bytes);
+  void OnEnd(ServingRequest* request);
+  void OnFailed(ServingRequest* request, bool sent, std::string_view why);
+  void PassEvents(ServingRequest* request, std::string_view events);
+  void AnswerWhole(ServingRequest* request);
+  void OnNotRun(ServingRequest* request);
+  void OnMayHaveRun(ServingRequest* request, std::string_view why);
+  bool MayTryAgain(const ServingRequest& request) const;
+  void EndAttempt(ServingRequest* request);
+  void CancelAttempt(ServingRequest* request);
+
+  ServingRequest* ByExchange(ExchangeId id);
+  ServingRequest* ByCall(CallId id);
+  PlainChoice& Plain(const std::string& service);
+  AttemptBudget& Budget(const std::string& service);
+  bool IsEngine(const ServingRequest& request) const;
+  bool Current() const;
+
+  const GatewayOptions options;
+  GatewayPorts* const ports;
+  PieceDesk* const desk;
+  const ReplicaDirectory* const directory;
+  Random* const random;
+  Metrics* const metrics;
+  EventLog* const log;
+
+  std::shared_ptr<const ServingConfig> config;
+  TimeUs confirmed_at = -1;
+  std::size_t entries = 1;
+  EngineChoice engines;
+  std::map<std::string, std::unique_ptr<PlainChoice>> plain;
+  std::map<std::string, AttemptBudget> budgets;
+  absl::flat_hash_map<ExchangeId, RequestPtr> requests;
+  absl::flat_hash_map<CallId, ServingRequest*> by_call;
+  absl::flat_hash_map<std::string, ServingRequest*> by_client_id;
+  std::set<std::pair<TimeUs, ExchangeId>> deadlines;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
--- /dev/null
+++ b/src/coordination/local_piece_desk.h
@@ -0,0 +1,48 @@
+// Makes all pieces by this process's own batchers, one a service.
+#ifndef ACACIACHUTE_SRC_COORDINATION_LOCAL_PIECE_DESK_H_
+#define ACACIACHUTE_SRC_COORDINATION_LOCAL_PIECE_DESK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/piece_batcher.h"
+#include "coordination/piece_desk.h"
+
+namespace acaciachute {
+
+class LocalPieceDesk : public PieceDesk {
+ public:
+  using BudgetOf = std::function<AttemptBudget*(const std::string& service)>;
+
+  LocalPieceDesk(const ReplicaDirectory* directory,
+                 PieceBatcherOutput* output,
+                 BudgetOf budget_of);
+
+  // Services that are no longer listed keep their batcher until it is idle.
+  void SetServices(const ServingConfig& config);
+
+  void Submit(TimeUs now, const PieceOrder& order) override;
+  void Drop(const std::string& request) override;
+  DurationUs ExpectedWait(TimeUs now,
+                          const std::string& service,
+                          std::uint32_t priority) const override;
+
+  void OnCallEnd(TimeUs now,
+                 const std::string& service,
+                 BatchId id,
+                 const PieceCallEnd& end);
+  void OnReplicaGone(TimeUs now, const ReplicaEntry& replica);
+  void OnTick(TimeUs now);
+
+ private:
+  const ReplicaDirectory* const directory_;
+  PieceBatcherOutput* const output_;
+  const BudgetOf budget_of_;
+  std::map<std::string, std::unique_ptr<PieceBatcher>> batchers_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_LOCAL_PIECE_DESK_H_
--- /dev/null
+++ b/src/coordination/piece_batcher.cc
@@ -0,0 +1,357 @@
+#include "coordination/piece_batcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace acaciachute {
+
+PieceBatcher::PieceBatcher(const ReplicaDirectory* directory,
+                           AttemptBudget* budget,
+                           PieceBatcherOutput* output)
+    : directory_(directory), budget_(budget), output_(output) {}
+
+void PieceBatcher::SetService(const std::string& name,
+                              const BatchLimits& limits) {
+  service_ = name;
+  limits_ = limits;
+}
+
+void PieceBatcher::Add(TimeUs now, PieceOrder order) {
+  const PieceKey key = order.key;
+  const auto [it, inserted] = pieces_.try_emplace(key);
+  if (!inserted) {
+    return;  // Sent twice, as after a lost connection: one making is enough.
+  }
+  budget_->OnRequest(now);
+  Piece& piece = it->second;
+  piece.deadline = now + order.time_left;
+  piece.target_by = now + order.time_to_target;
+  piece.rank.priority = order.priority;
+  piece.rank.since = request_since_.try_emplace(key.request, now).first->second;
+  piece.rank.key = key;
+  piece.order = std::move(order);
+  Enqueue(now, &piece);
+}
+
+void PieceBatcher::Enqueue(TimeUs now, Piece* piece) {
+  piece->rank.late = now > piece->target_by ? 1 : 0;
+  piece->queued = true;
+  waiting_.insert(piece->rank);
+}
+
+void PieceBatcher::Drop(const std::string& request) {
+  request_since_.erase(request);
+  auto it = pieces_.lower_bound(PieceKey{request, 0, 0});
+  while (it != pieces_.end() && it->first.request == request) {
+    if (it->second.queued) {
+      waiting_.erase(it->second.rank);
+    }
+    it = pieces_.erase(it);
+  }
+}
+
+double PieceBatcher::Slowness(TimeUs now, const Maker& maker) const {
+  const double age = static_cast<double>(now - maker.measured_at) /
+                     static_cast<double>(kForget);
+  return 1 + (maker.slowness - 1) * std::exp(-std::max(0.0, age));
+}
+
+DurationUs PieceBatcher::CallTime(double slowness, std::size_t pieces) const {
+  const auto plain =
+      static_cast<double>(limits_.call) +
+      static_cast<double>(limits_.piece) * static_cast<double>(pieces);
+  return static_cast<DurationUs>(slowness * plain);
+}
+
+std::vector<const ReplicaEntry*> PieceBatcher::FreeReplicas(TimeUs now) {
+  std::vector<const ReplicaEntry*> free;
+  for (const ReplicaEntry* it : directory_->Of(service_)) {
+    const Maker& maker = makers_[it->id];
+    if (maker.calls < limits_.slots && now >= maker.shunned_until) {
+      free.push_back(it);
+    }
+  }
+  std::sort(free.begin(), free.end(), [&](const auto* a, const auto* b) {
+    return Slowness(now, makers_[a->id]) < Slowness(now, makers_[b->id]);
+  });
+  return free;
+}
+
+// Whether a slow replica would finish before the sound ones, which are busy,
+// could have made what waits.
+bool PieceBatcher::WorthIt(TimeUs now, const ReplicaEntry& replica) {
+  constexpr double kSound = 1.5;
+  const double own = Slowness(now, makers_[replica.id]);
+  if (own < kSound) {
+    return true;
+  }
+  std::size_t sound = 0;
+  DurationUs first_free = 0;
+  for (const ReplicaEntry* it : directory_->Of(service_)) {
+    const Maker& maker = makers_[it->id];
+    if (it->id == replica.id || now < maker.shunned_until ||
+        Slowness(now, maker) >= kSound) {
+      continue;
+    }
+    const DurationUs wait =
+        maker.calls < limits_.slots ? 0 : std::max<DurationUs>(0, maker.free_at - now);
+    first_free = sound == 0 ? wait : std::min(first_free, wait);
+    ++sound;
+  }
+  if (sound == 0) {
+    return true;
+  }
+  const std::size_t rounds = waiting_.size() / (sound * limits_.batch) + 1;
+  const DurationUs others =
+      first_free +
+      static_cast<DurationUs>(rounds) * CallTime(1, limits_.batch);
+  return CallTime(own, std::min<std::size_t>(waiting_.size(), limits_.batch)) <
+         others;
+}
+
+void PieceBatcher::Dispatch(TimeUs now) {
+  if (waiting_.empty()) {
+    return;
+  }
+  std::vector<const ReplicaEntry*> free = FreeReplicas(now);
+  for (std::size_t n = 0; n < free.size() && !waiting_.empty(); ++n) {
+    if (!WorthIt(now, *free[n])) {
+      continue;
+    }
+    const std::size_t share =
+        (waiting_.size() + free.size() - n - 1) / (free.size() - n);
+    StartOn(now, *free[n], std::max<std::size_t>(share, kWorthACall));
+  }
+}
+
+void PieceBatcher::StartOn(TimeUs now,
+                           const ReplicaEntry& replica,
+                           std::size_t most) {
+  most = std::min<std::size_t>(most, limits_.batch);
+  Call call;
+  call.call.replica = replica.id;
+  call.call.address = replica.address;
+  std::uint64_t bytes = 0;
+  for (auto it = waiting_.begin();
+       it != waiting_.end() && call.call.pieces.size() < most;) {
+    Piece& piece = pieces_.at(it->key);
+    const bool fits = call.call.pieces.empty() ||
+                      bytes + piece.order.result_bytes <= limits_.room_bytes;
+    if (!fits || piece.tried.contains(replica.id)) {
+      ++it;
+      continue;
+    }
+    bytes += piece.order.result_bytes;
+    piece.queued = false;
+    ++piece.calls;
+    ++piece.tries;
+    piece.tried.insert(replica.id);
+    piece.order.time_left = piece.deadline - now;
+    call.call.pieces.push_back(piece.order);
+    it = waiting_.erase(it);
+  }
+  if (call.call.pieces.empty()) {
+    return;
+  }
+  Maker& maker = makers_[replica.id];
+  ++maker.calls;
+  call.call.id = next_id_++;
+  call.started = now;
+  call.expected = CallTime(Slowness(now, maker), call.call.pieces.size());
+  call.call.expected = CallTime(1, call.call.pieces.size());
+  maker.free_at = now + call.expected;
+  const BatchId id = call.call.id;
+  calls_.emplace(id, std::move(call));
+  output_->StartCall(calls_.at(id).call);
+}
+
+void PieceBatcher::OnCallEnd(TimeUs now, BatchId id, const PieceCallEnd& end) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) {
+    // Given up before; whatever it made is for nobody.
+    for (const auto& result : end.results) {
+      if (!result.handle.empty()) {
+        output_->OnUnused(result.handle);
+      }
+    }
+    return;
+  }
+  const Call call = std::move(it->second);
+  calls_.erase(it);
+  Release(now, call, end.kind);
+  for (std::size_t n = 0; n < call.call.pieces.size(); ++n) {
+    const PieceKey& key = call.call.pieces[n].key;
+    const bool answered = end.kind == PieceCallEnd::Kind::kAnswered &&
+                          n < end.results.size();
+    PieceResult result;
+    if (answered) {
+      result = end.results[n];
+      result.key = key;
+    }
+    const auto piece = pieces_.find(key);
+    if (piece == pieces_.end()) {
+      if (!result.handle.empty()) {
+        output_->OnUnused(result.handle);
+      }
+      continue;
+    }
+    --piece->second.calls;
+    if (answered && (result.outcome == PieceOutcome::kMade ||
+                     result.outcome == PieceOutcome::kInputGone ||
+                     result.outcome == PieceOutcome::kLate)) {
+      Finish(piece, std::move(result));
+    } else {
+      Again(now, &piece->second, result.outcome);
+    }
+  }
+  Dispatch(now);
+}
+
+// The piece's request is told; a copy that waits or runs is for nobody now.
+void PieceBatcher::Finish(std::map<PieceKey, Piece>::iterator it,
+                          PieceResult result) {
+  if (it->second.queued) {
+    waiting_.erase(it->second.rank);
+  }
+  pieces_.erase(it);
+  output_->OnPiece(result);
+}
+
+void PieceBatcher::Again(TimeUs now, Piece* piece, PieceOutcome outcome) {
+  if (piece->queued || piece->calls > 0) {
+    return;  // Another copy is on its way.
+  }
+  const PieceKey key = piece->order.key;
+  const bool untried_left = std::any_of(
+      directory_->Of(service_).begin(), directory_->Of(service_).end(),
+      [&](const ReplicaEntry* it) { return !piece->tried.contains(it->id); });
+  if (!untried_left) {
+    piece->tried.clear();
+  }
+  if (piece->tries < kMostTries && now < piece->deadline &&
+      budget_->Take(now)) {
+    Enqueue(now, piece);
+    return;
+  }
+  Finish(pieces_.find(key), {key, outcome, ""});
+}
+
+void PieceBatcher::Release(TimeUs now,
+                           const Call& call,
+                           PieceCallEnd::Kind kind) {
+  Maker& maker = makers_[call.call.replica];
+  if (maker.calls > 0) {
+    --maker.calls;
+  }
+  if (kind != PieceCallEnd::Kind::kAnswered) {
+    maker.shunned_until = now + maker.shun;
+    maker.shun = std::min(kMostShun, 2 * maker.shun);
+    return;
+  }
+  maker.shun = kShun;
+  const double measured = static_cast<double>(now - call.started) /
+                          static_cast<double>(call.call.expected);
+  const double before = Slowness(now, maker);
+  maker.slowness =
+      std::max(1.0, before + kNewest * (measured - before));
+  maker.measured_at = now;
+}
+
+void PieceBatcher::OnReplicaGone(TimeUs now, const ReplicaId& replica) {
+  makers_.erase(replica);
+  Dispatch(now);
+}
+
+void PieceBatcher::ExpireWaiting(TimeUs now) {
+  std::vector<PieceKey> over;
+  std::vector<PieceKey> late;
+  for (const Rank& it : waiting_) {
+    const Piece& piece = pieces_.at(it.key);
+    if (now >= piece.deadline) {
+      over.push_back(it.key);
+    } else if (it.late == 0 && now > piece.target_by) {
+      late.push_back(it.key);
+    }
+  }
+  for (const auto& key : late) {
+    Piece& piece = pieces_.at(key);
+    waiting_.erase(piece.rank);
+    Enqueue(now, &piece);
+  }
+  for (const auto& key : over) {
+    // Whoever was told of the one before may have dropped this one.
+    if (const auto it = pieces_.find(key); it != pieces_.end()) {
+      Finish(it, {key, PieceOutcome::kLate, ""});
+    }
+  }
+}
+
+void PieceBatcher::WatchCalls(TimeUs now) {
+  std::vector<BatchId> given_up;
+  for (auto& [id, call] : calls_) {
+    const DurationUs age = now - call.started;
+    if (age > kGiveUp) {
+      given_up.push_back(id);
+    }
+    const auto overdue = static_cast<DurationUs>(
+        kOverdue * static_cast<double>(call.expected));
+    if (call.copied || age < overdue + kOverdueSlack) {
+      continue;
+    }
+    call.copied = true;
+    Maker& maker = makers_[call.call.replica];
+    maker.slowness =
+        std::max(maker.slowness, static_cast<double>(age) /
+                                     static_cast<double>(call.call.expected));
+    maker.measured_at = now;
+    for (const auto& order : call.call.pieces) {
+      const auto it = pieces_.find(order.key);
+      if (it != pieces_.end() && !it->second.queued && it->second.calls == 1 &&
+          it->second.tries < kMostTries && budget_->Take(now)) {
+        Enqueue(now, &it->second);
+      }
+    }
+  }
+  for (const BatchId id : given_up) {
+    OnCallEnd(now, id, {PieceCallEnd::Kind::kBroken, "no answer", {}});
+  }
+}
+
+void PieceBatcher::OnTick(TimeUs now) {
+  ExpireWaiting(now);
+  WatchCalls(now);
+  Dispatch(now);
+}
+
+DurationUs PieceBatcher::ExpectedWait(TimeUs now,
+                                      std::uint32_t priority) const {
+  std::size_t ahead = 0;
+  for (const Rank& it : waiting_) {
+    if (it.late != 0 || it.priority > priority) {
+      break;
+    }
+    ++ahead;
+  }
+  std::size_t makers = 0;
+  DurationUs first_free = kGiveUp;
+  for (const ReplicaEntry* it : directory_->Of(service_)) {
+    const auto maker = makers_.find(it->id);
+    const bool known = maker != makers_.end();
+    if (known && now < maker->second.shunned_until) {
+      continue;
+    }
+    ++makers;
+    const bool busy = known && maker->second.calls >= limits_.slots;
+    first_free = std::min(
+        first_free,
+        busy ? std::max<DurationUs>(0, maker->second.free_at - now) : 0);
+  }
+  if (makers == 0) {
+    return kGiveUp;
+  }
+  const std::size_t rounds = ahead / (makers * limits_.batch);
+  return first_free + static_cast<DurationUs>(rounds) * CallTime(1, limits_.batch);
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/piece_batcher.h
@@ -0,0 +1,168 @@
+// Batches the pieces of all requests into calls to one service's replicas.
+//
+// Load pattern: a call costs a fixed 240 ms and a few milliseconds a piece, and
+// a replica runs one call at a time. Sent one by one, pieces use a tenth of the
+// service; batched by each entry on its own, a fifth, and calls queue behind
+// those of other entries. One batcher that sees every waiting piece fills the
+// next free replica with the most urgent ones, so that a piece waits for the
+// replica that is free first and not for its entry's own.
+//
+// A replica that answers slower than the sheet says is given work only when it
+// would still finish before the others could. A call that takes more than
+// `kOverdue` times as long as expected is not waited for alone: its pieces are
+// made again elsewhere, within a budget, and the first result counts.
+#ifndef ACACIACHUTE_SRC_COORDINATION_PIECE_BATCHER_H_
+#define ACACIACHUTE_SRC_COORDINATION_PIECE_BATCHER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/attempt_budget.h"
+#include "state/piece.h"
+#include "state/replica_directory.h"
+#include "state/serving_config.h"
+#include "types.h"
+
+namespace acaciachute {
+
+using BatchId = std::uint64_t;
+
+// A call to one replica.
+struct PieceCall {
+  BatchId id = 0;
+  ReplicaId replica;
+  Address address;
+  std::vector<PieceOrder> pieces;
+  DurationUs expected = 0;
+};
+
+// How a call ended.
+struct PieceCallEnd {
+  enum class Kind {
+    kAnswered,
+    kRefused,    // The replica's word that it ran nothing.
+    kUnreached,  // No byte of the call left.
+    kBroken,     // No answer; the pieces may have been made.
+  };
+  Kind kind = Kind::kBroken;
+  std::string why;  // When not answered.
+  std::vector<PieceResult> results;  // In the order of the pieces.
+};
+
+class PieceBatcherOutput {
+ public:
+  virtual ~PieceBatcherOutput() = default;
+  virtual void StartCall(const PieceCall& call) = 0;
+  virtual void OnPiece(const PieceResult& result) = 0;
+  // A result that came after another for the same piece, or for nobody.
+  virtual void OnUnused(const std::string& handle) = 0;
+};
+
+class PieceBatcher {
+ public:
+  // A call this much over its expected time is made again elsewhere. Calls vary
+  // by a few percent; slow replicas take three times as long and more.
+  static constexpr double kOverdue = 1.8;
+  static constexpr DurationUs kOverdueSlack = 100 * kMillisecond;
+  // A call is given up after this, so that a silent replica frees its slot.
+  static constexpr DurationUs kGiveUp = 4 * kSecond;
+  // With several replicas free, a call takes at least this many pieces before
+  // the next replica is used: below it the fixed cost is most of a call.
+  static constexpr std::uint32_t kWorthACall = 4;
+  // After a refusal or a broken call. A restart takes some seconds; a replica
+  // that is well again is found by one call.
+  static constexpr DurationUs kShun = 400 * kMillisecond;
+  static constexpr DurationUs kMostShun = 3200 * kMillisecond;
+  // Weight of the newest call in a replica's slowness, and the time after which
+  // an old observation counts by 1/e.
+  static constexpr double kNewest = 0.5;
+  static constexpr DurationUs kForget = 4 * kSecond;
+  // Makings of one piece.
+  static constexpr std::uint32_t kMostTries = 4;
+
+  PieceBatcher(const ReplicaDirectory* directory,
+               AttemptBudget* budget,
+               PieceBatcherOutput* output);
+
+  void SetService(const std::string& name, const BatchLimits& limits);
+
+  void Add(TimeUs now, PieceOrder order);
+  // Nobody waits for the request's pieces any longer; due for every request
+  // that added any.
+  void Drop(const std::string& request);
+  void OnCallEnd(TimeUs now, BatchId id, const PieceCallEnd& end);
+  void OnReplicaGone(TimeUs now, const ReplicaId& replica);
+  // Calls what is due; call it every 10 ms and after other changes.
+  void OnTick(TimeUs now);
+
+  std::size_t waiting() const { return waiting_.size(); }
+  // The time in which one more piece of that rank would be made.
+  DurationUs ExpectedWait(TimeUs now, std::uint32_t priority) const;
+
+ private:
+  // The order in which pieces are taken.
+  struct Rank {
+    std::uint32_t late = 0;  // Pieces whose request is late already come last.
+    std::uint32_t priority = 0;
+    TimeUs since = 0;  // When its request arrived here.
+    PieceKey key;
+    auto operator<=>(const Rank&) const = default;
+  };
+  struct Piece {
+    PieceOrder order;
+    TimeUs deadline = 0;
+    TimeUs target_by = 0;
+    Rank rank;
+    bool queued = false;
+    std::uint32_t calls = 0;  // That carry it now.
+    std::uint32_t tries = 0;
+    std::set<ReplicaId> tried;
+  };
+  struct Call {
+    PieceCall call;
+    TimeUs started = 0;
+    DurationUs expected = 0;
+    bool copied = false;  // Its pieces were queued again.
+  };
+  struct Maker {
+    std::uint32_t calls = 0;
+    double slowness = 1;  // Measured against expected time.
+    TimeUs measured_at = 0;
+    TimeUs shunned_until = 0;
+    DurationUs shun = kShun;
+    TimeUs free_at = 0;
+  };
+
+  double Slowness(TimeUs now, const Maker& maker) const;
+  DurationUs CallTime(double slowness, std::size_t pieces) const;
+  void Dispatch(TimeUs now);
+  std::vector<const ReplicaEntry*> FreeReplicas(TimeUs now);
+  bool WorthIt(TimeUs now, const ReplicaEntry& replica);
+  void StartOn(TimeUs now, const ReplicaEntry& replica, std::size_t most);
+  void Enqueue(TimeUs now, Piece* piece);
+  void Finish(std::map<PieceKey, Piece>::iterator it, PieceResult result);
+  void Again(TimeUs now, Piece* piece, PieceOutcome outcome);
+  void Release(TimeUs now, const Call& call, PieceCallEnd::Kind kind);
+  void ExpireWaiting(TimeUs now);
+  void WatchCalls(TimeUs now);
+
+  const ReplicaDirectory* const directory_;
+  AttemptBudget* const budget_;
+  PieceBatcherOutput* const output_;
+  std::string service_;
+  BatchLimits limits_;
+  std::map<PieceKey, Piece> pieces_;
+  std::set<Rank> waiting_;
+  std::map<std::string, TimeUs> request_since_;
+  std::map<BatchId, Call> calls_;
+  std::map<ReplicaId, Maker> makers_;
+  BatchId next_id_ = 1;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_PIECE_BATCHER_H_
--- /dev/null
+++ b/src/coordination/piece_desk.h
@@ -0,0 +1,27 @@
+// Where requests hand in their pieces, whoever makes the calls for them.
+#ifndef ACACIACHUTE_SRC_COORDINATION_PIECE_DESK_H_
+#define ACACIACHUTE_SRC_COORDINATION_PIECE_DESK_H_
+
+#include <string>
+
+#include "state/piece.h"
+#include "types.h"
+
+namespace acaciachute {
+
+class PieceDesk {
+ public:
+  virtual ~PieceDesk() = default;
+  // One result follows for each piece, unless its request is dropped.
+  virtual void Submit(TimeUs now, const PieceOrder& order) = 0;
+  // Due for every request that handed in any.
+  virtual void Drop(const std::string& request) = 0;
+  // Until a piece handed in now would be begun.
+  virtual DurationUs ExpectedWait(TimeUs now,
+                                  const std::string& service,
+                                  std::uint32_t priority) const = 0;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_PIECE_DESK_H_
--- /dev/null
+++ b/src/coordination/stage_progress.cc
@@ -0,0 +1,130 @@
+#include "coordination/stage_progress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciachute {
+
+StageProgress::StageProgress(const std::vector<StageSpec>& stages,
+                             const std::vector<std::uint32_t>& pieces) {
+  stages_.resize(stages.size());
+  for (std::size_t n = 0; n < stages.size(); ++n) {
+    stages_[n].after = stages[n].after;
+    stages_[n].handles.resize(n < pieces.size() ? pieces[n] : 0);
+  }
+  for (const Stage& it : stages_) {
+    for (const std::uint32_t needed : it.after) {
+      if (needed < stages_.size() && !it.handles.empty()) {
+        stages_[needed].followed = true;
+      }
+    }
+  }
+}
+
+std::vector<std::uint32_t> StageProgress::TakeReady() {
+  std::vector<std::uint32_t> ready;
+  for (std::uint32_t n = 0; n < stages_.size(); ++n) {
+    Stage& stage = stages_[n];
+    if (stage.begun) {
+      continue;
+    }
+    const bool met = std::all_of(
+        stage.after.begin(), stage.after.end(), [&](std::uint32_t needed) {
+          return needed >= stages_.size() || stages_[needed].done();
+        });
+    if (met) {
+      stage.begun = true;
+      ready.push_back(n);
+    }
+  }
+  return ready;
+}
+
+std::uint32_t StageProgress::Pieces(std::uint32_t stage) const {
+  return static_cast<std::uint32_t>(stages_[stage].handles.size());
+}
+
+std::vector<std::string> StageProgress::InputsOf(std::uint32_t stage) const {
+  std::vector<std::string> inputs;
+  for (const std::uint32_t needed : stages_[stage].after) {
+    if (needed < stages_.size()) {
+      const auto& handles = stages_[needed].handles;
+      inputs.insert(inputs.end(), handles.begin(), handles.end());
+    }
+  }
+  return inputs;
+}
+
+void StageProgress::OnMade(std::uint32_t stage,
+                           std::uint32_t piece,
+                           std::string handle) {
+  if (stage >= stages_.size() || piece >= stages_[stage].handles.size() ||
+      !stages_[stage].handles[piece].empty()) {
+    return;
+  }
+  stages_[stage].handles[piece] = std::move(handle);
+  ++stages_[stage].made;
+}
+
+bool StageProgress::Complete() const {
+  return std::all_of(stages_.begin(), stages_.end(), [](const Stage& it) {
+    return it.begun && it.done();
+  });
+}
+
+std::vector<std::string> StageProgress::FinalResults() const {
+  std::vector<std::string> results;
+  for (const Stage& it : stages_) {
+    if (!it.followed) {
+      results.insert(results.end(), it.handles.begin(), it.handles.end());
+    }
+  }
+  return results;
+}
+
+std::vector<std::string> StageProgress::TakeUnneeded() {
+  std::vector<std::string> out;
+  for (std::uint32_t n = 0; n < stages_.size(); ++n) {
+    Stage& stage = stages_[n];
+    if (stage.released || !stage.followed || !stage.done()) {
+      continue;
+    }
+    const bool needed = std::any_of(
+        stages_.begin(), stages_.end(), [&](const Stage& it) {
+          return !it.done() && std::find(it.after.begin(), it.after.end(), n) !=
+                                   it.after.end();
+        });
+    if (!needed) {
+      stage.released = true;
+      out.insert(out.end(), stage.handles.begin(), stage.handles.end());
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> StageProgress::TakeAll() {
+  std::vector<std::string> out;
+  for (Stage& it : stages_) {
+    if (it.released) {
+      continue;
+    }
+    it.released = true;
+    for (const auto& handle : it.handles) {
+      if (!handle.empty()) {
+        out.push_back(handle);
+      }
+    }
+  }
+  return out;
+}
+
+void StageProgress::Restart() {
+  for (Stage& it : stages_) {
+    std::fill(it.handles.begin(), it.handles.end(), std::string());
+    it.made = 0;
+    it.begun = false;
+    it.released = false;
+  }
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/table_watch.cc
@@ -0,0 +1,118 @@
+#include "coordination/table_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciachute {
+
+TableWatch::TableWatch(std::string table,
+                       TableReader* reader,
+                       TableListener* listener,
+                       Random* random,
+                       EventLog* log)
+    : table_(std::move(table)),
+      reader_(reader),
+      listener_(listener),
+      random_(random),
+      log_(log) {}
+
+void TableWatch::OnTick(TimeUs now) {
+  if (!reading_ && now >= next_at_) {
+    Ask(now);
+  }
+}
+
+void TableWatch::Ask(TimeUs now) {
+  reading_ = true;
+  asked_at_ = now;
+  if (!whole_) {
+    reader_->ReadChanges(table_, version_, kWait);
+    return;
+  }
+  if (pages_.empty()) {
+    first_asked_at_ = now;
+  }
+  // The first key after the last that was read: a zero byte is the least suffix.
+  reader_->ReadRows(table_, pages_.empty() ? std::string()
+                                           : pages_.back().key + '\0');
+}
+
+void TableWatch::OnAnswer(TimeUs now, const TableAnswer& answer) {
+  reading_ = false;
+  switch (answer.kind) {
+    case TableAnswer::Kind::kFailed:
+      OnFailure(now, answer.why);
+      return;
+    case TableAnswer::Kind::kHistoryGone:
+      log_->Write("table_history_gone",
+                  {{"table", table_}, {"version", version_}});
+      whole_ = true;
+      pages_.clear();
+      Ask(now);
+      return;
+    case TableAnswer::Kind::kRows:
+      break;
+  }
+  if (answer.version < version_) {
+    OnFailure(now, "an older state than the one that is known");
+    return;
+  }
+  if (failures_ > 0) {
+    log_->Write("table_back", {{"table", table_}, {"failures", failures_}});
+    failures_ = 0;
+  }
+  if (whole_) {
+    OnRows(now, answer);
+  } else {
+    OnChanges(now, answer);
+  }
+}
+
+void TableWatch::OnRows(TimeUs now, const TableAnswer& answer) {
+  page_version_ = pages_.empty() ? answer.version
+                                 : std::min(page_version_, answer.version);
+  pages_.insert(pages_.end(), answer.rows.begin(), answer.rows.end());
+  if (answer.truncated && !answer.rows.empty()) {
+    Ask(now);
+    return;
+  }
+  version_ = page_version_;
+  whole_ = false;
+  known_ = true;
+  const std::vector<TableRow> rows = std::exchange(pages_, {});
+  listener_->OnTable(table_, rows);
+  listener_->OnTableCurrent(table_, first_asked_at_);
+  Ask(now);
+}
+
+void TableWatch::OnChanges(TimeUs now, const TableAnswer& answer) {
+  version_ = std::max(version_, answer.version);
+  const TimeUs asked_at = asked_at_;
+  for (const TableRow& it : answer.rows) {
+    listener_->OnRow(table_, it);
+  }
+  listener_->OnTableCurrent(table_, asked_at);
+  Ask(now);
+}
+
+void TableWatch::OnFailure(TimeUs now, const std::string& why) {
+  if (failures_++ == 0) {
+    log_->Write("table_lost", {{"table", table_},
+                               {"why", why},
+                               {"version", version_},
+                               {"age_ms", (now - asked_at_) / kMillisecond}});
+  }
+  pages_.clear();
+  listener_->OnTableLost(table_);
+  DurationUs wait = kRetry;
+  for (int n = 1; n < failures_ && wait < kMostRetry; ++n) {
+    wait *= 2;
+  }
+  wait = std::min(wait, kMostRetry);
+  // Half of it at random: hosts that lost the store together return apart.
+  next_at_ = now + wait / 2 +
+             static_cast<DurationUs>(random_->Below(
+                 static_cast<std::uint64_t>(wait / 2)));
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/table_watch.h
@@ -0,0 +1,113 @@
+// Follows one table of the platform's store: the whole of it first, then its
+// changes, with the moment up to which it is known to be current.
+//
+// Failure: answers are lost, late or stale, the history is dropped, the
+// connection falls silent, or the store turns this host away. Symptom: a host
+// goes on under a configuration that was replaced, or loses replicas that live.
+// Each call has a time limit; what is older than what is known is passed over;
+// after a gap the whole table is read again. Being current counts from when the
+// question was sent: its answer may have waited anywhere.
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLE_WATCH_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLE_WATCH_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "state/event_log.h"
+#include "state/random.h"
+#include "types.h"
+
+namespace acaciachute {
+
+struct TableRow {
+  std::string key;
+  std::string value;
+  std::uint64_t version = 0;
+  bool removed = false;
+};
+
+struct TableAnswer {
+  enum class Kind {
+    kRows,
+    kHistoryGone,  // Changes since that version are no longer kept.
+    kFailed,
+  };
+  Kind kind = Kind::kFailed;
+  std::vector<TableRow> rows;
+  bool truncated = false;     // More rows follow the last key.
+  std::uint64_t version = 0;  // Of the whole store.
+  std::string why;            // When failed.
+};
+
+class TableReader {
+ public:
+  virtual ~TableReader() = default;
+  // One answer follows each, through `TableWatch::OnAnswer`, also on a timeout.
+  virtual void ReadRows(const std::string& table, const std::string& from) = 0;
+  virtual void ReadChanges(const std::string& table,
+                           std::uint64_t after,
+                           DurationUs wait) = 0;
+};
+
+class TableListener {
+ public:
+  virtual ~TableListener() = default;
+  virtual void OnTable(const std::string& table,
+                       const std::vector<TableRow>& rows) = 0;
+  virtual void OnRow(const std::string& table, const TableRow& row) = 0;
+  // Everything up to what the store held at `asked_at` is known.
+  virtual void OnTableCurrent(const std::string& table, TimeUs asked_at) = 0;
+  virtual void OnTableLost(const std::string& table) = 0;
+};
+
+class TableWatch {
+ public:
+  // How long the store holds a question without news. Each answer renews what
+  // is known; keys may be 5 s old at most, and one answer may be lost.
+  static constexpr DurationUs kWait = 1200 * kMillisecond;
+  // After a failed call; grows to the second while the store is away, so that
+  // its return is noticed soon without pressing on it.
+  static constexpr DurationUs kRetry = 60 * kMillisecond;
+  static constexpr DurationUs kMostRetry = 500 * kMillisecond;
+
+  TableWatch(std::string table,
+             TableReader* reader,
+             TableListener* listener,
+             Random* random,
+             EventLog* log);
+
+  void OnAnswer(TimeUs now, const TableAnswer& answer);
+  // Sends what is due; call it every 10 ms.
+  void OnTick(TimeUs now);
+
+  const std::string& table() const { return table_; }
+  bool known() const { return known_; }
+  bool lost() const { return failures_ > 0; }
+
+ private:
+  void Ask(TimeUs now);
+  void OnRows(TimeUs now, const TableAnswer& answer);
+  void OnChanges(TimeUs now, const TableAnswer& answer);
+  void OnFailure(TimeUs now, const std::string& why);
+
+  const std::string table_;
+  TableReader* const reader_;
+  TableListener* const listener_;
+  Random* const random_;
+  EventLog* const log_;
+  bool known_ = false;    // The whole table was read.
+  bool reading_ = false;  // A call is in progress.
+  bool whole_ = true;     // It reads the whole table.
+  TimeUs asked_at_ = 0;
+  TimeUs first_asked_at_ = 0;  // Of the pages of one reading.
+  TimeUs next_at_ = 0;
+  std::uint64_t version_ = 0;
+  std::uint64_t page_version_ = 0;  // The lowest of the pages.
+  std::vector<TableRow> pages_;
+  int failures_ = 0;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLE_WATCH_H_
--- /dev/null
+++ b/src/daemon/gateway_node.cc
@@ -0,0 +1,452 @@
+#include "daemon/gateway_node.h"
+
+#include <unistd.h>
+
+#include <utility>
+
+#include "coordination/gateway.h"
+#include "coordination/local_piece_desk.h"
+#include "coordination/table_watch.h"
+#include "daemon/startup.h"
+#include "platform/host_settings_file.h"
+#include "platform/pieces.h"
+#include "platform/requests.h"
+#include "platform/rows.h"
+#include "platform/store_client.h"
+#include "state/metrics.h"
+#include "text.h"
+#include "transport/http_channels.h"
+#include "transport/http_listener.h"
+#include "transport/log_writer.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr DurationUs kTick = 10 * kMillisecond;
+constexpr DurationUs kSettingsCheck = kSecond;
+// The balancer asks once a second and takes a host out after two misses.
+constexpr DurationUs kLeastDrain = 2500 * kMillisecond;
+// Left of the grace period for the exit itself.
+constexpr DurationUs kExitReserve = 300 * kMillisecond;
+// A revocation must be in force when its bound is over: the share of the bound
+// for which a confirmed configuration counts.
+constexpr double kKeyAgeShare = 0.9;
+// Memory for clients' bodies, as a share of the process's limit.
+constexpr std::size_t kBodyShare = 5;
+// Descriptors for clients' connections, as a share of the process's limit; the
+// rest is for replicas and files.
+constexpr double kClientShare = 0.5;
+constexpr std::size_t kReservedDescriptors = 250;
+
+}  // namespace
+
+struct GatewayNode::Impl : public ListenerHandler,
+                           public GatewayPorts,
+                           public CallSink,
+                           public TableListener,
+                           public DirectoryWatcher,
+                           public PieceBatcherOutput {
+  Impl(HostSettings settings_in, Loop* loop_in);
+
+  absl::Status Start();
+  void Drain();
+  void Reload();
+  void Tick();
+  void CheckDrained();
+
+  // The balancer's question, and operators' pages.
+  class Readiness : public ListenerHandler {
+   public:
+    explicit Readiness(Impl* owner) : owner_(owner) {}
+    void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
+      owner_->OnOperatorRequest(id, head);
+    }
+    void OnGone(ExchangeId) override {}
+    void OnWritten(ExchangeId) override {}
+    void OnListenerEvent(const ListenerEvent&) override {}
+
+   private:
+    Impl* const owner_;
+  };
+
+  void OnOperatorRequest(ExchangeId id, const HttpRequestHead& head);
+  bool Ready() const;
+  ListenerLimits ClientLimitsOf(const ClientLimits& limits) const;
+
+  // ListenerHandler
+  void OnRequest(ExchangeId id, HttpRequestHead head, std::string body) override;
+  void OnGone(ExchangeId id) override { gateway->OnGone(id); }
+  void OnWritten(ExchangeId id) override { gateway->OnWritten(id); }
+  void OnListenerEvent(const ListenerEvent& event) override;
+
+  // GatewayPorts
+  TimeUs Now() override { return Loop::BootNow(); }
+  void Refuse(ExchangeId id, const OwnAnswer& answer) override;
+  void Answer(ExchangeId id,
+              const ReplicaHead& head,
+              std::string_view body) override {
+    clients.Reply(id, head.status, head.fields, body);
+  }
+  void BeginStream(ExchangeId id, const ReplicaHead& head) override {
+    clients.BeginStream(id, head.status, head.fields);
+  }
+  void StreamData(ExchangeId id, std::string_view bytes) override {
+    clients.StreamData(id, bytes);
+  }
+  void EndStream(ExchangeId id) override { clients.EndStream(id); }
+  void Break(ExchangeId id) override { clients.Break(id); }
+  std::size_t Unsent(ExchangeId id) override { return clients.Unsent(id); }
+  CallId Send(const SendOrder& order) override;
+  void Cancel(CallId id) override { channels.Cancel(id); }
+  void SetReading(CallId id, bool reading) override {
+    channels.SetReading(id, reading);
+  }
+  void FreeResults(const std::vector<std::string>& handles) override {
+    pieces.Free(handles);
+  }
+
+  // CallSink: requests at replicas.
+  void OnAnswerHead(CallId id, const HttpAnswerHead& head) override {
+    gateway->OnReplicaHead(id, platform::ReadReplicaHead(head));
+  }
+  void OnAnswerBody(CallId id, std::string_view bytes) override {
+    gateway->OnReplicaBody(id, bytes);
+  }
+  void OnAnswerEnd(CallId id) override { gateway->OnReplicaEnd(id); }
+  void OnCallFailed(CallId id, const CallFailure& failure) override {
+    gateway->OnReplicaFailed(
+        id, failure.sent, StrCat(Name(failure.kind), ": ", failure.reason));
+  }
+
+  // TableListener
+  void OnTable(const std::string& table,
+               const std::vector<TableRow>& rows) override;
+  void OnRow(const std::string& table, const TableRow& row) override;
+  void OnTableCurrent(const std::string& table, TimeUs asked_at) override;
+  void OnTableLost(const std::string& table) override;
+  void TakeConfig(const TableRow& row);
+
+  // DirectoryWatcher
+  void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override;
+
+  // PieceBatcherOutput
+  void StartCall(const PieceCall& call) override;
+  void OnPiece(const PieceResult& result) override {
+    gateway->OnPiece(result);
+  }
+  void OnUnused(const std::string& handle) override { pieces.Free({handle}); }
+
+  HostSettings settings;
+  Loop* const loop;
+  Random random;
+  Metrics metrics;
+  LogWriter log;
+  HttpListener clients;
+  Readiness readiness_handler;
+  HttpListener readiness;
+  HttpChannels channels;
+  platform::PieceCalls pieces;
+  ReplicaDirectory directory;
+  std::unique_ptr<Gateway> gateway;
+  LocalPieceDesk desk;
+  platform::StoreClient store;
+  TableWatch config_watch;
+  TableWatch replica_watch;
+  bool draining = false;
+  TimeUs drain_since = 0;
+};
+
+GatewayNode::Impl::Impl(HostSettings settings_in, Loop* loop_in)
+    : settings(std::move(settings_in)),
+      loop(loop_in),
+      random(FreshSeed()),
+      log(STDOUT_FILENO, settings.node, loop_in),
+      clients(this, loop_in),
+      readiness_handler(this),
+      readiness(&readiness_handler, loop_in),
+      channels(loop_in),
+      pieces(&channels,
+             [this](const std::string& service, BatchId id,
+                    const PieceCallEnd& end) {
+               if (end.kind != PieceCallEnd::Kind::kAnswered) {
+                 log.Write("piece_call_failed",
+                           {{"service", service}, {"why", end.why}});
+               }
+               desk.OnCallEnd(Now(), service, id, end);
+             }),
+      directory(this),
+      desk(&directory,
+           this,
+           [this](const std::string& service) {
+             return gateway->BudgetOf(service);
+           }),
+      store(&channels,
+            settings.store,
+            [this](const std::string& table, const TableAnswer& answer) {
+              TableWatch& watch = table == platform::kOperatorTable
+                                      ? config_watch
+                                      : replica_watch;
+              watch.OnAnswer(Now(), answer);
+            }),
+      config_watch(platform::kOperatorTable, &store, this, &random, &log),
+      replica_watch(platform::kReplicaTable, &store, this, &random, &log) {
+  GatewayOptions options;
+  options.domain = settings.domain;
+  options.key_age = static_cast<DurationUs>(
+      kKeyAgeShare * static_cast<double>(settings.key_revocation));
+  options.budget = settings.retries;
+  gateway = std::make_unique<Gateway>(options, this, &desk, &directory,
+                                      &random, &metrics, &log);
+}
+
+absl::Status GatewayNode::Impl::Start() {
+  clients.SetLimits(ClientLimitsOf({}));
+  if (auto status = readiness.Listen(settings.readiness); !status.ok()) {
+    return status;
+  }
+  if (auto status = clients.Listen(settings.clients); !status.ok()) {
+    return status;
+  }
+  loop->Every(kTick, [this] { Tick(); });
+  loop->Every(kSettingsCheck, [this] { Reload(); });
+  log.Write("start", {{"domain", settings.domain},
+                      {"clients", StrCat(settings.clients.ip, ":",
+                                         settings.clients.port)},
+                      {"key_revocation_ms",
+                       settings.key_revocation / kMillisecond}});
+  Tick();
+  return absl::OkStatus();
+}
+
+void GatewayNode::Impl::Tick() {
+  const TimeUs now = Now();
+  config_watch.OnTick(now);
+  replica_watch.OnTick(now);
+  directory.OnTick(now);
+  desk.OnTick(now);
+  gateway->OnTick();
+  if (draining) {
+    CheckDrained();
+  }
+}
+
+void GatewayNode::Impl::Drain() {
+  if (draining) {
+    return;
+  }
+  draining = true;
+  drain_since = Now();
+  clients.BeginDrain();
+  log.Write("drain", {{"in_progress", gateway->in_progress()},
+                      {"connections", clients.connections()}});
+}
+
+void GatewayNode::Impl::CheckDrained() {
+  const DurationUs since = Now() - drain_since;
+  const bool idle = since >= kLeastDrain && gateway->in_progress() == 0 &&
+                    clients.exchanges() == 0;
+  if (!idle && since < settings.grace - kExitReserve) {
+    return;
+  }
+  log.Write("stop", {{"in_progress", gateway->in_progress()},
+                     {"after_ms", since / kMillisecond}});
+  log.Flush();
+  loop->Quit();
+}
+
+void GatewayNode::Impl::Reload() {
+  const auto fresh = platform::LoadHostSettings();
+  if (!fresh.ok()) {
+    log.Write("settings_refused", {{"why", std::string(fresh.status().message())}});
+    return;
+  }
+  if (fresh->clients != settings.clients ||
+      fresh->readiness != settings.readiness ||
+      fresh->store != settings.store) {
+    log.Write("settings_need_restart", {{"why", "an address changed"}});
+  }
+}
+
+bool GatewayNode::Impl::Ready() const {
+  return !draining && gateway->current() && replica_watch.known();
+}
+
+void GatewayNode::Impl::OnOperatorRequest(ExchangeId id,
+                                          const HttpRequestHead& head) {
+  constexpr int kOk = 200;
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  if (head.target == "/readyz") {
+    readiness.Reply(id, Ready() ? kOk : kUnavailable, {}, "");
+  } else if (head.target == "/healthz") {
+    readiness.Reply(id, kOk, {}, "");
+  } else if (head.target == "/metrics") {
+    readiness.Reply(id, kOk, {{"Content-Type", "text/plain"}},
+                    metrics.PrometheusText());
+  } else {
+    readiness.Reply(id, kNotFound, {}, "");
+  }
+}
+
+ListenerLimits GatewayNode::Impl::ClientLimitsOf(
+    const ClientLimits& limits) const {
+  ListenerLimits out;
+  out.read.head_bytes = limits.head_bytes;
+  out.read.body_bytes = limits.body_bytes;
+  out.head = limits.head_time;
+  out.idle = limits.idle_time;
+  out.buffered_bytes = settings.memory_bytes / kBodyShare;
+  out.connections = static_cast<std::size_t>(
+      kClientShare * static_cast<double>(settings.max_descriptors -
+                                         kReservedDescriptors));
+  return out;
+}
+
+void GatewayNode::Impl::OnRequest(ExchangeId id,
+                                  HttpRequestHead head,
+                                  std::string body) {
+  auto call = platform::ReadClientCall(std::move(head), std::move(body));
+  if (!call.ok()) {
+    log.Write("malformed", {{"why", std::string(call.status().message())}});
+    metrics.Count("refused_total", Name(Refusal::kMalformed));
+    Refuse(id, {Refusal::kMalformed, Verdict::kNotRun, 0,
+                std::string(call.status().message())});
+    return;
+  }
+  gateway->OnCall(id, *std::move(call));
+}
+
+void GatewayNode::Impl::OnListenerEvent(const ListenerEvent& event) {
+  metrics.Count("listener_total", event.what);
+  log.Write("listener", {{"what", event.what},
+                         {"status", event.status},
+                         {"why", event.reason}});
+}
+
+void GatewayNode::Impl::Refuse(ExchangeId id, const OwnAnswer& answer) {
+  const auto reply = platform::WriteOwnAnswer(answer);
+  clients.Reply(id, reply.status, reply.fields, reply.body);
+}
+
+CallId GatewayNode::Impl::Send(const SendOrder& order) {
+  // A kept connection may be closed by the other end just as it is used; what
+  // was sent may then have run. One used a moment ago is the safer.
+  constexpr DurationUs kFresh = kSecond;
+  ChannelOptions options;
+  if (!order.may_repeat) {
+    options.most_idle = kFresh;
+  }
+  // A sound replica accepts within a few ms; beyond this another one answers
+  // sooner.
+  options.connect = 200 * kMillisecond;
+  return channels.Start(order.address, platform::WriteSendOrder(order), options,
+                        this);
+}
+
+void GatewayNode::Impl::OnTable(const std::string& table,
+                                const std::vector<TableRow>& rows) {
+  if (table == platform::kOperatorTable) {
+    for (const TableRow& it : rows) {
+      TakeConfig(it);
+    }
+    return;
+  }
+  std::vector<ReplicaEntry> entries;
+  for (const TableRow& it : rows) {
+    auto entry = platform::ParseReplica(it.key, it.value);
+    if (entry.ok()) {
+      entries.push_back(*std::move(entry));
+    } else {
+      log.Write("replica_row_refused",
+                {{"key", it.key},
+                 {"why", std::string(entry.status().message())}});
+    }
+  }
+  directory.Replace(Now(), entries);
+}
+
+void GatewayNode::Impl::OnRow(const std::string& table, const TableRow& row) {
+  if (table == platform::kOperatorTable) {
+    TakeConfig(row);
+    return;
+  }
+  if (row.removed) {
+    directory.Remove(Now(), row.key);
+    return;
+  }
+  const auto entry = platform::ParseReplica(row.key, row.value);
+  if (!entry.ok()) {
+    log.Write("replica_row_refused",
+              {{"key", row.key},
+               {"why", std::string(entry.status().message())}});
+    return;
+  }
+  directory.Put(*entry);
+}
+
+void GatewayNode::Impl::TakeConfig(const TableRow& row) {
+  if (row.key != platform::kConfigKey || row.removed) {
+    return;
+  }
+  auto config = platform::ParseConfig(row.value);
+  if (!config.ok()) {
+    log.Write("config_refused",
+              {{"row_version", row.version},
+               {"why", std::string(config.status().message())}});
+    return;
+  }
+  clients.SetLimits(ClientLimitsOf((*config)->limits));
+  desk.SetServices(**config);
+  gateway->OnConfig(*std::move(config));
+}
+
+void GatewayNode::Impl::OnTableCurrent(const std::string& table,
+                                       TimeUs asked_at) {
+  if (table == platform::kOperatorTable) {
+    gateway->OnConfirmed(asked_at);
+  } else {
+    directory.OnStoreBack(Now());
+  }
+}
+
+void GatewayNode::Impl::OnTableLost(const std::string& table) {
+  if (table == platform::kReplicaTable) {
+    directory.OnStoreLost();
+  }
+}
+
+void GatewayNode::Impl::OnReplica(const ReplicaEntry& replica,
+                                  DirectoryChange change) {
+  log.Write("replica", {{"replica", replica.id},
+                        {"service", replica.service},
+                        {"change", Name(change)},
+                        {"address", StrCat(replica.address.ip, ":",
+                                           replica.address.port)}});
+  gateway->OnReplica(replica, change);
+  if (change == DirectoryChange::kGone) {
+    channels.DropIdle(replica.address);
+    desk.OnReplicaGone(Now(), replica);
+  }
+}
+
+void GatewayNode::Impl::StartCall(const PieceCall& call) {
+  metrics.Count("piece_calls_total");
+  metrics.Count("piece_calls_pieces_total", "", call.pieces.size());
+  pieces.Run(call);
+}
+
+GatewayNode::GatewayNode(const HostSettings& settings, Loop* loop)
+    : impl_(std::make_unique<Impl>(settings, loop)) {}
+GatewayNode::~GatewayNode() = default;
+
+absl::Status GatewayNode::Start() {
+  return impl_->Start();
+}
+void GatewayNode::Drain() {
+  impl_->Drain();
+}
+void GatewayNode::Reload() {
+  impl_->Reload();
+}
+
+}  // namespace acaciachute
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -9,7 +9,9 @@
 #include <sstream>
 
 #include "daemon/entry_node.h"
+#include "daemon/gateway_node.h"
 #include "daemon/sidecar_node.h"
+#include "platform/host_settings_file.h"
 #include "protocol/node_settings.h"
 #include "transport/loop.h"
 
@@ -59,11 +61,36 @@
              : RunNode<SidecarNode>(result.settings);
 }
 
+// The settings are the platform's own file, which it names to the process.
+int RunGateway(bool check_only) {
+  const auto settings = platform::LoadHostSettings();
+  if (!settings.ok()) {
+    std::cerr << "acaciachuted: " << settings.status().message() << "\n";
+    return kExitUsage;
+  }
+  if (check_only) {
+    std::cout << "settings: ok\n";
+    return 0;
+  }
+  Loop loop;
+  GatewayNode node(*settings, &loop);
+  if (const auto status = node.Start(); !status.ok()) {
+    std::cerr << "acaciachuted: " << status.message() << "\n";
+    return kExitFailed;
+  }
+  loop.OnSignal(SIGTERM, [&node] { node.Drain(); });
+  loop.OnSignal(SIGINT, [&node] { node.Drain(); });
+  loop.OnSignal(SIGHUP, [&node] { node.Reload(); });
+  loop.Run();
+  return 0;
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options("acaciachuted",
                            "Serves multi-stage model pipelines.");
   options.add_options()("settings", "JSON settings file",
                         cxxopts::value<std::string>(), "FILE")(
+      "gateway", "Serve clients on the platform, by the platform's settings")(
       "check-settings", "Only check the settings file")(
       "version", "Print the version")("help", "Print this help");
   try {
@@ -76,6 +103,9 @@
       std::cout << kVersion << "\n";
       return 0;
     }
+    if (args.count("gateway") > 0) {
+      return RunGateway(args.count("check-settings") > 0);
+    }
     if (args.count("settings") == 0) {
       std::cerr << "acaciachuted: --settings FILE is required\n";
       return kExitUsage;
--- /dev/null
+++ b/src/protocol/http1.cc
@@ -0,0 +1,345 @@
+#include "protocol/http1.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <utility>
+
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+namespace http = boost::beast::http;
+
+std::string Text(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+template <typename Fields>
+HttpFields CopyFields(const Fields& fields) {
+  HttpFields out;
+  for (const auto& it : fields) {
+    out.push_back({Text(it.name_string()), Text(it.value())});
+  }
+  return out;
+}
+
+std::size_t CountFields(const HttpFields& fields, std::string_view name) {
+  std::size_t n = 0;
+  for (const auto& it : fields) {
+    n += EqualsIgnoreCase(it.name, name) ? 1 : 0;
+  }
+  return n;
+}
+
+// Only the one transfer coding that every reader understands alike.
+bool OnlyChunked(const HttpFields& fields) {
+  const std::string* coding = FindField(fields, "transfer-encoding");
+  if (coding == nullptr) {
+    return true;
+  }
+  return CountFields(fields, "transfer-encoding") == 1 &&
+         EqualsIgnoreCase(Trim(*coding), "chunked");
+}
+
+// A field that goes on in the next line is joined by some readers and cut by
+// others.
+bool HasFoldedLine(std::string_view head) {
+  return Contains(head, "\r\n ") || Contains(head, "\r\n\t");
+}
+
+const char* WhyAmbiguous(const HttpRequestHead& head, bool version_1_1) {
+  if (CountFields(head.fields, "host") > 1) {
+    return "more than one Host field";
+  }
+  if (version_1_1 && CountFields(head.fields, "host") == 0) {
+    return "no Host field";
+  }
+  if (!OnlyChunked(head.fields)) {
+    return "a transfer coding other than chunked";
+  }
+  if (!version_1_1 && FindField(head.fields, "transfer-encoding") != nullptr) {
+    return "a transfer coding in HTTP/1.0";
+  }
+  if (CountFields(head.fields, "content-length") > 1) {
+    return "more than one Content-Length field";
+  }
+  if (head.target.empty() || head.target.front() != '/') {
+    return "the target is not a path";
+  }
+  return nullptr;
+}
+
+int StatusOf(const boost::beast::error_code& ec) {
+  constexpr int kBadRequest = 400;
+  constexpr int kTooLarge = 413;
+  constexpr int kHeadTooLarge = 431;
+  if (ec == http::error::header_limit) {
+    return kHeadTooLarge;
+  }
+  return ec == http::error::body_limit ? kTooLarge : kBadRequest;
+}
+
+}  // namespace
+
+struct HttpRequestReader::Impl {
+  using Parser = http::request_parser<http::string_body>;
+
+  explicit Impl(const HttpReadLimits& limits) { Reset(limits); }
+
+  void Reset(const HttpReadLimits& limits) {
+    parser.emplace();
+    parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+    parser->body_limit(limits.body_bytes);
+    parser->eager(false);
+    state = State::kHead;
+    head = {};
+    error_status = 0;
+    error.clear();
+  }
+
+  void Fail(int status, std::string why) {
+    state = State::kBad;
+    error_status = status;
+    error = std::move(why);
+  }
+
+  void TakeParsedHead(std::string_view raw) {
+    const auto& message = parser->get();
+    const bool version_1_1 = message.version() >= 11;
+    head.method = Text(message.method_string());
+    head.target = Text(message.target());
+    head.fields = CopyFields(message.base());
+    head.keep_alive = parser->keep_alive();
+    head.chunked_answer = version_1_1;
+    const std::string* expect = FindField(head.fields, "expect");
+    head.expects_continue =
+        expect != nullptr && EqualsIgnoreCase(*expect, "100-continue");
+    state = State::kBody;
+    if (HasFoldedLine(raw)) {
+      Fail(400, "a field that goes on in the next line");
+    } else if (const char* why = WhyAmbiguous(head, version_1_1)) {
+      Fail(400, why);
+    }
+  }
+
+  // Whether the parser got any further.
+  bool Step(std::string* buf) {
+    boost::beast::error_code ec;
+    const std::size_t n =
+        parser->put(boost::asio::buffer(buf->data(), buf->size()), ec);
+    if (ec && ec != http::error::need_more) {
+      Fail(StatusOf(ec), ec.message());
+      return false;
+    }
+    if (state == State::kHead && parser->is_header_done()) {
+      TakeParsedHead(std::string_view(*buf).substr(0, n));
+    }
+    buf->erase(0, n);
+    if (state == State::kBody && parser->is_done()) {
+      state = State::kDone;
+    }
+    return n > 0;
+  }
+
+  std::optional<Parser> parser;
+  State state = State::kHead;
+  HttpRequestHead head;
+  int error_status = 0;
+  std::string error;
+};
+
+HttpRequestReader::HttpRequestReader(const HttpReadLimits& limits)
+    : impl_(std::make_unique<Impl>(limits)) {}
+HttpRequestReader::~HttpRequestReader() = default;
+
+HttpRequestReader::State HttpRequestReader::Read(std::string* buf) {
+  while (!buf->empty() && impl_->state <= State::kBody && impl_->Step(buf)) {
+  }
+  return impl_->state;
+}
+HttpRequestReader::State HttpRequestReader::state() const {
+  return impl_->state;
+}
+int HttpRequestReader::error_status() const {
+  return impl_->error_status;
+}
+const char* HttpRequestReader::error() const {
+  return impl_->error.c_str();
+}
+const HttpRequestHead& HttpRequestReader::head() const {
+  return impl_->head;
+}
+HttpRequestHead HttpRequestReader::TakeHead() {
+  return std::move(impl_->head);
+}
+std::string HttpRequestReader::TakeBody() {
+  return std::move(impl_->parser->get().body());
+}
+void HttpRequestReader::Reset(const HttpReadLimits& limits) {
+  impl_->Reset(limits);
+}
+
+struct HttpAnswerReader::Impl {
+  using Parser = http::response_parser<http::buffer_body>;
+
+  explicit Impl(bool to_head_request) : to_head(to_head_request) { Reset(); }
+
+  void Reset() {
+    // An upstream's head is trusted to be larger than a caller's, not endless.
+    constexpr std::uint32_t kHeadBytes = 64 << 10;
+    parser.emplace();
+    parser->header_limit(kHeadBytes);
+    parser->body_limit(boost::none);
+    parser->eager(true);
+    parser->skip(to_head);
+  }
+
+  void TakeParsedHead() {
+    const auto& message = parser->get();
+    head.status = static_cast<int>(message.result_int());
+    head.reason = Text(message.reason());
+    head.fields = CopyFields(message.base());
+    head.keep_alive = parser->keep_alive();
+    state = State::kBody;
+    if (!OnlyChunked(head.fields) ||
+        (FindField(head.fields, "transfer-encoding") != nullptr &&
+         FindField(head.fields, "content-length") != nullptr)) {
+      state = State::kBad;
+      error = "an ambiguous body length";
+    }
+  }
+
+  bool Step(std::string* buf) {
+    std::array<char, 16 << 10> part;
+    auto& body = parser->get().body();
+    body.data = part.data();
+    body.size = part.size();
+    body.more = true;
+    boost::beast::error_code ec;
+    const std::size_t n =
+        parser->put(boost::asio::buffer(buf->data(), buf->size()), ec);
+    received.append(part.data(), part.size() - body.size);
+    buf->erase(0, n);
+    if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+      state = State::kBad;
+      error = ec.message();
+      return false;
+    }
+    if (state == State::kHead && parser->is_header_done()) {
+      TakeParsedHead();
+    }
+    if (state == State::kBody && parser->is_done()) {
+      state = State::kDone;
+      SkipInterim();
+    }
+    return n > 0;
+  }
+
+  // "100 Continue" and its like come before the answer.
+  void SkipInterim() {
+    constexpr int kFirstFinal = 200;
+    if (head.status < kFirstFinal) {
+      Reset();
+      head = {};
+      state = State::kHead;
+    }
+  }
+
+  const bool to_head;
+  std::optional<Parser> parser;
+  State state = State::kHead;
+  HttpAnswerHead head;
+  std::string received;
+  std::string error;
+};
+
+HttpAnswerReader::HttpAnswerReader(bool to_head_request)
+    : impl_(std::make_unique<Impl>(to_head_request)) {}
+HttpAnswerReader::~HttpAnswerReader() = default;
+
+HttpAnswerReader::State HttpAnswerReader::Read(std::string* buf) {
+  while (!buf->empty() && impl_->state <= State::kBody && impl_->Step(buf)) {
+  }
+  return impl_->state;
+}
+HttpAnswerReader::State HttpAnswerReader::ReadEnd() {
+  if (impl_->state == State::kDone || impl_->state == State::kBad) {
+    return impl_->state;
+  }
+  boost::beast::error_code ec;
+  if (impl_->state == State::kBody && impl_->parser->need_eof()) {
+    impl_->parser->put_eof(ec);
+    impl_->state = ec ? State::kBad : State::kDone;
+    return impl_->state;
+  }
+  impl_->state = State::kBad;
+  impl_->error = "the connection ended before the answer";
+  return impl_->state;
+}
+HttpAnswerReader::State HttpAnswerReader::state() const {
+  return impl_->state;
+}
+const char* HttpAnswerReader::error() const {
+  return impl_->error.c_str();
+}
+const HttpAnswerHead& HttpAnswerReader::head() const {
+  return impl_->head;
+}
+std::string HttpAnswerReader::TakeBody() {
+  return std::exchange(impl_->received, {});
+}
+
+namespace {
+
+void AppendFields(std::string* out, const HttpFields& fields) {
+  for (const auto& it : fields) {
+    *out += it.name;
+    *out += ": ";
+    *out += it.value;
+    *out += "\r\n";
+  }
+  *out += "\r\n";
+}
+
+}  // namespace
+
+std::string WriteRequestHead(std::string_view method,
+                             std::string_view target,
+                             const HttpFields& fields) {
+  std::string out = StrCat(method, " ", target, " HTTP/1.1\r\n");
+  AppendFields(&out, fields);
+  return out;
+}
+
+std::string WriteAnswerHead(int status,
+                            std::string_view reason,
+                            const HttpFields& fields) {
+  std::string out = StrCat("HTTP/1.1 ", status, " ", reason, "\r\n");
+  AppendFields(&out, fields);
+  return out;
+}
+
+std::string WriteChunk(std::string_view bytes) {
+  constexpr std::string_view kHex = "0123456789abcdef";
+  constexpr std::size_t kBase = 16;
+  std::string size;
+  for (std::size_t n = bytes.size(); n > 0; n /= kBase) {
+    size.insert(size.begin(), kHex[n % kBase]);
+  }
+  return StrCat(size, "\r\n", bytes, "\r\n");
+}
+
+std::string_view ReasonOf(int status) {
+  const auto reason =
+      http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+  return {reason.data(), reason.size()};
+}
+
+}  // namespace acaciachute
--- a/src/protocol/node_settings.h
+++ b/src/protocol/node_settings.h
@@ -14,11 +14,6 @@
 extern const char kNodeSettingsSchema[];
 }  // namespace detail
 
-struct Address {
-  std::string ip;
-  std::uint16_t port = 0;  // Zero: the system chooses.
-};
-
 // Another entry; the settings tree may name more.
 struct PeerAddress {
   NodeId node;
--- /dev/null
+++ b/src/state/host_settings.h
@@ -0,0 +1,39 @@
+// What a process on the platform is told of its host when it starts.
+#ifndef ACACIACHUTE_SRC_STATE_HOST_SETTINGS_H_
+#define ACACIACHUTE_SRC_STATE_HOST_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace acaciachute {
+
+// What repeats may cost one service, over all entries together.
+struct AttemptBudgetLimits {
+  double ratio = 0.2;                   // Of the requests in a window.
+  double slack = 50;                    // Beside them.
+  DurationUs window = 10 * kSecond;
+};
+
+struct HostSettings {
+  NodeId node;
+  std::string ip;
+  std::string domain;  // Failure domain.
+  Address clients;     // Where clients' connections arrive.
+  Address readiness;   // Where the balancer asks whether to send any.
+  Address store;
+  std::uint16_t first_peer_port = 0;  // For the system's own processes.
+  std::uint16_t last_peer_port = 0;
+  std::uint64_t memory_bytes = 0;
+  std::uint32_t max_descriptors = 0;
+  // How long after it was taken away a key may still be used.
+  DurationUs key_revocation = 5 * kSecond;
+  DurationUs grace = 8 * kSecond;  // From the order to stop to the kill.
+  AttemptBudgetLimits retries;     // Over all entries together.
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_STATE_HOST_SETTINGS_H_
--- /dev/null
+++ b/src/state/piece.h
@@ -0,0 +1,57 @@
+// A piece of a stage: the smallest work that a batching service does. Making a
+// piece twice is allowed; each making has its own result.
+#ifndef ACACIACHUTE_SRC_STATE_PIECE_H_
+#define ACACIACHUTE_SRC_STATE_PIECE_H_
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "types.h"
+
+namespace acaciachute {
+
+struct PieceKey {
+  std::string request;  // The client's id of its attempt.
+  std::uint32_t stage = 0;
+  std::uint32_t piece = 0;
+  auto operator<=>(const PieceKey&) const = default;
+};
+
+struct PieceOrder {
+  PieceKey key;
+  std::string service;
+  std::string source;               // For a stage that needs no other.
+  std::vector<std::string> inputs;  // Handles of the results it needs.
+  DurationUs time_left = 0;         // Until nobody waits for it.
+  DurationUs time_to_target = 0;    // Until the request would be late.
+  std::uint32_t priority = 0;       // Zero is the most urgent.
+  std::uint64_t result_bytes = 0;
+};
+
+enum class PieceOutcome {
+  kMade,
+  kLate,       // Its time was over when its turn came.
+  kInputGone,  // A result that it needs is no longer there.
+  kNoRoom,     // The replica has no memory for the result.
+  kFailed,
+  kNotMade,  // No replica could be found for it.
+};
+inline constexpr std::array<std::string_view, 6> kPieceOutcomeNames = {
+    "made", "late", "input_gone", "no_room", "failed", "not_made"};
+constexpr std::string_view Name(PieceOutcome v) {
+  return detail::NameIn(kPieceOutcomeNames, v);
+}
+
+struct PieceResult {
+  PieceKey key;
+  PieceOutcome outcome = PieceOutcome::kFailed;
+  std::string handle;  // Where the result lies, when made.
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_STATE_PIECE_H_
--- a/src/text.h
+++ b/src/text.h
@@ -3,7 +3,9 @@
 #ifndef ACACIACHUTE_SRC_TEXT_H_
 #define ACACIACHUTE_SRC_TEXT_H_
 
+#include <charconv>
 #include <concepts>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -55,6 +57,29 @@
   return text.find(part) != std::string_view::npos;
 }
 
+// Without spaces and tabs at either end.
+inline std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+// The decimal number that is all of `text`; none when it is anything else.
+template <typename T>
+std::optional<T> ParseNumber(std::string_view text) {
+  T value = 0;
+  const char* last = text.data() + text.size();
+  const auto end = std::from_chars(text.data(), last, value);
+  if (text.empty() || end.ec != std::errc() || end.ptr != last) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 // In any case of ASCII letters.
 inline bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
   const auto lower = [](char c) {
--- /dev/null
+++ b/src/transport/http_listener.cc
@@ -0,0 +1,401 @@
+#include "transport/http_listener.h"
+
+#include <gio/gio.h>
+
+#include <optional>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "text.h"
+#include "transport/glib_ptr.h"
+#include "transport/loop.h"
+#include "transport/socket_stream.h"
+
+namespace acaciachute {
+namespace {
+
+// How long a refused client may still send before its connection is closed: a
+// close with unread bytes would reset it before the refusal is read.
+constexpr DurationUs kLinger = kSecond;
+// Pipelined bytes held while a request is in progress.
+constexpr std::size_t kAheadBytes = 64 << 10;
+// How often time limits are looked at; they are seconds long.
+constexpr DurationUs kSweep = 250 * kMillisecond;
+constexpr int kBacklog = 1024;
+
+bool HasNoBody(int status) {
+  return status == 204 || status == 304;
+}
+
+}  // namespace
+
+struct HttpListener::Impl {
+  class Connection;
+
+  Impl(ListenerHandler* handler_in, Loop* loop_in)
+      : handler(handler_in), loop(loop_in) {}
+  ~Impl() {
+    loop->Cancel(sweep);
+    if (accept_source != nullptr) {
+      g_source_destroy(accept_source);
+      g_source_unref(accept_source);
+    }
+  }
+
+  static gboolean OnAccept(GSocket*, GIOCondition, gpointer data);
+  void Sweep();
+  void Forget(Connection* connection);
+  Connection* Find(ExchangeId id) const {
+    const auto it = exchanges.find(id);
+    return it == exchanges.end() ? nullptr : it->second;
+  }
+
+  ListenerHandler* const handler;
+  Loop* const loop;
+  ListenerLimits limits;
+  GPtr<GSocket> socket;
+  GSource* accept_source = nullptr;
+  Loop::TimerId sweep = 0;
+  bool draining = false;
+  std::size_t buffered = 0;
+  ExchangeId next_id = 1;
+  absl::flat_hash_map<ExchangeId, Connection*> exchanges;
+  absl::flat_hash_map<Connection*, std::unique_ptr<Connection>> connections;
+};
+
+class HttpListener::Impl::Connection : public SocketHandler {
+ public:
+  Connection(Impl* owner, GPtr<GSocket> socket)
+      : owner_(owner),
+        reader_(owner->limits.read),
+        idle_since_(Loop::Now()),
+        stream_(SocketStream::Accepted(std::move(socket), this)) {}
+  ~Connection() override {
+    owner_->buffered -= counted_;
+    if (id_ != 0) {
+      owner_->exchanges.erase(id_);
+    }
+    stream_->Close();
+  }
+
+  void OnBytes(std::string_view bytes) override {
+    if (closing_) {
+      return;  // Read and dropped, see `kLinger`.
+    }
+    in_ += bytes;
+    CountBuffered();
+    if (id_ != 0) {
+      // Reads go on while a request is in progress to notice a hang-up.
+      if (in_.size() > kAheadBytes) {
+        stream_->SetReading(false);
+      }
+      return;
+    }
+    ReadNext();
+  }
+
+  void OnEnd(const char* error) override {
+    const ExchangeId id = id_;
+    ListenerHandler* handler = owner_->handler;
+    owner_->Forget(this);  // `this` is gone.
+    if (id != 0) {
+      handler->OnGone(id);
+    }
+  }
+
+  void OnFlushed() override {
+    if (id_ != 0) {
+      owner_->handler->OnWritten(id_);
+    }
+  }
+
+  void Reply(int status, HttpFields fields, std::string_view body) {
+    if (!HasNoBody(status)) {
+      fields.push_back({"Content-Length", std::to_string(body.size())});
+    }
+    const bool close = AddConnectionField(&fields);
+    std::string out = WriteAnswerHead(status, ReasonOf(status), fields);
+    if (!head_request_) {
+      out += body;
+    }
+    stream_->Write(out);
+    EndExchange(close);
+  }
+
+  void BeginStream(int status, HttpFields fields) {
+    close_after_ = AddConnectionField(&fields) || !chunked_;
+    if (chunked_) {
+      fields.push_back({"Transfer-Encoding", "chunked"});
+    }
+    stream_->Write(WriteAnswerHead(status, ReasonOf(status), fields));
+  }
+
+  void StreamData(std::string_view bytes) {
+    if (!bytes.empty()) {
+      stream_->Write(chunked_ ? WriteChunk(bytes) : std::string(bytes));
+    }
+  }
+
+  void EndStream() {
+    if (chunked_) {
+      stream_->Write(kLastChunk);
+    }
+    EndExchange(close_after_);
+  }
+
+  void Break() { stream_->Abort(); }
+
+  std::size_t unsent() const { return stream_->unsent(); }
+
+  // Whether the connection's time is up.
+  bool Expired(TimeUs now) {
+    if (closing_) {
+      return now - closing_since_ > kLinger;
+    }
+    if (id_ != 0) {
+      return false;
+    }
+    if (reading_since_ != 0 && now - reading_since_ > owner_->limits.head) {
+      Refuse(408, "the request was not sent in time");
+      return false;
+    }
+    return reading_since_ == 0 && now - idle_since_ > owner_->limits.idle;
+  }
+
+ private:
+  void CountBuffered() {
+    owner_->buffered += in_.size() + body_bytes_ - counted_;
+    counted_ = in_.size() + body_bytes_;
+  }
+
+  void ReadNext() {
+    if (in_.empty()) {
+      return;
+    }
+    if (reading_since_ == 0) {
+      reading_since_ = Loop::Now();
+    }
+    const std::size_t before = in_.size();
+    const auto state = reader_.Read(&in_);
+    body_bytes_ += before - in_.size();
+    CountBuffered();
+    if (state == HttpRequestReader::State::kBad) {
+      Refuse(reader_.error_status(), reader_.error());
+    } else if (state == HttpRequestReader::State::kBody) {
+      OnPartOfBody();
+    } else if (state == HttpRequestReader::State::kDone) {
+      Deliver();
+    }
+  }
+
+  void OnPartOfBody() {
+    if (owner_->buffered > owner_->limits.buffered_bytes) {
+      Refuse(503, "too many bytes of requests are held");
+      return;
+    }
+    if (reader_.head().expects_continue && !continued_) {
+      continued_ = true;
+      stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void Deliver() {
+    HttpRequestHead head = reader_.TakeHead();
+    std::string body = reader_.TakeBody();
+    keep_alive_ = head.keep_alive;
+    chunked_ = head.chunked_answer;
+    head_request_ = head.method == "HEAD";
+    continued_ = false;
+    reading_since_ = 0;
+    reader_.Reset(owner_->limits.read);
+    id_ = owner_->next_id++;
+    owner_->exchanges[id_] = this;
+    owner_->handler->OnRequest(id_, std::move(head), std::move(body));
+  }
+
+  // Whether the connection is closed after this answer.
+  bool AddConnectionField(HttpFields* fields) const {
+    const bool close = owner_->draining || !keep_alive_;
+    fields->push_back({"Connection", close ? "close" : "keep-alive"});
+    return close;
+  }
+
+  void EndExchange(bool close) {
+    owner_->exchanges.erase(id_);
+    id_ = 0;
+    body_bytes_ = 0;
+    CountBuffered();
+    idle_since_ = Loop::Now();
+    if (close) {
+      FinishAndLinger();
+      return;
+    }
+    stream_->SetReading(true);
+    // From the loop: the next request must not run inside this one's decision.
+    if (!in_.empty()) {
+      owner_->loop->After(0, [owner = owner_, self = this] {
+        if (owner->connections.contains(self) && self->id_ == 0 &&
+            !self->closing_) {
+          self->ReadNext();
+        }
+      });
+    }
+  }
+
+  void FinishAndLinger() {
+    closing_ = true;
+    closing_since_ = Loop::Now();
+    in_.clear();
+    CountBuffered();
+    stream_->SetReading(true);
+    stream_->FinishWriting();
+  }
+
+  void Refuse(int status, std::string reason) {
+    owner_->handler->OnListenerEvent({"refused", status, reason});
+    keep_alive_ = false;
+    head_request_ = false;
+    HttpFields fields = {{"Content-Type", "text/plain"},
+                         {"Connection", "close"},
+                         {"Content-Length", std::to_string(reason.size())}};
+    stream_->Write(WriteAnswerHead(status, ReasonOf(status), fields) + reason);
+    FinishAndLinger();
+  }
+
+  Impl* const owner_;
+  HttpRequestReader reader_;
+  TimeUs idle_since_;
+  TimeUs reading_since_ = 0;  // Zero: no byte of a request is here.
+  TimeUs closing_since_ = 0;
+  std::string in_;
+  std::size_t body_bytes_ = 0;  // Of the request being read or in progress.
+  std::size_t counted_ = 0;     // Of this connection in `Impl::buffered`.
+  ExchangeId id_ = 0;           // Zero: no request is in progress.
+  bool keep_alive_ = true;
+  bool chunked_ = true;
+  bool head_request_ = false;
+  bool continued_ = false;
+  bool close_after_ = false;
+  bool closing_ = false;
+  std::shared_ptr<SocketStream> stream_;
+};
+
+gboolean HttpListener::Impl::OnAccept(GSocket*, GIOCondition, gpointer data) {
+  auto* self = static_cast<Impl*>(data);
+  GError* raw_error = nullptr;
+  GPtr<GSocket> socket(
+      g_socket_accept(self->socket.get(), nullptr, &raw_error));
+  if (socket == nullptr) {
+    const GErrorPtr error(raw_error);
+    if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+      self->handler->OnListenerEvent({"accept_failed", 0, error->message});
+    }
+    return G_SOURCE_CONTINUE;
+  }
+  if (self->connections.size() >= self->limits.connections) {
+    self->handler->OnListenerEvent({"too_many_connections", 0, ""});
+    g_socket_close(socket.get(), nullptr);
+    return G_SOURCE_CONTINUE;
+  }
+  auto connection = std::make_unique<Connection>(self, std::move(socket));
+  Connection* key = connection.get();
+  self->connections.emplace(key, std::move(connection));
+  return G_SOURCE_CONTINUE;
+}
+
+void HttpListener::Impl::Sweep() {
+  const TimeUs now = Loop::Now();
+  std::vector<Connection*> expired;
+  for (auto& [key, connection] : connections) {
+    if (connection->Expired(now)) {
+      expired.push_back(key);
+    }
+  }
+  for (Connection* it : expired) {
+    Forget(it);
+  }
+}
+
+void HttpListener::Impl::Forget(Connection* connection) {
+  connections.erase(connection);
+}
+
+HttpListener::HttpListener(ListenerHandler* handler, Loop* loop)
+    : impl_(std::make_unique<Impl>(handler, loop)) {}
+HttpListener::~HttpListener() = default;
+
+absl::Status HttpListener::Listen(const Address& address) {
+  GError* raw_error = nullptr;
+  impl_->socket.reset(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                   G_SOCKET_PROTOCOL_TCP, &raw_error));
+  const GPtr<GSocketAddress> bound(
+      g_inet_socket_address_new_from_string(address.ip.c_str(), address.port));
+  if (impl_->socket == nullptr || bound == nullptr) {
+    return absl::InvalidArgumentError(
+        StrCat("cannot listen on ", address.ip, ":", address.port));
+  }
+  g_socket_set_blocking(impl_->socket.get(), FALSE);
+  g_socket_set_listen_backlog(impl_->socket.get(), kBacklog);
+  if (!g_socket_bind(impl_->socket.get(), bound.get(), TRUE, &raw_error) ||
+      !g_socket_listen(impl_->socket.get(), &raw_error)) {
+    const GErrorPtr error(raw_error);
+    return absl::UnavailableError(StrCat("cannot listen on ", address.ip, ":",
+                                         address.port, ": ", error->message));
+  }
+  impl_->accept_source =
+      g_socket_create_source(impl_->socket.get(), G_IO_IN, nullptr);
+  g_source_set_callback(impl_->accept_source, G_SOURCE_FUNC(Impl::OnAccept),
+                        impl_.get(), nullptr);
+  g_source_attach(impl_->accept_source, nullptr);
+  impl_->sweep = impl_->loop->Every(kSweep, [this] { impl_->Sweep(); });
+  return absl::OkStatus();
+}
+
+void HttpListener::SetLimits(const ListenerLimits& limits) {
+  impl_->limits = limits;
+}
+
+void HttpListener::Reply(ExchangeId id,
+                         int status,
+                         HttpFields fields,
+                         std::string_view body) {
+  if (auto* it = impl_->Find(id)) {
+    it->Reply(status, std::move(fields), body);
+  }
+}
+void HttpListener::BeginStream(ExchangeId id, int status, HttpFields fields) {
+  if (auto* it = impl_->Find(id)) {
+    it->BeginStream(status, std::move(fields));
+  }
+}
+void HttpListener::StreamData(ExchangeId id, std::string_view bytes) {
+  if (auto* it = impl_->Find(id)) {
+    it->StreamData(bytes);
+  }
+}
+void HttpListener::EndStream(ExchangeId id) {
+  if (auto* it = impl_->Find(id)) {
+    it->EndStream();
+  }
+}
+void HttpListener::Break(ExchangeId id) {
+  if (auto* it = impl_->Find(id)) {
+    it->Break();
+    impl_->Forget(it);
+  }
+}
+std::size_t HttpListener::Unsent(ExchangeId id) const {
+  const auto* it = impl_->Find(id);
+  return it == nullptr ? 0 : it->unsent();
+}
+void HttpListener::BeginDrain() {
+  impl_->draining = true;
+}
+std::size_t HttpListener::connections() const {
+  return impl_->connections.size();
+}
+std::size_t HttpListener::exchanges() const {
+  return impl_->exchanges.size();
+}
+
+}  // namespace acaciachute
--- a/src/transport/loop.cc
+++ b/src/transport/loop.cc
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace acaciachute {
@@ -77,6 +78,13 @@
   return g_get_monotonic_time();
 }
 
+TimeUs Loop::BootNow() {
+  timespec time = {};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  constexpr std::int64_t kNanosecondsPerUs = 1000;
+  return time.tv_sec * kSecond + time.tv_nsec / kNanosecondsPerUs;
+}
+
 TimeUs Loop::OldestEvent() {
   return Times().oldest;
 }
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -20,6 +20,8 @@
   Loop& operator=(const Loop&) = delete;
 
   static TimeUs Now();
+  // As `Now`, but also counts time in which the host was suspended.
+  static TimeUs BootNow();
   static std::int64_t WallClock();  // Microseconds since 1970, for spans only.
 
   // Since when the events that are handled now may have waited for this loop,
--- /dev/null
+++ b/src/transport/socket_stream.h
@@ -0,0 +1,83 @@
+// One TCP connection on GLib's loop: reads as bytes arrive, writes without
+// blocking, bounds what it holds.
+#ifndef ACACIACHUTE_SRC_TRANSPORT_SOCKET_STREAM_H_
+#define ACACIACHUTE_SRC_TRANSPORT_SOCKET_STREAM_H_
+
+#include <gio/gio.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "transport/glib_ptr.h"
+#include "types.h"
+
+namespace acaciachute {
+
+class SocketHandler {
+ public:
+  virtual ~SocketHandler() = default;
+  virtual void OnConnected() {}
+  virtual void OnBytes(std::string_view bytes) = 0;
+  // The other side sent its last byte (`error` is null) or the connection
+  // broke. Nothing follows.
+  virtual void OnEnd(const char* error) = 0;
+  // Everything written has reached the kernel.
+  virtual void OnFlushed() {}
+};
+
+class SocketStream : public std::enable_shared_from_this<SocketStream> {
+ public:
+  // Unacknowledged bytes and a silent peer end the connection after this. A
+  // peer that lost power answers nothing, and without it a write waits for the
+  // kernel's own 15 minutes.
+  static constexpr DurationUs kPeerSilence = 3 * kSecond;
+
+  // Takes an accepted socket.
+  static std::shared_ptr<SocketStream> Accepted(GPtr<GSocket> socket,
+                                                SocketHandler* handler);
+  // `OnConnected` or `OnEnd` follows.
+  static absl::StatusOr<std::shared_ptr<SocketStream>> Connect(
+      const Address& address,
+      SocketHandler* handler);
+  ~SocketStream();
+  SocketStream(const SocketStream&) = delete;
+  SocketStream& operator=(const SocketStream&) = delete;
+
+  void Write(std::string_view bytes);
+  // Stops reading, so that the peer's window fills; hang-ups go unnoticed.
+  void SetReading(bool reading);
+  // Ends the sending side once everything is written.
+  void FinishWriting();
+  // No callback follows either of these. `Abort` tells the peer that the bytes
+  // before were not all; `Close` ends in order.
+  void Close();
+  void Abort();
+
+  std::size_t unsent() const { return out_.size(); }
+  bool connected() const { return connected_; }
+
+ private:
+  SocketStream(GPtr<GSocket> socket, SocketHandler* handler);
+
+  void Watch(GSource** source, GIOCondition condition, GSocketSourceFunc fn);
+  static void Unwatch(GSource** source);
+  static gboolean OnReadable(GSocket*, GIOCondition, gpointer data);
+  static gboolean OnWritable(GSocket*, GIOCondition, gpointer data);
+  void Flush();
+  void End(const char* error);
+
+  const GPtr<GSocket> socket_;
+  SocketHandler* handler_;
+  GSource* read_source_ = nullptr;
+  GSource* write_source_ = nullptr;
+  std::string out_;
+  bool connected_ = false;
+  bool finishing_ = false;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_TRANSPORT_SOCKET_STREAM_H_
--- a/src/types.h
+++ b/src/types.h
@@ -28,6 +28,19 @@
 // under the same NodeId differ in it; zero stands for "not known yet".
 using Incarnation = std::uint64_t;
 
+// Where a process listens.
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;  // Zero: the system chooses.
+  auto operator<=>(const Address&) const = default;
+};
+
+// One request of a client, until its answer is complete or the client is gone.
+using ExchangeId = std::uint64_t;
+
+// A call to a replica or to the platform; zero is none.
+using CallId = std::uint64_t;
+
 // Version of a settings branch; grows by one with each accepted change.
 using SettingsVersion = std::uint64_t;
 
@@ -50,6 +63,10 @@
   auto operator<=>(const StageKey&) const = default;
 };
 
+template <typename H>
+H AbslHashValue(H h, const Address& address) {
+  return H::combine(std::move(h), address.ip, address.port);
+}
 template <typename H>
 H AbslHashValue(H h, const RequestId& id) {
   return H::combine(std::move(h), id.origin, id.sequence);
