--- a/platform/address.h
+++ b/src/address_text.h
@@ -1,6 +1,6 @@
-// Addresses as the platform writes them: IP:PORT.
-#ifndef ACACIACHUTE_PLATFORM_ADDRESS_H_
-#define ACACIACHUTE_PLATFORM_ADDRESS_H_
+// Addresses as text: IP:PORT.
+#ifndef ACACIACHUTE_SRC_ADDRESS_TEXT_H_
+#define ACACIACHUTE_SRC_ADDRESS_TEXT_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,7 +10,11 @@
 #include "text.h"
 #include "types.h"
 
-namespace acaciachute::platform {
+namespace acaciachute {
+
+inline std::string AddressText(const Address& address) {
+  return StrCat(address.ip, ":", address.port);
+}
 
 inline std::optional<Address> ParseAddress(std::string_view text) {
   const auto colon = text.rfind(':');
@@ -24,6 +28,6 @@
   return Address{std::string(text.substr(0, colon)), *port};
 }
 
-}  // namespace acaciachute::platform
+}  // namespace acaciachute
 
-#endif  // ACACIACHUTE_PLATFORM_ADDRESS_H_
+#endif  // ACACIACHUTE_SRC_ADDRESS_TEXT_H_
--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/engine_choice.cc
@@ -1,8 +1,20 @@
 #include "coordination/engine_choice.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
+#include "text.h"
+
 namespace acaciachute {
+namespace {
+
+// The last part of a prompt is the request's own; those before are shared.
+std::size_t SharedParts(const std::vector<PromptPart>& prompt) {
+  return prompt.empty() ? 0 : prompt.size() - 1;
+}
+
+}  // namespace
 
 EngineChoice::EngineChoice(const ReplicaDirectory* directory, Random* random)
     : directory_(directory), random_(random) {}
@@ -10,17 +22,40 @@
 // Tokens of the prompt that the engine has to read: all after the first part
 // that it does not hold, and those that no part lists.
 std::uint64_t EngineChoice::Unheld(const Engine& engine,
-                                   const EngineRequest& request) const {
+                                   const EngineRequest& request,
+                                   bool home) {
   std::uint64_t held = 0;
-  for (const PromptPart& it : *request.prompt) {
-    if (!engine.parts.contains(it.id)) {
+  const std::size_t shared = SharedParts(*request.prompt);
+  for (std::size_t n = 0; n < request.prompt->size(); ++n) {
+    const PromptPart& part = (*request.prompt)[n];
+    if (!(home && n < shared) && !engine.parts.contains(part.id)) {
       break;
     }
-    held += it.tokens;
+    held += part.tokens;
   }
   return request.prompt_tokens - std::min(held, request.prompt_tokens);
 }
 
+const ReplicaEntry* EngineChoice::HomeOf(const std::string& service,
+                                         const EngineRequest& request) const {
+  const std::size_t shared = SharedParts(*request.prompt);
+  if (shared == 0) {
+    return nullptr;
+  }
+  const std::string& part = (*request.prompt)[shared - 1].id;
+  const ReplicaEntry* home = nullptr;
+  XXH64_hash_t best = 0;
+  for (const ReplicaEntry* it : directory_->Of(service)) {
+    const std::string text = StrCat(part, "\n", it->id);
+    const XXH64_hash_t weight = XXH3_64bits(text.data(), text.size());
+    if (home == nullptr || weight > best) {
+      home = it;
+      best = weight;
+    }
+  }
+  return home;
+}
+
 EngineLoad EngineChoice::LoadOf(const ReplicaId& replica) const {
   EngineLoad sum;
   const auto add = [&](const std::map<ReplicaId, EngineLoad>& loads) {
@@ -37,11 +72,12 @@
 }
 
 double EngineChoice::Score(const ReplicaEntry& replica,
-                           const EngineRequest& request) {
+                           const EngineRequest& request,
+                           bool home) {
   const Engine& engine = engines_[replica.id];
   const EngineLoad load = LoadOf(replica.id);
   const auto tokens =
-      static_cast<double>(load.unread_tokens + Unheld(engine, request));
+      static_cast<double>(load.unread_tokens + Unheld(engine, request, home));
   double ms = tokens / kTokensPerMs + kRunningMs * load.running;
   if (load.running >= replica.slots) {
     constexpr double kQueued = 1000;  // About a third of a stream.
@@ -62,6 +98,7 @@
   const ReplicaEntry* shunned = nullptr;
   double best_score = 0;
   std::uint64_t ties = 0;
+  const ReplicaEntry* home = HomeOf(service, request);
   for (const ReplicaEntry* it : directory_->Of(service)) {
     if (std::find(tried.begin(), tried.end(), it->id) != tried.end()) {
       continue;
@@ -70,7 +107,7 @@
       shunned = it;
       continue;
     }
-    const double score = Score(*it, request);
+    const double score = Score(*it, request, it == home);
     if (best == nullptr || score < best_score) {
       best = it;
       best_score = score;
--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -4,7 +4,9 @@
 // come back with the same first parts, and engines whose every running request
 // slows the tokens of all others. Sent to a random engine, a session's parts
 // are read again each time, and two long prompts that meet delay the first
-// token of both by their sum. Each engine is scored by the time until this
+// token of both by their sum. A prompt's home is the engine with the highest
+// hash of its shared parts and the engine (rendezvous hashing), the same at
+// every entry; it is taken to hold them. Each engine is scored by the time until this
 // request's first token: the prompt tokens that are still unread there, those
 // of this prompt that it does not hold, and what the running requests add. What
 // an engine holds is believed from what was sent there and ended well; engines
@@ -86,8 +88,15 @@
     ReplicaHealth health;
   };
 
-  std::uint64_t Unheld(const Engine& engine, const EngineRequest& request) const;
-  double Score(const ReplicaEntry& replica, const EngineRequest& request);
+  static std::uint64_t Unheld(const Engine& engine,
+                              const EngineRequest& request,
+                              bool home);
+  // The home of a prompt; null when it has no shared part.
+  const ReplicaEntry* HomeOf(const std::string& service,
+                             const EngineRequest& request) const;
+  double Score(const ReplicaEntry& replica,
+               const EngineRequest& request,
+               bool home);
   EngineLoad LoadOf(const ReplicaId& replica) const;
 
   const ReplicaDirectory* const directory_;
--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -135,27 +135,39 @@
   RunStages(it);
 }
 
+std::vector<PieceOrder> Gateway::Impl::OrdersOf(const ServingRequest& request,
+                                                std::uint32_t stage) const {
+  const TimeUs now = ports->Now();
+  const StageSpec& spec = request.route->stages[stage];
+  PieceOrder order;
+  order.service = spec.service;
+  order.inputs = request.progress.InputsOf(stage);
+  if (spec.after.empty()) {
+    order.source = request.call.piece_key;
+  }
+  order.time_left = request.deadline_at - now;
+  order.time_to_target = request.target_by - now;
+  order.priority = request.priority;
+  order.result_bytes = spec.result_bytes;
+  std::vector<PieceOrder> orders;
+  for (std::uint32_t n = 0; n < request.progress.Pieces(stage); ++n) {
+    order.key = {request.call.id, stage, n};
+    orders.push_back(order);
+  }
+  return orders;
+}
+
 void Gateway::Impl::RunStages(ServingRequest* request) {
   const TimeUs now = ports->Now();
   const ExchangeId id = request->id;
   for (const std::uint32_t stage : request->progress.TakeReady()) {
-    const StageSpec& spec = request->route->stages[stage];
-    PieceOrder order;
-    order.service = spec.service;
-    order.inputs = request->progress.InputsOf(stage);
-    if (spec.after.empty()) {
-      order.source = request->call.piece_key;
+    std::vector<PieceOrder> orders = OrdersOf(*request, stage);
+    if (orders.empty()) {
+      continue;
     }
-    order.time_left = request->deadline_at - now;
-    order.time_to_target = request->target_by - now;
-    order.priority = request->priority;
-    order.result_bytes = spec.result_bytes;
-    for (std::uint32_t n = 0; n < request->progress.Pieces(stage); ++n) {
-      order.key = {request->call.id, stage, n};
-      desk->Submit(now, order);
-      if (ByExchange(id) == nullptr) {
-        return;  // Refused at once.
-      }
+    desk->Submit(now, std::move(orders));
+    if (ByExchange(id) == nullptr) {
+      return;  // Refused at once.
     }
   }
   if (request->progress.Complete()) {
@@ -172,7 +184,7 @@
 // Results live a few seconds and end with their maker; the stages are made
 // again when one is gone, as long as the request has time for it.
 void Gateway::Impl::RestartStages(ServingRequest* request) {
-  ports->FreeResults(request->progress.TakeAll());
+  desk->Free(request->progress.TakeAll());
   desk->Drop(request->call.id);
   if (++request->restarts > kMostRestarts) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
@@ -239,7 +251,7 @@
   CancelAttempt(request);
   if (!request->route->stages.empty()) {
     desk->Drop(request->call.id);
-    ports->FreeResults(request->progress.TakeAll());
+    desk->Free(request->progress.TakeAll());
   }
   const TimeUs now = ports->Now();
   metrics->Count("requests_total", outcome);
@@ -370,7 +382,7 @@
   const auto it = impl_->by_client_id.find(result.key.request);
   if (it == impl_->by_client_id.end()) {
     if (!result.handle.empty()) {
-      impl_->ports->FreeResults({result.handle});
+      impl_->desk->Free({result.handle});
     }
     return;
   }
@@ -387,7 +399,7 @@
     return;
   }
   request->progress.OnMade(result.key.stage, result.key.piece, result.handle);
-  impl_->ports->FreeResults(request->progress.TakeUnneeded());
+  impl_->desk->Free(request->progress.TakeUnneeded());
   impl_->RunStages(request);
 }
 
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -73,7 +73,6 @@
   virtual CallId Send(const SendOrder& order) = 0;
   virtual void Cancel(CallId id) = 0;
   virtual void SetReading(CallId id, bool reading) = 0;
-  virtual void FreeResults(const std::vector<std::string>& handles) = 0;
 };
 
 struct GatewayOptions {
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -91,7 +91,7 @@
     engines.OnFirstEvent(ports->Now(), attempt.replica.id,
                          request->ForEngine());
     // The replica fetched its inputs before it read the prompt.
-    ports->FreeResults(request->progress.TakeAll());
+    desk->Free(request->progress.TakeAll());
   }
   if (!request->begun) {
     request->begun = true;
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -87,6 +87,8 @@
                    const ClientAccount** account,
                    OwnAnswer* refusal);
   std::string ChooseService(const Route& route);
+  std::vector<PieceOrder> OrdersOf(const ServingRequest& request,
+                                   std::uint32_t stage) const;
   void RunStages(ServingRequest* request);
   void OnStagesDone(ServingRequest* request);
   void RestartStages(ServingRequest* request);
--- /dev/null
+++ b/src/coordination/gateway_join.h
@@ -0,0 +1,73 @@
+// How a gateway finds the others: each writes its address into a table of the
+// platform's store when it starts, and reads those of the others.
+//
+// Writing comes before reading, so of two that start together at least one
+// reads the other, and its beats tell the other of it. The key that frames
+// between gateways carry lies in the same table; the first gateway ever draws
+// it and writes it on the condition that there is none.
+//
+// Failure: the store is away at that moment. Symptom: a gateway that works
+// alone, with smaller batches; it tries again until it succeeds.
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
+
+#include <string>
+#include <string_view>
+
+#include "coordination/table_watch.h"
+#include "state/event_log.h"
+#include "state/random.h"
+#include "types.h"
+
+namespace acaciachute {
+
+class GatewayJoinOutput {
+ public:
+  virtual ~GatewayJoinOutput() = default;
+  // `OnRows` follows.
+  virtual void ReadGateways() = 0;
+  // `OnWritten` follows.
+  virtual void WriteGateway(const std::string& key,
+                            const std::string& value,
+                            bool only_new) = 0;
+  virtual void OnGateway(const NodeId& node, const Address& address) = 0;
+  // Once, before the first `OnGateway`.
+  virtual void OnFrameKey(const std::string& key) = 0;
+};
+
+class GatewayJoin {
+ public:
+  // Found again after a cut that outlasted `GatewayPeers::kForget`.
+  static constexpr DurationUs kReadAgain = 30 * kSecond;
+  static constexpr DurationUs kRetry = 500 * kMillisecond;
+
+  GatewayJoin(NodeId self,
+              Address address,
+              GatewayJoinOutput* output,
+              Random* random,
+              EventLog* log);
+
+  void OnTick(TimeUs now);
+  void OnRows(TimeUs now, const TableAnswer& answer);
+  // Whether the store took a decision; a condition that did not hold is one.
+  void OnWritten(TimeUs now, bool decided);
+
+ private:
+  enum class Step { kWriteSelf, kRead, kWriteKey };
+
+  void Go(TimeUs now, Step step);
+
+  const NodeId self_;
+  const Address address_;
+  GatewayJoinOutput* const output_;
+  Random* const random_;
+  EventLog* const log_;
+  Step step_ = Step::kWriteSelf;
+  bool waiting_ = false;  // For the store.
+  TimeUs next_at_ = 0;
+  bool have_key_ = false;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
--- /dev/null
+++ b/src/coordination/gateway_peers.cc
@@ -0,0 +1,104 @@
+#include "coordination/gateway_peers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+XXH64_hash_t Weight(const std::string& service, const NodeId& node) {
+  const std::string text = StrCat(service, "\n", node);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace
+
+void GatewayPeers::OnListed(TimeUs now, const NodeId& node) {
+  if (node != self_) {
+    peers_.try_emplace(node).first->second.listed_at = now;
+  }
+}
+
+bool GatewayPeers::OnBeat(TimeUs now,
+                          const NodeId& node,
+                          Incarnation incarnation,
+                          const GatewayBeat& beat) {
+  Peer& peer = peers_[node];
+  const bool changed = !peer.live || peer.leaving != beat.leaving ||
+                       peer.incarnation != incarnation;
+  if (peer.live && peer.incarnation != incarnation) {
+    peer.restarted = true;
+  }
+  peer.incarnation = incarnation;
+  peer.heard_at = now;
+  peer.live = true;
+  peer.leaving = beat.leaving;
+  if (changed) {
+    log_->Write("peer", {{"peer", node},
+                         {"state", beat.leaving ? "leaving" : "live"}});
+  }
+  return changed;
+}
+
+std::vector<NodeId> GatewayPeers::TakeLost(TimeUs now) {
+  std::vector<NodeId> lost;
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    Peer& peer = it->second;
+    const bool silent = peer.live && now - peer.heard_at > kSilent;
+    if (silent || peer.restarted) {
+      lost.push_back(it->first);
+      peer.live = !silent;
+      peer.restarted = false;
+      log_->Write("peer", {{"peer", it->first},
+                           {"state", silent ? "silent" : "restarted"},
+                           {"age_ms", (now - peer.heard_at) / kMillisecond}});
+    }
+    const TimeUs known_at = std::max(peer.heard_at, peer.listed_at);
+    it = now - known_at > kForget ? peers_.erase(it) : std::next(it);
+  }
+  return lost;
+}
+
+std::vector<NodeId> GatewayPeers::DueBeats(TimeUs now) {
+  std::vector<NodeId> due;
+  for (auto& [node, peer] : peers_) {
+    if (now - peer.told_at >= (peer.live ? kBeat : kSilentBeat)) {
+      peer.told_at = now;
+      due.push_back(node);
+    }
+  }
+  return due;
+}
+
+const NodeId& GatewayPeers::OwnerOf(const std::string& service) const {
+  const NodeId* owner = &self_;
+  XXH64_hash_t best = leaving_ ? 0 : Weight(service, self_);
+  for (const auto& [node, peer] : peers_) {
+    if (!peer.live || peer.leaving) {
+      continue;
+    }
+    const XXH64_hash_t weight = Weight(service, node);
+    if (weight > best) {
+      best = weight;
+      owner = &node;
+    }
+  }
+  return *owner;
+}
+
+std::size_t GatewayPeers::Live() const {
+  const auto n = std::count_if(peers_.begin(), peers_.end(), [](const auto& it) {
+    return it.second.live;
+  });
+  return 1 + static_cast<std::size_t>(n);
+}
+
+bool GatewayPeers::IsLive(const NodeId& node) const {
+  const auto it = peers_.find(node);
+  return node == self_ || (it != peers_.end() && it->second.live);
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/gateway_peers.h
@@ -0,0 +1,79 @@
+// The other gateways that live, and which gateway batches a service's pieces.
+//
+// Load pattern: replicas of a stage run one call at a time. Gateways that send
+// calls apart fill them to a fifth and queue behind one another. For each
+// service the live gateway with the highest hash of (service, gateway) batches
+// the pieces of all (rendezvous hashing, Thaler and Ravishankar 1998), so that
+// gateways agree without asking anybody, and a gateway that comes or goes moves
+// only its own services. While two disagree, both send calls; a replica queues
+// or refuses the second.
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "messages.h"
+#include "state/event_log.h"
+#include "types.h"
+
+namespace acaciachute {
+
+class GatewayPeers {
+ public:
+  // A beat is under 1 KB; at five gateways that is 20 KB/s a host.
+  static constexpr DurationUs kBeat = 150 * kMillisecond;
+  // Four beats: with a thirtieth of the datagrams lost, a live gateway is taken
+  // for dead once in a million beats.
+  static constexpr DurationUs kSilent = 650 * kMillisecond;
+  // Silent ones are still told, less often: they may return from a cut.
+  static constexpr DurationUs kSilentBeat = kSecond;
+  // After this a silent gateway is forgotten; it is read from the store again
+  // if it lives.
+  static constexpr DurationUs kForget = 60 * kSecond;
+
+  GatewayPeers(NodeId self, EventLog* log) : self_(std::move(self)), log_(log) {}
+
+  // A gateway that the store lists.
+  void OnListed(TimeUs now, const NodeId& node);
+  // Returns whether its state changed.
+  bool OnBeat(TimeUs now,
+              const NodeId& node,
+              Incarnation incarnation,
+              const GatewayBeat& beat);
+  // Gateways that fell silent or restarted since the last call: what they had
+  // is lost.
+  std::vector<NodeId> TakeLost(TimeUs now);
+  // Those that a beat is due to now.
+  std::vector<NodeId> DueBeats(TimeUs now);
+  void SetLeaving() { leaving_ = true; }
+
+  // The gateway that batches the service's pieces; this one when it is alone.
+  const NodeId& OwnerOf(const std::string& service) const;
+  // Live gateways, this one included.
+  std::size_t Live() const;
+  bool IsLive(const NodeId& node) const;
+
+ private:
+  struct Peer {
+    Incarnation incarnation = 0;
+    TimeUs heard_at = -1;  // Negative: not yet.
+    TimeUs listed_at = 0;
+    TimeUs told_at = 0;
+    bool live = false;
+    bool leaving = false;
+    bool restarted = false;
+  };
+
+  const NodeId self_;
+  EventLog* const log_;
+  bool leaving_ = false;
+  std::map<NodeId, Peer> peers_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -1,5 +1,6 @@
 #include "coordination/local_piece_desk.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciachute {
@@ -25,13 +26,15 @@
   }
 }
 
-void LocalPieceDesk::Submit(TimeUs now, const PieceOrder& order) {
-  const auto it = batchers_.find(order.service);
-  if (it == batchers_.end()) {
-    output_->OnPiece({order.key, PieceOutcome::kNotMade, ""});
-    return;
+void LocalPieceDesk::Submit(TimeUs now, std::vector<PieceOrder> orders) {
+  for (PieceOrder& order : orders) {
+    const auto it = batchers_.find(order.service);
+    if (it == batchers_.end()) {
+      output_->OnPiece({order.key, PieceOutcome::kNotMade, ""});
+    } else {
+      it->second->Add(now, std::move(order));
+    }
   }
-  it->second->Add(now, order);
 }
 
 void LocalPieceDesk::Drop(const std::string& request) {
@@ -40,6 +43,18 @@
   }
 }
 
+void LocalPieceDesk::Free(const std::vector<std::string>& handles) {
+  for (auto& [name, batcher] : batchers_) {
+    batcher->Free(handles);
+  }
+}
+
+bool LocalPieceDesk::Idle() const {
+  return std::all_of(batchers_.begin(), batchers_.end(), [](const auto& it) {
+    return it.second->Idle();
+  });
+}
+
 DurationUs LocalPieceDesk::ExpectedWait(TimeUs now,
                                         const std::string& service,
                                         std::uint32_t priority) const {
--- a/src/coordination/local_piece_desk.h
+++ b/src/coordination/local_piece_desk.h
@@ -23,8 +23,9 @@
   // Services that are no longer listed keep their batcher until it is idle.
   void SetServices(const ServingConfig& config);
 
-  void Submit(TimeUs now, const PieceOrder& order) override;
+  void Submit(TimeUs now, std::vector<PieceOrder> orders) override;
   void Drop(const std::string& request) override;
+  void Free(const std::vector<std::string>& handles) override;
   DurationUs ExpectedWait(TimeUs now,
                           const std::string& service,
                           std::uint32_t priority) const override;
@@ -35,6 +36,8 @@
                  const PieceCallEnd& end);
   void OnReplicaGone(TimeUs now, const ReplicaEntry& replica);
   void OnTick(TimeUs now);
+  // Whether any piece waits or is being made.
+  bool Idle() const;
 
  private:
   const ReplicaDirectory* const directory_;
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -132,12 +132,12 @@
   Call call;
   call.call.replica = replica.id;
   call.call.address = replica.address;
-  std::uint64_t bytes = 0;
+  std::uint64_t bytes = makers_[replica.id].held_bytes;
   for (auto it = waiting_.begin();
        it != waiting_.end() && call.call.pieces.size() < most;) {
     Piece& piece = pieces_.at(it->key);
-    const bool fits = call.call.pieces.empty() ||
-                      bytes + piece.order.result_bytes <= limits_.room_bytes;
+    const bool fits =
+        bytes + piece.order.result_bytes <= limits_.room_bytes;
     if (!fits || piece.tried.contains(replica.id)) {
       ++it;
       continue;
@@ -156,6 +156,7 @@
   }
   Maker& maker = makers_[replica.id];
   ++maker.calls;
+  maker.held_bytes = bytes;
   call.call.id = next_id_++;
   call.started = now;
   call.expected = CallTime(Slowness(now, maker), call.call.pieces.size());
@@ -166,48 +167,92 @@
   output_->StartCall(calls_.at(id).call);
 }
 
+void PieceBatcher::Hold(TimeUs now,
+                        const Call& call,
+                        const PieceResult& result,
+                        std::uint64_t bytes) {
+  held_[result.handle] = {call.call.replica, call.call.address, bytes,
+                          now + limits_.result_life};
+  makers_[call.call.replica].held_bytes += bytes;
+}
+
+void PieceBatcher::Forget(std::map<std::string, Held>::iterator it) {
+  const auto maker = makers_.find(it->second.maker);
+  if (maker != makers_.end()) {
+    maker->second.held_bytes -=
+        std::min(maker->second.held_bytes, it->second.bytes);
+  }
+  held_.erase(it);
+}
+
+void PieceBatcher::Free(const std::vector<std::string>& handles) {
+  for (const auto& handle : handles) {
+    const auto it = held_.find(handle);
+    if (it != held_.end()) {
+      frees_[it->second.address].push_back(handle);
+      Forget(it);
+    }
+  }
+}
+
+void PieceBatcher::ForgetOld(TimeUs now) {
+  for (auto it = held_.begin(); it != held_.end();) {
+    const auto next = std::next(it);
+    if (now >= it->second.until) {
+      Forget(it);
+    }
+    it = next;
+  }
+}
+
+void PieceBatcher::SendFrees() {
+  for (const auto& [address, handles] : std::exchange(frees_, {})) {
+    output_->FreeAt(address, handles);
+  }
+}
+
 void PieceBatcher::OnCallEnd(TimeUs now, BatchId id, const PieceCallEnd& end) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) {
-    // Given up before; whatever it made is for nobody.
-    for (const auto& result : end.results) {
-      if (!result.handle.empty()) {
-        output_->OnUnused(result.handle);
-      }
-    }
-    return;
+    return;  // Given up before; what it made ends by itself.
   }
   const Call call = std::move(it->second);
   calls_.erase(it);
   Release(now, call, end.kind);
   for (std::size_t n = 0; n < call.call.pieces.size(); ++n) {
-    const PieceKey& key = call.call.pieces[n].key;
+    const PieceOrder& order = call.call.pieces[n];
     const bool answered = end.kind == PieceCallEnd::Kind::kAnswered &&
                           n < end.results.size();
     PieceResult result;
     if (answered) {
       result = end.results[n];
-      result.key = key;
-    }
-    const auto piece = pieces_.find(key);
-    if (piece == pieces_.end()) {
       if (!result.handle.empty()) {
-        output_->OnUnused(result.handle);
+        Hold(now, call, result, order.result_bytes);
       }
-      continue;
-    }
-    --piece->second.calls;
-    if (answered && (result.outcome == PieceOutcome::kMade ||
-                     result.outcome == PieceOutcome::kInputGone ||
-                     result.outcome == PieceOutcome::kLate)) {
-      Finish(piece, std::move(result));
-    } else {
-      Again(now, &piece->second, result.outcome);
     }
+    result.key = order.key;
+    EndPiece(now, answered, std::move(result));
   }
   Dispatch(now);
 }
 
+void PieceBatcher::EndPiece(TimeUs now, bool answered, PieceResult result) {
+  const auto piece = pieces_.find(result.key);
+  if (piece == pieces_.end()) {
+    Free({result.handle});  // Another copy was first, or nobody waits.
+    return;
+  }
+  --piece->second.calls;
+  const bool final = result.outcome == PieceOutcome::kMade ||
+                     result.outcome == PieceOutcome::kInputGone ||
+                     result.outcome == PieceOutcome::kLate;
+  if (answered && final) {
+    Finish(piece, std::move(result));
+  } else {
+    Again(now, &piece->second, result.outcome);
+  }
+}
+
 // The piece's request is told; a copy that waits or runs is for nobody now.
 void PieceBatcher::Finish(std::map<PieceKey, Piece>::iterator it,
                           PieceResult result) {
@@ -244,6 +289,9 @@
   if (maker.calls > 0) {
     --maker.calls;
   }
+  for (const PieceOrder& it : call.call.pieces) {
+    maker.held_bytes -= std::min(maker.held_bytes, it.result_bytes);
+  }
   if (kind != PieceCallEnd::Kind::kAnswered) {
     maker.shunned_until = now + maker.shun;
     maker.shun = std::min(kMostShun, 2 * maker.shun);
@@ -321,6 +369,8 @@
 void PieceBatcher::OnTick(TimeUs now) {
   ExpireWaiting(now);
   WatchCalls(now);
+  ForgetOld(now);
+  SendFrees();
   Dispatch(now);
 }
 
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -58,8 +58,9 @@
   virtual ~PieceBatcherOutput() = default;
   virtual void StartCall(const PieceCall& call) = 0;
   virtual void OnPiece(const PieceResult& result) = 0;
-  // A result that came after another for the same piece, or for nobody.
-  virtual void OnUnused(const std::string& handle) = 0;
+  // Tells `replica` that it may forget these results.
+  virtual void FreeAt(const Address& replica,
+                      const std::vector<std::string>& handles) = 0;
 };
 
 class PieceBatcher {
@@ -94,11 +95,15 @@
   // Nobody waits for the request's pieces any longer; due for every request
   // that added any.
   void Drop(const std::string& request);
+  // Results that nobody needs any longer; told to their makers with the next
+  // tick, those of one maker together.
+  void Free(const std::vector<std::string>& handles);
   void OnCallEnd(TimeUs now, BatchId id, const PieceCallEnd& end);
   void OnReplicaGone(TimeUs now, const ReplicaId& replica);
   // Calls what is due; call it every 10 ms and after other changes.
   void OnTick(TimeUs now);
 
+  bool Idle() const { return pieces_.empty() && calls_.empty(); }
   std::size_t waiting() const { return waiting_.size(); }
   // The time in which one more piece of that rank would be made.
   DurationUs ExpectedWait(TimeUs now, std::uint32_t priority) const;
@@ -135,15 +140,28 @@
     TimeUs shunned_until = 0;
     DurationUs shun = kShun;
     TimeUs free_at = 0;
+    std::uint64_t held_bytes = 0;  // Results there, and those being made.
+  };
+  struct Held {
+    ReplicaId maker;
+    Address address;
+    std::uint64_t bytes = 0;
+    TimeUs until = 0;  // Its maker forgets it by then.
   };
 
   double Slowness(TimeUs now, const Maker& maker) const;
   DurationUs CallTime(double slowness, std::size_t pieces) const;
+  void Hold(TimeUs now, const Call& call, const PieceResult& result,
+            std::uint64_t bytes);
+  void Forget(std::map<std::string, Held>::iterator it);
+  void ForgetOld(TimeUs now);
+  void SendFrees();
   void Dispatch(TimeUs now);
   std::vector<const ReplicaEntry*> FreeReplicas(TimeUs now);
   bool WorthIt(TimeUs now, const ReplicaEntry& replica);
   void StartOn(TimeUs now, const ReplicaEntry& replica, std::size_t most);
   void Enqueue(TimeUs now, Piece* piece);
+  void EndPiece(TimeUs now, bool answered, PieceResult result);
   void Finish(std::map<PieceKey, Piece>::iterator it, PieceResult result);
   void Again(TimeUs now, Piece* piece, PieceOutcome outcome);
   void Release(TimeUs now, const Call& call, PieceCallEnd::Kind kind);
@@ -160,6 +178,8 @@
   std::map<std::string, TimeUs> request_since_;
   std::map<BatchId, Call> calls_;
   std::map<ReplicaId, Maker> makers_;
+  std::map<std::string, Held> held_;  // By handle.
+  std::map<Address, std::vector<std::string>> frees_;
   BatchId next_id_ = 1;
 };
 
--- a/src/coordination/piece_desk.h
+++ b/src/coordination/piece_desk.h
@@ -3,6 +3,7 @@
 #define ACACIACHUTE_SRC_COORDINATION_PIECE_DESK_H_
 
 #include <string>
+#include <vector>
 
 #include "state/piece.h"
 #include "types.h"
@@ -13,9 +14,11 @@
  public:
   virtual ~PieceDesk() = default;
   // One result follows for each piece, unless its request is dropped.
-  virtual void Submit(TimeUs now, const PieceOrder& order) = 0;
+  virtual void Submit(TimeUs now, std::vector<PieceOrder> orders) = 0;
   // Due for every request that handed in any.
   virtual void Drop(const std::string& request) = 0;
+  // Results that nobody needs any longer.
+  virtual void Free(const std::vector<std::string>& handles) = 0;
   // Until a piece handed in now would be begun.
   virtual DurationUs ExpectedWait(TimeUs now,
                                   const std::string& service,
--- /dev/null
+++ b/src/coordination/shared_piece_desk.cc
@@ -0,0 +1,183 @@
+#include "coordination/shared_piece_desk.h"
+
+#include <utility>
+
+namespace acaciachute {
+
+SharedPieceDesk::SharedPieceDesk(NodeId self,
+                                 const GatewayPeers* peers,
+                                 LocalPieceDesk* local,
+                                 const ReplicaDirectory* directory,
+                                 SharedPieceDeskOutput* output,
+                                 EventLog* log)
+    : self_(std::move(self)),
+      peers_(peers),
+      local_(local),
+      directory_(directory),
+      output_(output),
+      log_(log) {}
+
+void SharedPieceDesk::Submit(TimeUs now, std::vector<PieceOrder> orders) {
+  for (const PieceOrder& it : orders) {
+    Pending& pending = pending_[it.key];
+    pending.order = it;
+    pending.deadline = now + it.time_left;
+    pending.target_by = now + it.time_to_target;
+  }
+  HandOver(now, std::move(orders));
+}
+
+// All orders are of one request and for one service.
+void SharedPieceDesk::HandOver(TimeUs now, std::vector<PieceOrder> orders) {
+  const NodeId owner = peers_->OwnerOf(orders.front().service);
+  for (const PieceOrder& it : orders) {
+    Pending& pending = pending_[it.key];
+    pending.owner = owner;
+    pending.handed_at = now;
+  }
+  if (owner == self_) {
+    local_->Submit(now, std::move(orders));
+  } else {
+    owners_[orders.front().key.request].insert(owner);
+    output_->SendToPeer(owner, PieceOrders{std::move(orders)});
+  }
+}
+
+void SharedPieceDesk::HandAgain(TimeUs now,
+                                const std::vector<PieceKey>& keys,
+                                const char* why) {
+  using Group = std::pair<std::string, std::string>;  // Request and service.
+  std::map<Group, std::vector<PieceOrder>> groups;
+  for (const PieceKey& key : keys) {
+    Pending& pending = pending_.at(key);
+    PieceOrder order = pending.order;
+    order.time_left = pending.deadline - now;
+    order.time_to_target = pending.target_by - now;
+    groups[{key.request, order.service}].push_back(std::move(order));
+  }
+  for (auto& [group, orders] : groups) {
+    log_->Write("pieces_again", {{"id", group.first},
+                                 {"service", group.second},
+                                 {"pieces", orders.size()},
+                                 {"why", why}});
+    HandOver(now, std::move(orders));
+  }
+}
+
+void SharedPieceDesk::Drop(const std::string& request) {
+  auto it = pending_.lower_bound(PieceKey{request, 0, 0});
+  while (it != pending_.end() && it->first.request == request) {
+    it = pending_.erase(it);
+  }
+  local_->Drop(request);
+  const auto owners = owners_.extract(request);
+  if (owners.empty()) {
+    return;
+  }
+  for (const NodeId& owner : owners.mapped()) {
+    output_->SendToPeer(owner, PieceDrop{request});
+  }
+}
+
+// A handle begins with its maker's address; the gateway that batches that
+// maker's service keeps the account of its memory.
+void SharedPieceDesk::Free(const std::vector<std::string>& handles) {
+  std::map<NodeId, std::vector<std::string>> by_owner;
+  for (const auto& handle : handles) {
+    const std::string* service = directory_->ServiceAt(
+        std::string_view(handle).substr(0, handle.find('/')));
+    if (service != nullptr) {
+      by_owner[peers_->OwnerOf(*service)].push_back(handle);
+    }
+  }
+  for (auto& [owner, list] : by_owner) {
+    if (owner == self_) {
+      local_->Free(list);
+    } else {
+      output_->SendToPeer(owner, PieceFree{std::move(list)});
+    }
+  }
+}
+
+DurationUs SharedPieceDesk::ExpectedWait(TimeUs now,
+                                         const std::string& service,
+                                         std::uint32_t priority) const {
+  return peers_->OwnerOf(service) == self_
+             ? local_->ExpectedWait(now, service, priority)
+             : 0;
+}
+
+void SharedPieceDesk::OnLocalPiece(const PieceResult& result) {
+  const auto it = requesters_.find(result.key.request);
+  if (it != requesters_.end()) {
+    results_[it->second].push_back(result);
+    return;
+  }
+  OnOwnResult(result);
+}
+
+void SharedPieceDesk::OnOwnResult(const PieceResult& result) {
+  if (pending_.erase(result.key) > 0) {
+    output_->OnOwnPiece(result);
+  } else if (!result.handle.empty()) {
+    Free({result.handle});  // Made twice, or nobody waits any longer.
+  }
+}
+
+void SharedPieceDesk::OnPeerOrders(TimeUs now,
+                                   const NodeId& from,
+                                   const PieceOrders& orders) {
+  for (const PieceOrder& it : orders.orders) {
+    requesters_[it.key.request] = from;
+  }
+  local_->Submit(now, orders.orders);
+}
+
+void SharedPieceDesk::OnPeerDrop(const PieceDrop& drop) {
+  requesters_.erase(drop.request);
+  local_->Drop(drop.request);
+}
+
+void SharedPieceDesk::OnPeerFree(const PieceFree& free) {
+  local_->Free(free.handles);
+}
+
+void SharedPieceDesk::OnPeerResults(const PieceResults& results) {
+  for (const PieceResult& it : results.results) {
+    OnOwnResult(it);
+  }
+}
+
+void SharedPieceDesk::OnPeerLost(TimeUs now, const NodeId& peer) {
+  std::vector<std::string> dropped;
+  for (const auto& [request, node] : requesters_) {
+    if (node == peer) {
+      dropped.push_back(request);
+    }
+  }
+  for (const auto& request : dropped) {
+    OnPeerDrop({request});
+  }
+  std::vector<PieceKey> lost;
+  for (const auto& [key, pending] : pending_) {
+    if (pending.owner == peer) {
+      lost.push_back(key);
+    }
+  }
+  HandAgain(now, lost, "the gateway that batches is lost");
+}
+
+void SharedPieceDesk::OnTick(TimeUs now) {
+  for (auto& [peer, results] : std::exchange(results_, {})) {
+    output_->SendToPeer(peer, PieceResults{std::move(results)});
+  }
+  std::vector<PieceKey> overdue;
+  for (const auto& [key, pending] : pending_) {
+    if (pending.owner != self_ && now - pending.handed_at > kPatience) {
+      overdue.push_back(key);
+    }
+  }
+  HandAgain(now, overdue, "no result in time");
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/shared_piece_desk.h
@@ -0,0 +1,91 @@
+// Hands pieces to the gateway that batches their service, be it this one.
+//
+// Failure: that gateway dies, freezes, restarts or is cut off with pieces in
+// hand. Symptom: requests wait until their deadlines for pieces that nobody
+// makes. Orders are kept until their results are here, and handed to the next
+// gateway as soon as the first one is lost, or when no result came in
+// `kPatience`; a piece that is then made twice costs only its time, and the
+// second result is freed.
+#ifndef ACACIACHUTE_SRC_COORDINATION_SHARED_PIECE_DESK_H_
+#define ACACIACHUTE_SRC_COORDINATION_SHARED_PIECE_DESK_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/gateway_peers.h"
+#include "coordination/local_piece_desk.h"
+#include "coordination/piece_desk.h"
+#include "messages.h"
+
+namespace acaciachute {
+
+class SharedPieceDeskOutput {
+ public:
+  virtual ~SharedPieceDeskOutput() = default;
+  virtual void SendToPeer(const NodeId& peer, const Message& message) = 0;
+  // A result for this gateway's own request.
+  virtual void OnOwnPiece(const PieceResult& result) = 0;
+};
+
+class SharedPieceDesk : public PieceDesk {
+ public:
+  // Several calls' time: a piece that waits this long at another gateway is
+  // more likely lost than late.
+  static constexpr DurationUs kPatience = 2500 * kMillisecond;
+
+  SharedPieceDesk(NodeId self,
+                  const GatewayPeers* peers,
+                  LocalPieceDesk* local,
+                  const ReplicaDirectory* directory,
+                  SharedPieceDeskOutput* output,
+                  EventLog* log);
+
+  void Submit(TimeUs now, std::vector<PieceOrder> orders) override;
+  void Drop(const std::string& request) override;
+  void Free(const std::vector<std::string>& handles) override;
+  DurationUs ExpectedWait(TimeUs now,
+                          const std::string& service,
+                          std::uint32_t priority) const override;
+
+  // A piece that this gateway's batchers made, or could not make.
+  void OnLocalPiece(const PieceResult& result);
+  void OnPeerOrders(TimeUs now, const NodeId& from, const PieceOrders& orders);
+  void OnPeerDrop(const PieceDrop& drop);
+  void OnPeerFree(const PieceFree& free);
+  void OnPeerResults(const PieceResults& results);
+  void OnPeerLost(TimeUs now, const NodeId& peer);
+  void OnTick(TimeUs now);
+  // Whether no piece of other gateways' requests is in hand.
+  bool ServesNobody() const { return requesters_.empty(); }
+
+ private:
+  struct Pending {
+    PieceOrder order;
+    NodeId owner;
+    TimeUs deadline = 0;
+    TimeUs target_by = 0;
+    TimeUs handed_at = 0;
+  };
+
+  void HandOver(TimeUs now, std::vector<PieceOrder> orders);
+  void HandAgain(TimeUs now, const std::vector<PieceKey>& keys, const char* why);
+  void OnOwnResult(const PieceResult& result);
+
+  const NodeId self_;
+  const GatewayPeers* const peers_;
+  LocalPieceDesk* const local_;
+  const ReplicaDirectory* const directory_;
+  SharedPieceDeskOutput* const output_;
+  EventLog* const log_;
+  std::map<PieceKey, Pending> pending_;
+  // Other gateways that were handed pieces of one of this one's requests.
+  std::map<std::string, std::set<NodeId>> owners_;
+  std::map<std::string, NodeId> requesters_;  // Of other gateways' requests.
+  std::map<NodeId, std::vector<PieceResult>> results_;  // To be sent.
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_SHARED_PIECE_DESK_H_
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -5,7 +5,10 @@
 #include <utility>
 
 #include "coordination/gateway.h"
+#include "coordination/gateway_join.h"
+#include "coordination/gateway_peers.h"
 #include "coordination/local_piece_desk.h"
+#include "coordination/shared_piece_desk.h"
 #include "coordination/table_watch.h"
 #include "daemon/startup.h"
 #include "platform/host_settings_file.h"
@@ -14,14 +17,18 @@
 #include "platform/rows.h"
 #include "platform/store_client.h"
 #include "state/metrics.h"
+#include "address_text.h"
 #include "text.h"
 #include "transport/http_channels.h"
 #include "transport/http_listener.h"
 #include "transport/log_writer.h"
+#include "transport/peer_mesh.h"
 
 namespace acaciachute {
 namespace {
 
+// Where gateways find one another.
+constexpr char kGatewayTable[] = "acaciachute-gateways";
 constexpr DurationUs kTick = 10 * kMillisecond;
 constexpr DurationUs kSettingsCheck = kSecond;
 // The balancer asks once a second and takes a host out after two misses.
@@ -45,7 +52,10 @@
                            public CallSink,
                            public TableListener,
                            public DirectoryWatcher,
-                           public PieceBatcherOutput {
+                           public PieceBatcherOutput,
+                           public SharedPieceDeskOutput,
+                           public PeerHandler,
+                           public GatewayJoinOutput {
   Impl(HostSettings settings_in, Loop* loop_in);
 
   absl::Status Start();
@@ -101,9 +111,6 @@
   void SetReading(CallId id, bool reading) override {
     channels.SetReading(id, reading);
   }
-  void FreeResults(const std::vector<std::string>& handles) override {
-    pieces.Free(handles);
-  }
 
   // CallSink: requests at replicas.
   void OnAnswerHead(CallId id, const HttpAnswerHead& head) override {
@@ -132,9 +139,41 @@
   // PieceBatcherOutput
   void StartCall(const PieceCall& call) override;
   void OnPiece(const PieceResult& result) override {
+    desk.OnLocalPiece(result);
+  }
+  void FreeAt(const Address& replica,
+              const std::vector<std::string>& handles) override {
+    pieces.Free(replica, handles);
+  }
+
+  // SharedPieceDeskOutput
+  void SendToPeer(const NodeId& peer, const Message& message) override;
+  void OnOwnPiece(const PieceResult& result) override {
     gateway->OnPiece(result);
   }
-  void OnUnused(const std::string& handle) override { pieces.Free({handle}); }
+
+  // PeerHandler
+  void OnPeerMessage(const NodeId& from,
+                     Incarnation peer_incarnation,
+                     const Message& message) override;
+  void OnPeerDatagram(const NodeId& from,
+                      Incarnation peer_incarnation,
+                      const Message& message) override;
+  void OnPeerLost(const NodeId& peer) override { desk.OnPeerLost(Now(), peer); }
+  void OnUnsent(const NodeId& peer, const Message& message) override {
+    desk.OnPeerLost(Now(), peer);
+  }
+
+  // GatewayJoinOutput
+  void ReadGateways() override { store.ReadRows(kGatewayTable, ""); }
+  void WriteGateway(const std::string& key,
+                    const std::string& value,
+                    bool only_new) override;
+  void OnGateway(const NodeId& node, const Address& address) override;
+  void OnFrameKey(const std::string& key) override;
+
+  void TickPeers(TimeUs now);
+  GatewayBeat BeatNow() const;
 
   HostSettings settings;
   Loop* const loop;
@@ -148,7 +187,12 @@
   platform::PieceCalls pieces;
   ReplicaDirectory directory;
   std::unique_ptr<Gateway> gateway;
-  LocalPieceDesk desk;
+  const Incarnation incarnation;
+  GatewayPeers peers;
+  LocalPieceDesk batchers;
+  SharedPieceDesk desk;
+  std::unique_ptr<PeerMesh> mesh;  // Once the frames' key is known.
+  GatewayJoin join;
   platform::StoreClient store;
   TableWatch config_watch;
   TableWatch replica_watch;
@@ -172,17 +216,29 @@
                  log.Write("piece_call_failed",
                            {{"service", service}, {"why", end.why}});
                }
-               desk.OnCallEnd(Now(), service, id, end);
+               batchers.OnCallEnd(Now(), service, id, end);
              }),
       directory(this),
-      desk(&directory,
+      incarnation(FreshSeed()),
+      peers(settings.node, &log),
+      batchers(&directory,
+               this,
+               [this](const std::string& service) {
+                 return gateway->BudgetOf(service);
+               }),
+      desk(settings.node, &peers, &batchers, &directory, this, &log),
+      join(settings.node,
+           {settings.ip, settings.first_peer_port},
            this,
-           [this](const std::string& service) {
-             return gateway->BudgetOf(service);
-           }),
+           &random,
+           &log),
       store(&channels,
             settings.store,
             [this](const std::string& table, const TableAnswer& answer) {
+              if (table == kGatewayTable) {
+                join.OnRows(Now(), answer);
+                return;
+              }
               TableWatch& watch = table == platform::kOperatorTable
                                       ? config_watch
                                       : replica_watch;
@@ -223,6 +279,8 @@
   config_watch.OnTick(now);
   replica_watch.OnTick(now);
   directory.OnTick(now);
+  TickPeers(now);
+  batchers.OnTick(now);
   desk.OnTick(now);
   gateway->OnTick();
   if (draining) {
@@ -236,6 +294,7 @@
   }
   draining = true;
   drain_since = Now();
+  peers.SetLeaving();
   clients.BeginDrain();
   log.Write("drain", {{"in_progress", gateway->in_progress()},
                       {"connections", clients.connections()}});
@@ -244,7 +303,7 @@
 void GatewayNode::Impl::CheckDrained() {
   const DurationUs since = Now() - drain_since;
   const bool idle = since >= kLeastDrain && gateway->in_progress() == 0 &&
-                    clients.exchanges() == 0;
+                    clients.exchanges() == 0 && desk.ServesNobody();
   if (!idle && since < settings.grace - kExitReserve) {
     return;
   }
@@ -396,7 +455,7 @@
     return;
   }
   clients.SetLimits(ClientLimitsOf((*config)->limits));
-  desk.SetServices(**config);
+  batchers.SetServices(**config);
   gateway->OnConfig(*std::move(config));
 }
 
@@ -420,12 +479,108 @@
   log.Write("replica", {{"replica", replica.id},
                         {"service", replica.service},
                         {"change", Name(change)},
-                        {"address", StrCat(replica.address.ip, ":",
-                                           replica.address.port)}});
+                        {"address", AddressText(replica.address)}});
   gateway->OnReplica(replica, change);
   if (change == DirectoryChange::kGone) {
     channels.DropIdle(replica.address);
-    desk.OnReplicaGone(Now(), replica);
+    batchers.OnReplicaGone(Now(), replica);
+  }
+}
+
+void GatewayNode::Impl::TickPeers(TimeUs now) {
+  join.OnTick(now);
+  for (const NodeId& peer : peers.TakeLost(now)) {
+    gateway->engines()->SetOthers(peer, {});
+    desk.OnPeerLost(now, peer);
+  }
+  gateway->SetEntries(peers.Live());
+  if (mesh == nullptr) {
+    return;
+  }
+  const std::vector<NodeId> due = peers.DueBeats(now);
+  if (due.empty()) {
+    return;
+  }
+  const GatewayBeat beat = BeatNow();
+  for (const NodeId& peer : due) {
+    mesh->SendDatagram(peer, beat);
+  }
+}
+
+GatewayBeat GatewayNode::Impl::BeatNow() const {
+  GatewayBeat beat;
+  beat.address = {settings.ip, settings.first_peer_port};
+  beat.leaving = draining;
+  for (const auto& [replica, load] : gateway->engines()->own()) {
+    beat.work.push_back({replica, load.running, load.unread_tokens});
+  }
+  return beat;
+}
+
+void GatewayNode::Impl::SendToPeer(const NodeId& peer, const Message& message) {
+  mesh->Send(peer, message);
+}
+
+void GatewayNode::Impl::OnPeerMessage(const NodeId& from,
+                                      Incarnation,
+                                      const Message& message) {
+  const TimeUs now = Now();
+  if (const auto* orders = std::get_if<PieceOrders>(&message)) {
+    desk.OnPeerOrders(now, from, *orders);
+  } else if (const auto* drop = std::get_if<PieceDrop>(&message)) {
+    desk.OnPeerDrop(*drop);
+  } else if (const auto* free = std::get_if<PieceFree>(&message)) {
+    desk.OnPeerFree(*free);
+  } else if (const auto* results = std::get_if<PieceResults>(&message)) {
+    desk.OnPeerResults(*results);
+  }
+}
+
+void GatewayNode::Impl::OnPeerDatagram(const NodeId& from,
+                                       Incarnation peer_incarnation,
+                                       const Message& message) {
+  const auto* beat = std::get_if<GatewayBeat>(&message);
+  if (beat == nullptr) {
+    return;
+  }
+  if (peers.OnBeat(Now(), from, peer_incarnation, *beat)) {
+    mesh->SetAddress(from, beat->address);
+  }
+  std::map<ReplicaId, EngineLoad> loads;
+  for (const EngineWork& it : beat->work) {
+    loads[it.replica] = {it.running, it.unread_tokens};
+  }
+  gateway->engines()->SetOthers(from, loads);
+}
+
+void GatewayNode::Impl::WriteGateway(const std::string& key,
+                                     const std::string& value,
+                                     bool only_new) {
+  store.WriteRow(kGatewayTable, key, value, only_new,
+                 [this](platform::WriteOutcome outcome) {
+                   join.OnWritten(Now(),
+                                  outcome != platform::WriteOutcome::kUnknown);
+                 });
+}
+
+void GatewayNode::Impl::OnGateway(const NodeId& node, const Address& address) {
+  peers.OnListed(Now(), node);
+  if (mesh != nullptr && !peers.IsLive(node)) {
+    mesh->SetAddress(node, address);
+  }
+}
+
+void GatewayNode::Impl::OnFrameKey(const std::string& key) {
+  PeerOptions options;
+  options.node = settings.node;
+  options.incarnation = incarnation;
+  options.frame_key = key;
+  options.listen = {settings.ip, settings.first_peer_port};
+  mesh = std::make_unique<PeerMesh>(options, this, &metrics);
+  if (const auto status = mesh->Listen(); !status.ok()) {
+    // Alone it still serves, with smaller batches.
+    log.Write("mesh_failed", {{"why", std::string(status.message())}});
+    mesh.reset();
   }
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "state/piece.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -174,6 +175,37 @@
   FenceNumber fence = 0;  // The number in force at the sidecar.
 };
 
+// Work that a gateway has at one engine.
+struct EngineWork {
+  std::string replica;
+  std::uint32_t running = 0;
+  std::uint64_t unread_tokens = 0;  // Of prompts without a first token yet.
+};
+
+// Gateway to gateway, over UDP: the sender lives, and what it has in progress.
+struct GatewayBeat {
+  Address address;  // Where it listens, for peers that do not know it yet.
+  bool leaving = false;
+  std::vector<EngineWork> work;
+};
+
+// Gateway to the gateway that batches a service's pieces.
+struct PieceOrders {
+  std::vector<PieceOrder> orders;
+};
+// Nobody waits for the request's pieces any longer.
+struct PieceDrop {
+  std::string request;
+};
+// Results that are needed no longer.
+struct PieceFree {
+  std::vector<std::string> handles;
+};
+// The answers to orders.
+struct PieceResults {
+  std::vector<PieceResult> results;
+};
+
 using Message = std::variant<StageCall,
                              StageCancel,
                              StageChunk,
@@ -184,7 +216,12 @@
                              ReachQuery,
                              ReachReport,
                              ControlOrder,
-                             ControlOrderResult>;
+                             ControlOrderResult,
+                             GatewayBeat,
+                             PieceOrders,
+                             PieceDrop,
+                             PieceFree,
+                             PieceResults>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -95,6 +95,47 @@
   a(v.order_id, v.reason, v.fence);
 }
 template <class A>
+void serialize(A& a, Address& v) {
+  a(v.ip, v.port);
+}
+template <class A>
+void serialize(A& a, EngineWork& v) {
+  a(v.replica, v.running, v.unread_tokens);
+}
+template <class A>
+void serialize(A& a, GatewayBeat& v) {
+  a(v.address, v.leaving, v.work);
+}
+template <class A>
+void serialize(A& a, PieceKey& v) {
+  a(v.request, v.stage, v.piece);
+}
+template <class A>
+void serialize(A& a, PieceOrder& v) {
+  a(v.key, v.service, v.source, v.inputs, v.time_left, v.time_to_target,
+    v.priority, v.result_bytes);
+}
+template <class A>
+void serialize(A& a, PieceOrders& v) {
+  a(v.orders);
+}
+template <class A>
+void serialize(A& a, PieceDrop& v) {
+  a(v.request);
+}
+template <class A>
+void serialize(A& a, PieceFree& v) {
+  a(v.handles);
+}
+template <class A>
+void serialize(A& a, PieceResult& v) {
+  a(v.key, v.outcome, v.handle);
+}
+template <class A>
+void serialize(A& a, PieceResults& v) {
+  a(v.results);
+}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
@@ -102,7 +143,7 @@
 namespace {
 
 // "AC", a version that changes with any message's layout, and a spare byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 2, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 3, 0};
 constexpr std::size_t kHashSize = 32;  // SHA-256.
 constexpr std::size_t kMinFrameSize = kFramePrefixSize + kHashSize;
 
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "address_text.h"
+
 namespace acaciachute {
 
 void ReplicaDirectory::Put(const ReplicaEntry& entry) {
@@ -91,6 +93,11 @@
   return it == entries_.end() ? nullptr : &it->second.entry;
 }
 
+const std::string* ReplicaDirectory::ServiceAt(std::string_view address) const {
+  const auto it = service_at_.find(address);
+  return it == service_at_.end() ? nullptr : &it->second;
+}
+
 bool ReplicaDirectory::TakesWork(const ReplicaId& id) const {
   const ReplicaEntry* it = Find(id);
   return it != nullptr && !it->leaving;
@@ -105,7 +112,10 @@
 
 void ReplicaDirectory::Rebuild() {
   by_service_.clear();
+  service_at_.clear();
   for (const auto& [id, row] : entries_) {
+    service_at_[AddressText(row.entry.address)] =
+        row.entry.service;
     if (!row.entry.leaving) {
       by_service_[row.entry.service].push_back(&row.entry);
     }
--- a/src/transport/peer_mesh.cc
+++ b/src/transport/peer_mesh.cc
@@ -1,6 +1,8 @@
 #include "transport/peer_mesh.h"
 
 #include <gio/gio.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <array>
 #include <deque>
@@ -18,6 +20,8 @@
 namespace {
 
 constexpr guint kConnectTimeoutSeconds = 2;
+// Two probes; a live peer answers the first.
+constexpr gint kPeerSilenceMs = 2000;
 constexpr std::size_t kMaxDatagram = 65507;
 // With a tenth of all ports taken, the last of these fails once in 10^20.
 constexpr int kBindTries = 20;
@@ -112,8 +116,14 @@
   // The client's connect timeout stays on its socket and would end a quiet
   // connection, with the calls that wait on it.
   g_socket_set_timeout(raw, 0);
-  g_socket_set_option(raw, 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1,
+  g_socket_set_option(raw, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  // Failure: the other host loses power, or the connection falls silent while
+  // new ones work. Symptom: messages wait here for minutes. Unacknowledged
+  // bytes and unanswered probes end it, and the next message dials anew.
+  g_socket_set_option(raw, IPPROTO_TCP, TCP_USER_TIMEOUT, kPeerSilenceMs,
                       nullptr);
+  g_socket_set_option(raw, IPPROTO_TCP, TCP_KEEPIDLE, 1, nullptr);
+  g_socket_set_option(raw, IPPROTO_TCP, TCP_KEEPINTVL, 1, nullptr);
   ReadPrefix();
 }
 
@@ -362,6 +372,9 @@
                                                    metrics)) {
   g_socket_client_set_timeout(impl_->client.get(),
                               detail::kConnectTimeoutSeconds);
+  // Peers are reached by IP number. Looking for a proxy would load the
+  // desktop's settings modules, which write to a home directory.
+  g_socket_client_set_enable_proxy(impl_->client.get(), FALSE);
 }
 
 PeerMesh::~PeerMesh() {
