--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -6,6 +6,12 @@
 #include "text.h"
 
 namespace acaciachute {
+namespace {
+
+// The client's next connection reaches another node; it need not wait.
+constexpr DurationUs kElsewhere = 20 * kMillisecond;
+
+}  // namespace
 
 Gateway::Impl::Impl(GatewayOptions options_in,
                     GatewayPorts* ports_in,
@@ -105,6 +111,11 @@
     RefuseAtOnce(id, call, {Refusal::kNotFound, Verdict::kNotRun, 0, ""});
     return;
   }
+  if (refuses_streams && route->kind == RouteKind::kStream) {
+    RefuseAtOnce(id, call, {Refusal::kLeaving, Verdict::kNotRun, kElsewhere,
+                            "a stream may outlast this process"});
+    return;
+  }
   const ClientAccount* account = nullptr;
   OwnAnswer refusal;
   if (!FindAccount(*route, call, &account, &refusal)) {
@@ -288,7 +299,7 @@
 }
 
 void Gateway::Impl::Expire(ServingRequest* request) {
-  if (request->attempt.call == 0) {
+  if (request->attempt.call == 0 && request->runs == 0) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
                      "the time was over before a replica was reached"});
     return;
@@ -403,6 +414,25 @@
   impl_->RunStages(request);
 }
 
+void Gateway::RefuseStreams() {
+  impl_->refuses_streams = true;
+}
+
+void Gateway::RefuseAll() {
+  std::vector<ServingRequest*> open;
+  for (const auto& [id, request] : impl_->requests) {
+    if (!request->begun) {
+      open.push_back(request.get());
+    }
+  }
+  for (ServingRequest* it : open) {
+    const bool sent = it->attempt.call != 0 || it->runs > 0;
+    impl_->Refuse(it, {sent ? Refusal::kUpstreamFailed : Refusal::kLeaving,
+                       sent ? Verdict::kMayHaveRun : Verdict::kNotRun, 0,
+                       "the node leaves"});
+  }
+}
+
 void Gateway::OnTick() {
   const TimeUs now = impl_->ports->Now();
   while (!impl_->deadlines.empty() &&
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -123,6 +123,11 @@
   void OnReplicaFailed(CallId id, bool sent, std::string_view why);
   void OnPiece(const PieceResult& result);
 
+  // Balancers have had time to notice that this process leaves: streams, which
+  // may outlast it, are refused from now on.
+  void RefuseStreams();
+  // Answers everything that no stream has begun for: this process ends.
+  void RefuseAll();
   // Ends what is over its time; call it every 10 ms.
   void OnTick();
 
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -131,6 +131,7 @@
   std::shared_ptr<const ServingConfig> config;
   TimeUs confirmed_at = -1;
   std::size_t entries = 1;
+  bool refuses_streams = false;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain;
   std::map<std::string, AttemptBudget> budgets;
--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -27,6 +27,9 @@
                           Incarnation incarnation,
                           const GatewayBeat& beat) {
   Peer& peer = peers_[node];
+  if (now < peer.unreachable_until) {
+    return false;
+  }
   const bool changed = !peer.live || peer.leaving != beat.leaving ||
                        peer.incarnation != incarnation;
   if (peer.live && peer.incarnation != incarnation) {
@@ -43,6 +46,18 @@
   return changed;
 }
 
+void GatewayPeers::OnUnreachable(TimeUs now, const NodeId& node) {
+  const auto it = peers_.find(node);
+  if (it == peers_.end()) {
+    return;
+  }
+  if (it->second.live) {
+    log_->Write("peer", {{"peer", node}, {"state", "unreachable"}});
+  }
+  it->second.live = false;
+  it->second.unreachable_until = now + kUnreachable;
+}
+
 std::vector<NodeId> GatewayPeers::TakeLost(TimeUs now) {
   std::vector<NodeId> lost;
   for (auto it = peers_.begin(); it != peers_.end();) {
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -29,6 +29,8 @@
   // Four beats: with a thirtieth of the datagrams lost, a live gateway is taken
   // for dead once in a million beats.
   static constexpr DurationUs kSilent = 650 * kMillisecond;
+  // Longer than a beat may have been on its way.
+  static constexpr DurationUs kUnreachable = 300 * kMillisecond;
   // Silent ones are still told, less often: they may return from a cut.
   static constexpr DurationUs kSilentBeat = kSecond;
   // After this a silent gateway is forgotten; it is read from the store again
@@ -44,6 +46,11 @@
               const NodeId& node,
               Incarnation incarnation,
               const GatewayBeat& beat);
+  // No connection could be made to it. It is taken for dead at once, until a
+  // beat that comes `kUnreachable` later: a killed process refuses connections
+  // long before its silence tells, and trying it again in a loop would use up
+  // this process's time.
+  void OnUnreachable(TimeUs now, const NodeId& node);
   // Gateways that fell silent or restarted since the last call: what they had
   // is lost.
   std::vector<NodeId> TakeLost(TimeUs now);
@@ -63,6 +70,7 @@
     TimeUs heard_at = -1;  // Negative: not yet.
     TimeUs listed_at = 0;
     TimeUs told_at = 0;
+    TimeUs unreachable_until = 0;
     bool live = false;
     bool leaving = false;
     bool restarted = false;
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -44,8 +44,18 @@
 }
 
 void LocalPieceDesk::Free(const std::vector<std::string>& handles) {
-  for (auto& [name, batcher] : batchers_) {
-    batcher->Free(handles);
+  for (const auto& handle : handles) {
+    const std::string* service = directory_->ServiceOfHandle(handle);
+    if (service != nullptr) {
+      FreeOf(*service, {handle});
+    }
+  }
+}
+
+void LocalPieceDesk::FreeOf(const std::string& service,
+                            const std::vector<std::string>& handles) {
+  if (const auto it = batchers_.find(service); it != batchers_.end()) {
+    it->second->Free(handles);
   }
 }
 
--- a/src/coordination/local_piece_desk.h
+++ b/src/coordination/local_piece_desk.h
@@ -26,6 +26,8 @@
   void Submit(TimeUs now, std::vector<PieceOrder> orders) override;
   void Drop(const std::string& request) override;
   void Free(const std::vector<std::string>& handles) override;
+  void FreeOf(const std::string& service,
+              const std::vector<std::string>& handles);
   DurationUs ExpectedWait(TimeUs now,
                           const std::string& service,
                           std::uint32_t priority) const override;
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "address_text.h"
+
 namespace acaciachute {
 
 PieceBatcher::PieceBatcher(const ReplicaDirectory* directory,
@@ -68,7 +70,8 @@
   std::vector<const ReplicaEntry*> free;
   for (const ReplicaEntry* it : directory_->Of(service_)) {
     const Maker& maker = makers_[it->id];
-    if (maker.calls < limits_.slots && now >= maker.shunned_until) {
+    if (maker.calls < limits_.slots && now >= maker.shunned_until &&
+        now >= maker.full_until) {
       free.push_back(it);
     }
   }
@@ -137,7 +140,8 @@
        it != waiting_.end() && call.call.pieces.size() < most;) {
     Piece& piece = pieces_.at(it->key);
     const bool fits =
-        bytes + piece.order.result_bytes <= limits_.room_bytes;
+        static_cast<double>(bytes + piece.order.result_bytes) <=
+        kRoomUsed * static_cast<double>(limits_.room_bytes);
     if (!fits || piece.tried.contains(replica.id)) {
       ++it;
       continue;
@@ -187,9 +191,14 @@
 
 void PieceBatcher::Free(const std::vector<std::string>& handles) {
   for (const auto& handle : handles) {
-    const auto it = held_.find(handle);
-    if (it != held_.end()) {
-      frees_[it->second.address].push_back(handle);
+    const auto maker =
+        ParseAddress(std::string_view(handle).substr(0, handle.find('/')));
+    if (!maker) {
+      continue;  // None was made.
+    }
+    // Also those that another gateway's batcher had made before.
+    frees_[*maker].push_back(handle);
+    if (const auto it = held_.find(handle); it != held_.end()) {
       Forget(it);
     }
   }
@@ -228,6 +237,8 @@
       result = end.results[n];
       if (!result.handle.empty()) {
         Hold(now, call, result, order.result_bytes);
+      } else if (result.outcome == PieceOutcome::kNoRoom) {
+        makers_[call.call.replica].full_until = now + kFullFor;
       }
     }
     result.key = order.key;
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -78,6 +78,11 @@
   // that is well again is found by one call.
   static constexpr DurationUs kShun = 400 * kMillisecond;
   static constexpr DurationUs kMostShun = 3200 * kMillisecond;
+  // Of a replica's memory for results: their stated sizes are approximate.
+  static constexpr double kRoomUsed = 0.85;
+  // After a replica had no room although the account here says so: another
+  // gateway's batcher filled it, and its results go as they are used.
+  static constexpr DurationUs kFullFor = 300 * kMillisecond;
   // Weight of the newest call in a replica's slowness, and the time after which
   // an old observation counts by 1/e.
   static constexpr double kNewest = 0.5;
@@ -140,6 +145,7 @@
     TimeUs shunned_until = 0;
     DurationUs shun = kShun;
     TimeUs free_at = 0;
+    TimeUs full_until = 0;  // It had no room, by results not known here.
     std::uint64_t held_bytes = 0;  // Results there, and those being made.
   };
   struct Held {
--- a/src/coordination/shared_piece_desk.cc
+++ b/src/coordination/shared_piece_desk.cc
@@ -79,20 +79,20 @@
   }
 }
 
-// A handle begins with its maker's address; the gateway that batches that
-// maker's service keeps the account of its memory.
+// The gateway that batches the maker's service keeps the account of the maker's
+// memory.
 void SharedPieceDesk::Free(const std::vector<std::string>& handles) {
-  std::map<NodeId, std::vector<std::string>> by_owner;
+  std::map<std::string, std::vector<std::string>> by_service;
   for (const auto& handle : handles) {
-    const std::string* service = directory_->ServiceAt(
-        std::string_view(handle).substr(0, handle.find('/')));
+    const std::string* service = directory_->ServiceOfHandle(handle);
     if (service != nullptr) {
-      by_owner[peers_->OwnerOf(*service)].push_back(handle);
+      by_service[*service].push_back(handle);
     }
   }
-  for (auto& [owner, list] : by_owner) {
+  for (auto& [service, list] : by_service) {
+    const NodeId& owner = peers_->OwnerOf(service);
     if (owner == self_) {
-      local_->Free(list);
+      local_->FreeOf(service, list);
     } else {
       output_->SendToPeer(owner, PieceFree{std::move(list)});
     }
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -33,6 +33,9 @@
 constexpr DurationUs kSettingsCheck = kSecond;
 // The balancer asks once a second and takes a host out after two misses.
 constexpr DurationUs kLeastDrain = 2500 * kMillisecond;
+// Left of the grace period when what is still open is answered, so that its
+// clients hear it before their connections close.
+constexpr DurationUs kAnswerReserve = 900 * kMillisecond;
 // Left of the grace period for the exit itself.
 constexpr DurationUs kExitReserve = 300 * kMillisecond;
 // A revocation must be in force when its bound is over: the share of the bound
@@ -161,6 +164,7 @@
                       const Message& message) override;
   void OnPeerLost(const NodeId& peer) override { desk.OnPeerLost(Now(), peer); }
   void OnUnsent(const NodeId& peer, const Message& message) override {
+    peers.OnUnreachable(Now(), peer);
     desk.OnPeerLost(Now(), peer);
   }
 
@@ -302,6 +306,13 @@
 
 void GatewayNode::Impl::CheckDrained() {
   const DurationUs since = Now() - drain_since;
+  if (since >= kLeastDrain) {
+    gateway->RefuseStreams();
+    clients.CloseIdle();
+  }
+  if (since >= settings.grace - kAnswerReserve) {
+    gateway->RefuseAll();
+  }
   const bool idle = since >= kLeastDrain && gateway->in_progress() == 0 &&
                     clients.exchanges() == 0 && desk.ServesNobody();
   if (!idle && since < settings.grace - kExitReserve) {
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -93,8 +93,9 @@
   return it == entries_.end() ? nullptr : &it->second.entry;
 }
 
-const std::string* ReplicaDirectory::ServiceAt(std::string_view address) const {
-  const auto it = service_at_.find(address);
+const std::string* ReplicaDirectory::ServiceOfHandle(
+    std::string_view handle) const {
+  const auto it = service_at_.find(handle.substr(0, handle.find('/')));
   return it == service_at_.end() ? nullptr : &it->second;
 }
 
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -70,9 +70,9 @@
   const std::vector<const ReplicaEntry*>& Of(std::string_view service) const;
   // Null when it is gone.
   const ReplicaEntry* Find(const ReplicaId& id) const;
-  // The service of the replica at `address`, written IP:PORT; null when none is
-  // listed there.
-  const std::string* ServiceAt(std::string_view address) const;
+  // The service of the replica that made a result, whose handle begins with the
+  // replica's address and a slash; null when none is listed there.
+  const std::string* ServiceOfHandle(std::string_view handle) const;
   bool TakesWork(const ReplicaId& id) const;
   std::size_t size() const { return entries_.size(); }
 
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -147,6 +147,10 @@
 
   std::size_t unsent() const { return stream_->unsent(); }
 
+  bool idle() const {
+    return id_ == 0 && !closing_ && reading_since_ == 0 && in_.empty();
+  }
+
   // Whether the connection's time is up.
   bool Expired(TimeUs now) {
     if (closing_) {
@@ -391,6 +395,17 @@
 void HttpListener::BeginDrain() {
   impl_->draining = true;
 }
+void HttpListener::CloseIdle() {
+  std::vector<Impl::Connection*> idle;
+  for (auto& [key, connection] : impl_->connections) {
+    if (connection->idle()) {
+      idle.push_back(key);
+    }
+  }
+  for (auto* it : idle) {
+    impl_->Forget(it);
+  }
+}
 std::size_t HttpListener::connections() const {
   return impl_->connections.size();
 }
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -75,6 +75,8 @@
 
   // From now on each answer asks its client to close the connection.
   void BeginDrain();
+  // Closes connections on which no byte of a request has arrived.
+  void CloseIdle();
   std::size_t connections() const;
   std::size_t exchanges() const;
 
