--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -11,8 +11,28 @@
 // The client's next connection reaches another node; it need not wait.
 constexpr DurationUs kElsewhere = 20 * kMillisecond;
 
+// A request that will be late is admitted if it would be served within this
+// share of the time that it has left; the estimates are rough.
+constexpr double kLateShare = 0.35;
+
+// From the last stage to the first event: a prompt of the usual length is read
+// in 30 to 80 ms, and waits for others.
+constexpr DurationUs kEngineTime = 150 * kMillisecond;
+
 }  // namespace
 
+std::vector<DurationUs> StageTimes(const ServingConfig& config,
+                                   const Route& route) {
+  std::vector<DurationUs> times;
+  for (const StageSpec& it : route.stages) {
+    const Service* service = config.FindService(it.service);
+    const bool known = service != nullptr && service->batching;
+    const BatchLimits limits = known ? *service->batching : BatchLimits{};
+    times.push_back(limits.call + limits.piece * (limits.batch / 2));
+  }
+  return times;
+}
+
 Gateway::Impl::Impl(GatewayOptions options_in,
                     GatewayPorts* ports_in,
                     PieceDesk* desk_in,
@@ -131,21 +151,83 @@
                           ? *account->priority
                           : route->priority;
   request->received_at = now;
-  request->target_by = now + route->target - kLink;
+  const DurationUs elapsed = ElapsedBefore(*route, request->call);
+  request->target_by = now + route->target - kLink - elapsed;
   const DurationUs patience =
       request->call.deadline > 0
           ? std::min(request->call.deadline - kLink, route->timeout)
           : route->timeout;
   request->deadline_at = now + patience;
+  request->answer_by = request->deadline_at;
+  if (route->kind == RouteKind::kStream) {
+    request->answer_by = std::min(request->answer_by,
+                                  now + route->FirstEventPatience() - kLink);
+  }
   request->resume_after = request->call.resume_after;
+  if (!Feasible(*request, &refusal)) {
+    RefuseAtOnce(id, request->call, refusal);
+    return;
+  }
   Budget(request->service).OnRequest(now);
-  deadlines.emplace(request->deadline_at, id);
+  SetDue(request.get(), request->answer_by);
   ServingRequest* it = request.get();
   by_client_id[it->call.id] = it;
   requests[id] = std::move(request);
   RunStages(it);
 }
 
+DurationUs Gateway::Impl::ElapsedBefore(const Route& route,
+                                        const ClientCall& call) {
+  DurationUs& longest = longest_deadline[route.name];
+  longest = std::max(longest, call.deadline);
+  return longest - call.deadline;
+}
+
+// Load pattern: a burst brings more requests than the stages can make. Admitted
+// without a bound, all of them wait, and all are late. Those that can be on
+// time are admitted; those that cannot are admitted while they would be served
+// well before their deadlines, behind all others; the rest is refused before
+// any work was done for it, and told when the queue will be shorter.
+bool Gateway::Impl::Feasible(const ServingRequest& request,
+                             OwnAnswer* refusal) {
+  if (request.route->stages.empty()) {
+    return true;
+  }
+  const TimeUs now = ports->Now();
+  DurationUs in_time = 0;
+  DurationUs late = 0;
+  for (std::uint32_t n = 0; n < request.route->stages.size(); ++n) {
+    if (request.progress.Pieces(n) == 0) {
+      continue;
+    }
+    const PoolWait wait =
+        desk->ExpectedWait(now, request.route->stages[n].service);
+    in_time += wait.Of(request.priority);
+    late = std::max(late, wait.late);
+  }
+  const DurationUs work = request.progress.TimeLeft() + kEngineTime;
+  if (now + in_time + work <= request.target_by) {
+    return true;
+  }
+  const DurationUs left = request.answer_by - now;
+  const auto useful = static_cast<DurationUs>(
+      kLateShare * static_cast<double>(left));
+  if (late + work <= useful) {
+    return true;
+  }
+  // A client honours up to a third of the time that it has left.
+  constexpr DurationUs kThird = 3;
+  const DurationUs most = left / kThird;
+  const DurationUs least = std::min(most, kSecond);
+  const DurationUs wish = std::clamp(late, least, most);
+  const auto spread = static_cast<DurationUs>(
+      random->Below(static_cast<std::uint64_t>(wish) / 4 + 1));
+  *refusal = {Refusal::kFull, Verdict::kNotRun, wish - spread,
+              StrCat("stages would take ", (late + work) / kMillisecond,
+                     " ms of ", left / kMillisecond)};
+  return false;
+}
+
 std::vector<PieceOrder> Gateway::Impl::OrdersOf(const ServingRequest& request,
                                                 std::uint32_t stage) const {
   const TimeUs now = ports->Now();
@@ -156,10 +238,19 @@
   if (spec.after.empty()) {
     order.source = request.call.piece_key;
   }
-  order.time_left = request.deadline_at - now;
-  order.time_to_target = request.target_by - now;
+  // Made later than this, the piece could not lead to an answer in time.
+  const DurationUs after_this = request.progress.TimeAfter(stage) + kEngineTime;
+  order.time_left = request.answer_by - now - after_this;
+  order.waited = now - request.received_at;
+  order.time_to_begin = request.target_by - now -
+                        request.progress.TimeLeft() - kEngineTime;
+  for (const std::uint32_t needed : spec.after) {
+    order.holds_bytes += request.route->stages[needed].result_bytes *
+                         request.progress.Pieces(needed);
+  }
   order.priority = request.priority;
   order.result_bytes = spec.result_bytes;
+  order.holds_bytes /= std::max(1U, request.progress.Pieces(stage));
   std::vector<PieceOrder> orders;
   for (std::uint32_t n = 0; n < request.progress.Pieces(stage); ++n) {
     order.key = {request.call.id, stage, n};
@@ -214,7 +305,7 @@
   constexpr DurationUs kSpread = 700 * kMillisecond;
   const DurationUs wait =
       kLeast + static_cast<DurationUs>(random->Below(kSpread));
-  const DurationUs left = request.deadline_at - ports->Now();
+  const DurationUs left = request.answer_by - ports->Now();
   return left > wait ? wait : 0;
 }
 
@@ -290,7 +381,7 @@
                         : -1},
        {"total_ms", (now - request->received_at) / kMillisecond},
        {"target_ms", request->route->target / kMillisecond}});
-  deadlines.erase({request->deadline_at, request->id});
+  deadlines.erase({request->due_at, request->id});
   const auto it = by_client_id.find(request->call.id);
   if (it != by_client_id.end() && it->second == request) {
     by_client_id.erase(it);
@@ -298,6 +389,12 @@
   requests.erase(request->id);
 }
 
+void Gateway::Impl::SetDue(ServingRequest* request, TimeUs due_at) {
+  deadlines.erase({request->due_at, request->id});
+  request->due_at = due_at;
+  deadlines.emplace(due_at, request->id);
+}
+
 void Gateway::Impl::Expire(ServingRequest* request) {
   if (request->attempt.call == 0 && request->runs == 0) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -96,6 +96,7 @@
   if (!request->begun) {
     request->begun = true;
     request->begun_at = ports->Now();
+    SetDue(request, request->deadline_at);
     metrics->Observe("first_event_us", request->route->name,
                      request->begun_at - request->received_at);
     ports->BeginStream(request->id, *attempt.head);
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -28,6 +28,10 @@
   bool paused = false;
 };
 
+// How long each stage of a route takes: one call, with company in its batch.
+std::vector<DurationUs> StageTimes(const ServingConfig& config,
+                                   const Route& route);
+
 struct ServingRequest {
   ServingRequest(ExchangeId id_in,
                  ClientCall call_in,
@@ -37,7 +41,7 @@
         call(std::move(call_in)),
         config(std::move(config_in)),
         route(route_in),
-        progress(route_in->stages, call.pieces) {}
+        progress(route_in->stages, call.pieces, StageTimes(*config, *route)) {}
 
   EngineRequest ForEngine() const {
     return {&call.prompt, call.prompt_tokens, near_domain};
@@ -53,6 +57,8 @@
   TimeUs received_at = 0;
   TimeUs target_by = 0;
   TimeUs deadline_at = 0;
+  TimeUs answer_by = 0;  // A stream's client leaves without a first event.
+  TimeUs due_at = 0;     // Of the two, the one that counts now.
 
   StageProgress progress;
   bool staged = false;  // Every result that the replica needs was made.
@@ -86,6 +92,11 @@
                    const ClientCall& call,
                    const ClientAccount** account,
                    OwnAnswer* refusal);
+  // Whether the stages can be made in useful time; fills `refusal` if not.
+  bool Feasible(const ServingRequest& request, OwnAnswer* refusal);
+  // How long before this request's first attempt reached a gateway its client
+  // first sent it.
+  DurationUs ElapsedBefore(const Route& route, const ClientCall& call);
   std::string ChooseService(const Route& route);
   std::vector<PieceOrder> OrdersOf(const ServingRequest& request,
                                    std::uint32_t stage) const;
@@ -96,6 +107,7 @@
   void RefuseAtOnce(ExchangeId id, const ClientCall& call, OwnAnswer answer);
   void Finish(ServingRequest* request, std::string_view outcome, int status);
   void Expire(ServingRequest* request);
+  void SetDue(ServingRequest* request, TimeUs due_at);
   DurationUs RetryAfter(const ServingRequest& request);
 
   // gateway_attempt.cc: one request at its replicas.
@@ -132,6 +144,8 @@
   TimeUs confirmed_at = -1;
   std::size_t entries = 1;
   bool refuses_streams = false;
+  // The most time that a client of the route has given.
+  std::map<std::string, DurationUs> longest_deadline;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain;
   std::map<std::string, AttemptBudget> budgets;
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -65,11 +65,10 @@
   });
 }
 
-DurationUs LocalPieceDesk::ExpectedWait(TimeUs now,
-                                        const std::string& service,
-                                        std::uint32_t priority) const {
+PoolWait LocalPieceDesk::ExpectedWait(TimeUs now,
+                                      const std::string& service) const {
   const auto it = batchers_.find(service);
-  return it == batchers_.end() ? 0 : it->second->ExpectedWait(now, priority);
+  return it == batchers_.end() ? PoolWait{} : it->second->ExpectedWait(now);
 }
 
 void LocalPieceDesk::OnCallEnd(TimeUs now,
--- a/src/coordination/local_piece_desk.h
+++ b/src/coordination/local_piece_desk.h
@@ -28,9 +28,8 @@
   void Free(const std::vector<std::string>& handles) override;
   void FreeOf(const std::string& service,
               const std::vector<std::string>& handles);
-  DurationUs ExpectedWait(TimeUs now,
-                          const std::string& service,
-                          std::uint32_t priority) const override;
+  PoolWait ExpectedWait(TimeUs now,
+                        const std::string& service) const override;
 
   void OnCallEnd(TimeUs now,
                  const std::string& service,
@@ -38,6 +37,9 @@
                  const PieceCallEnd& end);
   void OnReplicaGone(TimeUs now, const ReplicaEntry& replica);
   void OnTick(TimeUs now);
+  const std::map<std::string, std::unique_ptr<PieceBatcher>>& batchers() const {
+    return batchers_;
+  }
   // Whether any piece waits or is being made.
   bool Idle() const;
 
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -28,22 +28,58 @@
   budget_->OnRequest(now);
   Piece& piece = it->second;
   piece.deadline = now + order.time_left;
-  piece.target_by = now + order.time_to_target;
+  piece.begin_by = now + order.time_to_begin;
+  piece.yields = order.holds_bytes <= order.result_bytes;
   piece.rank.priority = order.priority;
-  piece.rank.since = request_since_.try_emplace(key.request, now).first->second;
+  piece.rank.since = now - order.waited;
   piece.rank.key = key;
   piece.order = std::move(order);
   Enqueue(now, &piece);
 }
 
 void PieceBatcher::Enqueue(TimeUs now, Piece* piece) {
-  piece->rank.late = now > piece->target_by ? 1 : 0;
+  const bool late = piece->yields && now > piece->begin_by;
+  piece->rank.standing = piece->sibling_begun ? Standing::kBegun
+                         : late               ? Standing::kLate
+                                              : Standing::kInTime;
   piece->queued = true;
   waiting_.insert(piece->rank);
 }
 
+// Failure: a request's pieces are begun in part, and the rest waits behind other
+// requests. Symptom: the results that were made fill the replicas' memory, and
+// nothing can be begun although replicas are free.
+void PieceBatcher::AdvanceSiblings(const PieceKey& key) {
+  for (auto it = pieces_.lower_bound(PieceKey{key.request, key.stage, 0});
+       it != pieces_.end() && it->first.request == key.request &&
+       it->first.stage == key.stage;
+       ++it) {
+    Piece& piece = it->second;
+    piece.sibling_begun = true;
+    if (piece.queued && piece.rank.standing != Standing::kBegun) {
+      waiting_.erase(piece.rank);
+      piece.rank.standing = Standing::kBegun;
+      waiting_.insert(piece.rank);
+    }
+  }
+}
+
+void PieceBatcher::NoteBegun(TimeUs now, std::size_t pieces) {
+  if (waiting_.empty()) {
+    backlog_since_ = -1;
+    begun_.clear();
+    return;
+  }
+  if (backlog_since_ < 0) {
+    backlog_since_ = now;
+  }
+  begun_.push_back({now, pieces});
+  while (now - begun_.front().at > kRateWindow) {
+    begun_.pop_front();
+  }
+}
+
 void PieceBatcher::Drop(const std::string& request) {
-  request_since_.erase(request);
   auto it = pieces_.lower_bound(PieceKey{request, 0, 0});
   while (it != pieces_.end() && it->first.request == request) {
     if (it->second.queued) {
@@ -140,8 +176,7 @@
        it != waiting_.end() && call.call.pieces.size() < most;) {
     Piece& piece = pieces_.at(it->key);
     const bool fits =
-        static_cast<double>(bytes + piece.order.result_bytes) <=
-        kRoomUsed * static_cast<double>(limits_.room_bytes);
+        bytes + piece.order.result_bytes <= limits_.room_bytes;
     if (!fits || piece.tried.contains(replica.id)) {
       ++it;
       continue;
@@ -165,8 +200,15 @@
   call.started = now;
   call.expected = CallTime(Slowness(now, maker), call.call.pieces.size());
   call.call.expected = CallTime(1, call.call.pieces.size());
+  call.call.left_waiting = waiting_.size();
+  call.call.held_bytes = bytes;
+  call.call.slowness = Slowness(now, maker);
   maker.free_at = now + call.expected;
   const BatchId id = call.call.id;
+  for (const PieceOrder& it : call.call.pieces) {
+    AdvanceSiblings(it.key);
+  }
+  NoteBegun(now, call.call.pieces.size());
   calls_.emplace(id, std::move(call));
   output_->StartCall(calls_.at(id).call);
 }
@@ -329,7 +371,8 @@
     const Piece& piece = pieces_.at(it.key);
     if (now >= piece.deadline) {
       over.push_back(it.key);
-    } else if (it.late == 0 && now > piece.target_by) {
+    } else if (it.standing == Standing::kInTime && piece.yields &&
+               now > piece.begin_by) {
       late.push_back(it.key);
     }
   }
@@ -385,15 +428,22 @@
   Dispatch(now);
 }
 
-DurationUs PieceBatcher::ExpectedWait(TimeUs now,
-                                      std::uint32_t priority) const {
-  std::size_t ahead = 0;
-  for (const Rank& it : waiting_) {
-    if (it.late != 0 || it.priority > priority) {
-      break;
-    }
-    ++ahead;
-  }
+// Pieces that a call takes when many wait: half of a replica's memory is held by
+// results that wait for their next stage.
+std::size_t PieceBatcher::UsualBatch() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [id, call] : calls_) {
+    bytes = std::max(bytes, call.call.pieces.front().result_bytes);
+  }
+  if (bytes == 0) {
+    return limits_.batch;
+  }
+  const std::uint64_t fit = limits_.room_bytes / (2 * bytes);
+  return std::clamp<std::size_t>(fit, 1, limits_.batch);
+}
+
+// Until a piece behind `ahead` others is begun.
+DurationUs PieceBatcher::WaitBehind(TimeUs now, std::size_t ahead) const {
   std::size_t makers = 0;
   DurationUs first_free = kGiveUp;
   for (const ReplicaEntry* it : directory_->Of(service_)) {
@@ -411,8 +461,39 @@
   if (makers == 0) {
     return kGiveUp;
   }
-  const std::size_t rounds = ahead / (makers * limits_.batch);
-  return first_free + static_cast<DurationUs>(rounds) * CallTime(1, limits_.batch);
+  const std::size_t batch = UsualBatch();
+  double each = static_cast<double>(CallTime(1, batch)) /
+                static_cast<double>(makers * batch);
+  const DurationUs span =
+      backlog_since_ < 0 ? 0 : std::min(now - backlog_since_, kRateWindow);
+  if (span >= kLeastRateWindow) {
+    std::size_t begun = 1;
+    for (const Begun& it : begun_) {
+      begun += now - it.at <= kRateWindow ? it.pieces : 0;
+    }
+    each = std::max(each, static_cast<double>(span) / static_cast<double>(begun));
+  }
+  return first_free +
+         static_cast<DurationUs>(static_cast<double>(ahead) * each);
+}
+
+PoolWait PieceBatcher::ExpectedWait(TimeUs now) const {
+  std::array<std::size_t, PoolWait::kRanks> ahead{};
+  for (const Rank& it : waiting_) {
+    const std::size_t first = it.standing == Standing::kBegun  ? 0
+                              : it.standing == Standing::kLate
+                                  ? PoolWait::kRanks
+                                  : it.priority;
+    for (std::size_t n = first; n < PoolWait::kRanks; ++n) {
+      ++ahead[n];
+    }
+  }
+  PoolWait wait;
+  for (std::size_t n = 0; n < PoolWait::kRanks; ++n) {
+    wait.in_time[n] = WaitBehind(now, ahead[n]);
+  }
+  wait.late = WaitBehind(now, waiting_.size());
+  return wait;
 }
 
 }  // namespace acaciachute
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -15,6 +15,7 @@
 #define ACACIACHUTE_SRC_COORDINATION_PIECE_BATCHER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -38,6 +39,10 @@
   Address address;
   std::vector<PieceOrder> pieces;
   DurationUs expected = 0;
+  // What decided its size, for logs.
+  std::size_t left_waiting = 0;
+  std::uint64_t held_bytes = 0;  // At the replica, with these pieces' results.
+  double slowness = 1;
 };
 
 // How a call ended.
@@ -78,8 +83,6 @@
   // that is well again is found by one call.
   static constexpr DurationUs kShun = 400 * kMillisecond;
   static constexpr DurationUs kMostShun = 3200 * kMillisecond;
-  // Of a replica's memory for results: their stated sizes are approximate.
-  static constexpr double kRoomUsed = 0.85;
   // After a replica had no room although the account here says so: another
   // gateway's batcher filled it, and its results go as they are used.
   static constexpr DurationUs kFullFor = 300 * kMillisecond;
@@ -87,6 +90,9 @@
   // an old observation counts by 1/e.
   static constexpr double kNewest = 0.5;
   static constexpr DurationUs kForget = 4 * kSecond;
+  // Over which the queue's rate is measured, and the least of it that counts.
+  static constexpr DurationUs kRateWindow = 2 * kSecond;
+  static constexpr DurationUs kLeastRateWindow = 600 * kMillisecond;
   // Makings of one piece.
   static constexpr std::uint32_t kMostTries = 4;
 
@@ -97,8 +103,7 @@
   void SetService(const std::string& name, const BatchLimits& limits);
 
   void Add(TimeUs now, PieceOrder order);
-  // Nobody waits for the request's pieces any longer; due for every request
-  // that added any.
+  // Nobody waits for the request's pieces any longer.
   void Drop(const std::string& request);
   // Results that nobody needs any longer; told to their makers with the next
   // tick, those of one maker together.
@@ -110,13 +115,22 @@
 
   bool Idle() const { return pieces_.empty() && calls_.empty(); }
   std::size_t waiting() const { return waiting_.size(); }
-  // The time in which one more piece of that rank would be made.
-  DurationUs ExpectedWait(TimeUs now, std::uint32_t priority) const;
+  PoolWait ExpectedWait(TimeUs now) const;
 
  private:
+  // Where a piece stands, first to last.
+  enum class Standing : std::uint32_t {
+    // Others of its request and stage were begun: their results hold memory
+    // until this one is made too.
+    kBegun,
+    kInTime,
+    // Its request cannot be on time, and it holds no more memory than it asks
+    // for.
+    kLate,
+  };
   // The order in which pieces are taken.
   struct Rank {
-    std::uint32_t late = 0;  // Pieces whose request is late already come last.
+    Standing standing = Standing::kInTime;
     std::uint32_t priority = 0;
     TimeUs since = 0;  // When its request arrived here.
     PieceKey key;
@@ -125,7 +139,9 @@
   struct Piece {
     PieceOrder order;
     TimeUs deadline = 0;
-    TimeUs target_by = 0;
+    TimeUs begin_by = 0;  // Later its request cannot be on time.
+    bool yields = true;   // Whether being late puts it last.
+    bool sibling_begun = false;
     Rank rank;
     bool queued = false;
     std::uint32_t calls = 0;  // That carry it now.
@@ -155,6 +171,8 @@
     TimeUs until = 0;  // Its maker forgets it by then.
   };
 
+  DurationUs WaitBehind(TimeUs now, std::size_t ahead) const;
+  std::size_t UsualBatch() const;
   double Slowness(TimeUs now, const Maker& maker) const;
   DurationUs CallTime(double slowness, std::size_t pieces) const;
   void Hold(TimeUs now, const Call& call, const PieceResult& result,
@@ -167,6 +185,8 @@
   bool WorthIt(TimeUs now, const ReplicaEntry& replica);
   void StartOn(TimeUs now, const ReplicaEntry& replica, std::size_t most);
   void Enqueue(TimeUs now, Piece* piece);
+  void AdvanceSiblings(const PieceKey& key);
+  void NoteBegun(TimeUs now, std::size_t pieces);
   void EndPiece(TimeUs now, bool answered, PieceResult result);
   void Finish(std::map<PieceKey, Piece>::iterator it, PieceResult result);
   void Again(TimeUs now, Piece* piece, PieceOutcome outcome);
@@ -181,12 +201,18 @@
   BatchLimits limits_;
   std::map<PieceKey, Piece> pieces_;
   std::set<Rank> waiting_;
-  std::map<std::string, TimeUs> request_since_;
   std::map<BatchId, Call> calls_;
   std::map<ReplicaId, Maker> makers_;
   std::map<std::string, Held> held_;  // By handle.
   std::map<Address, std::vector<std::string>> frees_;
   BatchId next_id_ = 1;
+  // Pieces begun while others waited, for the rate at which the queue moves.
+  struct Begun {
+    TimeUs at = 0;
+    std::size_t pieces = 0;
+  };
+  std::deque<Begun> begun_;
+  TimeUs backlog_since_ = -1;  // Negative: nothing waits.
 };
 
 }  // namespace acaciachute
--- a/src/coordination/piece_desk.h
+++ b/src/coordination/piece_desk.h
@@ -19,10 +19,8 @@
   virtual void Drop(const std::string& request) = 0;
   // Results that nobody needs any longer.
   virtual void Free(const std::vector<std::string>& handles) = 0;
-  // Until a piece handed in now would be begun.
-  virtual DurationUs ExpectedWait(TimeUs now,
-                                  const std::string& service,
-                                  std::uint32_t priority) const = 0;
+  virtual PoolWait ExpectedWait(TimeUs now,
+                                const std::string& service) const = 0;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/shared_piece_desk.cc
+++ b/src/coordination/shared_piece_desk.cc
@@ -22,7 +22,8 @@
     Pending& pending = pending_[it.key];
     pending.order = it;
     pending.deadline = now + it.time_left;
-    pending.target_by = now + it.time_to_target;
+    pending.begin_by = now + it.time_to_begin;
+    pending.since = now - it.waited;
   }
   HandOver(now, std::move(orders));
 }
@@ -52,7 +53,8 @@
     Pending& pending = pending_.at(key);
     PieceOrder order = pending.order;
     order.time_left = pending.deadline - now;
-    order.time_to_target = pending.target_by - now;
+    order.time_to_begin = pending.begin_by - now;
+    order.waited = now - pending.since;
     groups[{key.request, order.service}].push_back(std::move(order));
   }
   for (auto& [group, orders] : groups) {
@@ -99,12 +101,29 @@
   }
 }
 
-DurationUs SharedPieceDesk::ExpectedWait(TimeUs now,
-                                         const std::string& service,
-                                         std::uint32_t priority) const {
-  return peers_->OwnerOf(service) == self_
-             ? local_->ExpectedWait(now, service, priority)
-             : 0;
+PoolWait SharedPieceDesk::ExpectedWait(TimeUs now,
+                                       const std::string& service) const {
+  if (peers_->OwnerOf(service) == self_) {
+    return local_->ExpectedWait(now, service);
+  }
+  const auto it = told_.find(service);
+  return it == told_.end() ? PoolWait{} : it->second;
+}
+
+std::vector<ServiceWait> SharedPieceDesk::OwnWaits(TimeUs now) const {
+  std::vector<ServiceWait> waits;
+  for (const auto& [service, batcher] : local_->batchers()) {
+    if (peers_->OwnerOf(service) == self_) {
+      waits.push_back({service, batcher->ExpectedWait(now)});
+    }
+  }
+  return waits;
+}
+
+void SharedPieceDesk::OnPeerWaits(const std::vector<ServiceWait>& waits) {
+  for (const ServiceWait& it : waits) {
+    told_[it.service] = it.wait;
+  }
 }
 
 void SharedPieceDesk::OnLocalPiece(const PieceResult& result) {
--- a/src/coordination/shared_piece_desk.h
+++ b/src/coordination/shared_piece_desk.h
@@ -45,9 +45,8 @@
   void Submit(TimeUs now, std::vector<PieceOrder> orders) override;
   void Drop(const std::string& request) override;
   void Free(const std::vector<std::string>& handles) override;
-  DurationUs ExpectedWait(TimeUs now,
-                          const std::string& service,
-                          std::uint32_t priority) const override;
+  PoolWait ExpectedWait(TimeUs now,
+                        const std::string& service) const override;
 
   // A piece that this gateway's batchers made, or could not make.
   void OnLocalPiece(const PieceResult& result);
@@ -55,6 +54,9 @@
   void OnPeerDrop(const PieceDrop& drop);
   void OnPeerFree(const PieceFree& free);
   void OnPeerResults(const PieceResults& results);
+  // What the batching gateways tell of their queues, and what this one does.
+  void OnPeerWaits(const std::vector<ServiceWait>& waits);
+  std::vector<ServiceWait> OwnWaits(TimeUs now) const;
   void OnPeerLost(TimeUs now, const NodeId& peer);
   void OnTick(TimeUs now);
   // Whether no piece of other gateways' requests is in hand.
@@ -65,7 +67,8 @@
     PieceOrder order;
     NodeId owner;
     TimeUs deadline = 0;
-    TimeUs target_by = 0;
+    TimeUs begin_by = 0;
+    TimeUs since = 0;
     TimeUs handed_at = 0;
   };
 
@@ -83,6 +86,7 @@
   // Other gateways that were handed pieces of one of this one's requests.
   std::map<std::string, std::set<NodeId>> owners_;
   std::map<std::string, NodeId> requesters_;  // Of other gateways' requests.
+  std::map<std::string, PoolWait> told_;
   std::map<NodeId, std::vector<PieceResult>> results_;  // To be sent.
 };
 
--- a/src/coordination/stage_progress.cc
+++ b/src/coordination/stage_progress.cc
@@ -6,11 +6,23 @@
 namespace acaciachute {
 
 StageProgress::StageProgress(const std::vector<StageSpec>& stages,
-                             const std::vector<std::uint32_t>& pieces) {
+                             const std::vector<std::uint32_t>& pieces,
+                             const std::vector<DurationUs>& times) {
   stages_.resize(stages.size());
   for (std::size_t n = 0; n < stages.size(); ++n) {
     stages_[n].after = stages[n].after;
     stages_[n].handles.resize(n < pieces.size() ? pieces[n] : 0);
+    stages_[n].time = stages_[n].handles.empty() ? 0 : times[n];
+  }
+  // Stages name only earlier ones, so each path is complete when it is used.
+  for (std::size_t n = stages_.size(); n-- > 0;) {
+    Stage& stage = stages_[n];
+    stage.path += stage.time;
+    for (const std::uint32_t needed : stage.after) {
+      if (needed < n) {
+        stages_[needed].path = std::max(stages_[needed].path, stage.path);
+      }
+    }
   }
   for (const Stage& it : stages_) {
     for (const std::uint32_t needed : it.after) {
@@ -21,11 +33,26 @@
   }
 }
 
+DurationUs StageProgress::TimeLeft() const {
+  DurationUs left = 0;
+  for (const Stage& it : stages_) {
+    if (!it.done()) {
+      left = std::max(left, it.path);
+    }
+  }
+  return left;
+}
+
+DurationUs StageProgress::TimeAfter(std::uint32_t stage) const {
+  return stages_[stage].path - stages_[stage].time;
+}
+
 std::vector<std::uint32_t> StageProgress::TakeReady() {
   std::vector<std::uint32_t> ready;
+  const DurationUs left = TimeLeft();
   for (std::uint32_t n = 0; n < stages_.size(); ++n) {
     Stage& stage = stages_[n];
-    if (stage.begun) {
+    if (stage.begun || stage.path + kAhead < left) {
       continue;
     }
     const bool met = std::all_of(
--- a/src/coordination/stage_progress.h
+++ b/src/coordination/stage_progress.h
@@ -16,11 +16,26 @@
  public:
   // `pieces` is by stage and may be shorter than the stages; what is missing is
   // left out.
+  // `times` is how long each stage takes, by stage.
   StageProgress(const std::vector<StageSpec>& stages,
-                const std::vector<std::uint32_t>& pieces);
+                const std::vector<std::uint32_t>& pieces,
+                const std::vector<DurationUs>& times);
 
   // Stages whose needs are met and that were not begun; they count as begun.
+  //
+  // Load pattern: one stage takes 0.4 s and makes results of 1 MB, beside a
+  // chain of three that takes 1.5 s. Begun together, the large results fill
+  // their replicas' memory while they wait for the chain. A stage is put off
+  // while the others need longer than it does by `kAhead`.
   std::vector<std::uint32_t> TakeReady();
+  // About one call of a stage, so that waiting in its queue delays nothing.
+  static constexpr DurationUs kAhead = 250 * kMillisecond;
+
+  // The least time until all stages are done, and that from the end of `stage`
+  // until the end of those that need it.
+  DurationUs TimeLeft() const;
+  DurationUs TimeAfter(std::uint32_t stage) const;
+
   std::uint32_t Pieces(std::uint32_t stage) const;
   // Results of all pieces of all stages that `stage` needs.
   std::vector<std::string> InputsOf(std::uint32_t stage) const;
@@ -41,6 +56,8 @@
     std::vector<std::uint32_t> after;
     std::vector<std::string> handles;  // Empty until made.
     std::uint32_t made = 0;
+    DurationUs path = 0;  // From its begin to the end of the last that needs it.
+    DurationUs time = 0;
     bool begun = false;
     bool followed = false;
     bool released = false;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -177,7 +177,7 @@
   void OnFrameKey(const std::string& key) override;
 
   void TickPeers(TimeUs now);
-  GatewayBeat BeatNow() const;
+  GatewayBeat BeatNow(TimeUs now) const;
 
   HostSettings settings;
   Loop* const loop;
@@ -512,16 +512,17 @@
   if (due.empty()) {
     return;
   }
-  const GatewayBeat beat = BeatNow();
+  const GatewayBeat beat = BeatNow(now);
   for (const NodeId& peer : due) {
     mesh->SendDatagram(peer, beat);
   }
 }
 
-GatewayBeat GatewayNode::Impl::BeatNow() const {
+GatewayBeat GatewayNode::Impl::BeatNow(TimeUs now) const {
   GatewayBeat beat;
   beat.address = {settings.ip, settings.first_peer_port};
   beat.leaving = draining;
+  beat.waits = desk.OwnWaits(now);
   for (const auto& [replica, load] : gateway->engines()->own()) {
     beat.work.push_back({replica, load.running, load.unread_tokens});
   }
@@ -562,6 +563,7 @@
     loads[it.replica] = {it.running, it.unread_tokens};
   }
   gateway->engines()->SetOthers(from, loads);
+  desk.OnPeerWaits(beat->waits);
 }
 
 void GatewayNode::Impl::WriteGateway(const std::string& key,
@@ -598,6 +600,13 @@
 void GatewayNode::Impl::StartCall(const PieceCall& call) {
   metrics.Count("piece_calls_total");
   metrics.Count("piece_calls_pieces_total", "", call.pieces.size());
+  log.Write("piece_call", {{"service", call.pieces.front().service},
+                           {"replica", call.replica},
+                           {"pieces", call.pieces.size()},
+                           {"first", call.pieces.front().key.request},
+                           {"left_waiting", call.left_waiting},
+                           {"held_kb", call.held_bytes >> 10U},
+                           {"slowness", call.slowness}});
   pieces.Run(call);
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -182,11 +182,18 @@
   std::uint64_t unread_tokens = 0;  // Of prompts without a first token yet.
 };
 
+// The queue of a service whose pieces the sender batches.
+struct ServiceWait {
+  std::string service;
+  PoolWait wait;
+};
+
 // Gateway to gateway, over UDP: the sender lives, and what it has in progress.
 struct GatewayBeat {
   Address address;  // Where it listens, for peers that do not know it yet.
   bool leaving = false;
   std::vector<EngineWork> work;
+  std::vector<ServiceWait> waits;
 };
 
 // Gateway to the gateway that batches a service's pieces.
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -103,8 +104,16 @@
   a(v.replica, v.running, v.unread_tokens);
 }
 template <class A>
+void serialize(A& a, PoolWait& v) {
+  a(v.in_time, v.late);
+}
+template <class A>
+void serialize(A& a, ServiceWait& v) {
+  a(v.service, v.wait);
+}
+template <class A>
 void serialize(A& a, GatewayBeat& v) {
-  a(v.address, v.leaving, v.work);
+  a(v.address, v.leaving, v.work, v.waits);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
@@ -112,8 +121,8 @@
 }
 template <class A>
 void serialize(A& a, PieceOrder& v) {
-  a(v.key, v.service, v.source, v.inputs, v.time_left, v.time_to_target,
-    v.priority, v.result_bytes);
+  a(v.key, v.service, v.source, v.inputs, v.time_left, v.time_to_begin,
+    v.waited, v.holds_bytes, v.priority, v.result_bytes);
 }
 template <class A>
 void serialize(A& a, PieceOrders& v) {
--- a/src/state/piece.h
+++ b/src/state/piece.h
@@ -3,6 +3,7 @@
 #ifndef ACACIACHUTE_SRC_STATE_PIECE_H_
 #define ACACIACHUTE_SRC_STATE_PIECE_H_
 
+#include <algorithm>
 #include <array>
 #include <compare>
 #include <cstdint>
@@ -27,7 +28,10 @@
   std::string source;               // For a stage that needs no other.
   std::vector<std::string> inputs;  // Handles of the results it needs.
   DurationUs time_left = 0;         // Until nobody waits for it.
-  DurationUs time_to_target = 0;    // Until the request would be late.
+  DurationUs time_to_begin = 0;     // Until the request would be late if no
+                                    // call for the piece had begun.
+  DurationUs waited = 0;            // Since the request arrived.
+  std::uint64_t holds_bytes = 0;    // Results that wait for this stage.
   std::uint32_t priority = 0;       // Zero is the most urgent.
   std::uint64_t result_bytes = 0;
 };
@@ -46,6 +50,19 @@
   return detail::NameIn(kPieceOutcomeNames, v);
 }
 
+// What a piece handed in now would wait until its call begins.
+struct PoolWait {
+  // By the piece's standing: of a request that can be on time, by its priority,
+  // or of one that is late whatever happens.
+  static constexpr std::size_t kRanks = 4;
+  std::array<DurationUs, kRanks> in_time{};
+  DurationUs late = 0;
+
+  DurationUs Of(std::uint32_t priority) const {
+    return in_time[std::min<std::size_t>(priority, kRanks - 1)];
+  }
+};
+
 struct PieceResult {
   PieceKey key;
   PieceOutcome outcome = PieceOutcome::kFailed;
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -3,6 +3,7 @@
 #ifndef ACACIACHUTE_SRC_STATE_SERVING_CONFIG_H_
 #define ACACIACHUTE_SRC_STATE_SERVING_CONFIG_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <memory>
@@ -43,6 +44,7 @@
   RouteKind kind = RouteKind::kNonIdempotent;
   DurationUs timeout = 0;
   DurationUs target = 0;      // Answers within it are on time.
+  DurationUs pause = 0;       // Between events of a stream that is on time.
   std::uint32_t priority = 0;  // Zero is the most urgent.
   std::vector<WeightedService> split;
   std::uint32_t max_attempts = 1;
@@ -50,6 +52,13 @@
   bool anonymous = false;   // Needs no key.
   bool resumable = false;   // A broken stream may go on at another replica.
 
+  // How long a client waits for the first event of a stream, as the platform
+  // states it: two seconds, four times the target or eight pauses, whichever is
+  // longest.
+  DurationUs FirstEventPatience() const {
+    return std::max({2 * kSecond, 4 * target, 8 * pause});
+  }
+
   bool MayRepeat() const {
     return kind == RouteKind::kIdempotent ||
            (kind == RouteKind::kStream && resumable);
