--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -371,6 +371,7 @@
        {"replica", request->attempt.replica.id},
        {"runs", request->runs},
        {"tried", request->tried.size()},
+       {"stages_ms", request->stage_times},
        {"staged_ms", request->staged
                          ? (request->staged_at - request->received_at) /
                                kMillisecond
@@ -506,7 +507,12 @@
                                    Name(result.outcome))});
     return;
   }
-  request->progress.OnMade(result.key.stage, result.key.piece, result.handle);
+  if (request->progress.OnMade(result.key.stage, result.key.piece,
+                               result.handle)) {
+    const DurationUs after = impl_->ports->Now() - request->received_at;
+    request->stage_times += StrCat(request->stage_times.empty() ? "" : " ",
+                                   result.key.stage, ":", after / kMillisecond);
+  }
   impl_->desk->Free(request->progress.TakeUnneeded());
   impl_->RunStages(request);
 }
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -63,6 +63,7 @@
   StageProgress progress;
   bool staged = false;  // Every result that the replica needs was made.
   TimeUs staged_at = 0;
+  std::string stage_times;  // For logs: when each stage was whole.
   int restarts = 0;
   std::string near_domain;  // Where most of the results lie.
 
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -64,6 +64,11 @@
   }
 }
 
+std::uint64_t PieceBatcher::LateRoom() const {
+  return static_cast<std::uint64_t>(kLateRoom *
+                                    static_cast<double>(limits_.room_bytes));
+}
+
 void PieceBatcher::NoteBegun(TimeUs now, std::size_t pieces) {
   if (waiting_.empty()) {
     backlog_since_ = -1;
@@ -176,7 +181,8 @@
        it != waiting_.end() && call.call.pieces.size() < most;) {
     Piece& piece = pieces_.at(it->key);
     const bool fits =
-        bytes + piece.order.result_bytes <= limits_.room_bytes;
+        bytes + piece.order.result_bytes <=
+        (it->standing == Standing::kLate ? LateRoom() : limits_.room_bytes);
     if (!fits || piece.tried.contains(replica.id)) {
       ++it;
       continue;
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -83,6 +83,9 @@
   // that is well again is found by one call.
   static constexpr DurationUs kShun = 400 * kMillisecond;
   static constexpr DurationUs kMostShun = 3200 * kMillisecond;
+  // Of a replica's memory that results of late requests may fill up to: what
+  // comes next may still be on time.
+  static constexpr double kLateRoom = 0.6;
   // After a replica had no room although the account here says so: another
   // gateway's batcher filled it, and its results go as they are used.
   static constexpr DurationUs kFullFor = 300 * kMillisecond;
@@ -186,6 +189,7 @@
   void StartOn(TimeUs now, const ReplicaEntry& replica, std::size_t most);
   void Enqueue(TimeUs now, Piece* piece);
   void AdvanceSiblings(const PieceKey& key);
+  std::uint64_t LateRoom() const;
   void NoteBegun(TimeUs now, std::size_t pieces);
   void EndPiece(TimeUs now, bool answered, PieceResult result);
   void Finish(std::map<PieceKey, Piece>::iterator it, PieceResult result);
--- a/src/coordination/stage_progress.cc
+++ b/src/coordination/stage_progress.cc
@@ -82,15 +82,16 @@
   return inputs;
 }
 
-void StageProgress::OnMade(std::uint32_t stage,
+bool StageProgress::OnMade(std::uint32_t stage,
                            std::uint32_t piece,
                            std::string handle) {
   if (stage >= stages_.size() || piece >= stages_[stage].handles.size() ||
       !stages_[stage].handles[piece].empty()) {
-    return;
+    return false;
   }
   stages_[stage].handles[piece] = std::move(handle);
   ++stages_[stage].made;
+  return stages_[stage].done();
 }
 
 bool StageProgress::Complete() const {
--- a/src/coordination/stage_progress.h
+++ b/src/coordination/stage_progress.h
@@ -40,7 +40,8 @@
   // Results of all pieces of all stages that `stage` needs.
   std::vector<std::string> InputsOf(std::uint32_t stage) const;
 
-  void OnMade(std::uint32_t stage, std::uint32_t piece, std::string handle);
+  // Whether that made its stage whole.
+  bool OnMade(std::uint32_t stage, std::uint32_t piece, std::string handle);
   bool Complete() const;
   // Results of the stages that no other stage follows, for the model replica.
   std::vector<std::string> FinalResults() const;
