--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -64,6 +64,9 @@
                              const std::vector<ReplicaId>& tried,
                              bool may_repeat);
 
+  // The home of a prompt; null when it has no shared part.
+  const ReplicaEntry* HomeOf(const std::string& service,
+                             const EngineRequest& request) const;
   void OnSent(const ReplicaId& replica, const EngineRequest& request);
   // The first event came: the prompt is read.
   void OnFirstEvent(TimeUs now,
@@ -91,9 +94,6 @@
   static std::uint64_t Unheld(const Engine& engine,
                               const EngineRequest& request,
                               bool home);
-  // The home of a prompt; null when it has no shared part.
-  const ReplicaEntry* HomeOf(const std::string& service,
-                             const EngineRequest& request) const;
   double Score(const ReplicaEntry& replica,
                const EngineRequest& request,
                bool home);
--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -228,6 +228,39 @@
   return false;
 }
 
+std::string Gateway::Impl::DomainOfMost(
+    const std::vector<std::string>& handles) const {
+  std::map<std::string, int> count;
+  for (const auto& it : handles) {
+    if (const ReplicaEntry* maker = directory->MakerOf(it)) {
+      ++count[maker->domain];
+    }
+  }
+  const auto most = std::max_element(
+      count.begin(), count.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == count.end() ? std::string() : most->first;
+}
+
+// Results that cross failure domains are priced by their bytes; small ones do
+// not matter.
+std::string Gateway::Impl::NearDomain(const ServingRequest& request,
+                                      std::uint32_t stage) const {
+  constexpr std::uint64_t kSmall = 32 << 10;
+  const StageSpec& spec = request.route->stages[stage];
+  for (const std::uint32_t needed : spec.after) {
+    if (request.route->stages[needed].result_bytes > kSmall) {
+      return DomainOfMost(request.progress.InputsOf(stage));
+    }
+  }
+  if (spec.result_bytes > kSmall && request.progress.TimeAfter(stage) == 0) {
+    const ReplicaEntry* home =
+        engines.HomeOf(request.service, request.ForEngine());
+    return home == nullptr ? std::string() : home->domain;
+  }
+  return {};
+}
+
 std::vector<PieceOrder> Gateway::Impl::OrdersOf(const ServingRequest& request,
                                                 std::uint32_t stage) const {
   const TimeUs now = ports->Now();
@@ -250,6 +283,7 @@
   }
   order.priority = request.priority;
   order.result_bytes = spec.result_bytes;
+  order.near_domain = NearDomain(request, stage);
   order.holds_bytes /= std::max(1U, request.progress.Pieces(stage));
   std::vector<PieceOrder> orders;
   for (std::uint32_t n = 0; n < request.progress.Pieces(stage); ++n) {
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -101,6 +101,10 @@
   std::string ChooseService(const Route& route);
   std::vector<PieceOrder> OrdersOf(const ServingRequest& request,
                                    std::uint32_t stage) const;
+  // Where the pieces of `stage` are best made; empty when it does not matter.
+  std::string NearDomain(const ServingRequest& request,
+                         std::uint32_t stage) const;
+  std::string DomainOfMost(const std::vector<std::string>& handles) const;
   void RunStages(ServingRequest* request);
   void OnStagesDone(ServingRequest* request);
   void RestartStages(ServingRequest* request);
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -45,9 +45,9 @@
 
 void LocalPieceDesk::Free(const std::vector<std::string>& handles) {
   for (const auto& handle : handles) {
-    const std::string* service = directory_->ServiceOfHandle(handle);
-    if (service != nullptr) {
-      FreeOf(*service, {handle});
+    const ReplicaEntry* maker = directory_->MakerOf(handle);
+    if (maker != nullptr) {
+      FreeOf(maker->service, {handle});
     }
   }
 }
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -28,6 +28,7 @@
   budget_->OnRequest(now);
   Piece& piece = it->second;
   piece.deadline = now + order.time_left;
+  piece.queued_at = now;
   piece.begin_by = now + order.time_to_begin;
   piece.yields = order.holds_bytes <= order.result_bytes;
   piece.rank.priority = order.priority;
@@ -169,6 +170,21 @@
   }
 }
 
+bool PieceBatcher::NearEnough(TimeUs now,
+                              const Piece& piece,
+                              const std::string& domain) {
+  if (piece.order.near_domain.empty() || piece.order.near_domain == domain ||
+      now - piece.queued_at >= kNearPatience) {
+    return true;
+  }
+  const auto& replicas = directory_->Of(service_);
+  return std::none_of(replicas.begin(), replicas.end(),
+                      [&](const ReplicaEntry* it) {
+                        return it->domain == piece.order.near_domain &&
+                               now >= makers_[it->id].shunned_until;
+                      });
+}
+
 void PieceBatcher::StartOn(TimeUs now,
                            const ReplicaEntry& replica,
                            std::size_t most) {
@@ -183,7 +199,8 @@
     const bool fits =
         bytes + piece.order.result_bytes <=
         (it->standing == Standing::kLate ? LateRoom() : limits_.room_bytes);
-    if (!fits || piece.tried.contains(replica.id)) {
+    if (!fits || piece.tried.contains(replica.id) ||
+        !NearEnough(now, piece, replica.domain)) {
       ++it;
       continue;
     }
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -86,6 +86,9 @@
   // Of a replica's memory that results of late requests may fill up to: what
   // comes next may still be on time.
   static constexpr double kLateRoom = 0.6;
+  // How long a piece waits for a replica in its own failure domain while others
+  // are free; a fifth of a call.
+  static constexpr DurationUs kNearPatience = 80 * kMillisecond;
   // After a replica had no room although the account here says so: another
   // gateway's batcher filled it, and its results go as they are used.
   static constexpr DurationUs kFullFor = 300 * kMillisecond;
@@ -142,6 +145,7 @@
   struct Piece {
     PieceOrder order;
     TimeUs deadline = 0;
+    TimeUs queued_at = 0;
     TimeUs begin_by = 0;  // Later its request cannot be on time.
     bool yields = true;   // Whether being late puts it last.
     bool sibling_begun = false;
@@ -186,6 +190,8 @@
   void Dispatch(TimeUs now);
   std::vector<const ReplicaEntry*> FreeReplicas(TimeUs now);
   bool WorthIt(TimeUs now, const ReplicaEntry& replica);
+  // Whether the piece may go to a replica in `domain` now.
+  bool NearEnough(TimeUs now, const Piece& piece, const std::string& domain);
   void StartOn(TimeUs now, const ReplicaEntry& replica, std::size_t most);
   void Enqueue(TimeUs now, Piece* piece);
   void AdvanceSiblings(const PieceKey& key);
--- a/src/coordination/shared_piece_desk.cc
+++ b/src/coordination/shared_piece_desk.cc
@@ -86,9 +86,9 @@
 void SharedPieceDesk::Free(const std::vector<std::string>& handles) {
   std::map<std::string, std::vector<std::string>> by_service;
   for (const auto& handle : handles) {
-    const std::string* service = directory_->ServiceOfHandle(handle);
-    if (service != nullptr) {
-      by_service[*service].push_back(handle);
+    const ReplicaEntry* maker = directory_->MakerOf(handle);
+    if (maker != nullptr) {
+      by_service[maker->service].push_back(handle);
     }
   }
   for (auto& [service, list] : by_service) {
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -93,10 +93,9 @@
   return it == entries_.end() ? nullptr : &it->second.entry;
 }
 
-const std::string* ReplicaDirectory::ServiceOfHandle(
-    std::string_view handle) const {
-  const auto it = service_at_.find(handle.substr(0, handle.find('/')));
-  return it == service_at_.end() ? nullptr : &it->second;
+const ReplicaEntry* ReplicaDirectory::MakerOf(std::string_view handle) const {
+  const auto it = by_address_.find(handle.substr(0, handle.find('/')));
+  return it == by_address_.end() ? nullptr : it->second;
 }
 
 bool ReplicaDirectory::TakesWork(const ReplicaId& id) const {
@@ -113,10 +112,9 @@
 
 void ReplicaDirectory::Rebuild() {
   by_service_.clear();
-  service_at_.clear();
+  by_address_.clear();
   for (const auto& [id, row] : entries_) {
-    service_at_[AddressText(row.entry.address)] =
-        row.entry.service;
+    by_address_[AddressText(row.entry.address)] = &row.entry;
     if (!row.entry.leaving) {
       by_service_[row.entry.service].push_back(&row.entry);
     }
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -70,9 +70,9 @@
   const std::vector<const ReplicaEntry*>& Of(std::string_view service) const;
   // Null when it is gone.
   const ReplicaEntry* Find(const ReplicaId& id) const;
-  // The service of the replica that made a result, whose handle begins with the
-  // replica's address and a slash; null when none is listed there.
-  const std::string* ServiceOfHandle(std::string_view handle) const;
+  // The replica that made a result, whose handle begins with the replica's
+  // address and a slash; null when none is listed there.
+  const ReplicaEntry* MakerOf(std::string_view handle) const;
   bool TakesWork(const ReplicaId& id) const;
   std::size_t size() const { return entries_.size(); }
 
@@ -89,7 +89,7 @@
   std::map<ReplicaId, Row> entries_;
   std::map<std::string, std::vector<const ReplicaEntry*>, std::less<>>
       by_service_;
-  std::map<std::string, std::string, std::less<>> service_at_;
+  std::map<std::string, const ReplicaEntry*, std::less<>> by_address_;
   bool store_lost_ = false;
   TimeUs keep_until_ = 0;  // Vanished entries, after an outage.
 };
