--- /dev/null
+++ b/tests/gateway/choices_test.cc
@@ -0,0 +1,173 @@
+// Where requests go: engines, plain replicas, the budget of repeats.
+#include <gtest/gtest.h>
+
+#include "coordination/attempt_budget.h"
+#include "coordination/engine_choice.h"
+#include "coordination/event_splitter.h"
+#include "coordination/plain_choice.h"
+#include "coordination/stage_progress.h"
+
+namespace acaciachute {
+namespace {
+
+struct Fleet : DirectoryWatcher {
+  explicit Fleet(int n) {
+    for (int k = 0; k < n; ++k) {
+      ReplicaEntry entry;
+      entry.id = "r" + std::to_string(k);
+      entry.service = "s";
+      entry.address = {"10.0.0." + std::to_string(k), 80};
+      entry.domain = k % 2 == 0 ? "a" : "b";
+      entry.slots = 8;
+      directory.Put(entry);
+    }
+  }
+  void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
+  ReplicaDirectory directory{this};
+  Random random{11};
+};
+
+EngineRequest Prompt(const std::vector<PromptPart>* parts) {
+  std::uint64_t tokens = 0;
+  for (const auto& it : *parts) {
+    tokens += it.tokens;
+  }
+  return {parts, tokens, ""};
+}
+
+// Load: one session comes back again and again, through entries that know
+// nothing of one another. All of them send it to the same engine.
+TEST(EngineChoiceTest, SendsASessionHome) {
+  Fleet fleet(9);
+  const std::vector<PromptPart> first = {{"sys", 500}, {"doc", 4000}, {"q1", 90}};
+  const std::vector<PromptPart> second = {{"sys", 500}, {"doc", 4000}, {"q2", 90}};
+  EngineChoice here(&fleet.directory, &fleet.random);
+  EngineChoice there(&fleet.directory, &fleet.random);
+  const auto* a = here.Choose(0, "s", Prompt(&first), {}, false);
+  const auto* b = there.Choose(0, "s", Prompt(&second), {}, false);
+  EXPECT_EQ(a->id, b->id);
+}
+
+// Load: one session gets most of the traffic. Its home is not drowned: once the
+// prompts unread there cost more than reading the shared parts again, others
+// take part.
+TEST(EngineChoiceTest, SpreadsAHotSession) {
+  Fleet fleet(9);
+  EngineChoice choice(&fleet.directory, &fleet.random);
+  const std::vector<PromptPart> prompt = {{"sys", 500}, {"doc", 4000}, {"q", 3000}};
+  std::set<ReplicaId> used;
+  for (int n = 0; n < 12; ++n) {
+    const auto* it = choice.Choose(0, "s", Prompt(&prompt), {}, false);
+    choice.OnSent(it->id, Prompt(&prompt));
+    used.insert(it->id);
+  }
+  EXPECT_GE(used.size(), 3U);
+}
+
+// Work that other entries tell of counts like one's own.
+TEST(EngineChoiceTest, CountsTheWorkOfOthers) {
+  Fleet fleet(2);
+  EngineChoice choice(&fleet.directory, &fleet.random);
+  choice.SetOthers("other", {{"r0", {5, 900000}}});
+  const std::vector<PromptPart> prompt = {{"q", 1000}};
+  EXPECT_EQ(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id, "r1");
+  choice.SetOthers("other", {{"r1", {5, 900000}}});
+  EXPECT_EQ(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id, "r0");
+}
+
+// Load: one replica of four turns ten times as slow while its health is good.
+// It draws little more than what finds out whether it is well again.
+TEST(PlainChoiceTest, AvoidsASlowReplica) {
+  Fleet fleet(4);
+  PlainChoice choice(&fleet.directory, &fleet.random);
+  TimeUs now = 1000 * kSecond;
+  int slow = 0;
+  for (int n = 0; n < 400; ++n) {
+    now += 10 * kMillisecond;
+    const auto* it = choice.Choose(now, "s", "a", {}, true);
+    const bool is_slow = it->id == "r0";
+    slow += is_slow ? 1 : 0;
+    const DurationUs time = (is_slow ? 150 : 15) * kMillisecond;
+    choice.OnSent(now, it->id);
+    choice.OnAnswer(now + time, it->id, now);
+    choice.OnEnded(it->id, now);
+  }
+  EXPECT_LT(slow, 30);
+}
+
+// Load: a replica falls silent. It has no answer times, but the age of its
+// oldest call keeps others away.
+TEST(PlainChoiceTest, AvoidsASilentReplica) {
+  Fleet fleet(2);
+  PlainChoice choice(&fleet.directory, &fleet.random);
+  const TimeUs now = 1000 * kSecond;
+  choice.OnSent(now - 500 * kMillisecond, "r0");
+  for (int n = 0; n < 20; ++n) {
+    EXPECT_EQ(choice.Choose(now, "s", "a", {}, false)->id, "r1");
+  }
+}
+
+// Load: every call fails. Entries together stay below the allowance in any
+// window, however many of them there are.
+TEST(AttemptBudgetTest, KeepsTheSumOverEntries) {
+  constexpr int kEntries = 5;
+  const AttemptBudgetLimits limits = {0.2, 56, 10 * kSecond};
+  std::vector<AttemptBudget> budgets(kEntries);
+  for (auto& it : budgets) {
+    it.SetLimits(limits);
+    it.SetEntries(kEntries);
+  }
+  int repeats = 0;
+  int requests = 0;
+  for (int n = 0; n < 1000; ++n) {
+    const TimeUs now = n * 10 * kMillisecond;
+    AttemptBudget& it = budgets[static_cast<std::size_t>(n) % kEntries];
+    it.OnRequest(now);
+    ++requests;
+    repeats += it.Take(now) ? 1 : 0;
+  }
+  EXPECT_LE(repeats, 0.2 * requests + 56);
+  EXPECT_GT(repeats, 50);
+}
+
+TEST(EventSplitterTest, HoldsBackHalfAnEvent) {
+  EventSplitter splitter;
+  EXPECT_EQ(splitter.Add("id: 7\ndata: a\n"), "");
+  EXPECT_EQ(splitter.Add("\nid: 8\n"), "id: 7\ndata: a\n\n");
+  EXPECT_EQ(splitter.last_id(), 7U);
+  EXPECT_EQ(splitter.Add("data: b\r\n\r"), "");
+  EXPECT_EQ(splitter.Add("\n"), "id: 8\ndata: b\r\n\r\n");
+  EXPECT_EQ(splitter.last_id(), 8U);
+}
+
+// Load: a large result beside a chain of three stages. It is made when the last
+// of the chain is, and does not fill its maker's memory before.
+TEST(StageProgressTest, PutsAStageOffThatIsNeededLate) {
+  const std::vector<StageSpec> stages = {{"big", {}, 800000},
+                                         {"a", {}, 8000},
+                                         {"b", {1}, 60000},
+                                         {"c", {2}, 6000}};
+  const std::vector<DurationUs> times(4, 400 * kMillisecond);
+  StageProgress progress(stages, {1, 1, 1, 1}, times);
+  EXPECT_EQ(progress.TakeReady(), std::vector<std::uint32_t>{1});
+  progress.OnMade(1, 0, "x");
+  EXPECT_EQ(progress.TakeReady(), std::vector<std::uint32_t>{2});
+  progress.OnMade(2, 0, "y");
+  EXPECT_EQ(progress.TakeReady(), (std::vector<std::uint32_t>{0, 3}));
+  EXPECT_EQ(progress.TakeUnneeded(), std::vector<std::string>{"x"});
+  progress.OnMade(0, 0, "big");
+  progress.OnMade(3, 0, "z");
+  EXPECT_TRUE(progress.Complete());
+  EXPECT_EQ(progress.FinalResults(), (std::vector<std::string>{"big", "z"}));
+}
+
+TEST(StageProgressTest, LeavesOutStagesWithoutPieces) {
+  const std::vector<StageSpec> stages = {{"big", {}, 800000}};
+  StageProgress progress(stages, {0}, {400 * kMillisecond});
+  progress.TakeReady();
+  EXPECT_TRUE(progress.Complete());
+  EXPECT_TRUE(progress.FinalResults().empty());
+}
+
+}  // namespace
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/gateway/gateway_rig.h
@@ -0,0 +1,207 @@
+// One `Gateway` core between recording ports, a hand-driven piece desk and a
+// directory of replicas.
+#ifndef ACACIACHUTE_TESTS_GATEWAY_GATEWAY_RIG_H_
+#define ACACIACHUTE_TESTS_GATEWAY_GATEWAY_RIG_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/gateway.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "tests/gateway/quiet_log.h"
+
+namespace acaciachute {
+
+struct GatewayRig : GatewayPorts, PieceDesk, DirectoryWatcher {
+  struct Sent {
+    CallId call = 0;
+    ReplicaId replica;
+    DurationUs time_left = 0;
+    std::string account;
+    std::vector<std::string> inputs;
+    std::optional<std::uint64_t> resume_after;
+    bool may_repeat = false;
+  };
+
+  explicit GatewayRig(GatewayOptions options = {})
+      : core(std::move(options), this, this, &directory, &random, &metrics, &log) {
+    Configure(1);
+    core.OnConfirmed(now);
+  }
+
+  // Routes /plain/, /repeat/, /stream/, /resume/, /staged/ and /open/ on one
+  // host, with an account whose key is "k1".
+  static std::shared_ptr<ServingConfig> Config(std::uint64_t version) {
+    auto config = std::make_shared<ServingConfig>();
+    config->version = version;
+    const auto add = [&](const std::string& name, RouteKind kind,
+                         const std::string& service) -> Route {
+      Route route;
+      route.name = name;
+      route.host = "h.example";
+      route.prefix = "/" + name + "/";
+      route.kind = kind;
+      route.timeout = 10 * kSecond;
+      route.target = kSecond;
+      route.split = {{service, 1}};
+      route.max_attempts = 2;
+      return route;
+    };
+    config->AddRoute(add("plain", RouteKind::kNonIdempotent, "app"));
+    config->AddRoute(add("repeat", RouteKind::kIdempotent, "app"));
+    config->AddRoute(add("stream", RouteKind::kStream, "engine"));
+    Route resume = add("resume", RouteKind::kStream, "engine");
+    resume.resumable = true;
+    config->AddRoute(resume);
+    Route staged = add("staged", RouteKind::kStream, "engine");
+    staged.stages = {{"maker", {}, 8000}, {"maker", {0}, 60000}};
+    config->AddRoute(staged);
+    Route open = add("open", RouteKind::kNonIdempotent, "app");
+    open.anonymous = true;
+    config->AddRoute(open);
+    Service engine;
+    engine.name = "engine";
+    engine.engine = EngineLimits{};
+    config->AddService(engine);
+    Service maker;
+    maker.name = "maker";
+    maker.batching = BatchLimits{1, 2, 10, 240 * kMillisecond,
+                                 5 * kMillisecond, 1 << 24, 4 * kSecond};
+    config->AddService(maker);
+    config->AddService({"app", 50, {}, {}});
+    config->AddAccount({"acme", {}}, {"k1"});
+    return config;
+  }
+
+  void Configure(std::uint64_t version) { core.OnConfig(Config(version)); }
+
+  void AddReplica(const ReplicaId& id, const std::string& service) {
+    ReplicaEntry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.address = {"10.0.0." + std::to_string(++last_host), 80};
+    entry.domain = "a";
+    entry.slots = 8;
+    directory.Put(entry);
+  }
+
+  ExchangeId Call(const std::string& route,
+                  const std::string& key = "k1",
+                  std::vector<std::uint32_t> pieces = {}) {
+    const ExchangeId id = ++last_exchange;
+    ClientCall call;
+    call.id = "c" + std::to_string(id);
+    call.method = "POST";
+    call.host = "h.example";
+    call.target = "/" + route + "/x";
+    call.key = key;
+    call.deadline = 10 * kSecond;
+    call.prompt_tokens = 100;
+    call.pieces = std::move(pieces);
+    call.piece_key = "source";
+    core.OnCall(id, call);
+    return id;
+  }
+
+  static ReplicaHead Head(int status = 200) {
+    ReplicaHead head;
+    head.status = status;
+    head.sealed = true;
+    return head;
+  }
+  void AnswerWith(CallId call, const ReplicaHead& head,
+                  const std::string& body = "") {
+    core.OnReplicaHead(call, head);
+    if (!body.empty()) {
+      core.OnReplicaBody(call, body);
+    }
+    core.OnReplicaEnd(call);
+  }
+  static ReplicaHead NotRun(int status = 503) {
+    ReplicaHead head;
+    head.status = status;
+    head.not_run = true;
+    return head;
+  }
+  void Pass(DurationUs time) {
+    now += time;
+    core.OnTick();
+  }
+  void Made(const PieceOrder& order, const std::string& handle) {
+    core.OnPiece({order.key, PieceOutcome::kMade, handle});
+  }
+
+  // GatewayPorts:
+  TimeUs Now() override { return now; }
+  void Refuse(ExchangeId id, const OwnAnswer& answer) override {
+    refused[id] = answer;
+  }
+  void Answer(ExchangeId id, const ReplicaHead& head,
+              std::string_view body) override {
+    answered[id] = {head.status, std::string(body)};
+  }
+  void BeginStream(ExchangeId id, const ReplicaHead& head) override {
+    streams[id] = "";
+  }
+  void StreamData(ExchangeId id, std::string_view bytes) override {
+    streams[id] += bytes;
+  }
+  void EndStream(ExchangeId id) override { ended.push_back(id); }
+  void Break(ExchangeId id) override { broken.push_back(id); }
+  std::size_t Unsent(ExchangeId id) override { return unsent; }
+  CallId Send(const SendOrder& order) override {
+    sent.push_back({++last_call, order.replica, order.time_left, order.account,
+                    order.inputs, order.resume_after, order.may_repeat});
+    return last_call;
+  }
+  void Cancel(CallId id) override { cancelled.push_back(id); }
+  void SetReading(CallId id, bool reading) override { paused[id] = !reading; }
+
+  // PieceDesk:
+  void Submit(TimeUs, std::vector<PieceOrder> list) override {
+    orders.insert(orders.end(), list.begin(), list.end());
+  }
+  void Drop(const std::string& request) override { dropped.push_back(request); }
+  void Free(const std::vector<std::string>& handles) override {
+    freed.insert(freed.end(), handles.begin(), handles.end());
+  }
+  PoolWait ExpectedWait(TimeUs, const std::string&) const override {
+    return wait;
+  }
+
+  // DirectoryWatcher:
+  void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override {
+    core.OnReplica(replica, change);
+  }
+
+  TimeUs now = 1000 * kSecond;
+  Random random{7};
+  Metrics metrics;
+  QuietLog log;
+  ReplicaDirectory directory{this};
+  Gateway core;
+  int last_host = 0;
+  ExchangeId last_exchange = 0;
+  CallId last_call = 0;
+  std::size_t unsent = 0;
+  PoolWait wait;
+  std::map<ExchangeId, OwnAnswer> refused;
+  std::map<ExchangeId, std::pair<int, std::string>> answered;
+  std::map<ExchangeId, std::string> streams;
+  std::vector<ExchangeId> ended;
+  std::vector<ExchangeId> broken;
+  std::vector<Sent> sent;
+  std::vector<CallId> cancelled;
+  std::map<CallId, bool> paused;
+  std::vector<PieceOrder> orders;
+  std::vector<std::string> dropped;
+  std::vector<std::string> freed;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_TESTS_GATEWAY_GATEWAY_RIG_H_
--- /dev/null
+++ b/tests/gateway/piece_batcher_test.cc
@@ -0,0 +1,277 @@
+// Whom a batcher serves, where it sends, and what failures cost.
+#include "coordination/piece_batcher.h"
+
+#include <gtest/gtest.h>
+
+#include <utility>
+
+namespace acaciachute {
+namespace {
+
+constexpr DurationUs kMs = kMillisecond;
+
+struct BatcherRig : PieceBatcherOutput, DirectoryWatcher {
+  BatcherRig() {
+    budget.SetLimits({0.2, 200, 10 * kSecond});
+    BatchLimits limits;
+    limits.slots = 1;
+    limits.batch = 10;
+    limits.call = 240 * kMs;
+    limits.piece = 10 * kMs;
+    limits.room_bytes = 100;
+    limits.result_life = 4 * kSecond;
+    batcher.SetService("maker", limits);
+  }
+
+  void AddReplicas(int n, const std::string& domain = "a") {
+    for (int k = 0; k < n; ++k) {
+      const std::string number = std::to_string(++last_replica);
+      ReplicaEntry entry;
+      entry.id = "m" + number;
+      entry.service = "maker";
+      entry.address = {"10.0.0." + number, 80};
+      entry.domain = domain;
+      directory.Put(entry);
+    }
+  }
+  static PieceOrder Order(const std::string& request, std::uint32_t piece,
+                          std::uint32_t priority = 1) {
+    PieceOrder order;
+    order.key = {request, 0, piece};
+    order.service = "maker";
+    order.time_left = 8 * kSecond;
+    order.time_to_begin = kSecond;
+    order.priority = priority;
+    order.result_bytes = 1;
+    return order;
+  }
+  void Add(const PieceOrder& order) { batcher.Add(now, order); }
+  void Pass(DurationUs time) {
+    now += time;
+    batcher.OnTick(now);
+  }
+  // Answers a call whole.
+  void Make(const PieceCall& call) {
+    PieceCallEnd end;
+    end.kind = PieceCallEnd::Kind::kAnswered;
+    for (const PieceOrder& it : call.pieces) {
+      end.results.push_back({it.key, PieceOutcome::kMade,
+                             call.address.ip + ":80/" + it.key.request + "." +
+                                 std::to_string(it.key.piece)});
+    }
+    batcher.OnCallEnd(now, call.id, end);
+  }
+
+  void StartCall(const PieceCall& call) override { calls.push_back(call); }
+  void OnPiece(const PieceResult& result) override {
+    results.push_back(result);
+  }
+  void FreeAt(const Address&, const std::vector<std::string>& list) override {
+    freed.insert(freed.end(), list.begin(), list.end());
+  }
+  void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override {
+    if (change == DirectoryChange::kGone) {
+      batcher.OnReplicaGone(now, replica.id);
+    }
+  }
+
+  TimeUs now = 1000 * kSecond;
+  int last_replica = 0;
+  ReplicaDirectory directory{this};
+  AttemptBudget budget;
+  PieceBatcher batcher{&directory, &budget, this};
+  std::vector<PieceCall> calls;
+  std::vector<PieceResult> results;
+  std::vector<std::string> freed;
+};
+
+// Load: pieces of many requests at once. They share calls, up to the batch.
+TEST(PieceBatcherTest, FillsCallsOverRequests) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  for (int n = 0; n < 25; ++n) {
+    rig.Add(BatcherRig::Order("r" + std::to_string(n), 0));
+  }
+  rig.Pass(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 1U);
+  EXPECT_EQ(rig.calls[0].pieces.size(), 10U);
+  rig.Make(rig.calls[0]);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_EQ(rig.calls[1].pieces.size(), 10U);
+  EXPECT_EQ(rig.results.size(), 10U);
+}
+
+// Load: two replicas are free and eight pieces wait. Both are used, so that each
+// piece waits for half of the others only.
+TEST(PieceBatcherTest, SharesWorkBetweenFreeReplicas) {
+  BatcherRig rig;
+  rig.AddReplicas(2);
+  for (int n = 0; n < 8; ++n) {
+    rig.Add(BatcherRig::Order("r" + std::to_string(n), 0));
+  }
+  rig.Pass(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_EQ(rig.calls[0].pieces.size(), 4U);
+}
+
+// Load: patient pieces wait in numbers when an urgent one comes. It is in the
+// next call, before all of them.
+TEST(PieceBatcherTest, TakesUrgentPiecesFirst) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  for (int n = 0; n < 30; ++n) {
+    rig.Add(BatcherRig::Order("p" + std::to_string(n), 0, 2));
+  }
+  rig.Pass(10 * kMs);
+  rig.Add(BatcherRig::Order("urgent", 0, 0));
+  rig.Make(rig.calls[0]);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_EQ(rig.calls[1].pieces[0].key.request, "urgent");
+}
+
+// Load: a backlog of requests that are late already, and one that can still be
+// on time. It goes first.
+TEST(PieceBatcherTest, TakesWhatCanBeOnTimeBeforeWhatIsLate) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  for (int n = 0; n < 30; ++n) {
+    PieceOrder late = BatcherRig::Order("late" + std::to_string(n), 0, 0);
+    late.time_to_begin = -kMs;
+    rig.Add(late);
+  }
+  rig.Pass(10 * kMs);
+  rig.Add(BatcherRig::Order("fresh", 0, 2));
+  rig.Make(rig.calls[0]);
+  EXPECT_EQ(rig.calls[1].pieces[0].key.request, "fresh");
+}
+
+// Requests whose pieces are half made are finished before others begin: their
+// results hold memory that nothing else can use meanwhile.
+TEST(PieceBatcherTest, FinishesBegunRequestsFirst) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  for (std::uint32_t n = 0; n < 12; ++n) {
+    rig.Add(BatcherRig::Order("big", n, 2));
+  }
+  rig.Pass(10 * kMs);
+  rig.Add(BatcherRig::Order("urgent", 0, 0));
+  rig.Make(rig.calls[0]);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_EQ(rig.calls[1].pieces[0].key.request, "big");
+  EXPECT_EQ(rig.calls[1].pieces[2].key.request, "urgent");
+}
+
+// Load: results are not fetched for a while. No more is begun than the replica
+// has room for, and what waits is begun once results are freed.
+TEST(PieceBatcherTest, BeginsNoMoreThanThereIsRoomFor) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  for (int n = 0; n < 8; ++n) {
+    PieceOrder order = BatcherRig::Order("r" + std::to_string(n), 0);
+    order.result_bytes = 30;
+    rig.Add(order);
+  }
+  rig.Pass(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 1U);
+  EXPECT_EQ(rig.calls[0].pieces.size(), 3U);
+  rig.Make(rig.calls[0]);
+  EXPECT_EQ(rig.calls.size(), 1U);
+  rig.batcher.Free({rig.results[0].handle});
+  rig.Pass(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_EQ(rig.calls[1].pieces.size(), 1U);
+  EXPECT_EQ(rig.freed, std::vector<std::string>{rig.results[0].handle});
+}
+
+// A request still gets its piece although the replica broke off: it is made
+// again elsewhere, and the replica that failed is left alone for a while.
+TEST(PieceBatcherTest, MakesPiecesAgainAfterABrokenCall) {
+  BatcherRig rig;
+  rig.AddReplicas(2);
+  rig.Add(BatcherRig::Order("r", 0));
+  rig.Pass(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 1U);
+  rig.batcher.OnCallEnd(rig.now, rig.calls[0].id,
+                        {PieceCallEnd::Kind::kBroken, "reset", {}});
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_NE(rig.calls[0].replica, rig.calls[1].replica);
+  rig.Make(rig.calls[1]);
+  ASSERT_EQ(rig.results.size(), 1U);
+  EXPECT_EQ(rig.results[0].outcome, PieceOutcome::kMade);
+}
+
+// Load: one replica of two takes four times as long. The pieces of its call are
+// made again at the other one, the first result counts and the second is freed.
+TEST(PieceBatcherTest, DoesNotWaitForAStraggler) {
+  BatcherRig rig;
+  rig.AddReplicas(2);
+  rig.Add(BatcherRig::Order("r", 0));
+  rig.Pass(10 * kMs);
+  rig.Pass(700 * kMs);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  rig.Make(rig.calls[1]);
+  EXPECT_EQ(rig.results.size(), 1U);
+  rig.Make(rig.calls[0]);
+  rig.Pass(10 * kMs);
+  EXPECT_EQ(rig.results.size(), 1U);
+  EXPECT_EQ(rig.freed.size(), 1U);
+}
+
+// The request hears at once that its piece came too late, instead of waiting
+// for a replica that nobody has.
+TEST(PieceBatcherTest, GivesUpWhatIsOverItsTime) {
+  BatcherRig rig;
+  rig.Add(BatcherRig::Order("r", 0));
+  rig.Pass(9 * kSecond);
+  ASSERT_EQ(rig.results.size(), 1U);
+  EXPECT_EQ(rig.results[0].outcome, PieceOutcome::kLate);
+}
+
+TEST(PieceBatcherTest, MakesNothingForARequestThatWasDropped) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  rig.Add(BatcherRig::Order("gone", 0));
+  rig.batcher.Drop("gone");
+  rig.Pass(10 * kMs);
+  EXPECT_TRUE(rig.calls.empty());
+  EXPECT_TRUE(rig.batcher.Idle());
+}
+
+// Pieces wait a moment for a replica beside what they fetch, then take any.
+TEST(PieceBatcherTest, PrefersTheFailureDomainOfItsInputsForAWhile) {
+  BatcherRig rig;
+  rig.AddReplicas(1, "b");
+  rig.AddReplicas(1, "a");
+  rig.Add(BatcherRig::Order("first", 0));
+  PieceOrder blocker = BatcherRig::Order("blocker", 0);
+  blocker.near_domain = "a";
+  rig.Add(blocker);
+  rig.Pass(10 * kMs);
+  // Whoever holds the replica in "a", a second piece for "a" waits for it.
+  PieceOrder near = BatcherRig::Order("near", 0);
+  near.near_domain = "a";
+  const std::size_t before = rig.calls.size();
+  rig.Add(near);
+  rig.Pass(10 * kMs);
+  const bool free_elsewhere = before < 2;
+  EXPECT_EQ(rig.calls.size(), before);
+  rig.Pass(PieceBatcher::kNearPatience);
+  EXPECT_EQ(rig.calls.size(), free_elsewhere ? before + 1 : before);
+}
+
+// Load: the queue grows. The wait that is told grows with it, by rank.
+TEST(PieceBatcherTest, TellsWaitsByRank) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  for (int n = 0; n < 60; ++n) {
+    rig.Add(BatcherRig::Order("r" + std::to_string(n), 0, 2));
+  }
+  rig.Pass(10 * kMs);
+  const PoolWait wait = rig.batcher.ExpectedWait(rig.now);
+  EXPECT_LT(wait.Of(0), 400 * kMs);
+  EXPECT_GT(wait.Of(2), kSecond);
+  EXPECT_GE(wait.late, wait.Of(2));
+}
+
+}  // namespace
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/gateway/quiet_log.h
@@ -0,0 +1,25 @@
+// A log that keeps the names of its events.
+#ifndef ACACIACHUTE_TESTS_GATEWAY_QUIET_LOG_H_
+#define ACACIACHUTE_TESTS_GATEWAY_QUIET_LOG_H_
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "state/event_log.h"
+
+namespace acaciachute {
+
+struct QuietLog : EventLog {
+  void Write(std::string_view event, LogFields fields) override {
+    events.emplace_back(event);
+  }
+  bool Saw(std::string_view event) const {
+    return std::find(events.begin(), events.end(), event) != events.end();
+  }
+  std::vector<std::string> events;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_TESTS_GATEWAY_QUIET_LOG_H_
--- /dev/null
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -0,0 +1,263 @@
+// Gateways that batch for one another, and what happens when one is lost.
+#include "coordination/shared_piece_desk.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "tests/gateway/quiet_log.h"
+
+namespace acaciachute {
+namespace {
+
+// Some gateways with one directory, whose messages arrive when `Deliver` runs.
+struct DeskNet {
+  struct Node : SharedPieceDeskOutput, PieceBatcherOutput, DirectoryWatcher {
+    Node(DeskNet* owner, NodeId node_name)
+        : net(owner), name(node_name), peers(node_name, &log) {
+      budget.SetLimits({0.2, 200, 10 * kSecond});
+      ServingConfig config;
+      Service service;
+      service.name = "maker";
+      service.batching = BatchLimits{1, 2, 10, 240 * kMillisecond,
+                                     5 * kMillisecond, 1000, 4 * kSecond};
+      config.AddService(service);
+      local.SetServices(config);
+      ReplicaEntry entry;
+      entry.id = "m";
+      entry.service = "maker";
+      entry.address = {"10.0.0.1", 80};
+      directory.Put(entry);
+    }
+    void SendToPeer(const NodeId& peer, const Message& message) override {
+      net->wire.push_back({name, peer, message});
+    }
+    void OnOwnPiece(const PieceResult& result) override {
+      got.push_back(result);
+    }
+    void StartCall(const PieceCall& call) override { calls.push_back(call); }
+    void OnPiece(const PieceResult& result) override {
+      desk.OnLocalPiece(result);
+    }
+    void FreeAt(const Address&, const std::vector<std::string>& list) override {
+      freed.insert(freed.end(), list.begin(), list.end());
+    }
+    void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
+    void Take(const NodeId& from, const Message& message, TimeUs now) {
+      if (const auto* it = std::get_if<PieceOrders>(&message)) {
+        desk.OnPeerOrders(now, from, *it);
+      } else if (const auto* drop = std::get_if<PieceDrop>(&message)) {
+        desk.OnPeerDrop(*drop);
+      } else if (const auto* free = std::get_if<PieceFree>(&message)) {
+        desk.OnPeerFree(*free);
+      } else if (const auto* list = std::get_if<PieceResults>(&message)) {
+        desk.OnPeerResults(*list);
+      }
+    }
+
+    DeskNet* const net;
+    const NodeId name;
+    QuietLog log;
+    AttemptBudget budget;
+    ReplicaDirectory directory{this};
+    GatewayPeers peers;
+    LocalPieceDesk local{&directory, this,
+                         [this](const std::string&) { return &budget; }};
+    SharedPieceDesk desk{name, &peers, &local, &directory, this, &log};
+    std::vector<PieceCall> calls;
+    std::vector<PieceResult> got;
+    std::vector<std::string> freed;
+  };
+  struct Letter {
+    NodeId from;
+    NodeId to;
+    Message message;
+  };
+
+  explicit DeskNet(int n) {
+    for (int k = 0; k < n; ++k) {
+      const NodeId name = "g" + std::to_string(k);
+      nodes[name] = std::make_unique<Node>(this, name);
+    }
+    for (auto& [name, node] : nodes) {
+      for (auto& [other, unused] : nodes) {
+        if (other != name) {
+          node->peers.OnBeat(now, other, 1, {});
+        }
+      }
+    }
+    owner = nodes.begin()->second->peers.OwnerOf("maker");
+    for (auto& [name, node] : nodes) {
+      if (name != owner) {
+        other = name;
+      }
+    }
+  }
+  Node& At(const NodeId& name) { return *nodes.at(name); }
+  void Deliver() {
+    while (!wire.empty()) {
+      const Letter letter = wire.front();
+      wire.erase(wire.begin());
+      if (!lost.contains(letter.to)) {
+        At(letter.to).Take(letter.from, letter.message, now);
+      }
+    }
+  }
+  void Pass(DurationUs time) {
+    now += time;
+    for (auto& [name, node] : nodes) {
+      node->local.OnTick(now);
+      node->desk.OnTick(now);
+    }
+    Deliver();
+  }
+  void Make(Node* node, std::size_t call) {
+    PieceCallEnd end;
+    end.kind = PieceCallEnd::Kind::kAnswered;
+    for (const PieceOrder& it : node->calls.at(call).pieces) {
+      end.results.push_back({it.key, PieceOutcome::kMade,
+                             "10.0.0.1:80/" + node->name + it.key.request});
+    }
+    node->local.OnCallEnd(now, "maker", node->calls.at(call).id, end);
+  }
+  static PieceOrder Order(const std::string& request) {
+    PieceOrder order;
+    order.key = {request, 0, 0};
+    order.service = "maker";
+    order.time_left = 8 * kSecond;
+    order.time_to_begin = kSecond;
+    return order;
+  }
+
+  TimeUs now = 1000 * kSecond;
+  std::map<NodeId, std::unique_ptr<Node>> nodes;
+  std::vector<Letter> wire;
+  std::set<NodeId> lost;
+  NodeId owner;
+  NodeId other;
+};
+
+TEST(SharedPieceDeskTest, GatewaysAgreeOnWhoBatches) {
+  DeskNet net(5);
+  for (auto& [name, node] : net.nodes) {
+    EXPECT_EQ(node->peers.OwnerOf("maker"), net.owner);
+  }
+}
+
+TEST(SharedPieceDeskTest, BringsResultsToTheGatewayThatAsked) {
+  DeskNet net(3);
+  net.At(net.other).desk.Submit(net.now, {DeskNet::Order("r")});
+  net.At(net.owner).desk.Submit(net.now, {DeskNet::Order("s")});
+  net.Deliver();
+  net.Pass(10 * kMillisecond);
+  ASSERT_EQ(net.At(net.owner).calls.size(), 1U);
+  EXPECT_EQ(net.At(net.owner).calls[0].pieces.size(), 2U);
+  net.Make(&net.At(net.owner), 0);
+  net.Pass(10 * kMillisecond);
+  ASSERT_EQ(net.At(net.other).got.size(), 1U);
+  EXPECT_EQ(net.At(net.other).got[0].key.request, "r");
+  ASSERT_EQ(net.At(net.owner).got.size(), 1U);
+  EXPECT_EQ(net.At(net.owner).got[0].key.request, "s");
+}
+
+// Requests go on although the gateway that batches dies with their pieces: they
+// are handed to the next one at once.
+TEST(SharedPieceDeskTest, HandsPiecesOnWhenTheBatchingGatewayIsLost) {
+  DeskNet net(3);
+  net.At(net.other).desk.Submit(net.now, {DeskNet::Order("r")});
+  net.Deliver();
+  net.lost.insert(net.owner);
+  auto& asker = net.At(net.other);
+  asker.peers.OnUnreachable(net.now, net.owner);
+  asker.desk.OnPeerLost(net.now, net.owner);
+  const NodeId next = asker.peers.OwnerOf("maker");
+  ASSERT_NE(next, net.owner);
+  net.Pass(10 * kMillisecond);
+  ASSERT_EQ(net.At(next).calls.size(), 1U);
+  net.Make(&net.At(next), 0);
+  net.Pass(10 * kMillisecond);
+  EXPECT_EQ(asker.got.size(), 1U);
+}
+
+// A gateway that refuses connections is not tried in a loop: pieces go to a live
+// one, and the dead one counts again only after a beat that was sent later.
+TEST(SharedPieceDeskTest, DoesNotTryAnUnreachableGatewayAgainAtOnce) {
+  DeskNet net(2);
+  auto& asker = net.At(net.other);
+  asker.peers.OnUnreachable(net.now, net.owner);
+  asker.peers.OnBeat(net.now + kMillisecond, net.owner, 1, {});
+  EXPECT_EQ(asker.peers.OwnerOf("maker"), net.other);
+  asker.peers.OnBeat(net.now + GatewayPeers::kUnreachable, net.owner, 1, {});
+  EXPECT_EQ(asker.peers.OwnerOf("maker"), net.owner);
+}
+
+// A gateway that is paused with pieces in hand costs its peers' requests a wait
+// of `kPatience` at most; its late result is freed.
+TEST(SharedPieceDeskTest, DoesNotWaitForASilentGatewayForEver) {
+  DeskNet net(2);
+  auto& asker = net.At(net.other);
+  asker.desk.Submit(net.now, {DeskNet::Order("r")});
+  net.Deliver();
+  net.now += SharedPieceDesk::kPatience + kMillisecond;
+  asker.peers.TakeLost(net.now);
+  asker.desk.OnTick(net.now);
+  asker.local.OnTick(net.now);
+  ASSERT_EQ(asker.calls.size(), 1U);
+  net.Make(&asker, 0);
+  EXPECT_EQ(asker.got.size(), 1U);
+  asker.desk.OnPeerResults(
+      {{{{"r", 0, 0}, PieceOutcome::kMade, "10.0.0.1:80/late"}}});
+  asker.local.OnTick(net.now);
+  EXPECT_EQ(asker.got.size(), 1U);
+  EXPECT_EQ(asker.freed, std::vector<std::string>{"10.0.0.1:80/late"});
+}
+
+TEST(SharedPieceDeskTest, DropsWhatNobodyWaitsForAnyLonger) {
+  DeskNet net(2);
+  net.At(net.other).desk.Submit(net.now, {DeskNet::Order("r")});
+  net.Deliver();
+  net.At(net.other).desk.Drop("r");
+  net.Deliver();
+  EXPECT_TRUE(net.At(net.owner).desk.ServesNobody());
+  EXPECT_TRUE(net.At(net.owner).local.Idle() ||
+              net.At(net.owner).calls.size() == 1);
+}
+
+// Pieces of a gateway that died are not made for nobody.
+TEST(SharedPieceDeskTest, ForgetsTheRequestsOfALostGateway) {
+  DeskNet net(2);
+  auto& owner = net.At(net.owner);
+  net.At(net.other).desk.Submit(net.now, {DeskNet::Order("r")});
+  net.Deliver();
+  owner.desk.OnPeerLost(net.now, net.other);
+  EXPECT_TRUE(owner.desk.ServesNobody());
+}
+
+TEST(GatewayPeersTest, TakesASilentOrRestartedGatewayForLost) {
+  QuietLog log;
+  GatewayPeers peers("self", &log);
+  const TimeUs now = 100 * kSecond;
+  peers.OnBeat(now, "a", 1, {});
+  peers.OnBeat(now, "b", 1, {});
+  EXPECT_EQ(peers.Live(), 3U);
+  EXPECT_TRUE(peers.TakeLost(now + GatewayPeers::kSilent).empty());
+  peers.OnBeat(now + GatewayPeers::kSilent, "b", 2, {});
+  EXPECT_EQ(peers.TakeLost(now + GatewayPeers::kSilent + 1),
+            (std::vector<NodeId>{"a", "b"}));
+  EXPECT_EQ(peers.Live(), 2U);
+}
+
+// A gateway that leaves still finishes what it has, but gets no new pieces.
+TEST(GatewayPeersTest, GivesALeavingGatewayNoNewWork) {
+  QuietLog log;
+  GatewayPeers peers("self", &log);
+  GatewayBeat leaving;
+  leaving.leaving = true;
+  peers.OnBeat(0, "a", 1, leaving);
+  for (int n = 0; n < 50; ++n) {
+    EXPECT_EQ(peers.OwnerOf("s" + std::to_string(n)), "self");
+  }
+}
+
+}  // namespace
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/platform/translation_test.cc
@@ -0,0 +1,196 @@
+// The platform's words, in and out.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "platform/host_settings_file.h"
+#include "platform/requests.h"
+#include "platform/rows.h"
+
+namespace acaciachute::platform {
+namespace {
+
+using ::testing::HasSubstr;
+
+constexpr char kSettings[] =
+    "node_name=front-a-1\nzone=a\nip=10.1.0.41\nlisten.front=10.1.0.41:8625\n"
+    "listen.ready_addr=10.1.0.41:8621\ninternal_ports=7740,7755\n"
+    "platform.address=10.200.1.7:8624\nbounds.revoke_ms=5000\n"
+    "bounds.retry_budget_ratio=0.2\nunknown.field=x\n";
+
+TEST(HostSettingsFileTest, ReadsWhatIsNeededAndIgnoresTheRest) {
+  const auto settings = ParseHostSettings(kSettings);
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->domain, "a");
+  EXPECT_EQ(settings->clients, (Address{"10.1.0.41", 8625}));
+  EXPECT_EQ(settings->first_peer_port, 7740);
+  EXPECT_EQ(settings->key_revocation, 5 * kSecond);
+  EXPECT_DOUBLE_EQ(settings->retries.ratio, 0.2);
+}
+
+TEST(HostSettingsFileTest, NamesEveryMistakeAtOnce) {
+  const auto settings = ParseHostSettings(
+      "node_name=n\nip=10.0.0.1\nzone=a\nlisten.front=nowhere\n"
+      "listen.ready_addr=10.0.0.1:1\ninternal_ports=9,8\n"
+      "platform.address=10.0.0.2:2\nbounds.revoke_ms=soon\n");
+  ASSERT_FALSE(settings.ok());
+  const std::string why(settings.status().message());
+  EXPECT_THAT(why, HasSubstr("listen.front"));
+  EXPECT_THAT(why, HasSubstr("internal_ports"));
+  EXPECT_THAT(why, HasSubstr("bounds.revoke_ms"));
+}
+
+TEST(RowsTest, ReadsAConfiguration) {
+  const auto config = ParseConfig(R"({"version":7,"routes":[
+    {"name":"r","host":"H.example","prefix":"/a/","kind":"streaming",
+     "timeout_ms":15000,"target_latency_ms":1900,"priority":2,"service":"e",
+     "max_attempts":2,"stream_resume":true,"gap_aim_ms":300,
+     "stages":[{"service":"m","after":[],"bytes":8000}]},
+    {"name":"deep","host":"h.example","prefix":"/a/b/","kind":"safe",
+     "timeout_ms":1000,"traffic_split":[{"service":"x","weight":9}],
+     "max_attempts":1}],
+    "services":[{"name":"m","pieces":{"slots":1,"batch":12,"call_ms":240.0,
+     "item_ms":17.5,"room_mb":14.0,"handle_s":4.0}}],
+    "limits":{"max_body_bytes":100},
+    "tenants":[{"name":"acme","api_keys":["k"],"priority":1}]})");
+  ASSERT_TRUE(config.ok()) << config.status();
+  const ServingConfig& it = **config;
+  EXPECT_EQ(it.version, 7U);
+  EXPECT_EQ(it.FindRoute("h.example:80", "/a/b/c?x")->name, "deep");
+  const Route* route = it.FindRoute("h.example", "/a/x");
+  ASSERT_NE(route, nullptr);
+  EXPECT_TRUE(route->MayRepeat());
+  EXPECT_EQ(route->target, 1900 * kMillisecond);
+  EXPECT_EQ(route->stages[0].result_bytes, 8000U);
+  EXPECT_EQ(it.FindRoute("h.example", "/b/"), nullptr);
+  EXPECT_EQ(it.FindService("m")->batching->piece, 17500);
+  EXPECT_EQ(it.FindAccount("k")->priority, 1U);
+  EXPECT_EQ(it.limits.body_bytes, 100U);
+}
+
+// A configuration that cannot be read leaves the one before in force, and the
+// log names the field.
+TEST(RowsTest, NamesTheFieldOfABadConfiguration) {
+  const auto bad = ParseConfig(R"({"version":7,"routes":[{"name":"r","host":"h",
+    "prefix":"/","kind":"sometimes","timeout_ms":1}],"services":[]})");
+  ASSERT_FALSE(bad.ok());
+  EXPECT_THAT(std::string(bad.status().message()), HasSubstr("sometimes"));
+  EXPECT_FALSE(ParseConfig("{").ok());
+  EXPECT_FALSE(ParseConfig(R"({"version":"x"})").ok());
+}
+
+TEST(RowsTest, ReadsAReplica) {
+  const auto entry = ParseReplica(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":6,
+          "state":"draining","cold_left_ms":100})");
+  ASSERT_TRUE(entry.ok());
+  EXPECT_TRUE(entry->leaving);
+  EXPECT_EQ(entry->address, (Address{"10.0.0.9", 8080}));
+  EXPECT_FALSE(ParseReplica("i-1", R"({"service":"s","address":"x"})").ok());
+}
+
+HttpRequestHead Head() {
+  HttpRequestHead head;
+  head.method = "POST";
+  head.target = "/a%2fb//c";
+  head.fields = {{"Host", "h.example"},
+                 {"Attempt-Id", "abc"},
+                 {"Deadline-Ms", "1500"},
+                 {"Authorization", "Bearer secret"},
+                 {"Tenant", "somebody"},
+                 {"Expect-Replica", "x"},
+                 {"Kv-Hold", "h"},
+                 {"Kv-From", "f"},
+                 {"Kv-Backup", "b"},
+                 {"Kv-Fetch", "g"},
+                 {"Pin-Ms", "100"},
+                 {"Request-Priority", "0"},
+                 {"Inputs", "stolen"},
+                 {"Connection", "keep-alive, X-Hop"},
+                 {"X-Hop", "1"},
+                 {"X-End", "2"},
+                 {"Model", "m"},
+                 {"Token-Usage", "1460,80"},
+                 {"Prompt-Prefix", "aa:800,bb:410"},
+                 {"Pieces", "2,0,4"},
+                 {"Piece-Key", "pk"},
+                 {"Content-Length", "4"}};
+  return head;
+}
+
+std::vector<std::string> NamesOf(const HttpFields& fields) {
+  std::vector<std::string> names;
+  for (const auto& it : fields) {
+    names.push_back(it.name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+// A client must not give itself another account's name, hold an engine's memory
+// or read another request's: what only the system may set is not passed on, nor
+// is the key.
+TEST(RequestsTest, PassesOnOnlyWhatIsTheClientsToSet) {
+  const auto call = ReadClientCall(Head(), "body");
+  ASSERT_TRUE(call.ok());
+  EXPECT_EQ(call->key, "secret");
+  EXPECT_EQ(call->pieces, (std::vector<std::uint32_t>{2, 0, 4}));
+  EXPECT_EQ(call->prompt_tokens, 1460U);
+  EXPECT_EQ(call->prompt.size(), 2U);
+  SendOrder order;
+  order.call = &*call;
+  order.replica = "i-1";
+  order.account = "acme";
+  order.time_left = 1200 * kMillisecond;
+  order.inputs = {"h1", "h2"};
+  order.priority = 2;
+  const ChannelRequest request = WriteSendOrder(order);
+  EXPECT_EQ(request.target, "/a%2fb//c");
+  EXPECT_EQ(NamesOf(request.fields),
+            (std::vector<std::string>{
+                "Attempt-Id", "Deadline-Ms", "Expect-Replica", "Host", "Inputs",
+                "Model", "Piece-Key", "Pieces", "Prompt-Prefix",
+                "Request-Priority", "Tenant", "Token-Usage", "X-End"}));
+  EXPECT_EQ(*FindField(request.fields, "Tenant"), "acme");
+  EXPECT_EQ(*FindField(request.fields, "Deadline-Ms"), "1200");
+  EXPECT_EQ(*FindField(request.fields, "Inputs"), "h1,h2");
+  EXPECT_EQ(request.echo->value, "abc");
+}
+
+TEST(RequestsTest, RefusesMalformedFields) {
+  HttpRequestHead head = Head();
+  head.fields[2].value = "soon";
+  EXPECT_FALSE(ReadClientCall(head, "").ok());
+  head = Head();
+  head.fields[1].value = "";
+  EXPECT_FALSE(ReadClientCall(head, "").ok());
+  head = Head();
+  head.fields[19].value = "2,-1";
+  EXPECT_FALSE(ReadClientCall(head, "").ok());
+}
+
+TEST(RequestsTest, ReadsAReplicasWord) {
+  HttpAnswerHead head;
+  head.status = 503;
+  head.fields = {{"Not-Executed", "1"}, {"Replica-Load", "3,1,8"},
+                 {"Connection", "close"}, {"Content-Length", "3"}};
+  const ReplicaHead out = ReadReplicaHead(head);
+  EXPECT_TRUE(out.not_run);
+  EXPECT_FALSE(out.sealed);
+  EXPECT_EQ(out.running, 3U);
+  EXPECT_EQ(NamesOf(out.fields),
+            (std::vector<std::string>{"Not-Executed", "Replica-Load"}));
+}
+
+TEST(RequestsTest, TellsWhenToComeBackInFractionsOfASecond) {
+  const OwnReply reply = WriteOwnAnswer(
+      {Refusal::kFull, Verdict::kNotRun, 1250 * kMillisecond, "busy"});
+  EXPECT_EQ(reply.status, 503);
+  EXPECT_EQ(*FindField(reply.fields, "Retry-After"), "1.250");
+  EXPECT_THAT(reply.body, HasSubstr("not_run"));
+}
+
+}  // namespace
+}  // namespace acaciachute::platform
