--- /dev/null
+++ b/tests/gateway/transport_test.cc
@@ -0,0 +1,398 @@
+// Connections to clients and replicas over loopback sockets.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "text.h"
+#include "transport/http_channels.h"
+#include "transport/http_listener.h"
+#include "transport/log_writer.h"
+#include "transport/loop.h"
+#include "transport/socket_stream.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr DurationUs kMs = kMillisecond;
+
+// Runs the loop until `done` or for two seconds.
+void RunUntil(Loop* loop, const std::function<bool()>& done) {
+  const TimeUs end = Loop::Now() + 2 * kSecond;
+  const auto timer = loop->Every(kMs, [&] {
+    if (done() || Loop::Now() > end) {
+      loop->Quit();
+    }
+  });
+  loop->Run();
+  loop->Cancel(timer);
+}
+
+// A TCP server of the test's own, which speaks raw bytes.
+class RawServer {
+ public:
+  class Peer : public SocketHandler {
+   public:
+    explicit Peer(RawServer* owner) : owner_(owner) {}
+    void OnBytes(std::string_view bytes) override {
+      received += bytes;
+      if (owner_->on_bytes) {
+        owner_->on_bytes(this);
+      }
+    }
+    void OnEnd(const char*) override { ended = true; }
+    std::shared_ptr<SocketStream> stream;
+    std::string received;
+    bool ended = false;
+
+   private:
+    RawServer* const owner_;
+  };
+
+  RawServer() {
+    socket_.reset(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                               G_SOCKET_PROTOCOL_TCP, nullptr));
+    const GPtr<GSocketAddress> any(
+        g_inet_socket_address_new_from_string("127.0.0.1", 0));
+    g_socket_bind(socket_.get(), any.get(), TRUE, nullptr);
+    g_socket_listen(socket_.get(), nullptr);
+    const GPtr<GSocketAddress> bound(
+        g_socket_get_local_address(socket_.get(), nullptr));
+    address = {"127.0.0.1", g_inet_socket_address_get_port(
+                                G_INET_SOCKET_ADDRESS(bound.get()))};
+    source_ = g_socket_create_source(socket_.get(), G_IO_IN, nullptr);
+    g_source_set_callback(source_, G_SOURCE_FUNC(OnAccept), this, nullptr);
+    g_source_attach(source_, nullptr);
+  }
+  ~RawServer() {
+    g_source_destroy(source_);
+    g_source_unref(source_);
+  }
+
+  Address address;
+  std::vector<std::unique_ptr<Peer>> peers;
+  std::function<void(Peer*)> on_bytes;
+
+ private:
+  static gboolean OnAccept(GSocket*, GIOCondition, gpointer data) {
+    auto* self = static_cast<RawServer*>(data);
+    auto peer = std::make_unique<Peer>(self);
+    peer->stream = SocketStream::Accepted(
+        GPtr<GSocket>(g_socket_accept(self->socket_.get(), nullptr, nullptr)),
+        peer.get());
+    self->peers.push_back(std::move(peer));
+    return G_SOURCE_CONTINUE;
+  }
+  GPtr<GSocket> socket_;
+  GSource* source_ = nullptr;
+};
+
+struct Sink : CallSink {
+  void OnAnswerHead(CallId, const HttpAnswerHead& head) override {
+    status = head.status;
+  }
+  void OnAnswerBody(CallId, std::string_view bytes) override { body += bytes; }
+  void OnAnswerEnd(CallId) override { ++ends; }
+  void OnCallFailed(CallId, const CallFailure& it) override { failure = it; }
+  bool over() const { return ends > 0 || failure.has_value(); }
+
+  int status = 0;
+  std::string body;
+  int ends = 0;
+  std::optional<CallFailure> failure;
+};
+
+ChannelRequest Get() {
+  ChannelRequest request;
+  request.target = "/x";
+  request.fields = {{"Host", "h"}, {"Attempt-Id", "mine"}};
+  request.echo = HttpField{"Attempt-Id", "mine"};
+  return request;
+}
+
+constexpr char kMine[] =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+constexpr char kOther[] =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 3\r\n\r\nbad";
+
+TEST(HttpChannelsTest, KeepsAConnectionForTheNextCall) {
+  Loop loop;
+  RawServer server;
+  server.on_bytes = [](RawServer::Peer* peer) { peer->stream->Write(kMine); };
+  HttpChannels channels(&loop);
+  for (int n = 0; n < 3; ++n) {
+    Sink sink;
+    channels.Start(server.address, Get(), {}, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    EXPECT_EQ(sink.body, "ok");
+  }
+  EXPECT_EQ(channels.opened(), 1U);
+}
+
+// No caller gets another's answer: a replica sends a late second answer to an
+// earlier request first, and the caller's own after it.
+TEST(HttpChannelsTest, PassesOverAnAnswerToAnotherRequest) {
+  Loop loop;
+  RawServer server;
+  server.on_bytes = [](RawServer::Peer* peer) {
+    peer->stream->Write(StrCat(kOther, kMine));
+  };
+  HttpChannels channels(&loop);
+  Sink sink;
+  channels.Start(server.address, Get(), {}, &sink);
+  RunUntil(&loop, [&] { return sink.over(); });
+  EXPECT_EQ(sink.body, "ok");
+}
+
+// Bytes after a whole answer belong to no request: the connection is not used
+// again.
+TEST(HttpChannelsTest, DropsAConnectionWithBytesThatNobodyAskedFor) {
+  Loop loop;
+  RawServer server;
+  server.on_bytes = [](RawServer::Peer* peer) {
+    peer->stream->Write(StrCat(kMine, kMine));
+  };
+  HttpChannels channels(&loop);
+  for (int n = 0; n < 2; ++n) {
+    Sink sink;
+    channels.Start(server.address, Get(), {}, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    EXPECT_EQ(sink.body, "ok");
+  }
+  EXPECT_EQ(channels.opened(), 2U);
+}
+
+// A caller must know whether its request may have run: bytes were sent before
+// the replica closed, or no connection was made.
+TEST(HttpChannelsTest, TellsWhetherAnythingWasSent) {
+  Loop loop;
+  RawServer server;
+  server.on_bytes = [](RawServer::Peer* peer) { peer->stream->Abort(); };
+  HttpChannels channels(&loop);
+  Sink broken;
+  channels.Start(server.address, Get(), {}, &broken);
+  RunUntil(&loop, [&] { return broken.over(); });
+  ASSERT_TRUE(broken.failure);
+  EXPECT_TRUE(broken.failure->sent);
+  Address closed = server.address;
+  {
+    RawServer gone;
+    closed = gone.address;
+  }
+  Sink refused;
+  channels.Start(closed, Get(), {}, &refused);
+  RunUntil(&loop, [&] { return refused.over(); });
+  ASSERT_TRUE(refused.failure);
+  EXPECT_FALSE(refused.failure->sent);
+}
+
+// A silent replica does not hold a caller for ever.
+TEST(HttpChannelsTest, EndsASilentCall) {
+  Loop loop;
+  RawServer server;
+  HttpChannels channels(&loop);
+  Sink sink;
+  ChannelOptions options;
+  options.total = 100 * kMs;
+  channels.Start(server.address, Get(), options, &sink);
+  RunUntil(&loop, [&] { return sink.over(); });
+  ASSERT_TRUE(sink.failure);
+  EXPECT_EQ(sink.failure->kind, CallFailureKind::kTimeout);
+}
+
+// A replica that answers before it has read the whole request reads on later;
+// what it reads must be the rest of that request.
+TEST(HttpChannelsTest, SendsTheRestOfABodyAfterAnEarlyAnswer) {
+  Loop loop;
+  RawServer server;
+  bool answered = false;
+  server.on_bytes = [&](RawServer::Peer* peer) {
+    if (!answered) {
+      answered = true;
+      peer->stream->SetReading(false);
+      peer->stream->Write(kMine);
+    }
+  };
+  HttpChannels channels(&loop);
+  ChannelRequest request = Get();
+  request.method = "POST";
+  request.body.assign(16 << 20, 'b');
+  Sink sink;
+  channels.Start(server.address, request, {}, &sink);
+  RunUntil(&loop, [&] { return sink.over(); });
+  EXPECT_EQ(sink.status, 200);
+  Sink next;
+  channels.Start(server.address, Get(), {}, &next);
+  server.peers[0]->stream->SetReading(true);
+  RunUntil(&loop, [&] {
+    return server.peers[0]->received.size() > request.body.size() && next.over();
+  });
+  const std::string& received = server.peers[0]->received;
+  EXPECT_EQ(received.substr(received.find("\r\n\r\n") + 4), request.body);
+}
+
+// A listener with a client that speaks raw bytes.
+struct ListenerRig : ListenerHandler, SocketHandler {
+  explicit ListenerRig(const ListenerLimits& limits = {}) {
+    RawServer probe;  // Finds a free port.
+    address = probe.address;
+    listener.SetLimits(limits);
+  }
+  void Connect() {
+    ASSERT_TRUE(listener.Listen(address).ok());
+    auto made = SocketStream::Connect(address, this);
+    ASSERT_TRUE(made.ok());
+    client = *made;
+  }
+  void OnRequest(ExchangeId id, HttpRequestHead head, std::string body) override {
+    requests.push_back(head.target + " " + body);
+    last = id;
+    if (answer_at_once) {
+      listener.Reply(id, 200, {}, "ok");
+    }
+  }
+  void OnGone(ExchangeId id) override { gone = id; }
+  void OnWritten(ExchangeId) override {}
+  void OnListenerEvent(const ListenerEvent& event) override {
+    events.push_back(StrCat(event.what, " ", event.status));
+  }
+  void OnBytes(std::string_view bytes) override { received += bytes; }
+  void OnEnd(const char*) override { ended = true; }
+
+  Loop loop;
+  Address address;
+  HttpListener listener{this, &loop};
+  std::shared_ptr<SocketStream> client;
+  std::vector<std::string> requests;
+  std::vector<std::string> events;
+  std::string received;
+  ExchangeId last = 0;
+  ExchangeId gone = 0;
+  bool answer_at_once = true;
+  bool ended = false;
+};
+
+TEST(HttpListenerTest, ServesRequestsOfOneConnectionInOrder) {
+  ListenerRig rig;
+  rig.Connect();
+  rig.client->Write(
+      "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+      "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n");
+  RunUntil(&rig.loop, [&] { return rig.requests.size() == 2; });
+  EXPECT_EQ(rig.requests, (std::vector<std::string>{"/a ", "/b abc"}));
+}
+
+// The client hears why, and nothing that follows on its connection is read.
+TEST(HttpListenerTest, RefusesAnAmbiguousHeadAndCloses) {
+  ListenerRig rig;
+  rig.Connect();
+  rig.client->Write(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+      "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_TRUE(rig.received.starts_with("HTTP/1.1 400"));
+  EXPECT_TRUE(rig.requests.empty());
+}
+
+// A client's hang-up is heard while its request is in progress.
+TEST(HttpListenerTest, NoticesAHangUpDuringARequest) {
+  ListenerRig rig;
+  rig.answer_at_once = false;
+  rig.Connect();
+  rig.client->Write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(&rig.loop, [&] { return rig.last != 0; });
+  rig.client->Close();
+  RunUntil(&rig.loop, [&] { return rig.gone != 0; });
+  EXPECT_EQ(rig.gone, rig.last);
+}
+
+// A stream that is broken off has no last chunk, so that it cannot pass for a
+// whole one.
+TEST(HttpListenerTest, BreaksAStreamWithoutItsEnd) {
+  ListenerRig rig;
+  rig.answer_at_once = false;
+  rig.Connect();
+  rig.client->Write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(&rig.loop, [&] { return rig.last != 0; });
+  rig.listener.BeginStream(rig.last, 200, {});
+  rig.listener.StreamData(rig.last, "abc");
+  RunUntil(&rig.loop, [&] { return Contains(rig.received, "abc"); });
+  rig.listener.Break(rig.last);
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_TRUE(rig.ended);
+  EXPECT_FALSE(Contains(rig.received, kLastChunk));
+}
+
+// A client that sends half a head and stalls is told so after the limit, and
+// costs nothing any longer.
+TEST(HttpListenerTest, EndsAStalledHead) {
+  ListenerLimits limits;
+  limits.head = 100 * kMs;
+  ListenerRig rig(limits);
+  rig.Connect();
+  rig.client->Write("GET /a HTT");
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_TRUE(rig.received.starts_with("HTTP/1.1 408"));
+}
+
+// Load: a thousand clients stall in the middle of large bodies. What is held for
+// them stays under the limit; those above it are refused.
+TEST(HttpListenerTest, BoundsTheBytesOfStalledUploads) {
+  ListenerLimits limits;
+  limits.buffered_bytes = 100'000;
+  ListenerRig rig(limits);
+  rig.Connect();
+  rig.client->Write(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n" +
+      std::string(300'000, 'x'));
+  RunUntil(&rig.loop, [&] { return !rig.events.empty(); });
+  EXPECT_EQ(rig.events, std::vector<std::string>{"refused 503"});
+}
+
+TEST(HttpListenerTest, AsksToCloseWhileItDrains) {
+  ListenerRig rig;
+  rig.Connect();
+  rig.listener.BeginDrain();
+  rig.client->Write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_TRUE(Contains(rig.received, "Connection: close"));
+  EXPECT_TRUE(Contains(rig.received, "ok"));
+}
+
+// Requests go on while nobody reads the log: nothing blocks, and what is lost is
+// counted and told once there is room again.
+TEST(LogWriterTest, NeverBlocksAndTellsWhatItDropped) {
+  Loop loop;
+  std::array<int, 2> ends{};
+  ASSERT_EQ(pipe(ends.data()), 0);
+  LogWriter log(ends[1], "n", &loop);
+  for (int n = 0; n < 100'000; ++n) {
+    log.Write("refused", {{"id", n}});
+    if (n % 100 == 0) {
+      log.Flush();
+    }
+  }
+  EXPECT_GT(log.dropped(), 0U);
+  fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  std::string all;
+  std::array<char, 65536> buf{};
+  for (int turn = 0; turn < 20; ++turn) {
+    ssize_t n = 0;
+    while ((n = read(ends[0], buf.data(), buf.size())) > 0) {
+      all.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    log.Flush();
+  }
+  EXPECT_TRUE(Contains(all, "\"event\":\"log_dropped\",\"of\":\"refused\""));
+  close(ends[0]);
+}
+
+}  // namespace
+}  // namespace acaciachute
