--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -15,6 +15,16 @@
 // share of the time that it has left; the estimates are rough.
 constexpr double kLateShare = 0.35;
 
+// The account's priority goes first, the route's decides within it: accounts of
+// one priority still have urgent and patient requests.
+std::uint32_t RankOf(const Route& route, const ClientAccount* account) {
+  constexpr std::uint32_t kRoutePriorities = 4;
+  const std::uint32_t first =
+      account != nullptr && account->priority ? *account->priority : 0;
+  return first * kRoutePriorities +
+         std::min(route.priority, kRoutePriorities - 1);
+}
+
 // From the last stage to the first event: a prompt of the usual length is read
 // in 30 to 80 ms, and waits for others.
 constexpr DurationUs kEngineTime = 150 * kMillisecond;
@@ -147,9 +157,7 @@
                                                   route);
   request->account = account;
   request->service = ChooseService(*route);
-  request->priority = account != nullptr && account->priority
-                          ? *account->priority
-                          : route->priority;
+  request->priority = RankOf(*route, account);
   request->received_at = now;
   const DurationUs elapsed = ElapsedBefore(*route, request->call);
   request->target_by = now + route->target - kLink - elapsed;
--- a/src/state/piece.h
+++ b/src/state/piece.h
@@ -57,7 +57,7 @@
 struct PoolWait {
   // By the piece's standing: of a request that can be on time, by its priority,
   // or of one that is late whatever happens.
-  static constexpr std::size_t kRanks = 4;
+  static constexpr std::size_t kRanks = 8;
   std::array<DurationUs, kRanks> in_time{};
   DurationUs late = 0;
 
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -99,7 +99,7 @@
 
 struct ClientAccount {
   std::string name;
-  std::optional<std::uint32_t> priority;  // Goes before the route's.
+  std::optional<std::uint32_t> priority;  // Zero is the most urgent.
 };
 
 class ServingConfig {
