--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -11,6 +11,12 @@
 // The client's next connection reaches another node; it need not wait.
 constexpr DurationUs kElsewhere = 20 * kMillisecond;
 
+// Deadlines of one route's clients vary by an eighth. Below this share of the
+// usual one a client has been refused before; the time for which it was sent
+// away makes sure of it.
+constexpr double kReturned = 0.83;
+constexpr double kLeastReturn = 0.2;
+
 // A request that will be late is admitted if it would be served within this
 // share of the time that it has left; the estimates are rough.
 constexpr double kLateShare = 0.35;
@@ -184,11 +190,22 @@
   RunStages(it);
 }
 
+// A client that comes back after a refusal has less time left than its route's
+// clients usually give; no field says so.
 DurationUs Gateway::Impl::ElapsedBefore(const Route& route,
                                         const ClientCall& call) {
-  DurationUs& longest = longest_deadline[route.name];
-  longest = std::max(longest, call.deadline);
-  return longest - call.deadline;
+  auto& usual = usual_deadline[route.name];
+  const auto deadline = static_cast<double>(call.deadline);
+  if (usual == 0) {
+    usual = deadline;
+  }
+  // Moves to the value that a tenth of the deadlines exceed.
+  constexpr double kStep = 0.02;
+  constexpr double kAbove = 0.1;
+  usual += kStep * usual * (deadline > usual ? 1 - kAbove : -kAbove);
+  return deadline < kReturned * usual
+             ? static_cast<DurationUs>(usual - deadline)
+             : 0;
 }
 
 // Load pattern: a burst brings more requests than the stages can make. Admitted
@@ -226,13 +243,18 @@
   // A client honours up to a third of the time that it has left.
   constexpr DurationUs kThird = 3;
   const DurationUs most = left / kThird;
-  const DurationUs least = std::min(most, kSecond);
+  const auto least = std::min(
+      most, static_cast<DurationUs>(
+                kLeastReturn * static_cast<double>(request.call.deadline)));
   const DurationUs wish = std::clamp(late, least, most);
   const auto spread = static_cast<DurationUs>(
-      random->Below(static_cast<std::uint64_t>(wish) / 4 + 1));
-  *refusal = {Refusal::kFull, Verdict::kNotRun, wish - spread,
-              StrCat("stages would take ", (late + work) / kMillisecond,
-                     " ms of ", left / kMillisecond)};
+      random->Below(static_cast<std::uint64_t>(most - wish) / 2 + 1));
+  *refusal = {Refusal::kFull, Verdict::kNotRun, wish + spread,
+              StrCat(request.route->name, ": work ", work / kMillisecond,
+                     " ms, wait ", in_time / kMillisecond, " or if late ",
+                     late / kMillisecond, ", until late ",
+                     (request.target_by - now) / kMillisecond,
+                     ", until its client leaves ", left / kMillisecond)};
   return false;
 }
 
@@ -423,7 +445,8 @@
                               kMillisecond
                         : -1},
        {"total_ms", (now - request->received_at) / kMillisecond},
-       {"target_ms", request->route->target / kMillisecond}});
+       {"target_ms", request->route->target / kMillisecond},
+       {"deadline_ms", request->call.deadline / kMillisecond}});
   deadlines.erase({request->due_at, request->id});
   const auto it = by_client_id.find(request->call.id);
   if (it != by_client_id.end() && it->second == request) {
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -149,8 +149,8 @@
   TimeUs confirmed_at = -1;
   std::size_t entries = 1;
   bool refuses_streams = false;
-  // The most time that a client of the route has given.
-  std::map<std::string, DurationUs> longest_deadline;
+  // By route, what nine in ten of its clients give at most, in microseconds.
+  std::map<std::string, double> usual_deadline;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain;
   std::map<std::string, AttemptBudget> budgets;
