--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -3,15 +3,23 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "text.h"
 
 namespace acaciachute {
 namespace {
 
-XXH64_hash_t Weight(const std::string& service, const NodeId& node) {
+// Weighted rendezvous hashing: a host's share of the services goes with its
+// weight, the cube of its processor share, so that the largest hosts have
+// nearly all of them.
+double Weight(const std::string& service, const NodeId& node, double cores) {
   const std::string text = StrCat(service, "\n", node);
-  return XXH3_64bits(text.data(), text.size());
+  constexpr double kRange = 18446744073709551616.0;  // 2 to the 64th.
+  const double hash =
+      (static_cast<double>(XXH3_64bits(text.data(), text.size())) + 1) /
+      (kRange + 1);
+  return cores * cores * cores / -std::log(hash);
 }
 
 }  // namespace
@@ -39,6 +47,7 @@
   peer.heard_at = now;
   peer.live = true;
   peer.leaving = beat.leaving;
+  peer.cores = beat.cores;
   if (changed) {
     log_->Write("peer", {{"peer", node},
                          {"state", beat.leaving ? "leaving" : "live"}});
@@ -90,12 +99,12 @@
 
 const NodeId& GatewayPeers::OwnerOf(const std::string& service) const {
   const NodeId* owner = &self_;
-  XXH64_hash_t best = leaving_ ? 0 : Weight(service, self_);
+  double best = leaving_ ? 0 : Weight(service, self_, cores_);
   for (const auto& [node, peer] : peers_) {
     if (!peer.live || peer.leaving) {
       continue;
     }
-    const XXH64_hash_t weight = Weight(service, node);
+    const double weight = Weight(service, node, peer.cores);
     if (weight > best) {
       best = weight;
       owner = &node;
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -5,7 +5,9 @@
 // service the live gateway with the highest hash of (service, gateway) batches
 // the pieces of all (rendezvous hashing, Thaler and Ravishankar 1998), so that
 // gateways agree without asking anybody, and a gateway that comes or goes moves
-// only its own services. While two disagree, both send calls; a replica queues
+// only its own services. Batching for all takes some 100 microseconds a request;
+// on a host with a tenth of a core that is a queue of its own, so hashes are
+// weighted steeply by the hosts' processors. While two disagree, both send calls; a replica queues
 // or refuses the second.
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
@@ -37,7 +39,9 @@
   // if it lives.
   static constexpr DurationUs kForget = 60 * kSecond;
 
-  GatewayPeers(NodeId self, EventLog* log) : self_(std::move(self)), log_(log) {}
+  // `cores` is this host's share of a processor core.
+  GatewayPeers(NodeId self, double cores, EventLog* log)
+      : self_(std::move(self)), cores_(cores), log_(log) {}
 
   // A gateway that the store lists.
   void OnListed(TimeUs now, const NodeId& node);
@@ -71,12 +75,14 @@
     TimeUs listed_at = 0;
     TimeUs told_at = 0;
     TimeUs unreachable_until = 0;
+    double cores = 1;
     bool live = false;
     bool leaving = false;
     bool restarted = false;
   };
 
   const NodeId self_;
+  const double cores_;
   EventLog* const log_;
   bool leaving_ = false;
   std::map<NodeId, Peer> peers_;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -224,7 +224,7 @@
              }),
       directory(this),
       incarnation(FreshSeed()),
-      peers(settings.node, &log),
+      peers(settings.node, settings.cores, &log),
       batchers(&directory,
                this,
                [this](const std::string& service) {
@@ -522,6 +522,7 @@
   GatewayBeat beat;
   beat.address = {settings.ip, settings.first_peer_port};
   beat.leaving = draining;
+  beat.cores = settings.cores;
   beat.waits = desk.OwnWaits(now);
   for (const auto& [replica, load] : gateway->engines()->own()) {
     beat.work.push_back({replica, load.running, load.unread_tokens});
--- a/src/messages.h
+++ b/src/messages.h
@@ -192,6 +192,7 @@
 struct GatewayBeat {
   Address address;  // Where it listens, for peers that do not know it yet.
   bool leaving = false;
+  double cores = 1;  // Share of a processor core that it is given.
   std::vector<EngineWork> work;
   std::vector<ServiceWait> waits;
 };
--- a/src/state/host_settings.h
+++ b/src/state/host_settings.h
@@ -26,6 +26,7 @@
   Address store;
   std::uint16_t first_peer_port = 0;  // For the system's own processes.
   std::uint16_t last_peer_port = 0;
+  double cores = 1;  // Share of a processor core that the process is given.
   std::uint64_t memory_bytes = 0;
   std::uint32_t max_descriptors = 0;
   // How long after it was taken away a key may still be used.
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -14,7 +14,7 @@
 struct DeskNet {
   struct Node : SharedPieceDeskOutput, PieceBatcherOutput, DirectoryWatcher {
     Node(DeskNet* owner, NodeId node_name)
-        : net(owner), name(node_name), peers(node_name, &log) {
+        : net(owner), name(node_name), peers(node_name, 1, &log) {
       budget.SetLimits({0.2, 200, 10 * kSecond});
       ServingConfig config;
       Service service;
@@ -235,7 +235,7 @@
 
 TEST(GatewayPeersTest, TakesASilentOrRestartedGatewayForLost) {
   QuietLog log;
-  GatewayPeers peers("self", &log);
+  GatewayPeers peers("self", 1, &log);
   const TimeUs now = 100 * kSecond;
   peers.OnBeat(now, "a", 1, {});
   peers.OnBeat(now, "b", 1, {});
@@ -250,7 +250,7 @@
 // A gateway that leaves still finishes what it has, but gets no new pieces.
 TEST(GatewayPeersTest, GivesALeavingGatewayNoNewWork) {
   QuietLog log;
-  GatewayPeers peers("self", &log);
+  GatewayPeers peers("self", 1, &log);
   GatewayBeat leaving;
   leaving.leaving = true;
   peers.OnBeat(0, "a", 1, leaving);
