--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/engine_choice.cc
@@ -30,8 +30,7 @@
   for (std::size_t n = 0; n < request.prompt->size(); ++n) {
     const PromptPart& part = (*request.prompt)[n];
     listed += part.tokens;
-    reads = reads ||
-            (!(home && n < shared) && !engine.parts.contains(part.id));
+    reads = reads || (!(home && n < shared) && !engine.parts.contains(part.id));
     if (reads) {
       (n < shared ? unheld.shared : unheld.own) += part.tokens;
     }
@@ -81,9 +80,8 @@
   const Engine& engine = engines_[replica.id];
   const EngineLoad load = LoadOf(replica.id);
   const Unheld unheld = UnheldAt(engine, request, home);
-  const double tokens =
-      static_cast<double>(load.unread_tokens + unheld.own) +
-      kRereadWeight * static_cast<double>(unheld.shared);
+  const double tokens = static_cast<double>(load.unread_tokens + unheld.own) +
+                        kRereadWeight * static_cast<double>(unheld.shared);
   double ms = tokens / kTokensPerMs + kRunningMs * load.running;
   if (load.running >= replica.slots) {
     constexpr double kQueued = 1000;  // About a third of a stream.
--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -6,11 +6,12 @@
 // are read again each time, and two long prompts that meet delay the first
 // token of both by their sum. A prompt's home is the engine with the highest
 // hash of its shared parts and the engine (rendezvous hashing), the same at
-// every entry; it is taken to hold them. Each engine is scored by the time until this
-// request's first token: the prompt tokens that are still unread there, those
-// of this prompt that it does not hold, and what the running requests add. What
-// an engine holds is believed from what was sent there and ended well; engines
-// report their load late and at a price, so nobody asks them.
+// every entry; it is taken to hold them. Each engine is scored by the time
+// until this request's first token: the prompt tokens that are still unread
+// there, those of this prompt that it does not hold, and what the running
+// requests add. What an engine holds is believed from what was sent there and
+// ended well; engines report their load late and at a price, so nobody asks
+// them.
 #ifndef ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
 #define ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
 
--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -148,8 +148,9 @@
     return;
   }
   if (refuses_streams && route->kind == RouteKind::kStream) {
-    RefuseAtOnce(id, call, {Refusal::kLeaving, Verdict::kNotRun, kElsewhere,
-                            "a stream may outlast this process"});
+    RefuseAtOnce(id, call,
+                 {Refusal::kLeaving, Verdict::kNotRun, kElsewhere,
+                  "a stream may outlast this process"});
     return;
   }
   const ClientAccount* account = nullptr;
@@ -159,8 +160,8 @@
     return;
   }
   const TimeUs now = ports->Now();
-  auto request = std::make_unique<ServingRequest>(id, std::move(call), config,
-                                                  route);
+  auto request =
+      std::make_unique<ServingRequest>(id, std::move(call), config, route);
   request->account = account;
   request->service = ChooseService(*route);
   request->priority = RankOf(*route, account);
@@ -174,8 +175,8 @@
   request->deadline_at = now + patience;
   request->answer_by = request->deadline_at;
   if (route->kind == RouteKind::kStream) {
-    request->answer_by = std::min(request->answer_by,
-                                  now + route->FirstEventPatience() - kLink);
+    request->answer_by =
+        std::min(request->answer_by, now + route->FirstEventPatience() - kLink);
   }
   request->resume_after = request->call.resume_after;
   if (!Feasible(*request, &refusal)) {
@@ -235,8 +236,8 @@
     return true;
   }
   const DurationUs left = request.answer_by - now;
-  const auto useful = static_cast<DurationUs>(
-      kLateShare * static_cast<double>(left));
+  const auto useful =
+      static_cast<DurationUs>(kLateShare * static_cast<double>(left));
   if (late + work <= useful) {
     return true;
   }
@@ -249,12 +250,12 @@
   const DurationUs wish = std::clamp(late, least, most);
   const auto spread = static_cast<DurationUs>(
       random->Below(static_cast<std::uint64_t>(most - wish) / 2 + 1));
-  *refusal = {Refusal::kFull, Verdict::kNotRun, wish + spread,
-              StrCat(request.route->name, ": work ", work / kMillisecond,
-                     " ms, wait ", in_time / kMillisecond, " or if late ",
-                     late / kMillisecond, ", until late ",
-                     (request.target_by - now) / kMillisecond,
-                     ", until its client leaves ", left / kMillisecond)};
+  *refusal = {
+      Refusal::kFull, Verdict::kNotRun, wish + spread,
+      StrCat(request.route->name, ": work ", work / kMillisecond, " ms, wait ",
+             in_time / kMillisecond, " or if late ", late / kMillisecond,
+             ", until late ", (request.target_by - now) / kMillisecond,
+             ", until its client leaves ", left / kMillisecond)};
   return false;
 }
 
@@ -305,8 +306,8 @@
   const DurationUs after_this = request.progress.TimeAfter(stage) + kEngineTime;
   order.time_left = request.answer_by - now - after_this;
   order.waited = now - request.received_at;
-  order.time_to_begin = request.target_by - now -
-                        request.progress.TimeLeft() - kEngineTime;
+  order.time_to_begin =
+      request.target_by - now - request.progress.TimeLeft() - kEngineTime;
   for (const std::uint32_t needed : spec.after) {
     order.holds_bytes += request.route->stages[needed].result_bytes *
                          request.progress.Pieces(needed);
@@ -376,16 +377,16 @@
 void Gateway::Impl::RefuseAtOnce(ExchangeId id,
                                  const ClientCall& call,
                                  OwnAnswer answer) {
-  metrics->Count("refused_total", Name(answer.reason));
-  log->Write("refused", {{"id", call.id},
-                         {"reason", Name(answer.reason)},
-                         {"verdict", Name(answer.verdict)},
-                         {"detail", answer.detail},
-                         {"config", config ? config->version : 0},
-                         {"config_age_ms",
-                          confirmed_at < 0 ? -1
-                                           : (ports->Now() - confirmed_at) /
-                                                 kMillisecond}});
+  metrics->Count("acaciachute_gateway_refused_total", Name(answer.reason));
+  log->Write(
+      "refused",
+      {{"id", call.id},
+       {"reason", Name(answer.reason)},
+       {"verdict", Name(answer.verdict)},
+       {"detail", answer.detail},
+       {"config", config ? config->version : 0},
+       {"config_age_ms",
+        confirmed_at < 0 ? -1 : (ports->Now() - confirmed_at) / kMillisecond}});
   ports->Refuse(id, answer);
 }
 
@@ -420,33 +421,32 @@
     desk->Free(request->progress.TakeAll());
   }
   const TimeUs now = ports->Now();
-  metrics->Count("requests_total", outcome);
-  metrics->Observe("request_time_us", request->route->name,
+  metrics->Count("acaciachute_gateway_requests_total", outcome);
+  metrics->Observe("acaciachute_gateway_request_seconds", request->route->name,
                    now - request->received_at);
-  log->Write(
-      "request",
-      {{"id", request->call.id},
-       {"route", request->route->name},
-       {"account",
-        request->account != nullptr ? request->account->name : std::string()},
-       {"outcome", outcome},
-       {"status", status},
-       {"config", request->config->version},
-       {"replica", request->attempt.replica.id},
-       {"runs", request->runs},
-       {"tried", request->tried.size()},
-       {"stages_ms", request->stage_times},
-       {"staged_ms", request->staged
-                         ? (request->staged_at - request->received_at) /
-                               kMillisecond
-                         : -1},
-       {"first_ms", request->begun
-                        ? (request->begun_at - request->received_at) /
-                              kMillisecond
-                        : -1},
-       {"total_ms", (now - request->received_at) / kMillisecond},
-       {"target_ms", request->route->target / kMillisecond},
-       {"deadline_ms", request->call.deadline / kMillisecond}});
+  log->Write("request",
+             {{"id", request->call.id},
+              {"route", request->route->name},
+              {"account", request->account != nullptr ? request->account->name
+                                                      : std::string()},
+              {"outcome", outcome},
+              {"status", status},
+              {"config", request->config->version},
+              {"replica", request->attempt.replica.id},
+              {"runs", request->runs},
+              {"tried", request->tried.size()},
+              {"stages_ms", request->stage_times},
+              {"staged_ms",
+               request->staged
+                   ? (request->staged_at - request->received_at) / kMillisecond
+                   : -1},
+              {"first_ms",
+               request->begun
+                   ? (request->begun_at - request->received_at) / kMillisecond
+                   : -1},
+              {"total_ms", (now - request->received_at) / kMillisecond},
+              {"target_ms", request->route->target / kMillisecond},
+              {"deadline_ms", request->call.deadline / kMillisecond}});
   deadlines.erase({request->due_at, request->id});
   const auto it = by_client_id.find(request->call.id);
   if (it != by_client_id.end() && it->second == request) {
@@ -489,9 +489,9 @@
 
 void Gateway::OnConfig(std::shared_ptr<const ServingConfig> config) {
   if (impl_->config != nullptr && config->version < impl_->config->version) {
-    impl_->log->Write("config_passed_over",
-                      {{"version", config->version},
-                       {"in_force", impl_->config->version}});
+    impl_->log->Write(
+        "config_passed_over",
+        {{"version", config->version}, {"in_force", impl_->config->version}});
     return;
   }
   impl_->log->Write("config", {{"version", config->version},
@@ -561,7 +561,8 @@
     return;
   }
   ServingRequest* request = it->second;
-  impl_->metrics->Count("pieces_total", Name(result.outcome));
+  impl_->metrics->Count("acaciachute_gateway_pieces_total",
+                        Name(result.outcome));
   if (result.outcome == PieceOutcome::kInputGone) {
     impl_->RestartStages(request);
     return;
@@ -603,8 +604,7 @@
 
 void Gateway::OnTick() {
   const TimeUs now = impl_->ports->Now();
-  while (!impl_->deadlines.empty() &&
-         impl_->deadlines.begin()->first <= now) {
+  while (!impl_->deadlines.empty() && impl_->deadlines.begin()->first <= now) {
     impl_->Expire(impl_->ByExchange(impl_->deadlines.begin()->second));
   }
 }
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -24,9 +24,8 @@
 }
 
 void Gateway::Impl::StartAttempt(ServingRequest* request) {
-  const ReplicaEntry* replica = request->tried.size() < kMostReplicas
-                                    ? ChooseReplica(request)
-                                    : nullptr;
+  const ReplicaEntry* replica =
+      request->tried.size() < kMostReplicas ? ChooseReplica(request) : nullptr;
   if (replica == nullptr) {
     const bool listed = !directory->Of(request->service).empty();
     Refuse(request,
@@ -97,7 +96,8 @@
     request->begun = true;
     request->begun_at = ports->Now();
     SetDue(request, request->deadline_at);
-    metrics->Observe("first_event_us", request->route->name,
+    metrics->Observe("acaciachute_gateway_first_event_seconds",
+                     request->route->name,
                      request->begun_at - request->received_at);
     ports->BeginStream(request->id, *attempt.head);
   }
@@ -152,9 +152,8 @@
                      "the stream could not be resumed"});
     return;
   }
-  if (failed && MayTryAgain(*request) &&
-      Budget(request->service).Take(now)) {
-    metrics->Count("retries_total", "failed");
+  if (failed && MayTryAgain(*request) && Budget(request->service).Take(now)) {
+    metrics->Count("acaciachute_gateway_retries_total", "failed");
     StartAttempt(request);
     return;
   }
@@ -188,7 +187,7 @@
                      "the replica refused, and the retry budget is spent"});
     return;
   }
-  metrics->Count("retries_total", "not_run");
+  metrics->Count("acaciachute_gateway_retries_total", "not_run");
   StartAttempt(request);
 }
 
@@ -201,7 +200,7 @@
                       {"why", why},
                       {"begun", request->begun}});
   if (MayTryAgain(*request) && Budget(request->service).Take(now)) {
-    metrics->Count("retries_total", "lost");
+    metrics->Count("acaciachute_gateway_retries_total", "lost");
     request->events.DropRest();
     if (request->begun) {
       request->resume_after = request->events.last_id();
@@ -213,8 +212,8 @@
     }
     return;
   }
-  Refuse(request, {Refusal::kUpstreamFailed, Verdict::kMayHaveRun, 0,
-                   std::string(why)});
+  Refuse(request,
+         {Refusal::kUpstreamFailed, Verdict::kMayHaveRun, 0, std::string(why)});
 }
 
 void Gateway::Impl::OnFailed(ServingRequest* request,
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -23,7 +23,7 @@
   ReplicaEntry replica;
   TimeUs sent_at = 0;
   std::optional<ReplicaHead> head;
-  std::string body;  // Of a plain answer, until it is whole.
+  std::string body;   // Of a plain answer, until it is whole.
   bool read = false;  // The first event came.
   bool paused = false;
 };
--- a/src/coordination/gateway_join.cc
+++ b/src/coordination/gateway_join.cc
@@ -42,9 +42,9 @@
       output_->ReadGateways();
       return;
     case Step::kWriteKey:
-      output_->WriteGateway(
-          std::string(kFrameKeyRow),
-          StrCat(random_->Next(), "-", random_->Next()), true);
+      output_->WriteGateway(std::string(kFrameKeyRow),
+                            StrCat(random_->Next(), "-", random_->Next()),
+                            true);
       return;
   }
 }
--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -49,8 +49,8 @@
   peer.leaving = beat.leaving;
   peer.cores = beat.cores;
   if (changed) {
-    log_->Write("peer", {{"peer", node},
-                         {"state", beat.leaving ? "leaving" : "live"}});
+    log_->Write("peer",
+                {{"peer", node}, {"state", beat.leaving ? "leaving" : "live"}});
   }
   return changed;
 }
@@ -114,9 +114,8 @@
 }
 
 std::size_t GatewayPeers::Live() const {
-  const auto n = std::count_if(peers_.begin(), peers_.end(), [](const auto& it) {
-    return it.second.live;
-  });
+  const auto n = std::count_if(peers_.begin(), peers_.end(),
+                               [](const auto& it) { return it.second.live; });
   return 1 + static_cast<std::size_t>(n);
 }
 
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -5,10 +5,10 @@
 // service the live gateway with the highest hash of (service, gateway) batches
 // the pieces of all (rendezvous hashing, Thaler and Ravishankar 1998), so that
 // gateways agree without asking anybody, and a gateway that comes or goes moves
-// only its own services. Batching for all takes some 100 microseconds a request;
-// on a host with a tenth of a core that is a queue of its own, so hashes are
-// weighted steeply by the hosts' processors. While two disagree, both send calls; a replica queues
-// or refuses the second.
+// only its own services. Batching for all takes some 100 microseconds a
+// request; on a host with a tenth of a core that is a queue of its own, so
+// hashes are weighted steeply by the hosts' processors. While two disagree,
+// both send calls; a replica queues or refuses the second.
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
 
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -19,8 +19,8 @@
     }
     auto& batcher = batchers_[name];
     if (batcher == nullptr) {
-      batcher = std::make_unique<PieceBatcher>(directory_, budget_of_(name),
-                                               output_);
+      batcher =
+          std::make_unique<PieceBatcher>(directory_, budget_of_(name), output_);
     }
     batcher->SetService(name, *service.batching);
   }
@@ -60,9 +60,8 @@
 }
 
 bool LocalPieceDesk::Idle() const {
-  return std::all_of(batchers_.begin(), batchers_.end(), [](const auto& it) {
-    return it.second->Idle();
-  });
+  return std::all_of(batchers_.begin(), batchers_.end(),
+                     [](const auto& it) { return it.second->Idle(); });
 }
 
 PoolWait LocalPieceDesk::ExpectedWait(TimeUs now,
--- a/src/coordination/local_piece_desk.h
+++ b/src/coordination/local_piece_desk.h
@@ -28,8 +28,7 @@
   void Free(const std::vector<std::string>& handles) override;
   void FreeOf(const std::string& service,
               const std::vector<std::string>& handles);
-  PoolWait ExpectedWait(TimeUs now,
-                        const std::string& service) const override;
+  PoolWait ExpectedWait(TimeUs now, const std::string& service) const override;
 
   void OnCallEnd(TimeUs now,
                  const std::string& service,
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -47,9 +47,9 @@
   waiting_.insert(piece->rank);
 }
 
-// Failure: a request's pieces are begun in part, and the rest waits behind other
-// requests. Symptom: the results that were made fill the replicas' memory, and
-// nothing can be begun although replicas are free.
+// Failure: a request's pieces are begun in part, and the rest waits behind
+// other requests. Symptom: the results that were made fill the replicas'
+// memory, and nothing can be begun although replicas are free.
 void PieceBatcher::AdvanceSiblings(const PieceKey& key) {
   for (auto it = pieces_.lower_bound(PieceKey{key.request, key.stage, 0});
        it != pieces_.end() && it->first.request == key.request &&
@@ -139,8 +139,9 @@
         Slowness(now, maker) >= kSound) {
       continue;
     }
-    const DurationUs wait =
-        maker.calls < limits_.slots ? 0 : std::max<DurationUs>(0, maker.free_at - now);
+    const DurationUs wait = maker.calls < limits_.slots
+                                ? 0
+                                : std::max<DurationUs>(0, maker.free_at - now);
     first_free = sound == 0 ? wait : std::min(first_free, wait);
     ++sound;
   }
@@ -149,8 +150,7 @@
   }
   const std::size_t rounds = waiting_.size() / (sound * limits_.batch) + 1;
   const DurationUs others =
-      first_free +
-      static_cast<DurationUs>(rounds) * CallTime(1, limits_.batch);
+      first_free + static_cast<DurationUs>(rounds) * CallTime(1, limits_.batch);
   return CallTime(own, std::min<std::size_t>(waiting_.size(), limits_.batch)) <
          others;
 }
@@ -295,8 +295,8 @@
   Release(now, call, end.kind);
   for (std::size_t n = 0; n < call.call.pieces.size(); ++n) {
     const PieceOrder& order = call.call.pieces[n];
-    const bool answered = end.kind == PieceCallEnd::Kind::kAnswered &&
-                          n < end.results.size();
+    const bool answered =
+        end.kind == PieceCallEnd::Kind::kAnswered && n < end.results.size();
     PieceResult result;
     if (answered) {
       result = end.results[n];
@@ -307,12 +307,14 @@
       }
     }
     result.key = order.key;
-    EndPiece(now, answered, std::move(result));
+    EndPiece(now, answered, result);
   }
   Dispatch(now);
 }
 
-void PieceBatcher::EndPiece(TimeUs now, bool answered, PieceResult result) {
+void PieceBatcher::EndPiece(TimeUs now,
+                            bool answered,
+                            const PieceResult& result) {
   const auto piece = pieces_.find(result.key);
   if (piece == pieces_.end()) {
     Free({result.handle});  // Another copy was first, or nobody waits.
@@ -323,7 +325,7 @@
                      result.outcome == PieceOutcome::kInputGone ||
                      result.outcome == PieceOutcome::kLate;
   if (answered && final) {
-    Finish(piece, std::move(result));
+    Finish(piece, result);
   } else {
     Again(now, &piece->second, result.outcome);
   }
@@ -331,7 +333,7 @@
 
 // The piece's request is told; a copy that waits or runs is for nobody now.
 void PieceBatcher::Finish(std::map<PieceKey, Piece>::iterator it,
-                          PieceResult result) {
+                          const PieceResult& result) {
   if (it->second.queued) {
     waiting_.erase(it->second.rank);
   }
@@ -377,8 +379,7 @@
   const double measured = static_cast<double>(now - call.started) /
                           static_cast<double>(call.call.expected);
   const double before = Slowness(now, maker);
-  maker.slowness =
-      std::max(1.0, before + kNewest * (measured - before));
+  maker.slowness = std::max(1.0, before + kNewest * (measured - before));
   maker.measured_at = now;
 }
 
@@ -419,8 +420,8 @@
     if (age > kGiveUp) {
       given_up.push_back(id);
     }
-    const auto overdue = static_cast<DurationUs>(
-        kOverdue * static_cast<double>(call.expected));
+    const auto overdue =
+        static_cast<DurationUs>(kOverdue * static_cast<double>(call.expected));
     if (call.copied || age < overdue + kOverdueSlack) {
       continue;
     }
@@ -451,8 +452,8 @@
   Dispatch(now);
 }
 
-// Pieces that a call takes when many wait: half of a replica's memory is held by
-// results that wait for their next stage.
+// Pieces that a call takes when many wait: half of a replica's memory is held
+// by results that wait for their next stage.
 std::size_t PieceBatcher::UsualBatch() const {
   std::uint64_t bytes = 0;
   for (const auto& [id, call] : calls_) {
@@ -494,7 +495,8 @@
     for (const Begun& it : begun_) {
       begun += now - it.at <= kRateWindow ? it.pieces : 0;
     }
-    each = std::max(each, static_cast<double>(span) / static_cast<double>(begun));
+    each =
+        std::max(each, static_cast<double>(span) / static_cast<double>(begun));
   }
   return first_free +
          static_cast<DurationUs>(static_cast<double>(ahead) * each);
@@ -503,7 +505,7 @@
 PoolWait PieceBatcher::ExpectedWait(TimeUs now) const {
   std::array<std::size_t, PoolWait::kRanks> ahead{};
   for (const Rank& it : waiting_) {
-    const std::size_t first = it.standing == Standing::kBegun  ? 0
+    const std::size_t first = it.standing == Standing::kBegun ? 0
                               : it.standing == Standing::kLate
                                   ? PoolWait::kRanks
                                   : it.priority;
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -54,7 +54,7 @@
     kBroken,     // No answer; the pieces may have been made.
   };
   Kind kind = Kind::kBroken;
-  std::string why;  // When not answered.
+  std::string why;                   // When not answered.
   std::vector<PieceResult> results;  // In the order of the pieces.
 };
 
@@ -168,7 +168,7 @@
     TimeUs shunned_until = 0;
     DurationUs shun = kShun;
     TimeUs free_at = 0;
-    TimeUs full_until = 0;  // It had no room, by results not known here.
+    TimeUs full_until = 0;         // It had no room, by results not known here.
     std::uint64_t held_bytes = 0;  // Results there, and those being made.
   };
   struct Held {
@@ -182,7 +182,9 @@
   std::size_t UsualBatch() const;
   double Slowness(TimeUs now, const Maker& maker) const;
   DurationUs CallTime(double slowness, std::size_t pieces) const;
-  void Hold(TimeUs now, const Call& call, const PieceResult& result,
+  void Hold(TimeUs now,
+            const Call& call,
+            const PieceResult& result,
             std::uint64_t bytes);
   void Forget(std::map<std::string, Held>::iterator it);
   void ForgetOld(TimeUs now);
@@ -197,8 +199,9 @@
   void AdvanceSiblings(const PieceKey& key);
   std::uint64_t LateRoom() const;
   void NoteBegun(TimeUs now, std::size_t pieces);
-  void EndPiece(TimeUs now, bool answered, PieceResult result);
-  void Finish(std::map<PieceKey, Piece>::iterator it, PieceResult result);
+  void EndPiece(TimeUs now, bool answered, const PieceResult& result);
+  void Finish(std::map<PieceKey, Piece>::iterator it,
+              const PieceResult& result);
   void Again(TimeUs now, Piece* piece, PieceOutcome outcome);
   void Release(TimeUs now, const Call& call, PieceCallEnd::Kind kind);
   void ExpireWaiting(TimeUs now);
--- a/src/coordination/plain_choice.cc
+++ b/src/coordination/plain_choice.cc
@@ -54,7 +54,8 @@
       return it;
     }
     // Up to a tenth at random, so that entries do not move in step.
-    const double jitter = 1 + 0.1 * static_cast<double>(random_->Below(100)) / 100;
+    const double jitter =
+        1 + 0.1 * static_cast<double>(random_->Below(100)) / 100;
     const double score = Score(now, *it, domain) * jitter;
     if (best == nullptr || score < best_score) {
       best = it;
--- a/src/coordination/plain_choice.h
+++ b/src/coordination/plain_choice.h
@@ -59,7 +59,9 @@
     ReplicaHealth health;
   };
 
-  double Score(TimeUs now, const ReplicaEntry& replica, const std::string& domain);
+  double Score(TimeUs now,
+               const ReplicaEntry& replica,
+               const std::string& domain);
 
   const ReplicaDirectory* const directory_;
   Random* const random_;
--- a/src/coordination/shared_piece_desk.h
+++ b/src/coordination/shared_piece_desk.h
@@ -45,8 +45,7 @@
   void Submit(TimeUs now, std::vector<PieceOrder> orders) override;
   void Drop(const std::string& request) override;
   void Free(const std::vector<std::string>& handles) override;
-  PoolWait ExpectedWait(TimeUs now,
-                        const std::string& service) const override;
+  PoolWait ExpectedWait(TimeUs now, const std::string& service) const override;
 
   // A piece that this gateway's batchers made, or could not make.
   void OnLocalPiece(const PieceResult& result);
@@ -73,7 +72,9 @@
   };
 
   void HandOver(TimeUs now, std::vector<PieceOrder> orders);
-  void HandAgain(TimeUs now, const std::vector<PieceKey>& keys, const char* why);
+  void HandAgain(TimeUs now,
+                 const std::vector<PieceKey>& keys,
+                 const char* why);
   void OnOwnResult(const PieceResult& result);
 
   const NodeId self_;
--- a/src/coordination/stage_progress.cc
+++ b/src/coordination/stage_progress.cc
@@ -95,9 +95,8 @@
 }
 
 bool StageProgress::Complete() const {
-  return std::all_of(stages_.begin(), stages_.end(), [](const Stage& it) {
-    return it.begun && it.done();
-  });
+  return std::all_of(stages_.begin(), stages_.end(),
+                     [](const Stage& it) { return it.begun && it.done(); });
 }
 
 std::vector<std::string> StageProgress::FinalResults() const {
@@ -117,8 +116,8 @@
     if (stage.released || !stage.followed || !stage.done()) {
       continue;
     }
-    const bool needed = std::any_of(
-        stages_.begin(), stages_.end(), [&](const Stage& it) {
+    const bool needed =
+        std::any_of(stages_.begin(), stages_.end(), [&](const Stage& it) {
           return !it.done() && std::find(it.after.begin(), it.after.end(), n) !=
                                    it.after.end();
         });
--- a/src/coordination/stage_progress.h
+++ b/src/coordination/stage_progress.h
@@ -57,7 +57,8 @@
     std::vector<std::uint32_t> after;
     std::vector<std::string> handles;  // Empty until made.
     std::uint32_t made = 0;
-    DurationUs path = 0;  // From its begin to the end of the last that needs it.
+    DurationUs path =
+        0;  // From its begin to the end of the last that needs it.
     DurationUs time = 0;
     bool begun = false;
     bool followed = false;
--- a/src/coordination/table_watch.cc
+++ b/src/coordination/table_watch.cc
@@ -34,9 +34,10 @@
   if (pages_.empty()) {
     first_asked_at_ = now;
   }
-  // The first key after the last that was read: a zero byte is the least suffix.
-  reader_->ReadRows(table_, pages_.empty() ? std::string()
-                                           : pages_.back().key + '\0');
+  // The first key after the last that was read: a zero byte is the least
+  // suffix.
+  reader_->ReadRows(table_,
+                    pages_.empty() ? std::string() : pages_.back().key + '\0');
 }
 
 void TableWatch::OnAnswer(TimeUs now, const TableAnswer& answer) {
@@ -71,8 +72,8 @@
 }
 
 void TableWatch::OnRows(TimeUs now, const TableAnswer& answer) {
-  page_version_ = pages_.empty() ? answer.version
-                                 : std::min(page_version_, answer.version);
+  page_version_ =
+      pages_.empty() ? answer.version : std::min(page_version_, answer.version);
   pages_.insert(pages_.end(), answer.rows.begin(), answer.rows.end());
   if (answer.truncated && !answer.rows.empty()) {
     Ask(now);
@@ -113,8 +114,8 @@
   wait = std::min(wait, kMostRetry);
   // Half of it at random: hosts that lost the store together return apart.
   next_at_ = now + wait / 2 +
-             static_cast<DurationUs>(random_->Below(
-                 static_cast<std::uint64_t>(wait / 2)));
+             static_cast<DurationUs>(
+                 random_->Below(static_cast<std::uint64_t>(wait / 2)));
 }
 
 }  // namespace acaciachute
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "address_text.h"
 #include "coordination/gateway.h"
 #include "coordination/gateway_join.h"
 #include "coordination/gateway_peers.h"
@@ -17,7 +18,6 @@
 #include "platform/rows.h"
 #include "platform/store_client.h"
 #include "state/metrics.h"
-#include "address_text.h"
 #include "text.h"
 #include "transport/http_channels.h"
 #include "transport/http_listener.h"
@@ -94,7 +94,9 @@
   ListenerLimits ClientLimitsOf(const ClientLimits& limits) const;
 
   // ListenerHandler
-  void OnRequest(ExchangeId id, HttpRequestHead head, std::string body) override;
+  void OnRequest(ExchangeId id,
+                 HttpRequestHead head,
+                 std::string body) override;
   void OnGone(ExchangeId id) override { gateway->OnGone(id); }
   void OnWritten(ExchangeId id) override { gateway->OnWritten(id); }
   void OnListenerEvent(const ListenerEvent& event) override;
@@ -131,8 +133,8 @@
   }
   void OnAnswerEnd(CallId id) override { gateway->OnReplicaEnd(id); }
   void OnCallFailed(CallId id, const CallFailure& failure) override {
-    gateway->OnReplicaFailed(
-        id, failure.sent, StrCat(Name(failure.kind), ": ", failure.reason));
+    gateway->OnReplicaFailed(id, failure.sent,
+                             StrCat(Name(failure.kind), ": ", failure.reason));
   }
 
   // TableListener
@@ -221,7 +223,8 @@
       readiness(&readiness_handler, loop_in),
       channels(loop_in),
       pieces(&channels,
-             [this](const std::string& service, BatchId id,
+             [this](const std::string& service,
+                    BatchId id,
                     const PieceCallEnd& end) {
                if (end.kind != PieceCallEnd::Kind::kAnswered) {
                  log.Write("piece_call_failed",
@@ -272,8 +275,8 @@
   options.key_age = static_cast<DurationUs>(
       kKeyAgeShare * static_cast<double>(settings.key_revocation));
   options.budget = settings.retries;
-  gateway = std::make_unique<Gateway>(options, this, &desk, &directory,
-                                      &random, &metrics, &log);
+  gateway = std::make_unique<Gateway>(options, this, &desk, &directory, &random,
+                                      &metrics, &log);
 }
 
 absl::Status GatewayNode::Impl::Start() {
@@ -286,11 +289,11 @@
   }
   loop->Every(kTick, [this] { Tick(); });
   loop->Every(kSettingsCheck, [this] { Reload(); });
-  log.Write("start", {{"domain", settings.domain},
-                      {"clients", StrCat(settings.clients.ip, ":",
-                                         settings.clients.port)},
-                      {"key_revocation_ms",
-                       settings.key_revocation / kMillisecond}});
+  log.Write(
+      "start",
+      {{"domain", settings.domain},
+       {"clients", StrCat(settings.clients.ip, ":", settings.clients.port)},
+       {"key_revocation_ms", settings.key_revocation / kMillisecond}});
   Tick();
   return absl::OkStatus();
 }
@@ -344,7 +347,8 @@
 void GatewayNode::Impl::Reload() {
   const auto fresh = platform::LoadHostSettings();
   if (!fresh.ok()) {
-    log.Write("settings_refused", {{"why", std::string(fresh.status().message())}});
+    log.Write("settings_refused",
+              {{"why", std::string(fresh.status().message())}});
     return;
   }
   if (fresh->clients != settings.clients ||
@@ -384,8 +388,8 @@
   out.idle = limits.idle_time;
   out.buffered_bytes = settings.memory_bytes / kBodyShare;
   out.connections = static_cast<std::size_t>(
-      kClientShare * static_cast<double>(settings.max_descriptors -
-                                         kReservedDescriptors));
+      kClientShare *
+      static_cast<double>(settings.max_descriptors - kReservedDescriptors));
   return out;
 }
 
@@ -395,7 +399,8 @@
   auto call = platform::ReadClientCall(std::move(head), std::move(body));
   if (!call.ok()) {
     log.Write("malformed", {{"why", std::string(call.status().message())}});
-    metrics.Count("refused_total", Name(Refusal::kMalformed));
+    metrics.Count("acaciachute_gateway_refused_total",
+                  Name(Refusal::kMalformed));
     Refuse(id, {Refusal::kMalformed, Verdict::kNotRun, 0,
                 std::string(call.status().message())});
     return;
@@ -404,10 +409,10 @@
 }
 
 void GatewayNode::Impl::OnListenerEvent(const ListenerEvent& event) {
-  metrics.Count("listener_total", event.what);
-  log.Write("listener", {{"what", event.what},
-                         {"status", event.status},
-                         {"why", event.reason}});
+  metrics.Count("acaciachute_gateway_listener_total", event.what);
+  log.Write(
+      "listener",
+      {{"what", event.what}, {"status", event.status}, {"why", event.reason}});
 }
 
 void GatewayNode::Impl::Refuse(ExchangeId id, const OwnAnswer& answer) {
@@ -444,9 +449,9 @@
     if (entry.ok()) {
       entries.push_back(*std::move(entry));
     } else {
-      log.Write("replica_row_refused",
-                {{"key", it.key},
-                 {"why", std::string(entry.status().message())}});
+      log.Write(
+          "replica_row_refused",
+          {{"key", it.key}, {"why", std::string(entry.status().message())}});
     }
   }
   directory.Replace(Now(), entries);
@@ -463,9 +468,9 @@
   }
   const auto entry = platform::ParseReplica(row.key, row.value);
   if (!entry.ok()) {
-    log.Write("replica_row_refused",
-              {{"key", row.key},
-               {"why", std::string(entry.status().message())}});
+    log.Write(
+        "replica_row_refused",
+        {{"key", row.key}, {"why", std::string(entry.status().message())}});
     return;
   }
   directory.Put(*entry);
@@ -616,8 +621,9 @@
 }
 
 void GatewayNode::Impl::StartCall(const PieceCall& call) {
-  metrics.Count("piece_calls_total");
-  metrics.Count("piece_calls_pieces_total", "", call.pieces.size());
+  metrics.Count("acaciachute_gateway_piece_calls_total");
+  metrics.Count("acaciachute_gateway_piece_calls_pieces_total", "",
+                call.pieces.size());
   log.Write("piece_call", {{"service", call.pieces.front().service},
                            {"replica", call.replica},
                            {"pieces", call.pieces.size()},
--- a/src/state/host_settings.h
+++ b/src/state/host_settings.h
@@ -12,8 +12,8 @@
 
 // What repeats may cost one service, over all entries together.
 struct AttemptBudgetLimits {
-  double ratio = 0.2;                   // Of the requests in a window.
-  double slack = 50;                    // Beside them.
+  double ratio = 0.2;  // Of the requests in a window.
+  double slack = 50;   // Beside them.
   DurationUs window = 10 * kSecond;
 };
 
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -43,14 +43,14 @@
   std::string prefix;  // Begins and ends with a slash.
   RouteKind kind = RouteKind::kNonIdempotent;
   DurationUs timeout = 0;
-  DurationUs target = 0;      // Answers within it are on time.
-  DurationUs pause = 0;       // Between events of a stream that is on time.
+  DurationUs target = 0;       // Answers within it are on time.
+  DurationUs pause = 0;        // Between events of a stream that is on time.
   std::uint32_t priority = 0;  // Zero is the most urgent.
   std::vector<WeightedService> split;
   std::uint32_t max_attempts = 1;
   std::vector<StageSpec> stages;
-  bool anonymous = false;   // Needs no key.
-  bool resumable = false;   // A broken stream may go on at another replica.
+  bool anonymous = false;  // Needs no key.
+  bool resumable = false;  // A broken stream may go on at another replica.
 
   // How long a client waits for the first event of a stream, as the platform
   // states it: two seconds, four times the target or eight pauses, whichever is
@@ -67,11 +67,11 @@
 
 // A service that makes the pieces of stages.
 struct BatchLimits {
-  std::uint32_t slots = 1;  // Calls in progress at one replica.
-  std::uint32_t queue = 0;  // Calls that may wait there.
-  std::uint32_t batch = 1;  // Pieces a call.
-  DurationUs call = 0;      // Time of a call, whatever it holds.
-  DurationUs piece = 0;     // Time that each piece adds.
+  std::uint32_t slots = 1;       // Calls in progress at one replica.
+  std::uint32_t queue = 0;       // Calls that may wait there.
+  std::uint32_t batch = 1;       // Pieces a call.
+  DurationUs call = 0;           // Time of a call, whatever it holds.
+  DurationUs piece = 0;          // Time that each piece adds.
   std::uint64_t room_bytes = 0;  // For results, at one replica.
   DurationUs result_life = 0;
 };
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -83,13 +83,12 @@
       stream_ = *std::move(stream);
       return;
     }
-    owner_->loop->After(
-        0, [owner = owner_, self = this,
-            why = std::string(stream.status().message())] {
-          if (owner->channels.contains(self)) {
-            self->Fail(CallFailureKind::kConnect, why);
-          }
-        });
+    owner_->loop->After(0, [owner = owner_, self = this,
+                            why = std::string(stream.status().message())] {
+      if (owner->channels.contains(self)) {
+        self->Fail(CallFailureKind::kConnect, why);
+      }
+    });
   }
 
   void Begin(CallId id,
@@ -271,9 +270,10 @@
   void Keep() {
     idle_since_ = Loop::Now();
     const auto stated = StatedKeep(reader_->head().fields);
-    keep_ = stated ? static_cast<DurationUs>(
-                         kKeepShare * static_cast<double>(*stated))
-                   : kDefaultKeep;
+    keep_ =
+        stated
+            ? static_cast<DurationUs>(kKeepShare * static_cast<double>(*stated))
+            : kDefaultKeep;
     stream_->SetReading(true);
     auto& idle = owner_->idle[address_];
     if (keep_ == 0 || idle.size() >= kMostIdle) {
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -255,7 +255,7 @@
     stream_->FinishWriting();
   }
 
-  void Refuse(int status, std::string reason) {
+  void Refuse(int status, const std::string& reason) {
     owner_->handler->OnListenerEvent({"refused", status, reason});
     keep_alive_ = false;
     head_request_ = false;
--- a/src/transport/socket_stream.cc
+++ b/src/transport/socket_stream.cc
@@ -116,9 +116,8 @@
   std::size_t done = 0;
   while (done < out_.size()) {
     GError* raw_error = nullptr;
-    const gssize n =
-        g_socket_send(socket_.get(), out_.data() + done, out_.size() - done,
-                      nullptr, &raw_error);
+    const gssize n = g_socket_send(socket_.get(), out_.data() + done,
+                                   out_.size() - done, nullptr, &raw_error);
     if (n < 0) {
       const GErrorPtr error(raw_error);
       break;
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -39,8 +39,10 @@
 // nothing of one another. All of them send it to the same engine.
 TEST(EngineChoiceTest, SendsASessionHome) {
   Fleet fleet(9);
-  const std::vector<PromptPart> first = {{"sys", 500}, {"doc", 4000}, {"q1", 90}};
-  const std::vector<PromptPart> second = {{"sys", 500}, {"doc", 4000}, {"q2", 90}};
+  const std::vector<PromptPart> first = {
+      {"sys", 500}, {"doc", 4000}, {"q1", 90}};
+  const std::vector<PromptPart> second = {
+      {"sys", 500}, {"doc", 4000}, {"q2", 90}};
   EngineChoice here(&fleet.directory, &fleet.random);
   EngineChoice there(&fleet.directory, &fleet.random);
   const auto* a = here.Choose(0, "s", Prompt(&first), {}, false);
@@ -54,7 +56,8 @@
 TEST(EngineChoiceTest, SpreadsAHotSession) {
   Fleet fleet(9);
   EngineChoice choice(&fleet.directory, &fleet.random);
-  const std::vector<PromptPart> prompt = {{"sys", 500}, {"doc", 4000}, {"q", 3000}};
+  const std::vector<PromptPart> prompt = {
+      {"sys", 500}, {"doc", 4000}, {"q", 3000}};
   std::set<ReplicaId> used;
   for (int n = 0; n < 12; ++n) {
     const auto* it = choice.Choose(0, "s", Prompt(&prompt), {}, false);
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -28,7 +28,13 @@
   };
 
   explicit GatewayRig(GatewayOptions options = {})
-      : core(std::move(options), this, this, &directory, &random, &metrics, &log) {
+      : core(std::move(options),
+             this,
+             this,
+             &directory,
+             &random,
+             &metrics,
+             &log) {
     Configure(1);
     core.OnConfirmed(now);
   }
@@ -69,8 +75,8 @@
     config->AddService(engine);
     Service maker;
     maker.name = "maker";
-    maker.batching = BatchLimits{1, 2, 10, 240 * kMillisecond,
-                                 5 * kMillisecond, 1 << 24, 4 * kSecond};
+    maker.batching = BatchLimits{
+        1, 2, 10, 240 * kMillisecond, 5 * kMillisecond, 1 << 24, 4 * kSecond};
     config->AddService(maker);
     config->AddService({"app", 50, {}, {}});
     config->AddAccount({"acme", {}}, {"k1"});
@@ -113,7 +119,8 @@
     head.sealed = true;
     return head;
   }
-  void AnswerWith(CallId call, const ReplicaHead& head,
+  void AnswerWith(CallId call,
+                  const ReplicaHead& head,
                   const std::string& body = "") {
     core.OnReplicaHead(call, head);
     if (!body.empty()) {
@@ -140,7 +147,8 @@
   void Refuse(ExchangeId id, const OwnAnswer& answer) override {
     refused[id] = answer;
   }
-  void Answer(ExchangeId id, const ReplicaHead& head,
+  void Answer(ExchangeId id,
+              const ReplicaHead& head,
               std::string_view body) override {
     answered[id] = {head.status, std::string(body)};
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -322,8 +322,8 @@
   EXPECT_LE(rig.refused[id].retry_after, 10 * kSecond / 3);
 }
 
-// Load: the queue of late requests is long, that of requests that can be on time
-// is short. A request that can be on time is admitted.
+// Load: the queue of late requests is long, that of requests that can be on
+// time is short. A request that can be on time is admitted.
 TEST(GatewayStagesTest, AdmitsWhatCanBeOnTime) {
   GatewayRig rig;
   rig.wait.late = 9 * kSecond;
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -106,8 +106,8 @@
   limits.head_bytes = 200;
   limits.body_bytes = 10;
   HttpRequestReader head(limits);
-  std::string buf = "GET /a HTTP/1.1\r\nHost: h\r\nX: " +
-                    std::string(300, 'x') + "\r\n\r\n";
+  std::string buf =
+      "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
   EXPECT_EQ(head.Read(&buf), RequestState::kBad);
   EXPECT_EQ(head.error_status(), 431);
   HttpRequestReader body(limits);
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -34,7 +34,8 @@
       directory.Put(entry);
     }
   }
-  static PieceOrder Order(const std::string& request, std::uint32_t piece,
+  static PieceOrder Order(const std::string& request,
+                          std::uint32_t piece,
                           std::uint32_t priority = 1) {
     PieceOrder order;
     order.key = {request, 0, piece};
@@ -101,8 +102,8 @@
   EXPECT_EQ(rig.results.size(), 10U);
 }
 
-// Load: two replicas are free and eight pieces wait. Both are used, so that each
-// piece waits for half of the others only.
+// Load: two replicas are free and eight pieces wait. Both are used, so that
+// each piece waits for half of the others only.
 TEST(PieceBatcherTest, SharesWorkBetweenFreeReplicas) {
   BatcherRig rig;
   rig.AddReplicas(2);
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -13,14 +13,14 @@
 // Some gateways with one directory, whose messages arrive when `Deliver` runs.
 struct DeskNet {
   struct Node : SharedPieceDeskOutput, PieceBatcherOutput, DirectoryWatcher {
-    Node(DeskNet* owner, NodeId node_name)
+    Node(DeskNet* owner, const NodeId& node_name)
         : net(owner), name(node_name), peers(node_name, 1, &log) {
       budget.SetLimits({0.2, 200, 10 * kSecond});
       ServingConfig config;
       Service service;
       service.name = "maker";
-      service.batching = BatchLimits{1, 2, 10, 240 * kMillisecond,
-                                     5 * kMillisecond, 1000, 4 * kSecond};
+      service.batching = BatchLimits{
+          1, 2, 10, 240 * kMillisecond, 5 * kMillisecond, 1000, 4 * kSecond};
       config.AddService(service);
       local.SetServices(config);
       ReplicaEntry entry;
@@ -179,8 +179,9 @@
   EXPECT_EQ(asker.got.size(), 1U);
 }
 
-// A gateway that refuses connections is not tried in a loop: pieces go to a live
-// one, and the dead one counts again only after a beat that was sent later.
+// A gateway that refuses connections is not tried in a loop: pieces go to a
+// live one, and the dead one counts again only after a beat that was sent
+// later.
 TEST(SharedPieceDeskTest, DoesNotTryAnUnreachableGatewayAgainAtOnce) {
   DeskNet net(2);
   auto& asker = net.At(net.other);
--- a/tests/gateway/table_watch_test.cc
+++ b/tests/gateway/table_watch_test.cc
@@ -12,7 +12,8 @@
   void ReadRows(const std::string&, const std::string& from) override {
     asked.push_back("rows " + from);
   }
-  void ReadChanges(const std::string&, std::uint64_t after,
+  void ReadChanges(const std::string&,
+                   std::uint64_t after,
                    DurationUs) override {
     asked.push_back("changes " + std::to_string(after));
   }
@@ -30,7 +31,8 @@
   }
   void OnTableLost(const std::string&) override { ++lost; }
 
-  void Answer(std::uint64_t version, std::vector<TableRow> rows = {},
+  void Answer(std::uint64_t version,
+              std::vector<TableRow> rows = {},
               bool truncated = false) {
     TableAnswer answer;
     answer.kind = TableAnswer::Kind::kRows;
@@ -64,9 +66,9 @@
   rig.Answer(9, {{"c", "", 9, false}});
   EXPECT_EQ(rig.changes, std::vector<std::string>{"c"});
   // The first page's version, so that no change between the pages is missed.
-  EXPECT_EQ(rig.asked, (std::vector<std::string>{"rows ",
-                                                 std::string("rows a") + '\0',
-                                                 "changes 5", "changes 9"}));
+  EXPECT_EQ(rig.asked,
+            (std::vector<std::string>{"rows ", std::string("rows a") + '\0',
+                                      "changes 5", "changes 9"}));
 }
 
 // Being current counts from when the question was sent: its answer may have
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -230,7 +230,8 @@
   channels.Start(server.address, Get(), {}, &next);
   server.peers[0]->stream->SetReading(true);
   RunUntil(&loop, [&] {
-    return server.peers[0]->received.size() > request.body.size() && next.over();
+    return server.peers[0]->received.size() > request.body.size() &&
+           next.over();
   });
   const std::string& received = server.peers[0]->received;
   EXPECT_EQ(received.substr(received.find("\r\n\r\n") + 4), request.body);
@@ -249,7 +250,9 @@
     ASSERT_TRUE(made.ok());
     client = *made;
   }
-  void OnRequest(ExchangeId id, HttpRequestHead head, std::string body) override {
+  void OnRequest(ExchangeId id,
+                 HttpRequestHead head,
+                 std::string body) override {
     requests.push_back(head.target + " " + body);
     last = id;
     if (answer_at_once) {
@@ -342,8 +345,8 @@
   EXPECT_TRUE(rig.received.starts_with("HTTP/1.1 408"));
 }
 
-// Load: a thousand clients stall in the middle of large bodies. What is held for
-// them stays under the limit; those above it are refused.
+// Load: a thousand clients stall in the middle of large bodies. What is held
+// for them stays under the limit; those above it are refused.
 TEST(HttpListenerTest, BoundsTheBytesOfStalledUploads) {
   ListenerLimits limits;
   limits.buffered_bytes = 100'000;
@@ -366,8 +369,8 @@
   EXPECT_TRUE(Contains(rig.received, "ok"));
 }
 
-// Requests go on while nobody reads the log: nothing blocks, and what is lost is
-// counted and told once there is room again.
+// Requests go on while nobody reads the log: nothing blocks, and what is lost
+// is counted and told once there is room again.
 TEST(LogWriterTest, NeverBlocksAndTellsWhatItDropped) {
   Loop loop;
   std::array<int, 2> ends{};
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -174,8 +174,10 @@
 TEST(RequestsTest, ReadsAReplicasWord) {
   HttpAnswerHead head;
   head.status = 503;
-  head.fields = {{"Not-Executed", "1"}, {"Replica-Load", "3,1,8"},
-                 {"Connection", "close"}, {"Content-Length", "3"}};
+  head.fields = {{"Not-Executed", "1"},
+                 {"Replica-Load", "3,1,8"},
+                 {"Connection", "close"},
+                 {"Content-Length", "3"}};
   const ReplicaHead out = ReadReplicaHead(head);
   EXPECT_TRUE(out.not_run);
   EXPECT_FALSE(out.sealed);
