--- a/src/coordination/table_watch.cc
+++ b/src/coordination/table_watch.cc
@@ -40,6 +40,14 @@
                     pages_.empty() ? std::string() : pages_.back().key + '\0');
 }
 
+void TableWatch::AskSoon(TimeUs now, bool news) {
+  if (news) {
+    next_at_ = now + kSettle;
+  } else {
+    Ask(now);
+  }
+}
+
 void TableWatch::OnAnswer(TimeUs now, const TableAnswer& answer) {
   reading_ = false;
   switch (answer.kind) {
@@ -85,7 +93,7 @@
   const std::vector<TableRow> rows = std::exchange(pages_, {});
   listener_->OnTable(table_, rows);
   listener_->OnTableCurrent(table_, first_asked_at_);
-  Ask(now);
+  AskSoon(now, !rows.empty());
 }
 
 void TableWatch::OnChanges(TimeUs now, const TableAnswer& answer) {
@@ -95,7 +103,7 @@
     listener_->OnRow(table_, it);
   }
   listener_->OnTableCurrent(table_, asked_at);
-  Ask(now);
+  AskSoon(now, !answer.rows.empty());
 }
 
 void TableWatch::OnFailure(TimeUs now, const std::string& why) {
--- a/src/coordination/table_watch.h
+++ b/src/coordination/table_watch.h
@@ -68,6 +68,10 @@
   static constexpr DurationUs kRetry = 60 * kMillisecond;
   static constexpr DurationUs kMostRetry = 500 * kMillisecond;
 
+  // After news. Rows that change one after the other, as when all replicas of a
+  // deployment start, then come in one answer instead of one call each.
+  static constexpr DurationUs kSettle = 150 * kMillisecond;
+
   // `wait` is how long the store holds a question without news.
   TableWatch(std::string table,
              DurationUs wait,
@@ -86,6 +90,7 @@
 
  private:
   void Ask(TimeUs now);
+  void AskSoon(TimeUs now, bool news);
   void OnRows(TimeUs now, const TableAnswer& answer);
   void OnChanges(TimeUs now, const TableAnswer& answer);
   void OnFailure(TimeUs now, const std::string& why);
--- a/src/ctl/request_commands.cc
+++ b/src/ctl/request_commands.cc
@@ -1,8 +1,10 @@
-// `request send|status`: what a caller would see.
+// `request send|status|explain`: what a caller would see, and why.
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "ctl/command.h"
+#include "ctl/log_explain.h"
 #include "ctl/platform_table.h"
 #include "text.h"
 
@@ -68,11 +70,47 @@
   return Call(command, std::move(request));
 }
 
+Json RowsOf(const std::vector<LogEvent>& events) {
+  Json rows = Json::array();
+  for (const LogEvent& it : events) {
+    rows.push_back({{"at_us", it.at}, {"node", it.node}, {"what", it.text}});
+  }
+  return rows;
+}
+
+ExitCode Explain(const Command& command) {
+  std::ifstream file;
+  const bool from_file = !command.file.empty() && command.file != "-";
+  if (from_file) {
+    file.open(command.file);
+    if (!file) {
+      return Complain(ExitCode::kUsage, StrCat("cannot read ", command.file));
+    }
+  }
+  const LogExplanation found =
+      ExplainFromLog(from_file ? &file : &std::cin, command.words[0]);
+  if (!found.found()) {
+    return Complain(ExitCode::kFailed,
+                    StrCat("no line tells of request ", command.words[0]));
+  }
+  const std::vector<std::string> columns = {"at_us", "node", "what"};
+  if (command.format == OutputFormat::kJson) {
+    PrintObject(command.format, {{"request", RowsOf(found.request)},
+                                 {"around", RowsOf(found.around)}});
+    return ExitCode::kOk;
+  }
+  PrintRows(command.format, columns, RowsOf(found.request));
+  std::cout << "\nchanges at its gateways before and meanwhile\n";
+  PrintRows(command.format, columns, RowsOf(found.around));
+  return ExitCode::kOk;
+}
+
 }  // namespace
 
 void AddRequestCommands(CommandTable* table) {
   table->insert({
       {"request send", {1, 1, "request send EVENT --body JSON", Send}},
+      {"request explain", {1, 1, "request explain ID --file LOG", Explain}},
       {"request status", {2, 2, "request status EVENT KEY", Status}},
   });
 }
--- a/tests/gateway/table_watch_test.cc
+++ b/tests/gateway/table_watch_test.cc
@@ -63,7 +63,9 @@
   rig.Answer(5, {{"a", "", 4, false}}, true);
   rig.Answer(6, {{"b", "", 6, false}});
   EXPECT_EQ(rig.table, (std::vector<std::string>{"a", "b"}));
+  rig.Pass(TableWatch::kSettle);
   rig.Answer(9, {{"c", "", 9, false}});
+  rig.Pass(TableWatch::kSettle);
   EXPECT_EQ(rig.changes, std::vector<std::string>{"c"});
   // The first page's version, so that no change between the pages is missed.
   EXPECT_EQ(rig.asked,
@@ -71,6 +73,24 @@
                                       "changes 5", "changes 9"}));
 }
 
+// Load: a hundred replicas start within two seconds. The table is asked a few
+// times, not once a replica.
+TEST(TableWatchTest, AsksOnceForChangesThatComeTogether) {
+  WatchRig rig;
+  rig.Pass(0);
+  rig.Answer(1);
+  std::size_t answered = 1;
+  for (std::uint64_t n = 2; n < 102; ++n) {
+    if (rig.asked.size() > answered) {
+      ++answered;
+      rig.Answer(n, {{"r", "", n, false}});
+    }
+    rig.Pass(20 * kMillisecond);
+  }
+  EXPECT_GT(answered, 5U);
+  EXPECT_LT(rig.asked.size(), 20U);
+}
+
 // Being current counts from when the question was sent: its answer may have
 // waited anywhere, and a key may have been taken away meanwhile.
 TEST(TableWatchTest, IsCurrentAsOfItsQuestion) {
--- /dev/null
+++ b/tests/log_explain_test.cc
@@ -0,0 +1,48 @@
+// From a request's id to its cause, by the lines that a gateway wrote.
+#include "ctl/log_explain.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace acaciachute {
+namespace {
+
+using ::testing::HasSubstr;
+
+// Recorded on days of the platform, cut to what is asked for.
+constexpr char kLog[] = R"(
+not a line of ours
+  19.9 front-a {"at_us":1000000,"node":"front-a","event":"table_lost","table":"op","why":"timeout: no answer in time","version":117,"age_ms":2534}
+{"at_us":1500000,"node":"front-b","event":"table_lost","table":"op","why":"other gateway"}
+{"at_us":5600000,"node":"front-a","event":"refused","id":"aa","reason":"not_current","verdict":"not_run","detail":"keys cannot be checked against the newest configuration","config":7,"config_age_ms":4600}
+{"at_us":5700000,"node":"front-a","event":"lost","id":"bb","replica":"i-1","why":"broken: Connection reset by peer","begun":true}
+{"at_us":5710000,"node":"front-a","event":"request","id":"bb","route":"r","outcome":"upstream_failed","status":502,"replica":"i-1","runs":1,"tried":1,"stages_ms":"0:400","first_ms":520,"total_ms":900,"target_ms":1100,"config":7}
+)";
+
+TEST(LogExplainTest, LeadsFromARefusalToTheLostStore) {
+  std::istringstream log(kLog);
+  const LogExplanation found = ExplainFromLog(&log, "aa");
+  ASSERT_EQ(found.request.size(), 1U);
+  EXPECT_THAT(found.request[0].text, HasSubstr("confirmed 4600 ms before"));
+  ASSERT_EQ(found.around.size(), 1U);
+  EXPECT_EQ(found.around[0].node, "front-a");
+  EXPECT_THAT(found.around[0].text, HasSubstr("timeout"));
+}
+
+TEST(LogExplainTest, LeadsFromABrokenStreamToItsReplica) {
+  std::istringstream log(kLog);
+  const LogExplanation found = ExplainFromLog(&log, "bb");
+  ASSERT_EQ(found.request.size(), 2U);
+  EXPECT_THAT(found.request[0].text, HasSubstr("lost at replica i-1"));
+  EXPECT_THAT(found.request[1].text, HasSubstr("stages whole at [0:400]"));
+}
+
+TEST(LogExplainTest, SaysWhenNoLineTells) {
+  std::istringstream log(kLog);
+  EXPECT_FALSE(ExplainFromLog(&log, "cc").found());
+}
+
+}  // namespace
+}  // namespace acaciachute
