--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -487,6 +487,13 @@
                                    log)) {}
 Gateway::~Gateway() = default;
 
+void Gateway::SetOptions(const GatewayOptions& options) {
+  impl_->options = options;
+  for (auto& [service, budget] : impl_->budgets) {
+    budget.SetLimits(options.budget);
+  }
+}
+
 void Gateway::OnConfig(std::shared_ptr<const ServingConfig> config) {
   if (impl_->config != nullptr && config->version < impl_->config->version) {
     impl_->log->Write(
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -80,6 +80,7 @@
   // A key is used only while the configuration was confirmed this recently.
   DurationUs key_age = 4 * kSecond;
   AttemptBudgetLimits budget;
+  bool operator==(const GatewayOptions&) const = default;
 };
 
 class Gateway {
@@ -107,6 +108,7 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
+  void SetOptions(const GatewayOptions& options);
   // A configuration of a lower version than the one in force is passed over.
   void OnConfig(std::shared_ptr<const ServingConfig> config);
   // The configuration in force was the newest at `asked_at`.
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -137,7 +137,7 @@
   bool IsEngine(const ServingRequest& request) const;
   bool Current() const;
 
-  const GatewayOptions options;
+  GatewayOptions options;
   GatewayPorts* const ports;
   PieceDesk* const desk;
   const ReplicaDirectory* const directory;
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -1,6 +1,7 @@
 #include "coordination/local_piece_desk.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace acaciachute {
@@ -27,14 +28,20 @@
 }
 
 void LocalPieceDesk::Submit(TimeUs now, std::vector<PieceOrder> orders) {
+  std::set<PieceBatcher*> touched;
   for (PieceOrder& order : orders) {
     const auto it = batchers_.find(order.service);
     if (it == batchers_.end()) {
       output_->OnPiece({order.key, PieceOutcome::kNotMade, ""});
     } else {
       it->second->Add(now, std::move(order));
+      touched.insert(it->second.get());
     }
   }
+  // Only after all of them, so that they share a call.
+  for (PieceBatcher* batcher : touched) {
+    batcher->Dispatch(now);
+  }
 }
 
 void LocalPieceDesk::Drop(const std::string& request) {
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -109,6 +109,8 @@
   void SetService(const std::string& name, const BatchLimits& limits);
 
   void Add(TimeUs now, PieceOrder order);
+  // Begins what can be begun; due after pieces were added.
+  void Dispatch(TimeUs now);
   // Nobody waits for the request's pieces any longer.
   void Drop(const std::string& request);
   // Results that nobody needs any longer; told to their makers with the next
@@ -189,7 +191,6 @@
   void Forget(std::map<std::string, Held>::iterator it);
   void ForgetOld(TimeUs now);
   void SendFrees();
-  void Dispatch(TimeUs now);
   std::vector<const ReplicaEntry*> FreeReplicas(TimeUs now);
   bool WorthIt(TimeUs now, const ReplicaEntry& replica);
   // Whether the piece may go to a replica in `domain` now.
--- a/src/coordination/shared_piece_desk.cc
+++ b/src/coordination/shared_piece_desk.cc
@@ -186,10 +186,14 @@
   HandAgain(now, lost, "the gateway that batches is lost");
 }
 
-void SharedPieceDesk::OnTick(TimeUs now) {
+void SharedPieceDesk::SendResults() {
   for (auto& [peer, results] : std::exchange(results_, {})) {
     output_->SendToPeer(peer, PieceResults{std::move(results)});
   }
+}
+
+void SharedPieceDesk::OnTick(TimeUs now) {
+  SendResults();
   std::vector<PieceKey> overdue;
   for (const auto& [key, pending] : pending_) {
     if (pending.owner != self_ && now - pending.handed_at > kPatience) {
--- a/src/coordination/shared_piece_desk.h
+++ b/src/coordination/shared_piece_desk.h
@@ -58,6 +58,9 @@
   std::vector<ServiceWait> OwnWaits(TimeUs now) const;
   void OnPeerLost(TimeUs now, const NodeId& peer);
   void OnTick(TimeUs now);
+  // Sends results to the gateways that asked; call it after each local call's
+  // end, so that they do not wait for the next tick at every stage.
+  void SendResults();
   // Whether no piece of other gateways' requests is in hand.
   bool ServesNobody() const { return requesters_.empty(); }
 
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -55,6 +55,15 @@
 constexpr double kClientShare = 0.5;
 constexpr std::size_t kReservedDescriptors = 250;
 
+GatewayOptions OptionsOf(const HostSettings& settings) {
+  GatewayOptions options;
+  options.domain = settings.domain;
+  options.key_age = static_cast<DurationUs>(
+      kKeyAgeShare * static_cast<double>(settings.key_revocation));
+  options.budget = settings.retries;
+  return options;
+}
+
 }  // namespace
 
 struct GatewayNode::Impl : public ListenerHandler,
@@ -231,6 +240,7 @@
                            {{"service", service}, {"why", end.why}});
                }
                batchers.OnCallEnd(Now(), service, id, end);
+               desk.SendResults();
              }),
       directory(this),
       incarnation(FreshSeed()),
@@ -270,13 +280,8 @@
                     this,
                     &random,
                     &log) {
-  GatewayOptions options;
-  options.domain = settings.domain;
-  options.key_age = static_cast<DurationUs>(
-      kKeyAgeShare * static_cast<double>(settings.key_revocation));
-  options.budget = settings.retries;
-  gateway = std::make_unique<Gateway>(options, this, &desk, &directory, &random,
-                                      &metrics, &log);
+  gateway = std::make_unique<Gateway>(OptionsOf(settings), this, &desk,
+                                      &directory, &random, &metrics, &log);
 }
 
 absl::Status GatewayNode::Impl::Start() {
@@ -356,6 +361,17 @@
       fresh->store != settings.store) {
     log.Write("settings_need_restart", {{"why", "an address changed"}});
   }
+  const GatewayOptions before = OptionsOf(settings);
+  const GatewayOptions after = OptionsOf(*fresh);
+  if (after == before) {
+    return;
+  }
+  log.Write("settings", {{"key_age_ms", after.key_age / kMillisecond},
+                         {"retry_ratio", after.budget.ratio},
+                         {"retry_slack", after.budget.slack}});
+  settings.key_revocation = fresh->key_revocation;
+  settings.retries = fresh->retries;
+  gateway->SetOptions(after);
 }
 
 bool GatewayNode::Impl::Ready() const {
--- a/src/state/host_settings.h
+++ b/src/state/host_settings.h
@@ -15,6 +15,7 @@
   double ratio = 0.2;  // Of the requests in a window.
   double slack = 50;   // Beside them.
   DurationUs window = 10 * kSecond;
+  bool operator==(const AttemptBudgetLimits&) const = default;
 };
 
 struct HostSettings {
