--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -132,6 +132,7 @@
     PassEvents(request, rest);
   }
   engines.OnSuccess(attempt.replica.id);
+  ++request->runs;
   EndAttempt(request);
   ports->EndStream(request->id);
   Finish(request, Name(Verdict::kAnswered), head.status);
