--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -28,6 +28,10 @@
   bool paused = false;
 };
 
+// From the last stage to the first event: a prompt of the usual length is read
+// in 30 to 80 ms, and waits for others.
+inline constexpr DurationUs kEngineTime = 150 * kMillisecond;
+
 // How long each stage of a route takes: one call, with company in its batch.
 std::vector<DurationUs> StageTimes(const ServingConfig& config,
                                    const Route& route);
@@ -87,7 +91,7 @@
 
   using RequestPtr = std::unique_ptr<ServingRequest>;
 
-  // gateway.cc: admission, stages, ends.
+  // gateway_admission.cc
   void Admit(ExchangeId id, ClientCall call);
   bool FindAccount(const Route& route,
                    const ClientCall& call,
@@ -99,6 +103,9 @@
   // first sent it.
   DurationUs ElapsedBefore(const Route& route, const ClientCall& call);
   std::string ChooseService(const Route& route);
+  DurationUs RetryAfter(const ServingRequest& request);
+
+  // gateway_stages.cc
   std::vector<PieceOrder> OrdersOf(const ServingRequest& request,
                                    std::uint32_t stage) const;
   // Where the pieces of `stage` are best made; empty when it does not matter.
@@ -108,12 +115,13 @@
   void RunStages(ServingRequest* request);
   void OnStagesDone(ServingRequest* request);
   void RestartStages(ServingRequest* request);
+
+  // gateway.cc: ends.
   void Refuse(ServingRequest* request, OwnAnswer answer);
   void RefuseAtOnce(ExchangeId id, const ClientCall& call, OwnAnswer answer);
   void Finish(ServingRequest* request, std::string_view outcome, int status);
   void Expire(ServingRequest* request);
   void SetDue(ServingRequest* request, TimeUs due_at);
-  DurationUs RetryAfter(const ServingRequest& request);
 
   // gateway_attempt.cc: one request at its replicas.
   void StartAttempt(ServingRequest* request);
--- /dev/null
+++ b/src/coordination/gateway_stages.cc
@@ -0,0 +1,126 @@
+// The stages of one request: orders for pieces, and what their results lead to.
+#include <algorithm>
+#include <map>
+
+#include "coordination/gateway_impl.h"
+
+namespace acaciachute {
+
+std::vector<DurationUs> StageTimes(const ServingConfig& config,
+                                   const Route& route) {
+  std::vector<DurationUs> times;
+  for (const StageSpec& it : route.stages) {
+    const Service* service = config.FindService(it.service);
+    const bool known = service != nullptr && service->batching;
+    const BatchLimits limits = known ? *service->batching : BatchLimits{};
+    times.push_back(limits.call + limits.piece * (limits.batch / 2));
+  }
+  return times;
+}
+
+std::string Gateway::Impl::DomainOfMost(
+    const std::vector<std::string>& handles) const {
+  std::map<std::string, int> count;
+  for (const auto& it : handles) {
+    if (const ReplicaEntry* maker = directory->MakerOf(it)) {
+      ++count[maker->domain];
+    }
+  }
+  const auto most = std::max_element(
+      count.begin(), count.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == count.end() ? std::string() : most->first;
+}
+
+// Results that cross failure domains are priced by their bytes; small ones do
+// not matter.
+std::string Gateway::Impl::NearDomain(const ServingRequest& request,
+                                      std::uint32_t stage) const {
+  constexpr std::uint64_t kSmall = 32 << 10;
+  const StageSpec& spec = request.route->stages[stage];
+  for (const std::uint32_t needed : spec.after) {
+    if (request.route->stages[needed].result_bytes > kSmall) {
+      return DomainOfMost(request.progress.InputsOf(stage));
+    }
+  }
+  if (spec.result_bytes > kSmall && request.progress.TimeAfter(stage) == 0) {
+    const ReplicaEntry* home =
+        engines.HomeOf(request.service, request.ForEngine());
+    return home == nullptr ? std::string() : home->domain;
+  }
+  return {};
+}
+
+std::vector<PieceOrder> Gateway::Impl::OrdersOf(const ServingRequest& request,
+                                                std::uint32_t stage) const {
+  const TimeUs now = ports->Now();
+  const StageSpec& spec = request.route->stages[stage];
+  PieceOrder order;
+  order.service = spec.service;
+  order.inputs = request.progress.InputsOf(stage);
+  if (spec.after.empty()) {
+    order.source = request.call.piece_key;
+  }
+  // Made later than this, the piece could not lead to an answer in time.
+  const DurationUs after_this = request.progress.TimeAfter(stage) + kEngineTime;
+  order.time_left = request.answer_by - now - after_this;
+  order.waited = now - request.received_at;
+  order.time_to_begin =
+      request.target_by - now - request.progress.TimeLeft() - kEngineTime;
+  for (const std::uint32_t needed : spec.after) {
+    order.holds_bytes += request.route->stages[needed].result_bytes *
+                         request.progress.Pieces(needed);
+  }
+  order.priority = request.priority;
+  order.result_bytes = spec.result_bytes;
+  order.near_domain = NearDomain(request, stage);
+  order.holds_bytes /= std::max(1U, request.progress.Pieces(stage));
+  std::vector<PieceOrder> orders;
+  for (std::uint32_t n = 0; n < request.progress.Pieces(stage); ++n) {
+    order.key = {request.call.id, stage, n};
+    orders.push_back(order);
+  }
+  return orders;
+}
+
+void Gateway::Impl::RunStages(ServingRequest* request) {
+  const TimeUs now = ports->Now();
+  const ExchangeId id = request->id;
+  for (const std::uint32_t stage : request->progress.TakeReady()) {
+    std::vector<PieceOrder> orders = OrdersOf(*request, stage);
+    if (orders.empty()) {
+      continue;
+    }
+    desk->Submit(now, std::move(orders));
+    if (ByExchange(id) == nullptr) {
+      return;  // Refused at once.
+    }
+  }
+  if (request->progress.Complete()) {
+    OnStagesDone(request);
+  }
+}
+
+void Gateway::Impl::OnStagesDone(ServingRequest* request) {
+  request->staged = true;
+  request->staged_at = ports->Now();
+  StartAttempt(request);
+}
+
+// Results live a few seconds and end with their maker; the stages are made
+// again when one is gone, as long as the request has time for it.
+void Gateway::Impl::RestartStages(ServingRequest* request) {
+  desk->Free(request->progress.TakeAll());
+  desk->Drop(request->call.id);
+  if (++request->restarts > kMostRestarts) {
+    Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
+                     "results of stages were lost too often"});
+    return;
+  }
+  log->Write("stages_again", {{"id", request->call.id}});
+  request->progress.Restart();
+  request->staged = false;
+  RunStages(request);
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/daemon/gateway_node_impl.h
@@ -0,0 +1,190 @@
+// The inside of `GatewayNode`, shared by its source files.
+#ifndef ACACIACHUTE_SRC_DAEMON_GATEWAY_NODE_IMPL_H_
+#define ACACIACHUTE_SRC_DAEMON_GATEWAY_NODE_IMPL_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/gateway.h"
+#include "coordination/gateway_join.h"
+#include "coordination/gateway_peers.h"
+#include "coordination/local_piece_desk.h"
+#include "coordination/shared_piece_desk.h"
+#include "coordination/table_watch.h"
+#include "daemon/gateway_node.h"
+#include "platform/pieces.h"
+#include "platform/requests.h"
+#include "platform/rows.h"
+#include "platform/store_client.h"
+#include "state/metrics.h"
+#include "text.h"
+#include "transport/http_channels.h"
+#include "transport/http_listener.h"
+#include "transport/log_writer.h"
+#include "transport/peer_mesh.h"
+
+namespace acaciachute {
+
+// Where gateways find one another.
+inline constexpr char kGatewayTable[] = "acaciachute-gateways";
+
+struct GatewayNode::Impl : public ListenerHandler,
+                           public GatewayPorts,
+                           public CallSink,
+                           public TableListener,
+                           public DirectoryWatcher,
+                           public PieceBatcherOutput,
+                           public SharedPieceDeskOutput,
+                           public PeerHandler,
+                           public GatewayJoinOutput {
+  Impl(HostSettings settings_in, Loop* loop_in);
+
+  absl::Status Start();
+  void Drain();
+  void Reload();
+  void Tick();
+  void CheckDrained();
+
+  // The balancer's question, and operators' pages.
+  class Readiness : public ListenerHandler {
+   public:
+    explicit Readiness(Impl* owner) : owner_(owner) {}
+    void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
+      owner_->OnOperatorRequest(id, head);
+    }
+    void OnGone(ExchangeId) override {}
+    void OnWritten(ExchangeId) override {}
+    void OnListenerEvent(const ListenerEvent&) override {}
+
+   private:
+    Impl* const owner_;
+  };
+
+  void OnOperatorRequest(ExchangeId id, const HttpRequestHead& head);
+  bool Ready() const;
+  ListenerLimits ClientLimitsOf(const ClientLimits& limits) const;
+
+  // ListenerHandler
+  void OnRequest(ExchangeId id,
+                 HttpRequestHead head,
+                 std::string body) override;
+  void OnGone(ExchangeId id) override { gateway->OnGone(id); }
+  void OnWritten(ExchangeId id) override { gateway->OnWritten(id); }
+  void OnListenerEvent(const ListenerEvent& event) override;
+
+  // GatewayPorts
+  TimeUs Now() override { return Loop::BootNow(); }
+  void Refuse(ExchangeId id, const OwnAnswer& answer) override;
+  void Answer(ExchangeId id,
+              const ReplicaHead& head,
+              std::string_view body) override {
+    clients.Reply(id, head.status, head.fields, body);
+  }
+  void BeginStream(ExchangeId id, const ReplicaHead& head) override {
+    clients.BeginStream(id, head.status, head.fields);
+  }
+  void StreamData(ExchangeId id, std::string_view bytes) override {
+    clients.StreamData(id, bytes);
+  }
+  void EndStream(ExchangeId id) override { clients.EndStream(id); }
+  void Break(ExchangeId id) override { clients.Break(id); }
+  std::size_t Unsent(ExchangeId id) override { return clients.Unsent(id); }
+  CallId Send(const SendOrder& order) override;
+  void Cancel(CallId id) override { channels.Cancel(id); }
+  void SetReading(CallId id, bool reading) override {
+    channels.SetReading(id, reading);
+  }
+
+  // CallSink: requests at replicas.
+  void OnAnswerHead(CallId id, const HttpAnswerHead& head) override {
+    gateway->OnReplicaHead(id, platform::ReadReplicaHead(head));
+  }
+  void OnAnswerBody(CallId id, std::string_view bytes) override {
+    gateway->OnReplicaBody(id, bytes);
+  }
+  void OnAnswerEnd(CallId id) override { gateway->OnReplicaEnd(id); }
+  void OnCallFailed(CallId id, const CallFailure& failure) override {
+    gateway->OnReplicaFailed(id, failure.sent,
+                             StrCat(Name(failure.kind), ": ", failure.reason));
+  }
+
+  // TableListener
+  void OnTable(const std::string& table,
+               const std::vector<TableRow>& rows) override;
+  void OnRow(const std::string& table, const TableRow& row) override;
+  void OnTableCurrent(const std::string& table, TimeUs asked_at) override;
+  void OnTableLost(const std::string& table) override;
+  void TakeConfig(const TableRow& row);
+
+  // DirectoryWatcher
+  void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override;
+
+  // PieceBatcherOutput
+  void StartCall(const PieceCall& call) override;
+  void OnPiece(const PieceResult& result) override {
+    desk.OnLocalPiece(result);
+  }
+  void FreeAt(const Address& replica,
+              const std::vector<std::string>& handles) override {
+    pieces.Free(replica, handles);
+  }
+
+  // SharedPieceDeskOutput
+  void SendToPeer(const NodeId& peer, const Message& message) override;
+  void OnOwnPiece(const PieceResult& result) override {
+    gateway->OnPiece(result);
+  }
+
+  // PeerHandler
+  void OnPeerMessage(const NodeId& from,
+                     Incarnation peer_incarnation,
+                     const Message& message) override;
+  void OnPeerDatagram(const NodeId& from,
+                      Incarnation peer_incarnation,
+                      const Message& message) override;
+  void OnPeerLost(const NodeId& peer) override { desk.OnPeerLost(Now(), peer); }
+  void OnUnsent(const NodeId& peer, const Message& message) override {
+    peers.OnUnreachable(Now(), peer);
+    desk.OnPeerLost(Now(), peer);
+  }
+
+  // GatewayJoinOutput
+  void ReadGateways() override { store.ReadRows(kGatewayTable, ""); }
+  void WriteGateway(const std::string& key,
+                    const std::string& value,
+                    bool only_new) override;
+  void OnGateway(const NodeId& node, const Address& address) override;
+  void OnFrameKey(const std::string& key) override;
+
+  void TickPeers(TimeUs now);
+  GatewayBeat BeatNow(TimeUs now) const;
+
+  HostSettings settings;
+  Loop* const loop;
+  Random random;
+  Metrics metrics;
+  LogWriter log;
+  HttpListener clients;
+  Readiness readiness_handler;
+  HttpListener readiness;
+  HttpChannels channels;
+  platform::PieceCalls pieces;
+  ReplicaDirectory directory;
+  std::unique_ptr<Gateway> gateway;
+  const Incarnation incarnation;
+  GatewayPeers peers;
+  LocalPieceDesk batchers;
+  SharedPieceDesk desk;
+  std::unique_ptr<PeerMesh> mesh;  // Once the frames' key is known.
+  GatewayJoin join;
+  platform::StoreClient store;
+  TableWatch config_watch;
+  TableWatch replica_watch;
+  bool draining = false;
+  TimeUs drain_since = 0;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_DAEMON_GATEWAY_NODE_IMPL_H_
--- /dev/null
+++ b/src/daemon/gateway_node_peers.cc
@@ -0,0 +1,109 @@
+// A gateway process among the others: finding them, beats, pieces handed over.
+#include <map>
+#include <utility>
+
+#include "daemon/gateway_node_impl.h"
+
+namespace acaciachute {
+
+void GatewayNode::Impl::TickPeers(TimeUs now) {
+  join.OnTick(now);
+  for (const NodeId& peer : peers.TakeLost(now)) {
+    gateway->engines()->SetOthers(peer, {});
+    desk.OnPeerLost(now, peer);
+  }
+  gateway->SetEntries(peers.Live());
+  if (mesh == nullptr) {
+    return;
+  }
+  const std::vector<NodeId> due = peers.DueBeats(now);
+  if (due.empty()) {
+    return;
+  }
+  const GatewayBeat beat = BeatNow(now);
+  for (const NodeId& peer : due) {
+    mesh->SendDatagram(peer, beat);
+  }
+}
+
+GatewayBeat GatewayNode::Impl::BeatNow(TimeUs now) const {
+  GatewayBeat beat;
+  beat.address = {settings.ip, settings.first_peer_port};
+  beat.leaving = draining;
+  beat.cores = settings.cores;
+  beat.waits = desk.OwnWaits(now);
+  for (const auto& [replica, load] : gateway->engines()->own()) {
+    beat.work.push_back({replica, load.running, load.unread_tokens});
+  }
+  return beat;
+}
+
+void GatewayNode::Impl::SendToPeer(const NodeId& peer, const Message& message) {
+  mesh->Send(peer, message);
+}
+
+void GatewayNode::Impl::OnPeerMessage(const NodeId& from,
+                                      Incarnation,
+                                      const Message& message) {
+  const TimeUs now = Now();
+  if (const auto* orders = std::get_if<PieceOrders>(&message)) {
+    desk.OnPeerOrders(now, from, *orders);
+  } else if (const auto* drop = std::get_if<PieceDrop>(&message)) {
+    desk.OnPeerDrop(*drop);
+  } else if (const auto* free = std::get_if<PieceFree>(&message)) {
+    desk.OnPeerFree(*free);
+  } else if (const auto* results = std::get_if<PieceResults>(&message)) {
+    desk.OnPeerResults(*results);
+  }
+}
+
+void GatewayNode::Impl::OnPeerDatagram(const NodeId& from,
+                                       Incarnation peer_incarnation,
+                                       const Message& message) {
+  const auto* beat = std::get_if<GatewayBeat>(&message);
+  if (beat == nullptr) {
+    return;
+  }
+  if (peers.OnBeat(Now(), from, peer_incarnation, *beat)) {
+    mesh->SetAddress(from, beat->address);
+  }
+  std::map<ReplicaId, EngineLoad> loads;
+  for (const EngineWork& it : beat->work) {
+    loads[it.replica] = {it.running, it.unread_tokens};
+  }
+  gateway->engines()->SetOthers(from, loads);
+  desk.OnPeerWaits(beat->waits);
+}
+
+void GatewayNode::Impl::WriteGateway(const std::string& key,
+                                     const std::string& value,
+                                     bool only_new) {
+  store.WriteRow(kGatewayTable, key, value, only_new,
+                 [this](platform::WriteOutcome outcome) {
+                   join.OnWritten(Now(),
+                                  outcome != platform::WriteOutcome::kUnknown);
+                 });
+}
+
+void GatewayNode::Impl::OnGateway(const NodeId& node, const Address& address) {
+  peers.OnListed(Now(), node);
+  if (mesh != nullptr && !peers.IsLive(node)) {
+    mesh->SetAddress(node, address);
+  }
+}
+
+void GatewayNode::Impl::OnFrameKey(const std::string& key) {
+  PeerOptions options;
+  options.node = settings.node;
+  options.incarnation = incarnation;
+  options.frame_key = key;
+  options.listen = {settings.ip, settings.first_peer_port};
+  mesh = std::make_unique<PeerMesh>(options, this, &metrics);
+  if (const auto status = mesh->Listen(); !status.ok()) {
+    // Alone it still serves, with smaller batches.
+    log.Write("mesh_failed", {{"why", std::string(status.message())}});
+    mesh.reset();
+  }
+}
+
+}  // namespace acaciachute
