--- /dev/null
+++ b/tests/process/gateway_test.cc
@@ -0,0 +1,284 @@
+// The gateway as a process of its own, before a store and a replica that this
+// test plays on loopback.
+#include <gio/gio.h>
+#include <glib/gstdio.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "address_text.h"
+#include "text.h"
+#include "transport/glib_ptr.h"
+#include "transport/http_channels.h"
+#include "transport/http_listener.h"
+#include "transport/loop.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+constexpr DurationUs kPatience = 10 * kSecond;
+
+Address FreeAddress() {
+  const GPtr<GSocket> socket(g_socket_new(G_SOCKET_FAMILY_IPV4,
+                                          G_SOCKET_TYPE_STREAM,
+                                          G_SOCKET_PROTOCOL_TCP, nullptr));
+  const GPtr<GSocketAddress> any(
+      g_inet_socket_address_new_from_string("127.0.0.1", 0));
+  g_socket_bind(socket.get(), any.get(), TRUE, nullptr);
+  const GPtr<GSocketAddress> bound(
+      g_socket_get_local_address(socket.get(), nullptr));
+  return {"127.0.0.1",
+          g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound.get()))};
+}
+
+// Answers as the platform's store and as one replica, on one address.
+class Standin : public ListenerHandler {
+ public:
+  explicit Standin(Loop* loop)
+      : loop_(loop), address(FreeAddress()), listener_(this, loop) {
+    EXPECT_TRUE(listener_.Listen(address).ok());
+  }
+
+  void OnRequest(ExchangeId id,
+                 HttpRequestHead head,
+                 std::string body) override {
+    if (head.target.starts_with("/rows-")) {
+      AnswerAsStore(id, head.target, body);
+      return;
+    }
+    ++runs;
+    ids.push_back(*FindField(head.fields, "Attempt-Id"));
+    account = *FindField(head.fields, "Tenant");
+    if (break_off) {
+      listener_.Break(id);
+      return;
+    }
+    const HttpFields fields = {{"Attempt-Id", ids.back()},
+                               {"Replica-Seal", "proof"}};
+    loop_->After(delay, [this, id, fields] {
+      listener_.Reply(id, 200, fields, "answer");
+    });
+  }
+  void OnGone(ExchangeId) override {}
+  void OnWritten(ExchangeId) override {}
+  void OnListenerEvent(const ListenerEvent&) override {}
+
+  bool break_off = false;
+  DurationUs delay = 0;
+  int runs = 0;
+  std::vector<std::string> ids;
+  std::string account;
+
+ private:
+  Json Row(const std::string& table,
+           const std::string& key,
+           const Json& value) {
+    std::string coded;
+    absl::Base64Escape(value.dump(), &coded);
+    return {{"table", table},
+            {"part", ""},
+            {"key", key},
+            {"value", coded},
+            {"ver", 1}};
+  }
+  Json Config() {
+    return {{"version", 1},
+            {"routes",
+             {{{"name", "r"},
+               {"host", "h.example"},
+               {"prefix", "/a/"},
+               {"kind", "unsafe"},
+               {"timeout_ms", 5000},
+               {"target_latency_ms", 100},
+               {"priority", 1},
+               {"service", "app"},
+               {"max_attempts", 2}}}},
+            {"services", {{{"name", "app"}, {"max_connections", 50}}}},
+            {"tenants", {{{"name", "acme"}, {"api_keys", {"k1"}}}}}};
+  }
+  void AnswerAsStore(ExchangeId id,
+                     const std::string& target,
+                     const std::string& body) {
+    Json rows = Json::array();
+    if (Contains(target, "/rows-tx")) {
+      for (const Json& it : Json::parse(body).at("writes")) {
+        gateways_[it.at("key")] = it;
+      }
+    } else if (Contains(target, "/rows-get") && Contains(target, "table=op")) {
+      rows.push_back(Row("op", "config", Config()));
+    } else if (Contains(target, "/rows-get") &&
+               Contains(target, "table=servers")) {
+      rows.push_back(Row("servers", "i-1",
+                         {{"service", "app"},
+                          {"address", AddressText(address)},
+                          {"zone", "a"},
+                          {"slots", 4},
+                          {"state", "ready"}}));
+    } else if (Contains(target, "/rows-get")) {
+      for (const auto& [key, row] : gateways_) {
+        rows.push_back(row);
+      }
+    }
+    const Json answer = {{"rows", rows}, {"truncated", false}, {"ver", 1}};
+    const bool waits = Contains(target, "/rows-feed");
+    loop_->After(waits ? kSecond : 0, [this, id, text = answer.dump()] {
+      listener_.Reply(id, 200, {{"Content-Type", "application/json"}}, text);
+    });
+  }
+
+  Loop* const loop_;
+
+ public:
+  const Address address;
+
+ private:
+  HttpListener listener_;
+  std::map<std::string, Json> gateways_;
+};
+
+struct Answer : CallSink {
+  void OnAnswerHead(CallId, const HttpAnswerHead& head) override {
+    status = head.status;
+    const std::string* connection = FindField(head.fields, "Connection");
+    closes = connection != nullptr && *connection == "close";
+  }
+  void OnAnswerBody(CallId, std::string_view bytes) override { body += bytes; }
+  void OnAnswerEnd(CallId) override { over = true; }
+  void OnCallFailed(CallId, const CallFailure&) override { over = true; }
+  int status = 0;
+  bool closes = false;
+  bool over = false;
+  std::string body;
+};
+
+// One gateway process with the settings file that the platform would lay down.
+class GatewayProcessTest : public ::testing::Test {
+ protected:
+  void Start() {
+    clients_ = FreeAddress();
+    readiness_ = FreeAddress();
+    const Address peers = FreeAddress();
+    gchar* path = nullptr;
+    close(g_file_open_tmp("acaciachute-XXXXXX", &path, nullptr));
+    file_ = path;
+    g_free(path);
+    std::ofstream(file_) << "node_name=front-1\nip=127.0.0.1\nzone=a\n"
+                         << "listen.front=" << AddressText(clients_) << "\n"
+                         << "listen.ready_addr=" << AddressText(readiness_)
+                         << "\ninternal_ports=" << peers.port << ","
+                         << peers.port << "\nplatform.address="
+                         << AddressText(standin_.address)
+                         << "\nbounds.grace_s=8\n";
+    const GPtr<GSubprocessLauncher> launcher(
+        g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDOUT_SILENCE));
+    g_subprocess_launcher_setenv(launcher.get(), "ACACIACHUTE_BOOT",
+                                 file_.c_str(), TRUE);
+    process_.reset(g_subprocess_launcher_spawn(
+        launcher.get(), nullptr, ACACIACHUTE_BIN_DIR "/acaciachuted",
+        "--gateway", nullptr));
+    ASSERT_NE(process_, nullptr);
+    ASSERT_TRUE(WaitFor([this] { return AskReady() == 200; }));
+  }
+  void TearDown() override {
+    if (process_ != nullptr) {
+      g_subprocess_force_exit(process_.get());
+      g_subprocess_wait(process_.get(), nullptr, nullptr);
+    }
+    g_remove(file_.c_str());
+  }
+
+  bool WaitFor(const std::function<bool()>& condition) {
+    const TimeUs end = Loop::Now() + kPatience;
+    bool holds = condition();
+    while (!holds && Loop::Now() < end) {
+      loop_.After(10 * kMillisecond, [this] { loop_.Quit(); });
+      loop_.Run();
+      holds = condition();
+    }
+    return holds;
+  }
+  void Send(const std::string& id, Answer* answer) {
+    ChannelRequest request;
+    request.method = "POST";
+    request.target = "/a/x";
+    request.fields = {{"Host", "h.example"},
+                      {"Attempt-Id", id},
+                      {"Deadline-Ms", "4000"},
+                      {"Authorization", "Bearer k1"}};
+    request.body = "body";
+    channels_.Start(clients_, request, {}, answer);
+  }
+  int AskReady() {
+    Answer answer;
+    ChannelRequest request;
+    request.target = "/readyz";
+    request.fields = {{"Host", "h"}};
+    ChannelOptions options;
+    options.total = 500 * kMillisecond;
+    channels_.Start(readiness_, request, options, &answer);
+    const TimeUs end = Loop::Now() + kSecond;
+    while (!answer.over && Loop::Now() < end) {
+      loop_.After(kMillisecond, [this] { loop_.Quit(); });
+      loop_.Run();
+    }
+    return answer.status;
+  }
+
+  Loop loop_;
+  Standin standin_{&loop_};
+  HttpChannels channels_{&loop_};
+  Address clients_;
+  Address readiness_;
+  std::string file_;
+  GPtr<GSubprocess> process_;
+};
+
+TEST_F(GatewayProcessTest, ServesARequestFromStartToFinish) {
+  Start();
+  Answer answer;
+  Send("c1", &answer);
+  ASSERT_TRUE(WaitFor([&] { return answer.over; }));
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "answer");
+  EXPECT_EQ(standin_.account, "acme");
+  EXPECT_EQ(standin_.ids, std::vector<std::string>{"c1"});
+}
+
+// The caller of a request that must run once hears 502: its replica broke off,
+// and nobody ran it a second time.
+TEST_F(GatewayProcessTest, NeverRunsANonIdempotentRequestTwice) {
+  Start();
+  standin_.break_off = true;
+  Answer answer;
+  Send("c1", &answer);
+  ASSERT_TRUE(WaitFor([&] { return answer.over; }));
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(standin_.runs, 1);
+}
+
+// A caller whose request is in progress when the gateway is told to end still
+// gets its answer, on a connection that then closes; the balancer hears at once
+// that no more are welcome, and the process ends by itself.
+TEST_F(GatewayProcessTest, FinishesWhatItHasWhenToldToEnd) {
+  Start();
+  standin_.delay = kSecond;
+  Answer answer;
+  Send("c1", &answer);
+  ASSERT_TRUE(WaitFor([&] { return standin_.runs == 1; }));
+  g_subprocess_send_signal(process_.get(), SIGTERM);
+  ASSERT_TRUE(WaitFor([&] { return AskReady() == 503; }));
+  ASSERT_TRUE(WaitFor([&] { return answer.over; }));
+  EXPECT_EQ(answer.body, "answer");
+  EXPECT_TRUE(answer.closes);
+  g_subprocess_wait(process_.get(), nullptr, nullptr);
+  EXPECT_TRUE(g_subprocess_get_successful(process_.get()));
+}
+
+}  // namespace
+}  // namespace acaciachute
