--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -280,5 +280,34 @@
   EXPECT_TRUE(g_subprocess_get_successful(process_.get()));
 }
 
+// An operator who checks a settings file hears of every mistake in it at once,
+// and the process does not start.
+TEST(GatewayProgramTest, NamesEveryMistakeInItsSettings) {
+  gchar* path = nullptr;
+  close(g_file_open_tmp("acaciachute-XXXXXX", &path, nullptr));
+  const std::string file = path;
+  g_free(path);
+  std::ofstream(file) << "node_name=n\nip=127.0.0.1\nzone=a\n"
+                      << "listen.front=nowhere\ninternal_ports=2,1\n";
+  const GPtr<GSubprocessLauncher> launcher(
+      g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDERR_PIPE));
+  g_subprocess_launcher_setenv(launcher.get(), "ACACIACHUTE_BOOT", file.c_str(),
+                               TRUE);
+  const GPtr<GSubprocess> process(g_subprocess_launcher_spawn(
+      launcher.get(), nullptr, ACACIACHUTE_BIN_DIR "/acaciachuted", "--gateway",
+      "--check-settings", nullptr));
+  gchar* errors = nullptr;
+  ASSERT_TRUE(g_subprocess_communicate_utf8(process.get(), nullptr, nullptr,
+                                            nullptr, &errors, nullptr));
+  const std::string text = errors;
+  g_free(errors);
+  g_remove(file.c_str());
+  EXPECT_EQ(g_subprocess_get_exit_status(process.get()), 2);
+  for (const char* it : {"listen.front", "listen.ready_addr", "internal_ports",
+                         "platform.address"}) {
+    EXPECT_TRUE(Contains(text, it)) << it << "\n" << text;
+  }
+}
+
 }  // namespace
 }  // namespace acaciachute
