--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -7,7 +7,9 @@
 
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/escaping.h"
@@ -61,9 +63,8 @@
     }
     const HttpFields fields = {{"Attempt-Id", ids.back()},
                                {"Replica-Seal", "proof"}};
-    loop_->After(delay, [this, id, fields] {
-      listener_.Reply(id, 200, fields, "answer");
-    });
+    Later(delay,
+          [this, id, fields] { listener_.Reply(id, 200, fields, "answer"); });
   }
   void OnGone(ExchangeId) override {}
   void OnWritten(ExchangeId) override {}
@@ -76,6 +77,16 @@
   std::string account;
 
  private:
+  // The loop is the process's only one, so a timer that is left over would run
+  // in a later test, when this stand-in is gone.
+  void Later(DurationUs delay, const std::function<void()>& task) {
+    loop_->After(delay, [alive = std::weak_ptr<int>(alive_), task] {
+      if (!alive.expired()) {
+        task();
+      }
+    });
+  }
+
   Json Row(const std::string& table,
            const std::string& key,
            const Json& value) {
@@ -127,12 +138,13 @@
     }
     const Json answer = {{"rows", rows}, {"truncated", false}, {"ver", 1}};
     const bool waits = Contains(target, "/rows-feed");
-    loop_->After(waits ? kSecond : 0, [this, id, text = answer.dump()] {
+    Later(waits ? kSecond : 0, [this, id, text = answer.dump()] {
       listener_.Reply(id, 200, {{"Content-Type", "application/json"}}, text);
     });
   }
 
   Loop* const loop_;
+  const std::shared_ptr<int> alive_ = std::make_shared<int>();
 
  public:
   const Address address;
