Begin a request's pieces only where there is memory for all their results

Cause: with room for some of a request's results, some were begun and held that memory until the rest found room; late ones outlived their inputs, and their stages began again. Change: a request waits for a replica with room for all pieces that go together, unless they would fill half of a replica by themselves.

--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -215,6 +215,15 @@
          (taken > 0 && taken + QueuedOf(rank.key) > limits_.batch);
 }
 
+// Memory for the results of the pieces that are begun together with this one:
+// those of its request and stage, unless they would fill a replica by
+// themselves.
+std::uint64_t PieceBatcher::BytesOfQueued(const Piece& piece) const {
+  const std::uint64_t one = piece.order.result_bytes;
+  const std::uint64_t all = QueuedOf(piece.order.key) * one;
+  return all <= limits_.room_bytes / 2 ? all : one;
+}
+
 std::vector<PieceOrder> PieceBatcher::TakePieces(TimeUs now,
                                                  const ReplicaEntry& replica,
                                                  std::size_t most) {
@@ -229,9 +238,11 @@
       break;
     }
     Piece& piece = pieces_.at(it->key);
+    const std::uint64_t room =
+        it->standing == Standing::kLate ? LateRoom() : limits_.room_bytes;
     const bool fits =
-        bytes + piece.order.result_bytes <=
-        (it->standing == Standing::kLate ? LateRoom() : limits_.room_bytes);
+        bytes + (begins ? BytesOfQueued(piece) : piece.order.result_bytes) <=
+        room;
     if (!fits || piece.tried.contains(replica.id) ||
         !NearEnough(now, piece, replica.domain)) {
       ++it;
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -215,6 +215,7 @@
   static DurationUs NearPatience(TimeUs now, const Piece& piece);
   bool NearEnough(TimeUs now, const Piece& piece, const std::string& domain);
   std::size_t QueuedOf(const PieceKey& key) const;
+  std::uint64_t BytesOfQueued(const Piece& piece) const;
   bool LeftForNextCall(const Rank& rank,
                        std::size_t taken,
                        std::size_t most) const;
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -318,6 +318,29 @@
   EXPECT_EQ(rig.calls[1].pieces.size(), 4U);
 }
 
+// Load: a replica has memory for some of a request's results. Begun in part,
+// they would hold that memory until there is room for the rest; so the request
+// waits, and a smaller one behind it goes first.
+TEST(PieceBatcherTest, BeginsARequestOnlyWhereThereIsMemoryForAllOfIt) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  const auto add = [&](const std::string& request, std::uint32_t pieces,
+                       std::uint64_t bytes) {
+    for (std::uint32_t n = 0; n < pieces; ++n) {
+      PieceOrder order = BatcherRig::Order(request, n);
+      order.result_bytes = bytes;
+      rig.Add(order);
+    }
+  };
+  add("r1", 1, 80);  // Of 100 bytes.
+  add("r2", 3, 10);
+  add("r3", 1, 10);
+  rig.batcher.Dispatch(rig.now);
+  ASSERT_EQ(rig.calls.size(), 1U);
+  ASSERT_EQ(rig.calls[0].pieces.size(), 2U);
+  EXPECT_EQ(rig.calls[0].pieces[1].key.request, "r3");
+}
+
 // More pieces of one request than a call takes are split all the same.
 TEST(PieceBatcherTest, SplitsARequestThatNoCallCouldTake) {
   BatcherRig rig;
