Watch all sockets through one descriptor of the main loop

GLib went over some 400 socket sources for each event. Change: an epoll descriptor as one source of the loop. A send that fails is now told as the connection's end; before, a broken connection that was not read could keep its source ready for ever.

--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -78,7 +78,8 @@
 
   // The connection itself; a failure is reported from the loop like any other.
   void Open() {
-    auto stream = SocketStream::Connect(address_, this);
+    auto stream =
+        SocketStream::Connect(owner_->loop->sockets(), address_, this);
     if (stream.ok()) {
       stream_ = *std::move(stream);
       return;
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -69,7 +69,9 @@
       : owner_(owner),
         reader_(owner->limits.read),
         idle_since_(Loop::Now()),
-        stream_(SocketStream::Accepted(std::move(socket), this)) {}
+        stream_(SocketStream::Accepted(owner->loop->sockets(),
+                                       std::move(socket),
+                                       this)) {}
   ~Connection() override {
     owner_->buffered -= counted_;
     if (id_ != 0) {
--- a/src/transport/loop.cc
+++ b/src/transport/loop.cc
@@ -65,6 +65,7 @@
 
 struct Loop::Impl {
   GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+  SocketPoller sockets;
 };
 
 Loop::Loop() : impl_(std::make_unique<Impl>()) {
@@ -112,6 +113,10 @@
                          new TaskHolder{std::move(task), true}, FreeTask);
 }
 
+SocketPoller* Loop::sockets() {
+  return &impl_->sockets;
+}
+
 void Loop::Run() {
   g_main_loop_run(impl_->loop);
 }
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "transport/socket_poller.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -34,6 +35,7 @@
   TimerId Every(DurationUs period, Task task);
   void Cancel(TimerId id);
   void OnSignal(int signal, Task task);
+  SocketPoller* sockets();
 
   void Run();
   void Quit();
--- a/src/transport/socket_stream.cc
+++ b/src/transport/socket_stream.cc
@@ -24,8 +24,10 @@
 
 }  // namespace
 
-SocketStream::SocketStream(GPtr<GSocket> socket, SocketHandler* handler)
-    : socket_(std::move(socket)), handler_(handler) {
+SocketStream::SocketStream(SocketPoller* poller,
+                           GPtr<GSocket> socket,
+                           SocketHandler* handler)
+    : poller_(poller), socket_(std::move(socket)), handler_(handler) {
   SetOptions(socket_.get());
 }
 
@@ -33,16 +35,18 @@
   Close();
 }
 
-std::shared_ptr<SocketStream> SocketStream::Accepted(GPtr<GSocket> socket,
+std::shared_ptr<SocketStream> SocketStream::Accepted(SocketPoller* poller,
+                                                     GPtr<GSocket> socket,
                                                      SocketHandler* handler) {
   std::shared_ptr<SocketStream> stream(
-      new SocketStream(std::move(socket), handler));
+      new SocketStream(poller, std::move(socket), handler));
   stream->connected_ = true;
   stream->SetReading(true);
   return stream;
 }
 
 absl::StatusOr<std::shared_ptr<SocketStream>> SocketStream::Connect(
+    SocketPoller* poller,
     const Address& address,
     SocketHandler* handler) {
   GError* raw_error = nullptr;
@@ -59,7 +63,7 @@
         StrCat("not an IP address: ", address.ip));
   }
   std::shared_ptr<SocketStream> stream(
-      new SocketStream(std::move(socket), handler));
+      new SocketStream(poller, std::move(socket), handler));
   g_socket_connect(stream->socket_.get(), target.get(), nullptr, &raw_error);
   if (raw_error != nullptr) {
     const GErrorPtr error(raw_error);
@@ -67,35 +71,22 @@
       return absl::UnavailableError(error->message);
     }
   }
-  stream->Watch(&stream->write_source_, G_IO_OUT, OnWritable);
+  stream->Watch(false, true);
   return stream;
 }
 
-void SocketStream::Watch(GSource** source,
-                         GIOCondition condition,
-                         GSocketSourceFunc fn) {
-  if (*source != nullptr) {
+void SocketStream::Watch(bool readable, bool writable) {
+  if (readable == reads_ && writable == writes_) {
     return;
   }
-  *source = g_socket_create_source(socket_.get(), condition, nullptr);
-  // GLib's macro for the cast of a typed callback.
-  g_source_set_callback(*source, G_SOURCE_FUNC(fn), this, nullptr);
-  g_source_attach(*source, nullptr);
-}
-
-void SocketStream::Unwatch(GSource** source) {
-  if (*source != nullptr) {
-    g_source_destroy(*source);
-    g_source_unref(*source);
-    *source = nullptr;
-  }
+  reads_ = readable;
+  writes_ = writable;
+  poller_->Watch(g_socket_get_fd(socket_.get()), this, readable, writable);
 }
 
 void SocketStream::SetReading(bool reading) {
-  if (reading && handler_ != nullptr && connected_) {
-    Watch(&read_source_, G_IO_IN, OnReadable);
-  } else if (!reading) {
-    Unwatch(&read_source_);
+  if (handler_ != nullptr && connected_) {
+    Watch(reading, writes_);
   }
 }
 
@@ -120,68 +111,62 @@
                                    out_.size() - done, nullptr, &raw_error);
     if (n < 0) {
       const GErrorPtr error(raw_error);
+      if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+        send_error_ = error->message;
+      }
       break;
     }
     done += static_cast<std::size_t>(n);
   }
   out_.erase(0, done);
-  if (!out_.empty()) {
-    Watch(&write_source_, G_IO_OUT, OnWritable);
-    return;
-  }
-  Unwatch(&write_source_);
-  if (finishing_) {
+  Watch(reads_, !out_.empty());
+  if (out_.empty() && finishing_) {
     g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
   }
 }
 
-gboolean SocketStream::OnReadable(GSocket*, GIOCondition, gpointer data) {
-  const auto self = static_cast<SocketStream*>(data)->shared_from_this();
+void SocketStream::OnReadable() {
+  const auto self = shared_from_this();  // A callback may let go of it.
   std::array<char, kReadBytes> buf;
   GError* raw_error = nullptr;
-  const gssize n = g_socket_receive(self->socket_.get(), buf.data(), buf.size(),
+  const gssize n = g_socket_receive(socket_.get(), buf.data(), buf.size(),
                                     nullptr, &raw_error);
   if (n > 0) {
-    self->handler_->OnBytes({buf.data(), static_cast<std::size_t>(n)});
-    return G_SOURCE_CONTINUE;
+    handler_->OnBytes({buf.data(), static_cast<std::size_t>(n)});
+    return;
   }
   if (n == 0) {
-    self->End(nullptr);
-    return G_SOURCE_CONTINUE;
+    End(nullptr);
+    return;
   }
   const GErrorPtr error(raw_error);
   if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-    self->End(error->message);
+    End(error->message);
   }
-  return G_SOURCE_CONTINUE;
 }
 
-gboolean SocketStream::OnWritable(GSocket*, GIOCondition, gpointer data) {
-  const auto self = static_cast<SocketStream*>(data)->shared_from_this();
+void SocketStream::OnWritable() {
+  const auto self = shared_from_this();
   GError* raw_error = nullptr;
-  if (!self->connected_) {
-    if (!g_socket_check_connect_result(self->socket_.get(), &raw_error)) {
-      const GErrorPtr error(raw_error);
-      self->End(error->message);
-      return G_SOURCE_CONTINUE;
-    }
-    self->connected_ = true;
-    self->SetReading(true);
-    self->handler_->OnConnected();
-    if (self->handler_ == nullptr) {
-      return G_SOURCE_CONTINUE;
-    }
-  }
-  if (!g_socket_check_connect_result(self->socket_.get(), &raw_error)) {
+  if (!g_socket_check_connect_result(socket_.get(), &raw_error)) {
     const GErrorPtr error(raw_error);
-    self->End(error->message);
-    return G_SOURCE_CONTINUE;
+    End(error->message);
+    return;
+  }
+  if (!connected_) {
+    connected_ = true;
+    Watch(true, true);
+    handler_->OnConnected();
+    if (handler_ == nullptr) {
+      return;
+    }
   }
-  self->Flush();
-  if (self->out_.empty()) {
-    self->handler_->OnFlushed();
+  Flush();
+  if (!send_error_.empty()) {
+    End(send_error_.c_str());
+  } else if (out_.empty()) {
+    handler_->OnFlushed();
   }
-  return G_SOURCE_CONTINUE;
 }
 
 void SocketStream::FinishWriting() {
@@ -203,8 +188,7 @@
 
 void SocketStream::Close() {
   handler_ = nullptr;
-  Unwatch(&read_source_);
-  Unwatch(&write_source_);
+  Watch(false, false);
   if (!g_socket_is_closed(socket_.get())) {
     g_socket_close(socket_.get(), nullptr);
   }
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -12,6 +12,7 @@
 
 #include "absl/status/statusor.h"
 #include "transport/glib_ptr.h"
+#include "transport/socket_poller.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -28,21 +29,22 @@
   virtual void OnFlushed() {}
 };
 
-class SocketStream : public std::enable_shared_from_this<SocketStream> {
+class SocketStream : public std::enable_shared_from_this<SocketStream>,
+                     private SocketWatcher {
  public:
   // Unacknowledged bytes and a silent peer end the connection after this. A
   // peer that lost power answers nothing, and without it a write waits for the
   // kernel's own 15 minutes.
   static constexpr DurationUs kPeerSilence = 3 * kSecond;
 
-  // Takes an accepted socket.
-  static std::shared_ptr<SocketStream> Accepted(GPtr<GSocket> socket,
+  // Takes an accepted socket. `poller` outlives the stream.
+  static std::shared_ptr<SocketStream> Accepted(SocketPoller* poller,
+                                                GPtr<GSocket> socket,
                                                 SocketHandler* handler);
   // `OnConnected` or `OnEnd` follows.
-  static absl::StatusOr<std::shared_ptr<SocketStream>> Connect(
-      const Address& address,
-      SocketHandler* handler);
-  ~SocketStream();
+  static absl::StatusOr<std::shared_ptr<SocketStream>>
+  Connect(SocketPoller* poller, const Address& address, SocketHandler* handler);
+  ~SocketStream() override;
   SocketStream(const SocketStream&) = delete;
   SocketStream& operator=(const SocketStream&) = delete;
 
@@ -60,22 +62,27 @@
   bool connected() const { return connected_; }
 
  private:
-  SocketStream(GPtr<GSocket> socket, SocketHandler* handler);
+  SocketStream(SocketPoller* poller,
+               GPtr<GSocket> socket,
+               SocketHandler* handler);
 
-  void Watch(GSource** source, GIOCondition condition, GSocketSourceFunc fn);
-  static void Unwatch(GSource** source);
-  static gboolean OnReadable(GSocket*, GIOCondition, gpointer data);
-  static gboolean OnWritable(GSocket*, GIOCondition, gpointer data);
+  // SocketWatcher:
+  void OnReadable() override;
+  void OnWritable() override;
+
+  void Watch(bool readable, bool writable);
   void Flush();
   void End(const char* error);
 
+  SocketPoller* const poller_;
   const GPtr<GSocket> socket_;
   SocketHandler* handler_;
-  GSource* read_source_ = nullptr;
-  GSource* write_source_ = nullptr;
   std::string out_;
+  std::string send_error_;  // Told from the loop.
   bool connected_ = false;
   bool finishing_ = false;
+  bool reads_ = false;  // What is watched.
+  bool writes_ = false;
 };
 
 }  // namespace acaciachute
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -14,6 +14,7 @@
 #include "transport/http_listener.h"
 #include "transport/log_writer.h"
 #include "transport/loop.h"
+#include "transport/socket_poller.h"
 #include "transport/socket_stream.h"
 
 namespace acaciachute {
@@ -54,7 +55,7 @@
     RawServer* const owner_;
   };
 
-  RawServer() {
+  explicit RawServer(Loop* loop) : loop_(loop) {
     socket_.reset(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                                G_SOCKET_PROTOCOL_TCP, nullptr));
     const GPtr<GSocketAddress> any(
@@ -83,11 +84,13 @@
     auto* self = static_cast<RawServer*>(data);
     auto peer = std::make_unique<Peer>(self);
     peer->stream = SocketStream::Accepted(
+        self->loop_->sockets(),
         GPtr<GSocket>(g_socket_accept(self->socket_.get(), nullptr, nullptr)),
         peer.get());
     self->peers.push_back(std::move(peer));
     return G_SOURCE_CONTINUE;
   }
+  Loop* const loop_;
   GPtr<GSocket> socket_;
   GSource* source_ = nullptr;
 };
@@ -122,7 +125,7 @@
 
 TEST(HttpChannelsTest, KeepsAConnectionForTheNextCall) {
   Loop loop;
-  RawServer server;
+  RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) { peer->stream->Write(kMine); };
   HttpChannels channels(&loop);
   for (int n = 0; n < 3; ++n) {
@@ -138,7 +141,7 @@
 // earlier request first, and the caller's own after it.
 TEST(HttpChannelsTest, PassesOverAnAnswerToAnotherRequest) {
   Loop loop;
-  RawServer server;
+  RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) {
     peer->stream->Write(StrCat(kOther, kMine));
   };
@@ -153,7 +156,7 @@
 // again.
 TEST(HttpChannelsTest, DropsAConnectionWithBytesThatNobodyAskedFor) {
   Loop loop;
-  RawServer server;
+  RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) {
     peer->stream->Write(StrCat(kMine, kMine));
   };
@@ -171,7 +174,7 @@
 // the replica closed, or no connection was made.
 TEST(HttpChannelsTest, TellsWhetherAnythingWasSent) {
   Loop loop;
-  RawServer server;
+  RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) { peer->stream->Abort(); };
   HttpChannels channels(&loop);
   Sink broken;
@@ -181,7 +184,7 @@
   EXPECT_TRUE(broken.failure->sent);
   Address closed = server.address;
   {
-    RawServer gone;
+    RawServer gone(&loop);
     closed = gone.address;
   }
   Sink refused;
@@ -194,7 +197,7 @@
 // A silent replica does not hold a caller for ever.
 TEST(HttpChannelsTest, EndsASilentCall) {
   Loop loop;
-  RawServer server;
+  RawServer server(&loop);
   HttpChannels channels(&loop);
   Sink sink;
   ChannelOptions options;
@@ -209,7 +212,7 @@
 // what it reads must be the rest of that request.
 TEST(HttpChannelsTest, SendsTheRestOfABodyAfterAnEarlyAnswer) {
   Loop loop;
-  RawServer server;
+  RawServer server(&loop);
   bool answered = false;
   server.on_bytes = [&](RawServer::Peer* peer) {
     if (!answered) {
@@ -237,16 +240,90 @@
   EXPECT_EQ(received.substr(received.find("\r\n\r\n") + 4), request.body);
 }
 
+// What the caller sees: nothing at all, for ever. A socket is closed by the
+// handler of another one's event, while its own event is already known and its
+// number goes to a new socket. The event must not be told to the new one.
+TEST(SocketPollerTest, TellsNoEventOfAClosedSocketToTheNextOne) {
+  struct Watcher : SocketWatcher {
+    void OnReadable() override { on_readable(); }
+    void OnWritable() override {}
+    std::function<void()> on_readable = [] {};
+  };
+  Loop loop;
+  std::array<std::array<int, 2>, 2> pairs{};
+  std::array<Watcher, 2> watchers;
+  Watcher next;
+  int told = 0;
+  int told_next = 0;
+  std::array<int, 2> fresh{-1, -1};
+  for (int n = 0; n < 2; ++n) {
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, pairs[n].data()), 0);
+    ASSERT_EQ(write(pairs[n][1], "x", 1), 1);
+    loop.sockets()->Watch(pairs[n][0], &watchers[n], true, false);
+    watchers[n].on_readable = [&, n] {
+      ++told;
+      loop.sockets()->Watch(pairs[n][0], &watchers[n], false, false);
+      const int other = 1 - n;
+      loop.sockets()->Watch(pairs[other][0], &watchers[other], false, false);
+      close(pairs[other][0]);
+      ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, fresh.data()), 0);
+      ASSERT_EQ(fresh[0], pairs[other][0]) << "the number is used again";
+      loop.sockets()->Watch(fresh[0], &next, true, false);
+    };
+  }
+  next.on_readable = [&] { ++told_next; };
+  const auto timer = loop.After(50 * kMs, [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_NE(timer, 0U);
+  EXPECT_EQ(told, 1);
+  EXPECT_EQ(told_next, 0);
+  loop.sockets()->Watch(fresh[0], &next, false, false);
+}
+
+// Load: hundreds of connections of which one is busy. The others cost nothing:
+// one descriptor stands in the main loop for all of them.
+TEST(SocketPollerTest, StandsInTheMainLoopOnceForAllSockets) {
+  Loop loop;
+  struct Watcher : SocketWatcher {
+    void OnReadable() override {}
+    void OnWritable() override {}
+  } watcher;
+  std::vector<std::array<int, 2>> pairs(100);
+  const auto polled = [] {
+    gint timeout = 0;
+    GMainContext* context = g_main_context_default();
+    EXPECT_TRUE(g_main_context_acquire(context));
+    gint priority = 0;
+    g_main_context_prepare(context, &priority);
+    std::array<GPollFD, 256> fds;
+    const gint n = g_main_context_query(context, G_MAXINT, &timeout, fds.data(),
+                                        static_cast<gint>(fds.size()));
+    g_main_context_release(context);
+    return n;
+  };
+  const gint before = polled();
+  for (auto& it : pairs) {
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, it.data()), 0);
+    loop.sockets()->Watch(it[0], &watcher, true, false);
+  }
+  EXPECT_EQ(polled(), before);
+  for (auto& it : pairs) {
+    loop.sockets()->Watch(it[0], &watcher, false, false);
+    close(it[0]);
+    close(it[1]);
+  }
+}
+
 // A listener with a client that speaks raw bytes.
 struct ListenerRig : ListenerHandler, SocketHandler {
   explicit ListenerRig(const ListenerLimits& limits = {}) {
-    RawServer probe;  // Finds a free port.
+    RawServer probe(&loop);  // Finds a free port.
     address = probe.address;
     listener.SetLimits(limits);
   }
   void Connect() {
     ASSERT_TRUE(listener.Listen(address).ok());
-    auto made = SocketStream::Connect(address, this);
+    auto made = SocketStream::Connect(loop.sockets(), address, this);
     ASSERT_TRUE(made.ok());
     client = *made;
   }
