Measure what a gateway spends on a request, before stand-ins on loopback

Cause: the grown sites are bound by processor time, and no program of the project showed where a gateway spends it. Change: tests/soak plays a small deployment (store, plain replicas, stages, engines, a ledger of what clients and replicas saw) around real gateways; bench_gateway_load runs it without faults. A fault soak is to use the same.

No functional change

--- /dev/null
+++ b/tests/soak/gateway_process.cc
@@ -0,0 +1,103 @@
+#include "tests/soak/gateway_process.h"
+
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+#include "address_text.h"
+#include "glog/logging.h"
+#include "tests/soak/loopback.h"
+#include "text.h"
+
+namespace acaciachute {
+
+GatewayProcess::GatewayProcess(const GatewayProcessOptions& options)
+    : options_(options), clients_(FreeAddress()), readiness_(FreeAddress()) {
+  const Address peers = FreeAddress();
+  gchar* path = nullptr;
+  close(g_file_open_tmp("acaciachute-XXXXXX", &path, nullptr));
+  file_ = path;
+  g_free(path);
+  std::ofstream(file_) << "node_name=" << options_.name
+                       << "\nip=127.0.0.1\nzone=" << options_.domain
+                       << "\nlisten.front=" << AddressText(clients_)
+                       << "\nlisten.ready_addr=" << AddressText(readiness_)
+                       << "\ninternal_ports=" << peers.port << "," << peers.port
+                       << "\nplatform.address=" << AddressText(options_.store)
+                       << "\nbounds.grace_s=8\nbounds.revoke_ms=5000\n";
+}
+
+GatewayProcess::~GatewayProcess() {
+  if (process_ != nullptr) {
+    g_subprocess_force_exit(process_.get());
+    g_subprocess_wait(process_.get(), nullptr, nullptr);
+  }
+  g_remove(file_.c_str());
+}
+
+void GatewayProcess::Start() {
+  const GPtr<GSubprocessLauncher> launcher(g_subprocess_launcher_new(
+      options_.log.empty() ? G_SUBPROCESS_FLAGS_STDOUT_SILENCE
+                           : G_SUBPROCESS_FLAGS_NONE));
+  if (!options_.log.empty()) {
+    // Appends: a restart goes on in the same file.
+    const int fd =
+        g_open(options_.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    PCHECK(fd >= 0) << options_.log;
+    g_subprocess_launcher_take_stdout_fd(launcher.get(), fd);
+  }
+  g_subprocess_launcher_setenv(launcher.get(), "ACACIACHUTE_BOOT",
+                               file_.c_str(), TRUE);
+  process_.reset(g_subprocess_launcher_spawn(
+      launcher.get(), nullptr, ACACIACHUTE_BIN_DIR "/acaciachuted", "--gateway",
+      nullptr));
+  PCHECK(process_ != nullptr);
+  pid_ = g_subprocess_get_identifier(process_.get());
+  ended_ = false;
+  g_subprocess_wait_async(
+      process_.get(), nullptr,
+      [](GObject*, GAsyncResult*, gpointer data) {
+        *static_cast<bool*>(data) = true;
+      },
+      &ended_);
+}
+
+void GatewayProcess::Signal(int signal) {
+  if (process_ != nullptr && !ended_) {
+    g_subprocess_send_signal(process_.get(), signal);
+  }
+}
+
+bool GatewayProcess::Ended() {
+  return ended_;
+}
+
+std::string GatewayProcess::ProcFile(const std::string& name) const {
+  std::ifstream in(StrCat("/proc/", pid_, "/", name));
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+DurationUs GatewayProcess::ProcessorTime() const {
+  // Fields after the command's name, which is in parentheses.
+  const std::string text = ProcFile("stat");
+  const auto parts = Split(text.substr(text.rfind(')') + 2), ' ');
+  constexpr std::size_t kUser = 11;
+  constexpr std::size_t kSystem = 12;
+  const DurationUs tick = kSecond / sysconf(_SC_CLK_TCK);
+  return tick * (ParseNumber<std::int64_t>(parts[kUser]).value_or(0) +
+                 ParseNumber<std::int64_t>(parts[kSystem]).value_or(0));
+}
+
+std::uint64_t GatewayProcess::MemoryBytes() const {
+  const auto parts = Split(ProcFile("statm"), ' ');
+  return ParseNumber<std::uint64_t>(parts[1]).value_or(0) *
+         static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/soak/standin_replica.cc
@@ -0,0 +1,174 @@
+#include "tests/soak/standin_replica.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "address_text.h"
+#include "tests/soak/loopback.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kWrongReplica = 421;
+constexpr int kFull = 503;
+constexpr std::size_t kQueue = 2;
+
+std::string ValueOf(const HttpFields& fields, std::string_view name) {
+  const std::string* value = FindField(fields, name);
+  return value == nullptr ? std::string() : *value;
+}
+
+HttpFields NotRun(const std::string& attempt) {
+  return {{"Attempt-Id", attempt}, {"Not-Executed", "1"}};
+}
+
+}  // namespace
+
+StandinReplica::StandinReplica(Loop* loop,
+                               std::string id,
+                               const ReplicaWork& work,
+                               Ledger* ledger)
+    : loop_(loop),
+      id_(std::move(id)),
+      work_(work),
+      ledger_(ledger),
+      address_(FreeAddress()),
+      listener_(this, loop) {
+  ListenerLimits limits;
+  limits.idle = 60 * kSecond;
+  listener_.SetLimits(limits);
+  PCHECK(listener_.Listen(address_).ok());
+}
+
+void StandinReplica::After(DurationUs delay, std::function<void()> task) {
+  Later(loop_, slowness_ * delay, life_, std::move(task));
+}
+
+void StandinReplica::Crash(std::string id) {
+  id_ = std::move(id);
+  life_ = std::make_shared<int>();
+  calls_.clear();
+  results_.clear();
+  busy_ = false;
+  for (const ExchangeId it : std::exchange(open_, {})) {
+    listener_.Break(it);
+  }
+  listener_.CloseIdle();
+}
+
+void StandinReplica::OnRequest(ExchangeId id,
+                               HttpRequestHead head,
+                               std::string body) {
+  open_.insert(id);
+  const std::string expected = ValueOf(head.fields, "Expect-Replica");
+  const std::string attempt = ValueOf(head.fields, "Attempt-Id");
+  if (!expected.empty() && expected != id_) {
+    listener_.Reply(id, kWrongReplica, NotRun(attempt), "");
+  } else if (head.target == "/stage-free") {
+    Free(body);
+    listener_.Reply(id, kOk, {}, "");
+  } else if (head.target == "/stage-run" && calls_.size() >= kQueue) {
+    listener_.Reply(id, kFull, NotRun(""), "");
+  } else if (head.target == "/stage-run") {
+    calls_.push_back({id, std::move(body)});
+    BeginStageCall();
+  } else {
+    Run(id, head);
+  }
+}
+
+void StandinReplica::Run(ExchangeId id, const HttpRequestHead& head) {
+  const std::string attempt = ValueOf(head.fields, "Attempt-Id");
+  if (work_.kind == ReplicaWork::Kind::kEngine &&
+      FindField(head.fields, "Inputs") == nullptr) {
+    listener_.Reply(id, kBadRequest, NotRun(attempt), "");
+    return;
+  }
+  if (FindField(head.fields, "Authorization") != nullptr) {
+    ledger_->OnBroken("a key was passed on", attempt);
+  }
+  ledger_->OnRun(Loop::Now(), attempt, ValueOf(head.fields, "Tenant"));
+  if (lose_ > 0) {
+    --lose_;
+    After(work_.time, [this, id] { listener_.Break(id); });
+    return;
+  }
+  if (work_.kind == ReplicaWork::Kind::kPlain) {
+    After(work_.time, [this, id, attempt] {
+      listener_.Reply(id, kOk, {{"Attempt-Id", attempt}, {"Replica-Seal", id_}},
+                      StrCat("answer to ", attempt));
+    });
+    return;
+  }
+  After(work_.time, [this, id, attempt] {
+    if (open_.contains(id)) {
+      listener_.BeginStream(id, kOk,
+                            {{"Attempt-Id", attempt},
+                             {"Replica-Seal", id_},
+                             {"Content-Type", "text/event-stream"}});
+      SendEvent(id, attempt, 0);
+    }
+  });
+}
+
+void StandinReplica::SendEvent(ExchangeId id,
+                               const std::string& attempt,
+                               int next) {
+  if (!open_.contains(id)) {
+    return;
+  }
+  if (next == work_.events) {
+    listener_.EndStream(id);
+    return;
+  }
+  listener_.StreamData(id, StrCat("id: ", next, "\ndata: ", attempt, " ",
+                                  std::string(50, 't'), "\n\n"));
+  After(work_.pause,
+        [this, id, attempt, next] { SendEvent(id, attempt, next + 1); });
+}
+
+void StandinReplica::BeginStageCall() {
+  if (busy_ || calls_.empty()) {
+    return;
+  }
+  busy_ = true;
+  const StageCall call = std::move(calls_.front());
+  calls_.pop_front();
+  After(work_.time, [this, call] {
+    busy_ = false;
+    EndStageCall(call);
+    BeginStageCall();
+  });
+}
+
+void StandinReplica::EndStageCall(const StageCall& call) {
+  Json items = Json::array();
+  const Json asked = Json::parse(call.body);
+  for (const Json& it : asked.at("items")) {
+    if (!it.contains("key") && !it.contains("inputs")) {
+      ledger_->OnBroken("a piece without inputs", it.at("id"));
+    }
+    const std::string handle =
+        StrCat(AddressText(address_), "/", ++next_result_);
+    results_.insert(handle);
+    items.push_back({{"handle", handle}});
+  }
+  listener_.Reply(call.id, kOk, {{"Content-Type", "application/json"}},
+                  Json({{"items", items}}).dump());
+}
+
+void StandinReplica::Free(const std::string& body) {
+  const Json asked = Json::parse(body);
+  for (const Json& it : asked.at("handles")) {
+    results_.erase(it);
+  }
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/soak/standin_replica.h
@@ -0,0 +1,82 @@
+// Plays one replica: a plain service, a service of stages, or a model engine.
+#ifndef ACACIACHUTE_TESTS_SOAK_STANDIN_REPLICA_H_
+#define ACACIACHUTE_TESTS_SOAK_STANDIN_REPLICA_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "tests/soak/ledger.h"
+#include "transport/http_listener.h"
+#include "transport/loop.h"
+
+namespace acaciachute {
+
+// How a kind of replica works.
+struct ReplicaWork {
+  enum class Kind { kPlain, kStage, kEngine };
+  Kind kind = Kind::kPlain;
+  DurationUs time = 0;   // Of an answer, a call, or until the first event.
+  DurationUs pause = 0;  // Between events.
+  int events = 0;
+};
+
+class StandinReplica : public ListenerHandler {
+ public:
+  StandinReplica(Loop* loop,
+                 std::string id,
+                 const ReplicaWork& work,
+                 Ledger* ledger);
+
+  // Faults: an answer that is lost after the run, and slow work.
+  void LoseNextAnswers(int n) { lose_ = n; }
+  void SetSlowness(int factor) { slowness_ = factor; }
+  // A crash: every connection breaks, what it had is forgotten, and `id` is its
+  // next life.
+  void Crash(std::string id);
+  const std::string& id() const { return id_; }
+  const Address& address() const { return address_; }
+
+  // ListenerHandler:
+  void OnRequest(ExchangeId id,
+                 HttpRequestHead head,
+                 std::string body) override;
+  void OnGone(ExchangeId id) override { open_.erase(id); }
+  void OnWritten(ExchangeId) override {}
+  void OnListenerEvent(const ListenerEvent&) override {}
+
+ private:
+  struct StageCall {
+    ExchangeId id = 0;
+    std::string body;
+  };
+
+  void Run(ExchangeId id, const HttpRequestHead& head);
+  void SendEvent(ExchangeId id, const std::string& attempt, int next);
+  void BeginStageCall();
+  void EndStageCall(const StageCall& call);
+  void Free(const std::string& body);
+  void After(DurationUs delay, std::function<void()> task);
+
+  Loop* const loop_;
+  std::string id_;
+  const ReplicaWork work_;
+  Ledger* const ledger_;
+  const Address address_;
+  HttpListener listener_;
+  std::set<ExchangeId> open_;
+  std::deque<StageCall> calls_;
+  std::set<std::string> results_;
+  int next_result_ = 0;
+  int lose_ = 0;
+  int slowness_ = 1;
+  bool busy_ = false;
+  std::shared_ptr<int> life_ = std::make_shared<int>();
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_TESTS_SOAK_STANDIN_REPLICA_H_
--- /dev/null
+++ b/tests/soak/standin_store.cc
@@ -0,0 +1,152 @@
+#include "tests/soak/standin_store.h"
+
+#include <vector>
+
+#include "absl/strings/escaping.h"
+#include "tests/soak/loopback.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kConditionFailed = 412;
+constexpr int kHistoryGone = 410;
+constexpr int kBusy = 503;
+constexpr DurationUs kFeedCheck = 20 * kMillisecond;
+
+std::uint64_t NumberIn(const std::string& target, std::string_view name) {
+  return ParseNumber<std::uint64_t>(QueryValue(target, name)).value_or(0);
+}
+
+}  // namespace
+
+StandinStore::StandinStore(Loop* loop)
+    : loop_(loop), address_(FreeAddress()), listener_(this, loop) {
+  PCHECK(listener_.Listen(address_).ok());
+  Repeat(loop_, kFeedCheck, alive_, [this] { AnswerFeeds(); });
+}
+
+void StandinStore::Put(const std::string& table,
+                       const std::string& key,
+                       const Json& value) {
+  std::string coded;
+  absl::Base64Escape(value.dump(), &coded);
+  Write({table, key}, std::move(coded), false);
+}
+
+void StandinStore::Remove(const std::string& table, const std::string& key) {
+  Write({table, key}, "", true);
+}
+
+void StandinStore::DropHistory() {
+  oldest_ = version_;
+}
+
+void StandinStore::Write(const Key& key, std::string value, bool removed) {
+  rows_[key] = {std::move(value), ++version_, removed};
+  if (mood_ == Mood::kServing) {
+    AnswerFeeds();
+  }
+}
+
+void StandinStore::OnRequest(ExchangeId id,
+                             HttpRequestHead head,
+                             std::string body) {
+  if (mood_ == Mood::kBusy) {
+    Answer(id, kBusy, Json::array());
+  } else if (mood_ == Mood::kResetting) {
+    listener_.Break(id);
+  } else if (mood_ == Mood::kSilent) {
+    return;
+  } else if (head.target.starts_with("/rows-tx")) {
+    AnswerTransaction(id, body);
+  } else if (head.target.starts_with("/rows-feed")) {
+    feeds_[id] = {
+        QueryValue(head.target, "table"), NumberIn(head.target, "after"),
+        Loop::Now() +
+            static_cast<DurationUs>(NumberIn(head.target, "wait_ms")) *
+                kMillisecond};
+    AnswerFeeds();
+  } else {
+    AnswerRows(id, QueryValue(head.target, "table"));
+  }
+}
+
+void StandinStore::AnswerRows(ExchangeId id, const std::string& table) {
+  Json rows = Json::array();
+  for (const auto& [key, row] : rows_) {
+    if (key.first == table && !row.removed) {
+      rows.push_back(RowJson(key, row));
+    }
+  }
+  Answer(id, kOk, std::move(rows));
+}
+
+void StandinStore::AnswerTransaction(ExchangeId id, const std::string& body) {
+  const Json call = Json::parse(body);
+  for (const Json& it : call.value("expected_rev", Json::array())) {
+    const auto row = rows_.find({it.at("table"), it.at("key")});
+    const std::uint64_t version =
+        row == rows_.end() || row->second.removed ? 0 : row->second.version;
+    if (version != it.at("ver")) {
+      Answer(id, kConditionFailed, Json::array());
+      return;
+    }
+  }
+  for (const Json& it : call.value("writes", Json::array())) {
+    Write({it.at("table"), it.at("key")}, it.at("value"), false);
+  }
+  if (mood_ == Mood::kLosing) {
+    listener_.Break(id);
+  } else {
+    Answer(id, kOk, Json::array());
+  }
+}
+
+void StandinStore::AnswerFeeds() {
+  if (mood_ != Mood::kServing && mood_ != Mood::kLosing) {
+    return;
+  }
+  const TimeUs now = Loop::Now();
+  std::vector<ExchangeId> due;
+  for (const auto& [id, feed] : feeds_) {
+    due.push_back(id);
+  }
+  for (const ExchangeId id : due) {
+    const Feed feed = feeds_.at(id);
+    if (feed.after < oldest_) {
+      feeds_.erase(id);
+      Answer(id, kHistoryGone, Json::array());
+      continue;
+    }
+    Json rows = Json::array();
+    for (const auto& [key, row] : rows_) {
+      if (key.first == feed.table && row.version > feed.after) {
+        rows.push_back(RowJson(key, row));
+      }
+    }
+    if (!rows.empty() || now >= feed.until) {
+      feeds_.erase(id);
+      Answer(id, kOk, std::move(rows));
+    }
+  }
+}
+
+Json StandinStore::RowJson(const Key& key, const Row& row) const {
+  return {{"table", key.first}, {"part", ""},         {"key", key.second},
+          {"value", row.value}, {"ver", row.version}, {"removed", row.removed}};
+}
+
+void StandinStore::Answer(ExchangeId id, int status, Json rows) {
+  const Json answer = {{"rows", std::move(rows)},
+                       {"truncated", false},
+                       {"ver", version_},
+                       {"now_ms", Loop::Now() / kMillisecond}};
+  listener_.Reply(id, status, {{"Content-Type", "application/json"}},
+                  answer.dump());
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/soak/world.cc
@@ -0,0 +1,278 @@
+#include "tests/soak/world.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "address_text.h"
+#include "tests/soak/loopback.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr char kAccount[] = "acme";
+constexpr char kKey[] = "key-of-acme";
+constexpr int kPieces = 4;
+constexpr int kDeadlineMs = 6000;
+
+Json RouteJson(const std::string& name,
+               const std::string& kind,
+               const std::string& service) {
+  return {{"name", name},
+          {"host", "h.example"},
+          {"prefix", "/" + name + "/"},
+          {"kind", kind},
+          {"timeout_ms", kDeadlineMs},
+          {"target_latency_ms", 2000},
+          {"gap_aim_ms", 300},
+          {"priority", 1},
+          {"service", service},
+          {"max_attempts", 2}};
+}
+
+Json Stages() {
+  return {{{"service", "first"}, {"after", Json::array()}, {"bytes", 8000}},
+          {{"service", "second"}, {"after", {0}}, {"bytes", 60000}}};
+}
+
+Json Batches() {
+  return {{"slots", 1},       {"queue", 2},         {"batch", 20},
+          {"call_ms", 240.0}, {"item_ms", 5.0},     {"room_mb", 20.0},
+          {"handle_s", 4.0},  {"link_mbps", 1000.0}};
+}
+
+// The ids of a stream's events, in order; an event of another attempt shows.
+bool IsWholeStream(const std::string& body,
+                   const std::string& attempt,
+                   int events) {
+  int next = 0;
+  std::size_t at = 0;
+  while (at < body.size()) {
+    const auto end = body.find("\n\n", at);
+    if (end == std::string::npos) {
+      return false;
+    }
+    const std::string expected = StrCat("id: ", next, "\ndata: ", attempt, " ");
+    if (body.compare(at, expected.size(), expected) != 0) {
+      return false;
+    }
+    ++next;
+    at = end + 2;
+  }
+  return next == events;
+}
+
+}  // namespace
+
+// Hears the answer to one attempt.
+class World::Client : public CallSink {
+ public:
+  Client(World* world, std::string id, bool stream)
+      : world_(world), id_(std::move(id)), stream_(stream) {}
+
+  void OnAnswerHead(CallId, const HttpAnswerHead& head) override {
+    status_ = head.status;
+    const std::string* id = FindField(head.fields, "Attempt-Id");
+    if (status_ == kOk && (id == nullptr || *id != id_)) {
+      world_->ledger_.OnBroken("is given another's answer", id_);
+    }
+    if (status_ == kOk && FindField(head.fields, "Replica-Seal") == nullptr) {
+      world_->ledger_.OnBroken("is given a success without a proof", id_);
+    }
+  }
+  void OnAnswerBody(CallId, std::string_view bytes) override { body_ += bytes; }
+  void OnAnswerEnd(CallId call) override {
+    const bool right = stream_
+                           ? IsWholeStream(body_, id_, world_->options_.events)
+                           : body_ == StrCat("answer to ", id_);
+    if (status_ == kOk && !right) {
+      world_->ledger_.OnBroken("is given a wrong body as whole", id_);
+    }
+    End(call, status_, true);
+  }
+  void OnCallFailed(CallId call, const CallFailure&) override {
+    End(call, status_, false);
+  }
+
+ private:
+  void End(CallId call, int status, bool whole) {
+    world_->ledger_.OnOver(Loop::Now(), id_, status, whole);
+    world_->clients_.erase(call);  // `this` is gone.
+  }
+
+  World* const world_;
+  const std::string id_;
+  const bool stream_;
+  int status_ = 0;
+  std::string body_;
+};
+
+World::World(Loop* loop, const WorldOptions& options)
+    : loop_(loop), options_(options), store_(loop), channels_(loop) {
+  const auto ms = [](int n) { return n * kMillisecond; };
+  AddReplicas("plain", {ReplicaWork::Kind::kPlain, ms(15), 0, 0},
+              options.plain_replicas);
+  AddReplicas("first", {ReplicaWork::Kind::kStage, ms(260), 0, 0},
+              options.stage_replicas);
+  AddReplicas("second", {ReplicaWork::Kind::kStage, ms(260), 0, 0},
+              options.stage_replicas);
+  AddReplicas("engine",
+              {ReplicaWork::Kind::kEngine, ms(50), ms(20), options.events},
+              options.engines);
+  WriteConfig();
+  for (int n = 0; n < options.gateways; ++n) {
+    GatewayProcessOptions it;
+    it.name = StrCat("front-", n);
+    it.store = store_.address();
+    if (!options.log_folder.empty()) {
+      it.log = StrCat(options.log_folder, "/", it.name, ".log");
+    }
+    gateways_.push_back(std::make_unique<GatewayProcess>(it));
+  }
+}
+World::~World() = default;
+
+void World::AddReplicas(const std::string& service,
+                        const ReplicaWork& work,
+                        int n) {
+  for (int k = 0; k < n; ++k) {
+    replicas_.push_back(std::make_unique<StandinReplica>(
+        loop_, StrCat("i-", service, "-", k, "-1"), work, &ledger_));
+    service_of_[AddressText(replicas_.back()->address())] = service;
+    List(*replicas_.back(), false);
+  }
+}
+
+void World::List(const StandinReplica& replica, bool leaving) {
+  const std::string address = AddressText(replica.address());
+  store_.Put("servers", replica.id(),
+             {{"service", service_of_.at(address)},
+              {"address", address},
+              {"zone", "a"},
+              {"slots", 16},
+              {"state", leaving ? "draining" : "ready"}});
+}
+
+void World::Unlist(const StandinReplica& replica) {
+  store_.Remove("servers", replica.id());
+}
+
+void World::CrashReplica(std::size_t n) {
+  StandinReplica& replica = *replicas_[n];
+  Unlist(replica);
+  const std::string& id = replica.id();
+  const auto dash = id.rfind('-');
+  const int life =
+      ParseNumber<int>(std::string_view(id).substr(dash + 1)).value_or(0);
+  replica.Crash(StrCat(id.substr(0, dash), "-", life + 1));
+  List(replica, false);
+}
+
+void World::WriteConfig() {
+  Json staged = RouteJson("staged", "streaming", "engine");
+  staged["stages"] = Stages();
+  Json resumed = RouteJson("resumed", "streaming", "engine");
+  resumed["stages"] = Stages();
+  resumed["stream_resume"] = true;
+  const Json services = {{{"name", "plain"}, {"max_connections", 500}},
+                         {{"name", "first"}, {"pieces", Batches()}},
+                         {{"name", "second"}, {"pieces", Batches()}},
+                         {{"name", "engine"},
+                          {"kv_capacity_tokens", 1000000},
+                          {"slots", 64},
+                          {"stride", 6}}};
+  store_.Put("op", "config",
+             {{"version", ++version_},
+              {"routes",
+               {RouteJson("unsafe", "unsafe", "plain"),
+                RouteJson("safe", "safe", "plain"), staged, resumed}},
+              {"services", services},
+              {"tenants", {{{"name", kAccount}, {"api_keys", {kKey}}}}}});
+}
+
+bool World::Start() {
+  for (auto& it : gateways_) {
+    it->Start();
+  }
+  for (std::size_t n = 0; n < gateways_.size(); ++n) {
+    if (!WaitFor(10 * kSecond, [&] { return AskReady(n) == kOk; })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool World::WaitFor(DurationUs patience,
+                    const std::function<bool()>& condition) {
+  const TimeUs end = Loop::Now() + patience;
+  bool holds = condition();
+  while (!holds && Loop::Now() < end) {
+    loop_->After(10 * kMillisecond, [this] { loop_->Quit(); });
+    loop_->Run();
+    holds = condition();
+  }
+  return holds;
+}
+
+int World::AskReady(std::size_t gateway) {
+  struct Answer : CallSink {
+    void OnAnswerHead(CallId, const HttpAnswerHead& head) override {
+      status = head.status;
+    }
+    void OnAnswerBody(CallId, std::string_view) override {}
+    void OnAnswerEnd(CallId) override { over = true; }
+    void OnCallFailed(CallId, const CallFailure&) override { over = true; }
+    int status = 0;
+    bool over = false;
+  } answer;
+  ChannelRequest request;
+  request.target = "/readyz";
+  request.fields = {{"Host", "h"}};
+  ChannelOptions options;
+  options.total = 500 * kMillisecond;
+  const CallId id = channels_.Start(gateways_[gateway]->readiness(), request,
+                                    options, &answer);
+  WaitFor(kSecond, [&] { return answer.over; });
+  channels_.Cancel(id);
+  return answer.status;
+}
+
+void World::Send(const std::string& route, std::size_t gateway) {
+  const std::string id = StrCat("c", ++next_id_);
+  const bool stream = route == "staged" || route == "resumed";
+  ChannelRequest request;
+  request.method = "POST";
+  request.target = "/" + route + "/x";
+  request.fields = {{"Host", "h.example"},
+                    {"Attempt-Id", id},
+                    {"Deadline-Ms", StrCat(kDeadlineMs)},
+                    {"Authorization", StrCat("Bearer ", kKey)}};
+  if (stream) {
+    request.fields.push_back({"Model", "m"});
+    request.fields.push_back({"Token-Usage", "1200,300"});
+    request.fields.push_back({"Prompt-Prefix", "aa:500,bb:400,cc:300"});
+    request.fields.push_back({"Pieces", StrCat("1,", kPieces)});
+    request.fields.push_back({"Piece-Key", id});
+  }
+  request.body = std::string(600, 'b');
+  LedgerEntry entry;
+  entry.route = route;
+  entry.account = kAccount;
+  entry.may_repeat = route == "safe" || route == "resumed";
+  entry.sent_at = Loop::Now();
+  entry.deadline = kDeadlineMs * kMillisecond;
+  ledger_.OnSent(id, entry);
+  ChannelOptions options;
+  options.total = (kDeadlineMs + 1000) * kMillisecond;
+  options.most_idle = kSecond;
+  auto client = std::make_unique<Client>(this, id, stream);
+  Client* sink = client.get();
+  const CallId call =
+      channels_.Start(gateways_[gateway]->clients(), request, options, sink);
+  clients_[call] = std::move(client);
+}
+
+}  // namespace acaciachute
