Add a randomized fault soak of real gateways

Change: tests/soak draws faults from a seed and plays them on real gateway processes: kills, SIGTERM, SIGHUP, freezes, all killed at once, a store that is busy, resets, silent or forgets its history, one gateway cut from it or its link silent, new configurations, replicas that crash, are slow or lose answers. A ledger judges what clients and replicas saw; afterwards all must be served.

No functional change

--- /dev/null
+++ b/tests/process/soak_test.cc
@@ -0,0 +1,33 @@
+// A short part of the fault soak, by fixed seeds. `build/tests/soak` plays
+// more.
+#include "tests/soak/soak.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciachute {
+namespace {
+
+class SoakTest : public ::testing::TestWithParam<std::uint64_t> {};
+
+// Gateways are killed, frozen, told to end and cut from the store, replicas
+// crash, are slow and lose answers, while clients go on. Whoever hears "not
+// run" was not run, nobody who may not repeat runs twice, each whole answer is
+// the caller's own, each attempt ends, and all is served again afterwards.
+TEST_P(SoakTest, KeepsItsPromises) {
+  Loop loop;
+  SoakOptions options;
+  options.seed = GetParam();
+  options.time = 6 * kSecond;
+  const SoakReport report = RunSoak(&loop, options);
+  std::string faults;
+  for (const auto& it : report.faults) {
+    faults += it + "\n";
+  }
+  EXPECT_EQ(report.broken, std::vector<std::string>()) << report.summary << "\n"
+                                                       << faults;
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, SoakTest, ::testing::Values(1, 3));
+
+}  // namespace
+}  // namespace acaciachute
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -2,8 +2,10 @@
 
 #include <fcntl.h>
 #include <glib/gstdio.h>
+#include <sys/prctl.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <fstream>
 #include <sstream>
 #include <vector>
@@ -50,6 +52,10 @@
     PCHECK(fd >= 0) << options_.log;
     g_subprocess_launcher_take_stdout_fd(launcher.get(), fd);
   }
+  // A soak that is killed leaves no gateways behind.
+  g_subprocess_launcher_set_child_setup(
+      launcher.get(), [](gpointer) { prctl(PR_SET_PDEATHSIG, SIGKILL); },
+      nullptr, nullptr);
   g_subprocess_launcher_setenv(launcher.get(), "ACACIACHUTE_BOOT",
                                file_.c_str(), TRUE);
   process_.reset(g_subprocess_launcher_spawn(
@@ -57,23 +63,27 @@
       nullptr));
   PCHECK(process_ != nullptr);
   pid_ = g_subprocess_get_identifier(process_.get());
-  ended_ = false;
+  // Of this process only: the loop may tell of its end after the next one has
+  // begun, or after this object is gone.
+  ended_ = std::make_shared<bool>(false);
   g_subprocess_wait_async(
       process_.get(), nullptr,
       [](GObject*, GAsyncResult*, gpointer data) {
-        *static_cast<bool*>(data) = true;
+        const std::unique_ptr<std::shared_ptr<bool>> ended(
+            static_cast<std::shared_ptr<bool>*>(data));
+        **ended = true;
       },
-      &ended_);
+      new std::shared_ptr<bool>(ended_));
 }
 
 void GatewayProcess::Signal(int signal) {
-  if (process_ != nullptr && !ended_) {
+  if (process_ != nullptr && !Ended()) {
     g_subprocess_send_signal(process_.get(), signal);
   }
 }
 
-bool GatewayProcess::Ended() {
-  return ended_;
+bool GatewayProcess::Ended() const {
+  return *ended_;
 }
 
 std::string GatewayProcess::ProcFile(const std::string& name) const {
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -5,6 +5,7 @@
 
 #include <gio/gio.h>
 
+#include <memory>
 #include <string>
 
 #include "transport/glib_ptr.h"
@@ -30,7 +31,7 @@
   void Start();
   void Signal(int signal);
   // Whether the process has ended, by itself or by a signal.
-  bool Ended();
+  bool Ended() const;
   bool running() const { return process_ != nullptr; }
   // Processor time used so far, user and system.
   DurationUs ProcessorTime() const;
@@ -48,7 +49,7 @@
   std::string file_;
   GPtr<GSubprocess> process_;
   std::string pid_;
-  bool ended_ = false;
+  std::shared_ptr<bool> ended_ = std::make_shared<bool>(false);
 };
 
 }  // namespace acaciachute
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -126,7 +126,8 @@
   for (int n = 0; n < options.gateways; ++n) {
     GatewayProcessOptions it;
     it.name = StrCat("front-", n);
-    it.store = store_.address();
+    store_links_.push_back(std::make_unique<Relay>(store_.address().port));
+    it.store = {"127.0.0.1", store_links_.back()->port()};
     if (!options.log_folder.empty()) {
       it.log = StrCat(options.log_folder, "/", it.name, ".log");
     }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "state/random.h"
+#include "tests/process/relay.h"
 #include "tests/soak/gateway_process.h"
 #include "tests/soak/ledger.h"
 #include "tests/soak/standin_replica.h"
@@ -54,6 +55,8 @@
   Ledger* ledger() { return &ledger_; }
   std::vector<std::unique_ptr<GatewayProcess>>& gateways() { return gateways_; }
   std::vector<std::unique_ptr<StandinReplica>>& replicas() { return replicas_; }
+  // Each gateway's own link to the store.
+  std::vector<std::unique_ptr<Relay>>& store_links() { return store_links_; }
   int AskReady(std::size_t gateway);
 
  private:
@@ -67,6 +70,7 @@
   StandinStore store_;
   std::vector<std::unique_ptr<StandinReplica>> replicas_;
   std::map<std::string, std::string> service_of_;  // By address.
+  std::vector<std::unique_ptr<Relay>> store_links_;
   std::vector<std::unique_ptr<GatewayProcess>> gateways_;
   HttpChannels channels_;
   std::map<CallId, std::unique_ptr<Client>> clients_;
