Park late requests before any work is done for them

Cause: in a burst requests that could not be on time were either refused, and refused again when they came back, or begun at once; these waited in the second stage's queue until their first results had lapsed (4 s) and began again. Change: those that the time after the burst is likely to serve are parked without work or memory and begun, by priority, when the queues are short; one that can no longer be served is refused as not run at that moment.

--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -124,6 +124,9 @@
               {"target_ms", request->route->target / kMillisecond},
               {"deadline_ms", request->call.deadline / kMillisecond}});
   deadlines.erase({request->due_at, request->id});
+  if (request->parked) {
+    parked.erase({request->priority, request->received_at, request->id});
+  }
   const auto it = by_client_id.find(request->call.id);
   if (it != by_client_id.end() && it->second == request) {
     by_client_id.erase(it);
@@ -286,6 +289,7 @@
 }
 
 void Gateway::OnTick() {
+  impl_->BeginParked();
   const TimeUs now = impl_->ports->Now();
   while (!impl_->deadlines.empty() && impl_->deadlines.begin()->first <= now) {
     impl_->Expire(impl_->ByExchange(impl_->deadlines.begin()->second));
--- a/src/coordination/gateway_admission.cc
+++ b/src/coordination/gateway_admission.cc
@@ -21,6 +21,13 @@
 // share of the time that it has left; the estimates are rough.
 constexpr double kLateShare = 0.35;
 
+// A parked request begins when the queues are this short, one each step a
+// gateway: what the batching gateways tell of their queues is as old as a beat.
+// One is parked if its turn is expected within this share of its time.
+constexpr DurationUs kParkedWait = 500 * kMillisecond;
+constexpr DurationUs kParkedStep = 100 * kMillisecond;
+constexpr double kParkedShare = 0.6;
+
 // The account's priority goes first, the route's decides within it: accounts of
 // one priority still have urgent and patient requests.
 std::uint32_t RankOf(const Route& route, const ClientAccount* account) {
@@ -120,7 +127,8 @@
         std::min(request->answer_by, now + route->FirstEventPatience() - kLink);
   }
   request->resume_after = request->call.resume_after;
-  if (!Feasible(*request, &refusal)) {
+  const Admission admission = Decide(*request, &refusal);
+  if (admission == Admission::kRefuse) {
     RefuseAtOnce(id, request->call, refusal);
     return;
   }
@@ -129,6 +137,13 @@
   ServingRequest* it = request.get();
   by_client_id[it->call.id] = it;
   requests[id] = std::move(request);
+  if (admission == Admission::kPark) {
+    it->parked = true;
+    parked.emplace(it->priority, it->received_at, id);
+    // Begun later it could not be served before its client leaves.
+    SetDue(it, it->answer_by - it->progress.TimeLeft() - kEngineTime);
+    return;
+  }
   RunStages(it);
 }
 
@@ -150,37 +165,51 @@
              : 0;
 }
 
-// Load pattern: a burst brings more requests than the stages can make. Admitted
-// without a bound, all of them wait, and all are late. Those that can be on
-// time are admitted; those that cannot are admitted while they would be served
-// well before their deadlines, behind all others; the rest is refused before
-// any work was done for it, and told when the queue will be shorter.
-bool Gateway::Impl::Feasible(const ServingRequest& request,
-                             OwnAnswer* refusal) {
-  if (request.route->stages.empty()) {
-    return true;
-  }
+Gateway::Impl::StageWaits Gateway::Impl::WaitsOf(
+    const ServingRequest& request) const {
   const TimeUs now = ports->Now();
-  DurationUs in_time = 0;
-  DurationUs late = 0;
+  StageWaits waits;
   for (std::uint32_t n = 0; n < request.route->stages.size(); ++n) {
     if (request.progress.Pieces(n) == 0) {
       continue;
     }
     const PoolWait wait =
         desk->ExpectedWait(now, request.route->stages[n].service);
-    in_time += wait.Of(request.priority);
-    late = std::max(late, wait.late);
+    waits.in_time += wait.Of(request.priority);
+    waits.late = std::max(waits.late, wait.late);
   }
-  const DurationUs work = request.progress.TimeLeft() + kEngineTime;
+  waits.work = request.progress.TimeLeft() + kEngineTime;
+  return waits;
+}
+
+// Load pattern: a burst brings more requests than the stages can make. Admitted
+// without a bound, all of them wait, and all are late. Those that can be on
+// time are admitted; those that cannot are admitted while they would be served
+// well before their deadlines, behind all others. Of the rest, those that the
+// time after the burst is likely to serve are parked before any work is done
+// for them, so that they hold no memory; what is left is refused, and told when
+// the queue will be shorter.
+Gateway::Impl::Admission Gateway::Impl::Decide(const ServingRequest& request,
+                                               OwnAnswer* refusal) {
+  if (request.route->stages.empty()) {
+    return Admission::kBegin;
+  }
+  const TimeUs now = ports->Now();
+  const auto [in_time, late, work] = WaitsOf(request);
   if (now + in_time + work <= request.target_by) {
-    return true;
+    return Admission::kBegin;
   }
   const DurationUs left = request.answer_by - now;
-  const auto useful =
-      static_cast<DurationUs>(kLateShare * static_cast<double>(left));
-  if (late + work <= useful) {
-    return true;
+  const auto share = [left](double part) {
+    return static_cast<DurationUs>(part * static_cast<double>(left));
+  };
+  if (late + work <= share(kLateShare)) {
+    return Admission::kBegin;
+  }
+  const DurationUs turn =
+      kParkedStep * static_cast<DurationUs>(parked.size() + 1);
+  if (late + turn + work <= share(kParkedShare)) {
+    return Admission::kPark;
   }
   // A client honours up to a third of the time that it has left.
   constexpr DurationUs kThird = 3;
@@ -197,7 +226,23 @@
              in_time / kMillisecond, " or if late ", late / kMillisecond,
              ", until late ", (request.target_by - now) / kMillisecond,
              ", until its client leaves ", left / kMillisecond)};
-  return false;
+  return Admission::kRefuse;
+}
+
+void Gateway::Impl::BeginParked() {
+  const TimeUs now = ports->Now();
+  if (parked.empty() || now < next_parked_at) {
+    return;
+  }
+  next_parked_at = now + kParkedStep;
+  ServingRequest* request = ByExchange(std::get<ExchangeId>(*parked.begin()));
+  if (WaitsOf(*request).late > kParkedWait) {
+    return;
+  }
+  parked.erase(parked.begin());
+  request->parked = false;
+  SetDue(request, request->answer_by);
+  RunStages(request);
 }
 
 DurationUs Gateway::Impl::RetryAfter(const ServingRequest& request) {
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -65,6 +66,7 @@
   TimeUs due_at = 0;     // Of the two, the one that counts now.
 
   StageProgress progress;
+  bool parked = false;  // Nothing was begun; see `Gateway::Impl::Decide`.
   bool staged = false;  // Every result that the replica needs was made.
   TimeUs staged_at = 0;
   std::string stage_times;  // For logs: when each stage was whole.
@@ -97,8 +99,18 @@
                    const ClientCall& call,
                    const ClientAccount** account,
                    OwnAnswer* refusal);
+  enum class Admission { kBegin, kPark, kRefuse };
   // Whether the stages can be made in useful time; fills `refusal` if not.
-  bool Feasible(const ServingRequest& request, OwnAnswer* refusal);
+  Admission Decide(const ServingRequest& request, OwnAnswer* refusal);
+  // Longest waits of the request's stages, and its work until the first event.
+  struct StageWaits {
+    DurationUs in_time = 0;
+    DurationUs late = 0;
+    DurationUs work = 0;
+  };
+  StageWaits WaitsOf(const ServingRequest& request) const;
+  // Begins the first parked request if the queues have become short enough.
+  void BeginParked();
   // How long before this request's first attempt reached a gateway its client
   // first sent it.
   DurationUs ElapsedBefore(const Route& route, const ClientCall& call);
@@ -166,6 +178,9 @@
   absl::flat_hash_map<CallId, ServingRequest*> by_call;
   absl::flat_hash_map<std::string, ServingRequest*> by_client_id;
   std::set<std::pair<TimeUs, ExchangeId>> deadlines;
+  // By priority, then by when they came.
+  std::set<std::tuple<std::uint32_t, TimeUs, ExchangeId>> parked;
+  TimeUs next_parked_at = 0;
 };
 
 }  // namespace acaciachute
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -331,6 +331,50 @@
   EXPECT_EQ(rig.orders.size(), 1U);
 }
 
+// Load: a burst fills the stages' queues for a while. A request that cannot be
+// on time, but that the time after the burst can serve, waits without any work
+// done for it: results made early would hold memory that others need. It is
+// begun when the queues are short.
+TEST(GatewayStagesTest, ParksWhatTheTimeAfterABurstCanServe) {
+  GatewayRig rig;
+  rig.wait.in_time.fill(3 * kSecond);
+  rig.wait.late = 1600 * kMillisecond;
+  const ExchangeId id = rig.Call("staged", "k1", {1, 2});
+  rig.Pass(kSecond);
+  EXPECT_TRUE(rig.orders.empty());
+  EXPECT_FALSE(rig.refused.contains(id));
+  rig.wait = {};
+  rig.Pass(200 * kMillisecond);
+  EXPECT_EQ(rig.orders.size(), 1U);
+}
+
+// What the client hears when the burst lasts longer: that its request has not
+// run, as soon as it is too late to begin it, and not when its time is over.
+TEST(GatewayStagesTest, RefusesAParkedRequestOnceItIsTooLateToBegin) {
+  GatewayRig rig;
+  rig.wait.in_time.fill(3 * kSecond);
+  rig.wait.late = 1600 * kMillisecond;
+  const ExchangeId id = rig.Call("staged", "k1", {1, 2});
+  rig.Pass(3500 * kMillisecond);  // Of four.
+  ASSERT_TRUE(rig.refused.contains(id));
+  EXPECT_EQ(rig.refused[id].verdict, Verdict::kNotRun);
+  rig.wait = {};
+  rig.Pass(200 * kMillisecond);
+  EXPECT_TRUE(rig.orders.empty());
+}
+
+// A client that leaves takes its parked request with it.
+TEST(GatewayStagesTest, ForgetsAParkedRequestWhoseClientLeft) {
+  GatewayRig rig;
+  rig.wait.in_time.fill(3 * kSecond);
+  rig.wait.late = 1600 * kMillisecond;
+  rig.core.OnGone(rig.Call("staged", "k1", {1, 2}));
+  rig.wait = {};
+  rig.Pass(200 * kMillisecond);
+  EXPECT_TRUE(rig.orders.empty());
+  EXPECT_EQ(rig.core.in_progress(), 0U);
+}
+
 // Clients on kept connections are told, seconds after the order to stop, that
 // their streams have not run: they would outlast the process and be cut.
 TEST(GatewayDrainTest, RefusesStreamsThatWouldOutlastTheProcess) {
