Drop put-off work whose owner is gone; remove what nothing reads

Cause: `HttpListener` and `HttpChannels` left zero-delay timers behind when they were destroyed with work pending; in a test process they then ran on freed memory. `AttemptBudget::Spend` had no caller, and of the times of an engine's parts only their presence was read. Change: `Loop::AfterWhile` takes the owner that a task needs; the soak's stand-ins use the same.

No functional change

--- a/src/coordination/attempt_budget.h
+++ b/src/coordination/attempt_budget.h
@@ -40,9 +40,6 @@
     Add(&repeats_, now, n);
     return true;
   }
-  // Repeats that happened without being asked for, such as those that a replica
-  // refused.
-  void Spend(TimeUs now, std::uint32_t n) { Add(&repeats_, now, n); }
 
  private:
   struct Bucket {
--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/engine_choice.cc
@@ -127,8 +127,7 @@
   load.unread_tokens += request.prompt_tokens;
 }
 
-void EngineChoice::OnFirstEvent(TimeUs now,
-                                const ReplicaId& replica,
+void EngineChoice::OnFirstEvent(const ReplicaId& replica,
                                 const EngineRequest& request) {
   EngineLoad& load = own_[replica];
   load.unread_tokens -= std::min(load.unread_tokens, request.prompt_tokens);
@@ -137,7 +136,7 @@
     parts.clear();
   }
   for (const PromptPart& it : *request.prompt) {
-    parts[it.id] = now;
+    parts.insert(it.id);
   }
 }
 
--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "state/client_call.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
@@ -47,9 +48,9 @@
   // Prompt tokens that an engine reads in a millisecond, by the users' sheets.
   static constexpr double kTokensPerMs = 157;
   // Weight of tokens of shared parts that the engine would read again: beside
-  // their time, which others wait for too, they push out what it holds. With 4 a
-  // home that was busy for 140 ms was left, for a gain that few requests need;
-  // with 10, calm days of both large sites earned 0.03 and 0.04 more.
+  // their time, which others wait for too, they push out what it holds. With 4
+  // a home that was busy for 140 ms was left, for a gain that few requests
+  // need; with 10, calm days of both large sites earned 0.03 and 0.04 more.
   static constexpr double kRereadWeight = 10;
   // What one more running request adds until the first token: it lengthens each
   // step, and a prompt waits for the step in progress.
@@ -57,7 +58,7 @@
   // Fetching results from another failure domain. Mostly a matter of their
   // price: a detour is worth this much reading time.
   static constexpr double kFarMs = 25;
-  // Parts remembered an engine. A part is 16 bytes and a time here; this is
+  // Parts remembered an engine. A part is 16 bytes here; this is
   // several times what an engine's memory holds.
   static constexpr std::size_t kPartsRemembered = 4096;
 
@@ -75,9 +76,7 @@
                              const EngineRequest& request) const;
   void OnSent(const ReplicaId& replica, const EngineRequest& request);
   // The first event came: the prompt is read.
-  void OnFirstEvent(TimeUs now,
-                    const ReplicaId& replica,
-                    const EngineRequest& request);
+  void OnFirstEvent(const ReplicaId& replica, const EngineRequest& request);
   // After either; `read` tells whether `OnFirstEvent` came before.
   void OnEnded(const ReplicaId& replica,
                const EngineRequest& request,
@@ -93,7 +92,7 @@
 
  private:
   struct Engine {
-    absl::flat_hash_map<std::string, TimeUs> parts;  // When used last.
+    absl::flat_hash_set<std::string> parts;  // Of prompts, by id.
     ReplicaHealth health;
   };
 
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -87,8 +87,7 @@
   Attempt& attempt = request->attempt;
   if (!attempt.read) {
     attempt.read = true;
-    engines.OnFirstEvent(ports->Now(), attempt.replica.id,
-                         request->ForEngine());
+    engines.OnFirstEvent(attempt.replica.id, request->ForEngine());
     // The replica fetched its inputs before it read the prompt.
     desk->Free(request->progress.TakeAll());
   }
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -63,6 +63,7 @@
   absl::flat_hash_map<CallId, Channel*> calls;
   absl::flat_hash_map<Address, std::vector<Channel*>> idle;
   absl::flat_hash_map<Channel*, std::unique_ptr<Channel>> channels;
+  const std::shared_ptr<const int> alive = std::make_shared<const int>();
 };
 
 // One connection, and the call that it carries.
@@ -84,12 +85,13 @@
       stream_ = *std::move(stream);
       return;
     }
-    owner_->loop->After(0, [owner = owner_, self = this,
-                            why = std::string(stream.status().message())] {
-      if (owner->channels.contains(self)) {
-        self->Fail(CallFailureKind::kConnect, why);
-      }
-    });
+    owner_->loop->AfterWhile(owner_->alive, 0,
+                             [owner = owner_, self = this,
+                              why = std::string(stream.status().message())] {
+                               if (owner->channels.contains(self)) {
+                                 self->Fail(CallFailureKind::kConnect, why);
+                               }
+                             });
   }
 
   void Begin(CallId id,
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -61,6 +61,7 @@
   ExchangeId next_id = 1;
   absl::flat_hash_map<ExchangeId, Connection*> exchanges;
   absl::flat_hash_map<Connection*, std::unique_ptr<Connection>> connections;
+  const std::shared_ptr<const int> alive = std::make_shared<const int>();
 };
 
 class HttpListener::Impl::Connection : public SocketHandler {
@@ -239,7 +240,7 @@
     stream_->SetReading(true);
     // From the loop: the next request must not run inside this one's decision.
     if (!in_.empty()) {
-      owner_->loop->After(0, [owner = owner_, self = this] {
+      owner_->loop->AfterWhile(owner_->alive, 0, [owner = owner_, self = this] {
         if (owner->connections.contains(self) && self->id_ == 0 &&
             !self->closing_) {
           self->ReadNext();
--- a/src/transport/loop.cc
+++ b/src/transport/loop.cc
@@ -102,6 +102,16 @@
   return AddTimer(period, std::move(task), true);
 }
 
+void Loop::AfterWhile(std::weak_ptr<const void> owner,
+                      DurationUs delay,
+                      Task task) {
+  After(delay, [owner = std::move(owner), task = std::move(task)] {
+    if (!owner.expired()) {
+      task();
+    }
+  });
+}
+
 void Loop::Cancel(TimerId id) {
   if (id != 0) {
     g_source_remove(id);
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -33,6 +33,9 @@
   // Rounds up to GLib's millisecond. A timer that ran is gone.
   TimerId After(DurationUs delay, Task task);
   TimerId Every(DurationUs period, Task task);
+  // Runs the task from the loop, `delay` later, unless its owner is gone by
+  // then: a timer that outlives what it works on would touch freed memory.
+  void AfterWhile(std::weak_ptr<const void> owner, DurationUs delay, Task task);
   void Cancel(TimerId id);
   void OnSignal(int signal, Task task);
   SocketPoller* sockets();
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -314,6 +314,19 @@
   }
 }
 
+// Work that was put off to the loop is dropped when its owner goes first.
+TEST(LoopTest, DropsTasksWhoseOwnerIsGone) {
+  Loop loop;
+  int runs = 0;
+  auto owner = std::make_shared<const int>(0);
+  loop.AfterWhile(owner, 0, [&] { ++runs; });
+  auto gone = std::make_shared<const int>(0);
+  loop.AfterWhile(gone, 0, [&] { runs += 10; });
+  gone.reset();
+  RunUntil(&loop, [&] { return runs > 0; });
+  EXPECT_EQ(runs, 1);
+}
+
 // A listener with a client that speaks raw bytes.
 struct ListenerRig : ListenerHandler, SocketHandler {
   explicit ListenerRig(const ListenerLimits& limits = {}) {
--- a/tests/soak/loopback.cc
+++ b/tests/soak/loopback.cc
@@ -40,11 +40,7 @@
            DurationUs delay,
            const std::weak_ptr<int>& alive,
            std::function<void()> task) {
-  loop->After(delay, [alive, task = std::move(task)] {
-    if (!alive.expired()) {
-      task();
-    }
-  });
+  loop->AfterWhile(alive, delay, std::move(task));
 }
 
 void Repeat(Loop* loop,
