--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .DEFAULT_GOAL := help
 .PHONY: help deps build format format-check layers lint test check demo bench \
-  dissemination capacity clean
+  dissemination capacity soak clean
 
 help: ## List every target
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -41,6 +41,7 @@
 	@$(BUILD)/bench/bench_path
 	@$(BUILD)/bench/bench_decisions
 	@$(BUILD)/bench/decision_cost
+	@$(BUILD)/bench/bench_gateway_load
 
 dissemination: build ## Measure how fast settings spread (up to 60 processes)
 	@$(BUILD)/bench/bench_dissemination
@@ -48,5 +49,10 @@
 capacity: build ## Measure the slopes that docs/CAPACITY.md quotes
 	@$(BUILD)/bench/bench_capacity 2> /dev/null
 
+SEED ?= $(shell date +%s)
+SEEDS ?= 10
+soak: build ## Play drawn faults on real gateways: SEED=1 SEEDS=50
+	@$(BUILD)/tests/soak --seed $(SEED) --seeds $(SEEDS)
+
 clean: ## Remove the build
 	@rm -rf $(BUILD)
