Send clients that meet a host without current configuration where it is current

Cause: a refusal as not current said "in a second" whatever the trouble. On a host that is cut from the store alone the client could have been served at once elsewhere; in an outage for all it came back in a second, was refused again and had used up its tries. Change: beats tell whether their gateway may check keys. If another may, the client returns after 20 ms, on a new connection; if none may, after a sixth to a third of its time, spread. Grounds: a client honours a third, and has one retry.

--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -303,6 +303,10 @@
   }
 }
 
+void Gateway::SetAnotherIsCurrent(bool current) {
+  impl_->another_is_current = current;
+}
+
 EngineChoice* Gateway::engines() {
   return &impl_->engines;
 }
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -134,6 +134,9 @@
   void OnTick();
 
   void SetEntries(std::size_t n);
+  // Whether another entry may check keys: clients that are refused because this
+  // one may not are sent there.
+  void SetAnotherIsCurrent(bool current);
   EngineChoice* engines();
   // The retry budget of a service, which its batched pieces share.
   AttemptBudget* BudgetOf(const std::string& service);
--- a/src/coordination/gateway_admission.cc
+++ b/src/coordination/gateway_admission.cc
@@ -11,6 +11,9 @@
 // The client's next connection reaches another node; it need not wait.
 constexpr DurationUs kElsewhere = 20 * kMillisecond;
 
+// A client honours a wait of up to a third of the time that it has left.
+constexpr DurationUs kHonouredPart = 3;
+
 // Deadlines of one route's clients vary by an eighth. Below this share of the
 // usual one a client has been refused before; the time for which it was sent
 // away makes sure of it.
@@ -56,7 +59,8 @@
     return true;
   }
   if (!Current()) {
-    *refusal = {Refusal::kNotCurrent, Verdict::kNotRun, kSecond,
+    *refusal = {Refusal::kNotCurrent, Verdict::kNotRun,
+                RetryAfterNotCurrent(route, call),
                 "keys cannot be checked against the newest configuration"};
     return false;
   }
@@ -68,6 +72,25 @@
   return true;
 }
 
+// Load pattern: the store turns some hosts away, or all of them, for seconds.
+// Clients retry once or twice. If another entry is current, which a new
+// connection most likely reaches, they are served when they come at once. If
+// none is, whoever comes back in a second is refused again and has used up its
+// tries; the longest wait that clients honour, a third of their time, gives the
+// store the most time to return. Spread, so that they do not come together.
+DurationUs Gateway::Impl::RetryAfterNotCurrent(const Route& route,
+                                               const ClientCall& call) {
+  if (another_is_current) {
+    return kElsewhere;
+  }
+  const DurationUs left = call.deadline > 0
+                              ? std::min(call.deadline, route.timeout)
+                              : route.timeout;
+  const DurationUs most = left / kHonouredPart;
+  return most / 2 + static_cast<DurationUs>(random->Below(
+                        static_cast<std::uint64_t>(most / 2 + 1)));
+}
+
 std::string Gateway::Impl::ChooseService(const Route& route) {
   std::uint64_t sum = 0;
   for (const auto& it : route.split) {
@@ -211,9 +234,7 @@
   if (late + turn + work <= share(kParkedShare)) {
     return Admission::kPark;
   }
-  // A client honours up to a third of the time that it has left.
-  constexpr DurationUs kThird = 3;
-  const DurationUs most = left / kThird;
+  const DurationUs most = left / kHonouredPart;
   const auto least = std::min(
       most, static_cast<DurationUs>(
                 kLeastReturn * static_cast<double>(request.call.deadline)));
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -116,6 +116,8 @@
   DurationUs ElapsedBefore(const Route& route, const ClientCall& call);
   std::string ChooseService(const Route& route);
   DurationUs RetryAfter(const ServingRequest& request);
+  // When a client comes back that was refused because keys cannot be checked.
+  DurationUs RetryAfterNotCurrent(const Route& route, const ClientCall& call);
 
   // gateway_stages.cc
   std::vector<PieceOrder> OrdersOf(const ServingRequest& request,
@@ -169,6 +171,7 @@
   TimeUs confirmed_at = -1;
   std::size_t entries = 1;
   bool refuses_streams = false;
+  bool another_is_current = false;
   // By route, what nine in ten of its clients give at most, in microseconds.
   std::map<std::string, double> usual_deadline;
   EngineChoice engines;
--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -47,6 +47,7 @@
   peer.heard_at = now;
   peer.live = true;
   peer.leaving = beat.leaving;
+  peer.current = beat.current;
   peer.period = std::max(beat.period, kBeat);
   if (changed || peer.cores != beat.cores) {
     owners_.clear();
@@ -151,6 +152,12 @@
   return 1 + static_cast<std::size_t>(n);
 }
 
+bool GatewayPeers::AnotherIsCurrent() const {
+  return std::any_of(peers_.begin(), peers_.end(), [](const auto& it) {
+    return it.second.live && !it.second.leaving && it.second.current;
+  });
+}
+
 bool GatewayPeers::IsLive(const NodeId& node) const {
   const auto it = peers_.find(node);
   return node == self_ || (it != peers_.end() && it->second.live);
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -76,6 +76,8 @@
   // Live gateways, this one included.
   std::size_t Live() const;
   bool IsLive(const NodeId& node) const;
+  // Whether another gateway that lives may check keys, as it last told.
+  bool AnotherIsCurrent() const;
 
  private:
   struct Peer {
@@ -88,6 +90,7 @@
     DurationUs period = kBeat;
     bool live = false;
     bool leaving = false;
+    bool current = false;
     bool restarted = false;
   };
 
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -13,6 +13,7 @@
     desk.OnPeerLost(now, peer);
   }
   gateway->SetEntries(peers.Live());
+  gateway->SetAnotherIsCurrent(peers.AnotherIsCurrent());
   if (mesh == nullptr) {
     return;
   }
@@ -32,6 +33,7 @@
   GatewayBeat beat;
   beat.address = {settings.ip, settings.first_peer_port};
   beat.leaving = draining;
+  beat.current = gateway->current();
   beat.cores = settings.cores;
   beat.waits = desk.OwnWaits(now);
   for (const auto& [replica, load] : gateway->engines()->own()) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -192,7 +192,8 @@
 struct GatewayBeat {
   Address address;  // Where it listens, for peers that do not know it yet.
   bool leaving = false;
-  double cores = 1;  // Share of a processor core that it is given.
+  bool current = false;  // Whether it may check keys now.
+  double cores = 1;      // Share of a processor core that it is given.
   DurationUs period = 150 * kMillisecond;  // Until its next beat.
   std::vector<EngineWork> work;
   std::vector<ServiceWait> waits;
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -113,7 +113,7 @@
 }
 template <class A>
 void serialize(A& a, GatewayBeat& v) {
-  a(v.address, v.leaving, v.cores, v.period, v.work, v.waits);
+  a(v.address, v.leaving, v.current, v.cores, v.period, v.work, v.waits);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -149,6 +149,23 @@
   EXPECT_EQ(rig.sent.size(), 2U);
 }
 
+// What the caller sees: 503 from a host that is cut from the store, and 200 a
+// moment later from another. While no entry can check keys it is sent away for
+// long, as far as clients honour, because its tries are few.
+TEST(GatewayTest, SendsClientsWhereKeysCanBeChecked) {
+  GatewayRig rig;
+  rig.Pass(10 * kSecond);
+  rig.core.SetAnotherIsCurrent(true);
+  const ExchangeId cut = rig.Call("plain");
+  EXPECT_EQ(rig.refused[cut].reason, Refusal::kNotCurrent);
+  EXPECT_LE(rig.refused[cut].retry_after, 50 * kMillisecond);
+  EXPECT_GT(rig.refused[cut].retry_after, 0);
+  rig.core.SetAnotherIsCurrent(false);
+  const ExchangeId outage = rig.Call("plain");  // It gives ten seconds.
+  EXPECT_GE(rig.refused[outage].retry_after, 10 * kSecond / 6);
+  EXPECT_LE(rig.refused[outage].retry_after, 10 * kSecond / 3);
+}
+
 // Clients see no version of the configuration after a later one, whatever a
 // stale read brings.
 TEST(GatewayTest, NeverGoesBackToAnOlderConfiguration) {
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -291,6 +291,18 @@
   EXPECT_EQ(peers.TakeLost(now + 6 * GatewayPeers::kSilent).size(), 1U);
 }
 
+TEST(GatewayPeersTest, KnowsWhetherAnotherMayCheckKeys) {
+  QuietLog log;
+  GatewayPeers peers("self", 1, &log);
+  EXPECT_FALSE(peers.AnotherIsCurrent());
+  GatewayBeat beat;
+  beat.current = true;
+  peers.OnBeat(0, "a", 1, beat);
+  EXPECT_TRUE(peers.AnotherIsCurrent());
+  peers.TakeLost(kSecond);
+  EXPECT_FALSE(peers.AnotherIsCurrent());
+}
+
 // Who batches is remembered between requests; a change of the gateways that
 // live, or of their processors, is a change of it at once.
 TEST(GatewayPeersTest, FollowsChangesOfWhoBatches) {
