Keep inputs for a piece that has to read them again; begin parked ones by route

Cause, found reading the change: a piece whose call broke after it had read its inputs still counted as having read them, so the last of its siblings to read let them go, and its second call was told that they were gone: its request began all stages again. The test fails without the mend. Also: the first parked request held up those of routes whose stages are free.

No functional change for decisions of the product's path.

--- a/src/coordination/gateway_admission.cc
+++ b/src/coordination/gateway_admission.cc
@@ -256,14 +256,23 @@
     return;
   }
   next_parked_at = now + kParkedStep;
-  ServingRequest* request = ByExchange(std::get<ExchangeId>(*parked.begin()));
-  if (WaitsOf(*request).late > kParkedWait) {
+  // Routes differ in their stages: one whose queues are long holds up no other.
+  std::set<const Route*> held_up;
+  for (auto it = parked.begin(); it != parked.end(); ++it) {
+    ServingRequest* request = ByExchange(std::get<ExchangeId>(*it));
+    if (held_up.contains(request->route)) {
+      continue;
+    }
+    if (WaitsOf(*request).late > kParkedWait) {
+      held_up.insert(request->route);
+      continue;
+    }
+    parked.erase(it);
+    request->parked = false;
+    SetDue(request, request->answer_by);
+    RunStages(request);
     return;
   }
-  parked.erase(parked.begin());
-  request->parked = false;
-  SetDue(request, request->answer_by);
-  RunStages(request);
 }
 
 DurationUs Gateway::Impl::RetryAfter(const ServingRequest& request) {
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -416,6 +416,11 @@
     Finish(pieces_.find(key), {key, PieceOutcome::kInputGone, ""});
     return;
   }
+  if (piece->inputs_read) {
+    // Its next call has to read them again before they may be let go.
+    piece->inputs_read = false;
+    --read_.at({key.request, key.stage});
+  }
   const bool untried_left = std::any_of(
       directory_->Of(service_).begin(), directory_->Of(service_).end(),
       [&](const ReplicaEntry* it) { return !piece->tried.contains(it->id); });
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -442,6 +442,39 @@
   EXPECT_EQ(rig.calls.size(), 1U);
 }
 
+// What the caller sees: an answer, a call later. Two pieces share their inputs.
+// The call of the first breaks after it has read them, and the piece waits for
+// the only replica that is left, at work on the second one. That one has read
+// them too; they are kept until the first has read them again.
+TEST(PieceBatcherTest, KeepsInputsForAPieceThatHasToReadThemAgain) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  for (std::uint32_t n = 0; n < 2; ++n) {
+    PieceOrder order = BatcherRig::Order("r", n);
+    order.inputs = {"10.0.1.1:80/x"};
+    order.sole_users = 2;
+    order.result_bytes = 60;  // One fits a replica.
+    rig.Add(order);
+  }
+  rig.batcher.Dispatch(rig.now);
+  rig.Pass(50 * kMs);
+  rig.AddReplicas(1);
+  rig.Pass(0);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  rig.Pass(60 * kMs);  // The first has read them.
+  rig.batcher.OnCallEnd(rig.now, rig.calls[0].id,
+                        {PieceCallEnd::Kind::kBroken, "reset", {}});
+  rig.Pass(60 * kMs);  // The second has, too.
+  EXPECT_EQ(rig.calls.size(), 2U);
+  EXPECT_TRUE(rig.read.empty()) << "the first waits to read them again";
+  rig.Make(rig.calls[1]);
+  rig.batcher.Free({"10.0.0.2:80/r.1"});  // Makes room.
+  rig.Pass(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 3U);
+  rig.Pass(110 * kMs);
+  EXPECT_EQ(rig.read.size(), 1U);
+}
+
 // What the caller sees: an answer from the first call. A slow call is copied
 // before the last piece of the request was begun; then its inputs are let go,
 // and the copy finds them gone. That says nothing of the first call.
