--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -15,7 +15,6 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-constexpr int kConflict = 409;
 constexpr int kWrongReplica = 421;
 constexpr int kFull = 503;
 constexpr std::size_t kQueue = 2;
