--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -14,6 +14,8 @@
 
 #include "absl/strings/escaping.h"
 #include "address_text.h"
+#include "tests/soak/gateway_process.h"
+#include "tests/soak/loopback.h"
 #include "text.h"
 #include "transport/glib_ptr.h"
 #include "transport/http_channels.h"
@@ -26,19 +28,6 @@
 using Json = nlohmann::json;
 constexpr DurationUs kPatience = 10 * kSecond;
 
-Address FreeAddress() {
-  const GPtr<GSocket> socket(g_socket_new(G_SOCKET_FAMILY_IPV4,
-                                          G_SOCKET_TYPE_STREAM,
-                                          G_SOCKET_PROTOCOL_TCP, nullptr));
-  const GPtr<GSocketAddress> any(
-      g_inet_socket_address_new_from_string("127.0.0.1", 0));
-  g_socket_bind(socket.get(), any.get(), TRUE, nullptr);
-  const GPtr<GSocketAddress> bound(
-      g_socket_get_local_address(socket.get(), nullptr));
-  return {"127.0.0.1",
-          g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound.get()))};
-}
-
 // Answers as the platform's store and as one replica, on one address.
 class Standin : public ListenerHandler {
  public:
@@ -63,7 +52,7 @@
     }
     const HttpFields fields = {{"Attempt-Id", ids.back()},
                                {"Replica-Seal", "proof"}};
-    Later(delay,
+    Later(loop_, delay, alive_,
           [this, id, fields] { listener_.Reply(id, 200, fields, "answer"); });
   }
   void OnGone(ExchangeId) override {}
@@ -77,16 +66,6 @@
   std::string account;
 
  private:
-  // The loop is the process's only one, so a timer that is left over would run
-  // in a later test, when this stand-in is gone.
-  void Later(DurationUs delay, const std::function<void()>& task) {
-    loop_->After(delay, [alive = std::weak_ptr<int>(alive_), task] {
-      if (!alive.expired()) {
-        task();
-      }
-    });
-  }
-
   Json Row(const std::string& table,
            const std::string& key,
            const Json& value) {
@@ -138,7 +117,7 @@
     }
     const Json answer = {{"rows", rows}, {"truncated", false}, {"ver", 1}};
     const bool waits = Contains(target, "/rows-feed");
-    Later(waits ? kSecond : 0, [this, id, text = answer.dump()] {
+    Later(loop_, waits ? kSecond : 0, alive_, [this, id, text = answer.dump()] {
       listener_.Reply(id, 200, {{"Content-Type", "application/json"}}, text);
     });
   }
@@ -173,37 +152,13 @@
 class GatewayProcessTest : public ::testing::Test {
  protected:
   void Start() {
-    clients_ = FreeAddress();
-    readiness_ = FreeAddress();
-    const Address peers = FreeAddress();
-    gchar* path = nullptr;
-    close(g_file_open_tmp("acaciachute-XXXXXX", &path, nullptr));
-    file_ = path;
-    g_free(path);
-    std::ofstream(file_) << "node_name=front-1\nip=127.0.0.1\nzone=a\n"
-                         << "listen.front=" << AddressText(clients_) << "\n"
-                         << "listen.ready_addr=" << AddressText(readiness_)
-                         << "\ninternal_ports=" << peers.port << ","
-                         << peers.port << "\nplatform.address="
-                         << AddressText(standin_.address)
-                         << "\nbounds.grace_s=8\n";
-    const GPtr<GSubprocessLauncher> launcher(
-        g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDOUT_SILENCE));
-    g_subprocess_launcher_setenv(launcher.get(), "ACACIACHUTE_BOOT",
-                                 file_.c_str(), TRUE);
-    process_.reset(g_subprocess_launcher_spawn(
-        launcher.get(), nullptr, ACACIACHUTE_BIN_DIR "/acaciachuted",
-        "--gateway", nullptr));
-    ASSERT_NE(process_, nullptr);
+    GatewayProcessOptions options;
+    options.name = "front-1";
+    options.store = standin_.address;
+    gateway_ = std::make_unique<GatewayProcess>(options);
+    gateway_->Start();
     ASSERT_TRUE(WaitFor([this] { return AskReady() == 200; }));
   }
-  void TearDown() override {
-    if (process_ != nullptr) {
-      g_subprocess_force_exit(process_.get());
-      g_subprocess_wait(process_.get(), nullptr, nullptr);
-    }
-    g_remove(file_.c_str());
-  }
 
   bool WaitFor(const std::function<bool()>& condition) {
     const TimeUs end = Loop::Now() + kPatience;
@@ -224,7 +179,7 @@
                       {"Deadline-Ms", "4000"},
                       {"Authorization", "Bearer k1"}};
     request.body = "body";
-    channels_.Start(clients_, request, {}, answer);
+    channels_.Start(gateway_->clients(), request, {}, answer);
   }
   int AskReady() {
     Answer answer;
@@ -233,7 +188,7 @@
     request.fields = {{"Host", "h"}};
     ChannelOptions options;
     options.total = 500 * kMillisecond;
-    channels_.Start(readiness_, request, options, &answer);
+    channels_.Start(gateway_->readiness(), request, options, &answer);
     const TimeUs end = Loop::Now() + kSecond;
     while (!answer.over && Loop::Now() < end) {
       loop_.After(kMillisecond, [this] { loop_.Quit(); });
@@ -245,10 +200,7 @@
   Loop loop_;
   Standin standin_{&loop_};
   HttpChannels channels_{&loop_};
-  Address clients_;
-  Address readiness_;
-  std::string file_;
-  GPtr<GSubprocess> process_;
+  std::unique_ptr<GatewayProcess> gateway_;
 };
 
 TEST_F(GatewayProcessTest, ServesARequestFromStartToFinish) {
@@ -283,13 +235,13 @@
   Answer answer;
   Send("c1", &answer);
   ASSERT_TRUE(WaitFor([&] { return standin_.runs == 1; }));
-  g_subprocess_send_signal(process_.get(), SIGTERM);
+  gateway_->Signal(SIGTERM);
   ASSERT_TRUE(WaitFor([&] { return AskReady() == 503; }));
   ASSERT_TRUE(WaitFor([&] { return answer.over; }));
   EXPECT_EQ(answer.body, "answer");
   EXPECT_TRUE(answer.closes);
-  g_subprocess_wait(process_.get(), nullptr, nullptr);
-  EXPECT_TRUE(g_subprocess_get_successful(process_.get()));
+  ASSERT_TRUE(WaitFor([&] { return gateway_->Ended(); }));
+  EXPECT_TRUE(gateway_->EndedWell());
 }
 
 // An operator who checks a settings file hears of every mistake in it at once,
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -86,6 +86,11 @@
   return *ended_;
 }
 
+bool GatewayProcess::EndedWell() const {
+  return g_subprocess_get_if_exited(process_.get()) &&
+         g_subprocess_get_successful(process_.get());
+}
+
 std::string GatewayProcess::ProcFile(const std::string& name) const {
   std::ifstream in(StrCat("/proc/", pid_, "/", name));
   std::stringstream text;
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -32,7 +32,8 @@
   void Signal(int signal);
   // Whether the process has ended, by itself or by a signal.
   bool Ended() const;
-  bool running() const { return process_ != nullptr; }
+  // Whether it ended by itself with success; due after `Ended`.
+  bool EndedWell() const;
   // Processor time used so far, user and system.
   DurationUs ProcessorTime() const;
   // Resident memory.
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -22,9 +22,7 @@
   ++open_;
 }
 
-void Ledger::OnRun(TimeUs now,
-                   const std::string& id,
-                   const std::string& account) {
+void Ledger::OnRun(const std::string& id, const std::string& account) {
   const auto it = entries_.find(id);
   if (it == entries_.end()) {
     OnBroken("runs what no client sent", id);
@@ -32,7 +30,6 @@
   }
   LedgerEntry& entry = it->second;
   ++entry.runs;
-  entry.last_run_at = now;
   if (account != entry.account) {
     OnBroken(StrCat("runs for account '", account, "'"), id);
   }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -20,7 +20,6 @@
   TimeUs sent_at = 0;
   DurationUs deadline = 0;
   int runs = 0;
-  TimeUs last_run_at = 0;
   bool over = false;
   TimeUs over_at = 0;
   int status = 0;  // Zero: the connection ended without an answer.
@@ -31,7 +30,7 @@
  public:
   void OnSent(const std::string& id, LedgerEntry entry);
   // A replica begins to run the attempt for `account`.
-  void OnRun(TimeUs now, const std::string& id, const std::string& account);
+  void OnRun(const std::string& id, const std::string& account);
   void OnOver(TimeUs now, const std::string& id, int status, bool whole);
   // A promise that some party saw broken itself.
   void OnBroken(const std::string& promise, const std::string& id);
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -54,7 +54,6 @@
   id_ = std::move(id);
   life_ = std::make_shared<int>();
   calls_.clear();
-  results_.clear();
   busy_ = false;
   for (const ExchangeId it : std::exchange(open_, {})) {
     listener_.Break(it);
@@ -71,7 +70,6 @@
   if (!expected.empty() && expected != id_) {
     listener_.Reply(id, kWrongReplica, NotRun(attempt), "");
   } else if (head.target == "/stage-free") {
-    Free(body);
     listener_.Reply(id, kOk, {}, "");
   } else if (head.target == "/stage-run" && calls_.size() >= kQueue) {
     listener_.Reply(id, kFull, NotRun(""), "");
@@ -93,7 +91,7 @@
   if (FindField(head.fields, "Authorization") != nullptr) {
     ledger_->OnBroken("a key was passed on", attempt);
   }
-  ledger_->OnRun(Loop::Now(), attempt, ValueOf(head.fields, "Tenant"));
+  ledger_->OnRun(attempt, ValueOf(head.fields, "Tenant"));
   if (lose_ > 0) {
     --lose_;
     After(work_.time, [this, id] { listener_.Break(id); });
@@ -158,18 +156,10 @@
     }
     const std::string handle =
         StrCat(AddressText(address_), "/", ++next_result_);
-    results_.insert(handle);
     items.push_back({{"handle", handle}});
   }
   listener_.Reply(call.id, kOk, {{"Content-Type", "application/json"}},
                   Json({{"items", items}}).dump());
 }
 
-void StandinReplica::Free(const std::string& body) {
-  const Json asked = Json::parse(body);
-  for (const Json& it : asked.at("handles")) {
-    results_.erase(it);
-  }
-}
-
 }  // namespace acaciachute
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -58,7 +58,6 @@
   void SendEvent(ExchangeId id, const std::string& attempt, int next);
   void BeginStageCall();
   void EndStageCall(const StageCall& call);
-  void Free(const std::string& body);
   void After(DurationUs delay, std::function<void()> task);
 
   Loop* const loop_;
@@ -69,7 +68,6 @@
   HttpListener listener_;
   std::set<ExchangeId> open_;
   std::deque<StageCall> calls_;
-  std::set<std::string> results_;
   int next_result_ = 0;
   int lose_ = 0;
   int slowness_ = 1;
