Take a replica that starts again under its name for a new life

Cause: a replica may start again under its id with a later `born`; entries may come from another writer. The directory kept "leaving" for good by id, so that a replica that left and came back never got work, and health, remembered prompt parts, held memory and open calls of the life before were kept for the new one. An entry's state was taken as ready unless it said draining, and one row without a key made the whole table unreadable.

Change: ReplicaId is a name and a life; all that is kept by it is of one life. The directory ends a life in one place (kRestarted), passes over rows of older ones, remembers lives that left, and leaves out rows that cannot be read while it keeps their replica's requests. Calls open at a life that ended fail at once. Entries are checked field by field; rows of the store are read one by one.

The rows of two stand-ins and of one test got the fields that every entry of the platform has: the check of entries asks for them now.

--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/engine_choice.cc
@@ -49,7 +49,7 @@
   XXH64_hash_t best = 0;
   for (const ReplicaEntry* it : directory_->Of(service)) {
     const XXH64_hash_t weight =
-        XXH3_64bits_withSeed(it->id.data(), it->id.size(), seed);
+        XXH3_64bits_withSeed(it->id.name.data(), it->id.name.size(), seed);
     if (home == nullptr || weight > best) {
       home = it;
       best = weight;
--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -108,7 +108,7 @@
               {"outcome", outcome},
               {"status", status},
               {"config", request->config->version},
-              {"replica", request->attempt.replica.id},
+              {"replica", request->attempt.replica.id.name},
               {"runs", request->runs},
               {"tried", request->tried.size()},
               {"stages_ms", request->stage_times},
@@ -191,11 +191,16 @@
 }
 
 void Gateway::OnReplica(const ReplicaEntry& replica, DirectoryChange change) {
-  if (change == DirectoryChange::kGone) {
-    impl_->engines.OnReplicaGone(replica.id);
-    for (auto& [service, choice] : impl_->plain) {
-      choice->OnReplicaGone(replica.id);
-    }
+  const bool restarted = change == DirectoryChange::kRestarted;
+  if (!restarted && change != DirectoryChange::kGone) {
+    return;
+  }
+  impl_->engines.OnReplicaGone(replica.id);
+  for (auto& [service, choice] : impl_->plain) {
+    choice->OnReplicaGone(replica.id);
+  }
+  if (restarted) {
+    impl_->FailAttemptsAt(replica.id);
   }
 }
 
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -175,7 +175,7 @@
   constexpr int kConflict = 409;
   const int status = attempt.head ? attempt.head->status : 0;
   log->Write("not_run", {{"id", request->call.id},
-                         {"replica", attempt.replica.id},
+                         {"replica", attempt.replica.id.name},
                          {"status", status}});
   if (status == kConflict) {
     request->tried.clear();
@@ -196,7 +196,7 @@
   ++request->runs;
   const TimeUs now = ports->Now();
   log->Write("lost", {{"id", request->call.id},
-                      {"replica", request->attempt.replica.id},
+                      {"replica", request->attempt.replica.id.name},
                       {"why", why},
                       {"begun", request->begun}});
   if (MayTryAgain(*request) && Budget(request->service).Take(now)) {
@@ -236,6 +236,26 @@
   }
 }
 
+// Failure: a replica crashes behind a cut and starts again under its name.
+// Symptom: what was sent to the life before waits for an answer until its
+// deadline, because nothing closes the connection. That life may have run it,
+// and nothing will come of it any more.
+void Gateway::Impl::FailAttemptsAt(const ReplicaId& replica) {
+  std::vector<CallId> calls;
+  for (const auto& [call, request] : by_call) {
+    if (request->attempt.replica.id == replica) {
+      calls.push_back(call);
+    }
+  }
+  for (const CallId call : calls) {
+    // One that failed before it may have ended this one's request.
+    if (ServingRequest* request = ByCall(call)) {
+      ports->Cancel(call);
+      OnFailed(request, true, "the replica started again");
+    }
+  }
+}
+
 // The call is over; what is known of its replica is brought up to date.
 void Gateway::Impl::EndAttempt(ServingRequest* request) {
   Attempt& attempt = request->attempt;
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -144,6 +144,7 @@
   void OnBody(ServingRequest* request, std::string_view bytes);
   void OnEnd(ServingRequest* request);
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
+  void FailAttemptsAt(const ReplicaId& replica);
   void PassEvents(ServingRequest* request, std::string_view events);
   void AnswerWhole(ServingRequest* request);
   void OnNotRun(ServingRequest* request);
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -92,6 +92,13 @@
   }
 }
 
+void LocalPieceDesk::OnReplicaRestarted(TimeUs now,
+                                        const ReplicaEntry& replica) {
+  if (const auto it = batchers_.find(replica.service); it != batchers_.end()) {
+    it->second->OnReplicaRestarted(now, replica.id);
+  }
+}
+
 void LocalPieceDesk::OnTick(TimeUs now) {
   for (auto& [name, batcher] : batchers_) {
     batcher->OnTick(now);
--- a/src/coordination/local_piece_desk.h
+++ b/src/coordination/local_piece_desk.h
@@ -35,6 +35,7 @@
                  BatchId id,
                  const PieceCallEnd& end);
   void OnReplicaGone(TimeUs now, const ReplicaEntry& replica);
+  void OnReplicaRestarted(TimeUs now, const ReplicaEntry& replica);
   void OnTick(TimeUs now);
   const std::map<std::string, std::unique_ptr<PieceBatcher>>& batchers() const {
     return batchers_;
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -463,6 +463,20 @@
   Dispatch(now);
 }
 
+void PieceBatcher::OnReplicaRestarted(TimeUs now, const ReplicaId& replica) {
+  std::vector<BatchId> lost;
+  for (const auto& [id, call] : calls_) {
+    if (call.call.replica == replica) {
+      lost.push_back(id);
+    }
+  }
+  for (const BatchId id : lost) {
+    OnCallEnd(now, id,
+              {PieceCallEnd::Kind::kBroken, "the replica started again", {}});
+  }
+  OnReplicaGone(now, replica);
+}
+
 void PieceBatcher::ExpireWaiting(TimeUs now) {
   std::vector<PieceKey> over;
   std::vector<PieceKey> late;
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -142,6 +142,9 @@
   void Free(const std::vector<std::string>& handles);
   void OnCallEnd(TimeUs now, BatchId id, const PieceCallEnd& end);
   void OnReplicaGone(TimeUs now, const ReplicaId& replica);
+  // That life of the replica is over: what it was asked for is made elsewhere
+  // at once, instead of when the calls are overdue.
+  void OnReplicaRestarted(TimeUs now, const ReplicaId& replica);
   // Calls what is due; call it every 10 ms and after other changes.
   void OnTick(TimeUs now);
 
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -283,7 +283,7 @@
   metrics.Count("acaciachute_gateway_piece_calls_pieces_total", "",
                 call.pieces.size());
   log.Write("piece_call", {{"service", call.pieces.front().service},
-                           {"replica", call.replica},
+                           {"replica", call.replica.name},
                            {"pieces", call.pieces.size()},
                            {"first", call.pieces.front().key.request},
                            {"left_waiting", call.left_waiting},
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -2,7 +2,9 @@
 #ifndef ACACIACHUTE_SRC_DAEMON_GATEWAY_NODE_IMPL_H_
 #define ACACIACHUTE_SRC_DAEMON_GATEWAY_NODE_IMPL_H_
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -116,6 +118,8 @@
   void OnTableCurrent(const std::string& table, TimeUs asked_at) override;
   void OnTableLost(const std::string& table) override;
   void TakeConfig(const TableRow& row);
+  // None when the row names no replica; the log says why.
+  std::optional<ReplicaEntry> ReadReplica(const TableRow& row);
 
   // DirectoryWatcher
   void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override;
@@ -184,6 +188,9 @@
   platform::StoreClient store;
   TableWatch config_watch;
   TableWatch replica_watch;
+  // Keys whose rows name no replica, with the reason that was logged.
+  static constexpr std::size_t kMostRefusedRows = 1000;
+  std::map<std::string, std::string> refused_rows;
   bool draining = false;
   TimeUs drain_since = 0;
 };
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -37,7 +37,8 @@
   beat.cores = settings.cores;
   beat.waits = desk.OwnWaits(now);
   for (const auto& [replica, load] : gateway->engines()->own()) {
-    beat.work.push_back({replica, load.running, load.unread_tokens});
+    beat.work.push_back(
+        {replica.name, replica.life, load.running, load.unread_tokens});
   }
   return beat;
 }
@@ -73,7 +74,7 @@
   }
   std::map<ReplicaId, EngineLoad> loads;
   for (const EngineWork& it : beat->work) {
-    loads[it.replica] = {it.running, it.unread_tokens};
+    loads[{it.replica, it.life}] = {it.running, it.unread_tokens};
   }
   gateway->engines()->SetOthers(from, loads);
   desk.OnPeerWaits(beat->waits);
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -1,5 +1,6 @@
 // What a gateway process learns from the platform's store: the configuration
 // and the replicas.
+#include <optional>
 #include <utility>
 
 #include "address_text.h"
@@ -16,17 +17,16 @@
     return;
   }
   std::vector<ReplicaEntry> entries;
+  std::vector<std::string> unreadable;
   for (const TableRow& it : rows) {
-    auto entry = platform::ParseReplica(it.key, it.value);
-    if (entry.ok()) {
+    auto entry = ReadReplica(it);
+    if (entry) {
       entries.push_back(*std::move(entry));
     } else {
-      log.Write(
-          "replica_row_refused",
-          {{"key", it.key}, {"why", std::string(entry.status().message())}});
+      unreadable.push_back(it.key);
     }
   }
-  directory.Replace(Now(), entries);
+  directory.Replace(Now(), entries, unreadable);
 }
 
 void GatewayNode::Impl::OnRow(const std::string& table, const TableRow& row) {
@@ -38,14 +38,33 @@
     directory.Remove(Now(), row.key);
     return;
   }
-  const auto entry = platform::ParseReplica(row.key, row.value);
-  if (!entry.ok()) {
-    log.Write(
-        "replica_row_refused",
-        {{"key", row.key}, {"why", std::string(entry.status().message())}});
-    return;
+  if (const auto entry = ReadReplica(row)) {
+    directory.Put(Now(), *entry);
+  } else {
+    directory.PutUnreadable(row.key);
+  }
+}
+
+std::optional<ReplicaEntry> GatewayNode::Impl::ReadReplica(
+    const TableRow& row) {
+  auto entry = platform::ParseReplica(row.key, row.value);
+  if (entry.ok()) {
+    refused_rows.erase(row.key);
+    return *std::move(entry);
+  }
+  metrics.Count("acaciachute_gateway_replica_rows_refused_total");
+  // One line a key and value: another writer may write it many times a second.
+  const std::string why(entry.status().message());
+  std::string& told = refused_rows[row.key];
+  if (told != why) {
+    told = why;
+    log.Write("replica_row_refused",
+              {{"key", row.key}, {"row_version", row.version}, {"why", why}});
   }
-  directory.Put(*entry);
+  if (refused_rows.size() > kMostRefusedRows) {
+    refused_rows.clear();
+  }
+  return std::nullopt;
 }
 
 void GatewayNode::Impl::TakeConfig(const TableRow& row) {
@@ -81,7 +100,8 @@
 
 void GatewayNode::Impl::OnReplica(const ReplicaEntry& replica,
                                   DirectoryChange change) {
-  log.Write("replica", {{"replica", replica.id},
+  log.Write("replica", {{"replica", replica.id.name},
+                        {"life", replica.id.life},
                         {"service", replica.service},
                         {"change", Name(change)},
                         {"address", AddressText(replica.address)}});
@@ -89,6 +109,10 @@
   if (change == DirectoryChange::kGone) {
     channels.DropIdle(replica.address);
     batchers.OnReplicaGone(Now(), replica);
+  } else if (change == DirectoryChange::kRestarted) {
+    channels.DropIdle(replica.address);
+    batchers.OnReplicaRestarted(Now(), replica);
+    desk.SendResults();
   }
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -178,6 +178,7 @@
 // Work that a gateway has at one engine.
 struct EngineWork {
   std::string replica;
+  Incarnation life = 0;  // Of the replica, as the sender knows it.
   std::uint32_t running = 0;
   std::uint64_t unread_tokens = 0;  // Of prompts without a first token yet.
 };
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -101,7 +101,7 @@
 }
 template <class A>
 void serialize(A& a, EngineWork& v) {
-  a(v.replica, v.running, v.unread_tokens);
+  a(v.replica, v.life, v.running, v.unread_tokens);
 }
 template <class A>
 void serialize(A& a, PoolWait& v) {
@@ -153,7 +153,7 @@
 namespace {
 
 // "AC", a version that changes with any message's layout, and a spare byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 3, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 4, 0};
 constexpr std::size_t kHashSize = 32;  // SHA-256.
 constexpr std::size_t kMinFrameSize = kFramePrefixSize + kHashSize;
 
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -7,21 +7,46 @@
 // return; a replica that lives has written its entry again by then, and one
 // that has not is gone. An entry that says that its replica leaves is believed
 // at once, in an outage too.
+//
+// Failure: a replica starts again under its name. Symptom: it never gets work
+// again because its life before had left, or requests wait for results, prompt
+// parts and answers that the new life does not have. Entries tell the start of
+// each life. A later start ends what is believed of the life before, in
+// `DirectoryChange::kRestarted`; an earlier one is passed over, so that a row
+// that is read late changes nothing. All that is kept by `ReplicaId` is kept
+// for one life.
 #ifndef ACACIACHUTE_SRC_STATE_REPLICA_DIRECTORY_H_
 #define ACACIACHUTE_SRC_STATE_REPLICA_DIRECTORY_H_
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "types.h"
 
 namespace acaciachute {
 
-// One life of a replica: a restart brings another id.
-using ReplicaId = std::string;
+// One life of a replica, from its start to its end.
+struct ReplicaId {
+  ReplicaId() = default;
+  // Implicit, because a name alone stands for a life whose start is not told.
+  ReplicaId(std::string name_in, Incarnation life_in = 0)
+      : name(std::move(name_in)), life(life_in) {}
+  ReplicaId(const char* name_in) : name(name_in) {}
+
+  std::string name;
+  Incarnation life = 0;  // Its start, in Unix milliseconds; zero: not told.
+
+  auto operator<=>(const ReplicaId&) const = default;
+  template <typename H>
+  friend H AbslHashValue(H hash, const ReplicaId& id) {
+    return H::combine(std::move(hash), id.name, id.life);
+  }
+};
 
 struct ReplicaEntry {
   ReplicaId id;
@@ -30,13 +55,25 @@
   std::string domain;  // Failure domain.
   std::uint32_t slots = 1;
   bool leaving = false;
-  DurationUs cold = 0;  // How much longer it is slow after its start.
+  DurationUs cold = 0;       // How much longer it is slow after its start.
+  std::uint64_t orders = 0;  // Accepted by it in this life; never falls.
 };
 
 // What became of an entry, for logs and for those who keep state by replica.
-enum class DirectoryChange { kAdded, kLeaving, kGone, kKeptInOutage };
-inline constexpr std::array<std::string_view, 4> kDirectoryChangeNames = {
-    "added", "leaving", "gone", "kept_in_outage"};
+enum class DirectoryChange {
+  kAdded,
+  kLeaving,
+  kGone,
+  kRestarted,     // This life ended: another one began under its name.
+  kKeptInOutage,  // Its entry vanished; it may live.
+  kUnreadable,    // Its entry names no replica until it can be read again.
+  kReadable,
+  kOlderLife,  // A row of a life that had ended; passed over.
+  kCountFell,  // Its orders fell within one life: not the replica's own row.
+};
+inline constexpr std::array<std::string_view, 9> kDirectoryChangeNames = {
+    "added",      "leaving",  "gone",       "restarted", "kept_in_outage",
+    "unreadable", "readable", "older_life", "count_fell"};
 constexpr std::string_view Name(DirectoryChange v) {
   return detail::NameIn(kDirectoryChangeNames, v);
 }
@@ -54,12 +91,23 @@
   // after the store is back.
   static constexpr DurationUs kBackWithin = 2 * kSecond;
 
+  // Lives that ended are remembered this long, so that a late row of one does
+  // not bring it back. Far above the history that the store keeps.
+  static constexpr DurationUs kRememberEnded = 120 * kSecond;
+
   explicit ReplicaDirectory(DirectoryWatcher* watcher) : watcher_(watcher) {}
 
-  void Put(const ReplicaEntry& entry);
-  void Remove(TimeUs now, const ReplicaId& id);
-  // The whole list: what is not in it was removed.
-  void Replace(TimeUs now, const std::vector<ReplicaEntry>& entries);
+  void Put(TimeUs now, const ReplicaEntry& entry);
+  // The row of that name cannot be read: another writer may have written it.
+  // It names no replica to send work to; requests in progress there go on,
+  // because nothing says that the replica ended.
+  void PutUnreadable(const std::string& name);
+  void Remove(TimeUs now, const std::string& name);
+  // The whole list: what is neither in it nor among the unreadable names was
+  // removed.
+  void Replace(TimeUs now,
+               const std::vector<ReplicaEntry>& entries,
+               const std::vector<std::string>& unreadable);
   // The store stopped or began to answer.
   void OnStoreLost() { store_lost_ = true; }
   void OnStoreBack(TimeUs now);
@@ -80,16 +128,36 @@
   struct Row {
     ReplicaEntry entry;
     bool missing = false;  // Kept for an outage.
+    bool unreadable = false;
+    std::uint64_t added = 0;  // Rises with each life that is listed.
   };
-
-  void Erase(std::map<ReplicaId, Row>::iterator it);
+  struct Ended {
+    Incarnation life = 0;
+    bool left = false;  // Said that it leaves, which is for good.
+    TimeUs at = 0;
+  };
+  using Rows = std::map<std::string, Row, std::less<>>;
+
+  // Whether the row is of a life that is over; what is known may say that a
+  // life that is listed again was leaving.
+  bool PassedOver(ReplicaEntry* entry) const;
+  void Add(const ReplicaEntry& entry);
+  void Update(Row* row, const ReplicaEntry& entry);
+  void Restart(TimeUs now, Row* row, const ReplicaEntry& entry);
+  void Erase(TimeUs now, Rows::iterator it);
   void Rebuild();
+  // Whether new work may go there. An entry that tells no start, among others
+  // of its service that do, is another writer's.
+  bool Takes(const Row& row) const;
 
   DirectoryWatcher* const watcher_;
-  std::map<ReplicaId, Row> entries_;
+  Rows entries_;
+  std::map<std::string, Ended> ended_;
+  std::uint64_t added_ = 0;
   std::map<std::string, std::vector<const ReplicaEntry*>, std::less<>>
       by_service_;
-  std::map<std::string, const ReplicaEntry*, std::less<>> by_address_;
+  std::map<std::string, const Row*, std::less<>> by_address_;
+  std::set<std::string> lives_told_;  // Services some of whose rows tell it.
   bool store_lost_ = false;
   TimeUs keep_until_ = 0;  // Vanished entries, after an outage.
 };
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -419,13 +419,32 @@
   EXPECT_EQ(rig.core.in_progress(), 0U);
 }
 
+// A replica crashes behind a cut and starts again under its name. Its old
+// connections close for nobody. A request that may be repeated runs elsewhere
+// at once; the client of one that may not is told that it may have run.
+TEST(GatewayTest, EndsWhatALifeOfAReplicaHadWhenItStartsAgain) {
+  GatewayRig rig;
+  rig.AddReplica({"r", 5}, "app");
+  const ExchangeId once = rig.Call("plain");
+  const ExchangeId repeated = rig.Call("repeat");
+  ReplicaEntry again = *rig.directory.Find({"r", 5});
+  again.id.life = 6;
+  rig.directory.Put(0, again);
+  EXPECT_EQ(rig.refused[once].verdict, Verdict::kMayHaveRun);
+  ASSERT_EQ(rig.sent.size(), 3U);
+  EXPECT_EQ(rig.sent.back().replica, ReplicaId("r", 6));
+  rig.AnswerWith(rig.sent.back().call, GatewayRig::Head(), "body");
+  EXPECT_EQ(rig.answered[repeated].second, "body");
+  EXPECT_EQ(rig.cancelled.size(), 2U);
+}
+
 // Nothing new goes to a replica that says that it leaves.
 TEST(GatewayTest, SendsNothingToALeavingReplica) {
   GatewayRig rig;
   rig.AddReplica("r1", "app");
   ReplicaEntry leaving = *rig.directory.Find("r1");
   leaving.leaving = true;
-  rig.directory.Put(leaving);
+  rig.directory.Put(0, leaving);
   const ExchangeId id = rig.Call("plain");
   EXPECT_TRUE(rig.sent.empty());
   EXPECT_EQ(rig.refused[id].reason, Refusal::kNoReplica);
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -31,7 +31,7 @@
       entry.service = "maker";
       entry.address = {"10.0.0." + number, 80};
       entry.domain = domain;
-      directory.Put(entry);
+      directory.Put(0, entry);
     }
   }
   static PieceOrder Order(const std::string& request,
@@ -76,6 +76,8 @@
   void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override {
     if (change == DirectoryChange::kGone) {
       batcher.OnReplicaGone(now, replica.id);
+    } else if (change == DirectoryChange::kRestarted) {
+      batcher.OnReplicaRestarted(now, replica.id);
     }
   }
 
@@ -497,5 +499,31 @@
   EXPECT_EQ(rig.results[0].outcome, PieceOutcome::kMade);
 }
 
+// A replica restarts under its name in the middle of a call. Its pieces are
+// made by another one at once; the account of its memory begins anew, and the
+// new life gets work although the old one's call never ended.
+TEST(PieceBatcherTest, MakesPiecesElsewhereWhenTheirReplicaStartsAgain) {
+  BatcherRig rig;
+  ReplicaEntry entry;
+  entry.id = {"m", 5};
+  entry.service = "maker";
+  entry.address = {"10.0.0.1", 80};
+  rig.directory.Put(0, entry);
+  rig.Add(BatcherRig::Order("r", 0));
+  rig.batcher.Dispatch(rig.now);
+  ASSERT_EQ(rig.calls.size(), 1U);
+  entry.id.life = 6;
+  rig.directory.Put(0, entry);
+  rig.Pass(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_EQ(rig.calls[1].replica, ReplicaId("m", 6));
+  EXPECT_EQ(rig.calls[1].held_bytes, 1U);
+  // An answer of the old life that arrives after all changes nothing.
+  rig.Make(rig.calls[0]);
+  EXPECT_TRUE(rig.results.empty());
+  rig.Make(rig.calls[1]);
+  EXPECT_EQ(rig.results.size(), 1U);
+}
+
 }  // namespace
 }  // namespace acaciachute
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -1,8 +1,10 @@
 // The platform's words, in and out.
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "platform/host_settings_file.h"
 #include "platform/requests.h"
@@ -84,13 +86,83 @@
   const auto entry = ParseReplica(
       "i-1",
       R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":6,
-          "state":"draining","cold_left_ms":100})");
+          "state":"draining","cold_left_ms":100,"version":"v1","call_seq":4,
+          "born":1780953918138})");
   ASSERT_TRUE(entry.ok());
+  EXPECT_EQ(entry->id, ReplicaId("i-1", 1780953918138));
+  EXPECT_EQ(entry->orders, 4U);
   EXPECT_TRUE(entry->leaving);
   EXPECT_EQ(entry->address, (Address{"10.0.0.9", 8080}));
   EXPECT_FALSE(ParseReplica("i-1", R"({"service":"s","address":"x"})").ok());
 }
 
+// A good entry with one field replaced; null takes the field away.
+std::string EntryWith(const std::string& field, const nlohmann::json& value) {
+  nlohmann::json row = {{"service", "s"},       {"address", "10.0.0.9:8080"},
+                        {"zone", "a"},          {"version", "v1"},
+                        {"slots", 6},           {"state", "ready"},
+                        {"cold_left_ms", 0},    {"call_seq", 4},
+                        {"born", 1780953918138}};
+  if (value.is_null()) {
+    row.erase(field);
+  } else {
+    row[field] = value;
+  }
+  return row.dump();
+}
+
+// Another writer's entry is among the replicas'. What it names is no replica:
+// a request that is sent there is lost, or runs where it must not.
+TEST(RowsTest, RefusesEntriesOfAnotherWriter) {
+  struct Case {
+    const char* field;
+    std::vector<nlohmann::json> values;
+  };
+  const nlohmann::json absent;
+  const nlohmann::json list = nlohmann::json::array({1});
+  const std::vector<Case> cases = {
+      {"service", {absent, 7, "", list, true}},
+      {"address", {absent, 7, "", "x", "10.0.0.9", "10.0.0.9:0x1", list}},
+      {"zone", {absent, 7, "", list}},
+      {"version", {absent, 7, ""}},
+      {"slots", {absent, "6", -1, 0, 6.5, 1e300, 1ULL << 60U, list, true}},
+      {"state", {absent, "", "Ready", "starting", 1, true, list}},
+      {"cold_left_ms", {absent, "0", -1, 1e300, list}},
+      {"call_seq", {absent, "4", -1, 4.5, 1ULL << 60U, list}},
+      {"born", {"1780953918138", -1, 0, 1.5, 1e300, 1ULL << 60U, list, false}},
+  };
+  EXPECT_TRUE(ParseReplica("i-1", EntryWith("x", 1)).ok());
+  EXPECT_TRUE(ParseReplica("i-1", EntryWith("born", absent)).ok());
+  for (const Case& it : cases) {
+    for (const auto& value : it.values) {
+      const auto entry = ParseReplica("i-1", EntryWith(it.field, value));
+      ASSERT_FALSE(entry.ok()) << it.field << " " << value;
+      EXPECT_THAT(std::string(entry.status().message()), HasSubstr(it.field));
+    }
+  }
+}
+
+TEST(RowsTest, RefusesBytesThatAreNoEntry) {
+  for (const char* it : {"", "{", "null", "7", "[]", "\"text\"", "\xff\xfe",
+                         "{\"service\":\"\xff\"}"}) {
+    EXPECT_FALSE(ParseReplica("i-1", it).ok()) << it;
+  }
+}
+
+// Any entry cut short, or with one byte changed, is read or refused, and never
+// ends the process.
+RC_GTEST_PROP(RowsTest, ReadsOrRefusesSpoiledEntries, ()) {
+  std::string row = EntryWith("x", 1);
+  const auto at = *rc::gen::inRange<std::size_t>(0, row.size());
+  if (*rc::gen::arbitrary<bool>()) {
+    row.resize(at);
+  } else {
+    row[at] = *rc::gen::arbitrary<char>();
+  }
+  const auto entry = ParseReplica("i-1", row);
+  RC_ASSERT(entry.ok() || !entry.status().message().empty());
+}
+
 HttpRequestHead Head() {
   HttpRequestHead head;
   head.method = "POST";
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -108,7 +108,10 @@
                          {{"service", "app"},
                           {"address", AddressText(address)},
                           {"zone", "a"},
+                          {"version", "v1"},
                           {"slots", 4},
+                          {"cold_left_ms", 0},
+                          {"call_seq", 0},
                           {"state", "ready"}}));
     } else if (Contains(target, "/rows-get")) {
       for (const auto& [key, row] : gateways_) {
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -153,7 +153,10 @@
              {{"service", service_of_.at(address)},
               {"address", address},
               {"zone", "a"},
+              {"version", "v1"},
               {"slots", 16},
+              {"cold_left_ms", 0},
+              {"call_seq", 0},
               {"state", leaving ? "draining" : "ready"}});
 }
 
