Do not say "not run" after a try that may have run

Cause: a repeatable request whose first try was lost may find no other replica, no budget or no time; the refusal of that second step said that it had not run. Found by the test of a restarted replica, whose request was refused so.

Change: a request with a try that may have run is never refused as not run. Test: GatewayTest.DoesNotSayNotRunAfterATryThatMayHaveRun, failed before.

--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -68,6 +68,13 @@
 
 void Gateway::Impl::Refuse(ServingRequest* request, OwnAnswer answer) {
   const ExchangeId id = request->id;
+  // Failure: a try that may have run is lost, and the next one finds no replica
+  // or no time. Symptom: the client is told that its request has not run. What
+  // the last try came to says nothing of the one before.
+  if (request->runs > 0 && answer.verdict == Verdict::kNotRun) {
+    answer.reason = Refusal::kUpstreamFailed;
+    answer.verdict = Verdict::kMayHaveRun;
+  }
   if (answer.verdict == Verdict::kNotRun && answer.retry_after == 0 &&
       Info(answer.reason).later_may_help) {
     answer.retry_after = RetryAfter(*request);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -419,6 +419,17 @@
   EXPECT_EQ(rig.core.in_progress(), 0U);
 }
 
+// A request that may be repeated is lost at the only replica, which may have
+// run it, and there is no other. Its client must not hear that it has not run.
+TEST(GatewayTest, DoesNotSayNotRunAfterATryThatMayHaveRun) {
+  GatewayRig rig;
+  rig.AddReplica("r1", "app");
+  const ExchangeId id = rig.Call("repeat");
+  rig.core.OnReplicaFailed(rig.sent.back().call, true, "reset");
+  EXPECT_EQ(rig.refused[id].verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(rig.refused[id].reason, Refusal::kUpstreamFailed);
+}
+
 // A replica crashes behind a cut and starts again under its name. Its old
 // connections close for nobody. A request that may be repeated runs elsewhere
 // at once; the client of one that may not is told that it may have run.
