Fill calls with groups that fit, those of the replica's domain first

Hypothesis: a stage whose queue is long makes as much as its calls are full, and calls held 47 of 66 pieces because the first group that did not fit ended the call. With many pieces waiting, 300 ms of waiting for the near domain were over for all, so that a call took whatever came and each piece read its inputs from another domain.

Change: FillCall passes over groups that do not fit and takes those whose inputs lie in the replica's failure domain as if they had come 300 ms earlier.

--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -207,15 +207,6 @@
   return n;
 }
 
-// Whether the first waiting piece of a request is left for the next call,
-// because the call has its share already or could not take all of them.
-bool PieceBatcher::LeftForNextCall(const Rank& rank,
-                                   std::size_t taken,
-                                   std::size_t most) const {
-  return taken >= most ||
-         (taken > 0 && taken + QueuedOf(rank.key) > limits_.batch);
-}
-
 // Memory for the results of the pieces that are begun together with this one:
 // those of its request and stage, unless they would fill a replica by
 // themselves.
@@ -231,41 +222,83 @@
   return last;
 }
 
-std::vector<PieceOrder> PieceBatcher::TakePieces(TimeUs now,
-                                                 const ReplicaEntry& replica,
-                                                 std::size_t most) {
-  std::vector<PieceOrder> taken;
-  std::uint64_t& bytes = makers_[replica.id].held_bytes;
+// Groups that may go to the replica now, in order of rank, until there is
+// enough to choose from.
+std::vector<PieceBatcher::Group> PieceBatcher::GroupsFor(
+    TimeUs now,
+    const ReplicaEntry& replica) {
+  std::vector<Group> groups;
+  const std::uint64_t held = makers_[replica.id].held_bytes;
+  std::uint64_t chosen = held;  // With all that fit beside one another.
   std::size_t passed_over = 0;
+  std::size_t pieces = 0;
   for (auto it = waiting_.begin(); it != waiting_.end() &&
-                                   taken.size() < limits_.batch &&
-                                   passed_over < kLookAhead;) {
-    const bool begins = taken.empty() ||
-                        taken.back().key.request != it->key.request ||
-                        taken.back().key.stage != it->key.stage;
-    if (begins && LeftForNextCall(*it, taken.size(), most)) {
-      break;
-    }
-    Piece& piece = pieces_.at(it->key);
-    const std::uint64_t room =
-        it->standing == Standing::kLate ? LateRoom() : limits_.room_bytes;
-    const bool fits =
-        bytes + (begins ? BytesOfQueued(piece) : piece.order.result_bytes) <=
-        room;
-    if (!fits || piece.tried.contains(replica.id) ||
+                                   passed_over < kLookAhead &&
+                                   pieces < kChoice * limits_.batch;) {
+    const Rank first = *it;
+    const auto end = waiting_.upper_bound(LastOfGroup(first));
+    const Piece& piece = pieces_.at(first.key);
+    Group group;
+    group.first = first;
+    group.view.standing = static_cast<std::uint32_t>(first.standing);
+    group.view.priority = first.priority;
+    group.view.since = first.since;
+    group.view.bytes = BytesOfQueued(piece);
+    group.view.room =
+        first.standing == Standing::kLate ? LateRoom() : limits_.room_bytes;
+    group.view.near = piece.order.near_domain.empty() ||
+                      piece.order.near_domain == replica.domain;
+    group.view.pieces =
+        static_cast<std::size_t>(std::count_if(it, end, [&](const Rank& rank) {
+          return !pieces_.at(rank.key).tried.contains(replica.id);
+        }));
+    it = end;
+    if (group.view.pieces == 0 || held + group.view.bytes > group.view.room ||
         !NearEnough(now, piece, replica.domain)) {
       ++passed_over;
-      it = fits ? std::next(it) : waiting_.upper_bound(LastOfGroup(*it));
       continue;
     }
-    bytes += piece.order.result_bytes;
-    piece.queued = false;
-    ++piece.calls;
-    ++piece.tries;
-    piece.tried.insert(replica.id);
-    piece.order.time_left = piece.deadline - now;
-    taken.push_back(piece.order);
-    it = waiting_.erase(it);
+    if (chosen + group.view.bytes <= group.view.room) {
+      chosen += group.view.bytes;
+      pieces += group.view.pieces;
+    } else {
+      ++passed_over;
+    }
+    groups.push_back(std::move(group));
+  }
+  return groups;
+}
+
+std::vector<PieceOrder> PieceBatcher::TakePieces(TimeUs now,
+                                                 const ReplicaEntry& replica,
+                                                 std::size_t most) {
+  const std::vector<Group> groups = GroupsFor(now, replica);
+  std::vector<WaitingGroup> views;
+  views.reserve(groups.size());
+  for (const Group& it : groups) {
+    views.push_back(it.view);
+  }
+  std::uint64_t& held = makers_[replica.id].held_bytes;
+  std::vector<PieceOrder> taken;
+  for (const std::size_t n : FillCall(views, {most, limits_.batch, held})) {
+    const Rank last = LastOfGroup(groups[n].first);
+    for (auto it = waiting_.lower_bound(groups[n].first);
+         it != waiting_.end() && *it < last && taken.size() < limits_.batch;) {
+      Piece& piece = pieces_.at(it->key);
+      const bool fits = held + piece.order.result_bytes <= groups[n].view.room;
+      if (!fits || piece.tried.contains(replica.id)) {
+        ++it;
+        continue;
+      }
+      held += piece.order.result_bytes;
+      piece.queued = false;
+      ++piece.calls;
+      ++piece.tries;
+      piece.tried.insert(replica.id);
+      piece.order.time_left = piece.deadline - now;
+      taken.push_back(piece.order);
+      it = waiting_.erase(it);
+    }
   }
   return taken;
 }
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "coordination/attempt_budget.h"
+#include "coordination/fill_call.h"
 #include "state/piece.h"
 #include "state/replica_directory.h"
 #include "state/serving_config.h"
@@ -120,6 +121,9 @@
   // requests or pieces are passed over for one call; what fits none of these is
   // rare.
   static constexpr std::size_t kLookAhead = 64;
+  // Calls' worth of pieces among which one call's are chosen: enough that a
+  // replica finds a call of its own among four failure domains' pieces.
+  static constexpr std::size_t kChoice = 4;
   // How often waiting pieces and results are looked through for their end; it
   // is a fiftieth of the shortest time that either has.
   static constexpr DurationUs kUpkeep = 50 * kMillisecond;
@@ -229,9 +233,12 @@
   // Above all ranks of the same request, stage and standing.
   static Rank LastOfGroup(const Rank& rank);
   std::uint64_t BytesOfQueued(const Piece& piece) const;
-  bool LeftForNextCall(const Rank& rank,
-                       std::size_t taken,
-                       std::size_t most) const;
+  // Pieces of one request and stage of one standing, in `waiting_`.
+  struct Group {
+    Rank first;
+    WaitingGroup view;
+  };
+  std::vector<Group> GroupsFor(TimeUs now, const ReplicaEntry& replica);
   // Takes the pieces of a call to `replica` off the queue, `most` and what
   // completes their requests; their results count as held there.
   std::vector<PieceOrder> TakePieces(TimeUs now,
--- /dev/null
+++ b/tests/gateway/fill_call_test.cc
@@ -0,0 +1,99 @@
+// Which waiting pieces a call takes when many wait.
+#include "coordination/fill_call.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+namespace acaciachute {
+namespace {
+
+WaitingGroup Group(std::size_t pieces, TimeUs since = 0) {
+  WaitingGroup it;
+  it.pieces = pieces;
+  it.bytes = pieces;
+  it.room = 1000;
+  it.since = since;
+  return it;
+}
+
+std::size_t PiecesOf(const std::vector<WaitingGroup>& groups,
+                     const std::vector<std::size_t>& taken) {
+  return std::accumulate(
+      taken.begin(), taken.end(), std::size_t{0},
+      [&](std::size_t sum, std::size_t n) { return sum + groups[n].pieces; });
+}
+
+// Load: a burst leaves requests of 8 to 40 pieces before a stage whose calls
+// take 66. Callers wait for as many calls as it takes to make all of them, so
+// no call goes with a quarter of its places empty while a smaller request
+// waits.
+TEST(FillCallTest, FillsCallsFromALongQueue) {
+  std::mt19937 random(1);
+  std::uniform_int_distribution<std::size_t> size(8, 40);
+  std::vector<WaitingGroup> groups;
+  for (int n = 0; n < 600; ++n) {
+    groups.push_back(Group(size(random), n));
+  }
+  std::size_t calls = 0;
+  std::size_t pieces = 0;
+  while (groups.size() > 60) {
+    const auto taken = FillCall(groups, {66, 66, 0});
+    EXPECT_EQ(taken.front(), 0U);  // Nobody is passed over for good.
+    pieces += PiecesOf(groups, taken);
+    ++calls;
+    std::vector<WaitingGroup> left;
+    for (std::size_t n = 0; n < groups.size(); ++n) {
+      if (std::find(taken.begin(), taken.end(), n) == taken.end()) {
+        left.push_back(groups[n]);
+      }
+    }
+    groups = std::move(left);
+  }
+  EXPECT_GT(static_cast<double>(pieces) / static_cast<double>(calls), 63);
+}
+
+// Load: inputs lie in four failure domains. A replica takes the requests of its
+// own first, however many others came a little earlier.
+TEST(FillCallTest, TakesWhatIsNearFirst) {
+  std::vector<WaitingGroup> groups;
+  for (TimeUs n = 0; n < 8; ++n) {
+    groups.push_back(Group(10, n * 10 * kMillisecond));
+    groups.back().near = n >= 6;
+  }
+  EXPECT_EQ(FillCall(groups, {20, 20, 0}), (std::vector<std::size_t>{6, 7}));
+}
+
+// ... but not before what has waited longer by a call's time, so that a domain
+// whose replicas are slow does not leave its requests behind.
+TEST(FillCallTest, TakesWhatWaitedMuchLongerBeforeWhatIsNear) {
+  std::vector<WaitingGroup> groups = {Group(10), Group(10, kNearLead + 1)};
+  groups[0].near = false;
+  EXPECT_EQ(FillCall(groups, {10, 10, 0}), (std::vector<std::size_t>{0}));
+}
+
+// Urgent requests never wait behind patient ones that are near.
+TEST(FillCallTest, TakesUrgentBeforeNear) {
+  std::vector<WaitingGroup> groups = {Group(10), Group(10)};
+  groups[0].priority = 2;
+  groups[1].near = false;
+  EXPECT_EQ(FillCall(groups, {10, 10, 0}), (std::vector<std::size_t>{1}));
+}
+
+TEST(FillCallTest, PassesOverWhatHasNoMemory) {
+  std::vector<WaitingGroup> groups = {Group(10), Group(20, 1), Group(5, 2)};
+  groups[1].room = 15;
+  EXPECT_EQ(FillCall(groups, {40, 40, 0}), (std::vector<std::size_t>{0, 2}));
+}
+
+// With several replicas free, each takes its share and the rest goes to the
+// next.
+TEST(FillCallTest, StopsAtItsShare) {
+  const std::vector<WaitingGroup> groups = {Group(4), Group(4, 1), Group(4, 2)};
+  EXPECT_EQ(FillCall(groups, {5, 40, 0}).size(), 2U);
+}
+
+}  // namespace
+}  // namespace acaciachute
