Choose engines near the results, and score them without an engine's speed

Hypothesis: the domain of a request's results was read by the choice of engine and set nowhere.

Change: the domain and bytes of the last results are set when the stages are done; a far engine costs tokens in proportion to those bytes. Scores are in prompt tokens, so that no customer's reading speed stands in the code.

--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/engine_choice.cc
@@ -77,17 +77,18 @@
   const Engine& engine = engines_[replica.id];
   const EngineLoad load = LoadOf(replica.id);
   const Unheld unheld = UnheldAt(engine, request, home);
-  const double tokens = static_cast<double>(load.unread_tokens + unheld.own) +
-                        kRereadWeight * static_cast<double>(unheld.shared);
-  double ms = tokens / kTokensPerMs + kRunningMs * load.running;
+  double tokens = static_cast<double>(load.unread_tokens + unheld.own) +
+                  kRereadWeight * static_cast<double>(unheld.shared) +
+                  kRunningTokens * load.running;
   if (load.running >= replica.slots) {
-    constexpr double kQueued = 1000;  // About a third of a stream.
-    ms += kQueued;
+    tokens += kQueuedTokens;
   }
   if (!request.near_domain.empty() && request.near_domain != replica.domain) {
-    ms += kFarMs;
+    constexpr double kMegabyte = 1e6;
+    tokens += kFarTokensPerMb * static_cast<double>(request.fetched_bytes) /
+              kMegabyte;
   }
-  return (ms + 1) * engine.health.Penalty();
+  return (tokens + 1) * engine.health.Penalty();
 }
 
 const ReplicaEntry* EngineChoice::Choose(TimeUs now,
--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -6,12 +6,12 @@
 // are read again each time, and two long prompts that meet delay the first
 // token of both by their sum. A prompt's home is the engine with the highest
 // hash of its shared parts and the engine (rendezvous hashing), the same at
-// every entry; it is taken to hold them. Each engine is scored by the time
-// until this request's first token: the prompt tokens that are still unread
-// there, those of this prompt that it does not hold, and what the running
-// requests add. What an engine holds is believed from what was sent there and
-// ended well; engines report their load late and at a price, so nobody asks
-// them.
+// every entry; it is taken to hold them. Each engine is scored by what it reads
+// until this request's first token, in prompt tokens, which needs no engine's
+// speed: those that are still unread there, those of this prompt that it does
+// not hold, what the running requests add, and what it fetches from elsewhere.
+// What an engine holds is believed from what was sent there and ended well;
+// engines report their load late and at a price, so nobody asks them.
 #ifndef ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
 #define ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
 
@@ -39,25 +39,28 @@
 struct EngineRequest {
   const std::vector<PromptPart>* prompt = nullptr;
   std::uint64_t prompt_tokens = 0;
-  // Failure domain of most of the bytes that the engine has to fetch.
+  // Failure domain of most of the results that the engine has to fetch, and
+  // their bytes.
   std::string near_domain;
+  std::uint64_t fetched_bytes = 0;
 };
 
 class EngineChoice {
  public:
-  // Prompt tokens that an engine reads in a millisecond, by the users' sheets.
-  static constexpr double kTokensPerMs = 157;
   // Weight of tokens of shared parts that the engine would read again: beside
   // their time, which others wait for too, they push out what it holds. With 4
   // a home that was busy for 140 ms was left, for a gain that few requests
   // need; with 10, calm days of both large sites earned 0.03 and 0.04 more.
   static constexpr double kRereadWeight = 10;
   // What one more running request adds until the first token: it lengthens each
-  // step, and a prompt waits for the step in progress.
-  static constexpr double kRunningMs = 0.6;
-  // Fetching results from another failure domain. Mostly a matter of their
-  // price: a detour is worth this much reading time.
-  static constexpr double kFarMs = 25;
+  // step, and a prompt waits for the step in progress. Engines that read 110 to
+  // 160 tokens in a ms take some 0.6 ms longer for it.
+  static constexpr double kRunningTokens = 94;
+  // A request that finds all slots taken waits for about a third of a stream.
+  static constexpr double kQueuedTokens = 157'000;
+  // Fetching a megabyte of results from another failure domain. Its price is
+  // that of reading some 200 shared tokens again, which weigh ten times.
+  static constexpr double kFarTokensPerMb = 2000;
   // Parts remembered an engine. A part is 16 bytes here; this is
   // several times what an engine's memory holds.
   static constexpr std::size_t kPartsRemembered = 4096;
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -49,7 +49,7 @@
         progress(route_in->stages, call.pieces, StageTimes(*config, *route)) {}
 
   EngineRequest ForEngine() const {
-    return {&call.prompt, call.prompt_tokens, near_domain};
+    return {&call.prompt, call.prompt_tokens, near_domain, fetched_bytes};
   }
 
   const ExchangeId id;
@@ -71,7 +71,9 @@
   TimeUs staged_at = 0;
   std::string stage_times;  // For logs: when each stage was whole.
   int restarts = 0;
-  std::string near_domain;  // Where most of the results lie.
+  // Where most of the results that the engine fetches lie, once all are made.
+  std::string near_domain;
+  std::uint64_t fetched_bytes = 0;
 
   Attempt attempt;
   std::uint32_t runs = 0;  // Attempts that may have run.
--- a/src/coordination/gateway_stages.cc
+++ b/src/coordination/gateway_stages.cc
@@ -107,6 +107,8 @@
 void Gateway::Impl::OnStagesDone(ServingRequest* request) {
   request->staged = true;
   request->staged_at = ports->Now();
+  request->near_domain = DomainOfMost(request->progress.FinalResults());
+  request->fetched_bytes = request->progress.FinalBytes();
   StartAttempt(request);
 }
 
--- a/src/coordination/stage_progress.cc
+++ b/src/coordination/stage_progress.cc
@@ -11,6 +11,7 @@
   stages_.resize(stages.size());
   for (std::size_t n = 0; n < stages.size(); ++n) {
     stages_[n].after = stages[n].after;
+    stages_[n].result_bytes = stages[n].result_bytes;
     stages_[n].handles.resize(n < pieces.size() ? pieces[n] : 0);
     stages_[n].time = stages_[n].handles.empty() ? 0 : times[n];
   }
@@ -126,6 +127,14 @@
   return results;
 }
 
+std::uint64_t StageProgress::FinalBytes() const {
+  std::uint64_t bytes = 0;
+  for (const Stage& it : stages_) {
+    bytes += it.followed ? 0 : it.result_bytes * it.handles.size();
+  }
+  return bytes;
+}
+
 std::vector<std::string> StageProgress::TakeUnneeded() {
   std::vector<std::string> out;
   for (std::uint32_t n = 0; n < stages_.size(); ++n) {
--- a/src/coordination/stage_progress.h
+++ b/src/coordination/stage_progress.h
@@ -48,6 +48,8 @@
   bool Complete() const;
   // Results of the stages that no other stage follows, for the model replica.
   std::vector<std::string> FinalResults() const;
+  // Their bytes, as the route states them.
+  std::uint64_t FinalBytes() const;
   // Results that only finished stages needed; each is given once.
   std::vector<std::string> TakeUnneeded();
   // All results that were not yet given by `TakeUnneeded`.
@@ -63,6 +65,7 @@
     DurationUs path =
         0;  // From its begin to the end of the last that needs it.
     DurationUs time = 0;
+    std::uint64_t result_bytes = 0;  // Of one piece.
     bool begun = false;
     bool followed = false;
     bool released = false;
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -32,7 +32,7 @@
   for (const auto& it : *parts) {
     tokens += it.tokens;
   }
-  return {parts, tokens, ""};
+  return {parts, tokens, "", 0};
 }
 
 // Load: one session comes back again and again, through entries that know
@@ -67,6 +67,21 @@
   EXPECT_GE(used.size(), 3U);
 }
 
+// Load: large results lie in one failure domain, and no engine holds the
+// prompt. The request goes where they lie, unless the engines there have more
+// to read than fetching them elsewhere is worth.
+TEST(EngineChoiceTest, GoesWhereLargeResultsLie) {
+  Fleet fleet(4);
+  EngineChoice choice(&fleet.directory, &fleet.random);
+  const std::vector<PromptPart> prompt = {{"q", 1000}};
+  EngineRequest request = Prompt(&prompt);
+  request.near_domain = "b";
+  request.fetched_bytes = 7'500'000;
+  EXPECT_EQ(choice.Choose(0, "s", request, {}, false)->domain, "b");
+  choice.SetOthers("other", {{"r1", {1, 60'000}}, {"r3", {1, 60'000}}});
+  EXPECT_EQ(choice.Choose(0, "s", request, {}, false)->domain, "a");
+}
+
 // Work that other entries tell of counts like one's own.
 TEST(EngineChoiceTest, CountsTheWorkOfOthers) {
   Fleet fleet(2);
