--- a/tests/gateway/fill_call_test.cc
+++ b/tests/gateway/fill_call_test.cc
@@ -33,8 +33,10 @@
 TEST(FillCallTest, FillsCallsFromALongQueue) {
   std::mt19937 random(1);
   std::uniform_int_distribution<std::size_t> size(8, 40);
+  constexpr int kRequests = 600;
   std::vector<WaitingGroup> groups;
-  for (int n = 0; n < 600; ++n) {
+  groups.reserve(kRequests);
+  for (int n = 0; n < kRequests; ++n) {
     groups.push_back(Group(size(random), n));
   }
   std::size_t calls = 0;
@@ -59,6 +61,7 @@
 // own first, however many others came a little earlier.
 TEST(FillCallTest, TakesWhatIsNearFirst) {
   std::vector<WaitingGroup> groups;
+  groups.reserve(8);
   for (TimeUs n = 0; n < 8; ++n) {
     groups.push_back(Group(10, n * 10 * kMillisecond));
     groups.back().near = n >= 6;
