Let one piece of code serve where the change wrote it twice

Whether results' makers are short of memory was asked for each piece and handle, and each time all waits of a service were worked out for the one number; the loop that ends calls of a kind stood three times; a lost answer's results were held by a copy of Hold; a directory listed a new life in two places and took a time that nothing read; groups were copied into a second list; one test setup stood twice.

Change: MemoryHeld answers by itself, once a service; EndCallsWhere, List, TellAdded and RowOf serve both sides; Put takes no time again, so that the tests read as before; the check of an entry's id that had become one of its name is one of the whole id again. The tests keep their assertions.

Left: GroupsFor walks a group's pieces twice, because memory is counted for all queued pieces and places for those not yet tried here.

No functional change

--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/local_piece_desk.cc
@@ -77,6 +77,11 @@
   return it == batchers_.end() ? PoolWait{} : it->second->ExpectedWait(now);
 }
 
+double LocalPieceDesk::MemoryHeld(const std::string& service) const {
+  const auto it = batchers_.find(service);
+  return it == batchers_.end() ? 0 : it->second->MemoryHeld();
+}
+
 void LocalPieceDesk::OnCallEnd(TimeUs now,
                                const std::string& service,
                                BatchId id,
--- a/src/coordination/local_piece_desk.h
+++ b/src/coordination/local_piece_desk.h
@@ -29,6 +29,8 @@
   void FreeOf(const std::string& service,
               const std::vector<std::string>& handles);
   PoolWait ExpectedWait(TimeUs now, const std::string& service) const override;
+  // See `PieceBatcher::MemoryHeld`.
+  double MemoryHeld(const std::string& service) const;
 
   void OnCallEnd(TimeUs now,
                  const std::string& service,
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -224,10 +224,9 @@
 
 // Groups that may go to the replica now, in order of rank, until there is
 // enough to choose from.
-std::vector<PieceBatcher::Group> PieceBatcher::GroupsFor(
-    TimeUs now,
-    const ReplicaEntry& replica) {
-  std::vector<Group> groups;
+PieceBatcher::Groups PieceBatcher::GroupsFor(TimeUs now,
+                                             const ReplicaEntry& replica) {
+  Groups groups;
   const std::uint64_t held = makers_[replica.id].held_bytes;
   std::uint64_t chosen = held;  // With all that fit beside one another.
   std::size_t passed_over = 0;
@@ -238,33 +237,33 @@
     const Rank first = *it;
     const auto end = waiting_.upper_bound(LastOfGroup(first));
     const Piece& piece = pieces_.at(first.key);
-    Group group;
-    group.first = first;
-    group.view.standing = static_cast<std::uint32_t>(first.standing);
-    group.view.priority = first.priority;
-    group.view.since = first.since;
-    group.view.bytes = BytesOfQueued(piece);
-    group.view.room =
+    WaitingGroup group;
+    group.standing = static_cast<std::uint32_t>(first.standing);
+    group.priority = first.priority;
+    group.since = first.since;
+    group.bytes = BytesOfQueued(piece);
+    group.room =
         first.standing == Standing::kLate ? LateRoom() : limits_.room_bytes;
-    group.view.near = piece.order.near_domain.empty() ||
-                      piece.order.near_domain == replica.domain;
-    group.view.pieces =
+    group.near = piece.order.near_domain.empty() ||
+                 piece.order.near_domain == replica.domain;
+    group.pieces =
         static_cast<std::size_t>(std::count_if(it, end, [&](const Rank& rank) {
           return !pieces_.at(rank.key).tried.contains(replica.id);
         }));
     it = end;
-    if (group.view.pieces == 0 || held + group.view.bytes > group.view.room ||
+    if (group.pieces == 0 || held + group.bytes > group.room ||
         !NearEnough(now, piece, replica.domain)) {
       ++passed_over;
       continue;
     }
-    if (chosen + group.view.bytes <= group.view.room) {
-      chosen += group.view.bytes;
-      pieces += group.view.pieces;
+    if (chosen + group.bytes <= group.room) {
+      chosen += group.bytes;
+      pieces += group.pieces;
     } else {
       ++passed_over;
     }
-    groups.push_back(std::move(group));
+    groups.firsts.push_back(first);
+    groups.views.push_back(group);
   }
   return groups;
 }
@@ -272,20 +271,16 @@
 std::vector<PieceOrder> PieceBatcher::TakePieces(TimeUs now,
                                                  const ReplicaEntry& replica,
                                                  std::size_t most) {
-  const std::vector<Group> groups = GroupsFor(now, replica);
-  std::vector<WaitingGroup> views;
-  views.reserve(groups.size());
-  for (const Group& it : groups) {
-    views.push_back(it.view);
-  }
+  const Groups groups = GroupsFor(now, replica);
   std::uint64_t& held = makers_[replica.id].held_bytes;
   std::vector<PieceOrder> taken;
-  for (const std::size_t n : FillCall(views, {most, limits_.batch, held})) {
-    const Rank last = LastOfGroup(groups[n].first);
-    for (auto it = waiting_.lower_bound(groups[n].first);
+  for (const std::size_t n :
+       FillCall(groups.views, {most, limits_.batch, held})) {
+    const Rank last = LastOfGroup(groups.firsts[n]);
+    for (auto it = waiting_.lower_bound(groups.firsts[n]);
          it != waiting_.end() && *it < last && taken.size() < limits_.batch;) {
       Piece& piece = pieces_.at(it->key);
-      const bool fits = held + piece.order.result_bytes <= groups[n].view.room;
+      const bool fits = held + piece.order.result_bytes <= groups.views[n].room;
       if (!fits || piece.tried.contains(replica.id)) {
         ++it;
         continue;
@@ -417,16 +412,26 @@
   if (limits_.slots != 1) {
     return;  // Calls that are worked on together end in any order.
   }
-  std::vector<BatchId> lost;
+  EndCallsWhere(
+      now, {PieceCallEnd::Kind::kLost, "a later call was answered", {}},
+      [&](const Call& call) {
+        return call.copied && call.call.replica == answered.call.replica &&
+               call.started < answered.started;
+      });
+}
+
+void PieceBatcher::EndCallsWhere(
+    TimeUs now,
+    const PieceCallEnd& end,
+    const std::function<bool(const Call&)>& holds) {
+  std::vector<BatchId> ended;
   for (const auto& [id, call] : calls_) {
-    if (call.copied && call.call.replica == answered.call.replica &&
-        call.started < answered.started) {
-      lost.push_back(id);
+    if (holds(call)) {
+      ended.push_back(id);
     }
   }
-  for (const BatchId id : lost) {
-    OnCallEnd(now, id,
-              {PieceCallEnd::Kind::kLost, "a later call was answered", {}});
+  for (const BatchId id : ended) {
+    OnCallEnd(now, id, end);
   }
 }
 
@@ -437,11 +442,10 @@
   for (const PieceOrder& it : call.call.pieces) {
     bytes += it.result_bytes;
   }
+  PieceResult results;
   // No handle that a replica gives begins like this.
-  const std::string handle = "lost/" + std::to_string(call.call.id);
-  held_[handle] = {call.call.replica, call.call.address, bytes,
-                   now + limits_.result_life};
-  makers_[call.call.replica].held_bytes += bytes;
+  results.handle = "lost/" + std::to_string(call.call.id);
+  Hold(now, call, results, bytes);
 }
 
 void PieceBatcher::EndPiece(TimeUs now,
@@ -547,16 +551,9 @@
 }
 
 void PieceBatcher::OnReplicaRestarted(TimeUs now, const ReplicaId& replica) {
-  std::vector<BatchId> lost;
-  for (const auto& [id, call] : calls_) {
-    if (call.call.replica == replica) {
-      lost.push_back(id);
-    }
-  }
-  for (const BatchId id : lost) {
-    OnCallEnd(now, id,
-              {PieceCallEnd::Kind::kBroken, "the replica started again", {}});
-  }
+  EndCallsWhere(now,
+                {PieceCallEnd::Kind::kBroken, "the replica started again", {}},
+                [&](const Call& call) { return call.call.replica == replica; });
   OnReplicaGone(now, replica);
 }
 
@@ -586,14 +583,10 @@
 }
 
 void PieceBatcher::WatchCalls(TimeUs now) {
-  std::vector<BatchId> given_up;
   const auto read_after =
       static_cast<DurationUs>(kInputsRead * static_cast<double>(limits_.call));
   for (auto& [id, call] : calls_) {
     const DurationUs age = now - call.started;
-    if (age > kGiveUp) {
-      given_up.push_back(id);
-    }
     if (!call.inputs_read && age >= read_after) {
       call.inputs_read = true;
       NoteInputsRead(call);
@@ -604,9 +597,8 @@
       CopyOverdue(now, &call);
     }
   }
-  for (const BatchId id : given_up) {
-    OnCallEnd(now, id, {PieceCallEnd::Kind::kBroken, "no answer", {}});
-  }
+  EndCallsWhere(now, {PieceCallEnd::Kind::kBroken, "no answer", {}},
+                [&](const Call& call) { return now - call.started > kGiveUp; });
 }
 
 void PieceBatcher::NoteInputsRead(const Call& call) {
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -29,6 +29,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -168,6 +169,8 @@
   bool Idle() const { return pieces_.empty() && calls_.empty(); }
   std::size_t waiting() const { return waiting_.size(); }
   PoolWait ExpectedWait(TimeUs now) const;
+  // Share of the replicas' memory for results that is held.
+  double MemoryHeld() const;
 
  private:
   // Where a piece stands, first to last.
@@ -247,12 +250,13 @@
   // Above all ranks of the same request, stage and standing.
   static Rank LastOfGroup(const Rank& rank);
   std::uint64_t BytesOfQueued(const Piece& piece) const;
-  // Pieces of one request and stage of one standing, in `waiting_`.
-  struct Group {
-    Rank first;
-    WaitingGroup view;
+  // Pieces of one request, stage and standing each: the first of them in
+  // `waiting_`, and what decides whether they are taken.
+  struct Groups {
+    std::vector<Rank> firsts;
+    std::vector<WaitingGroup> views;
   };
-  std::vector<Group> GroupsFor(TimeUs now, const ReplicaEntry& replica);
+  Groups GroupsFor(TimeUs now, const ReplicaEntry& replica);
   // Takes the pieces of a call to `replica` off the queue, `most` and what
   // completes their requests; their results count as held there.
   std::vector<PieceOrder> TakePieces(TimeUs now,
@@ -275,9 +279,12 @@
   // Ends the overdue calls that `answered`, of the same replica, was started
   // after.
   void EndLostBefore(TimeUs now, const Call& answered);
+  // Ends all calls for which `holds` is true, in the same way.
+  void EndCallsWhere(TimeUs now,
+                     const PieceCallEnd& end,
+                     const std::function<bool(const Call&)>& holds);
   void HoldLost(TimeUs now, const Call& call);
   void NoteInputsRead(const Call& call);
-  double MemoryHeld() const;
   // Whether the piece's inputs may be gone, so that it can't be made again.
   bool LetGoOfInputs(const Piece& piece) const;
 
--- a/src/coordination/shared_piece_desk.cc
+++ b/src/coordination/shared_piece_desk.cc
@@ -111,14 +111,24 @@
   return it == told_.end() ? PoolWait{} : it->second;
 }
 
+double SharedPieceDesk::MemoryHeld(const std::string& service) const {
+  if (peers_->OwnerOf(service) == self_) {
+    return local_->MemoryHeld(service);
+  }
+  const auto it = told_.find(service);
+  return it == told_.end() ? 0 : it->second.memory;
+}
+
 bool SharedPieceDesk::ShortOfMemory(
-    TimeUs now,
     const std::vector<std::string>& handles) const {
-  return std::any_of(handles.begin(), handles.end(), [&](const auto& handle) {
-    const ReplicaEntry* maker = directory_->MakerOf(handle);
-    return maker != nullptr &&
-           ExpectedWait(now, maker->service).memory > kShort;
-  });
+  std::set<std::string> services;
+  for (const auto& handle : handles) {
+    if (const ReplicaEntry* maker = directory_->MakerOf(handle)) {
+      services.insert(maker->service);
+    }
+  }
+  return std::any_of(services.begin(), services.end(),
+                     [&](const auto& it) { return MemoryHeld(it) > kShort; });
 }
 
 std::vector<ServiceWait> SharedPieceDesk::OwnWaits(TimeUs now) const {
--- a/src/coordination/shared_piece_desk.h
+++ b/src/coordination/shared_piece_desk.h
@@ -49,7 +49,7 @@
 
   // Whether the service that made these results holds more than `kShort` of its
   // memory for results.
-  bool ShortOfMemory(TimeUs now, const std::vector<std::string>& handles) const;
+  bool ShortOfMemory(const std::vector<std::string>& handles) const;
   // Below it each replica has room for as much again as it holds.
   static constexpr double kShort = 0.5;
 
@@ -82,6 +82,7 @@
     TimeUs handed_at = 0;
   };
 
+  double MemoryHeld(const std::string& service) const;
   void HandOver(TimeUs now, std::vector<PieceOrder> orders);
   void HandAgain(TimeUs now,
                  const std::vector<PieceKey>& keys,
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -140,7 +140,7 @@
     desk.Free(handles);
   }
   bool ShortOfMemory(const std::vector<std::string>& handles) override {
-    return desk.ShortOfMemory(Now(), handles);
+    return desk.ShortOfMemory(handles);
   }
 
   // SharedPieceDeskOutput
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -39,7 +39,7 @@
     return;
   }
   if (const auto entry = ReadReplica(row)) {
-    directory.Put(Now(), *entry);
+    directory.Put(*entry);
   } else {
     directory.PutUnreadable(row.key);
   }
@@ -53,7 +53,7 @@
     return *std::move(entry);
   }
   metrics.Count("acaciachute_gateway_replica_rows_refused_total");
-  // One line a key and value: another writer may write it many times a second.
+  // One line a key and reason: another writer may write it many times a second.
   const std::string why(entry.status().message());
   std::string& told = refused_rows[row.key];
   if (told != why) {
@@ -106,11 +106,13 @@
                         {"change", Name(change)},
                         {"address", AddressText(replica.address)}});
   gateway->OnReplica(replica, change);
-  if (change == DirectoryChange::kGone) {
+  const bool restarted = change == DirectoryChange::kRestarted;
+  if (restarted || change == DirectoryChange::kGone) {
     channels.DropIdle(replica.address);
+  }
+  if (change == DirectoryChange::kGone) {
     batchers.OnReplicaGone(Now(), replica);
-  } else if (change == DirectoryChange::kRestarted) {
-    channels.DropIdle(replica.address);
+  } else if (restarted) {
     batchers.OnReplicaRestarted(Now(), replica);
     desk.SendResults();
   }
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -17,9 +17,12 @@
   return entry->id.life < ended.life;
 }
 
-void ReplicaDirectory::Add(const ReplicaEntry& entry) {
+void ReplicaDirectory::List(const ReplicaEntry& entry) {
   entries_[entry.id.name] = {entry, false, false, ++added_};
   Rebuild();
+}
+
+void ReplicaDirectory::TellAdded(const ReplicaEntry& entry) {
   watcher_->OnReplica(entry, DirectoryChange::kAdded);
   if (entry.leaving) {
     watcher_->OnReplica(entry, DirectoryChange::kLeaving);
@@ -47,7 +50,7 @@
   }
 }
 
-void ReplicaDirectory::Put(TimeUs now, const ReplicaEntry& given) {
+void ReplicaDirectory::Put(const ReplicaEntry& given) {
   ReplicaEntry entry = given;
   const auto it = entries_.find(entry.id.name);
   if (it == entries_.end()) {
@@ -55,7 +58,8 @@
       watcher_->OnReplica(entry, DirectoryChange::kOlderLife);
       return;
     }
-    Add(entry);
+    List(entry);
+    TellAdded(entry);
     return;
   }
   const Incarnation known = it->second.entry.id.life;
@@ -66,25 +70,20 @@
   } else if (entry.id.life < known) {
     watcher_->OnReplica(entry, DirectoryChange::kOlderLife);
   } else {
-    Restart(now, &it->second, entry);
+    Restart(it->second.entry, entry);
   }
 }
 
 // The new life is listed before anybody hears of the old one's end: whoever
 // hears of it may choose a replica at once.
-void ReplicaDirectory::Restart(TimeUs now,
-                               Row* row,
+void ReplicaDirectory::Restart(const ReplicaEntry& known,
                                const ReplicaEntry& entry) {
-  const ReplicaEntry before = row->entry;
+  const ReplicaEntry before = known;  // Its row is written over.
   const bool told = before.id.life != 0;
-  *row = {entry, false, false, ++added_};
-  Rebuild();
+  List(entry);
   watcher_->OnReplica(
       before, told ? DirectoryChange::kRestarted : DirectoryChange::kGone);
-  watcher_->OnReplica(entry, DirectoryChange::kAdded);
-  if (entry.leaving) {
-    watcher_->OnReplica(entry, DirectoryChange::kLeaving);
-  }
+  TellAdded(entry);
 }
 
 void ReplicaDirectory::PutUnreadable(const std::string& name) {
@@ -118,7 +117,7 @@
   std::set<std::string> listed(unreadable.begin(), unreadable.end());
   for (const auto& it : entries) {
     listed.insert(it.id.name);
-    Put(now, it);
+    Put(it);
   }
   for (const auto& it : unreadable) {
     PutUnreadable(it);
@@ -165,9 +164,8 @@
 }
 
 const ReplicaEntry* ReplicaDirectory::Find(const ReplicaId& id) const {
-  const auto it = entries_.find(id.name);
-  const bool same = it != entries_.end() && it->second.entry.id == id;
-  return same ? &it->second.entry : nullptr;
+  const Row* row = RowOf(id);
+  return row == nullptr ? nullptr : &row->entry;
 }
 
 const ReplicaEntry* ReplicaDirectory::MakerOf(std::string_view handle) const {
@@ -176,8 +174,15 @@
 }
 
 bool ReplicaDirectory::TakesWork(const ReplicaId& id) const {
+  const Row* row = RowOf(id);
+  return row != nullptr && Takes(*row);
+}
+
+const ReplicaDirectory::Row* ReplicaDirectory::RowOf(
+    const ReplicaId& id) const {
   const auto it = entries_.find(id.name);
-  return it != entries_.end() && it->second.entry.id == id && Takes(it->second);
+  const bool same = it != entries_.end() && it->second.entry.id == id;
+  return same ? &it->second : nullptr;
 }
 
 bool ReplicaDirectory::Takes(const Row& row) const {
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -97,7 +97,7 @@
 
   explicit ReplicaDirectory(DirectoryWatcher* watcher) : watcher_(watcher) {}
 
-  void Put(TimeUs now, const ReplicaEntry& entry);
+  void Put(const ReplicaEntry& entry);
   // The row of that name cannot be read: another writer may have written it.
   // It names no replica to send work to; requests in progress there go on,
   // because nothing says that the replica ended.
@@ -141,14 +141,17 @@
   // Whether the row is of a life that is over; what is known may say that a
   // life that is listed again was leaving.
   bool PassedOver(ReplicaEntry* entry) const;
-  void Add(const ReplicaEntry& entry);
+  void List(const ReplicaEntry& entry);
+  void TellAdded(const ReplicaEntry& entry);
   void Update(Row* row, const ReplicaEntry& entry);
-  void Restart(TimeUs now, Row* row, const ReplicaEntry& entry);
+  void Restart(const ReplicaEntry& known, const ReplicaEntry& entry);
   void Erase(TimeUs now, Rows::iterator it);
   void Rebuild();
   // Whether new work may go there. An entry that tells no start, among others
   // of its service that do, is another writer's.
   bool Takes(const Row& row) const;
+  // Null when that life is not listed.
+  const Row* RowOf(const ReplicaId& id) const;
 
   DirectoryWatcher* const watcher_;
   Rows entries_;
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -19,7 +19,7 @@
       entry.address = {"10.0.0." + std::to_string(k), 80};
       entry.domain = k % 2 == 0 ? "a" : "b";
       entry.slots = 8;
-      directory.Put(0, entry);
+      directory.Put(entry);
     }
   }
   void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -92,7 +92,7 @@
     entry.address = {"10.0.0." + std::to_string(++last_host), 80};
     entry.domain = "a";
     entry.slots = 8;
-    directory.Put(0, entry);
+    directory.Put(entry);
   }
 
   ExchangeId Call(const std::string& route,
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -440,7 +440,7 @@
   const ExchangeId repeated = rig.Call("repeat");
   ReplicaEntry again = *rig.directory.Find({"r", 5});
   again.id.life = 6;
-  rig.directory.Put(0, again);
+  rig.directory.Put(again);
   EXPECT_EQ(rig.refused[once].verdict, Verdict::kMayHaveRun);
   ASSERT_EQ(rig.sent.size(), 3U);
   EXPECT_EQ(rig.sent.back().replica, ReplicaId("r", 6));
@@ -455,7 +455,7 @@
   rig.AddReplica("r1", "app");
   ReplicaEntry leaving = *rig.directory.Find("r1");
   leaving.leaving = true;
-  rig.directory.Put(0, leaving);
+  rig.directory.Put(leaving);
   const ExchangeId id = rig.Call("plain");
   EXPECT_TRUE(rig.sent.empty());
   EXPECT_EQ(rig.refused[id].reason, Refusal::kNoReplica);
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -33,7 +33,7 @@
       entry.service = "maker";
       entry.address = {"10.0.0." + number, 80};
       entry.domain = domain;
-      directory.Put(0, entry);
+      directory.Put(entry);
     }
   }
   static PieceOrder Order(const std::string& request,
@@ -49,6 +49,15 @@
     return order;
   }
   void Add(const PieceOrder& order) { batcher.Add(now, order); }
+  // Begins a piece whose input nothing else needs.
+  PieceOrder BeginSoleUser() {
+    PieceOrder order = Order("r", 0);
+    order.inputs = {"10.0.1.1:80/x"};
+    order.sole_users = 1;
+    Add(order);
+    batcher.Dispatch(now);
+    return order;
+  }
   void Pass(DurationUs time) {
     now += time;
     batcher.OnTick(now);
@@ -421,11 +430,7 @@
   BatcherRig rig;
   rig.short_of_memory = false;
   rig.AddReplicas(2);
-  PieceOrder order = BatcherRig::Order("r", 0);
-  order.inputs = {"10.0.1.1:80/x"};
-  order.sole_users = 1;
-  rig.Add(order);
-  rig.batcher.Dispatch(rig.now);
+  const PieceOrder order = rig.BeginSoleUser();
   rig.Pass(200 * kMs);
   EXPECT_TRUE(rig.read.empty());
   PieceCallEnd end;
@@ -458,11 +463,7 @@
 TEST(PieceBatcherTest, SaysAtOnceThatInputsAreGoneWhenTheirCallBreaks) {
   BatcherRig rig;
   rig.AddReplicas(2);
-  PieceOrder order = BatcherRig::Order("r", 0);
-  order.inputs = {"10.0.1.1:80/x"};
-  order.sole_users = 1;
-  rig.Add(order);
-  rig.batcher.Dispatch(rig.now);
+  const PieceOrder order = rig.BeginSoleUser();
   rig.Pass(150 * kMs);
   ASSERT_EQ(rig.read.size(), 1U);
   rig.Pass(kSecond);
@@ -590,12 +591,12 @@
   entry.id = {"m", 5};
   entry.service = "maker";
   entry.address = {"10.0.0.1", 80};
-  rig.directory.Put(0, entry);
+  rig.directory.Put(entry);
   rig.Add(BatcherRig::Order("r", 0));
   rig.batcher.Dispatch(rig.now);
   ASSERT_EQ(rig.calls.size(), 1U);
   entry.id.life = 6;
-  rig.directory.Put(0, entry);
+  rig.directory.Put(entry);
   rig.Pass(10 * kMs);
   ASSERT_EQ(rig.calls.size(), 2U);
   EXPECT_EQ(rig.calls[1].replica, ReplicaId("m", 6));
--- a/tests/gateway/replica_directory_model_test.cc
+++ b/tests/gateway/replica_directory_model_test.cc
@@ -96,7 +96,7 @@
       entry.service = "s";
       entry.address = {"10.0.0." + std::to_string(step.replica), 80};
       entry.leaving = step.leaving;
-      directory->Put(0, entry);
+      directory->Put(entry);
       return;
     case StepKind::kSpoiled:
       directory->PutUnreadable(name);
--- a/tests/gateway/replica_directory_test.cc
+++ b/tests/gateway/replica_directory_test.cc
@@ -24,7 +24,7 @@
 
 TEST(ReplicaDirectoryTest, LosesAnEntryThatIsRemoved) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry("r"));
+  rig.directory.Put(DirectoryRig::Entry("r"));
   EXPECT_EQ(rig.directory.Of("s").size(), 1U);
   rig.directory.Remove(0, "r");
   EXPECT_TRUE(rig.directory.Of("s").empty());
@@ -37,35 +37,35 @@
 TEST(ReplicaDirectoryTest, KeepsEntriesThatLapsedInAnOutageForAWhile) {
   DirectoryRig rig;
   TimeUs now = 100 * kSecond;
-  rig.directory.Put(0, DirectoryRig::Entry("alive"));
-  rig.directory.Put(0, DirectoryRig::Entry("dead"));
+  rig.directory.Put(DirectoryRig::Entry("alive"));
+  rig.directory.Put(DirectoryRig::Entry("dead"));
   rig.directory.OnStoreLost();
   now += 10 * kSecond;
   rig.directory.OnStoreBack(now);
   rig.directory.Replace(now, {}, {});
   EXPECT_EQ(rig.directory.Of("s").size(), 2U);
-  rig.directory.Put(0, DirectoryRig::Entry("alive"));
+  rig.directory.Put(DirectoryRig::Entry("alive"));
   now += ReplicaDirectory::kBackWithin;
   rig.directory.OnTick(now);
   ASSERT_EQ(rig.directory.Of("s").size(), 1U);
-  EXPECT_EQ(rig.directory.Of("s")[0]->id.name, "alive");
+  EXPECT_EQ(rig.directory.Of("s")[0]->id, "alive");
 }
 
 // A replica that said that it leaves gets nothing new, in an outage too, and an
 // older row that is read late does not take that back.
 TEST(ReplicaDirectoryTest, BelievesThatAReplicaLeavesForGood) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry("r"));
+  rig.directory.Put(DirectoryRig::Entry("r"));
   rig.directory.OnStoreLost();
-  rig.directory.Put(0, DirectoryRig::Entry("r", true));
-  rig.directory.Put(0, DirectoryRig::Entry("r", false));
+  rig.directory.Put(DirectoryRig::Entry("r", true));
+  rig.directory.Put(DirectoryRig::Entry("r", false));
   EXPECT_TRUE(rig.directory.Of("s").empty());
   EXPECT_FALSE(rig.directory.TakesWork("r"));
 }
 
 TEST(ReplicaDirectoryTest, FindsTheMakerOfAResult) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry("r"));
+  rig.directory.Put(DirectoryRig::Entry("r"));
   ASSERT_NE(rig.directory.MakerOf("10.0.0.1:80/x"), nullptr);
   EXPECT_EQ(rig.directory.MakerOf("10.0.0.1:80/x")->id, "r");
   EXPECT_EQ(rig.directory.MakerOf("10.0.0.2:80/x"), nullptr);
@@ -75,9 +75,9 @@
 // It takes work again; what was known of the life before ends.
 TEST(ReplicaDirectoryTest, GivesWorkToAReplicaThatLeftAndStartedAgain) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}, true));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}, true));
   EXPECT_TRUE(rig.directory.Of("s").empty());
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 6}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 6}));
   ASSERT_EQ(rig.directory.Of("s").size(), 1U);
   EXPECT_EQ(rig.directory.Of("s")[0]->id, ReplicaId("r", 6));
   EXPECT_EQ(rig.changes, (std::vector<std::string>{"r added", "r leaving",
@@ -89,14 +89,14 @@
 // taken off the list: it brings nothing back and takes nothing away.
 TEST(ReplicaDirectoryTest, PassesOverRowsOfAnEarlierLife) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 6}));
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}, true));
+  rig.directory.Put(DirectoryRig::Entry({"r", 6}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}, true));
   EXPECT_TRUE(rig.directory.TakesWork({"r", 6}));
   rig.directory.Remove(0, "r");
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}));
   EXPECT_TRUE(rig.directory.Of("s").empty());
   // The same life is listed again after an outage of the store.
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 6}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 6}));
   EXPECT_TRUE(rig.directory.TakesWork({"r", 6}));
 }
 
@@ -104,11 +104,11 @@
 // gets nothing new in that life.
 TEST(ReplicaDirectoryTest, RemembersThatALifeLeftAfterItsEntryWent) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}, true));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}, true));
   rig.directory.Remove(0, "r");
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}));
   EXPECT_TRUE(rig.directory.Of("s").empty());
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 7}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 7}));
   EXPECT_EQ(rig.directory.Of("s").size(), 1U);
 }
 
@@ -116,13 +116,13 @@
 // not taken for gone, and its next own row brings it back.
 TEST(ReplicaDirectoryTest, SendsNothingNewToAnEntryThatCannotBeRead) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}));
   rig.directory.PutUnreadable("r");
   EXPECT_TRUE(rig.directory.Of("s").empty());
   EXPECT_NE(rig.directory.Find({"r", 5}), nullptr);
   rig.directory.Replace(0, {}, {"r"});
   EXPECT_NE(rig.directory.Find({"r", 5}), nullptr);
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}));
   EXPECT_TRUE(rig.directory.TakesWork({"r", 5}));
   EXPECT_EQ(rig.changes, (std::vector<std::string>{"r added", "r unreadable",
                                                    "r readable"}));
@@ -132,14 +132,14 @@
 // not is another writer's, whichever comes first.
 TEST(ReplicaDirectoryTest, LeavesEntriesOutThatTellNoStartAmongThoseThatDo) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry("foreign"));
+  rig.directory.Put(DirectoryRig::Entry("foreign"));
   EXPECT_EQ(rig.directory.Of("s").size(), 1U);
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}));
   ASSERT_EQ(rig.directory.Of("s").size(), 1U);
   EXPECT_EQ(rig.directory.Of("s")[0]->id.name, "r");
-  rig.directory.Put(0, DirectoryRig::Entry("r"));
+  rig.directory.Put(DirectoryRig::Entry("r"));
   EXPECT_TRUE(rig.directory.Of("s").empty());
-  rig.directory.Put(0, DirectoryRig::Entry({"r", 5}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}));
   EXPECT_TRUE(rig.directory.TakesWork({"r", 5}));
 }
 
@@ -147,13 +147,13 @@
   DirectoryRig rig;
   ReplicaEntry entry = DirectoryRig::Entry({"r", 5});
   entry.orders = 9;
-  rig.directory.Put(0, entry);
+  rig.directory.Put(entry);
   entry.orders = 3;
-  rig.directory.Put(0, entry);
+  rig.directory.Put(entry);
   EXPECT_EQ(rig.changes.back(), "r count_fell");
   entry.id.life = 6;
   entry.orders = 0;
-  rig.directory.Put(0, entry);
+  rig.directory.Put(entry);
   EXPECT_EQ(rig.changes.back(), "r added");
 }
 
@@ -161,12 +161,12 @@
 // names the same address does not take it over.
 TEST(ReplicaDirectoryTest, FindsTheMakerAmongEntriesOfOneAddress) {
   DirectoryRig rig;
-  rig.directory.Put(0, DirectoryRig::Entry("real"));
+  rig.directory.Put(DirectoryRig::Entry("real"));
   ReplicaEntry foreign = DirectoryRig::Entry("a-foreign");
   foreign.service = "unheard-of";
-  rig.directory.Put(0, foreign);
+  rig.directory.Put(foreign);
   EXPECT_EQ(rig.directory.MakerOf("10.0.0.1:80/x")->id.name, "real");
-  rig.directory.Put(0, DirectoryRig::Entry("real", true));
+  rig.directory.Put(DirectoryRig::Entry("real", true));
   EXPECT_EQ(rig.directory.MakerOf("10.0.0.1:80/x")->id.name, "a-foreign");
 }
 
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -27,7 +27,7 @@
       entry.id = "m";
       entry.service = "maker";
       entry.address = {"10.0.0.1", 80};
-      directory.Put(0, entry);
+      directory.Put(entry);
     }
     void SendToPeer(const NodeId& peer, const Message& message) override {
       net->wire.push_back({name, peer, message});
