Let beats keep their promise: live gateways are not called silent

Cause, from one host's log beside its peers': a gateway that batches for nobody lengthens its period from 150 ms to 2.5 s among so many, but the others hold it to the 150 ms that its last beat promised. Taken for silent it is told once a second only, so it takes those that batch for silent, hands itself their pieces, beats at 150 ms for a moment, and the circle begins again. Ruled out: lost datagrams (every observer saw the same cycle), processor time (the hosts that were named are the large, idle ones), the size of beats.

Mended: each beat promises to one gateway when the next comes, and a longer period is told in a beat that comes as early as the old one. After two missed beats a gateway is asked for one before it is taken for dead.

--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -43,6 +43,9 @@
   if (peer.live && peer.incarnation != incarnation) {
     peer.restarted = true;
   }
+  if (beat.asks || peer.incarnation != incarnation) {
+    peer.promised = 0;  // It waits for this one's beat, or never had one.
+  }
   peer.incarnation = incarnation;
   peer.heard_at = now;
   peer.live = true;
@@ -77,7 +80,8 @@
   std::vector<NodeId> lost;
   for (auto it = peers_.begin(); it != peers_.end();) {
     Peer& peer = it->second;
-    const bool silent = peer.live && now - peer.heard_at > SilentAfter(peer);
+    const bool silent =
+        peer.live && now - peer.heard_at > Scaled(peer, kSilent);
     if (silent || peer.restarted) {
       owners_.clear();
       lost.push_back(it->first);
@@ -102,13 +106,26 @@
          static_cast<DurationUs>(kPeersAtFullRate);
 }
 
-std::vector<NodeId> GatewayPeers::DueBeats(TimeUs now, DurationUs period) {
-  std::vector<NodeId> due;
+std::vector<DueBeat> GatewayPeers::DueBeats(TimeUs now, DurationUs period) {
+  std::vector<DueBeat> due;
   for (auto& [node, peer] : peers_) {
     const DurationUs wait = peer.live ? period : std::max(period, kSilentBeat);
-    if (now - peer.told_at >= wait) {
+    if (now - peer.told_at >= std::min(wait, peer.promised)) {
       peer.told_at = now;
-      due.push_back(node);
+      peer.promised = wait;
+      due.push_back({node, wait});
+    }
+  }
+  return due;
+}
+
+std::vector<DueBeat> GatewayPeers::DueQuestions(TimeUs now) {
+  std::vector<DueBeat> due;
+  for (auto& [node, peer] : peers_) {
+    if (peer.live && now - peer.heard_at > Scaled(peer, kSuspect) &&
+        now - peer.asked_at >= Scaled(peer, kAskAgain)) {
+      peer.asked_at = now;
+      due.push_back({node, peer.promised});
     }
   }
   return due;
@@ -118,7 +135,7 @@
   leaving_ = true;
   owners_.clear();
   for (auto& [node, peer] : peers_) {
-    peer.told_at = 0;
+    peer.promised = 0;
   }
 }
 
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -24,6 +24,13 @@
 
 namespace acaciachute {
 
+// A beat that is due to `node`, which may count on the next one within
+// `promise`.
+struct DueBeat {
+  NodeId node;
+  DurationUs promise = 0;
+};
+
 class GatewayPeers {
  public:
   // A beat is under 1 KB; at five gateways that is 20 KB/s a host.
@@ -36,6 +43,12 @@
   // Four beats: with a thirtieth of the datagrams lost, a live gateway is taken
   // for dead once in a million beats. Longer for those that beat less often.
   static constexpr DurationUs kSilent = 650 * kMillisecond;
+  // Two beats missed: the gateway is asked for one, three times until it is
+  // taken for dead. Like the direct probe of SWIM (Das, Gupta and Motivala
+  // 2002); others are not asked whether they hear it, because their word would
+  // not carry pieces to it.
+  static constexpr DurationUs kSuspect = 400 * kMillisecond;
+  static constexpr DurationUs kAskAgain = (kSilent - kSuspect) / 3;
   // Hosts with less than this share of the largest live host's processor batch
   // for nobody. Weights alone leave one service in ninety to one of 15 small
   // hosts beside 8 large ones, for as long as both live: a host with 0.09 of a
@@ -72,8 +85,17 @@
   // How often this gateway beats; `batches` tells whether others hand it
   // pieces.
   DurationUs Period(bool batches) const;
-  // Those that a beat is due to now.
-  std::vector<NodeId> DueBeats(TimeUs now, DurationUs period);
+  // Those that a beat is due to now. A period that grows is told in a beat that
+  // comes as early as the one before promised.
+  //
+  // Failure: a gateway beats less often without having said so, or hears its
+  // peers less often because they hold it for silent. Symptom: among a hundred
+  // live gateways, hosts with nothing to batch took those that batch for silent
+  // once a second and handed themselves their pieces, and so on in a circle.
+  // Each promise is to one gateway and is kept, so silence means a loss.
+  std::vector<DueBeat> DueBeats(TimeUs now, DurationUs period);
+  // Those that must tell at once whether they live.
+  std::vector<DueBeat> DueQuestions(TimeUs now);
   // All hear it at once.
   void SetLeaving();
 
@@ -91,6 +113,8 @@
     TimeUs heard_at = -1;  // Negative: not yet.
     TimeUs listed_at = 0;
     TimeUs told_at = 0;
+    DurationUs promised = 0;  // From `told_at` until it is told again, at most.
+    TimeUs asked_at = 0;
     TimeUs unreachable_until = 0;
     double cores = 1;
     DurationUs period = kBeat;
@@ -100,8 +124,9 @@
     bool restarted = false;
   };
 
-  static DurationUs SilentAfter(const Peer& peer) {
-    return kSilent * peer.period / kBeat;
+  // A limit that is given for `kBeat`, at the peer's own period.
+  static DurationUs Scaled(const Peer& peer, DurationUs limit) {
+    return limit * peer.period / kBeat;
   }
   NodeId FindOwner(const std::string& service) const;
 
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -171,6 +171,7 @@
   void OnFrameKey(const std::string& key) override;
 
   void TickPeers(TimeUs now);
+  void SendBeats(TimeUs now);
   GatewayBeat BeatNow(TimeUs now) const;
 
   HostSettings settings;
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -17,15 +17,25 @@
   if (mesh == nullptr) {
     return;
   }
+  SendBeats(now);
+}
+
+void GatewayNode::Impl::SendBeats(TimeUs now) {
   const DurationUs period = peers.Period(desk.Batches());
-  const std::vector<NodeId> due = peers.DueBeats(now, period);
-  if (due.empty()) {
+  const std::vector<DueBeat> due = peers.DueBeats(now, period);
+  const std::vector<DueBeat> questions = peers.DueQuestions(now);
+  if (due.empty() && questions.empty()) {
     return;
   }
   GatewayBeat beat = BeatNow(now);
-  beat.period = period;
-  for (const NodeId& peer : due) {
-    mesh->SendDatagram(peer, beat);
+  for (const DueBeat& it : due) {
+    beat.period = it.promise;
+    mesh->SendDatagram(it.node, beat);
+  }
+  beat.asks = true;
+  for (const DueBeat& it : questions) {
+    beat.period = it.promise;
+    mesh->SendDatagram(it.node, beat);
   }
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -195,7 +195,8 @@
   bool leaving = false;
   bool current = false;  // Whether it may check keys now.
   double cores = 1;      // Share of a processor core that it is given.
-  DurationUs period = 150 * kMillisecond;  // Until its next beat.
+  DurationUs period = 150 * kMillisecond;  // Until its next beat, at most.
+  bool asks = false;                       // For a beat at once.
   std::vector<EngineWork> work;
   std::vector<ServiceWait> waits;
 };
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -113,7 +113,8 @@
 }
 template <class A>
 void serialize(A& a, GatewayBeat& v) {
-  a(v.address, v.leaving, v.current, v.cores, v.period, v.work, v.waits);
+  a(v.address, v.leaving, v.current, v.cores, v.period, v.asks, v.work,
+    v.waits);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
@@ -153,7 +154,7 @@
 namespace {
 
 // "AC", a version that changes with any message's layout, and a spare byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 4, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 5, 0};
 constexpr std::size_t kHashSize = 32;  // SHA-256.
 constexpr std::size_t kMinFrameSize = kFramePrefixSize + kHashSize;
 
