--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <set>
 
 #include "text.h"
 
@@ -25,7 +27,7 @@
 }  // namespace
 
 void GatewayPeers::OnListed(TimeUs now, const NodeId& node) {
-  if (node != self_) {
+  if (node != self_.node) {
     peers_.try_emplace(node).first->second.listed_at = now;
   }
 }
@@ -52,10 +54,11 @@
   peer.leaving = beat.leaving;
   peer.current = beat.current;
   peer.period = std::max(beat.period, kBeat);
-  if (changed || peer.cores != beat.cores) {
-    owners_.clear();
+  if (changed || peer.cores != beat.cores || peer.domain != beat.domain) {
+    OnChange();
   }
   peer.cores = beat.cores;
+  peer.domain = beat.domain;
   if (changed) {
     log_->Write("peer",
                 {{"peer", node}, {"state", beat.leaving ? "leaving" : "live"}});
@@ -71,7 +74,7 @@
   if (it->second.live) {
     log_->Write("peer", {{"peer", node}, {"state", "unreachable"}});
   }
-  owners_.clear();
+  OnChange();
   it->second.live = false;
   it->second.unreachable_until = now + kUnreachable;
 }
@@ -83,7 +86,7 @@
     const bool silent =
         peer.live && now - peer.heard_at > Scaled(peer, kSilent);
     if (silent || peer.restarted) {
-      owners_.clear();
+      OnChange();
       lost.push_back(it->first);
       peer.live = !silent;
       peer.restarted = false;
@@ -133,7 +136,7 @@
 
 void GatewayPeers::SetLeaving() {
   leaving_ = true;
-  owners_.clear();
+  OnChange();
   for (auto& [node, peer] : peers_) {
     peer.promised = 0;
   }
@@ -148,16 +151,16 @@
 }
 
 NodeId GatewayPeers::FindOwner(const std::string& service) const {
-  double largest = leaving_ ? 0 : cores_;
+  double largest = leaving_ ? 0 : self_.cores;
   for (const auto& [node, peer] : peers_) {
     if (peer.live && !peer.leaving) {
       largest = std::max(largest, peer.cores);
     }
   }
   const double least = kLargeShare * largest;
-  const NodeId* owner = &self_;
-  const bool takes_part = !leaving_ && cores_ >= least;
-  double best = takes_part ? Weight(service, self_, cores_) : 0;
+  const NodeId* owner = &self_.node;
+  const bool takes_part = !leaving_ && self_.cores >= least;
+  double best = takes_part ? Weight(service, self_.node, self_.cores) : 0;
   for (const auto& [node, peer] : peers_) {
     if (!peer.live || peer.leaving || peer.cores < least) {
       continue;
@@ -171,6 +174,93 @@
   return *owner;
 }
 
+void GatewayPeers::OnChange() {
+  owners_.clear();
+  relays_found_ = false;
+}
+
+std::vector<NodeId> GatewayPeers::RelaysOf(const std::string& domain) const {
+  std::vector<GatewayHost> hosts;
+  if (!leaving_ && domain == self_.domain) {
+    hosts.push_back(self_);
+  }
+  for (const auto& [node, peer] : peers_) {
+    if (peer.live && !peer.leaving && peer.domain == domain) {
+      hosts.push_back({node, domain, peer.cores});
+    }
+  }
+  const std::size_t n = 1 + hosts.size() / kFollowersARelay;
+  double largest = 0;
+  for (const GatewayHost& it : hosts) {
+    largest = std::max(largest, it.cores);
+  }
+  std::map<double, NodeId, std::greater<>> ranked;
+  for (const GatewayHost& it : hosts) {
+    if (it.cores >= kLargeShare * largest) {
+      ranked.emplace(Weight("relay", it.node, it.cores), it.node);
+    }
+  }
+  std::vector<NodeId> relays;
+  for (const auto& [weight, node] : ranked) {
+    if (relays.size() < n) {
+      relays.push_back(node);
+    }
+  }
+  return relays;
+}
+
+void GatewayPeers::FindRelays() const {
+  relays_found_ = true;
+  relays_ = RelaysOf(self_.domain);
+  is_relay_ = std::erase(relays_, self_.node) > 0;
+  // Followers of one domain spread over its relays.
+  std::sort(relays_.begin(), relays_.end(),
+            [&](const NodeId& a, const NodeId& b) {
+              return Weight(self_.node, a, 1) > Weight(self_.node, b, 1);
+            });
+  std::set<std::string> domains;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.live && !peer.leaving && peer.domain != self_.domain) {
+      domains.insert(peer.domain);
+    }
+  }
+  std::map<double, NodeId, std::greater<>> far;
+  for (const auto& domain : domains) {
+    const std::vector<NodeId> of = RelaysOf(domain);
+    if (!of.empty()) {
+      far.emplace(Weight(self_.node, of.front(), 1), of.front());
+    }
+  }
+  for (const auto& [weight, node] : far) {
+    relays_.push_back(node);
+  }
+}
+
+NodeId GatewayPeers::AnyLive(Random* random) const {
+  NodeId drawn;
+  std::uint64_t n = 0;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.live && !peer.leaving && random->Below(++n) == 0) {
+      drawn = node;
+    }
+  }
+  return drawn;
+}
+
+bool GatewayPeers::IsRelay() const {
+  if (!relays_found_) {
+    FindRelays();
+  }
+  return is_relay_;
+}
+
+const std::vector<NodeId>& GatewayPeers::relays() const {
+  if (!relays_found_) {
+    FindRelays();
+  }
+  return relays_;
+}
+
 std::size_t GatewayPeers::Live() const {
   const auto n = std::count_if(peers_.begin(), peers_.end(),
                                [](const auto& it) { return it.second.live; });
@@ -185,7 +275,7 @@
 
 bool GatewayPeers::IsLive(const NodeId& node) const {
   const auto it = peers_.find(node);
-  return node == self_ || (it != peers_.end() && it->second.live);
+  return node == self_.node || (it != peers_.end() && it->second.live);
 }
 
 }  // namespace acaciachute
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -20,10 +20,18 @@
 
 #include "messages.h"
 #include "state/event_log.h"
+#include "state/random.h"
 #include "types.h"
 
 namespace acaciachute {
 
+// The host that a gateway runs on.
+struct GatewayHost {
+  NodeId node;
+  std::string domain;  // Failure domain.
+  double cores = 1;    // Share of a processor core.
+};
+
 // A beat that is due to `node`, which may count on the next one within
 // `promise`.
 struct DueBeat {
@@ -63,9 +71,13 @@
   // if it lives.
   static constexpr DurationUs kForget = 60 * kSecond;
 
-  // `cores` is this host's share of a processor core.
-  GatewayPeers(NodeId self, double cores, EventLog* log)
-      : self_(std::move(self)), cores_(cores), log_(log) {}
+  // Gateways of one failure domain that follow one of them, at most. It answers
+  // two questions of each every 600 ms, at some 150 microseconds: a hundredth
+  // of a core.
+  static constexpr std::size_t kFollowersARelay = 24;
+
+  GatewayPeers(GatewayHost self, EventLog* log)
+      : self_(std::move(self)), log_(log) {}
 
   // A gateway that the store lists.
   void OnListed(TimeUs now, const NodeId& node);
@@ -104,6 +116,15 @@
   // Live gateways, this one included.
   std::size_t Live() const;
   bool IsLive(const NodeId& node) const;
+  // Whether this gateway asks the store itself and others ask it: the first of
+  // its domain's large hosts by rendezvous hash.
+  bool IsRelay() const;
+  // Whom a gateway asks that asks not the store: the relays of its own domain,
+  // then one of each other domain, in an order of its own so that those of a
+  // lost domain spread over all others.
+  const std::vector<NodeId>& relays() const;
+  // Any gateway that lives and does not leave; empty when there is none.
+  NodeId AnyLive(Random* random) const;
   // Whether another gateway that lives may check keys, as it last told.
   bool AnotherIsCurrent() const;
 
@@ -117,6 +138,7 @@
     TimeUs asked_at = 0;
     TimeUs unreachable_until = 0;
     double cores = 1;
+    std::string domain;
     DurationUs period = kBeat;
     bool live = false;
     bool leaving = false;
@@ -128,15 +150,23 @@
   static DurationUs Scaled(const Peer& peer, DurationUs limit) {
     return limit * peer.period / kBeat;
   }
+  // What was derived from who lives is derived anew.
+  void OnChange();
   NodeId FindOwner(const std::string& service) const;
+  // The first of a domain's gateways, best first.
+  std::vector<NodeId> RelaysOf(const std::string& domain) const;
+  void FindRelays() const;
 
-  const NodeId self_;
-  const double cores_;
+  const GatewayHost self_;
   EventLog* const log_;
   bool leaving_ = false;
   std::map<NodeId, Peer> peers_;
   // By service, until a gateway comes or goes: a request asks a dozen times.
   mutable std::map<std::string, NodeId> owners_;
+  // Until then, too: a gateway asks several times a second.
+  mutable bool relays_found_ = false;
+  mutable bool is_relay_ = true;
+  mutable std::vector<NodeId> relays_;
 };
 
 }  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/table_source.cc
@@ -0,0 +1,294 @@
+#include "coordination/table_source.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr std::string_view kStore = "store";
+
+}  // namespace
+
+TableSource::TableSource(std::string table,
+                         DurationUs stale,
+                         const GatewayPeers* peers,
+                         TableReader* store,
+                         TableRelayOutput* output,
+                         Random* random,
+                         Metrics* metrics,
+                         EventLog* log,
+                         AnswerFn on_answer)
+    : table_(std::move(table)),
+      stale_(stale),
+      peers_(peers),
+      store_(store),
+      output_(output),
+      random_(random),
+      metrics_(metrics),
+      log_(log),
+      on_answer_(std::move(on_answer)) {}
+
+void TableSource::ReadRows(TimeUs now,
+                           const std::string&,
+                           const std::string& from) {
+  Begin(now, {true, true, from, 0, 0, now});
+}
+
+void TableSource::ReadChanges(TimeUs now,
+                              const std::string&,
+                              std::uint64_t after,
+                              DurationUs wait) {
+  Begin(now, {true, false, "", after, wait, now});
+}
+
+bool TableSource::RelaysFail() const {
+  return peer_failures_ >= kFailuresUntilStore;
+}
+
+bool TableSource::Hurries(TimeUs now) const {
+  return static_cast<double>(now - known_at_) >
+         kHurryShare * static_cast<double>(stale_);
+}
+
+bool TableSource::AsksStoreFirst() const {
+  return peers_->relays().empty() || peers_->IsRelay();
+}
+
+// A later page of a table is of the source of the first one, which is the
+// store: relays send theirs whole.
+void TableSource::Begin(TimeUs now, Question question) {
+  question_ = std::move(question);
+  peer_call_ = {};
+  const bool later_page = !question_.from.empty();
+  const bool store_helps =
+      RelaysFail() && (!store_failed_ || now >= store_next_at_);
+  if (later_page || AsksStoreFirst() || store_helps) {
+    AskStore(now);
+  }
+  const bool peer_helps = !AsksStoreFirst() || store_failed_;
+  if (!later_page && peer_helps) {
+    AskPeer(now);
+  }
+  if (!store_call_.open && peer_call_.peer.empty()) {
+    AskStore(now);
+  }
+}
+
+void TableSource::AskStore(TimeUs now) {
+  if (store_call_.open) {
+    return;  // Its answer, or its timeout, comes first.
+  }
+  store_next_at_ = now + kStoreAgain / 2 +
+                   static_cast<DurationUs>(random_->Below(kStoreAgain / 2));
+  store_call_ = {true, question_};
+  store_call_.question.asked_at = now;
+  metrics_->Count("acaciachute_gateway_table_questions_total", kStore);
+  if (peer_call_.peer.empty()) {
+    TellSource(now, std::string(kStore), why_);
+  }
+  if (question_.whole) {
+    store_->ReadRows(now, table_, question_.from);
+  } else {
+    store_->ReadChanges(now, table_, question_.after,
+                        Hurries(now) ? 0 : question_.wait);
+  }
+}
+
+// The store may serve just those that are no relays: relays that find no other
+// ask any gateway, each second time.
+NodeId TableSource::Choose(TimeUs now) {
+  if (RelaysFail() && AsksStoreFirst() && random_->Below(2) == 0) {
+    return peers_->AnyLive(random_);
+  }
+  const NodeId* best = nullptr;
+  TimeUs best_until = 0;
+  for (const NodeId& it : peers_->relays()) {
+    const auto shunned = shunned_until_.find(it);
+    const TimeUs until = shunned == shunned_until_.end() ? 0 : shunned->second;
+    if (until <= now) {
+      return it;
+    }
+    if (best == nullptr || until < best_until) {
+      best = &it;
+      best_until = until;
+    }
+  }
+  return best == nullptr ? NodeId() : *best;
+}
+
+void TableSource::AskPeer(TimeUs now) {
+  const NodeId peer = Choose(now);
+  if (peer.empty()) {
+    return;
+  }
+  peer_call_ = {peer, ++next_sequence_, now};
+  metrics_->Count("acaciachute_gateway_table_questions_total", "relay");
+  TellSource(now, peer, why_);
+  TableQuestion it;
+  it.table = table_;
+  it.sequence = peer_call_.sequence;
+  it.whole = question_.whole;
+  it.after = question_.after;
+  it.wait = question_.wait;
+  it.age = known_at_ < 0 ? std::numeric_limits<DurationUs>::max() / 2
+                         : now - known_at_;
+  output_->SendToPeer(peer, it);
+}
+
+void TableSource::OnStoreAnswer(TimeUs now, TableAnswer answer) {
+  const StoreCall call = std::exchange(store_call_, {});
+  if (answer.kind == TableAnswer::Kind::kFailed) {
+    OnStoreFailed(now, answer);
+    return;
+  }
+  store_failed_ = false;
+  if (answer.kind == TableAnswer::Kind::kHistoryGone) {
+    answer.known_after.reset();
+    answer.version = question_.after;
+  }
+  // A relay may have answered the question that this one was; what changed
+  // since then is in the answer too.
+  const bool fits = question_.open && call.question.whole == question_.whole &&
+                    call.question.from == question_.from &&
+                    (call.question.whole || answer.version >= question_.after);
+  if (fits) {
+    Finish(now, call.question.asked_at, std::move(answer));
+  } else if (question_.open && peer_call_.peer.empty()) {
+    AskStore(now);
+  }
+}
+
+void TableSource::OnStoreFailed(TimeUs now, const TableAnswer& answer) {
+  store_failed_ = true;
+  why_ = answer.why;
+  if (question_.open && peer_call_.peer.empty()) {
+    Fail(now, answer);
+  }
+}
+
+void TableSource::OnReply(TimeUs now,
+                          const NodeId& from,
+                          const TableReply& reply) {
+  if (!question_.open || from != peer_call_.peer ||
+      reply.sequence != peer_call_.sequence) {
+    return;  // Late: another one was asked meanwhile.
+  }
+  if (reply.answer.kind > TableAnswer::kLastKind) {
+    OnPeerFailed(now, "an answer of an unknown kind");
+    return;
+  }
+  TableAnswer answer = reply.answer;
+  const TimeUs asked_at = peer_call_.asked_at;
+  switch (answer.kind) {
+    case TableAnswer::Kind::kFailed:
+      OnPeerFailed(now, answer.why);
+      return;
+    case TableAnswer::Kind::kStoreLost:
+      shunned_until_[from] = now + kSecond;
+      why_ = answer.why;
+      ++peer_failures_;
+      peer_call_ = {};
+      if (store_call_.open) {
+        AskPeer(now);  // Which holds the question until the store is back.
+      } else {
+        Fail(now, std::move(answer));
+      }
+      return;
+    case TableAnswer::Kind::kHistoryGone:
+      answer.known_after.reset();
+      break;
+    case TableAnswer::Kind::kRows:
+      break;
+  }
+  const TimeUs known_at =
+      answer.known_after ? asked_at + *answer.known_after : known_at_;
+  if (known_at_ >= 0 && now - std::max(known_at, known_at_) > stale_) {
+    OnPeerFailed(now, "what it knows is old");
+    return;
+  }
+  if (answer.version < question_.after) {
+    answer.rows.clear();  // The asker knows more.
+    answer.version = question_.after;
+    answer.known_after.reset();
+  }
+  std::erase_if(answer.rows, [&](const TableRow& it) {
+    return !question_.whole && it.version <= question_.after;
+  });
+  peer_failures_ = 0;
+  shunned_until_.erase(from);
+  Finish(now, asked_at, std::move(answer));
+}
+
+void TableSource::OnPeerFailed(TimeUs now, std::string_view why) {
+  shunned_until_[peer_call_.peer] = now + kShun;
+  why_ = why;
+  peer_call_ = {};
+  ++peer_failures_;
+  const bool store_helps = (RelaysFail() || Hurries(now)) &&
+                           (!store_failed_ || now >= store_next_at_);
+  if (store_helps) {
+    AskStore(now);
+  }
+  if (!RelaysFail()) {
+    AskPeer(now);
+  }
+  if (!peer_call_.peer.empty() || store_call_.open) {
+    return;
+  }
+  TableAnswer failed;
+  failed.why = why_;
+  Fail(now, std::move(failed));
+}
+
+void TableSource::OnPeerLost(TimeUs now, const NodeId& peer) {
+  if (question_.open && peer == peer_call_.peer) {
+    OnPeerFailed(now, "no connection");
+  }
+}
+
+void TableSource::OnTick(TimeUs now) {
+  if (question_.open && !peer_call_.peer.empty() &&
+      now - peer_call_.asked_at > TableRelay::kMostHeld + kReplyTime) {
+    OnPeerFailed(now, "no answer in time");
+  }
+}
+
+void TableSource::Finish(TimeUs now, TimeUs asked_at, TableAnswer answer) {
+  if (answer.known_after) {
+    const TimeUs known_at = asked_at + *answer.known_after;
+    known_at_ = std::max(known_at_, known_at);
+    answer.known_after = known_at - question_.asked_at;
+  }
+  question_.open = false;
+  peer_call_ = {};
+  on_answer_(now, answer);
+}
+
+void TableSource::Fail(TimeUs now, TableAnswer answer) {
+  question_.open = false;
+  peer_call_ = {};
+  on_answer_(now, answer);
+}
+
+void TableSource::TellSource(TimeUs now,
+                             const std::string& source,
+                             std::string_view why) {
+  if (source == told_source_) {
+    return;
+  }
+  log_->Write(
+      "table_source",
+      {{"table", table_},
+       {"source", source},
+       {"before", told_source_},
+       {"why", why},
+       {"age_ms", known_at_ < 0 ? -1 : (now - known_at_) / kMillisecond}});
+  told_source_ = source;
+  why_.clear();
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/coordination/table_source.h
@@ -0,0 +1,148 @@
+// Whom this gateway asks for a table: the store, or a gateway that follows it.
+//
+// Of each failure domain one gateway in `GatewayPeers::kFollowersARelay` asks
+// the store, the others ask that one, or one of another domain when theirs does
+// not answer, and the store itself when several do not. All gateways answer
+// each other's questions (see `TableRelay`), so it does no harm when two
+// disagree about who asks whom: answers carry their age, and one that gets old
+// is given up like one that is silent.
+//
+// Failure: the gateway that is asked dies, freezes, is cut off, lags behind, or
+// is turned away by the store. Symptom: those that follow it go on under a
+// configuration that was replaced, or refuse all requests with keys once the
+// bound on their age is over. Each of these is noticed within a second, while
+// what is known is young enough for two more tries.
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/gateway_peers.h"
+#include "coordination/table_relay.h"
+#include "coordination/table_watch.h"
+#include "messages.h"
+#include "state/event_log.h"
+#include "state/metrics.h"
+#include "state/random.h"
+#include "types.h"
+
+namespace acaciachute {
+
+class TableSource : public TableReader {
+ public:
+  // Beyond the time for which a relay holds a question: a connection and an
+  // answer on a host that is short of its processor.
+  static constexpr DurationUs kReplyTime = 350 * kMillisecond;
+  // A relay that failed is passed over for this long: three of its beats, by
+  // which time it is known to be gone or answers again.
+  static constexpr DurationUs kShun = 3 * kSecond;
+  // Relays that fail one after the other until the store itself is asked.
+  static constexpr int kFailuresUntilStore = 3;
+  // Of the stale age: when a relay fails and what is known is as old as this,
+  // there is no time to try relays one after the other, and the store is asked
+  // beside the next. Sound relays keep it younger.
+  static constexpr double kHurryShare = 0.8;
+  // While relays fail, the store is asked this often; half of it is at random.
+  // With a hundred gateways some 50 calls a second.
+  static constexpr DurationUs kStoreAgain = 4 * kSecond;
+
+  using AnswerFn = std::function<void(TimeUs now, const TableAnswer& answer)>;
+
+  // `stale` is the age at which a relay's knowledge is too old: more than two
+  // of the waits with which the store is asked.
+  TableSource(std::string table,
+              DurationUs stale,
+              const GatewayPeers* peers,
+              TableReader* store,
+              TableRelayOutput* output,
+              Random* random,
+              Metrics* metrics,
+              EventLog* log,
+              AnswerFn on_answer);
+
+  // TableReader. One answer follows each, through `on_answer`.
+  void ReadRows(TimeUs now,
+                const std::string& table,
+                const std::string& from) override;
+  void ReadChanges(TimeUs now,
+                   const std::string& table,
+                   std::uint64_t after,
+                   DurationUs wait) override;
+
+  void OnStoreAnswer(TimeUs now, TableAnswer answer);
+  void OnReply(TimeUs now, const NodeId& from, const TableReply& reply);
+  // Its connection broke, or none could be made.
+  void OnPeerLost(TimeUs now, const NodeId& peer);
+  // Ends what takes too long; call it every 10 ms.
+  void OnTick(TimeUs now);
+
+  // Who was asked last: a gateway, or "store".
+  const std::string& asked() const { return told_source_; }
+
+ private:
+  struct Question {
+    bool open = false;
+    bool whole = false;
+    std::string from;  // Of a page of the whole table.
+    std::uint64_t after = 0;
+    DurationUs wait = 0;
+    TimeUs asked_at = 0;
+  };
+  // The question as the store was asked it; it may have been answered by a
+  // relay meanwhile.
+  struct StoreCall {
+    bool open = false;
+    Question question;
+  };
+  struct PeerCall {
+    NodeId peer;  // Empty: none is asked.
+    std::uint64_t sequence = 0;
+    TimeUs asked_at = 0;
+  };
+
+  void Begin(TimeUs now, Question question);
+  void AskStore(TimeUs now);
+  void AskPeer(TimeUs now);
+  // The relay to ask; empty when there is none.
+  NodeId Choose(TimeUs now);
+  bool AsksStoreFirst() const;
+  bool RelaysFail() const;
+  // Whether what is known is so old that there is no time to wait.
+  bool Hurries(TimeUs now) const;
+  void OnStoreFailed(TimeUs now, const TableAnswer& answer);
+  void OnPeerFailed(TimeUs now, std::string_view why);
+  void Finish(TimeUs now, TimeUs asked_at, TableAnswer answer);
+  void Fail(TimeUs now, TableAnswer answer);
+  void TellSource(TimeUs now, const std::string& source, std::string_view why);
+
+  const std::string table_;
+  const DurationUs stale_;
+  const GatewayPeers* const peers_;
+  TableReader* const store_;
+  TableRelayOutput* const output_;
+  Random* const random_;
+  Metrics* const metrics_;
+  EventLog* const log_;
+  const AnswerFn on_answer_;
+
+  Question question_;
+  StoreCall store_call_;
+  PeerCall peer_call_;
+  std::uint64_t next_sequence_ = 0;
+  TimeUs known_at_ = -1;  // The last answer's; negative: none.
+  bool store_failed_ = false;
+  int peer_failures_ = 0;  // In a row.
+  TimeUs store_next_at_ = 0;
+  std::map<NodeId, TimeUs> shunned_until_;
+  std::string told_source_;
+  std::string why_;  // The last failure, for the log.
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
--- a/src/coordination/table_watch.cc
+++ b/src/coordination/table_watch.cc
@@ -31,15 +31,12 @@
     // After a failure what is known is old: the answer must not wait for news.
     // Held for its usual time, it came two seconds late, and requests whose
     // keys could not be checked were refused meanwhile.
-    reader_->ReadChanges(table_, version_, failures_ > 0 ? 0 : wait_);
+    reader_->ReadChanges(now, table_, version_, failures_ > 0 ? 0 : wait_);
     return;
   }
-  if (pages_.empty()) {
-    first_asked_at_ = now;
-  }
   // The first key after the last that was read: a zero byte is the least
   // suffix.
-  reader_->ReadRows(table_,
+  reader_->ReadRows(now, table_,
                     pages_.empty() ? std::string() : pages_.back().key + '\0');
 }
 
@@ -55,7 +52,8 @@
   reading_ = false;
   switch (answer.kind) {
     case TableAnswer::Kind::kFailed:
-      OnFailure(now, answer.why);
+    case TableAnswer::Kind::kStoreLost:
+      OnFailure(now, answer);
       return;
     case TableAnswer::Kind::kHistoryGone:
       log_->Write("table_history_gone",
@@ -68,10 +66,12 @@
       break;
   }
   if (answer.version < version_) {
-    OnFailure(now, "an older state than the one that is known");
+    TableAnswer older;
+    older.why = "an older state than the one that is known";
+    OnFailure(now, older);
     return;
   }
-  if (failures_ > 0) {
+  if (failures_ > 0 && answer.known_after) {
     log_->Write("table_back", {{"table", table_}, {"failures", failures_}});
     failures_ = 0;
   }
@@ -82,7 +82,16 @@
   }
 }
 
+void TableWatch::TellCurrent(TimeUs asked_at, const TableAnswer& answer) {
+  if (answer.known_after) {
+    listener_->OnTableCurrent(table_, asked_at + *answer.known_after);
+  }
+}
+
 void TableWatch::OnRows(TimeUs now, const TableAnswer& answer) {
+  if (pages_.empty()) {
+    first_known_at_ = asked_at_ + answer.known_after.value_or(0);
+  }
   page_version_ =
       pages_.empty() ? answer.version : std::min(page_version_, answer.version);
   pages_.insert(pages_.end(), answer.rows.begin(), answer.rows.end());
@@ -95,7 +104,7 @@
   known_ = true;
   const std::vector<TableRow> rows = std::exchange(pages_, {});
   listener_->OnTable(table_, rows);
-  listener_->OnTableCurrent(table_, first_asked_at_);
+  listener_->OnTableCurrent(table_, first_known_at_);
   AskSoon(now, !rows.empty());
 }
 
@@ -105,21 +114,23 @@
   for (const TableRow& it : answer.rows) {
     listener_->OnRow(table_, it);
   }
-  listener_->OnTableCurrent(table_, asked_at);
+  TellCurrent(asked_at, answer);
   AskSoon(now, !answer.rows.empty());
 }
 
-void TableWatch::OnFailure(TimeUs now, const std::string& why) {
+void TableWatch::OnFailure(TimeUs now, const TableAnswer& answer) {
   if (failures_++ == 0) {
     log_->Write("table_lost", {{"table", table_},
-                               {"why", why},
+                               {"why", answer.why},
                                {"version", version_},
                                {"age_ms", (now - asked_at_) / kMillisecond}});
   }
   pages_.clear();
   listener_->OnTableLost(table_);
   DurationUs wait = kRetry;
-  for (int n = 1; n < failures_ && wait < kMostRetry; ++n) {
+  // Another gateway held the question until now, and will hold the next one.
+  const bool paced = answer.kind == TableAnswer::Kind::kStoreLost;
+  for (int n = 1; !paced && n < failures_ && wait < kMostRetry; ++n) {
     wait *= 2;
   }
   wait = std::min(wait, kMostRetry);
--- a/src/coordination/table_watch.h
+++ b/src/coordination/table_watch.h
@@ -16,36 +16,20 @@
 
 #include "state/event_log.h"
 #include "state/random.h"
+#include "state/table_rows.h"
 #include "types.h"
 
 namespace acaciachute {
 
-struct TableRow {
-  std::string key;
-  std::string value;
-  std::uint64_t version = 0;
-  bool removed = false;
-};
-
-struct TableAnswer {
-  enum class Kind {
-    kRows,
-    kHistoryGone,  // Changes since that version are no longer kept.
-    kFailed,
-  };
-  Kind kind = Kind::kFailed;
-  std::vector<TableRow> rows;
-  bool truncated = false;     // More rows follow the last key.
-  std::uint64_t version = 0;  // Of the whole store.
-  std::string why;            // When failed.
-};
-
 class TableReader {
  public:
   virtual ~TableReader() = default;
   // One answer follows each, through `TableWatch::OnAnswer`, also on a timeout.
-  virtual void ReadRows(const std::string& table, const std::string& from) = 0;
-  virtual void ReadChanges(const std::string& table,
+  virtual void ReadRows(TimeUs now,
+                        const std::string& table,
+                        const std::string& from) = 0;
+  virtual void ReadChanges(TimeUs now,
+                           const std::string& table,
                            std::uint64_t after,
                            DurationUs wait) = 0;
 };
@@ -56,8 +40,8 @@
   virtual void OnTable(const std::string& table,
                        const std::vector<TableRow>& rows) = 0;
   virtual void OnRow(const std::string& table, const TableRow& row) = 0;
-  // Everything up to what the store held at `asked_at` is known.
-  virtual void OnTableCurrent(const std::string& table, TimeUs asked_at) = 0;
+  // Everything up to what the store held at `known_at` is known.
+  virtual void OnTableCurrent(const std::string& table, TimeUs known_at) = 0;
   virtual void OnTableLost(const std::string& table) = 0;
 };
 
@@ -87,13 +71,16 @@
   const std::string& table() const { return table_; }
   bool known() const { return known_; }
   bool lost() const { return failures_ > 0; }
+  // Of the store, up to which the rows are known.
+  std::uint64_t version() const { return version_; }
 
  private:
   void Ask(TimeUs now);
   void AskSoon(TimeUs now, bool news);
   void OnRows(TimeUs now, const TableAnswer& answer);
   void OnChanges(TimeUs now, const TableAnswer& answer);
-  void OnFailure(TimeUs now, const std::string& why);
+  void OnFailure(TimeUs now, const TableAnswer& answer);
+  void TellCurrent(TimeUs asked_at, const TableAnswer& answer);
 
   const std::string table_;
   const DurationUs wait_;
@@ -105,7 +92,7 @@
   bool reading_ = false;  // A call is in progress.
   bool whole_ = true;     // It reads the whole table.
   TimeUs asked_at_ = 0;
-  TimeUs first_asked_at_ = 0;  // Of the pages of one reading.
+  TimeUs first_known_at_ = 0;  // Of the pages of one reading.
   TimeUs next_at_ = 0;
   std::uint64_t version_ = 0;
   std::uint64_t page_version_ = 0;  // The lowest of the pages.
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -13,13 +13,6 @@
 namespace acaciachute {
 namespace {
 
-// How long the store holds a question without news; calls to it are priced. Of
-// the configuration, whose age counts from when it was asked for: two of these
-// and an answer's time stay below the share of 5 s for which keys may be used.
-constexpr DurationUs kConfigWait = 1800 * kMillisecond;
-// Of the replicas: a connection that falls silent is noticed after this and an
-// answer's time, within the 3 s that the platform allows.
-constexpr DurationUs kReplicaWait = 2200 * kMillisecond;
 constexpr DurationUs kTick = 10 * kMillisecond;
 constexpr DurationUs kSettingsCheck = kSecond;
 // The balancer asks once a second and takes a host out after two misses.
@@ -67,7 +60,7 @@
              }),
       directory(this),
       incarnation(FreshSeed()),
-      peers(settings.node, settings.cores, &log),
+      peers({settings.node, settings.domain, settings.cores}, &log),
       batchers(&directory,
                this,
                [this](const std::string& service) {
@@ -82,27 +75,24 @@
       store(&channels,
             settings.store,
             [this](const std::string& table, const TableAnswer& answer) {
-              if (table == kGatewayTable) {
-                join.OnRows(Now(), answer);
-                return;
-              }
-              TableWatch& watch = table == platform::kOperatorTable
-                                      ? config_watch
-                                      : replica_watch;
-              watch.OnAnswer(Now(), answer);
+              OnStoreAnswer(table, answer);
             }),
-      config_watch(platform::kOperatorTable,
-                   kConfigWait,
-                   &store,
-                   this,
-                   &random,
-                   &log),
-      replica_watch(platform::kReplicaTable,
-                    kReplicaWait,
+      configuration(platform::kOperatorTable,
+                    &peers,
                     &store,
                     this,
+                    this,
                     &random,
-                    &log) {
+                    &metrics,
+                    &log),
+      replicas(platform::kReplicaTable,
+               &peers,
+               &store,
+               this,
+               this,
+               &random,
+               &metrics,
+               &log) {
   gateway = std::make_unique<Gateway>(OptionsOf(settings), this, &desk,
                                       &directory, &random, &metrics, &log);
 }
@@ -128,8 +118,11 @@
 
 void GatewayNode::Impl::Tick() {
   const TimeUs now = Now();
-  config_watch.OnTick(now);
-  replica_watch.OnTick(now);
+  for (FollowedTable* it : {&configuration, &replicas}) {
+    it->source.OnTick(now);
+    it->relay.OnTick(now);
+    it->watch.OnTick(now);
+  }
   directory.OnTick(now);
   TickPeers(now);
   batchers.OnTick(now);
@@ -198,7 +191,7 @@
 }
 
 bool GatewayNode::Impl::Ready() const {
-  return !draining && gateway->current() && replica_watch.known();
+  return !draining && gateway->current() && replicas.watch.known();
 }
 
 void GatewayNode::Impl::OnOperatorRequest(ExchangeId id,
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -13,6 +13,8 @@
 #include "coordination/gateway_peers.h"
 #include "coordination/local_piece_desk.h"
 #include "coordination/shared_piece_desk.h"
+#include "coordination/table_relay.h"
+#include "coordination/table_source.h"
 #include "coordination/table_watch.h"
 #include "daemon/gateway_node.h"
 #include "platform/pieces.h"
@@ -31,6 +33,22 @@
 // Where gateways find one another.
 inline constexpr char kGatewayTable[] = "acaciachute-gateways";
 
+// One table of the store, as this gateway follows it and passes it on.
+struct FollowedTable {
+  FollowedTable(const std::string& table,
+                const GatewayPeers* peers,
+                TableReader* store,
+                TableRelayOutput* output,
+                TableListener* listener,
+                Random* random,
+                Metrics* metrics,
+                EventLog* log);
+
+  TableRelay relay;
+  TableSource source;
+  TableWatch watch;
+};
+
 struct GatewayNode::Impl : public ListenerHandler,
                            public GatewayPorts,
                            public CallSink,
@@ -39,6 +57,7 @@
                            public PieceBatcherOutput,
                            public SharedPieceDeskOutput,
                            public PeerHandler,
+                           public TableRelayOutput,
                            public GatewayJoinOutput {
   Impl(HostSettings settings_in, Loop* loop_in);
 
@@ -115,9 +134,12 @@
   void OnTable(const std::string& table,
                const std::vector<TableRow>& rows) override;
   void OnRow(const std::string& table, const TableRow& row) override;
-  void OnTableCurrent(const std::string& table, TimeUs asked_at) override;
+  void OnTableCurrent(const std::string& table, TimeUs known_at) override;
   void OnTableLost(const std::string& table) override;
   void TakeConfig(const TableRow& row);
+  // Null when this gateway does not follow it.
+  FollowedTable* Followed(const std::string& table);
+  void OnStoreAnswer(const std::string& table, const TableAnswer& answer);
   // None when the row names no replica; the log says why.
   std::optional<ReplicaEntry> ReadReplica(const TableRow& row);
 
@@ -143,7 +165,7 @@
     return desk.ShortOfMemory(handles);
   }
 
-  // SharedPieceDeskOutput
+  // SharedPieceDeskOutput, TableRelayOutput
   void SendToPeer(const NodeId& peer, const Message& message) override;
   void OnOwnPiece(const PieceResult& result) override {
     gateway->OnPiece(result);
@@ -156,14 +178,14 @@
   void OnPeerDatagram(const NodeId& from,
                       Incarnation peer_incarnation,
                       const Message& message) override;
-  void OnPeerLost(const NodeId& peer) override { desk.OnPeerLost(Now(), peer); }
+  void OnPeerLost(const NodeId& peer) override;
   void OnUnsent(const NodeId& peer, const Message& message) override {
     peers.OnUnreachable(Now(), peer);
-    desk.OnPeerLost(Now(), peer);
+    OnPeerLost(peer);
   }
 
   // GatewayJoinOutput
-  void ReadGateways() override { store.ReadRows(kGatewayTable, ""); }
+  void ReadGateways() override { store.ReadRows(Now(), kGatewayTable, ""); }
   void WriteGateway(const std::string& key,
                     const std::string& value,
                     bool only_new) override;
@@ -193,8 +215,8 @@
   std::unique_ptr<PeerMesh> mesh;  // Once the frames' key is known.
   GatewayJoin join;
   platform::StoreClient store;
-  TableWatch config_watch;
-  TableWatch replica_watch;
+  FollowedTable configuration;
+  FollowedTable replicas;
   // Keys whose rows name no replica, with the reason that was logged.
   static constexpr std::size_t kMostRefusedRows = 1000;
   std::map<std::string, std::string> refused_rows;
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -45,6 +45,7 @@
   beat.leaving = draining;
   beat.current = gateway->current();
   beat.cores = settings.cores;
+  beat.domain = settings.domain;
   beat.waits = desk.OwnWaits(now);
   for (const auto& [replica, load] : gateway->engines()->own()) {
     beat.work.push_back(
@@ -69,6 +70,23 @@
     desk.OnPeerFree(*free);
   } else if (const auto* results = std::get_if<PieceResults>(&message)) {
     desk.OnPeerResults(*results);
+  } else if (const auto* question = std::get_if<TableQuestion>(&message)) {
+    if (FollowedTable* it = Followed(question->table)) {
+      it->relay.OnQuestion(now, from, *question);
+    }
+  } else if (const auto* reply = std::get_if<TableReply>(&message)) {
+    if (FollowedTable* it = Followed(reply->table)) {
+      it->source.OnReply(now, from, *reply);
+    }
+  }
+}
+
+void GatewayNode::Impl::OnPeerLost(const NodeId& peer) {
+  const TimeUs now = Now();
+  desk.OnPeerLost(now, peer);
+  for (FollowedTable* it : {&configuration, &replicas}) {
+    it->relay.OnPeerLost(peer);
+    it->source.OnPeerLost(now, peer);
   }
 }
 
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -7,9 +7,68 @@
 #include "daemon/gateway_node_impl.h"
 
 namespace acaciachute {
+namespace {
+
+// How long the store holds a question without news; calls to it are priced. The
+// age of what is known counts from when it was asked for: two of these and an
+// answer's time leave a gateway that asks another one three quarters of a
+// second of the 4.5 s for which keys may be used, to find a third. And a
+// connection that falls silent is noticed after this and an answer's time,
+// within the 3 s that the platform allows for news of replicas.
+constexpr DurationUs kStoreWait = 1500 * kMillisecond;
+// Older than a gateway that reaches the store ever gets: it was asked twice,
+// the second time in vain.
+constexpr DurationUs kStale =
+    2 * kStoreWait + platform::StoreClient::kTimeout + 50 * kMillisecond;
+
+}  // namespace
+
+FollowedTable::FollowedTable(const std::string& table,
+                             const GatewayPeers* peers,
+                             TableReader* store,
+                             TableRelayOutput* output,
+                             TableListener* listener,
+                             Random* random,
+                             Metrics* metrics,
+                             EventLog* log)
+    : relay(table, output),
+      source(table,
+             kStale,
+             peers,
+             store,
+             output,
+             random,
+             metrics,
+             log,
+             [this](TimeUs now, const TableAnswer& answer) {
+               watch.OnAnswer(now, answer);
+             }),
+      watch(table, kStoreWait, &source, listener, random, log) {}
+
+FollowedTable* GatewayNode::Impl::Followed(const std::string& table) {
+  if (table == platform::kOperatorTable) {
+    return &configuration;
+  }
+  if (table == platform::kReplicaTable) {
+    return &replicas;
+  }
+  log.Write("table_unknown", {{"table", table}});
+  return nullptr;
+}
+
+void GatewayNode::Impl::OnStoreAnswer(const std::string& table,
+                                      const TableAnswer& answer) {
+  if (table == kGatewayTable) {
+    join.OnRows(Now(), answer);
+  } else if (FollowedTable* it = Followed(table)) {
+    it->source.OnStoreAnswer(Now(), answer);
+  }
+}
 
 void GatewayNode::Impl::OnTable(const std::string& table,
                                 const std::vector<TableRow>& rows) {
+  FollowedTable* followed = Followed(table);
+  followed->relay.OnTable(rows, followed->watch.version());
   if (table == platform::kOperatorTable) {
     for (const TableRow& it : rows) {
       TakeConfig(it);
@@ -30,6 +89,7 @@
 }
 
 void GatewayNode::Impl::OnRow(const std::string& table, const TableRow& row) {
+  Followed(table)->relay.OnRow(row);
   if (table == platform::kOperatorTable) {
     TakeConfig(row);
     return;
@@ -84,15 +144,18 @@
 }
 
 void GatewayNode::Impl::OnTableCurrent(const std::string& table,
-                                       TimeUs asked_at) {
+                                       TimeUs known_at) {
   if (table == platform::kOperatorTable) {
-    gateway->OnConfirmed(asked_at);
+    gateway->OnConfirmed(known_at);
   } else {
     directory.OnStoreBack(Now());
   }
+  FollowedTable* followed = Followed(table);
+  followed->relay.OnCurrent(known_at, followed->watch.version());
 }
 
 void GatewayNode::Impl::OnTableLost(const std::string& table) {
+  Followed(table)->relay.OnLost();
   if (table == platform::kReplicaTable) {
     directory.OnStoreLost();
   }
--- a/src/messages.h
+++ b/src/messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "state/piece.h"
+#include "state/table_rows.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -195,6 +196,7 @@
   bool leaving = false;
   bool current = false;  // Whether it may check keys now.
   double cores = 1;      // Share of a processor core that it is given.
+  std::string domain;    // Failure domain of its host.
   DurationUs period = 150 * kMillisecond;  // Until its next beat, at most.
   bool asks = false;                       // For a beat at once.
   std::vector<EngineWork> work;
@@ -218,6 +220,23 @@
   std::vector<PieceResult> results;
 };
 
+// Between gateways, over TCP: what changed in a table of the store? Without
+// news the answer is held for a while.
+struct TableQuestion {
+  std::string table;
+  std::uint64_t sequence = 0;  // Of the asker's questions.
+  bool whole = false;          // All rows, or those above `after`.
+  std::uint64_t after = 0;
+  DurationUs wait = 0;  // Zero: the answer must not wait for news.
+  DurationUs age = 0;   // Of what the asker knows.
+};
+
+struct TableReply {
+  std::string table;
+  std::uint64_t sequence = 0;
+  TableAnswer answer;
+};
+
 using Message = std::variant<StageCall,
                              StageCancel,
                              StageChunk,
@@ -233,7 +252,9 @@
                              PieceOrders,
                              PieceDrop,
                              PieceFree,
-                             PieceResults>;
+                             PieceResults,
+                             TableQuestion,
+                             TableReply>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -113,8 +114,8 @@
 }
 template <class A>
 void serialize(A& a, GatewayBeat& v) {
-  a(v.address, v.leaving, v.current, v.cores, v.period, v.asks, v.work,
-    v.waits);
+  a(v.address, v.leaving, v.current, v.cores, v.domain, v.period, v.asks,
+    v.work, v.waits);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
@@ -147,6 +148,22 @@
   a(v.results);
 }
 template <class A>
+void serialize(A& a, TableQuestion& v) {
+  a(v.table, v.sequence, v.whole, v.after, v.wait, v.age);
+}
+template <class A>
+void serialize(A& a, TableRow& v) {
+  a(v.key, v.value, v.version, v.removed);
+}
+template <class A>
+void serialize(A& a, TableAnswer& v) {
+  a(v.kind, v.rows, v.truncated, v.version, v.why, v.known_after);
+}
+template <class A>
+void serialize(A& a, TableReply& v) {
+  a(v.table, v.sequence, v.answer);
+}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
--- a/tests/gateway/peer_net.h
+++ b/tests/gateway/peer_net.h
@@ -20,7 +20,7 @@
 
   struct Node {
     Node(const NodeId& node_name, double node_cores)
-        : name(node_name), cores(node_cores), peers(name, cores, &log) {}
+        : name(node_name), cores(node_cores), peers({name, "", cores}, &log) {}
     const NodeId name;
     const double cores;
     QuietLog log;
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -14,7 +14,7 @@
 struct DeskNet {
   struct Node : SharedPieceDeskOutput, PieceBatcherOutput, DirectoryWatcher {
     Node(DeskNet* owner, const NodeId& node_name)
-        : net(owner), name(node_name), peers(node_name, 1, &log) {
+        : net(owner), name(node_name), peers({node_name, "", 1}, &log) {
       budget.SetLimits({0.2, 200, 10 * kSecond});
       ServingConfig config;
       Service service;
@@ -247,7 +247,7 @@
 
 TEST(GatewayPeersTest, TakesASilentOrRestartedGatewayForLost) {
   QuietLog log;
-  GatewayPeers peers("self", 1, &log);
+  GatewayPeers peers({"self", "", 1}, &log);
   const TimeUs now = 100 * kSecond;
   peers.OnBeat(now, "a", 1, {});
   peers.OnBeat(now, "b", 1, {});
@@ -263,7 +263,7 @@
 // less often, and are given as much longer before they are taken for lost.
 TEST(GatewayPeersTest, BeatsLessOftenAmongMany) {
   QuietLog log;
-  GatewayPeers peers("self", 1, &log);
+  GatewayPeers peers({"self", "", 1}, &log);
   const TimeUs now = 100 * kSecond;
   for (int n = 0; n < 6; ++n) {
     peers.OnBeat(now, "p" + std::to_string(n), 1, {});
@@ -285,7 +285,7 @@
 
 TEST(GatewayPeersTest, WaitsLongerForThoseThatBeatLessOften) {
   QuietLog log;
-  GatewayPeers peers("self", 1, &log);
+  GatewayPeers peers({"self", "", 1}, &log);
   const TimeUs now = 100 * kSecond;
   GatewayBeat slow;
   slow.period = 5 * GatewayPeers::kBeat;
@@ -296,7 +296,7 @@
 
 TEST(GatewayPeersTest, KnowsWhetherAnotherMayCheckKeys) {
   QuietLog log;
-  GatewayPeers peers("self", 1, &log);
+  GatewayPeers peers({"self", "", 1}, &log);
   EXPECT_FALSE(peers.AnotherIsCurrent());
   GatewayBeat beat;
   beat.current = true;
@@ -310,7 +310,7 @@
 // live, or of their processors, is a change of it at once.
 TEST(GatewayPeersTest, FollowsChangesOfWhoBatches) {
   QuietLog log;
-  GatewayPeers peers("self", 0.01, &log);
+  GatewayPeers peers({"self", "", 0.01}, &log);
   EXPECT_EQ(peers.OwnerOf("s"), "self");
   GatewayBeat large;
   large.cores = 100;
@@ -336,7 +336,7 @@
 // do it.
 TEST(GatewayPeersTest, LeavesBatchingToLargeHosts) {
   QuietLog log;
-  GatewayPeers peers("small-0", 0.09, &log);
+  GatewayPeers peers({"small-0", "", 0.09}, &log);
   const auto beat = [&](const NodeId& node, double cores, bool leaving) {
     GatewayBeat it;
     it.cores = cores;
@@ -362,7 +362,7 @@
 // A gateway that leaves still finishes what it has, but gets no new pieces.
 TEST(GatewayPeersTest, GivesALeavingGatewayNoNewWork) {
   QuietLog log;
-  GatewayPeers peers("self", 1, &log);
+  GatewayPeers peers({"self", "", 1}, &log);
   GatewayBeat leaving;
   leaving.leaving = true;
   peers.OnBeat(0, "a", 1, leaving);
--- /dev/null
+++ b/tests/gateway/table_net.h
@@ -0,0 +1,402 @@
+// A fleet of gateways that follow one table of a modelled store, in virtual
+// time: the clock moves in ticks of 10 ms, messages and the store's answers
+// take one.
+//
+// What must hold is checked at every tick of every gateway: its version never
+// goes back, and it holds every row that the store held at the time up to which
+// it claims to know the table.
+#ifndef ACACIACHUTE_TESTS_GATEWAY_TABLE_NET_H_
+#define ACACIACHUTE_TESTS_GATEWAY_TABLE_NET_H_
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/table_relay.h"
+#include "coordination/table_source.h"
+#include "coordination/table_watch.h"
+#include "tests/gateway/quiet_log.h"
+
+namespace acaciachute {
+
+class TableNet {
+ public:
+  static constexpr DurationUs kTick = 10 * kMillisecond;
+  static constexpr DurationUs kWait = 1500 * kMillisecond;
+  static constexpr DurationUs kStoreTimeout = 700 * kMillisecond;
+  static constexpr DurationUs kStale =
+      2 * kWait + kStoreTimeout + 50 * kMillisecond;
+  static constexpr DurationUs kBeatEvery = 100 * kMillisecond;
+
+  // How the store meets a gateway.
+  enum class Mood { kServes, kTurnsAway, kSilent };
+
+  struct Call {
+    std::size_t from = 0;
+    bool whole = false;
+    std::uint64_t after = 0;
+    TimeUs asked_at = 0;
+    TimeUs until = 0;
+    bool unanswered = false;  // Until its timeout.
+  };
+
+  struct Node : TableReader, TableRelayOutput, TableListener {
+    Node(TableNet* net_in, std::size_t index_in, GatewayHost host)
+        : net(net_in),
+          index(index_in),
+          name(host.node),
+          domain(host.domain),
+          cores(host.cores),
+          random(index_in + 1),
+          peers(std::move(host), &log) {
+      Start();
+    }
+
+    // A process that knows nothing.
+    void Start() {
+      ++incarnation;
+      rows.clear();
+      version = 0;
+      known_at = -1;
+      lost = false;
+      relay = std::make_unique<TableRelay>("t", this);
+      source = std::make_unique<TableSource>(
+          "t", kStale, &peers, this, this, &random, &metrics, &log,
+          [this](TimeUs now, const TableAnswer& answer) {
+            watch->OnAnswer(now, answer);
+          });
+      watch = std::make_unique<TableWatch>("t", kWait, source.get(), this,
+                                           &random, &log);
+    }
+
+    void ReadRows(TimeUs now, const std::string&, const std::string&) override {
+      net->OnCall({index, true, 0, now, now, false});
+    }
+    void ReadChanges(TimeUs now,
+                     const std::string&,
+                     std::uint64_t after,
+                     DurationUs wait) override {
+      net->OnCall({index, false, after, now, now + wait, false});
+    }
+    void SendToPeer(const NodeId& peer, const Message& message) override {
+      net->Send(index, peer, message);
+    }
+    void OnTable(const std::string&,
+                 const std::vector<TableRow>& list) override {
+      rows.clear();
+      for (const TableRow& it : list) {
+        rows[it.key] = it.value;
+      }
+      relay->OnTable(list, watch->version());
+    }
+    void OnRow(const std::string&, const TableRow& row) override {
+      if (row.removed) {
+        rows.erase(row.key);
+      } else {
+        rows[row.key] = row.value;
+      }
+      relay->OnRow(row);
+    }
+    void OnTableCurrent(const std::string&, TimeUs at) override {
+      known_at = std::max(known_at, at);
+      lost = false;
+      relay->OnCurrent(at, watch->version());
+    }
+    void OnTableLost(const std::string&) override {
+      lost = true;
+      relay->OnLost();
+    }
+
+    TableNet* const net;
+    const std::size_t index;
+    const NodeId name;
+    const std::string domain;
+    const double cores;
+    QuietLog log;
+    Random random;
+    Metrics metrics;
+    GatewayPeers peers;
+    std::unique_ptr<TableRelay> relay;
+    std::unique_ptr<TableSource> source;
+    std::unique_ptr<TableWatch> watch;
+    Incarnation incarnation = 0;
+    Mood mood = Mood::kServes;
+    bool alive = true;
+    bool frozen = false;
+    std::map<std::string, std::string> rows;
+    std::uint64_t version = 0;
+    TimeUs known_at = -1;
+    bool lost = false;
+  };
+
+  using CutFn = std::function<bool(std::size_t from, std::size_t to)>;
+
+  // Gateways over `domains` failure domains; one in six is large.
+  TableNet(std::size_t n, std::size_t domains) {
+    Write("config", "0");
+    for (std::size_t i = 0; i < n; ++i) {
+      nodes_.push_back(std::make_unique<Node>(
+          this, i,
+          GatewayHost{"g" + std::to_string(i),
+                      "d" + std::to_string(i % domains),
+                      (i / domains) % 6 == 0 ? 0.5 : 0.09}));
+    }
+  }
+
+  Node& node(std::size_t n) { return *nodes_[n]; }
+  std::size_t size() const { return nodes_.size(); }
+  TimeUs now() const { return now_; }
+  std::size_t calls() const { return calls_; }
+  std::size_t whole_reads() const { return whole_reads_; }
+  const std::vector<std::string>& faults() const { return faults_; }
+  void SetCut(CutFn cut) { cut_ = std::move(cut); }
+  void DropHistory() { history_from_ = version_; }
+  void SetMood(Mood mood) {
+    for (auto& it : nodes_) {
+      it->mood = mood;
+    }
+  }
+
+  void Write(const std::string& key, const std::string& value) {
+    rows_[key] = {key, value, ++version_, false};
+    past_[key].emplace_back(now_, value);
+  }
+  void Remove(const std::string& key) {
+    rows_[key] = {key, "", ++version_, true};
+    past_[key].emplace_back(now_, "");
+  }
+
+  DurationUs Age(std::size_t n) const {
+    return nodes_[n]->known_at < 0 ? now_ : now_ - nodes_[n]->known_at;
+  }
+  // Of the gateways that run and that `counts`.
+  DurationUs OldestAge() const {
+    DurationUs oldest = 0;
+    for (const auto& it : nodes_) {
+      if (it->alive && !it->frozen) {
+        oldest = std::max(oldest, Age(it->index));
+      }
+    }
+    return oldest;
+  }
+  std::vector<std::size_t> Relays() const {
+    std::vector<std::size_t> relays;
+    for (const auto& it : nodes_) {
+      if (it->alive && it->peers.IsRelay()) {
+        relays.push_back(it->index);
+      }
+    }
+    return relays;
+  }
+  // Gateways that hold this value, of those that run.
+  bool AllHold(const std::string& key, const std::string& value) const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& it) {
+      const auto row = it->rows.find(key);
+      return !it->alive || it->frozen ||
+             (row != it->rows.end() && row->second == value);
+    });
+  }
+
+  void Kill(std::size_t n) {
+    nodes_[n]->alive = false;
+    for (auto& it : nodes_) {
+      it->relay->OnPeerLost(nodes_[n]->name);
+      it->source->OnPeerLost(now_, nodes_[n]->name);
+    }
+    std::erase_if(calls_open_, [&](const Call& it) { return it.from == n; });
+  }
+  void Restart(std::size_t n) {
+    nodes_[n]->alive = true;
+    nodes_[n]->Start();
+  }
+
+  void Run(DurationUs time) {
+    for (const TimeUs end = now_ + time; now_ < end; now_ += kTick) {
+      Step();
+    }
+  }
+  // Until `done`, at most for `time`; returns how long it took.
+  DurationUs RunUntil(const std::function<bool()>& done, DurationUs time) {
+    const TimeUs begin = now_;
+    while (now_ - begin < time && !done()) {
+      Step();
+      now_ += kTick;
+    }
+    return now_ - begin;
+  }
+
+ private:
+  struct Letter {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    Message message;
+  };
+
+  bool Runs(std::size_t n) const {
+    return nodes_[n]->alive && !nodes_[n]->frozen;
+  }
+
+  void OnCall(Call call) {
+    ++calls_;
+    whole_reads_ += call.whole ? 1 : 0;
+    if (nodes_[call.from]->mood == Mood::kSilent) {
+      call.unanswered = true;
+      call.until += kStoreTimeout;
+    }
+    calls_open_.push_back(call);
+  }
+  void Send(std::size_t from, const NodeId& to, const Message& message) {
+    letters_.push_back({from, std::stoul(to.substr(1)), message});
+  }
+
+  TableAnswer AnswerOf(const Call& call) const {
+    TableAnswer answer;
+    const Mood mood = nodes_[call.from]->mood;
+    if (call.unanswered || mood != Mood::kServes) {
+      answer.why = "the store does not answer";
+      return answer;
+    }
+    if (!call.whole && call.after < history_from_) {
+      answer.kind = TableAnswer::Kind::kHistoryGone;
+      return answer;
+    }
+    answer.kind = TableAnswer::Kind::kRows;
+    answer.version = version_;
+    for (const auto& [key, row] : rows_) {
+      if (call.whole ? !row.removed : row.version > call.after) {
+        answer.rows.push_back(row);
+      }
+    }
+    return answer;
+  }
+
+  bool IsDue(const Call& call) const {
+    if (call.unanswered) {
+      return now_ >= call.until;
+    }
+    const bool news = call.whole || version_ > call.after ||
+                      nodes_[call.from]->mood != Mood::kServes;
+    return now_ > call.asked_at && (news || now_ >= call.until);
+  }
+
+  void AnswerCalls() {
+    std::vector<Call> due;
+    std::copy_if(
+        calls_open_.begin(), calls_open_.end(), std::back_inserter(due),
+        [&](const Call& it) { return !nodes_[it.from]->frozen && IsDue(it); });
+    std::erase_if(calls_open_, [&](const Call& it) {
+      return !nodes_[it.from]->frozen && IsDue(it);
+    });
+    for (const Call& it : due) {
+      nodes_[it.from]->source->OnStoreAnswer(now_, AnswerOf(it));
+    }
+  }
+
+  void Deliver() {
+    for (const Letter& it : std::exchange(letters_, {})) {
+      if (nodes_[it.to]->frozen) {
+        letters_.push_back(it);
+      } else if (nodes_[it.to]->alive && !(cut_ && cut_(it.from, it.to))) {
+        Take(it);
+      } else if (!nodes_[it.to]->alive) {
+        nodes_[it.from]->source->OnPeerLost(now_, nodes_[it.to]->name);
+      }
+    }
+  }
+  void Take(const Letter& it) {
+    Node& to = *nodes_[it.to];
+    if (const auto* question = std::get_if<TableQuestion>(&it.message)) {
+      to.relay->OnQuestion(now_, nodes_[it.from]->name, *question);
+    } else if (const auto* reply = std::get_if<TableReply>(&it.message)) {
+      to.source->OnReply(now_, nodes_[it.from]->name, *reply);
+    }
+  }
+
+  void Beat() {
+    for (const auto& to : nodes_) {
+      if (!Runs(to->index)) {
+        continue;
+      }
+      to->peers.TakeLost(now_);
+      for (const auto& from : nodes_) {
+        if (from == to || !Runs(from->index) ||
+            (cut_ && cut_(from->index, to->index))) {
+          continue;
+        }
+        GatewayBeat beat;
+        beat.cores = from->cores;
+        beat.domain = from->domain;
+        to->peers.OnBeat(now_, from->name, from->incarnation, beat);
+      }
+    }
+  }
+
+  void Step() {
+    if (now_ % kBeatEvery == 0) {
+      Beat();
+    }
+    Deliver();
+    AnswerCalls();
+    for (const auto& it : nodes_) {
+      if (Runs(it->index)) {
+        it->source->OnTick(now_);
+        it->relay->OnTick(now_);
+        it->watch->OnTick(now_);
+        Check(it.get());
+      }
+    }
+  }
+
+  std::string ValueAt(const std::string& key, TimeUs at) const {
+    std::string value;
+    for (const auto& [time, written] : past_.at(key)) {
+      if (time <= at) {
+        value = written;
+      }
+    }
+    return value;
+  }
+
+  // Values are numbers that grow, so a later one may be held as well.
+  void Check(Node* node) {
+    if (node->watch->version() < node->version) {
+      faults_.push_back(node->name + " went back");
+    }
+    node->version = node->watch->version();
+    if (node->known_at < 0) {
+      return;
+    }
+    for (const auto& [key, unused] : past_) {
+      const std::string due = ValueAt(key, node->known_at - 1);
+      const auto it = node->rows.find(key);
+      const std::string held = it == node->rows.end() ? "" : it->second;
+      const bool later_removal = held.empty() && rows_.at(key).removed;
+      if (!due.empty() && !later_removal &&
+          (held.empty() || std::stoul(held) < std::stoul(due))) {
+        faults_.push_back(node->name + " claims to know " + key);
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::map<std::string, TableRow> rows_;
+  std::map<std::string, std::vector<std::pair<TimeUs, std::string>>> past_;
+  std::uint64_t version_ = 0;
+  std::uint64_t history_from_ = 0;
+  std::vector<Call> calls_open_;
+  std::vector<Letter> letters_;
+  CutFn cut_;
+  TimeUs now_ = 1000 * kSecond;
+  std::size_t calls_ = 0;
+  std::size_t whole_reads_ = 0;
+  std::vector<std::string> faults_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_TESTS_GATEWAY_TABLE_NET_H_
--- /dev/null
+++ b/tests/gateway/table_source_test.cc
@@ -0,0 +1,187 @@
+// What a gateway makes of other gateways' answers for a table of the store.
+#include "coordination/table_source.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/gateway/quiet_log.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr DurationUs kStale = 4 * kSecond;
+
+// A small gateway that may ask three large ones, each in a domain of its own.
+struct SourceRig : TableReader, TableRelayOutput {
+  SourceRig() {
+    for (const char* it : {"a", "b", "c"}) {
+      GatewayBeat beat;
+      beat.cores = 1;
+      beat.domain = *it == 'a' ? "own" : it;
+      peers.OnBeat(now, it, 1, beat);
+    }
+  }
+  void ReadRows(TimeUs, const std::string&, const std::string&) override {
+    ++store_asked;
+  }
+  void ReadChanges(TimeUs,
+                   const std::string&,
+                   std::uint64_t,
+                   DurationUs) override {
+    ++store_asked;
+  }
+  void SendToPeer(const NodeId& peer, const Message& message) override {
+    asked.push_back(peer);
+    question = std::get<TableQuestion>(message);
+  }
+  void Reply(const TableAnswer& answer) {
+    source.OnReply(now, asked.back(), {"t", question.sequence, answer});
+  }
+  static TableAnswer Rows(std::uint64_t version, DurationUs known_after) {
+    TableAnswer answer;
+    answer.kind = TableAnswer::Kind::kRows;
+    answer.version = version;
+    answer.rows = {{"k", "v", version, false}};
+    answer.known_after = known_after;
+    return answer;
+  }
+  // The source knows the table up to `version`, as of now.
+  void Learn(std::uint64_t version) {
+    source.ReadChanges(now, "t", 0, kSecond);
+    Reply(Rows(version, 0));
+    got.clear();
+  }
+
+  TimeUs now = 100 * kSecond;
+  QuietLog log;
+  Random random{5};
+  Metrics metrics;
+  GatewayPeers peers{{"self", "own", 0.1}, &log};
+  std::vector<NodeId> asked;
+  TableQuestion question;
+  int store_asked = 0;
+  std::vector<TableAnswer> got;
+  TableSource source{"t",
+                     kStale,
+                     &peers,
+                     this,
+                     this,
+                     &random,
+                     &metrics,
+                     &log,
+                     [this](TimeUs, const TableAnswer& it) { got.push_back(it); }};
+};
+
+TEST(TableSourceTest, AsksTheRelayOfItsDomainFirst) {
+  SourceRig rig;
+  rig.source.ReadRows(rig.now, "t", "");
+  EXPECT_EQ(rig.asked, std::vector<NodeId>{"a"});
+  EXPECT_EQ(rig.store_asked, 0);
+}
+
+// The answer comes 500 ms after the question and speaks of a moment 1 s before
+// it arrived. The age counts from the question.
+TEST(TableSourceTest, CountsAgeFromItsQuestion) {
+  SourceRig rig;
+  rig.source.ReadRows(rig.now, "t", "");
+  rig.now += 500 * kMillisecond;
+  rig.Reply(SourceRig::Rows(5, -kSecond));
+  ASSERT_EQ(rig.got.size(), 1U);
+  EXPECT_EQ(rig.got[0].known_after, -kSecond);
+}
+
+// A relay that fails in any way: the question goes to another one, and nothing
+// that is known is lost or told to be lost.
+TEST(TableSourceTest, LeavesARelayThatFails) {
+  SourceRig rig;
+  rig.Learn(5);
+  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+  rig.now += TableRelay::kMostHeld + TableSource::kReplyTime + 1;
+  rig.source.OnTick(rig.now);
+  EXPECT_NE(rig.asked.back(), "a");
+  const NodeId second = rig.asked.back();
+  rig.source.OnPeerLost(rig.now, second);
+  EXPECT_NE(rig.asked.back(), second);
+  EXPECT_TRUE(rig.got.empty());
+  rig.Reply(SourceRig::Rows(6, 0));
+  ASSERT_EQ(rig.got.size(), 1U);
+  EXPECT_EQ(rig.got[0].rows.size(), 1U);
+}
+
+// An answer to an earlier question, or from one that was not asked.
+TEST(TableSourceTest, PassesOverAnswersToOtherQuestions) {
+  SourceRig rig;
+  rig.Learn(5);
+  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+  rig.source.OnReply(rig.now, "a",
+                     {"t", rig.question.sequence - 1, SourceRig::Rows(9, 0)});
+  rig.source.OnReply(rig.now, "b",
+                     {"t", rig.question.sequence, SourceRig::Rows(9, 0)});
+  EXPECT_TRUE(rig.got.empty());
+}
+
+// A build that we do not know, or a fault: the answer is dropped.
+TEST(TableSourceTest, DropsAnAnswerOfAnUnknownKind) {
+  SourceRig rig;
+  rig.Learn(5);
+  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+  TableAnswer odd = SourceRig::Rows(9, 0);
+  odd.kind = static_cast<TableAnswer::Kind>(77);
+  rig.Reply(odd);
+  EXPECT_TRUE(rig.got.empty());
+  EXPECT_NE(rig.asked.back(), "a");
+}
+
+// A relay that lags behind what is known tells nothing new: its rows would take
+// a configuration back, and how old they are says nothing.
+TEST(TableSourceTest, TakesNothingFromARelayThatLags) {
+  SourceRig rig;
+  rig.Learn(9);
+  rig.source.ReadChanges(rig.now, "t", 9, kSecond);
+  rig.Reply(SourceRig::Rows(7, 0));
+  ASSERT_EQ(rig.got.size(), 1U);
+  EXPECT_TRUE(rig.got[0].rows.empty());
+  EXPECT_EQ(rig.got[0].version, 9U);
+  EXPECT_FALSE(rig.got[0].known_after);
+}
+
+// The relay answers in time but what it knows gets old: it does not reach the
+// store and has not noticed.
+TEST(TableSourceTest, LeavesARelayWhoseKnowledgeIsOld) {
+  SourceRig rig;
+  rig.Learn(5);
+  rig.now += kStale + 1;
+  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+  TableAnswer none;
+  none.kind = TableAnswer::Kind::kRows;
+  none.version = 5;
+  none.known_after.reset();
+  rig.Reply(none);
+  EXPECT_TRUE(rig.got.empty());
+  EXPECT_NE(rig.asked.back(), "a");
+}
+
+// All relays fail: the store itself is asked, and then not more than every few
+// seconds while it does not answer either.
+TEST(TableSourceTest, AsksTheStoreWhenRelaysFail) {
+  SourceRig rig;
+  rig.Learn(5);
+  for (int n = 0; n < 100; ++n) {
+    rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+    while (rig.got.empty()) {
+      const std::size_t before = rig.asked.size();
+      if (rig.store_asked > 0 && before == rig.asked.size()) {
+        rig.source.OnStoreAnswer(rig.now, {});
+      }
+      if (rig.got.empty()) {
+        rig.source.OnPeerLost(rig.now, rig.asked.back());
+      }
+    }
+    rig.got.clear();
+    rig.now += 100 * kMillisecond;
+  }
+  EXPECT_GE(rig.store_asked, 2);
+  EXPECT_LE(rig.store_asked, 6);
+}
+
+}  // namespace
+}  // namespace acaciachute
--- a/tests/gateway/table_watch_test.cc
+++ b/tests/gateway/table_watch_test.cc
@@ -10,10 +10,11 @@
 
 struct WatchRig : TableReader, TableListener {
   std::vector<DurationUs> waits;  // Of questions for changes.
-  void ReadRows(const std::string&, const std::string& from) override {
+  void ReadRows(TimeUs, const std::string&, const std::string& from) override {
     asked.push_back("rows " + from);
   }
-  void ReadChanges(const std::string&,
+  void ReadChanges(TimeUs,
+                   const std::string&,
                    std::uint64_t after,
                    DurationUs wait) override {
     waits.push_back(wait);
