--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -58,6 +58,7 @@
 void AddRequestCommands(CommandTable* table);
 void AddViewCommands(CommandTable* table);
 void AddQuarantineCommands(CommandTable* table);
+void AddGatewayCommands(CommandTable* table);
 
 }  // namespace acaciachute
 
--- /dev/null
+++ b/src/ctl/gateway_commands.cc
@@ -0,0 +1,51 @@
+// `gateway sources`: whom gateways ask for the store's tables.
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "ctl/command.h"
+#include "ctl/log_sources.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+ExitCode Sources(const Command& command) {
+  std::ifstream file;
+  const bool from_file = !command.file.empty() && command.file != "-";
+  if (from_file) {
+    file.open(command.file);
+    if (!file) {
+      return Complain(ExitCode::kUsage, StrCat("cannot read ", command.file));
+    }
+  }
+  Json rows = Json::array();
+  for (const SourceOf& it : SourcesFromLog(from_file ? &file : &std::cin)) {
+    rows.push_back({{"table", it.table},
+                    {"gateway", it.gateway},
+                    {"asks", it.source},
+                    {"followers", it.followers},
+                    {"changes", it.changes},
+                    {"since_us", it.since},
+                    {"why", it.why}});
+  }
+  if (rows.empty()) {
+    return Complain(ExitCode::kFailed, "no line tells of a table's source");
+  }
+  PrintRows(
+      command.format,
+      {"table", "gateway", "asks", "followers", "changes", "since_us", "why"},
+      rows);
+  return ExitCode::kOk;
+}
+
+}  // namespace
+
+void AddGatewayCommands(CommandTable* table) {
+  table->insert(
+      {{"gateway sources", {0, 0, "gateway sources --file LOG", Sources}}});
+}
+
+}  // namespace acaciachute
--- a/src/ctl/log_explain.cc
+++ b/src/ctl/log_explain.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "ctl/log_lines.h"
 #include "text.h"
 
 namespace acaciachute {
@@ -14,48 +15,42 @@
 using Json = nlohmann::json;
 using Describe = std::string (*)(const Json& line);
 
-std::string Of(const Json& line, const char* name) {
-  const auto it = line.find(name);
-  if (it == line.end()) {
-    return "?";
-  }
-  return it->is_string() ? it->get<std::string>() : it->dump();
-}
-
 std::string Refused(const Json& line) {
-  return StrCat("refused at once (", Of(line, "reason"), ", ",
-                Of(line, "verdict"), "): ", Of(line, "detail"),
-                "; configuration ", Of(line, "config"), " confirmed ",
-                Of(line, "config_age_ms"), " ms before");
+  return StrCat("refused at once (", TextOf(line, "reason"), ", ",
+                TextOf(line, "verdict"), "): ", TextOf(line, "detail"),
+                "; configuration ", TextOf(line, "config"), " confirmed ",
+                TextOf(line, "config_age_ms"), " ms before");
 }
 std::string GaveUp(const Json& line) {
-  return StrCat("given up (", Of(line, "reason"), ", ", Of(line, "verdict"),
-                "): ", Of(line, "detail"), "; told to return after ",
-                Of(line, "retry_after_ms"), " ms");
+  return StrCat("given up (", TextOf(line, "reason"), ", ",
+                TextOf(line, "verdict"), "): ", TextOf(line, "detail"),
+                "; told to return after ", TextOf(line, "retry_after_ms"),
+                " ms");
 }
 std::string NotRun(const Json& line) {
-  return StrCat("replica ", Of(line, "replica"), " did not run it (status ",
-                Of(line, "status"), ")");
+  return StrCat("replica ", TextOf(line, "replica"), " did not run it (status ",
+                TextOf(line, "status"), ")");
 }
 std::string Lost(const Json& line) {
-  return StrCat("lost at replica ", Of(line, "replica"), ": ", Of(line, "why"),
-                "; stream begun: ", Of(line, "begun"));
+  return StrCat("lost at replica ", TextOf(line, "replica"), ": ",
+                TextOf(line, "why"), "; stream begun: ", TextOf(line, "begun"));
 }
 std::string StagesAgain(const Json&) {
   return "stages begun again: a result was gone";
 }
 std::string PiecesAgain(const Json& line) {
-  return StrCat(Of(line, "pieces"), " pieces for ", Of(line, "service"),
-                " handed on: ", Of(line, "why"));
+  return StrCat(TextOf(line, "pieces"), " pieces for ", TextOf(line, "service"),
+                " handed on: ", TextOf(line, "why"));
 }
 std::string Ended(const Json& line) {
-  return StrCat("ended: ", Of(line, "outcome"), " (status ", Of(line, "status"),
-                ") after ", Of(line, "total_ms"), " ms, goal ",
-                Of(line, "target_ms"), " ms; stages whole at [",
-                Of(line, "stages_ms"), "] ms, first event at ",
-                Of(line, "first_ms"), " ms; replica ", Of(line, "replica"),
-                ", ", Of(line, "tried"), " asked, ", Of(line, "runs"),
-                " runs; configuration ", Of(line, "config"));
+  return StrCat("ended: ", TextOf(line, "outcome"), " (status ",
+                TextOf(line, "status"), ") after ", TextOf(line, "total_ms"),
+                " ms, goal ", TextOf(line, "target_ms"),
+                " ms; stages whole at [", TextOf(line, "stages_ms"),
+                "] ms, first event at ", TextOf(line, "first_ms"),
+                " ms; replica ", TextOf(line, "replica"), ", ",
+                TextOf(line, "tried"), " asked, ", TextOf(line, "runs"),
+                " runs; configuration ", TextOf(line, "config"));
 }
 
 // The lines that carry a request's id.
@@ -73,25 +68,30 @@
 
 std::string Table(const Json& line) {
   return StrCat(
-      Of(line, "event"), " ", Of(line, "table"), ": ",
-      line.contains("why") ? Of(line, "why") : std::string("answers"));
+      TextOf(line, "event"), " ", TextOf(line, "table"), ": ",
+      line.contains("why") ? TextOf(line, "why") : std::string("answers"));
 }
 std::string Config(const Json& line) {
-  return StrCat("configuration ", Of(line, "version"), " in force");
+  return StrCat("configuration ", TextOf(line, "version"), " in force");
 }
 std::string Replica(const Json& line) {
-  return StrCat("replica ", Of(line, "replica"), " of ", Of(line, "service"),
-                ": ", Of(line, "change"));
+  return StrCat("replica ", TextOf(line, "replica"), " of ",
+                TextOf(line, "service"), ": ", TextOf(line, "change"));
 }
 std::string Peer(const Json& line) {
-  return StrCat("gateway ", Of(line, "peer"), ": ", Of(line, "state"));
+  return StrCat("gateway ", TextOf(line, "peer"), ": ", TextOf(line, "state"));
+}
+std::string Source(const Json& line) {
+  return StrCat("asks ", TextOf(line, "source"), " for ", TextOf(line, "table"),
+                ", before ", TextOf(line, "before"), ", whose last word was ",
+                TextOf(line, "age_ms"), " ms old: ", TextOf(line, "why"));
 }
 std::string CallFailed(const Json& line) {
-  return StrCat("a call for pieces of ", Of(line, "service"),
-                " failed: ", Of(line, "why"));
+  return StrCat("a call for pieces of ", TextOf(line, "service"),
+                " failed: ", TextOf(line, "why"));
 }
 std::string Process(const Json& line) {
-  return StrCat("process: ", Of(line, "event"));
+  return StrCat("process: ", TextOf(line, "event"));
 }
 
 // The lines that tell of beliefs and dependencies.
@@ -100,6 +100,7 @@
       {"table_lost", Table},
       {"table_back", Table},
       {"table_history_gone", Table},
+      {"table_source", Source},
       {"config", Config},
       {"config_refused", Table},
       {"replica", Replica},
@@ -112,30 +113,13 @@
   return kLines;
 }
 
-std::vector<Json> ReadLines(std::istream* log) {
-  std::vector<Json> lines;
-  std::string text;
-  while (std::getline(*log, text)) {
-    const auto at = text.find('{');
-    if (at == std::string::npos) {
-      continue;
-    }
-    Json line = Json::parse(text.begin() + static_cast<std::ptrdiff_t>(at),
-                            text.end(), nullptr, false);
-    if (line.is_object() && line.contains("event")) {
-      lines.push_back(std::move(line));
-    }
-  }
-  return lines;
-}
-
 void Describes(const std::map<std::string, Describe, std::less<>>& table,
                const Json& line,
                std::vector<LogEvent>* out) {
-  const auto it = table.find(Of(line, "event"));
+  const auto it = table.find(TextOf(line, "event"));
   if (it != table.end()) {
-    out->push_back(
-        {line.value("at_us", TimeUs{0}), Of(line, "node"), it->second(line)});
+    out->push_back({line.value("at_us", TimeUs{0}), TextOf(line, "node"),
+                    it->second(line)});
   }
 }
 
@@ -148,10 +132,10 @@
 }  // namespace
 
 LogExplanation ExplainFromLog(std::istream* log, std::string_view id) {
-  const std::vector<Json> lines = ReadLines(log);
+  const std::vector<Json> lines = ReadLogLines(log);
   LogExplanation out;
   for (const Json& it : lines) {
-    if (Of(it, "id") == id) {
+    if (TextOf(it, "id") == id) {
       Describes(RequestLines(), it, &out.request);
     }
   }
@@ -167,7 +151,7 @@
   const TimeUs to = out.request.back().at;
   for (const Json& it : lines) {
     const TimeUs at = it.value("at_us", TimeUs{0});
-    if (at >= from && at <= to && nodes.contains(Of(it, "node"))) {
+    if (at >= from && at <= to && nodes.contains(TextOf(it, "node"))) {
       Describes(AroundLines(), it, &out.around);
     }
   }
--- a/src/ctl/log_explain.h
+++ b/src/ctl/log_explain.h
@@ -29,8 +29,7 @@
 // the request's first line: longer than any bound on what is believed.
 inline constexpr DurationUs kExplainBefore = 6 * kSecond;
 
-// Lines that are no JSON object are passed over; text before the object, such
-// as a collector's time stamp, is ignored.
+// See `ReadLogLines` for what is passed over.
 LogExplanation ExplainFromLog(std::istream* log, std::string_view id);
 
 }  // namespace acaciachute
--- /dev/null
+++ b/src/ctl/log_lines.cc
@@ -0,0 +1,34 @@
+#include "ctl/log_lines.h"
+
+#include <utility>
+
+namespace acaciachute {
+
+using Json = nlohmann::json;
+
+std::string TextOf(const Json& line, const char* name) {
+  const auto it = line.find(name);
+  if (it == line.end()) {
+    return "?";
+  }
+  return it->is_string() ? it->get<std::string>() : it->dump();
+}
+
+std::vector<Json> ReadLogLines(std::istream* log) {
+  std::vector<Json> lines;
+  std::string text;
+  while (std::getline(*log, text)) {
+    const auto at = text.find('{');
+    if (at == std::string::npos) {
+      continue;
+    }
+    Json line = Json::parse(text.begin() + static_cast<std::ptrdiff_t>(at),
+                            text.end(), nullptr, false);
+    if (line.is_object() && line.contains("event")) {
+      lines.push_back(std::move(line));
+    }
+  }
+  return lines;
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/src/ctl/log_lines.h
@@ -0,0 +1,21 @@
+// Reads a gateway's log: one JSON object a line.
+#ifndef ACACIACHUTE_SRC_CTL_LOG_LINES_H_
+#define ACACIACHUTE_SRC_CTL_LOG_LINES_H_
+
+#include <istream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace acaciachute {
+
+// Lines that are no event are passed over; text before the object, such as a
+// collector's time stamp, is ignored.
+std::vector<nlohmann::json> ReadLogLines(std::istream* log);
+
+// A member as text; "?" when it is not there.
+std::string TextOf(const nlohmann::json& line, const char* name);
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_CTL_LOG_LINES_H_
--- /dev/null
+++ b/src/ctl/log_sources.cc
@@ -0,0 +1,65 @@
+#include "ctl/log_sources.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "ctl/log_lines.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+using Key = std::pair<std::string, std::string>;  // Table and gateway.
+
+void Take(const Json& line, std::map<Key, SourceOf>* sources) {
+  const std::string gateway = TextOf(line, "node");
+  const std::string event = TextOf(line, "event");
+  if (event == "start" || event == "stop") {
+    std::erase_if(*sources,
+                  [&](const auto& it) { return it.first.second == gateway; });
+    return;
+  }
+  if (event != "table_source") {
+    return;
+  }
+  SourceOf& it = (*sources)[{TextOf(line, "table"), gateway}];
+  it.table = TextOf(line, "table");
+  it.gateway = gateway;
+  it.source = TextOf(line, "source");
+  it.since = line.value("at_us", TimeUs{0});
+  it.why = TextOf(line, "why");
+  ++it.changes;
+}
+
+}  // namespace
+
+std::vector<SourceOf> SourcesFromLog(std::istream* log) {
+  std::vector<Json> lines = ReadLogLines(log);
+  std::stable_sort(
+      lines.begin(), lines.end(), [](const Json& a, const Json& b) {
+        return a.value("at_us", TimeUs{0}) < b.value("at_us", TimeUs{0});
+      });
+  std::map<Key, SourceOf> sources;
+  for (const Json& it : lines) {
+    Take(it, &sources);
+  }
+  for (const auto& [key, follower] : sources) {
+    const auto it = sources.find({key.first, follower.source});
+    if (it != sources.end()) {
+      ++it->second.followers;
+    }
+  }
+  std::vector<SourceOf> out;
+  for (auto& [key, it] : sources) {
+    out.push_back(std::move(it));
+  }
+  std::stable_sort(
+      out.begin(), out.end(), [](const SourceOf& a, const SourceOf& b) {
+        return std::tie(a.table, b.followers) < std::tie(b.table, a.followers);
+      });
+  return out;
+}
+
+}  // namespace acaciachute
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -107,6 +107,7 @@
   AddRequestCommands(&table);
   AddViewCommands(&table);
   AddQuarantineCommands(&table);
+  AddGatewayCommands(&table);
   cxxopts::Options options = MakeOptions();
   try {
     const auto args = options.parse(argc, argv);
