Split the account of a stage's replicas off its batcher

piece_batcher.cc had grown to 744 lines with two jobs: which pieces go into a call, and what is known of the replicas (free, slow, shunned, memory held). The second is StageMakers now. Same order of the same steps.

No functional change

--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -8,15 +8,29 @@
 #include "address_text.h"
 
 namespace acaciachute {
+namespace {
+
+StageMakers::End EndOf(PieceCallEnd::Kind kind) {
+  switch (kind) {
+    case PieceCallEnd::Kind::kAnswered:
+      return StageMakers::End::kAnswered;
+    case PieceCallEnd::Kind::kLost:
+      return StageMakers::End::kLost;
+    default:
+      return StageMakers::End::kFailed;
+  }
+}
+
+}  // namespace
 
 PieceBatcher::PieceBatcher(const ReplicaDirectory* directory,
                            AttemptBudget* budget,
                            PieceBatcherOutput* output)
-    : directory_(directory), budget_(budget), output_(output) {}
+    : makers_(directory), budget_(budget), output_(output) {}
 
 void PieceBatcher::SetService(const std::string& name,
                               const BatchLimits& limits) {
-  service_ = name;
+  makers_.SetService(name, limits);
   limits_ = limits;
 }
 
@@ -100,73 +114,13 @@
   }
 }
 
-double PieceBatcher::Slowness(TimeUs now, const Maker& maker) const {
-  const double age = static_cast<double>(now - maker.measured_at) /
-                     static_cast<double>(kForget);
-  return 1 + (maker.slowness - 1) * std::exp(-std::max(0.0, age));
-}
-
-DurationUs PieceBatcher::CallTime(double slowness, std::size_t pieces) const {
-  const auto plain =
-      static_cast<double>(limits_.call) +
-      static_cast<double>(limits_.piece) * static_cast<double>(pieces);
-  return static_cast<DurationUs>(slowness * plain);
-}
-
-std::vector<const ReplicaEntry*> PieceBatcher::FreeReplicas(TimeUs now) {
-  std::vector<const ReplicaEntry*> free;
-  for (const ReplicaEntry* it : directory_->Of(service_)) {
-    const Maker& maker = makers_[it->id];
-    if (maker.calls < limits_.slots && maker.overdue <= limits_.queue &&
-        now >= maker.shunned_until && now >= maker.full_until) {
-      free.push_back(it);
-    }
-  }
-  std::sort(free.begin(), free.end(), [&](const auto* a, const auto* b) {
-    return Slowness(now, makers_[a->id]) < Slowness(now, makers_[b->id]);
-  });
-  return free;
-}
-
-// Whether a slow replica would finish before the sound ones, which are busy,
-// could have made what waits.
-bool PieceBatcher::WorthIt(TimeUs now, const ReplicaEntry& replica) {
-  constexpr double kSound = 1.5;
-  const double own = Slowness(now, makers_[replica.id]);
-  if (own < kSound) {
-    return true;
-  }
-  std::size_t sound = 0;
-  DurationUs first_free = 0;
-  for (const ReplicaEntry* it : directory_->Of(service_)) {
-    const Maker& maker = makers_[it->id];
-    if (it->id == replica.id || now < maker.shunned_until ||
-        Slowness(now, maker) >= kSound) {
-      continue;
-    }
-    const DurationUs wait = maker.calls < limits_.slots
-                                ? 0
-                                : std::max<DurationUs>(0, maker.free_at - now);
-    first_free = sound == 0 ? wait : std::min(first_free, wait);
-    ++sound;
-  }
-  if (sound == 0) {
-    return true;
-  }
-  const std::size_t rounds = waiting_.size() / (sound * limits_.batch) + 1;
-  const DurationUs others =
-      first_free + static_cast<DurationUs>(rounds) * CallTime(1, limits_.batch);
-  return CallTime(own, std::min<std::size_t>(waiting_.size(), limits_.batch)) <
-         others;
-}
-
 void PieceBatcher::Dispatch(TimeUs now) {
   if (waiting_.empty()) {
     return;
   }
-  std::vector<const ReplicaEntry*> free = FreeReplicas(now);
+  const std::vector<const ReplicaEntry*> free = makers_.Free(now);
   for (std::size_t n = 0; n < free.size() && !waiting_.empty(); ++n) {
-    if (!WorthIt(now, *free[n])) {
+    if (!makers_.WorthIt(now, *free[n], waiting_.size())) {
       continue;
     }
     const std::size_t share =
@@ -187,11 +141,11 @@
       now - piece.queued_at >= NearPatience(now, piece)) {
     return true;
   }
-  const auto& replicas = directory_->Of(service_);
+  const auto& replicas = makers_.All();
   return std::none_of(replicas.begin(), replicas.end(),
                       [&](const ReplicaEntry* it) {
                         return it->domain == piece.order.near_domain &&
-                               now >= makers_[it->id].shunned_until;
+                               !makers_.IsShunned(now, it->id);
                       });
 }
 
@@ -227,7 +181,7 @@
 PieceBatcher::Groups PieceBatcher::GroupsFor(TimeUs now,
                                              const ReplicaEntry& replica) {
   Groups groups;
-  const std::uint64_t held = makers_[replica.id].held_bytes;
+  const std::uint64_t held = makers_.HeldBytes(replica.id);
   std::uint64_t chosen = held;  // With all that fit beside one another.
   std::size_t passed_over = 0;
   std::size_t pieces = 0;
@@ -272,7 +226,7 @@
                                                  const ReplicaEntry& replica,
                                                  std::size_t most) {
   const Groups groups = GroupsFor(now, replica);
-  std::uint64_t& held = makers_[replica.id].held_bytes;
+  std::uint64_t held = makers_.HeldBytes(replica.id);
   std::vector<PieceOrder> taken;
   for (const std::size_t n :
        FillCall(groups.views, {most, limits_.batch, held})) {
@@ -286,6 +240,7 @@
         continue;
       }
       held += piece.order.result_bytes;
+      makers_.Reserve(replica.id, piece.order.result_bytes);
       piece.queued = false;
       ++piece.calls;
       ++piece.tries;
@@ -306,18 +261,16 @@
   if (call.call.pieces.empty()) {
     return;
   }
-  Maker& maker = makers_[replica.id];
-  ++maker.calls;
   call.started = now;
-  call.expected = CallTime(Slowness(now, maker), call.call.pieces.size());
-  maker.free_at = now + call.expected;
+  call.call.slowness = makers_.Slowness(now, replica.id);
+  call.expected =
+      makers_.OnCallStarted(now, replica.id, call.call.pieces.size());
   call.call.id = next_id_++;
   call.call.replica = replica.id;
   call.call.address = replica.address;
-  call.call.expected = CallTime(1, call.call.pieces.size());
+  call.call.expected = makers_.CallTime(1, call.call.pieces.size());
   call.call.left_waiting = waiting_.size();
-  call.call.held_bytes = maker.held_bytes;
-  call.call.slowness = Slowness(now, maker);
+  call.call.held_bytes = makers_.HeldBytes(replica.id);
   for (const PieceOrder& it : call.call.pieces) {
     AdvanceSiblings(it.key);
   }
@@ -327,22 +280,12 @@
   output_->StartCall(calls_.at(id).call);
 }
 
-void PieceBatcher::Hold(TimeUs now,
-                        const Call& call,
-                        const PieceResult& result,
-                        std::uint64_t bytes) {
-  held_[result.handle] = {call.call.replica, call.call.address, bytes,
-                          now + limits_.result_life};
-  makers_[call.call.replica].held_bytes += bytes;
-}
-
-void PieceBatcher::Forget(std::map<std::string, Held>::iterator it) {
-  const auto maker = makers_.find(it->second.maker);
-  if (maker != makers_.end()) {
-    maker->second.held_bytes -=
-        std::min(maker->second.held_bytes, it->second.bytes);
+StageMakers::CallView PieceBatcher::ViewOf(const Call& call) {
+  StageMakers::CallView view{call.started, call.call.expected, 0, call.copied};
+  for (const PieceOrder& it : call.call.pieces) {
+    view.bytes += it.result_bytes;
   }
-  held_.erase(it);
+  return view;
 }
 
 void PieceBatcher::Free(const std::vector<std::string>& handles) {
@@ -354,19 +297,7 @@
     }
     // Also those that another gateway's batcher had made before.
     frees_[*maker].push_back(handle);
-    if (const auto it = held_.find(handle); it != held_.end()) {
-      Forget(it);
-    }
-  }
-}
-
-void PieceBatcher::ForgetOld(TimeUs now) {
-  for (auto it = held_.begin(); it != held_.end();) {
-    const auto next = std::next(it);
-    if (now >= it->second.until) {
-      Forget(it);
-    }
-    it = next;
+    makers_.Forget(handle);
   }
 }
 
@@ -383,7 +314,7 @@
   }
   const Call call = std::move(it->second);
   calls_.erase(it);
-  Release(now, call, end.kind);
+  makers_.OnCallEnded(now, call.call.replica, ViewOf(call), EndOf(end.kind));
   if (end.kind == PieceCallEnd::Kind::kAnswered) {
     EndLostBefore(now, call);
   } else if (end.kind == PieceCallEnd::Kind::kLost) {
@@ -397,9 +328,9 @@
     if (answered) {
       result = end.results[n];
       if (!result.handle.empty()) {
-        Hold(now, call, result, order.result_bytes);
+        makers_.Hold(now, call.call.replica, result.handle, order.result_bytes);
       } else if (result.outcome == PieceOutcome::kNoRoom) {
-        makers_[call.call.replica].full_until = now + kFullFor;
+        makers_.OnNoRoom(now, call.call.replica);
       }
     }
     result.key = order.key;
@@ -438,14 +369,9 @@
 // The results of a lost answer lie at their maker, under handles that nobody
 // knows, until it forgets them.
 void PieceBatcher::HoldLost(TimeUs now, const Call& call) {
-  std::uint64_t bytes = 0;
-  for (const PieceOrder& it : call.call.pieces) {
-    bytes += it.result_bytes;
-  }
-  PieceResult results;
   // No handle that a replica gives begins like this.
-  results.handle = "lost/" + std::to_string(call.call.id);
-  Hold(now, call, results, bytes);
+  const std::string handle = "lost/" + std::to_string(call.call.id);
+  makers_.Hold(now, call.call.replica, handle, ViewOf(call).bytes);
 }
 
 void PieceBatcher::EndPiece(TimeUs now,
@@ -483,7 +409,7 @@
 // Where no replica is left that a piece was not tried at, all may be tried
 // again.
 void PieceBatcher::ForgetTriedIfAll(Piece* piece) const {
-  const auto& replicas = directory_->Of(service_);
+  const auto& replicas = makers_.All();
   const bool untried_left = std::any_of(
       replicas.begin(), replicas.end(),
       [&](const auto* it) { return !piece->tried.contains(it->id); });
@@ -518,35 +444,8 @@
   Finish(pieces_.find(key), {key, outcome, ""});
 }
 
-void PieceBatcher::Release(TimeUs now,
-                           const Call& call,
-                           PieceCallEnd::Kind kind) {
-  Maker& maker = makers_[call.call.replica];
-  std::uint32_t& calls = call.copied ? maker.overdue : maker.calls;
-  if (calls > 0) {
-    --calls;
-  }
-  for (const PieceOrder& it : call.call.pieces) {
-    maker.held_bytes -= std::min(maker.held_bytes, it.result_bytes);
-  }
-  if (kind == PieceCallEnd::Kind::kLost) {
-    return;  // Nothing is wrong with the replica.
-  }
-  if (kind != PieceCallEnd::Kind::kAnswered) {
-    maker.shunned_until = now + maker.shun;
-    maker.shun = std::min(kMostShun, 2 * maker.shun);
-    return;
-  }
-  maker.shun = kShun;
-  const double measured = static_cast<double>(now - call.started) /
-                          static_cast<double>(call.call.expected);
-  const double before = Slowness(now, maker);
-  maker.slowness = std::max(1.0, before + kNewest * (measured - before));
-  maker.measured_at = now;
-}
-
 void PieceBatcher::OnReplicaGone(TimeUs now, const ReplicaId& replica) {
-  makers_.erase(replica);
+  makers_.OnGone(replica);
   Dispatch(now);
 }
 
@@ -627,15 +526,7 @@
 
 void PieceBatcher::CopyOverdue(TimeUs now, Call* call) {
   call->copied = true;
-  Maker& maker = makers_[call->call.replica];
-  if (maker.calls > 0) {
-    --maker.calls;
-    ++maker.overdue;
-  }
-  maker.slowness =
-      std::max(maker.slowness, static_cast<double>(now - call->started) /
-                                   static_cast<double>(call->call.expected));
-  maker.measured_at = now;
+  makers_.OnCallOverdue(now, call->call.replica, ViewOf(*call));
   for (const auto& order : call->call.pieces) {
     const auto it = pieces_.find(order.key);
     if (it != pieces_.end() && !it->second.queued && it->second.calls == 1 &&
@@ -651,7 +542,7 @@
   if (now >= next_upkeep_) {
     next_upkeep_ = now + kUpkeep;
     ExpireWaiting(now);
-    ForgetOld(now);
+    makers_.ForgetLapsed(now);
   }
   SendFrees();
   Dispatch(now);
@@ -673,25 +564,12 @@
 
 // Until a piece behind `ahead` others is begun.
 DurationUs PieceBatcher::WaitBehind(TimeUs now, std::size_t ahead) const {
-  std::size_t makers = 0;
-  DurationUs first_free = kGiveUp;
-  for (const ReplicaEntry* it : directory_->Of(service_)) {
-    const auto maker = makers_.find(it->id);
-    const bool known = maker != makers_.end();
-    if (known && now < maker->second.shunned_until) {
-      continue;
-    }
-    ++makers;
-    const bool busy = known && maker->second.calls >= limits_.slots;
-    first_free = std::min(
-        first_free,
-        busy ? std::max<DurationUs>(0, maker->second.free_at - now) : 0);
-  }
+  const auto [makers, first_free] = makers_.WhenFree(now, kGiveUp);
   if (makers == 0) {
     return kGiveUp;
   }
   const std::size_t batch = UsualBatch();
-  double each = static_cast<double>(CallTime(1, batch)) /
+  double each = static_cast<double>(makers_.CallTime(1, batch)) /
                 static_cast<double>(makers * batch);
   const DurationUs span =
       backlog_since_ < 0 ? 0 : std::min(now - backlog_since_, kRateWindow);
@@ -707,20 +585,6 @@
          static_cast<DurationUs>(static_cast<double>(ahead) * each);
 }
 
-double PieceBatcher::MemoryHeld() const {
-  double held = 0;
-  const auto& replicas = directory_->Of(service_);
-  for (const ReplicaEntry* it : replicas) {
-    const auto maker = makers_.find(it->id);
-    held += maker == makers_.end()
-                ? 0
-                : static_cast<double>(maker->second.held_bytes);
-  }
-  const double room = static_cast<double>(limits_.room_bytes) *
-                      static_cast<double>(replicas.size());
-  return room > 0 ? held / room : 0;
-}
-
 PoolWait PieceBatcher::ExpectedWait(TimeUs now) const {
   std::array<std::size_t, PoolWait::kRanks> ahead{};
   for (const Rank& it : waiting_) {
@@ -737,7 +601,7 @@
     wait.in_time[n] = WaitBehind(now, ahead[n]);
   }
   wait.late = WaitBehind(now, waiting_.size());
-  wait.memory = MemoryHeld();
+  wait.memory = makers_.MemoryHeld();
   return wait;
 }
 
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -38,6 +38,7 @@
 
 #include "coordination/attempt_budget.h"
 #include "coordination/fill_call.h"
+#include "coordination/stage_makers.h"
 #include "state/piece.h"
 #include "state/replica_directory.h"
 #include "state/serving_config.h"
@@ -99,10 +100,6 @@
   // With several replicas free, a call takes at least this many pieces before
   // the next replica is used: below it the fixed cost is most of a call.
   static constexpr std::uint32_t kWorthACall = 4;
-  // After a refusal or a broken call. A restart takes some seconds; a replica
-  // that is well again is found by one call.
-  static constexpr DurationUs kShun = 400 * kMillisecond;
-  static constexpr DurationUs kMostShun = 3200 * kMillisecond;
   // Of a replica's memory that results of late requests may fill up to: what
   // comes next may still be on time.
   static constexpr double kLateRoom = 0.6;
@@ -112,13 +109,6 @@
   // when all waited for 80 ms only, which cost 0.02 of a calm day's worth.
   static constexpr DurationUs kNearPatience = 80 * kMillisecond;
   static constexpr DurationUs kMostNearPatience = 300 * kMillisecond;
-  // After a replica had no room although the account here says so: another
-  // gateway's batcher filled it, and its results go as they are used.
-  static constexpr DurationUs kFullFor = 300 * kMillisecond;
-  // Weight of the newest call in a replica's slowness, and the time after which
-  // an old observation counts by 1/e.
-  static constexpr double kNewest = 0.5;
-  static constexpr DurationUs kForget = 4 * kSecond;
   // Over which the queue's rate is measured, and the least of it that counts.
   static constexpr DurationUs kRateWindow = 2 * kSecond;
   static constexpr DurationUs kLeastRateWindow = 600 * kMillisecond;
@@ -170,7 +160,7 @@
   std::size_t waiting() const { return waiting_.size(); }
   PoolWait ExpectedWait(TimeUs now) const;
   // Share of the replicas' memory for results that is held.
-  double MemoryHeld() const;
+  double MemoryHeld() const { return makers_.MemoryHeld(); }
 
  private:
   // Where a piece stands, first to last.
@@ -212,37 +202,9 @@
     bool copied = false;  // Overdue: its pieces were queued again.
     bool inputs_read = false;
   };
-  struct Maker {
-    std::uint32_t calls = 0;    // Those that are overdue left out.
-    std::uint32_t overdue = 0;  // Calls that may never be answered.
-    double slowness = 1;        // Measured against expected time.
-    TimeUs measured_at = 0;
-    TimeUs shunned_until = 0;
-    DurationUs shun = kShun;
-    TimeUs free_at = 0;
-    TimeUs full_until = 0;         // It had no room, by results not known here.
-    std::uint64_t held_bytes = 0;  // Results there, and those being made.
-  };
-  struct Held {
-    ReplicaId maker;
-    Address address;
-    std::uint64_t bytes = 0;
-    TimeUs until = 0;  // Its maker forgets it by then.
-  };
-
   DurationUs WaitBehind(TimeUs now, std::size_t ahead) const;
   std::size_t UsualBatch() const;
-  double Slowness(TimeUs now, const Maker& maker) const;
-  DurationUs CallTime(double slowness, std::size_t pieces) const;
-  void Hold(TimeUs now,
-            const Call& call,
-            const PieceResult& result,
-            std::uint64_t bytes);
-  void Forget(std::map<std::string, Held>::iterator it);
-  void ForgetOld(TimeUs now);
   void SendFrees();
-  std::vector<const ReplicaEntry*> FreeReplicas(TimeUs now);
-  bool WorthIt(TimeUs now, const ReplicaEntry& replica);
   // Whether the piece may go to a replica in `domain` now.
   static DurationUs NearPatience(TimeUs now, const Piece& piece);
   bool NearEnough(TimeUs now, const Piece& piece, const std::string& domain);
@@ -272,7 +234,6 @@
               const PieceResult& result);
   void ForgetTriedIfAll(Piece* piece) const;
   void Again(TimeUs now, Piece* piece, PieceOutcome outcome);
-  void Release(TimeUs now, const Call& call, PieceCallEnd::Kind kind);
   void ExpireWaiting(TimeUs now);
   void WatchCalls(TimeUs now);
   void CopyOverdue(TimeUs now, Call* call);
@@ -284,22 +245,20 @@
                      const PieceCallEnd& end,
                      const std::function<bool(const Call&)>& holds);
   void HoldLost(TimeUs now, const Call& call);
+  static StageMakers::CallView ViewOf(const Call& call);
   void NoteInputsRead(const Call& call);
   // Whether the piece's inputs may be gone, so that it can't be made again.
   bool LetGoOfInputs(const Piece& piece) const;
 
-  const ReplicaDirectory* const directory_;
+  StageMakers makers_;
   AttemptBudget* const budget_;
   PieceBatcherOutput* const output_;
-  std::string service_;
   BatchLimits limits_;
   std::map<PieceKey, Piece> pieces_;
   std::set<Rank> waiting_;
   // By request and stage: its pieces whose calls have read their inputs.
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> read_;
   std::map<BatchId, Call> calls_;
-  std::map<ReplicaId, Maker> makers_;
-  std::map<std::string, Held> held_;  // By handle.
   std::map<Address, std::vector<std::string>> frees_;
   BatchId next_id_ = 1;
   TimeUs next_upkeep_ = 0;
