Give the choice of relays a module and a test of its own

GatewayPeers kept who lives and also chose relays. PlanRelays is a function of the live hosts; the hash that it and the choice of batching gateways use is in one place.

--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -1,27 +1,16 @@
 #include "coordination/gateway_peers.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
-#include <functional>
-#include <set>
 
-#include "text.h"
+#include "coordination/rendezvous.h"
 
 namespace acaciachute {
 namespace {
 
-// Weighted rendezvous hashing: a host's share of the services goes with its
-// weight, the cube of its processor share, so that the largest hosts have
-// nearly all of them.
+// A host's share of the services goes with the cube of its processor share, so
+// that the largest hosts have nearly all of them.
 double Weight(const std::string& service, const NodeId& node, double cores) {
-  const std::string text = StrCat(service, "\n", node);
-  constexpr double kRange = 18446744073709551616.0;  // 2 to the 64th.
-  const double hash =
-      (static_cast<double>(XXH3_64bits(text.data(), text.size())) + 1) /
-      (kRange + 1);
-  return cores * cores * cores / -std::log(hash);
+  return RendezvousWeight(service, node, cores * cores * cores);
 }
 
 }  // namespace
@@ -176,64 +165,7 @@
 
 void GatewayPeers::OnChange() {
   owners_.clear();
-  relays_found_ = false;
-}
-
-std::vector<NodeId> GatewayPeers::RelaysOf(const std::string& domain) const {
-  std::vector<GatewayHost> hosts;
-  if (!leaving_ && domain == self_.domain) {
-    hosts.push_back(self_);
-  }
-  for (const auto& [node, peer] : peers_) {
-    if (peer.live && !peer.leaving && peer.domain == domain) {
-      hosts.push_back({node, domain, peer.cores});
-    }
-  }
-  const std::size_t n = 1 + hosts.size() / kFollowersARelay;
-  double largest = 0;
-  for (const GatewayHost& it : hosts) {
-    largest = std::max(largest, it.cores);
-  }
-  std::map<double, NodeId, std::greater<>> ranked;
-  for (const GatewayHost& it : hosts) {
-    if (it.cores >= kLargeShare * largest) {
-      ranked.emplace(Weight("relay", it.node, it.cores), it.node);
-    }
-  }
-  std::vector<NodeId> relays;
-  for (const auto& [weight, node] : ranked) {
-    if (relays.size() < n) {
-      relays.push_back(node);
-    }
-  }
-  return relays;
-}
-
-void GatewayPeers::FindRelays() const {
-  relays_found_ = true;
-  relays_ = RelaysOf(self_.domain);
-  is_relay_ = std::erase(relays_, self_.node) > 0;
-  // Followers of one domain spread over its relays.
-  std::sort(relays_.begin(), relays_.end(),
-            [&](const NodeId& a, const NodeId& b) {
-              return Weight(self_.node, a, 1) > Weight(self_.node, b, 1);
-            });
-  std::set<std::string> domains;
-  for (const auto& [node, peer] : peers_) {
-    if (peer.live && !peer.leaving && peer.domain != self_.domain) {
-      domains.insert(peer.domain);
-    }
-  }
-  std::map<double, NodeId, std::greater<>> far;
-  for (const auto& domain : domains) {
-    const std::vector<NodeId> of = RelaysOf(domain);
-    if (!of.empty()) {
-      far.emplace(Weight(self_.node, of.front(), 1), of.front());
-    }
-  }
-  for (const auto& [weight, node] : far) {
-    relays_.push_back(node);
-  }
+  relay_plan_.reset();
 }
 
 NodeId GatewayPeers::AnyLive(Random* random) const {
@@ -247,18 +179,20 @@
   return drawn;
 }
 
-bool GatewayPeers::IsRelay() const {
-  if (!relays_found_) {
-    FindRelays();
-  }
-  return is_relay_;
-}
-
-const std::vector<NodeId>& GatewayPeers::relays() const {
-  if (!relays_found_) {
-    FindRelays();
+const RelayPlan& GatewayPeers::relay_plan() const {
+  if (!relay_plan_) {
+    std::vector<GatewayHost> hosts;
+    if (!leaving_) {
+      hosts.push_back(self_);
+    }
+    for (const auto& [node, peer] : peers_) {
+      if (peer.live && !peer.leaving) {
+        hosts.push_back({node, peer.domain, peer.cores});
+      }
+    }
+    relay_plan_ = PlanRelays(self_, hosts);
   }
-  return relays_;
+  return *relay_plan_;
 }
 
 std::size_t GatewayPeers::Live() const {
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/relay_plan.h"
 #include "messages.h"
 #include "state/event_log.h"
 #include "state/random.h"
@@ -25,13 +26,6 @@
 
 namespace acaciachute {
 
-// The host that a gateway runs on.
-struct GatewayHost {
-  NodeId node;
-  std::string domain;  // Failure domain.
-  double cores = 1;    // Share of a processor core.
-};
-
 // A beat that is due to `node`, which may count on the next one within
 // `promise`.
 struct DueBeat {
@@ -71,11 +65,6 @@
   // if it lives.
   static constexpr DurationUs kForget = 60 * kSecond;
 
-  // Gateways of one failure domain that follow one of them, at most. It answers
-  // two questions of each every 600 ms, at some 150 microseconds: a hundredth
-  // of a core.
-  static constexpr std::size_t kFollowersARelay = 24;
-
   GatewayPeers(GatewayHost self, EventLog* log)
       : self_(std::move(self)), log_(log) {}
 
@@ -116,13 +105,8 @@
   // Live gateways, this one included.
   std::size_t Live() const;
   bool IsLive(const NodeId& node) const;
-  // Whether this gateway asks the store itself and others ask it: the first of
-  // its domain's large hosts by rendezvous hash.
-  bool IsRelay() const;
-  // Whom a gateway asks that asks not the store: the relays of its own domain,
-  // then one of each other domain, in an order of its own so that those of a
-  // lost domain spread over all others.
-  const std::vector<NodeId>& relays() const;
+  // Whom to ask for the store's tables.
+  const RelayPlan& relay_plan() const;
   // Any gateway that lives and does not leave; empty when there is none.
   NodeId AnyLive(Random* random) const;
   // Whether another gateway that lives may check keys, as it last told.
@@ -153,10 +137,6 @@
   // What was derived from who lives is derived anew.
   void OnChange();
   NodeId FindOwner(const std::string& service) const;
-  // The first of a domain's gateways, best first.
-  std::vector<NodeId> RelaysOf(const std::string& domain) const;
-  void FindRelays() const;
-
   const GatewayHost self_;
   EventLog* const log_;
   bool leaving_ = false;
@@ -164,9 +144,7 @@
   // By service, until a gateway comes or goes: a request asks a dozen times.
   mutable std::map<std::string, NodeId> owners_;
   // Until then, too: a gateway asks several times a second.
-  mutable bool relays_found_ = false;
-  mutable bool is_relay_ = true;
-  mutable std::vector<NodeId> relays_;
+  mutable std::optional<RelayPlan> relay_plan_;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -55,7 +55,7 @@
 }
 
 bool TableSource::AsksStoreFirst() const {
-  return peers_->relays().empty() || peers_->IsRelay();
+  return peers_->relay_plan().others.empty() || peers_->relay_plan().is_relay;
 }
 
 // A later page of a table is of the source of the first one, which is the
@@ -106,7 +106,7 @@
   }
   const NodeId* best = nullptr;
   TimeUs best_until = 0;
-  for (const NodeId& it : peers_->relays()) {
+  for (const NodeId& it : peers_->relay_plan().others) {
     const auto shunned = shunned_until_.find(it);
     const TimeUs until = shunned == shunned_until_.end() ? 0 : shunned->second;
     if (until <= now) {
--- a/src/coordination/table_source.h
+++ b/src/coordination/table_source.h
@@ -1,6 +1,6 @@
 // Whom this gateway asks for a table: the store, or a gateway that follows it.
 //
-// Of each failure domain one gateway in `GatewayPeers::kFollowersARelay` asks
+// Of each failure domain one gateway in `RelayPlan::kFollowersARelay` asks
 // the store, the others ask that one, or one of another domain when theirs does
 // not answer, and the store itself when several do not. All gateways answer
 // each other's questions (see `TableRelay`), so it does no harm when two
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -187,7 +187,7 @@
   std::vector<std::size_t> Relays() const {
     std::vector<std::size_t> relays;
     for (const auto& it : nodes_) {
-      if (it->alive && it->peers.IsRelay()) {
+      if (it->alive && it->peers.relay_plan().is_relay) {
         relays.push_back(it->index);
       }
     }
