--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -195,7 +195,7 @@
       if (store_call_.open) {
         AskPeer(now);  // Which holds the question until the store is back.
       } else {
-        Fail(now, std::move(answer));
+        Fail(now, answer);
       }
       return;
     case TableAnswer::Kind::kHistoryGone:
@@ -241,7 +241,7 @@
   }
   TableAnswer failed;
   failed.why = why_;
-  Fail(now, std::move(failed));
+  Fail(now, failed);
 }
 
 void TableSource::OnPeerLost(TimeUs now, const NodeId& peer) {
@@ -268,7 +268,7 @@
   on_answer_(now, answer);
 }
 
-void TableSource::Fail(TimeUs now, TableAnswer answer) {
+void TableSource::Fail(TimeUs now, const TableAnswer& answer) {
   question_.open = false;
   peer_call_ = {};
   on_answer_(now, answer);
--- a/src/coordination/table_source.h
+++ b/src/coordination/table_source.h
@@ -117,7 +117,7 @@
   void OnStoreFailed(TimeUs now, const TableAnswer& answer);
   void OnPeerFailed(TimeUs now, std::string_view why);
   void Finish(TimeUs now, TimeUs asked_at, TableAnswer answer);
-  void Fail(TimeUs now, TableAnswer answer);
+  void Fail(TimeUs now, const TableAnswer& answer);
   void TellSource(TimeUs now, const std::string& source, std::string_view why);
 
   const std::string table_;
--- a/src/ctl/log_sources.cc
+++ b/src/ctl/log_sources.cc
@@ -52,6 +52,7 @@
     }
   }
   std::vector<SourceOf> out;
+  out.reserve(sources.size());
   for (auto& [key, it] : sources) {
     out.push_back(std::move(it));
   }
