Take no older or empty table in place of the one that is known

A question for a whole table names the version that is known, a relay that knows less says so, and the next is asked.

--- a/src/coordination/table_relay.cc
+++ b/src/coordination/table_relay.cc
@@ -110,6 +110,10 @@
     answer.why = "the table is not held here";
     return answer;
   }
+  if (question.whole && version_ < question.after) {
+    answer.why = "an older table than the asker's";
+    return answer;
+  }
   if (!question.whole && question.after < kept_from_) {
     answer.kind = TableAnswer::Kind::kHistoryGone;
     return answer;
@@ -149,7 +153,8 @@
                             const TableQuestion& it) {
   std::erase_if(held_, [&](const Held& held) { return held.from == from; });
   const Held held{from, it, now, now + kMostHeld};
-  const bool unanswerable = !known_ || it.after < kept_from_;
+  const bool unanswerable = !known_ || (!it.whole && it.after < kept_from_) ||
+                            (it.whole && version_ < it.after);
   if (unanswerable || Knows(held)) {
     Reply(held, News(held));
   } else {
--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -132,7 +132,7 @@
   it.table = table_;
   it.sequence = peer_call_.sequence;
   it.whole = question_.whole;
-  it.after = question_.after;
+  it.after = question_.whole ? version_ : question_.after;
   it.wait = question_.wait;
   it.age = known_at_ < 0 ? std::numeric_limits<DurationUs>::max() / 2
                          : now - known_at_;
@@ -202,6 +202,10 @@
       answer.known_after.reset();
       break;
     case TableAnswer::Kind::kRows:
+      if (question_.whole && !answer.known_after) {
+        OnPeerFailed(now, "no whole table");
+        return;
+      }
       break;
   }
   const TimeUs known_at =
@@ -262,6 +266,7 @@
     const TimeUs known_at = asked_at + *answer.known_after;
     known_at_ = std::max(known_at_, known_at);
     answer.known_after = known_at - question_.asked_at;
+    version_ = std::max(version_, answer.version);
   }
   question_.open = false;
   peer_call_ = {};
--- a/src/coordination/table_source.h
+++ b/src/coordination/table_source.h
@@ -134,7 +134,8 @@
   StoreCall store_call_;
   PeerCall peer_call_;
   std::uint64_t next_sequence_ = 0;
-  TimeUs known_at_ = -1;  // The last answer's; negative: none.
+  TimeUs known_at_ = -1;       // The last answer's; negative: none.
+  std::uint64_t version_ = 0;  // The highest that was answered.
   bool store_failed_ = false;
   int peer_failures_ = 0;  // In a row.
   TimeUs store_next_at_ = 0;
--- a/tests/gateway/table_relay_test.cc
+++ b/tests/gateway/table_relay_test.cc
@@ -164,6 +164,33 @@
   ExpectSound(net);
 }
 
+// What the caller sees: no replica takes its request. A gateway that has to
+// read the whole table asks one that knows less than it did: an empty or older
+// table must not take the place of what it has.
+TEST(TableRelayTest, AnOlderTableIsNoAnswer) {
+  struct Output : TableRelayOutput {
+    void SendToPeer(const NodeId&, const Message& message) override {
+      replies.push_back(std::get<TableReply>(message));
+    }
+    std::vector<TableReply> replies;
+  } output;
+  TableRelay relay("t", &output);
+  TableQuestion whole;
+  whole.table = "t";
+  whole.whole = true;
+  relay.OnQuestion(kSecond, "a", whole);
+  relay.OnTable({{"k", "v", 3, false}}, 5);
+  relay.OnCurrent(kSecond, 5);
+  whole.after = 9;
+  relay.OnQuestion(kSecond, "a", whole);
+  whole.after = 5;
+  relay.OnQuestion(kSecond, "a", whole);
+  ASSERT_EQ(output.replies.size(), 3U);
+  EXPECT_EQ(output.replies[0].answer.kind, TableAnswer::Kind::kFailed);
+  EXPECT_EQ(output.replies[1].answer.kind, TableAnswer::Kind::kFailed);
+  EXPECT_EQ(output.replies[2].answer.rows.size(), 1U);
+}
+
 // Two halves of the fleet do not see each other: each has relays of its own.
 TEST(TableRelayTest, HalvesFollowTheStoreApart) {
   TableNet net(103, 6);
