Share the connections that replicas accept among the gateways

A dozen replicas take 130 connections each from 103 to 121 gateways. A request that must run once takes an idle connection of the last second only, else opens one, and left the old one open: a trail of idle connections from every gateway. The service's limit was decoded and read by nobody.

A new connection takes the place of a stale one, and all gateways together keep at most 0.7 of what a replica accepts idle. Ruled out: slow replicas, calls in progress (14 at a time over all replicas).

--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -51,6 +51,9 @@
   // Whether a kept connection that turns out closed would cost the request: it
   // could not be told from one that was lost after it ran.
   bool may_repeat = false;
+  // Idle connections to the replica that may stay open; none: as many as the
+  // transport keeps.
+  std::optional<std::size_t> most_idle_connections;
 };
 
 class GatewayPorts {
@@ -94,6 +97,14 @@
   static constexpr std::size_t kMostReplicas = 3;
   // Times that a request's stages are begun again because a result was gone.
   static constexpr int kMostRestarts = 2;
+  // Load pattern: a service of 12 replicas that take 130 connections each,
+  // called by 103 gateways a few times a second. Each kept the connections of
+  // its last calls open; together they filled the replicas, which reset further
+  // ones: one plain request in twelve was lost on a day with more gateways, and
+  // those that must run once could not be tried again. Gateways keep this share
+  // of what a replica accepts idle, all together; calls in progress have the
+  // rest.
+  static constexpr double kIdleShare = 0.7;
   // Of the time from a client to here, which its deadline includes.
   static constexpr DurationUs kLink = 3 * kMillisecond;
 
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -43,6 +43,7 @@
   order.inputs = request->progress.FinalResults();
   order.resume_after = request->resume_after;
   order.may_repeat = request->route->MayRepeat();
+  order.most_idle_connections = MostIdleConnections(*request);
   if (IsEngine(*request)) {
     order.priority = request->priority;
     engines.OnSent(replica->id, request->ForEngine());
@@ -57,6 +58,17 @@
   by_call[request->attempt.call] = request;
 }
 
+std::optional<std::size_t> Gateway::Impl::MostIdleConnections(
+    const ServingRequest& request) const {
+  const Service* service = request.config->FindService(request.service);
+  if (service == nullptr || service->max_connections == 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(
+      kIdleShare * static_cast<double>(service->max_connections) /
+      static_cast<double>(entries));
+}
+
 void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
   request->attempt.head = std::move(head);
 }
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -143,6 +143,9 @@
   // gateway_attempt.cc: one request at its replicas.
   void StartAttempt(ServingRequest* request);
   const ReplicaEntry* ChooseReplica(ServingRequest* request);
+  // Of this gateway, to one of the service's replicas.
+  std::optional<std::size_t> MostIdleConnections(
+      const ServingRequest& request) const;
   void OnHead(ServingRequest* request, ReplicaHead head);
   void OnBody(ServingRequest* request, std::string_view bytes);
   void OnEnd(ServingRequest* request);
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -263,6 +263,7 @@
   // A sound replica accepts within a few ms; beyond this another one answers
   // sooner.
   options.connect = 200 * kMillisecond;
+  options.most_kept = order.most_idle_connections;
   return channels.Start(order.address, platform::WriteSendOrder(order), options,
                         this);
 }
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -104,6 +104,7 @@
     started_ = Loop::Now();
     connect_by_ = started_ + options.connect;
     end_by_ = options.total > 0 ? started_ + options.total : 0;
+    most_kept_ = std::min(kMostIdle, options.most_kept.value_or(kMostIdle));
     to_head_ = request.method == "HEAD";
     reader_.emplace(to_head_);
     told_head_ = false;
@@ -279,7 +280,7 @@
             : kDefaultKeep;
     stream_->SetReading(true);
     auto& idle = owner_->idle[address_];
-    if (keep_ == 0 || idle.size() >= kMostIdle) {
+    if (keep_ == 0 || idle.size() >= most_kept_) {
       owner_->Remove(this);
       return;
     }
@@ -312,6 +313,7 @@
   TimeUs end_by_ = 0;
   TimeUs idle_since_ = 0;
   DurationUs keep_ = kDefaultKeep;
+  std::size_t most_kept_ = kMostIdle;
   bool sent_ = false;  // Any byte of the present request.
   bool to_head_ = false;
   bool told_head_ = false;
@@ -332,6 +334,10 @@
   // The one used last is the least likely to have been closed meanwhile.
   Channel* channel = it->second.back();
   if (!channel->FreshEnough(Loop::Now(), most_idle)) {
+    // All others have been idle for longer. The new connection takes the place
+    // of the oldest, or requests that need a fresh one would leave a trail of
+    // idle ones until the replica takes no more.
+    Remove(it->second.front());
     return nullptr;
   }
   it->second.pop_back();
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -65,6 +65,9 @@
   DurationUs connect = 500 * kMillisecond;
   // From the start to the answer's end; zero for none.
   DurationUs total = 0;
+  // Idle connections to the address, this one included, that may stay open
+  // after the answer.
+  std::optional<std::size_t> most_kept;
 };
 
 class HttpChannels {
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -25,6 +25,7 @@
     std::vector<std::string> inputs;
     std::optional<std::uint64_t> resume_after;
     bool may_repeat = false;
+    std::optional<std::size_t> most_idle_connections;
   };
 
   explicit GatewayRig(GatewayOptions options = {})
@@ -163,7 +164,8 @@
   std::size_t Unsent(ExchangeId id) override { return unsent; }
   CallId Send(const SendOrder& order) override {
     sent.push_back({++last_call, order.replica, order.time_left, order.account,
-                    order.inputs, order.resume_after, order.may_repeat});
+                    order.inputs, order.resume_after, order.may_repeat,
+                    order.most_idle_connections});
     return last_call;
   }
   void Cancel(CallId id) override { cancelled.push_back(id); }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -166,6 +166,20 @@
   EXPECT_LE(rig.refused[outage].retry_after, 10 * kSecond / 3);
 }
 
+// Load: replicas that take 50 connections of all callers. Few gateways keep
+// several idle ones each; of 103 none does, or the replicas would reset those
+// of requests that must run once.
+TEST(GatewayTest, SharesTheConnectionsThatReplicasTake) {
+  GatewayRig rig;
+  rig.AddReplica("r1", "app");
+  rig.core.SetEntries(5);
+  rig.Call("plain");
+  EXPECT_EQ(rig.sent.back().most_idle_connections, 7U);
+  rig.core.SetEntries(103);
+  rig.Call("plain");
+  EXPECT_EQ(rig.sent.back().most_idle_connections, 0U);
+}
+
 // Clients see no version of the configuration after a later one, whatever a
 // stale read brings.
 TEST(GatewayTest, NeverGoesBackToAnOlderConfiguration) {
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -137,6 +137,41 @@
   EXPECT_EQ(channels.opened(), 1U);
 }
 
+// What the caller sees: 502 for requests that must run once, while replicas are
+// idle. Each such request needs a connection used a moment ago and opens one;
+// those before stay open, of a hundred gateways together more than the replica
+// takes, which resets the next. The new one takes the place of an old one.
+TEST(HttpChannelsTest, OpensAConnectionInPlaceOfAStaleOne) {
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) { peer->stream->Write(kMine); };
+  HttpChannels channels(&loop);
+  ChannelOptions fresh;
+  fresh.most_idle = -1;  // None is fresh enough.
+  for (int n = 0; n < 5; ++n) {
+    Sink sink;
+    channels.Start(server.address, Get(), fresh, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    EXPECT_EQ(sink.body, "ok");
+  }
+  EXPECT_EQ(channels.opened(), 5U);
+  EXPECT_EQ(channels.open(), 1U);
+}
+
+TEST(HttpChannelsTest, KeepsNoMoreConnectionsThanAsked) {
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) { peer->stream->Write(kMine); };
+  HttpChannels channels(&loop);
+  ChannelOptions none;
+  none.most_kept = 0;
+  Sink sink;
+  channels.Start(server.address, Get(), none, &sink);
+  RunUntil(&loop, [&] { return sink.over(); });
+  EXPECT_EQ(sink.body, "ok");
+  EXPECT_EQ(channels.open(), 0U);
+}
+
 // No caller gets another's answer: a replica sends a late second answer to an
 // earlier request first, and the caller's own after it.
 TEST(HttpChannelsTest, PassesOverAnAnswerToAnotherRequest) {
