Prefer one other engine, the same at all gateways, while a home is busy

Hypothesis: with a hundred gateways nobody remembers where a session's requests went while its home was busy, so each is read again on another engine; if all prefer the engine with the second highest hash, shared parts are read again less often.

--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/engine_choice.cc
@@ -37,25 +37,31 @@
   return unheld;
 }
 
-const ReplicaEntry* EngineChoice::HomeOf(const std::string& service,
-                                         const EngineRequest& request) const {
+EngineChoice::Homes EngineChoice::HomesOf(const std::string& service,
+                                          const EngineRequest& request) const {
+  Homes homes;
   const std::size_t shared = SharedParts(*request.prompt);
   if (shared == 0) {
-    return nullptr;
+    return homes;
   }
   const std::string& part = (*request.prompt)[shared - 1].id;
   const XXH64_hash_t seed = XXH3_64bits(part.data(), part.size());
-  const ReplicaEntry* home = nullptr;
   XXH64_hash_t best = 0;
+  XXH64_hash_t next = 0;
   for (const ReplicaEntry* it : directory_->Of(service)) {
     const XXH64_hash_t weight =
         XXH3_64bits_withSeed(it->id.name.data(), it->id.name.size(), seed);
-    if (home == nullptr || weight > best) {
-      home = it;
+    if (homes.first == nullptr || weight > best) {
+      homes.second = homes.first;
+      next = best;
+      homes.first = it;
       best = weight;
+    } else if (homes.second == nullptr || weight > next) {
+      homes.second = it;
+      next = weight;
     }
   }
-  return home;
+  return homes;
 }
 
 EngineLoad EngineChoice::LoadOf(const ReplicaId& replica) const {
@@ -73,12 +79,14 @@
 
 double EngineChoice::Score(const ReplicaEntry& replica,
                            const EngineRequest& request,
-                           bool home) {
+                           const Homes& homes) {
   const Engine& engine = engines_[replica.id];
   const EngineLoad load = LoadOf(replica.id);
-  const Unheld unheld = UnheldAt(engine, request, home);
+  const Unheld unheld = UnheldAt(engine, request, &replica == homes.first);
+  const double reread =
+      kRereadWeight * (&replica == homes.second ? kSecondHomeShare : 1);
   double tokens = static_cast<double>(load.unread_tokens + unheld.own) +
-                  kRereadWeight * static_cast<double>(unheld.shared) +
+                  reread * static_cast<double>(unheld.shared) +
                   kRunningTokens * load.running;
   if (load.running >= replica.slots) {
     tokens += kQueuedTokens;
@@ -100,7 +108,7 @@
   const ReplicaEntry* shunned = nullptr;
   double best_score = 0;
   std::uint64_t ties = 0;
-  const ReplicaEntry* home = HomeOf(service, request);
+  const Homes homes = HomesOf(service, request);
   for (const ReplicaEntry* it : directory_->Of(service)) {
     if (std::find(tried.begin(), tried.end(), it->id) != tried.end()) {
       continue;
@@ -109,7 +117,7 @@
       shunned = it;
       continue;
     }
-    const double score = Score(*it, request, it == home);
+    const double score = Score(*it, request, homes);
     if (best == nullptr || score < best_score) {
       best = it;
       best_score = score;
--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -52,6 +52,14 @@
   // a home that was busy for 140 ms was left, for a gain that few requests
   // need; with 10, calm days of both large sites earned 0.03 and 0.04 more.
   static constexpr double kRereadWeight = 10;
+  // Load pattern: a burst, or the loss of engines, keeps homes busy, and
+  // prompts go elsewhere. With a hundred gateways each sees a hundredth of a
+  // session's requests and remembers nothing of where the others went, so every
+  // one of them was read again on another engine. The engine with the second
+  // highest hash is preferred among the others by this share of what reading
+  // the shared parts weighs there; it is as likely to hold them as the session
+  // is to have been sent away before.
+  static constexpr double kSecondHomeShare = 0.8;
   // What one more running request adds until the first token: it lengthens each
   // step, and a prompt waits for the step in progress. Engines that read 110 to
   // 160 tokens in a ms take some 0.6 ms longer for it.
@@ -76,7 +84,9 @@
 
   // The home of a prompt; null when it has no shared part.
   const ReplicaEntry* HomeOf(const std::string& service,
-                             const EngineRequest& request) const;
+                             const EngineRequest& request) const {
+    return HomesOf(service, request).first;
+  }
   void OnSent(const ReplicaId& replica, const EngineRequest& request);
   // The first event came: the prompt is read.
   void OnFirstEvent(const ReplicaId& replica, const EngineRequest& request);
@@ -99,6 +109,12 @@
     ReplicaHealth health;
   };
 
+  struct Homes {
+    const ReplicaEntry* first = nullptr;
+    const ReplicaEntry* second = nullptr;
+  };
+  Homes HomesOf(const std::string& service, const EngineRequest& request) const;
+
   struct Unheld {
     std::uint64_t shared = 0;  // Tokens of parts that others use too.
     std::uint64_t own = 0;
@@ -109,7 +125,7 @@
                          bool home);
   double Score(const ReplicaEntry& replica,
                const EngineRequest& request,
-               bool home);
+               const Homes& homes);
   EngineLoad LoadOf(const ReplicaId& replica) const;
 
   const ReplicaDirectory* const directory_;
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -67,6 +67,30 @@
   EXPECT_GE(used.size(), 3U);
 }
 
+// Load: a hundred gateways, and a session whose home is busy for a while. Each
+// gateway sees one of its requests and remembers none. They agree where it goes
+// meanwhile, so its shared parts are read once more, not a hundred times; that
+// engine in turn is not drowned.
+TEST(EngineChoiceTest, GatewaysAgreeOnASecondHome) {
+  Fleet fleet(9);
+  const std::vector<PromptPart> prompt = {
+      {"sys", 500}, {"doc", 4000}, {"q", 3000}};
+  EngineChoice first(&fleet.directory, &fleet.random);
+  const ReplicaId home = first.Choose(0, "s", Prompt(&prompt), {}, false)->id;
+  std::set<ReplicaId> used;
+  for (int n = 0; n < 100; ++n) {
+    EngineChoice choice(&fleet.directory, &fleet.random);
+    choice.SetOthers("other", {{home, {8, 90'000}}});
+    used.insert(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id);
+  }
+  ASSERT_EQ(used.size(), 1U);
+  const ReplicaId second = *used.begin();
+  EXPECT_NE(second, home);
+  EngineChoice choice(&fleet.directory, &fleet.random);
+  choice.SetOthers("other", {{home, {8, 90'000}}, {second, {4, 30'000}}});
+  EXPECT_NE(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id, second);
+}
+
 // Load: large results lie in one failure domain, and no engine holds the
 // prompt. The request goes where they lie, unless the engines there have more
 // to read than fetching them elsewhere is worth.
