--- a/tests/decoder_mutation_test.cc
+++ b/tests/decoder_mutation_test.cc
@@ -62,7 +62,8 @@
   call.body = R"({"a":1})";
   Heartbeat heartbeat;
   for (const Message& message : std::vector<Message>{
-           call, heartbeat, StageChunk{}, StageFailure{}, ControlOrder{}}) {
+           call, heartbeat, StageChunk{}, StageFailure{}, ControlOrder{},
+           TableQuestion{}, TableReply{}, GatewayBeat{}}) {
     const std::string good = EncodeFrame({"entry-1", 1, 1, message}, kKey);
     ForEachMutation(good, [&](const std::string& frame) {
       EXPECT_TRUE(frame == good || !DecodeFrame(frame, kKey).ok());
--- a/tests/frame_test.cc
+++ b/tests/frame_test.cc
@@ -25,6 +25,29 @@
             std::get<StageCall>(MakeEnvelope().message).key);
 }
 
+// Rows, their versions and their age travel together; "nothing says how old" is
+// not the same as an age of zero.
+TEST(FrameTest, CarriesATableWithItsAge) {
+  TableReply reply;
+  reply.table = "t";
+  reply.sequence = 4;
+  reply.answer.kind = TableAnswer::Kind::kRows;
+  reply.answer.rows = {{"k", "v", 9, false}, {"gone", "", 10, true}};
+  reply.answer.version = 10;
+  for (const std::optional<DurationUs> age :
+       {std::optional<DurationUs>(-kSecond), std::optional<DurationUs>()}) {
+    reply.answer.known_after = age;
+    const auto out =
+        DecodeFrame(EncodeFrame({"entry-1", 11, 3, reply}, kKey), kKey);
+    ASSERT_TRUE(out.ok()) << out.status();
+    const auto& answer = std::get<TableReply>(out->message).answer;
+    EXPECT_EQ(answer.known_after, age);
+    ASSERT_EQ(answer.rows.size(), 2U);
+    EXPECT_EQ(answer.rows[0].value, "v");
+    EXPECT_TRUE(answer.rows[1].removed);
+  }
+}
+
 TEST(FrameTest, EveryChangedByteIsRefused) {
   const std::string frame = EncodeFrame(MakeEnvelope(), kKey);
   for (std::size_t n = 0; n < frame.size(); ++n) {
