--- a/src/coordination/table_relay.cc
+++ b/src/coordination/table_relay.cc
@@ -87,20 +87,31 @@
   return std::min(version, version_) > after;
 }
 
-bool TableRelay::Knows(const Held& held) const {
+bool TableRelay::CanAnswer(const TableQuestion& it) const {
+  return known_ && (it.whole ? version_ >= it.after : it.after >= kept_from_);
+}
+
+bool TableRelay::HasNews(const TableQuestion& it) const {
+  return std::any_of(rows_.begin(), rows_.end(),
+                     [&](const auto& row) {
+                       return IsNews(row.second.version, it.after);
+                     }) ||
+         std::any_of(removed_.begin(), removed_.end(), [&](const auto& row) {
+           return IsNews(row.second, it.after);
+         });
+}
+
+bool TableRelay::AnswersAtOnce(const Held& held) const {
   const TableQuestion& it = held.question;
-  const DurationUs age = held.arrived_at - known_at_;
+  if (!CanAnswer(it)) {
+    return true;  // That it cannot.
+  }
   if (lost_ || version_ < it.after) {
     return false;
   }
-  const bool row_news = std::any_of(
-      rows_.begin(), rows_.end(),
-      [&](const auto& row) { return IsNews(row.second.version, it.after); });
-  const bool removal_news = std::any_of(
-      removed_.begin(), removed_.end(),
-      [&](const auto& row) { return IsNews(row.second, it.after); });
-  return it.whole || it.wait == 0 || age + kWorthTelling < it.age || row_news ||
-         removal_news;
+  const DurationUs age = held.arrived_at - known_at_;
+  return it.whole || it.wait == 0 || age + kWorthTelling < it.age ||
+         HasNews(it);
 }
 
 TableAnswer TableRelay::News(const Held& held) const {
@@ -153,9 +164,7 @@
                             const TableQuestion& it) {
   std::erase_if(held_, [&](const Held& held) { return held.from == from; });
   const Held held{from, it, now, now + kMostHeld};
-  const bool unanswerable = !known_ || (!it.whole && it.after < kept_from_) ||
-                            (it.whole && version_ < it.after);
-  if (unanswerable || Knows(held)) {
+  if (AnswersAtOnce(held)) {
     Reply(held, News(held));
   } else {
     held_.push_back(held);
--- a/src/coordination/table_relay.h
+++ b/src/coordination/table_relay.h
@@ -57,8 +57,6 @@
   // Answers what was held long enough; call it every 10 ms.
   void OnTick(TimeUs now);
 
-  std::size_t held() const { return held_.size(); }
-
  private:
   struct Held {
     NodeId from;
@@ -67,14 +65,17 @@
     TimeUs until = 0;
   };
 
-  // A row that came while pages of the table were read may be newer than the
-  // version from which its reader goes on; until then it is told again.
+  // Of a row's version. One that came while pages of the table were read may be
+  // above `version_`, from which its reader goes on; it is told again then.
   bool IsNews(std::uint64_t version, std::uint64_t after) const;
-  // Whether the question is answered at once.
-  bool Knows(const Held& held) const;
+  bool HasNews(const TableQuestion& it) const;
+  // Whether enough is known, be there news or not.
+  bool CanAnswer(const TableQuestion& it) const;
+  bool AnswersAtOnce(const Held& held) const;
   void Reply(const Held& held, TableAnswer answer);
   // All that is newer than the question asks for.
   TableAnswer News(const Held& held) const;
+  // That there was no news, or that the store is lost here.
   TableAnswer WhenHeldLong(const Held& held) const;
   void ReplyAll(TableAnswer (TableRelay::*answer)(const Held&) const);
 
--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -58,8 +58,9 @@
   return peers_->relay_plan().others.empty() || peers_->relay_plan().is_relay;
 }
 
-// A later page of a table is of the source of the first one, which is the
-// store: relays send theirs whole.
+// A relay asks the store, and another gateway too while the store fails. A
+// follower asks a relay, and the store too while relays fail. A later page of a
+// table is the store's: relays send theirs whole.
 void TableSource::Begin(TimeUs now, Question question) {
   question_ = std::move(question);
   peer_call_ = {};
@@ -177,37 +178,43 @@
       reply.sequence != peer_call_.sequence) {
     return;  // Late: another one was asked meanwhile.
   }
-  if (reply.answer.kind > TableAnswer::kLastKind) {
-    OnPeerFailed(now, "an answer of an unknown kind");
-    return;
-  }
-  TableAnswer answer = reply.answer;
-  const TimeUs asked_at = peer_call_.asked_at;
-  switch (answer.kind) {
+  switch (reply.answer.kind) {
     case TableAnswer::Kind::kFailed:
-      OnPeerFailed(now, answer.why);
+      OnPeerFailed(now, reply.answer.why);
       return;
     case TableAnswer::Kind::kStoreLost:
-      shunned_until_[from] = now + kSecond;
-      why_ = answer.why;
-      ++peer_failures_;
-      peer_call_ = {};
-      if (store_call_.open) {
-        AskPeer(now);  // Which holds the question until the store is back.
-      } else {
-        Fail(now, answer);
-      }
+      OnStoreLostAtPeer(now, reply.answer);
       return;
     case TableAnswer::Kind::kHistoryGone:
-      answer.known_after.reset();
-      break;
     case TableAnswer::Kind::kRows:
-      if (question_.whole && !answer.known_after) {
-        OnPeerFailed(now, "no whole table");
-        return;
-      }
-      break;
+      OnPeerAnswer(now, reply.answer);
+      return;
+  }
+  OnPeerFailed(now, "an answer of an unknown kind");
+}
+
+void TableSource::OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer) {
+  shunned_until_[peer_call_.peer] = now + kShunWithoutStore;
+  why_ = answer.why;
+  ++peer_failures_;
+  peer_call_ = {};
+  if (store_call_.open) {
+    AskPeer(now);  // Which holds the question until the store is back.
+  } else {
+    Fail(now, answer);
+  }
+}
+
+void TableSource::OnPeerAnswer(TimeUs now, TableAnswer answer) {
+  const bool rows = answer.kind == TableAnswer::Kind::kRows;
+  if (!rows) {
+    answer.known_after.reset();
   }
+  if (rows && question_.whole && !answer.known_after) {
+    OnPeerFailed(now, "no whole table");
+    return;
+  }
+  const TimeUs asked_at = peer_call_.asked_at;
   const TimeUs known_at =
       answer.known_after ? asked_at + *answer.known_after : known_at_;
   if (known_at_ >= 0 && now - std::max(known_at, known_at_) > stale_) {
@@ -223,7 +230,7 @@
     return !question_.whole && it.version <= question_.after;
   });
   peer_failures_ = 0;
-  shunned_until_.erase(from);
+  shunned_until_.erase(peer_call_.peer);
   Finish(now, asked_at, std::move(answer));
 }
 
--- a/src/coordination/table_source.h
+++ b/src/coordination/table_source.h
@@ -41,6 +41,8 @@
   // A relay that failed is passed over for this long: three of its beats, by
   // which time it is known to be gone or answers again.
   static constexpr DurationUs kShun = 3 * kSecond;
+  // One that does not reach the store either: it may be back soon.
+  static constexpr DurationUs kShunWithoutStore = kSecond;
   // Relays that fail one after the other until the store itself is asked.
   static constexpr int kFailuresUntilStore = 3;
   // Of the stale age: when a relay fails and what is known is as old as this,
@@ -81,9 +83,6 @@
   // Ends what takes too long; call it every 10 ms.
   void OnTick(TimeUs now);
 
-  // Who was asked last: a gateway, or "store".
-  const std::string& asked() const { return told_source_; }
-
  private:
   struct Question {
     bool open = false;
@@ -115,6 +114,8 @@
   // Whether what is known is so old that there is no time to wait.
   bool Hurries(TimeUs now) const;
   void OnStoreFailed(TimeUs now, const TableAnswer& answer);
+  void OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer);
+  void OnPeerAnswer(TimeUs now, TableAnswer answer);
   void OnPeerFailed(TimeUs now, std::string_view why);
   void Finish(TimeUs now, TimeUs asked_at, TableAnswer answer);
   void Fail(TimeUs now, const TableAnswer& answer);
@@ -140,8 +141,8 @@
   int peer_failures_ = 0;  // In a row.
   TimeUs store_next_at_ = 0;
   std::map<NodeId, TimeUs> shunned_until_;
-  std::string told_source_;
-  std::string why_;  // The last failure, for the log.
+  std::string told_source_;  // Who was asked last, as the log has it.
+  std::string why_;          // The last failure, for the log.
 };
 
 }  // namespace acaciachute
--- a/src/state/table_rows.h
+++ b/src/state/table_rows.h
@@ -25,7 +25,6 @@
     kFailed,
     kStoreLost,  // From another gateway: it does not reach the store either.
   };
-  static constexpr Kind kLastKind = Kind::kStoreLost;
   Kind kind = Kind::kFailed;
   std::vector<TableRow> rows;
   bool truncated = false;     // More rows follow the last key.
