--- a/src/ctl/gateway_commands.cc
+++ b/src/ctl/gateway_commands.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "ctl/command.h"
+#include "ctl/log_lines.h"
 #include "ctl/log_sources.h"
 #include "text.h"
 
@@ -14,15 +15,12 @@
 
 ExitCode Sources(const Command& command) {
   std::ifstream file;
-  const bool from_file = !command.file.empty() && command.file != "-";
-  if (from_file) {
-    file.open(command.file);
-    if (!file) {
-      return Complain(ExitCode::kUsage, StrCat("cannot read ", command.file));
-    }
+  std::istream* log = OpenLog(command.file, &file);
+  if (log == nullptr) {
+    return Complain(ExitCode::kUsage, StrCat("cannot read ", command.file));
   }
   Json rows = Json::array();
-  for (const SourceOf& it : SourcesFromLog(from_file ? &file : &std::cin)) {
+  for (const SourceOf& it : SourcesFromLog(log)) {
     rows.push_back({{"table", it.table},
                     {"gateway", it.gateway},
                     {"asks", it.source},
--- a/src/ctl/log_lines.cc
+++ b/src/ctl/log_lines.cc
@@ -1,5 +1,6 @@
 #include "ctl/log_lines.h"
 
+#include <iostream>
 #include <utility>
 
 namespace acaciachute {
@@ -14,6 +15,14 @@
   return it->is_string() ? it->get<std::string>() : it->dump();
 }
 
+std::istream* OpenLog(const std::string& path, std::ifstream* file) {
+  if (path.empty() || path == "-") {
+    return &std::cin;
+  }
+  file->open(path);
+  return *file ? file : nullptr;
+}
+
 std::vector<Json> ReadLogLines(std::istream* log) {
   std::vector<Json> lines;
   std::string text;
--- a/src/ctl/log_lines.h
+++ b/src/ctl/log_lines.h
@@ -2,6 +2,7 @@
 #ifndef ACACIACHUTE_SRC_CTL_LOG_LINES_H_
 #define ACACIACHUTE_SRC_CTL_LOG_LINES_H_
 
+#include <fstream>
 #include <istream>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -9,6 +10,10 @@
 
 namespace acaciachute {
 
+// The log at `path`, opened in `file`, or standard input for no path or "-".
+// Null when it cannot be read.
+std::istream* OpenLog(const std::string& path, std::ifstream* file);
+
 // Lines that are no event are passed over; text before the object, such as a
 // collector's time stamp, is ignored.
 std::vector<nlohmann::json> ReadLogLines(std::istream* log);
--- a/src/ctl/request_commands.cc
+++ b/src/ctl/request_commands.cc
@@ -5,6 +5,7 @@
 
 #include "ctl/command.h"
 #include "ctl/log_explain.h"
+#include "ctl/log_lines.h"
 #include "ctl/platform_table.h"
 #include "text.h"
 
@@ -80,15 +81,11 @@
 
 ExitCode Explain(const Command& command) {
   std::ifstream file;
-  const bool from_file = !command.file.empty() && command.file != "-";
-  if (from_file) {
-    file.open(command.file);
-    if (!file) {
-      return Complain(ExitCode::kUsage, StrCat("cannot read ", command.file));
-    }
+  std::istream* log = OpenLog(command.file, &file);
+  if (log == nullptr) {
+    return Complain(ExitCode::kUsage, StrCat("cannot read ", command.file));
   }
-  const LogExplanation found =
-      ExplainFromLog(from_file ? &file : &std::cin, command.words[0]);
+  const LogExplanation found = ExplainFromLog(log, command.words[0]);
   if (!found.found()) {
     return Complain(ExitCode::kFailed,
                     StrCat("no line tells of request ", command.words[0]));
