--- /dev/null
+++ b/src/coordination/cold_limit.cc
@@ -0,0 +1,130 @@
+#include "coordination/cold_limit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "coordination/rendezvous.h"
+
+namespace acaciachute {
+
+void ColdLimit::SetBound(const ColdBound& bound, DurationUs replica_beat) {
+  bound_ = bound;
+  replica_beat_ = replica_beat;
+}
+
+void ColdLimit::SetServices(const ServingConfig& config) {
+  services_.clear();
+  for (const auto& [name, service] : config.services()) {
+    if (service.cold_rate > 0) {
+      const double bound = service.cold_rate * bound_.over + bound_.slack;
+      services_[name] = {bound, service.cold_start};
+    }
+  }
+}
+
+void ColdLimit::SetGateways(std::vector<NodeId> gateways) {
+  if (gateways != gateways_) {
+    gateways_ = std::move(gateways);
+    ++generation_;
+  }
+}
+
+const ColdLimit::Limits* ColdLimit::LimitsOf(
+    const ReplicaEntry& replica) const {
+  const auto it = services_.find(replica.service);
+  return it == services_.end() ? nullptr : &it->second;
+}
+
+// A replica in a failure domain that was taken back may have started again
+// while it was empty, and its row may not say so yet.
+TimeUs ColdLimit::ColdUntil(const ReplicaEntry& replica,
+                            const Limits& limits) const {
+  TimeUs until = replica.cold_until;
+  if (replica.back_at > 0) {
+    until = std::max(until, replica.back_at + limits.cold_start +
+                                kNewsBeats * replica_beat_);
+  }
+  return until;
+}
+
+bool ColdLimit::IsCold(TimeUs now, const ReplicaEntry& replica) const {
+  const Limits* limits = LimitsOf(replica);
+  return limits != nullptr && now < ColdUntil(replica, *limits);
+}
+
+bool ColdLimit::Takes(TimeUs now, const ReplicaEntry& replica) {
+  const Limits* limits = LimitsOf(replica);
+  if (limits == nullptr) {
+    return true;
+  }
+  const TimeUs until = ColdUntil(replica, *limits);
+  if (until == 0 || now >= until + kWarmUp) {
+    return true;
+  }
+  Recent& recent = recent_[replica.id];
+  while (!recent.arrived.empty() && now - recent.arrived.front() > kWindow) {
+    recent.arrived.pop_front();
+  }
+  double total = kSpend * limits->bound;
+  for (TimeUs step = until; step <= now; step += kDouble) {
+    total *= 2;
+  }
+  return recent.on_their_way + recent.arrived.size() <
+         PartOf(replica.id, &recent, total);
+}
+
+std::size_t ColdLimit::PartOf(const ReplicaId& replica,
+                              Recent* recent,
+                              double total) {
+  const auto whole = static_cast<std::size_t>(total);
+  if (gateways_.empty()) {
+    return 0;
+  }
+  if (gateways_.size() <= whole) {
+    return whole / gateways_.size();
+  }
+  if (recent->generation != generation_) {
+    recent->generation = generation_;
+    recent->rank = RankFor(replica);
+  }
+  return recent->rank < whole ? 1 : 0;
+}
+
+std::size_t ColdLimit::RankFor(const ReplicaId& replica) const {
+  const double own = RendezvousWeight(replica.name, self_, 1);
+  const auto before =
+      std::count_if(gateways_.begin(), gateways_.end(), [&](const NodeId& it) {
+        return RendezvousWeight(replica.name, it, 1) > own;
+      });
+  return static_cast<std::size_t>(before);
+}
+
+void ColdLimit::OnSent(const ReplicaEntry& replica) {
+  if (LimitsOf(replica) != nullptr) {
+    ++recent_[replica.id].on_their_way;
+  }
+}
+
+// What was sent while the replica was warm counts too: it may turn cold within
+// the same second.
+void ColdLimit::OnArrived(TimeUs now, const ReplicaEntry& replica) {
+  const auto it = recent_.find(replica.id);
+  if (it == recent_.end()) {
+    return;
+  }
+  Recent& recent = it->second;
+  recent.on_their_way -= std::min(recent.on_their_way, 1U);
+  recent.arrived.push_back(now);
+  while (now - recent.arrived.front() > kWindow) {
+    recent.arrived.pop_front();
+  }
+}
+
+void ColdLimit::OnNotSent(const ReplicaEntry& replica) {
+  if (const auto it = recent_.find(replica.id); it != recent_.end()) {
+    it->second.on_their_way -= std::min(it->second.on_their_way, 1U);
+  }
+}
+
+}  // namespace acaciachute
--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/engine_choice.cc
@@ -14,8 +14,10 @@
 
 }  // namespace
 
-EngineChoice::EngineChoice(const ReplicaDirectory* directory, Random* random)
-    : directory_(directory), random_(random) {}
+EngineChoice::EngineChoice(const ReplicaDirectory* directory,
+                           ColdLimit* cold,
+                           Random* random)
+    : directory_(directory), cold_(cold), random_(random) {}
 
 // All after the first part that it does not hold, and those that no part lists.
 EngineChoice::Unheld EngineChoice::UnheldAt(const Engine& engine,
@@ -110,7 +112,8 @@
   std::uint64_t ties = 0;
   const Homes homes = HomesOf(service, request);
   for (const ReplicaEntry* it : directory_->Of(service)) {
-    if (std::find(tried.begin(), tried.end(), it->id) != tried.end()) {
+    if (std::find(tried.begin(), tried.end(), it->id) != tried.end() ||
+        !cold_->Takes(now, *it)) {
       continue;
     }
     if (!engines_[it->id].health.Takes(now, may_repeat)) {
--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -22,6 +22,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "coordination/cold_limit.h"
 #include "state/client_call.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
@@ -75,7 +76,9 @@
   // several times what an engine's memory holds.
   static constexpr std::size_t kPartsRemembered = 4096;
 
-  EngineChoice(const ReplicaDirectory* directory, Random* random);
+  EngineChoice(const ReplicaDirectory* directory,
+               ColdLimit* cold,
+               Random* random);
 
   // Null when no engine outside `tried` takes work.
   const ReplicaEntry* Choose(TimeUs now,
@@ -131,6 +134,7 @@
   EngineLoad LoadOf(const ReplicaId& replica) const;
 
   const ReplicaDirectory* const directory_;
+  ColdLimit* const cold_;
   Random* const random_;
   std::map<ReplicaId, Engine> engines_;
   std::map<ReplicaId, EngineLoad> own_;
--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -21,7 +21,10 @@
       random(random_in),
       metrics(metrics_in),
       log(log_in),
-      engines(directory_in, random_in) {}
+      cold(options.node),
+      engines(directory_in, &cold, random_in) {
+  cold.SetBound(options.cold, options.replica_beat);
+}
 
 ServingRequest* Gateway::Impl::ByExchange(ExchangeId id) {
   const auto it = requests.find(id);
@@ -36,7 +39,7 @@
 PlainChoice& Gateway::Impl::Plain(const std::string& service) {
   auto& choice = plain[service];
   if (choice == nullptr) {
-    choice = std::make_unique<PlainChoice>(directory, random);
+    choice = std::make_unique<PlainChoice>(directory, &cold, random);
   }
   return *choice;
 }
@@ -134,6 +137,9 @@
   if (request->parked) {
     parked.erase({request->priority, request->received_at, request->id});
   }
+  if (request->awaits_cold) {
+    awaiting_cold.erase({request->priority, request->received_at, request->id});
+  }
   const auto it = by_client_id.find(request->call.id);
   if (it != by_client_id.end() && it->second == request) {
     by_client_id.erase(it);
@@ -175,6 +181,10 @@
 
 void Gateway::SetOptions(const GatewayOptions& options) {
   impl_->options = options;
+  impl_->cold.SetBound(options.cold, options.replica_beat);
+  if (impl_->config != nullptr) {
+    impl_->cold.SetServices(*impl_->config);
+  }
   for (auto& [service, budget] : impl_->budgets) {
     budget.SetLimits(options.budget);
   }
@@ -191,6 +201,7 @@
                                {"routes", config->routes()},
                                {"services", config->services().size()}});
   impl_->config = std::move(config);
+  impl_->cold.SetServices(*impl_->config);
 }
 
 void Gateway::OnConfirmed(TimeUs asked_at) {
@@ -202,6 +213,7 @@
   if (!restarted && change != DirectoryChange::kGone) {
     return;
   }
+  impl_->cold.OnReplicaGone(replica.id);
   impl_->engines.OnReplicaGone(replica.id);
   for (auto& [service, choice] : impl_->plain) {
     choice->OnReplicaGone(replica.id);
@@ -211,6 +223,23 @@
   }
 }
 
+void Gateway::OnEvacuated() {
+  std::vector<ExchangeId> waiting;
+  for (const auto& [id, request] : impl_->requests) {
+    if (request->attempt.call == 0) {
+      waiting.push_back(id);
+    }
+  }
+  for (const ExchangeId id : waiting) {
+    // The end of one may be the end of another of the same client.
+    ServingRequest* request = impl_->ByExchange(id);
+    OwnAnswer refusal;
+    if (request != nullptr && impl_->HasNoReplica(*request, &refusal)) {
+      impl_->Refuse(request, std::move(refusal));
+    }
+  }
+}
+
 void Gateway::OnCall(ExchangeId id, ClientCall call) {
   impl_->Admit(id, std::move(call));
 }
@@ -303,6 +332,7 @@
 
 void Gateway::OnTick() {
   impl_->BeginParked();
+  impl_->RetryAwaiting();
   const TimeUs now = impl_->ports->Now();
   while (!impl_->deadlines.empty() && impl_->deadlines.begin()->first <= now) {
     impl_->Expire(impl_->ByExchange(impl_->deadlines.begin()->second));
@@ -316,6 +346,10 @@
   }
 }
 
+void Gateway::SetKnownGateways(std::vector<NodeId> gateways) {
+  impl_->cold.SetGateways(std::move(gateways));
+}
+
 void Gateway::SetAnotherIsCurrent(bool current) {
   impl_->another_is_current = current;
 }
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -79,10 +79,13 @@
 };
 
 struct GatewayOptions {
+  NodeId node;
   std::string domain;  // Failure domain of this host.
   // A key is used only while the configuration was confirmed this recently.
   DurationUs key_age = 4 * kSecond;
   AttemptBudgetLimits budget;
+  ColdBound cold;
+  DurationUs replica_beat = 1200 * kMillisecond;
   bool operator==(const GatewayOptions&) const = default;
 };
 
@@ -107,6 +110,9 @@
   // None of 8,600 such requests met a full replica then, at one new connection
   // of 1 ms for one more request in six.
   static constexpr double kIdleShare = 0.7;
+  // How long a request waits for its part of what cold replicas take: one
+  // comes free a second after the answer that holds it.
+  static constexpr DurationUs kMostColdWait = 1500 * kMillisecond;
   // Of the time from a client to here, which its deadline includes.
   static constexpr DurationUs kLink = 3 * kMillisecond;
 
@@ -127,6 +133,9 @@
   // The configuration in force was the newest at `asked_at`.
   void OnConfirmed(TimeUs asked_at);
   void OnReplica(const ReplicaEntry& replica, DirectoryChange change);
+  // A failure domain was emptied: refuses the requests that no replica is left
+  // for and that none has begun.
+  void OnEvacuated();
 
   void OnCall(ExchangeId id, ClientCall call);
   void OnGone(ExchangeId id);
@@ -147,6 +156,8 @@
   void OnTick();
 
   void SetEntries(std::size_t n);
+  // See `ColdLimit::SetGateways`.
+  void SetKnownGateways(std::vector<NodeId> gateways);
   // Whether another entry may check keys: clients that are refused because this
   // one may not are sent there.
   void SetAnotherIsCurrent(bool current);
--- a/src/coordination/gateway_admission.cc
+++ b/src/coordination/gateway_admission.cc
@@ -83,14 +83,43 @@
   if (another_is_current) {
     return kElsewhere;
   }
-  const DurationUs left = call.deadline > 0
-                              ? std::min(call.deadline, route.timeout)
-                              : route.timeout;
-  const DurationUs most = left / kHonouredPart;
+  return RetryAfterLongest(call.deadline > 0
+                               ? std::min(call.deadline, route.timeout)
+                               : route.timeout);
+}
+
+DurationUs Gateway::Impl::RetryAfterLongest(DurationUs left) {
+  const DurationUs most = std::max<DurationUs>(0, left) / kHonouredPart;
   return most / 2 + static_cast<DurationUs>(random->Below(
                         static_cast<std::uint64_t>(most / 2 + 1)));
 }
 
+// Failure: all replicas of a service are gone, or every failure domain that has
+// one was emptied. Symptom: requests wait for pieces that nobody makes, or have
+// their stages made for a replica that is not there, until their clients leave.
+// Stages that are made already need no replica any more.
+bool Gateway::Impl::HasNoReplica(const ServingRequest& request,
+                                 OwnAnswer* refusal) {
+  std::string_view missing;
+  if (directory->Of(request.service).empty()) {
+    missing = request.service;
+  }
+  const auto& stages = request.route->stages;
+  for (std::uint32_t n = 0; n < stages.size() && missing.empty(); ++n) {
+    if (!request.progress.IsMade(n) &&
+        directory->Of(stages[n].service).empty()) {
+      missing = stages[n].service;
+    }
+  }
+  if (missing.empty()) {
+    return false;
+  }
+  *refusal = {Refusal::kNoReplica, Verdict::kNotRun,
+              RetryAfterLongest(request.answer_by - ports->Now()),
+              StrCat("no replica of ", missing, " takes work")};
+  return true;
+}
+
 std::string Gateway::Impl::ChooseService(const Route& route) {
   std::uint64_t sum = 0;
   for (const auto& it : route.split) {
@@ -150,7 +179,9 @@
         std::min(request->answer_by, now + route->FirstEventPatience() - kLink);
   }
   request->resume_after = request->call.resume_after;
-  const Admission admission = Decide(*request, &refusal);
+  const Admission admission = HasNoReplica(*request, &refusal)
+                                  ? Admission::kRefuse
+                                  : Decide(*request, &refusal);
   if (admission == Admission::kRefuse) {
     RefuseAtOnce(id, request->call, refusal);
     return;
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -26,6 +26,10 @@
 void Gateway::Impl::StartAttempt(ServingRequest* request) {
   const ReplicaEntry* replica =
       request->tried.size() < kMostReplicas ? ChooseReplica(request) : nullptr;
+  if (replica == nullptr && ColdTakesLater(*request)) {
+    AwaitCold(request);
+    return;
+  }
   if (replica == nullptr) {
     const bool listed = !directory->Of(request->service).empty();
     Refuse(request,
@@ -33,11 +37,16 @@
             StrCat(request->tried.size(), " replicas asked")});
     return;
   }
+  SendTo(request, *replica);
+}
+
+void Gateway::Impl::SendTo(ServingRequest* request,
+                           const ReplicaEntry& replica) {
   const TimeUs now = ports->Now();
   SendOrder order;
   order.call = &request->call;
-  order.replica = replica->id;
-  order.address = replica->address;
+  order.replica = replica.id;
+  order.address = replica.address;
   order.time_left = request->deadline_at - now;
   order.account = request->account != nullptr ? request->account->name : "";
   order.inputs = request->progress.FinalResults();
@@ -46,18 +55,68 @@
   order.most_idle_connections = MostIdleConnections(*request);
   if (IsEngine(*request)) {
     order.priority = request->priority;
-    engines.OnSent(replica->id, request->ForEngine());
+    engines.OnSent(replica.id, request->ForEngine());
   } else {
-    Plain(request->service).OnSent(now, replica->id);
+    Plain(request->service).OnSent(now, replica.id);
   }
-  request->tried.push_back(replica->id);
+  cold.OnSent(replica);
+  request->tried.push_back(replica.id);
   request->attempt = {};
-  request->attempt.replica = *replica;
+  request->attempt.replica = replica;
   request->attempt.sent_at = now;
   request->attempt.call = ports->Send(order);
   by_call[request->attempt.call] = request;
 }
 
+bool Gateway::Impl::ColdTakesLater(const ServingRequest& request) const {
+  if (request.tried.size() >= kMostReplicas) {
+    return false;
+  }
+  const TimeUs now = ports->Now();
+  const auto& replicas = directory->Of(request.service);
+  return std::any_of(
+      replicas.begin(), replicas.end(), [&](const ReplicaEntry* it) {
+        return cold.IsCold(now, *it) &&
+               std::find(request.tried.begin(), request.tried.end(), it->id) ==
+                   request.tried.end();
+      });
+}
+
+// Load pattern: every replica of a service is cold, and each takes a few
+// requests a second. Refused at once, those beyond would all come back
+// together; they wait in order for the next that is taken.
+void Gateway::Impl::AwaitCold(ServingRequest* request) {
+  if (request->awaits_cold) {
+    return;
+  }
+  request->awaits_cold = true;
+  awaiting_cold.emplace(request->priority, request->received_at, request->id);
+  log->Write("awaits_cold", {{"id", request->call.id},
+                             {"service", request->service},
+                             {"waiting", awaiting_cold.size()}});
+  SetDue(request, std::min(request->answer_by, ports->Now() + kMostColdWait));
+}
+
+void Gateway::Impl::RetryAwaiting() {
+  const auto waiting = awaiting_cold;  // Sending may end others.
+  std::set<std::string> full;          // Services that took no more.
+  for (const auto& [priority, received_at, id] : waiting) {
+    ServingRequest* request = ByExchange(id);
+    if (request == nullptr || full.contains(request->service)) {
+      continue;
+    }
+    const ReplicaEntry* replica = ChooseReplica(request);
+    if (replica == nullptr) {
+      full.insert(request->service);
+      continue;
+    }
+    awaiting_cold.erase({priority, received_at, id});
+    request->awaits_cold = false;
+    SetDue(request, request->begun ? request->deadline_at : request->answer_by);
+    SendTo(request, *replica);
+  }
+}
+
 std::optional<std::size_t> Gateway::Impl::MostIdleConnections(
     const ServingRequest& request) const {
   const Service* service = request.config->FindService(request.service);
@@ -71,6 +130,7 @@
 
 void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
   request->attempt.head = std::move(head);
+  NoteArrived(request);
 }
 
 void Gateway::Impl::OnBody(ServingRequest* request, std::string_view bytes) {
@@ -241,6 +301,10 @@
   }
   const bool said_not_run =
       attempt.head && (attempt.head->not_run || attempt.head->other_replica);
+  if (!sent && !request->attempt.arrived) {
+    request->attempt.arrived = true;
+    cold.OnNotSent(attempt.replica);
+  }
   EndAttempt(request);
   if (!sent || said_not_run) {
     OnNotRun(request);
@@ -269,6 +333,14 @@
   }
 }
 
+void Gateway::Impl::NoteArrived(ServingRequest* request) {
+  Attempt& attempt = request->attempt;
+  if (!attempt.arrived) {
+    attempt.arrived = true;
+    cold.OnArrived(ports->Now(), attempt.replica);
+  }
+}
+
 // The call is over; what is known of its replica is brought up to date.
 void Gateway::Impl::EndAttempt(ServingRequest* request) {
   Attempt& attempt = request->attempt;
@@ -277,6 +349,7 @@
   }
   by_call.erase(attempt.call);
   attempt.call = 0;
+  NoteArrived(request);
   if (IsEngine(*request)) {
     engines.OnEnded(attempt.replica.id, request->ForEngine(), attempt.read);
   } else {
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "coordination/cold_limit.h"
 #include "coordination/event_splitter.h"
 #include "coordination/gateway.h"
 #include "coordination/plain_choice.h"
@@ -24,8 +25,9 @@
   ReplicaEntry replica;
   TimeUs sent_at = 0;
   std::optional<ReplicaHead> head;
-  std::string body;   // Of a plain answer, until it is whole.
-  bool read = false;  // The first event came.
+  std::string body;      // Of a plain answer, until it is whole.
+  bool read = false;     // The first event came.
+  bool arrived = false;  // The replica has it; see `ColdLimit`.
   bool paused = false;
 };
 
@@ -78,6 +80,7 @@
   Attempt attempt;
   std::uint32_t runs = 0;  // Attempts that may have run.
   std::vector<ReplicaId> tried;
+  bool awaits_cold = false;  // See `Gateway::Impl::AwaitCold`.
   EventSplitter events;
   bool begun = false;  // The client has the head of a stream.
   TimeUs begun_at = 0;
@@ -101,6 +104,9 @@
                    const ClientCall& call,
                    const ClientAccount** account,
                    OwnAnswer* refusal);
+  // Whether a service that the request still needs has no replica that takes
+  // work; fills `refusal` if so.
+  bool HasNoReplica(const ServingRequest& request, OwnAnswer* refusal);
   enum class Admission { kBegin, kPark, kRefuse };
   // Whether the stages can be made in useful time; fills `refusal` if not.
   Admission Decide(const ServingRequest& request, OwnAnswer* refusal);
@@ -118,6 +124,8 @@
   DurationUs ElapsedBefore(const Route& route, const ClientCall& call);
   std::string ChooseService(const Route& route);
   DurationUs RetryAfter(const ServingRequest& request);
+  // The longest wait that a client with `left` honours, spread below it.
+  DurationUs RetryAfterLongest(DurationUs left);
   // When a client comes back that was refused because keys cannot be checked.
   DurationUs RetryAfterNotCurrent(const Route& route, const ClientCall& call);
 
@@ -143,6 +151,11 @@
   // gateway_attempt.cc: one request at its replicas.
   void StartAttempt(ServingRequest* request);
   const ReplicaEntry* ChooseReplica(ServingRequest* request);
+  void SendTo(ServingRequest* request, const ReplicaEntry& replica);
+  // Whether a cold replica would take the request in a moment.
+  bool ColdTakesLater(const ServingRequest& request) const;
+  void AwaitCold(ServingRequest* request);
+  void RetryAwaiting();
   // Of this gateway, to one of the service's replicas.
   std::optional<std::size_t> MostIdleConnections(
       const ServingRequest& request) const;
@@ -156,6 +169,7 @@
   void OnNotRun(ServingRequest* request);
   void OnMayHaveRun(ServingRequest* request, std::string_view why);
   bool MayTryAgain(const ServingRequest& request) const;
+  void NoteArrived(ServingRequest* request);
   void EndAttempt(ServingRequest* request);
   void CancelAttempt(ServingRequest* request);
 
@@ -181,6 +195,7 @@
   bool another_is_current = false;
   // By route, what nine in ten of its clients give at most, in microseconds.
   std::map<std::string, double> usual_deadline;
+  ColdLimit cold;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain;
   std::map<std::string, AttemptBudget> budgets;
@@ -191,6 +206,8 @@
   // By priority, then by when they came.
   std::set<std::tuple<std::uint32_t, TimeUs, ExchangeId>> parked;
   TimeUs next_parked_at = 0;
+  // The same, of requests that wait for cold replicas.
+  std::set<std::tuple<std::uint32_t, TimeUs, ExchangeId>> awaiting_cold;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/gateway_join.cc
+++ b/src/coordination/gateway_join.cc
@@ -85,6 +85,7 @@
       ++n;
     }
   }
+  joined_at_ = joined_at_.value_or(now);
   log_->Write("joined", {{"others", n}});
   next_at_ = now + kReadAgain;
 }
--- a/src/coordination/gateway_join.h
+++ b/src/coordination/gateway_join.h
@@ -11,6 +11,7 @@
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -48,6 +49,8 @@
               EventLog* log);
 
   void OnTick(TimeUs now);
+  // When the others' rows were first read; none: not yet.
+  std::optional<TimeUs> joined_at() const { return joined_at_; }
   void OnRows(TimeUs now, const TableAnswer& answer);
   // Whether the store took a decision; a condition that did not hold is one.
   void OnWritten(TimeUs now, bool decided);
@@ -66,6 +69,7 @@
   bool waiting_ = false;  // For the store.
   TimeUs next_at_ = 0;
   bool have_key_ = false;
+  std::optional<TimeUs> joined_at_;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -18,6 +18,7 @@
 void GatewayPeers::OnListed(TimeUs now, const NodeId& node) {
   if (node != self_.node) {
     peers_.try_emplace(node).first->second.listed_at = now;
+    known_until_.try_emplace(node, now + kForget);
   }
 }
 
@@ -26,6 +27,7 @@
                           Incarnation incarnation,
                           const GatewayBeat& beat) {
   Peer& peer = peers_[node];
+  known_until_[node] = now + kRemember;
   if (now < peer.unreachable_until) {
     return false;
   }
@@ -68,6 +70,17 @@
   it->second.unreachable_until = now + kUnreachable;
 }
 
+std::vector<NodeId> GatewayPeers::Known(TimeUs now) {
+  std::vector<NodeId> known = {self_.node};
+  for (const auto& [node, until] : known_until_) {
+    if (now < until) {
+      known.push_back(node);
+    }
+  }
+  std::sort(known.begin(), known.end());
+  return known;
+}
+
 std::vector<NodeId> GatewayPeers::TakeLost(TimeUs now) {
   std::vector<NodeId> lost;
   for (auto it = peers_.begin(); it != peers_.end();) {
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "coordination/relay_plan.h"
 #include "messages.h"
 #include "state/event_log.h"
@@ -64,6 +65,8 @@
   // After this a silent gateway is forgotten; it is read from the store again
   // if it lives.
   static constexpr DurationUs kForget = 60 * kSecond;
+  // Longer than regions are cut off from one another.
+  static constexpr DurationUs kRemember = 3600 * kSecond;
 
   GatewayPeers(GatewayHost self, EventLog* log)
       : self_(std::move(self)), log_(log) {}
@@ -80,6 +83,10 @@
   // long before its silence tells, and trying it again in a loop would use up
   // this process's time.
   void OnUnreachable(TimeUs now, const NodeId& node);
+  // All that may send work by what is known, this one included and sorted:
+  // those heard within `kRemember`, whatever became of them since, and those
+  // that were listed a moment ago.
+  std::vector<NodeId> Known(TimeUs now);
   // Gateways that fell silent or restarted since the last call: what they had
   // is lost.
   std::vector<NodeId> TakeLost(TimeUs now);
@@ -143,6 +150,8 @@
   EventLog* const log_;
   bool leaving_ = false;
   std::map<NodeId, Peer> peers_;
+  // Until when each counts as one that may send work.
+  absl::flat_hash_map<NodeId, TimeUs> known_until_;
   // By service, until a gateway comes or goes: a request asks a dozen times.
   mutable std::map<std::string, NodeId> owners_;
   // Until then, too: a gateway asks several times a second.
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/piece_batcher.cc
@@ -301,9 +301,13 @@
   }
 }
 
+// Replicas in an emptied failure domain are sent nothing: what lies there ends
+// by itself.
 void PieceBatcher::SendFrees() {
   for (const auto& [address, handles] : std::exchange(frees_, {})) {
-    output_->FreeAt(address, handles);
+    if (!makers_.InEvacuatedDomain(handles.front())) {
+      output_->FreeAt(address, handles);
+    }
   }
 }
 
--- a/src/coordination/plain_choice.cc
+++ b/src/coordination/plain_choice.cc
@@ -5,8 +5,10 @@
 
 namespace acaciachute {
 
-PlainChoice::PlainChoice(const ReplicaDirectory* directory, Random* random)
-    : directory_(directory), random_(random) {}
+PlainChoice::PlainChoice(const ReplicaDirectory* directory,
+                         ColdLimit* cold,
+                         Random* random)
+    : directory_(directory), cold_(cold), random_(random) {}
 
 double PlainChoice::Score(TimeUs now,
                           const ReplicaEntry& replica,
@@ -18,7 +20,7 @@
   if (!state.sent.empty()) {
     time = std::max(time, static_cast<double>(now - *state.sent.begin()));
   }
-  if (replica.cold > 0) {
+  if (now < replica.cold_until) {
     constexpr double kCold = 1.5;
     time *= kCold;
   }
@@ -41,7 +43,8 @@
   const ReplicaEntry* shunned = nullptr;
   double best_score = 0;
   for (const ReplicaEntry* it : directory_->Of(service)) {
-    if (std::find(tried.begin(), tried.end(), it->id) != tried.end()) {
+    if (std::find(tried.begin(), tried.end(), it->id) != tried.end() ||
+        !cold_->Takes(now, *it)) {
       continue;
     }
     ReplicaHealth& health = states_[it->id].health;
--- a/src/coordination/plain_choice.h
+++ b/src/coordination/plain_choice.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/cold_limit.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
 #include "state/replica_health.h"
@@ -33,7 +34,9 @@
   // Before the first answer; the sheets' mean service time and two links.
   static constexpr DurationUs kUnknown = 20 * kMillisecond;
 
-  PlainChoice(const ReplicaDirectory* directory, Random* random);
+  PlainChoice(const ReplicaDirectory* directory,
+              ColdLimit* cold,
+              Random* random);
 
   // Null when no replica outside `tried` takes work.
   const ReplicaEntry* Choose(TimeUs now,
@@ -64,6 +67,7 @@
                const std::string& domain);
 
   const ReplicaDirectory* const directory_;
+  ColdLimit* const cold_;
   Random* const random_;
   std::map<ReplicaId, State> states_;
   double typical_ = static_cast<double>(kUnknown);
--- a/src/coordination/stage_makers.cc
+++ b/src/coordination/stage_makers.cc
@@ -34,6 +34,11 @@
   return static_cast<DurationUs>(slowness * plain);
 }
 
+bool StageMakers::InEvacuatedDomain(const std::string& handle) const {
+  const ReplicaEntry* maker = directory_->MakerOf(handle);
+  return maker != nullptr && directory_->IsEvacuated(maker->domain);
+}
+
 std::vector<const ReplicaEntry*> StageMakers::Free(TimeUs now) {
   std::vector<const ReplicaEntry*> free;
   for (const ReplicaEntry* it : All()) {
--- a/src/coordination/stage_makers.h
+++ b/src/coordination/stage_makers.h
@@ -55,6 +55,9 @@
     return directory_->Of(service_);
   }
 
+  // Of the maker of a result.
+  bool InEvacuatedDomain(const std::string& handle) const;
+
   // That take a call now, the fastest first.
   std::vector<const ReplicaEntry*> Free(TimeUs now);
   // Whether a slow replica would finish before the sound ones, which are busy,
--- a/src/coordination/stage_progress.h
+++ b/src/coordination/stage_progress.h
@@ -46,6 +46,8 @@
   // Whether that made its stage whole.
   bool OnMade(std::uint32_t stage, std::uint32_t piece, std::string handle);
   bool Complete() const;
+  // Whether nothing of the stage is left to be made.
+  bool IsMade(std::uint32_t stage) const { return stages_[stage].done(); }
   // Results of the stages that no other stage follows, for the model replica.
   std::vector<std::string> FinalResults() const;
   // Their bytes, as the route states them.
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -34,10 +34,13 @@
 
 GatewayOptions OptionsOf(const HostSettings& settings) {
   GatewayOptions options;
+  options.node = settings.node;
   options.domain = settings.domain;
   options.key_age = static_cast<DurationUs>(
       kKeyAgeShare * static_cast<double>(settings.key_revocation));
   options.budget = settings.retries;
+  options.cold = settings.cold;
+  options.replica_beat = settings.replica_beat;
   return options;
 }
 
@@ -59,6 +62,7 @@
                OnPieceCallEnd(service, id, end);
              }),
       directory(this),
+      evacuations(&directory, &metrics, &log),
       incarnation(FreshSeed()),
       peers({settings.node, settings.domain, settings.cores}, &log),
       batchers(&directory,
@@ -184,9 +188,13 @@
   }
   log.Write("settings", {{"key_age_ms", after.key_age / kMillisecond},
                          {"retry_ratio", after.budget.ratio},
-                         {"retry_slack", after.budget.slack}});
+                         {"retry_slack", after.budget.slack},
+                         {"cold_over", after.cold.over},
+                         {"cold_slack", after.cold.slack}});
   settings.key_revocation = fresh->key_revocation;
   settings.retries = fresh->retries;
+  settings.cold = fresh->cold;
+  settings.replica_beat = fresh->replica_beat;
   gateway->SetOptions(after);
 }
 
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/evacuations.h"
 #include "coordination/gateway.h"
 #include "coordination/gateway_join.h"
 #include "coordination/gateway_peers.h"
@@ -136,7 +137,18 @@
   void OnRow(const std::string& table, const TableRow& row) override;
   void OnTableCurrent(const std::string& table, TimeUs known_at) override;
   void OnTableLost(const std::string& table) override;
+  // Rows that the operator writes. The orders to empty failure domains come
+  // first: no request may be served under the configuration without them.
+  void TakeOperatorTable(const std::vector<TableRow>& rows,
+                         std::uint64_t version);
+  void TakeOperatorRow(const TableRow& row);
+  // None when the row is another one, or names no failure domain.
+  std::optional<EvacuationOrder> ReadEvacuation(const TableRow& row);
   void TakeConfig(const TableRow& row);
+  // A line in the log for each key and reason, however often it is written.
+  void TellRefusedRow(std::string_view event,
+                      const TableRow& row,
+                      const std::string& why);
   // Null when this gateway does not follow it.
   FollowedTable* Followed(const std::string& table);
   void OnStoreAnswer(const std::string& table, const TableAnswer& answer);
@@ -193,6 +205,7 @@
   void OnFrameKey(const std::string& key) override;
 
   void TickPeers(TimeUs now);
+  void TellKnownGateways(TimeUs now);
   void SendBeats(TimeUs now);
   GatewayBeat BeatNow(TimeUs now) const;
 
@@ -207,6 +220,7 @@
   HttpChannels channels;
   platform::PieceCalls pieces;
   ReplicaDirectory directory;
+  Evacuations evacuations;
   std::unique_ptr<Gateway> gateway;
   const Incarnation incarnation;
   GatewayPeers peers;
@@ -214,6 +228,7 @@
   SharedPieceDesk desk;
   std::unique_ptr<PeerMesh> mesh;  // Once the frames' key is known.
   GatewayJoin join;
+  TimeUs next_known_at = 0;
   platform::StoreClient store;
   FollowedTable configuration;
   FollowedTable replicas;
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -5,6 +5,14 @@
 #include "daemon/gateway_node_impl.h"
 
 namespace acaciachute {
+namespace {
+
+constexpr DurationUs kKnownPeriod = 250 * kMillisecond;
+// From reading the others' rows until all have heard of this gateway, some
+// first beats lost.
+constexpr DurationUs kSettle = kSecond;
+
+}  // namespace
 
 void GatewayNode::Impl::TickPeers(TimeUs now) {
   join.OnTick(now);
@@ -12,6 +20,7 @@
     gateway->engines()->SetOthers(peer, {});
     desk.OnPeerLost(now, peer);
   }
+  TellKnownGateways(now);
   gateway->SetEntries(peers.Live());
   gateway->SetAnotherIsCurrent(peers.AnotherIsCurrent());
   if (mesh == nullptr) {
@@ -20,6 +29,18 @@
   SendBeats(now);
 }
 
+// Only those that know the others well enough take a part of what is shared by
+// number. A gateway's first beats tell them of it.
+void GatewayNode::Impl::TellKnownGateways(TimeUs now) {
+  if (now < next_known_at) {
+    return;
+  }
+  next_known_at = now + kKnownPeriod;
+  const auto joined_at = join.joined_at();
+  const bool settled = joined_at && now - *joined_at >= kSettle;
+  gateway->SetKnownGateways(settled ? peers.Known(now) : std::vector<NodeId>());
+}
+
 void GatewayNode::Impl::SendBeats(TimeUs now) {
   const DurationUs period = peers.Period(desk.Batches());
   const std::vector<DueBeat> due = peers.DueBeats(now, period);
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -70,9 +70,7 @@
   FollowedTable* followed = Followed(table);
   followed->relay.OnTable(rows, followed->watch.version());
   if (table == platform::kOperatorTable) {
-    for (const TableRow& it : rows) {
-      TakeConfig(it);
-    }
+    TakeOperatorTable(rows, followed->watch.version());
     return;
   }
   std::vector<ReplicaEntry> entries;
@@ -91,7 +89,7 @@
 void GatewayNode::Impl::OnRow(const std::string& table, const TableRow& row) {
   Followed(table)->relay.OnRow(row);
   if (table == platform::kOperatorTable) {
-    TakeConfig(row);
+    TakeOperatorRow(row);
     return;
   }
   if (row.removed) {
@@ -107,24 +105,73 @@
 
 std::optional<ReplicaEntry> GatewayNode::Impl::ReadReplica(
     const TableRow& row) {
-  auto entry = platform::ParseReplica(row.key, row.value);
+  auto entry = platform::ParseReplica(row.key, row.value, Now());
   if (entry.ok()) {
     refused_rows.erase(row.key);
     return *std::move(entry);
   }
   metrics.Count("acaciachute_gateway_replica_rows_refused_total");
-  // One line a key and reason: another writer may write it many times a second.
-  const std::string why(entry.status().message());
+  TellRefusedRow("replica_row_refused", row,
+                 std::string(entry.status().message()));
+  return std::nullopt;
+}
+
+// Another writer may write it many times a second.
+void GatewayNode::Impl::TellRefusedRow(std::string_view event,
+                                       const TableRow& row,
+                                       const std::string& why) {
   std::string& told = refused_rows[row.key];
   if (told != why) {
     told = why;
-    log.Write("replica_row_refused",
+    log.Write(event,
               {{"key", row.key}, {"row_version", row.version}, {"why", why}});
   }
   if (refused_rows.size() > kMostRefusedRows) {
     refused_rows.clear();
   }
-  return std::nullopt;
+}
+
+std::optional<EvacuationOrder> GatewayNode::Impl::ReadEvacuation(
+    const TableRow& row) {
+  auto domain = platform::ParseEvacuation(row.key);
+  if (!domain.ok()) {
+    metrics.Count("acaciachute_gateway_operator_rows_refused_total");
+    TellRefusedRow("evacuation_refused", row,
+                   std::string(domain.status().message()));
+    return std::nullopt;
+  }
+  if (!*domain) {
+    return std::nullopt;
+  }
+  return EvacuationOrder{**std::move(domain), row.version};
+}
+
+void GatewayNode::Impl::TakeOperatorTable(const std::vector<TableRow>& rows,
+                                          std::uint64_t version) {
+  std::vector<EvacuationOrder> orders;
+  for (const TableRow& it : rows) {
+    if (auto order = ReadEvacuation(it)) {
+      orders.push_back(*std::move(order));
+    }
+  }
+  if (evacuations.OnTable(Now(), orders, version)) {
+    gateway->OnEvacuated();
+  }
+  for (const TableRow& it : rows) {
+    TakeConfig(it);
+  }
+}
+
+void GatewayNode::Impl::TakeOperatorRow(const TableRow& row) {
+  if (const auto order = ReadEvacuation(row)) {
+    if (row.removed) {
+      evacuations.OnTakenBack(Now(), *order);
+    } else if (evacuations.OnOrder(*order)) {
+      gateway->OnEvacuated();
+    }
+    return;
+  }
+  TakeConfig(row);
 }
 
 void GatewayNode::Impl::TakeConfig(const TableRow& row) {
--- a/src/state/host_settings.h
+++ b/src/state/host_settings.h
@@ -18,6 +18,13 @@
   bool operator==(const AttemptBudgetLimits&) const = default;
 };
 
+// What one cold replica may get in a second, over all entries together.
+struct ColdBound {
+  double over = 1.5;  // Of the rate that it stands.
+  double slack = 5;   // Beside it.
+  bool operator==(const ColdBound&) const = default;
+};
+
 struct HostSettings {
   NodeId node;
   std::string ip;
@@ -34,6 +41,9 @@
   DurationUs key_revocation = 5 * kSecond;
   DurationUs grace = 8 * kSecond;  // From the order to stop to the kill.
   AttemptBudgetLimits retries;     // Over all entries together.
+  ColdBound cold;
+  // How often replicas write their rows.
+  DurationUs replica_beat = 1200 * kMillisecond;
 };
 
 }  // namespace acaciachute
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -53,6 +53,8 @@
   RemoveFromIndexes(row);
   row->entry = entry;
   row->entry.leaving = before.leaving || entry.leaving;
+  row->entry.cold_until = std::max(before.cold_until, entry.cold_until);
+  row->entry.back_at = before.back_at;
   row->unreadable = false;
   SetMissing(row, false);
   AddToIndexes(row);
@@ -178,6 +180,30 @@
   }
 }
 
+void ReplicaDirectory::Evacuate(const std::string& domain) {
+  evacuated_.insert(domain);
+  for (auto& [name, row] : entries_) {
+    Place(&row);
+  }
+}
+
+void ReplicaDirectory::TakeBack(TimeUs now, const std::string& domain) {
+  evacuated_.erase(domain);
+  for (auto& [name, row] : entries_) {
+    if (row.entry.domain == domain) {
+      row.entry.back_at = now;
+      Place(&row);
+    }
+  }
+}
+
+std::size_t ReplicaDirectory::CountIn(std::string_view domain) const {
+  const auto n = std::count_if(
+      entries_.begin(), entries_.end(),
+      [&](const auto& it) { return it.second.entry.domain == domain; });
+  return static_cast<std::size_t>(n);
+}
+
 const std::vector<const ReplicaEntry*>& ReplicaDirectory::Of(
     std::string_view service) const {
   static const std::vector<const ReplicaEntry*> none;
@@ -220,6 +246,7 @@
 
 bool ReplicaDirectory::Takes(const Row& row) const {
   return !row.entry.leaving && !row.unreadable &&
+         !evacuated_.contains(row.entry.domain) &&
          (row.entry.id.life != 0 ||
           services_.at(row.entry.service).lives_told == 0);
 }
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -62,7 +62,8 @@
   std::string domain;  // Failure domain.
   std::uint32_t slots = 1;
   bool leaving = false;
-  DurationUs cold = 0;       // How much longer it is slow after its start.
+  TimeUs cold_until = 0;     // By what its rows said; they only put it off.
+  TimeUs back_at = 0;        // Its failure domain was taken back; zero: never.
   std::uint64_t orders = 0;  // Accepted by it in this life; never falls.
 };
 
@@ -121,6 +122,16 @@
   // Lets go of entries that were kept for the outage; call it every 10 ms.
   void OnTick(TimeUs now);
 
+  // No new work goes to replicas in the failure domain, those listed later
+  // included, until it is taken back.
+  void Evacuate(const std::string& domain);
+  void TakeBack(TimeUs now, const std::string& domain);
+  bool IsEvacuated(const std::string& domain) const {
+    return evacuated_.contains(domain);
+  }
+  // Entries in the failure domain.
+  std::size_t CountIn(std::string_view domain) const;
+
   // Entries that take new work.
   const std::vector<const ReplicaEntry*>& Of(std::string_view service) const;
   // Null when it is gone.
@@ -177,7 +188,8 @@
 
   DirectoryWatcher* const watcher_;
   Rows entries_;
-  absl::flat_hash_set<std::string> missing_;  // Names kept for an outage.
+  absl::flat_hash_set<std::string> evacuated_;  // Failure domains.
+  absl::flat_hash_set<std::string> missing_;    // Names kept for an outage.
   std::map<std::string, Ended> ended_;
   TimeUs forget_ended_at_ = 0;
   std::uint64_t added_ = 0;
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -87,6 +87,9 @@
   std::uint32_t max_connections = 0;  // From all callers, to one replica.
   std::optional<EngineLimits> engine;
   std::optional<BatchLimits> batching;
+  DurationUs cold_start = 0;  // A replica is cold for this long after a start.
+  // Requests a second that a cold replica stands; zero: as many as any other.
+  double cold_rate = 0;
 };
 
 // What a client may send.
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -24,6 +24,7 @@
   }
   void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
   ReplicaDirectory directory{this};
+  ColdLimit cold{"g1"};
   Random random{11};
 };
 
@@ -43,8 +44,8 @@
       {"sys", 500}, {"doc", 4000}, {"q1", 90}};
   const std::vector<PromptPart> second = {
       {"sys", 500}, {"doc", 4000}, {"q2", 90}};
-  EngineChoice here(&fleet.directory, &fleet.random);
-  EngineChoice there(&fleet.directory, &fleet.random);
+  EngineChoice here(&fleet.directory, &fleet.cold, &fleet.random);
+  EngineChoice there(&fleet.directory, &fleet.cold, &fleet.random);
   const auto* a = here.Choose(0, "s", Prompt(&first), {}, false);
   const auto* b = there.Choose(0, "s", Prompt(&second), {}, false);
   EXPECT_EQ(a->id, b->id);
@@ -55,7 +56,7 @@
 // take part.
 TEST(EngineChoiceTest, SpreadsAHotSession) {
   Fleet fleet(9);
-  EngineChoice choice(&fleet.directory, &fleet.random);
+  EngineChoice choice(&fleet.directory, &fleet.cold, &fleet.random);
   const std::vector<PromptPart> prompt = {
       {"sys", 500}, {"doc", 4000}, {"q", 3000}};
   std::set<ReplicaId> used;
@@ -75,18 +76,18 @@
   Fleet fleet(9);
   const std::vector<PromptPart> prompt = {
       {"sys", 500}, {"doc", 4000}, {"q", 3000}};
-  EngineChoice first(&fleet.directory, &fleet.random);
+  EngineChoice first(&fleet.directory, &fleet.cold, &fleet.random);
   const ReplicaId home = first.Choose(0, "s", Prompt(&prompt), {}, false)->id;
   std::set<ReplicaId> used;
   for (int n = 0; n < 100; ++n) {
-    EngineChoice choice(&fleet.directory, &fleet.random);
+    EngineChoice choice(&fleet.directory, &fleet.cold, &fleet.random);
     choice.SetOthers("other", {{home, {8, 90'000}}});
     used.insert(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id);
   }
   ASSERT_EQ(used.size(), 1U);
   const ReplicaId second = *used.begin();
   EXPECT_NE(second, home);
-  EngineChoice choice(&fleet.directory, &fleet.random);
+  EngineChoice choice(&fleet.directory, &fleet.cold, &fleet.random);
   choice.SetOthers("other", {{home, {8, 90'000}}, {second, {4, 30'000}}});
   EXPECT_NE(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id, second);
 }
@@ -96,7 +97,7 @@
 // to read than fetching them elsewhere is worth.
 TEST(EngineChoiceTest, GoesWhereLargeResultsLie) {
   Fleet fleet(4);
-  EngineChoice choice(&fleet.directory, &fleet.random);
+  EngineChoice choice(&fleet.directory, &fleet.cold, &fleet.random);
   const std::vector<PromptPart> prompt = {{"q", 1000}};
   EngineRequest request = Prompt(&prompt);
   request.near_domain = "b";
@@ -109,7 +110,7 @@
 // Work that other entries tell of counts like one's own.
 TEST(EngineChoiceTest, CountsTheWorkOfOthers) {
   Fleet fleet(2);
-  EngineChoice choice(&fleet.directory, &fleet.random);
+  EngineChoice choice(&fleet.directory, &fleet.cold, &fleet.random);
   choice.SetOthers("other", {{"r0", {5, 900000}}});
   const std::vector<PromptPart> prompt = {{"q", 1000}};
   EXPECT_EQ(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id, "r1");
@@ -121,7 +122,7 @@
 // It draws little more than what finds out whether it is well again.
 TEST(PlainChoiceTest, AvoidsASlowReplica) {
   Fleet fleet(4);
-  PlainChoice choice(&fleet.directory, &fleet.random);
+  PlainChoice choice(&fleet.directory, &fleet.cold, &fleet.random);
   TimeUs now = 1000 * kSecond;
   int slow = 0;
   for (int n = 0; n < 400; ++n) {
@@ -141,7 +142,7 @@
 // oldest call keeps others away.
 TEST(PlainChoiceTest, AvoidsASilentReplica) {
   Fleet fleet(2);
-  PlainChoice choice(&fleet.directory, &fleet.random);
+  PlainChoice choice(&fleet.directory, &fleet.cold, &fleet.random);
   const TimeUs now = 1000 * kSecond;
   choice.OnSent(now - 500 * kMillisecond, "r0");
   for (int n = 0; n < 20; ++n) {
--- /dev/null
+++ b/tests/gateway/cold_limit_test.cc
@@ -0,0 +1,258 @@
+// What cold replicas get, by one gateway and by many that see different things.
+#include "coordination/cold_limit.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "tests/gateway/gateway_rig.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr double kRate = 21;
+constexpr int kBound = 36;  // 21 x 1.5 + 5, whole.
+
+ServingConfig ConfigWithColdEngines() {
+  ServingConfig config;
+  Service service;
+  service.name = "engine";
+  service.cold_start = 3 * kSecond;
+  service.cold_rate = kRate;
+  config.AddService(service);
+  return config;
+}
+
+ReplicaEntry ColdReplica(TimeUs until) {
+  ReplicaEntry entry;
+  entry.id = "e1";
+  entry.service = "engine";
+  entry.cold_until = until;
+  return entry;
+}
+
+std::unique_ptr<ColdLimit> LimitOf(const NodeId& node,
+                                   std::vector<NodeId> gateways) {
+  auto limit = std::make_unique<ColdLimit>(node);
+  limit->SetBound({}, 1200 * kMillisecond);
+  limit->SetServices(ConfigWithColdEngines());
+  limit->SetGateways(std::move(gateways));
+  return limit;
+}
+
+std::vector<NodeId> Names(int n) {
+  std::vector<NodeId> names;
+  for (int k = 0; k < n; ++k) {
+    names.push_back("g" + std::to_string(k));
+  }
+  return names;
+}
+
+int SendAll(TimeUs now, ColdLimit* limit, const ReplicaEntry& replica) {
+  int sent = 0;
+  while (limit->Takes(now, replica) && sent < 1000) {
+    limit->OnSent(replica);
+    ++sent;
+  }
+  return sent;
+}
+
+// Load: fleets of 1 to 400 gateways find one replica cold and idle and send it
+// all that they may at once. Together they stay within the bound and use a good
+// part of it.
+TEST(ColdLimitTest, FleetsOfAnySizeKeepTheBoundInSum) {
+  const ReplicaEntry replica = ColdReplica(10 * kSecond);
+  for (const int n : {1, 5, 14, 26, 29, 103, 400}) {
+    int sum = 0;
+    for (const NodeId& it : Names(n)) {
+      sum += SendAll(kSecond, LimitOf(it, Names(n)).get(), replica);
+    }
+    EXPECT_LE(sum, kBound) << n;
+    EXPECT_GE(sum, kBound / 2) << n;
+  }
+}
+
+// A request that waited for its connection arrives later than it was sent. The
+// next one may leave a second after the first was answered, not after it left.
+TEST(ColdLimitTest, CountsByArrival) {
+  const ReplicaEntry replica = ColdReplica(60 * kSecond);
+  const auto limit = LimitOf("g0", Names(26));
+  TimeUs now = kSecond;
+  EXPECT_EQ(SendAll(now, limit.get(), replica), 1);
+  now += 3 * kSecond;
+  EXPECT_FALSE(limit->Takes(now, replica));
+  limit->OnArrived(now, replica);
+  EXPECT_FALSE(limit->Takes(now + kSecond, replica));
+  EXPECT_TRUE(limit->Takes(now + kSecond + 1, replica));
+  limit->OnSent(replica);
+  limit->OnNotSent(replica);
+  EXPECT_TRUE(limit->Takes(now + kSecond + 1, replica));
+}
+
+// Requests of the last second count when the replica turns cold within it.
+TEST(ColdLimitTest, CountsWhatCameWhileItWasWarm) {
+  ReplicaEntry replica = ColdReplica(0);
+  const auto limit = LimitOf("g0", Names(26));
+  EXPECT_EQ(SendAll(kSecond, limit.get(), replica), 1000);
+  replica.cold_until = 10 * kSecond;
+  EXPECT_FALSE(limit->Takes(kSecond + 1, replica));
+}
+
+// A gateway that does not know the others yet leaves cold replicas to them.
+TEST(ColdLimitTest, WhoKnowsNoGatewaysSendsNothing) {
+  const auto limit = LimitOf("g0", {});
+  EXPECT_FALSE(limit->Takes(kSecond, ColdReplica(9 * kSecond)));
+  EXPECT_TRUE(limit->Takes(kSecond, ColdReplica(0)));
+}
+
+// A failure domain is taken back. Its replicas are taken for cold although
+// their rows, older than that, say nothing; then the bound doubles by steps.
+TEST(ColdLimitTest, ADomainThatIsTakenBackWarmsUp) {
+  ReplicaEntry replica = ColdReplica(0);
+  replica.back_at = kSecond;
+  const TimeUs warm = replica.back_at + 3 * kSecond + 2400 * kMillisecond;
+  const auto at = [&](TimeUs now) {
+    return SendAll(now, LimitOf("g0", Names(14)).get(), replica);
+  };
+  EXPECT_EQ(at(kSecond), 2);
+  EXPECT_EQ(at(warm - 1), 2);
+  EXPECT_EQ(at(warm), 4);
+  EXPECT_EQ(at(warm + ColdLimit::kDouble), 8);
+  EXPECT_EQ(at(warm + ColdLimit::kWarmUp), 1000);
+}
+
+TEST(ColdLimitTest, LeavesServicesWithoutABoundAlone) {
+  ReplicaEntry replica = ColdReplica(10 * kSecond);
+  replica.service = "app";
+  const auto limit = LimitOf("g0", Names(26));
+  EXPECT_EQ(SendAll(kSecond, limit.get(), replica), 1000);
+}
+
+// Load: all engines are cold and more requests come than they take. The first
+// are sent, the others wait for their turn and are sent in order; one that gets
+// none in time is refused and told when to come back.
+TEST(ColdLimitTest, RequestsWaitForTheirTurn) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine", "a", rig.now + 60 * kSecond);
+  // Two a second, half more and five: eight, six of them used.
+  std::vector<ExchangeId> ids;
+  for (int n = 0; n < 20; ++n) {
+    ids.push_back(rig.Call("stream"));
+  }
+  EXPECT_EQ(rig.sent.size(), 6U);
+  EXPECT_TRUE(rig.refused.empty());
+  const auto first = rig.sent;
+  for (const auto& it : first) {
+    rig.core.OnReplicaHead(it.call, GatewayRig::Head());
+  }
+  rig.Pass(kSecond);
+  EXPECT_EQ(rig.sent.size(), 6U);
+  rig.Pass(10 * kMillisecond);
+  EXPECT_EQ(rig.sent.size(), 12U);
+  rig.Pass(kSecond);
+  EXPECT_EQ(rig.refused.size(), 8U);
+  for (const auto& [id, answer] : rig.refused) {
+    EXPECT_EQ(answer.verdict, Verdict::kNotRun);
+    EXPECT_GT(answer.retry_after, 0);
+  }
+}
+
+// One replica that is cold again and again, and gateways that come, restart,
+// lose sight of each other and send as fast as they may, over links that take
+// up to 300 ms. No second sees more arrivals than the bound.
+class ColdFleet {
+ public:
+  void Add(TimeUs now) {
+    const NodeId name = "g" + std::to_string(gateways_.size());
+    Gateway& gateway = gateways_[name];
+    gateway.limit = LimitOf(name, {});
+    gateway.settled_at = now + kSecond;
+    // It reads the names of all and tells all of itself.
+    for (auto& [other, it] : gateways_) {
+      gateway.known.insert(other);
+      it.known.insert(name);
+    }
+  }
+  // Its memory goes with its process; the store lists all.
+  void Restart(TimeUs now, int n) {
+    auto it =
+        std::next(gateways_.begin(), n % static_cast<int>(gateways_.size()));
+    it->second.limit = LimitOf(it->first, {});
+    it->second.settled_at = now + kSecond;
+    for (const auto& [other, unused] : gateways_) {
+      it->second.known.insert(other);
+    }
+    // What it had on its way may still arrive.
+  }
+  void Step(TimeUs now, const ReplicaEntry& replica, int wish) {
+    for (auto& [name, it] : gateways_) {
+      it.limit->SetGateways(
+          now >= it.settled_at
+              ? std::vector<NodeId>(it.known.begin(), it.known.end())
+              : std::vector<NodeId>());
+      for (int n = 0; n < wish && it.limit->Takes(now, replica); ++n) {
+        it.limit->OnSent(replica);
+        const DurationUs link =
+            *rc::gen::inRange<DurationUs>(kMillisecond, 300 * kMillisecond);
+        on_way_.emplace(now + link, it.limit.get());
+      }
+    }
+    while (!on_way_.empty() && on_way_.begin()->first <= now) {
+      const auto [at, from] = *on_way_.begin();
+      on_way_.erase(on_way_.begin());
+      arrivals_.push_back(at);
+      for (auto& [name, it] : gateways_) {
+        if (it.limit.get() == from) {
+          it.limit->OnArrived(now, replica);
+        }
+      }
+    }
+  }
+  std::size_t size() const { return gateways_.size(); }
+  const std::vector<TimeUs>& arrivals() const { return arrivals_; }
+
+ private:
+  struct Gateway {
+    std::unique_ptr<ColdLimit> limit;
+    std::set<NodeId> known;
+    TimeUs settled_at = 0;
+  };
+  std::map<NodeId, Gateway> gateways_;
+  std::multimap<TimeUs, ColdLimit*> on_way_;
+  std::vector<TimeUs> arrivals_;
+};
+
+RC_GTEST_PROP(ColdLimitModelTest, NoSecondSeesMoreThanTheBound, ()) {
+  ColdFleet fleet;
+  const int first = *rc::gen::inRange(1, 60);
+  for (int n = 0; n < first; ++n) {
+    fleet.Add(0);
+  }
+  constexpr DurationUs kStep = 50 * kMillisecond;
+  const ReplicaEntry replica = ColdReplica(3600 * kSecond);
+  TimeUs now = 2 * kSecond;
+  int restarts = 0;
+  for (int n = 0; n < 120; ++n) {
+    now += kStep;
+    const int event = *rc::gen::inRange(0, 40);
+    if (event == 0 && fleet.size() < 80) {
+      fleet.Add(now);
+    } else if (event == 1 && restarts < 3) {
+      ++restarts;
+      fleet.Restart(now, *rc::gen::inRange(0, 100));
+    }
+    fleet.Step(now, replica, *rc::gen::inRange(0, 4));
+  }
+  std::vector<TimeUs> at = fleet.arrivals();
+  std::sort(at.begin(), at.end());
+  for (std::size_t n = kBound; n < at.size(); ++n) {
+    RC_ASSERT(at[n] - at[n - kBound] > kSecond);
+  }
+}
+
+}  // namespace
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/gateway/evacuation_test.cc
@@ -0,0 +1,234 @@
+// Failure domains that the operator empties: where work goes meanwhile, and
+// what clients hear when there is nowhere to go.
+#include "coordination/evacuations.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "address_text.h"
+#include "coordination/piece_batcher.h"
+#include "platform/rows.h"
+#include "tests/gateway/gateway_rig.h"
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+struct EvacuationRig : GatewayRig {
+  Evacuations evacuations{&directory, &metrics, &log};
+
+  void Order(const std::string& domain, std::uint64_t version) {
+    if (evacuations.OnOrder({domain, version})) {
+      core.OnEvacuated();
+    }
+  }
+  void TakeBack(const std::string& domain, std::uint64_t version) {
+    evacuations.OnTakenBack(now, {domain, version});
+  }
+  std::set<std::string> ReplicasUsed(const std::string& route, int calls) {
+    const std::size_t before = sent.size();
+    for (int n = 0; n < calls; ++n) {
+      Call(route);
+    }
+    std::set<std::string> used;
+    for (std::size_t n = before; n < sent.size(); ++n) {
+      used.insert(sent[n].replica.name);
+    }
+    return used;
+  }
+};
+
+// Load: plain requests and streams while one of two failure domains is emptied
+// and taken back. New ones go to the other one meanwhile; what was begun in the
+// emptied one ends there.
+TEST(EvacuationTest, SendsNothingNewToAnEmptiedDomain) {
+  EvacuationRig rig;
+  for (const char* it : {"app", "engine"}) {
+    rig.AddReplica(StrCat(it, "-a"), it, "a");
+    rig.AddReplica(StrCat(it, "-b"), it, "b");
+  }
+  EXPECT_EQ(rig.ReplicasUsed("plain", 20).size(), 2U);
+  std::optional<CallId> begun;
+  for (const auto& it : rig.sent) {
+    if (it.replica.name == "app-a") {
+      begun = it.call;
+    }
+  }
+  ASSERT_TRUE(begun);
+  rig.Order("a", 5);
+  EXPECT_EQ(rig.ReplicasUsed("plain", 20), (std::set<std::string>{"app-b"}));
+  EXPECT_EQ(rig.ReplicasUsed("stream", 20),
+            (std::set<std::string>{"engine-b"}));
+  EXPECT_TRUE(rig.cancelled.empty());
+  const auto answered = rig.answered.size();
+  rig.AnswerWith(*begun, GatewayRig::Head(), "body");
+  EXPECT_EQ(rig.answered.size(), answered + 1);
+  rig.TakeBack("a", 6);
+  EXPECT_EQ(rig.ReplicasUsed("plain", 40).size(), 2U);
+}
+
+// The second try of a request, after its first replica failed it, keeps out of
+// a failure domain that was emptied between the two.
+TEST(EvacuationTest, RepeatsGoElsewhereToo) {
+  EvacuationRig rig;
+  rig.AddReplica("r1", "app", "a");
+  const ExchangeId id = rig.Call("repeat");
+  rig.AddReplica("r2", "app", "b");
+  rig.AddReplica("r3", "app", "c");
+  rig.Order("b", 5);
+  rig.AnswerWith(rig.sent[0].call, GatewayRig::Head(500), "failed");
+  ASSERT_EQ(rig.sent.size(), 2U);
+  EXPECT_EQ(rig.sent[1].replica, ReplicaId("r3"));
+  rig.AnswerWith(rig.sent[1].call, GatewayRig::Head(), "good");
+  EXPECT_EQ(rig.answered[id].second, "good");
+}
+
+// Clients hear at once that nothing ran and when to come back: every failure
+// domain is emptied. Those whose stages were under way hear it at the same
+// moment, not when they would have left; one that a replica has is answered.
+TEST(EvacuationTest, RefusesAtOnceWhenAllAreEmptied) {
+  EvacuationRig rig;
+  rig.AddReplica("e1", "engine", "a");
+  rig.AddReplica("e2", "engine", "b");
+  rig.AddReplica("m1", "maker", "a");
+  rig.AddReplica("m2", "maker", "b");
+  const ExchangeId staged = rig.Call("staged", "k1", {1, 1});
+  ASSERT_EQ(rig.orders.size(), 1U);
+  const ExchangeId running = rig.Call("stream");
+  ASSERT_EQ(rig.sent.size(), 1U);
+  rig.Order("a", 5);
+  EXPECT_TRUE(rig.refused.empty());
+  rig.Order("b", 6);
+  ASSERT_TRUE(rig.refused.contains(staged));
+  EXPECT_FALSE(rig.refused.contains(running));
+  const ExchangeId late = rig.Call("staged", "k1", {1, 1});
+  for (const ExchangeId it : {staged, late}) {
+    EXPECT_EQ(rig.refused[it].verdict, Verdict::kNotRun);
+    EXPECT_EQ(Info(rig.refused[it].reason).http_status, 503);
+    EXPECT_GT(rig.refused[it].retry_after, 0);
+  }
+  EXPECT_EQ(rig.orders.size(), 1U);
+  rig.core.OnReplicaHead(rig.sent[0].call, GatewayRig::Head());
+  rig.core.OnReplicaBody(rig.sent[0].call, "id: 1\ndata: x\n\n");
+  rig.core.OnReplicaEnd(rig.sent[0].call);
+  EXPECT_EQ(rig.ended, std::vector<ExchangeId>{running});
+}
+
+// A replica that is listed while its failure domain is emptied gets nothing; a
+// failure domain that nobody knows empties nothing, until replicas come there.
+TEST(EvacuationTest, HoldsForReplicasThatComeLater) {
+  EvacuationRig rig;
+  rig.AddReplica("r1", "app", "a");
+  rig.Order("nowhere", 4);
+  EXPECT_EQ(rig.directory.Of("app").size(), 1U);
+  rig.AddReplica("r2", "app", "nowhere");
+  EXPECT_EQ(rig.directory.Of("app").size(), 1U);
+  rig.TakeBack("nowhere", 5);
+  EXPECT_EQ(rig.directory.Of("app").size(), 2U);
+}
+
+// An older row, read late from another gateway, neither empties a failure
+// domain that was taken back nor takes back one that was emptied again.
+TEST(EvacuationTest, OlderRowsChangeNothing) {
+  EvacuationRig rig;
+  rig.AddReplica("r1", "app", "a");
+  rig.Order("a", 5);
+  rig.Order("a", 7);  // Ordered twice.
+  EXPECT_TRUE(rig.directory.Of("app").empty());
+  rig.TakeBack("a", 6);
+  EXPECT_TRUE(rig.directory.Of("app").empty());
+  rig.TakeBack("a", 8);
+  EXPECT_EQ(rig.directory.Of("app").size(), 1U);
+  rig.Order("a", 7);
+  EXPECT_EQ(rig.directory.Of("app").size(), 1U);
+  EXPECT_TRUE(rig.log.Saw("evacuation_passed_over"));
+}
+
+// The store dropped its history while an order was removed and another one was
+// written: the whole table tells both.
+TEST(EvacuationTest, FollowsAWholeTable) {
+  EvacuationRig rig;
+  rig.AddReplica("r1", "app", "a");
+  rig.AddReplica("r2", "app", "b");
+  rig.Order("a", 5);
+  EXPECT_TRUE(rig.evacuations.OnTable(rig.now, {{"b", 8}}, 9));
+  ASSERT_EQ(rig.directory.Of("app").size(), 1U);
+  EXPECT_EQ(rig.directory.Of("app")[0]->id, ReplicaId("r1"));
+  EXPECT_FALSE(rig.evacuations.OnTable(rig.now, {{"b", 8}}, 10));
+}
+
+// A row whose key names no failure domain is refused; the value of one that
+// does says nothing, whatever bytes it holds.
+TEST(EvacuationTest, ReadsKeys) {
+  using platform::ParseEvacuation;
+  EXPECT_EQ(ParseEvacuation("evacuate/hall-a")->value(), "hall-a");
+  EXPECT_FALSE(ParseEvacuation("config")->has_value());
+  EXPECT_FALSE(ParseEvacuation("evacuate")->has_value());
+  EXPECT_FALSE(ParseEvacuation("evacuate/").ok());
+}
+
+struct PieceOutput : PieceBatcherOutput {
+  void StartCall(const PieceCall& call) override { calls.push_back(call); }
+  void OnPiece(const PieceResult& result) override {
+    results.push_back(result);
+  }
+  void FreeAt(const Address& replica,
+              const std::vector<std::string>&) override {
+    freed.push_back(replica.ip);
+  }
+  void OnInputsRead(const std::vector<std::string>&) override {}
+  bool ShortOfMemory(const std::vector<std::string>&) override { return false; }
+  std::vector<PieceCall> calls;
+  std::vector<PieceResult> results;
+  std::vector<std::string> freed;
+};
+
+// Load: pieces wait for the only replica of their failure domain when it is
+// emptied. They go to the other one at once, their patience for near results
+// not over; the call that runs in the emptied one ends there, and its result is
+// used. Nothing tells the emptied replica that the result is free.
+TEST(EvacuationTest, QueuedPiecesMoveAtOnce) {
+  EvacuationRig rig;
+  rig.AddReplica("m1", "maker", "a");
+  PieceOutput output;
+  AttemptBudget budget;
+  PieceBatcher batcher(&rig.directory, &budget, &output);
+  batcher.SetService("maker",
+                     *GatewayRig::Config(1)->FindService("maker")->batching);
+  const auto order = [](const std::string& request) {
+    PieceOrder out;
+    out.key = {request, 0, 0};
+    out.service = "maker";
+    out.near_domain = "a";
+    out.time_left = 10 * kSecond;
+    out.time_to_begin = kSecond;
+    out.result_bytes = 1000;
+    return out;
+  };
+  TimeUs now = rig.now;
+  batcher.Add(now, order("first"));
+  batcher.Dispatch(now);
+  ASSERT_EQ(output.calls.size(), 1U);
+  rig.AddReplica("m2", "maker", "b");
+  batcher.Add(now, order("second"));
+  batcher.Dispatch(now);
+  EXPECT_EQ(output.calls.size(), 1U);
+  rig.Order("a", 5);
+  batcher.OnTick(now += 10 * kMillisecond);
+  ASSERT_EQ(output.calls.size(), 2U);
+  EXPECT_EQ(output.calls[1].replica, ReplicaId("m2"));
+  const std::string handle = AddressText(output.calls[0].address) + "/h";
+  batcher.OnCallEnd(now, output.calls[0].id,
+                    {PieceCallEnd::Kind::kAnswered,
+                     "",
+                     {{{"first", 0, 0}, PieceOutcome::kMade, handle}}});
+  ASSERT_EQ(output.results.size(), 1U);
+  EXPECT_EQ(output.results[0].handle, handle);
+  batcher.Free({handle});
+  batcher.OnTick(now += 10 * kMillisecond);
+  EXPECT_TRUE(output.freed.empty());
+}
+
+}  // namespace
+}  // namespace acaciachute
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -38,6 +38,7 @@
              &log) {
     Configure(1);
     core.OnConfirmed(now);
+    core.SetKnownGateways({"g1"});
   }
 
   // Routes /plain/, /repeat/, /stream/, /resume/, /staged/ and /open/ on one
@@ -73,6 +74,8 @@
     Service engine;
     engine.name = "engine";
     engine.engine = EngineLimits{};
+    engine.cold_start = 3 * kSecond;
+    engine.cold_rate = 2;
     config->AddService(engine);
     Service maker;
     maker.name = "maker";
@@ -86,12 +89,16 @@
 
   void Configure(std::uint64_t version) { core.OnConfig(Config(version)); }
 
-  void AddReplica(const ReplicaId& id, const std::string& service) {
+  void AddReplica(const ReplicaId& id,
+                  const std::string& service,
+                  const std::string& domain = "a",
+                  TimeUs cold_until = 0) {
     ReplicaEntry entry;
     entry.id = id;
     entry.service = service;
     entry.address = {"10.0.0." + std::to_string(++last_host), 80};
-    entry.domain = "a";
+    entry.domain = domain;
+    entry.cold_until = cold_until;
     entry.slots = 8;
     directory.Put(entry);
   }
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -87,13 +87,14 @@
       "i-1",
       R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":6,
           "state":"draining","cold_left_ms":100,"version":"v1","call_seq":4,
-          "born":1780953918138})");
+          "born":1780953918138})",
+      0);
   ASSERT_TRUE(entry.ok());
   EXPECT_EQ(entry->id, ReplicaId("i-1", 1780953918138));
   EXPECT_EQ(entry->orders, 4U);
   EXPECT_TRUE(entry->leaving);
   EXPECT_EQ(entry->address, (Address{"10.0.0.9", 8080}));
-  EXPECT_FALSE(ParseReplica("i-1", R"({"service":"s","address":"x"})").ok());
+  EXPECT_FALSE(ParseReplica("i-1", R"({"service":"s","address":"x"})", 0).ok());
 }
 
 // A good entry with one field replaced; null takes the field away.
@@ -131,11 +132,11 @@
       {"call_seq", {absent, "4", -1, 4.5, 1ULL << 60U, list}},
       {"born", {"1780953918138", -1, 0, 1.5, 1e300, 1ULL << 60U, list, false}},
   };
-  EXPECT_TRUE(ParseReplica("i-1", EntryWith("x", 1)).ok());
-  EXPECT_TRUE(ParseReplica("i-1", EntryWith("born", absent)).ok());
+  EXPECT_TRUE(ParseReplica("i-1", EntryWith("x", 1), 0).ok());
+  EXPECT_TRUE(ParseReplica("i-1", EntryWith("born", absent), 0).ok());
   for (const Case& it : cases) {
     for (const auto& value : it.values) {
-      const auto entry = ParseReplica("i-1", EntryWith(it.field, value));
+      const auto entry = ParseReplica("i-1", EntryWith(it.field, value), 0);
       ASSERT_FALSE(entry.ok()) << it.field << " " << value;
       EXPECT_THAT(std::string(entry.status().message()), HasSubstr(it.field));
     }
@@ -145,7 +146,7 @@
 TEST(RowsTest, RefusesBytesThatAreNoEntry) {
   for (const char* it : {"", "{", "null", "7", "[]", "\"text\"", "\xff\xfe",
                          "{\"service\":\"\xff\"}"}) {
-    EXPECT_FALSE(ParseReplica("i-1", it).ok()) << it;
+    EXPECT_FALSE(ParseReplica("i-1", it, 0).ok()) << it;
   }
 }
 
@@ -159,7 +160,7 @@
   } else {
     row[at] = *rc::gen::arbitrary<char>();
   }
-  const auto entry = ParseReplica("i-1", row);
+  const auto entry = ParseReplica("i-1", row, 0);
   RC_ASSERT(entry.ok() || !entry.status().message().empty());
 }
 
