Refuse at once what has no time to begin its stages again

Kept because the client hears it at once. Ruled out as a gain: the share of stage work thrown away did not move.

--- a/src/coordination/gateway_stages.cc
+++ b/src/coordination/gateway_stages.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "coordination/gateway_impl.h"
+#include "text.h"
 
 namespace acaciachute {
 
@@ -123,13 +124,19 @@
                      "results of stages were lost too often"});
     return;
   }
+  request->progress.Restart();
+  const DurationUs left = request->answer_by - ports->Now();
+  if (request->progress.TimeLeft() + kEngineTime > left) {
+    Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
+                     StrCat("no time to begin again: ", why)});
+    return;
+  }
   log->Write(
       "stages_again",
       {{"id", request->call.id},
        {"why", why},
        {"stages_ms", request->stage_times},
        {"after_ms", (ports->Now() - request->received_at) / kMillisecond}});
-  request->progress.Restart();
   request->staged = false;
   RunStages(request);
 }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -329,6 +329,22 @@
   EXPECT_EQ(rig.sent[1].inputs, std::vector<std::string>{"10.0.0.9:80/b"});
 }
 
+// Load: a burst, and requests whose results lapsed while they waited for their
+// turn. There is no time to make them again. The client hears it now, not when
+// its time is over, and no work is begun for nothing.
+TEST(GatewayStagesTest, RefusesAtOnceWhatHasNoTimeToBeginAgain) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine");
+  const ExchangeId id = rig.Call("staged", "k1", {1, 0});
+  rig.now += 3700 * kMillisecond;
+  rig.Made(rig.orders[0], "10.0.0.9:80/a");
+  ASSERT_EQ(rig.sent.size(), 1U);
+  rig.AnswerWith(rig.sent[0].call, GatewayRig::NotRun(409));
+  EXPECT_EQ(rig.orders.size(), 1U);
+  ASSERT_TRUE(rig.refused.contains(id));
+  EXPECT_EQ(rig.refused[id].verdict, Verdict::kNotRun);
+}
+
 // A client that leaves in the middle of its stages leaves nothing behind.
 TEST(GatewayStagesTest, DropsPiecesAndResultsOfAClientThatLeft) {
   GatewayRig rig;
