--- a/src/coordination/shared_piece_desk.h
+++ b/src/coordination/shared_piece_desk.h
@@ -31,8 +31,8 @@
 
 class SharedPieceDesk : public PieceDesk {
  public:
-  // Several calls' time: a piece that waits this long at another gateway is
-  // more likely lost than late.
+  // Several calls' time: a piece that waits this much longer than the queue at
+  // the other gateway, as it last told, is more likely lost than late.
   static constexpr DurationUs kPatience = 2500 * kMillisecond;
 
   SharedPieceDesk(NodeId self,
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -224,6 +224,26 @@
   EXPECT_EQ(asker.freed, std::vector<std::string>{"10.0.0.1:80/late"});
 }
 
+// Load: a burst, and a queue of three seconds at the gateway that batches, as
+// its beats tell. Pieces are not handed to it again while they wait their turn:
+// that would double the messages of those that have the most to do.
+TEST(SharedPieceDeskTest, WaitsAsLongAsTheQueueThatItWasTold) {
+  DeskNet net(2);
+  auto& asker = net.At(net.other);
+  PoolWait wait;
+  wait.late = 3 * kSecond;
+  asker.desk.OnPeerWaits({{DeskNet::Order("r").service, wait}});
+  asker.desk.Submit(net.now, {DeskNet::Order("r")});
+  net.Deliver();
+  asker.log.events.clear();
+  net.now += SharedPieceDesk::kPatience + kSecond;
+  asker.desk.OnTick(net.now);
+  EXPECT_FALSE(asker.log.Saw("pieces_again"));
+  net.now += 2 * kSecond + kMillisecond;
+  asker.desk.OnTick(net.now);
+  EXPECT_TRUE(asker.log.Saw("pieces_again"));
+}
+
 TEST(SharedPieceDeskTest, DropsWhatNobodyWaitsForAnyLonger) {
   DeskNet net(2);
   net.At(net.other).desk.Submit(net.now, {DeskNet::Order("r")});
