Tell in the log how a request was admitted

A request's line says whether it was taken in time, late or parked, and what wait it was promised; before, the cause of a late answer ended at the stages.

No functional change.

--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -121,6 +121,8 @@
               {"replica", request->attempt.replica.id.name},
               {"runs", request->runs},
               {"tried", request->tried.size()},
+              {"admitted", Name(request->admission)},
+              {"expected_wait_ms", request->expected_wait / kMillisecond},
               {"stages_ms", request->stage_times},
               {"staged_ms",
                request->staged
--- a/src/coordination/gateway_admission.cc
+++ b/src/coordination/gateway_admission.cc
@@ -179,10 +179,10 @@
         std::min(request->answer_by, now + route->FirstEventPatience() - kLink);
   }
   request->resume_after = request->call.resume_after;
-  const Admission admission = HasNoReplica(*request, &refusal)
-                                  ? Admission::kRefuse
-                                  : Decide(*request, &refusal);
-  if (admission == Admission::kRefuse) {
+  request->admission = HasNoReplica(*request, &refusal)
+                           ? Admission::kRefused
+                           : Decide(request.get(), &refusal);
+  if (request->admission == Admission::kRefused) {
     RefuseAtOnce(id, request->call, refusal);
     return;
   }
@@ -191,7 +191,7 @@
   ServingRequest* it = request.get();
   by_client_id[it->call.id] = it;
   requests[id] = std::move(request);
-  if (admission == Admission::kPark) {
+  if (it->admission == Admission::kParked) {
     it->parked = true;
     parked.emplace(it->priority, it->received_at, id);
     // Begun later it could not be served before its client leaves.
@@ -243,42 +243,42 @@
 // time after the burst is likely to serve are parked before any work is done
 // for them, so that they hold no memory; what is left is refused, and told when
 // the queue will be shorter.
-Gateway::Impl::Admission Gateway::Impl::Decide(const ServingRequest& request,
-                                               OwnAnswer* refusal) {
-  if (request.route->stages.empty()) {
-    return Admission::kBegin;
+Admission Gateway::Impl::Decide(ServingRequest* request, OwnAnswer* refusal) {
+  if (request->route->stages.empty()) {
+    return Admission::kInTime;
   }
   const TimeUs now = ports->Now();
-  const auto [in_time, late, work] = WaitsOf(request);
-  if (now + in_time + work <= request.target_by) {
-    return Admission::kBegin;
+  const auto [in_time, late, work] = WaitsOf(*request);
+  request->expected_wait = in_time;
+  if (now + in_time + work <= request->target_by) {
+    return Admission::kInTime;
   }
-  const DurationUs left = request.answer_by - now;
+  const DurationUs left = request->answer_by - now;
   const auto share = [left](double part) {
     return static_cast<DurationUs>(part * static_cast<double>(left));
   };
   if (late + work <= share(kLateShare)) {
-    return Admission::kBegin;
+    return Admission::kLate;
   }
   const DurationUs turn =
       kParkedStep * static_cast<DurationUs>(parked.size() + 1);
   if (late + turn + work <= share(kParkedShare)) {
-    return Admission::kPark;
+    return Admission::kParked;
   }
   const DurationUs most = left / kHonouredPart;
   const auto least = std::min(
       most, static_cast<DurationUs>(
-                kLeastReturn * static_cast<double>(request.call.deadline)));
+                kLeastReturn * static_cast<double>(request->call.deadline)));
   const DurationUs wish = std::clamp(late, least, most);
   const auto spread = static_cast<DurationUs>(
       random->Below(static_cast<std::uint64_t>(most - wish) / 2 + 1));
   *refusal = {
       Refusal::kFull, Verdict::kNotRun, wish + spread,
-      StrCat(request.route->name, ": work ", work / kMillisecond, " ms, wait ",
+      StrCat(request->route->name, ": work ", work / kMillisecond, " ms, wait ",
              in_time / kMillisecond, " or if late ", late / kMillisecond,
-             ", until late ", (request.target_by - now) / kMillisecond,
+             ", until late ", (request->target_by - now) / kMillisecond,
              ", until its client leaves ", left / kMillisecond)};
-  return Admission::kRefuse;
+  return Admission::kRefused;
 }
 
 void Gateway::Impl::BeginParked() {
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -2,10 +2,12 @@
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
 
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -31,6 +33,14 @@
   bool paused = false;
 };
 
+// How a request was taken.
+enum class Admission { kInTime, kLate, kParked, kRefused };
+inline constexpr std::array<std::string_view, 4> kAdmissionNames = {
+    "in_time", "late", "parked", "refused"};
+constexpr std::string_view Name(Admission v) {
+  return detail::NameIn(kAdmissionNames, v);
+}
+
 // From the last stage to the first event: a prompt of the usual length is read
 // in 30 to 80 ms, and waits for others.
 inline constexpr DurationUs kEngineTime = 150 * kMillisecond;
@@ -68,6 +78,8 @@
   TimeUs due_at = 0;     // Of the two, the one that counts now.
 
   StageProgress progress;
+  Admission admission = Admission::kInTime;
+  DurationUs expected_wait = 0;  // For stages, when it was taken.
   bool parked = false;  // Nothing was begun; see `Gateway::Impl::Decide`.
   bool staged = false;  // Every result that the replica needs was made.
   TimeUs staged_at = 0;
@@ -107,9 +119,8 @@
   // Whether a service that the request still needs has no replica that takes
   // work; fills `refusal` if so.
   bool HasNoReplica(const ServingRequest& request, OwnAnswer* refusal);
-  enum class Admission { kBegin, kPark, kRefuse };
   // Whether the stages can be made in useful time; fills `refusal` if not.
-  Admission Decide(const ServingRequest& request, OwnAnswer* refusal);
+  Admission Decide(ServingRequest* request, OwnAnswer* refusal);
   // Longest waits of the request's stages, and its work until the first event.
   struct StageWaits {
     DurationUs in_time = 0;
