Tell from gateways' logs where a load's requests ended

acaciachutectl load explain LOG...: by route, admission and outcome; why requests were refused, given up or begun again; calls of the stages.

No functional change for gateways.

--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -59,6 +59,7 @@
 void AddViewCommands(CommandTable* table);
 void AddQuarantineCommands(CommandTable* table);
 void AddGatewayCommands(CommandTable* table);
+void AddLoadCommands(CommandTable* table);
 
 }  // namespace acaciachute
 
--- /dev/null
+++ b/src/ctl/load_summary.cc
@@ -0,0 +1,136 @@
+#include "ctl/load_summary.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "ctl/log_lines.h"
+
+namespace acaciachute {
+namespace {
+
+using Json = nlohmann::json;
+
+// A figure of the line; zero when it is missing or negative.
+std::uint32_t FigureOf(const Json& line, const char* name) {
+  const auto it = line.find(name);
+  if (it == line.end() || !it->is_number()) {
+    return 0;
+  }
+  return static_cast<std::uint32_t>(std::max(0.0, it->get<double>()));
+}
+
+// Figures differ from line to line; what was said is the same. Single digits
+// stay: they number stages and tries.
+std::string WithoutFigures(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789";
+  std::string out;
+  while (!text.empty()) {
+    const std::size_t plain =
+        std::min(text.find_first_of(kDigits), text.size());
+    out += text.substr(0, plain);
+    text.remove_prefix(plain);
+    const std::size_t figure =
+        std::min(text.find_first_not_of(kDigits), text.size());
+    out += figure > 1 ? std::string_view("N") : text.substr(0, figure);
+    text.remove_prefix(figure);
+  }
+  return out;
+}
+
+std::string OutcomeOf(const Json& line) {
+  std::string outcome = TextOf(line, "outcome");
+  if (outcome != "answered") {
+    return outcome;
+  }
+  const auto first = line.find("first_ms");
+  const bool stream =
+      first != line.end() && first->is_number() && first->get<double>() >= 0;
+  const std::uint32_t until = FigureOf(line, stream ? "first_ms" : "total_ms");
+  return until <= FigureOf(line, "target_ms") ? "in_time" : "late";
+}
+
+std::int64_t Quantile(std::vector<std::uint32_t> values, double share) {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto n =
+      static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+  const auto at = values.begin() + static_cast<std::ptrdiff_t>(n);
+  std::nth_element(values.begin(), at, values.end());
+  return *at;
+}
+
+constexpr double kMedian = 0.5;
+constexpr double kP99 = 0.99;
+
+// Events that tell why work was refused, lost or done again.
+constexpr std::array<std::string_view, 6> kCauseEvents = {
+    "refused",      "gave_up",      "lost",
+    "stages_again", "pieces_again", "piece_call_failed"};
+
+}  // namespace
+
+void LoadReader::Take(const Json& line) {
+  const std::string event = TextOf(line, "event");
+  if (event == "request") {
+    TakeRequest(line);
+  } else if (event == "piece_call") {
+    TakePieceCall(line);
+  } else if (std::find(kCauseEvents.begin(), kCauseEvents.end(), event) !=
+             kCauseEvents.end()) {
+    TakeCause(line);
+  }
+}
+
+void LoadReader::TakeRequest(const Json& line) {
+  Group& group = groups_[{TextOf(line, "route"), TextOf(line, "admitted"),
+                          OutcomeOf(line)}];
+  group.total_ms.push_back(FigureOf(line, "total_ms"));
+  group.expected_ms.push_back(FigureOf(line, "expected_wait_ms"));
+}
+
+void LoadReader::TakePieceCall(const Json& line) {
+  Stage& stage = stages_[TextOf(line, "service")];
+  ++stage.calls;
+  stage.pieces += FigureOf(line, "pieces");
+  stage.most_waiting =
+      std::max<std::size_t>(stage.most_waiting, FigureOf(line, "left_waiting"));
+  const auto it = line.find("slowness");
+  stage.slowness += it != line.end() && it->is_number() ? it->get<double>() : 0;
+}
+
+void LoadReader::TakeCause(const Json& line) {
+  const std::string reason =
+      line.contains("reason") ? TextOf(line, "reason") : "";
+  const char* detail = line.contains("detail") ? "detail" : "why";
+  ++causes_[{TextOf(line, "event"), reason,
+             WithoutFigures(TextOf(line, detail))}];
+}
+
+LoadSummary LoadReader::Summary() const {
+  LoadSummary summary;
+  for (const auto& [key, group] : groups_) {
+    const auto& [route, admitted, outcome] = key;
+    summary.rows.push_back({route, admitted, outcome, group.total_ms.size(),
+                            Quantile(group.total_ms, kMedian),
+                            Quantile(group.total_ms, kP99),
+                            Quantile(group.expected_ms, kMedian)});
+  }
+  for (const auto& [key, times] : causes_) {
+    const auto& [event, reason, detail] = key;
+    summary.causes.push_back({event, reason, detail, times});
+  }
+  std::stable_sort(
+      summary.causes.begin(), summary.causes.end(),
+      [](const auto& a, const auto& b) { return a.times > b.times; });
+  for (const auto& [service, stage] : stages_) {
+    summary.stages.push_back(
+        {service, stage.calls, stage.pieces, stage.most_waiting,
+         stage.slowness / static_cast<double>(stage.calls)});
+  }
+  return summary;
+}
+
+}  // namespace acaciachute
--- a/src/ctl/log_lines.cc
+++ b/src/ctl/log_lines.cc
@@ -1,7 +1,6 @@
 #include "ctl/log_lines.h"
 
 #include <iostream>
-#include <utility>
 
 namespace acaciachute {
 
@@ -23,20 +22,26 @@
   return *file ? file : nullptr;
 }
 
-std::vector<Json> ReadLogLines(std::istream* log) {
-  std::vector<Json> lines;
+void ForEachLogLine(std::istream* log,
+                    const std::function<void(const Json&)>& take) {
   std::string text;
   while (std::getline(*log, text)) {
     const auto at = text.find('{');
     if (at == std::string::npos) {
       continue;
     }
-    Json line = Json::parse(text.begin() + static_cast<std::ptrdiff_t>(at),
-                            text.end(), nullptr, false);
+    const Json line =
+        Json::parse(text.begin() + static_cast<std::ptrdiff_t>(at), text.end(),
+                    nullptr, false);
     if (line.is_object() && line.contains("event")) {
-      lines.push_back(std::move(line));
+      take(line);
     }
   }
+}
+
+std::vector<Json> ReadLogLines(std::istream* log) {
+  std::vector<Json> lines;
+  ForEachLogLine(log, [&](const Json& it) { lines.push_back(it); });
   return lines;
 }
 
--- a/src/ctl/log_lines.h
+++ b/src/ctl/log_lines.h
@@ -3,6 +3,7 @@
 #define ACACIACHUTE_SRC_CTL_LOG_LINES_H_
 
 #include <fstream>
+#include <functional>
 #include <istream>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -16,6 +17,8 @@
 
 // Lines that are no event are passed over; text before the object, such as a
 // collector's time stamp, is ignored.
+void ForEachLogLine(std::istream* log,
+                    const std::function<void(const nlohmann::json&)>& take);
 std::vector<nlohmann::json> ReadLogLines(std::istream* log);
 
 // A member as text; "?" when it is not there.
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -108,6 +108,7 @@
   AddViewCommands(&table);
   AddQuarantineCommands(&table);
   AddGatewayCommands(&table);
+  AddLoadCommands(&table);
   cxxopts::Options options = MakeOptions();
   try {
     const auto args = options.parse(argc, argv);
