Prove with a real gateway that an emptied failure domain gets nothing

A process that starts while its only replica's failure domain is emptied refuses at once, runs nothing, and serves when it is taken back. A row's cold time counts from its reading.

No functional change.

--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -97,6 +97,17 @@
   EXPECT_FALSE(ParseReplica("i-1", R"({"service":"s","address":"x"})", 0).ok());
 }
 
+// What a row says of the time left counts from when it was read.
+TEST(RowsTest, ColdTimeCountsFromTheReading) {
+  const auto entry = ParseReplica(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":6,
+          "state":"ready","cold_left_ms":100,"version":"v1","call_seq":4})",
+      kSecond);
+  ASSERT_TRUE(entry.ok());
+  EXPECT_EQ(entry->cold_until, kSecond + 100 * kMillisecond);
+}
+
 // A good entry with one field replaced; null takes the field away.
 std::string EntryWith(const std::string& field, const nlohmann::json& value) {
   nlohmann::json row = {{"service", "s"},       {"address", "10.0.0.9:8080"},
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -60,6 +60,9 @@
   void OnListenerEvent(const ListenerEvent&) override {}
 
   bool break_off = false;
+  // Of the failure domain of its only replica.
+  enum class Domain { kInUse, kEmptied, kTakenBack };
+  Domain domain = Domain::kInUse;
   DurationUs delay = 0;
   int runs = 0;
   std::vector<std::string> ids;
@@ -102,6 +105,9 @@
       }
     } else if (Contains(target, "/rows-get") && Contains(target, "table=op")) {
       rows.push_back(Row("op", "config", Config()));
+      if (domain == Domain::kEmptied) {
+        rows.push_back(Row("op", "evacuate/a", Json::object()));
+      }
     } else if (Contains(target, "/rows-get") &&
                Contains(target, "table=servers")) {
       rows.push_back(Row("servers", "i-1",
@@ -118,8 +124,18 @@
         rows.push_back(row);
       }
     }
-    const Json answer = {{"rows", rows}, {"truncated", false}, {"ver", 1}};
+    int version = 1;
     const bool waits = Contains(target, "/rows-feed");
+    if (waits && domain == Domain::kTakenBack && Contains(target, "table=op")) {
+      version = 2;
+      rows.push_back({{"table", "op"},
+                      {"part", ""},
+                      {"key", "evacuate/a"},
+                      {"ver", version},
+                      {"removed", true}});
+    }
+    const Json answer = {
+        {"rows", rows}, {"truncated", false}, {"ver", version}};
     Later(loop_, waits ? kSecond : 0, alive_, [this, id, text = answer.dump()] {
       listener_.Reply(id, 200, {{"Content-Type", "application/json"}}, text);
     });
@@ -141,12 +157,14 @@
     status = head.status;
     const std::string* connection = FindField(head.fields, "Connection");
     closes = connection != nullptr && *connection == "close";
+    retry_after = FindField(head.fields, "Retry-After") != nullptr;
   }
   void OnAnswerBody(CallId, std::string_view bytes) override { body += bytes; }
   void OnAnswerEnd(CallId) override { over = true; }
   void OnCallFailed(CallId, const CallFailure&) override { over = true; }
   int status = 0;
   bool closes = false;
+  bool retry_after = false;
   bool over = false;
   std::string body;
 };
@@ -247,6 +265,27 @@
   EXPECT_TRUE(gateway_->EndedWell());
 }
 
+// A gateway starts while the failure domain of the only replica is emptied. Its
+// callers are told at once that nothing ran and when to come back; once it is
+// taken back they are served.
+TEST_F(GatewayProcessTest, KnowsFromItsStartWhatIsEmptied) {
+  standin_.domain = Standin::Domain::kEmptied;
+  Start();
+  Answer refused;
+  Send("c1", &refused);
+  ASSERT_TRUE(WaitFor([&] { return refused.over; }));
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_TRUE(refused.retry_after);
+  EXPECT_EQ(standin_.runs, 0);
+  standin_.domain = Standin::Domain::kTakenBack;
+  int n = 1;
+  ASSERT_TRUE(WaitFor([&] {
+    Answer answer;
+    Send("c" + std::to_string(++n), &answer);
+    return WaitFor([&] { return answer.over; }) && answer.status == 200;
+  }));
+}
+
 // An operator who checks a settings file hears of every mistake in it at once,
 // and the process does not start.
 TEST(GatewayProgramTest, NamesEveryMistakeInItsSettings) {
