Probe the connections to replicas

The header said that a silent peer ends the connection; only unacknowledged bytes did. Ruled out: ending calls when a replica's row is gone; some replicas serve on after it. Probes are of the connection and say nothing of the answer's time.

--- a/src/transport/socket_stream.cc
+++ b/src/transport/socket_stream.cc
@@ -22,6 +22,19 @@
       static_cast<gint>(SocketStream::kPeerSilence / kMillisecond), nullptr);
 }
 
+// Failure: a replica loses power after it took a request, or its connection
+// falls silent while new ones work. Symptom: nothing of the request is left to
+// be acknowledged, so nothing ends the connection, and its client hears nothing
+// until its time is over. Probes that stay unanswered end it.
+void SetProbes(GSocket* socket) {
+  g_socket_set_keepalive(socket, TRUE);
+  for (const gint option : {TCP_KEEPIDLE, TCP_KEEPINTVL}) {
+    g_socket_set_option(socket, IPPROTO_TCP, option,
+                        static_cast<gint>(SocketStream::kProbeEvery / kSecond),
+                        nullptr);
+  }
+}
+
 }  // namespace
 
 SocketStream::SocketStream(SocketPoller* poller,
@@ -64,6 +77,7 @@
   }
   std::shared_ptr<SocketStream> stream(
       new SocketStream(poller, std::move(socket), handler));
+  SetProbes(stream->socket_.get());
   g_socket_connect(stream->socket_.get(), target.get(), nullptr, &raw_error);
   if (raw_error != nullptr) {
     const GErrorPtr error(raw_error);
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -32,10 +32,11 @@
 class SocketStream : public std::enable_shared_from_this<SocketStream>,
                      private SocketWatcher {
  public:
-  // Unacknowledged bytes and a silent peer end the connection after this. A
-  // peer that lost power answers nothing, and without it a write waits for the
-  // kernel's own 15 minutes.
+  // Unacknowledged bytes end the connection after this, and so do unanswered
+  // probes of one that this side opened. A peer that lost power answers
+  // nothing, and without it a write waits for the kernel's own 15 minutes.
   static constexpr DurationUs kPeerSilence = 3 * kSecond;
+  static constexpr DurationUs kProbeEvery = kSecond;
 
   // Takes an accepted socket. `poller` outlives the stream.
   static std::shared_ptr<SocketStream> Accepted(SocketPoller* poller,
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -1,6 +1,8 @@
 // Connections to clients and replicas over loopback sockets.
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -541,5 +543,41 @@
   close(ends[0]);
 }
 
+// Of the sockets of this process that are connected to `port`.
+int OptionOfConnectionTo(std::uint16_t port, int level, int option) {
+  constexpr int kMostSockets = 256;
+  for (int fd = 3; fd < kMostSockets; ++fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
+        peer.sin_family != AF_INET || ntohs(peer.sin_port) != port) {
+      continue;
+    }
+    int value = -1;
+    size = sizeof(value);
+    getsockopt(fd, level, option, &value, &size);
+    return value;
+  }
+  return -1;
+}
+
+// A replica that loses power after it took a request acknowledges all and
+// answers nothing. Its connection is probed, so that the client hears of it
+// within seconds.
+TEST(SocketStreamTest, ConnectionsToReplicasAreProbed) {
+  Loop loop;
+  RawServer server(&loop);
+  RawServer::Peer handler(&server);
+  const auto stream =
+      SocketStream::Connect(loop.sockets(), server.address, &handler);
+  ASSERT_TRUE(stream.ok());
+  RunUntil(&loop, [&] { return !server.peers.empty(); });
+  const std::uint16_t port = server.address.port;
+  EXPECT_EQ(OptionOfConnectionTo(port, SOL_SOCKET, SO_KEEPALIVE), 1);
+  EXPECT_EQ(OptionOfConnectionTo(port, IPPROTO_TCP, TCP_KEEPIDLE), 1);
+  EXPECT_EQ(OptionOfConnectionTo(port, IPPROTO_TCP, TCP_KEEPINTVL), 1);
+  (*stream)->Close();
+}
+
 }  // namespace
 }  // namespace acaciachute
