--- a/src/transport/socket_stream.cc
+++ b/src/transport/socket_stream.cc
@@ -28,6 +28,8 @@
 // until its time is over. Probes that stay unanswered end it.
 void SetProbes(GSocket* socket) {
   g_socket_set_keepalive(socket, TRUE);
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, SocketStream::kProbes,
+                      nullptr);
   for (const gint option : {TCP_KEEPIDLE, TCP_KEEPINTVL}) {
     g_socket_set_option(socket, IPPROTO_TCP, option,
                         static_cast<gint>(SocketStream::kProbeEvery / kSecond),
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -37,6 +37,7 @@
   // nothing, and without it a write waits for the kernel's own 15 minutes.
   static constexpr DurationUs kPeerSilence = 3 * kSecond;
   static constexpr DurationUs kProbeEvery = kSecond;
+  static constexpr int kProbes = 2;  // That may stay unanswered.
 
   // Takes an accepted socket. `poller` outlives the stream.
   static std::shared_ptr<SocketStream> Accepted(SocketPoller* poller,
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -576,6 +576,7 @@
   EXPECT_EQ(OptionOfConnectionTo(port, SOL_SOCKET, SO_KEEPALIVE), 1);
   EXPECT_EQ(OptionOfConnectionTo(port, IPPROTO_TCP, TCP_KEEPIDLE), 1);
   EXPECT_EQ(OptionOfConnectionTo(port, IPPROTO_TCP, TCP_KEEPINTVL), 1);
+  EXPECT_EQ(OptionOfConnectionTo(port, IPPROTO_TCP, TCP_KEEPCNT), 2);
   (*stream)->Close();
 }
 
