Ask for the configuration often enough to outlast an outage's first seconds

Cause: what is known counts from when it was asked for, and questions waited 1.5 s at the store: up to 3.1 s of the 4.5 s for which keys may be used were gone when the store stopped answering, and callers were refused 1.4 s later. The wait is a tenth of the operator's bound on revoked keys now, for the configuration only; the list of replicas is asked for as before.

--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -32,6 +32,23 @@
 constexpr double kClientShare = 0.5;
 constexpr std::size_t kReservedDescriptors = 250;
 
+// How long the store holds a question for the configuration that has no news,
+// as a share of the time for which a key that was taken away may be used; each
+// call has its price.
+//
+// Failure: the store stops answering. Symptom: a gateway refuses all requests
+// with keys as soon as the last answer is too old, which counts from when it
+// was asked for. The shorter the questions wait, the longer callers are served.
+constexpr double kConfigurationWaitShare = 0.1;
+// A connection that falls silent is noticed after this and an answer's time,
+// within the time that the platform allows for news of replicas.
+constexpr DurationUs kReplicasWait = 1500 * kMillisecond;
+
+DurationUs ConfigurationWait(const HostSettings& settings) {
+  return static_cast<DurationUs>(kConfigurationWaitShare *
+                                 static_cast<double>(settings.key_revocation));
+}
+
 GatewayOptions OptionsOf(const HostSettings& settings) {
   GatewayOptions options;
   options.node = settings.node;
@@ -82,6 +99,7 @@
               OnStoreAnswer(table, answer);
             }),
       configuration(platform::kOperatorTable,
+                    ConfigurationWait(settings),
                     &peers,
                     &store,
                     this,
@@ -90,6 +108,7 @@
                     &metrics,
                     &log),
       replicas(platform::kReplicaTable,
+               kReplicasWait,
                &peers,
                &store,
                this,
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -36,7 +36,9 @@
 
 // One table of the store, as this gateway follows it and passes it on.
 struct FollowedTable {
+  // `wait` is how long the store holds a question without news.
   FollowedTable(const std::string& table,
+                DurationUs wait,
                 const GatewayPeers* peers,
                 TableReader* store,
                 TableRelayOutput* output,
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -9,21 +9,16 @@
 namespace acaciachute {
 namespace {
 
-// How long the store holds a question without news; calls to it are priced. The
-// age of what is known counts from when it was asked for: two of these and an
-// answer's time leave a gateway that asks another one three quarters of a
-// second of the 4.5 s for which keys may be used, to find a third. And a
-// connection that falls silent is noticed after this and an answer's time,
-// within the 3 s that the platform allows for news of replicas.
-constexpr DurationUs kStoreWait = 1500 * kMillisecond;
 // Older than a gateway that reaches the store ever gets: it was asked twice,
 // the second time in vain.
-constexpr DurationUs kStale =
-    2 * kStoreWait + platform::StoreClient::kTimeout + 50 * kMillisecond;
+constexpr DurationUs StaleAge(DurationUs wait) {
+  return 2 * wait + platform::StoreClient::kTimeout + 50 * kMillisecond;
+}
 
 }  // namespace
 
 FollowedTable::FollowedTable(const std::string& table,
+                             DurationUs wait,
                              const GatewayPeers* peers,
                              TableReader* store,
                              TableRelayOutput* output,
@@ -33,7 +28,7 @@
                              EventLog* log)
     : relay(table, output),
       source(table,
-             kStale,
+             StaleAge(wait),
              peers,
              store,
              output,
@@ -43,7 +38,7 @@
              [this](TimeUs now, const TableAnswer& answer) {
                watch.OnAnswer(now, answer);
              }),
-      watch(table, kStoreWait, &source, listener, random, log) {}
+      watch(table, wait, &source, listener, random, log) {}
 
 FollowedTable* GatewayNode::Impl::Followed(const std::string& table) {
   if (table == platform::kOperatorTable) {
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -65,12 +65,14 @@
       known_at = -1;
       lost = false;
       relay = std::make_unique<TableRelay>("t", this);
+      const DurationUs stale =
+          2 * net->wait_ + kStoreTimeout + 50 * kMillisecond;
       source = std::make_unique<TableSource>(
-          "t", kStale, &peers, this, this, &random, &metrics, &log,
+          "t", stale, &peers, this, this, &random, &metrics, &log,
           [this](TimeUs now, const TableAnswer& answer) {
             watch->OnAnswer(now, answer);
           });
-      watch = std::make_unique<TableWatch>("t", kWait, source.get(), this,
+      watch = std::make_unique<TableWatch>("t", net->wait_, source.get(), this,
                                            &random, &log);
     }
 
@@ -137,7 +139,8 @@
   using CutFn = std::function<bool(std::size_t from, std::size_t to)>;
 
   // Gateways over `domains` failure domains; one in six is large.
-  TableNet(std::size_t n, std::size_t domains) {
+  TableNet(std::size_t n, std::size_t domains, DurationUs wait = kWait)
+      : wait_(wait) {
     Write("config", "0");
     for (std::size_t i = 0; i < n; ++i) {
       nodes_.push_back(std::make_unique<Node>(
@@ -231,6 +234,8 @@
   }
 
  private:
+  const DurationUs wait_;  // That the store holds a question without news.
+
   struct Letter {
     std::size_t from = 0;
     std::size_t to = 0;
--- a/tests/gateway/table_relay_test.cc
+++ b/tests/gateway/table_relay_test.cc
@@ -145,6 +145,24 @@
   }
 }
 
+// Load: the store stops answering everybody. Callers with keys are served while
+// the configuration is known to be young enough, so it has to be young at any
+// moment at which that may happen: of the five seconds for which a key that was
+// taken away may be used, three are left at every gateway. Questions that wait
+// a tenth of that bound do it, at a few calls a second.
+TEST(TableRelayTest, AnOutageFindsKeysUsableForMostOfTheirBound) {
+  constexpr DurationUs kRevocation = 5 * kSecond;
+  TableNet net(103, 6, kRevocation / 10);
+  net.Run(5 * kSecond);
+  const std::size_t before = net.calls();
+  for (int n = 0; n < 100; ++n) {
+    net.Run(70 * kMillisecond);
+    EXPECT_LE(net.OldestAge(), kKeyAge - kRevocation * 3 / 5);
+  }
+  EXPECT_LE(net.calls() - before, 7 * 6 * 3U);
+  ExpectSound(net);
+}
+
 // The store drops its history. The relays read the whole table; the others hear
 // what changed from them.
 TEST(TableRelayTest, OnlyRelaysReadTheTableAgain) {
