--- a/src/coordination/engine_choice.h
+++ b/src/coordination/engine_choice.h
@@ -1,17 +1,17 @@
 // Chooses the model replica that reads a prompt and generates.
 //
-// Load pattern: prompts of 12,000 tokens beside prompts of 600, sessions that
-// come back with the same first parts, and engines whose every running request
-// slows the tokens of all others. Sent to a random engine, a session's parts
-// are read again each time, and two long prompts that meet delay the first
-// token of both by their sum. A prompt's home is the engine with the highest
-// hash of its shared parts and the engine (rendezvous hashing), the same at
-// every entry; it is taken to hold them. Each engine is scored by what it reads
-// until this request's first token, in prompt tokens, which needs no engine's
-// speed: those that are still unread there, those of this prompt that it does
-// not hold, what the running requests add, and what it fetches from elsewhere.
-// What an engine holds is believed from what was sent there and ended well;
-// engines report their load late and at a price, so nobody asks them.
+// Load pattern: long prompts beside short ones, sessions that come back with
+// the same first parts, and engines whose every running request slows the
+// tokens of all others. Sent to a random engine, a session's parts are read
+// again each time, and two long prompts that meet delay the first token of both
+// by their sum. A prompt's home is the engine with the highest hash of its
+// shared parts and the engine (rendezvous hashing), the same at every entry; it
+// is taken to hold them. Each engine is scored by what it reads until this
+// request's first token, in prompt tokens, which needs no engine's speed: those
+// that are still unread there, those of this prompt that it does not hold, what
+// the running requests add, and what it fetches from elsewhere. What an engine
+// holds is believed from what was sent there and ended well; engines report
+// their load late and at a price, so nobody asks them.
 #ifndef ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
 #define ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
 
@@ -49,31 +49,24 @@
 class EngineChoice {
  public:
   // Weight of tokens of shared parts that the engine would read again: beside
-  // their time, which others wait for too, they push out what it holds. With 4
-  // a home that was busy for 140 ms was left, for a gain that few requests
-  // need; with 10, calm days of both large sites earned 0.03 and 0.04 more.
+  // their time, which others wait for too, they push out what it holds.
   static constexpr double kRereadWeight = 10;
   // Load pattern: a burst, or the loss of engines, keeps homes busy, and
-  // prompts go elsewhere. With a hundred gateways each sees a hundredth of a
-  // session's requests and remembers nothing of where the others went, so every
-  // one of them was read again on another engine. The engine with the second
-  // highest hash is preferred among the others by this share of what reading
-  // the shared parts weighs there; it is as likely to hold them as the session
-  // is to have been sent away before. With a
-  // hundred gateways 8% fewer tokens of shared parts were read again on days of
-  // bursts and lost engines.
+  // prompts go elsewhere. Among many gateways each sees few of a session's
+  // requests and remembers nothing of where the others went, so each of them
+  // would be read again on another engine. The engine with the second highest
+  // hash is preferred among the others by this share of what reading the shared
+  // parts weighs there; it is as likely to hold them as the session is to have
+  // been sent away before.
   static constexpr double kSecondHomeShare = 0.8;
   // What one more running request adds until the first token: it lengthens each
-  // step, and a prompt waits for the step in progress. Engines that read 110 to
-  // 160 tokens in a ms take some 0.6 ms longer for it.
+  // step, and a prompt waits for the step in progress.
   static constexpr double kRunningTokens = 94;
   // A request that finds all slots taken waits for about a third of a stream.
   static constexpr double kQueuedTokens = 157'000;
-  // Fetching a megabyte of results from another failure domain. Its price is
-  // that of reading some 200 shared tokens again, which weigh ten times.
+  // Fetching a megabyte of results from another failure domain.
   static constexpr double kFarTokensPerMb = 2000;
-  // Parts remembered an engine. A part is 16 bytes here; this is
-  // several times what an engine's memory holds.
+  // Parts remembered an engine: several times what an engine's memory holds.
   static constexpr std::size_t kPartsRemembered = 4096;
 
   EngineChoice(const ReplicaDirectory* directory,
@@ -140,8 +133,7 @@
   absl::flat_hash_map<ReplicaId, Engine> engines_;
   std::map<ReplicaId, EngineLoad> own_;
   std::map<NodeId, std::map<ReplicaId, EngineLoad>> others_;
-  // Over all others: a choice among 50 engines beside 29 gateways took 0.15 ms
-  // when it went over them.
+  // Over all others, so that a choice does not go over all gateways.
   absl::flat_hash_map<ReplicaId, EngineLoad> others_sum_;
 };
 
--- a/src/coordination/fill_call.h
+++ b/src/coordination/fill_call.h
@@ -2,11 +2,10 @@
 //
 // Load pattern: a call costs a fixed time and a little for each piece, so a
 // stage whose queue is long makes as much as its calls are full. Pieces of one
-// request and stage go together (see `PieceBatcher`), in groups of one to
-// forty. Taken in order until the next group does not fit, calls of a grown
-// site held 47 of 66 pieces while 1,700 waited, and the queue outlived its
-// burst by 20 s. Here a group that does not fit is passed over and smaller ones
-// fill the call.
+// request and stage go together (see `PieceBatcher`). Taken in order until the
+// next group does not fit, calls stay a third empty beside a long queue, which
+// then outlives its burst. Here a group that does not fit is passed over and
+// smaller ones fill the call.
 //
 // Load pattern: each piece of a request reads all results of the stage before,
 // and results that cross failure domains are paid for and lengthen the call.
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -102,13 +102,10 @@
   static constexpr int kMostRestarts = 2;
   // Load pattern: a service of few replicas, each called a few times a second
   // by a hundred gateways. Each gateway kept the connections of its last calls
-  // open; together they filled the replicas, which reset further ones: one
-  // plain request in twelve was lost on a day with many restarts, and those
-  // that must run once could not be tried again. Idle connections of all
-  // gateways together take at most this share of what a replica accepts; the
-  // rest is for calls in progress and for connections that are being closed.
-  // None of 8,600 such requests met a full replica then, at one new connection
-  // of 1 ms for one more request in six.
+  // open; together they filled the replicas, which reset further ones, and
+  // requests that must run once were lost. Idle connections of all gateways
+  // together take at most this share of what a replica accepts; the rest is for
+  // calls in progress and for connections that are being closed.
   static constexpr double kIdleShare = 0.7;
   // How long a request waits for its part of what cold replicas take: one
   // comes free a second after the answer that holds it.
--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -152,6 +152,9 @@
   return owners_.emplace(service, FindOwner(service)).first->second;
 }
 
+// Weights alone leave a service to a small host now and then, for as long as
+// both live; its processor is a queue of its own then, and requests of that
+// stage are late all the while. So small hosts batch for nobody.
 NodeId GatewayPeers::FindOwner(const std::string& service) const {
   double largest = leaving_ ? 0 : self_.cores;
   for (const auto& [node, peer] : peers_) {
@@ -159,7 +162,7 @@
       largest = std::max(largest, peer.cores);
     }
   }
-  const double least = kLargeShare * largest;
+  const double least = kLargeHost * largest;
   const NodeId* owner = &self_.node;
   const bool takes_part = !leaving_ && self_.cores >= least;
   double best = takes_part ? Weight(service, self_.node, self_.cores) : 0;
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -52,12 +52,6 @@
   // not carry pieces to it.
   static constexpr DurationUs kSuspect = 400 * kMillisecond;
   static constexpr DurationUs kAskAgain = (kSilent - kSuspect) / 3;
-  // Hosts with less than this share of the largest live host's processor batch
-  // for nobody. Weights alone leave one service in ninety to one of 15 small
-  // hosts beside 8 large ones, for as long as both live: a host with 0.09 of a
-  // core then made a queue of its own for 1,200 pieces a second, and requests
-  // of that stage were late all day.
-  static constexpr double kLargeShare = 0.5;
   // Longer than a beat may have been on its way.
   static constexpr DurationUs kUnreachable = 300 * kMillisecond;
   // Silent ones are still told, less often: they may return from a cut.
@@ -97,12 +91,10 @@
   // comes as early as the one before promised.
   //
   // Failure: a gateway beats less often without having said so, or hears its
-  // peers less often because they hold it for silent. Symptom: among a hundred
-  // live gateways, hosts with nothing to batch took those that batch for silent
-  // once a second and handed themselves their pieces, and so on in a circle.
-  // Each promise is to one gateway and is kept, so silence means a loss: in ten
-  // seconds of 380 live gateways there were 289,159 false verdicts without it,
-  // none with it.
+  // peers less often because they hold it for silent. Symptom: among many live
+  // gateways, hosts with nothing to batch take those that batch for silent
+  // again and again and hand themselves their pieces, and so on in a circle.
+  // Each promise is to one gateway and is kept, so silence means a loss.
   std::vector<DueBeat> DueBeats(TimeUs now, DurationUs period);
   // Those that must tell at once whether they live.
   std::vector<DueBeat> DueQuestions(TimeUs now);
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/piece_batcher.h
@@ -1,26 +1,23 @@
 // Batches the pieces of all requests into calls to one service's replicas.
 //
-// Load pattern: a call costs a fixed 240 ms and a few milliseconds a piece, and
-// a replica runs one call at a time. Sent one by one, pieces use a tenth of the
-// service; batched by each entry on its own, a fifth, and calls queue behind
-// those of other entries. One batcher that sees every waiting piece fills the
+// Load pattern: a call costs a fixed time and a little for each piece, and a
+// replica runs one call at a time. Sent one by one, or batched by each gateway
+// on its own, pieces fill calls badly, and calls queue behind those of other
+// gateways. One batcher that sees every waiting piece fills the
 // next free replica with the most urgent ones, so that a piece waits for the
-// replica that is free first and not for its entry's own.
+// replica that is free first and not for its gateway's own.
 //
 // Pieces of one request and stage go in one call where one can take them. Split
-// over two, the first half's results hold memory until the second is made;
-// whole, a calm day with bursts earned 0.03 of worth more on the site whose
-// stages are limited by memory (eight seeds).
+// over two, the first half's results hold memory until the second is made.
 //
-// A replica that answers slower than the sheet says is given work only when it
+// A replica that answers slower than configured is given work only when it
 // would still finish before the others could. A call that takes more than
 // `kOverdue` times as long as expected is not waited for alone: its pieces are
 // made again elsewhere, within a budget, and the first result counts.
 //
 // Failure: a replica does its work and its answer is lost. Symptom: it is taken
-// to be at work until the call is given up, 4 s later; with one answer in forty
-// lost, eight of fifteen replicas stood idle for six seconds beside a queue of
-// 1,500 pieces. An overdue call no longer counts as one that keeps its replica
+// to be at work until the call is given up, and stands idle beside a full
+// queue. An overdue call no longer counts as one that keeps its replica
 // busy, so the replica is tried with another call when that is worth it. A
 // replica that does one call at a time and answers the later one has done the
 // earlier: its answer will not come, and its pieces are made again at once.
@@ -104,32 +101,27 @@
   // comes next may still be on time.
   static constexpr double kLateRoom = 0.6;
   // How long a piece waits for a replica in its own failure domain while others
-  // are free: half of the time that its request has to spare, between a fifth
-  // of a call and most of one. Half of the results of 60 KB crossed domains
-  // when all waited for 80 ms only, which cost 0.02 of a calm day's worth.
+  // are free, because its inputs or its result would cross domains: half of the
+  // time that its request has to spare, within these bounds.
   static constexpr DurationUs kNearPatience = 80 * kMillisecond;
   static constexpr DurationUs kMostNearPatience = 300 * kMillisecond;
   // Over which the queue's rate is measured, and the least of it that counts.
   static constexpr DurationUs kRateWindow = 2 * kSecond;
   static constexpr DurationUs kLeastRateWindow = 600 * kMillisecond;
-  // Load pattern: in a burst, results of 60 KB fill the memory of their makers,
-  // a third of the time only because the next stage is at work on them. A call
-  // reads its inputs before its work; after this share of the fixed part of a
-  // call they are let go. Reading takes some 20 ms for a full call. The price:
-  // when a piece of that call fails then, its request's stages begin again, and
-  // one piece in 300 fails on a calm day: of requests with 24 pieces one in
-  // twelve was begun twice. So they are let go only where memory is short.
+  // Load pattern: in a burst, results fill the memory of their makers, some of
+  // them only because the next stage is at work on them. A call reads its
+  // inputs before its work; after this share of the fixed part of a call they
+  // are let go. The price: when a piece of that call fails then, its request's
+  // stages begin again. So they are let go only where memory is short.
   static constexpr double kInputsRead = 0.4;
-  // Load pattern: 700 pieces wait for memory, and each replica that has a
-  // little of it looks at all of them, a hundred times a second. This many
-  // requests or pieces are passed over for one call; what fits none of these is
-  // rare.
+  // Load pattern: many pieces wait for memory, and each replica that has a
+  // little of it looks at all of them, again and again. This many requests or
+  // pieces are passed over for one call.
   static constexpr std::size_t kLookAhead = 64;
   // Calls' worth of pieces among which one call's are chosen: enough that a
   // replica finds a call of its own among four failure domains' pieces.
   static constexpr std::size_t kChoice = 4;
-  // How often waiting pieces and results are looked through for their end; it
-  // is a fiftieth of the shortest time that either has.
+  // How often waiting pieces and results are looked through for their end.
   static constexpr DurationUs kUpkeep = 50 * kMillisecond;
   // Makings of one piece.
   static constexpr std::uint32_t kMostTries = 4;
--- a/src/coordination/plain_choice.cc
+++ b/src/coordination/plain_choice.cc
@@ -24,7 +24,7 @@
     constexpr double kCold = 1.5;
     time *= kCold;
   }
-  // Two links to another failure domain and back; the sheets say 1 to 3 ms.
+  // Two links to another failure domain and back.
   constexpr double kFar = 2.5 * kMillisecond;
   if (replica.domain != domain) {
     time += kFar;
--- a/src/coordination/plain_choice.h
+++ b/src/coordination/plain_choice.h
@@ -1,6 +1,6 @@
 // Chooses the replica of a plain service: the one that would answer first.
 //
-// Load pattern: calls of 15 ms under a goal of 100 ms, from several entries, to
+// Load pattern: short calls under a tight goal, from several gateways, to
 // replicas in several failure domains, some of which turn slow, fail part of
 // their calls or fall silent while their health check is good. Each replica is
 // scored by its recent answer times, by the age of its oldest call in progress
@@ -31,7 +31,7 @@
   // After this an observation counts by 1/e: a tenth of a slow replica's calls
   // are spent on finding out whether it is well again.
   static constexpr DurationUs kForget = 3 * kSecond;
-  // Before the first answer; the sheets' mean service time and two links.
+  // Before the first answer.
   static constexpr DurationUs kUnknown = 20 * kMillisecond;
 
   PlainChoice(const ReplicaDirectory* directory,
--- a/src/coordination/relay_plan.cc
+++ b/src/coordination/relay_plan.cc
@@ -19,7 +19,7 @@
   }
   Ranked ranked;
   for (const GatewayHost& it : domain) {
-    if (it.cores >= RelayPlan::kLargeShare * largest) {
+    if (it.cores >= kLargeHost * largest) {
       ranked.emplace(RendezvousWeight("relay", it.node, it.cores), it.node);
     }
   }
--- a/src/coordination/relay_plan.h
+++ b/src/coordination/relay_plan.h
@@ -1,8 +1,6 @@
 // Which gateways ask the store for its tables, and whom the others ask.
 //
-// Load pattern: the store's calls grow with the gateways that ask it: 103 of
-// them made 120 a second on a calm day, and make 18 with this, starts included.
-// Of each
+// Load pattern: the store's calls grow with the gateways that ask it. Of each
 // failure domain one gateway in `kFollowersARelay` asks it, a large host, by
 // rendezvous hash, so that gateways agree without asking anybody. While two
 // disagree, one more asks the store, or an answer goes one way further.
@@ -23,17 +21,15 @@
   double cores = 1;    // Share of a processor core.
 };
 
+// Hosts with less than this share of the largest processor do no work for
+// others while a larger one lives.
+inline constexpr double kLargeHost = 0.5;
+
 // As one gateway sees it.
 struct RelayPlan {
-  // Gateways of one failure domain that follow one of them, at most. It answers
-  // two questions of each every 600 ms: coding takes 17 microseconds of each at
-  // either end, measured on a busy machine, and sockets some 70; together under
-  // a hundredth of a core.
+  // Gateways of one failure domain that follow one of them, at most: answering
+  // them takes a large host under a hundredth of a core.
   static constexpr std::size_t kFollowersARelay = 24;
-  // Hosts with less than this share of their domain's largest processor are no
-  // relays while a larger one lives.
-  static constexpr double kLargeShare = 0.5;
-
   bool is_relay = true;
   // Whom to ask, best first: the relays of the own domain, then one of each
   // other, in an order of one's own so that the gateways of a lost domain
--- a/src/coordination/table_relay.h
+++ b/src/coordination/table_relay.h
@@ -2,10 +2,9 @@
 // knows of it.
 //
 // Load pattern: a hundred gateways follow two tables of the store. Asking it
-// themselves they make a hundred calls a second on a calm day, a thousand when
-// replicas are replaced, and all read the whole table when the store drops its
-// history. A few that follow the store and pass on what changed make that a
-// few; `TableSource` says who asks whom.
+// themselves they make a call each for every row that changes, and all read the
+// whole table when the store drops its history. A few that follow the store and
+// pass on what changed make that a few; `TableSource` says who asks whom.
 //
 // An answer never says that something is newer than it is: it carries the time
 // between the question's arrival and the moment at which this gateway's own
--- a/src/coordination/table_source.h
+++ b/src/coordination/table_source.h
@@ -49,8 +49,8 @@
   // there is no time to try relays one after the other, and the store is asked
   // beside the next. Sound relays keep it younger.
   static constexpr double kHurryShare = 0.8;
-  // While relays fail, the store is asked this often; half of it is at random.
-  // With a hundred gateways some 50 calls a second.
+  // While relays fail, the store is asked this often; half of it is at random,
+  // so that many gateways do not ask it together.
   static constexpr DurationUs kStoreAgain = 4 * kSecond;
 
   using AnswerFn = std::function<void(TimeUs now, const TableAnswer& answer)>;
