--- a/tests/gateway/cold_limit_test.cc
+++ b/tests/gateway/cold_limit_test.cc
@@ -46,6 +46,7 @@
 
 std::vector<NodeId> Names(int n) {
   std::vector<NodeId> names;
+  names.reserve(static_cast<std::size_t>(n));
   for (int k = 0; k < n; ++k) {
     names.push_back("g" + std::to_string(k));
   }
@@ -139,9 +140,8 @@
   GatewayRig rig;
   rig.AddReplica("e1", "engine", "a", rig.now + 60 * kSecond);
   // Two a second, half more and five: eight, six of them used.
-  std::vector<ExchangeId> ids;
   for (int n = 0; n < 20; ++n) {
-    ids.push_back(rig.Call("stream"));
+    rig.Call("stream");
   }
   EXPECT_EQ(rig.sent.size(), 6U);
   EXPECT_TRUE(rig.refused.empty());
