Let requests wait while the only replicas warm up, too

Cause, found on reading the change: a request waits for its part of cold replicas, but in the second of the slow start after it, one that found no part free was refused at once as full. Unit tests of choices, gateways and cold limits pass; the new one fails without the change (12 sent, 8 refused).

--- a/src/coordination/cold_limit.cc
+++ b/src/coordination/cold_limit.cc
@@ -48,26 +48,26 @@
   return until;
 }
 
-bool ColdLimit::IsCold(TimeUs now, const ReplicaEntry& replica) const {
-  const Limits* limits = LimitsOf(replica);
-  return limits != nullptr && now < ColdUntil(replica, *limits);
-}
-
-bool ColdLimit::Takes(TimeUs now, const ReplicaEntry& replica) {
+bool ColdLimit::IsBounded(TimeUs now, const ReplicaEntry& replica) const {
   const Limits* limits = LimitsOf(replica);
   if (limits == nullptr) {
-    return true;
+    return false;
   }
   const TimeUs until = ColdUntil(replica, *limits);
-  if (until == 0 || now >= until + kWarmUp) {
+  return until > 0 && now < until + kWarmUp;
+}
+
+bool ColdLimit::Takes(TimeUs now, const ReplicaEntry& replica) {
+  if (!IsBounded(now, replica)) {
     return true;
   }
+  const Limits& limits = *LimitsOf(replica);
   Recent& recent = recent_[replica.id];
   while (!recent.arrived.empty() && now - recent.arrived.front() > kWindow) {
     recent.arrived.pop_front();
   }
-  double total = kSpend * limits->bound;
-  for (TimeUs step = until; step <= now; step += kDouble) {
+  double total = kSpend * limits.bound;
+  for (TimeUs step = ColdUntil(replica, limits); step <= now; step += kDouble) {
     total *= 2;
   }
   return recent.on_their_way + recent.arrived.size() <
--- a/src/coordination/cold_limit.h
+++ b/src/coordination/cold_limit.h
@@ -55,8 +55,9 @@
   // know the others well enough to send any.
   void SetGateways(std::vector<NodeId> gateways);
 
-  // Whether the replica stands only so much now, by what is known.
-  bool IsCold(TimeUs now, const ReplicaEntry& replica) const;
+  // Whether the replica takes only so much now: it is cold by what is known, or
+  // was a moment ago.
+  bool IsBounded(TimeUs now, const ReplicaEntry& replica) const;
   bool Takes(TimeUs now, const ReplicaEntry& replica);
 
   void OnSent(const ReplicaEntry& replica);
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -76,7 +76,7 @@
   const auto& replicas = directory->Of(request.service);
   return std::any_of(
       replicas.begin(), replicas.end(), [&](const ReplicaEntry* it) {
-        return cold.IsCold(now, *it) &&
+        return cold.IsBounded(now, *it) &&
                std::find(request.tried.begin(), request.tried.end(), it->id) ==
                    request.tried.end();
       });
--- a/tests/gateway/cold_limit_test.cc
+++ b/tests/gateway/cold_limit_test.cc
@@ -161,6 +161,20 @@
   }
 }
 
+// The only engine warms up, and more requests come than it takes yet. They wait
+// for their turn, as while it was cold.
+TEST(ColdLimitTest, RequestsWaitWhileItWarmsUpToo) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine", "a", rig.now);
+  for (int n = 0; n < 20; ++n) {
+    rig.Call("stream");
+  }
+  EXPECT_EQ(rig.sent.size(), 12U);
+  EXPECT_TRUE(rig.refused.empty());
+  rig.Pass(ColdLimit::kWarmUp);
+  EXPECT_EQ(rig.sent.size(), 20U);
+}
+
 // One replica that is cold again and again, and gateways that come, restart,
 // lose sight of each other and send as fast as they may, over links that take
 // up to 300 ms. No second sees more arrivals than the bound.
