--- a/src/coordination/cold_limit.cc
+++ b/src/coordination/cold_limit.cc
@@ -1,7 +1,6 @@
 #include "coordination/cold_limit.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "coordination/rendezvous.h"
--- a/src/ctl/load_summary.h
+++ b/src/ctl/load_summary.h
@@ -18,7 +18,7 @@
 // Of one route, by how they were admitted and how they ended.
 struct LoadRow {
   std::string route;
-  std::string admitted;  // Empty for those that were refused at once.
+  std::string admitted;  // "?" in logs of gateways that did not tell it.
   std::string outcome;   // "in_time" and "late" stand for whole answers.
   std::size_t requests = 0;
   // Of their time in the gateway, in milliseconds.
