Tell how old the list of replicas was when one was chosen

A request that reaches a replica too late may come from an old list, from an entry that was kept although its row is gone, or from a choice that took long to leave. No line told them apart.

Now: `request` has list_ms (age of the list at the last choice) and connect_ms (from the choice until the request left on a new connection); `replica` and `piece_call` have list_ms; `table_lost` and `table_back` have known_ms; two metrics with their quantiles; `request explain` says them in words. Ruled out: a line for each choice (2,500 a second at the target; the end of a request has one already).

--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway.cc
@@ -123,6 +123,8 @@
               {"replica", request->attempt.replica.id.name},
               {"runs", request->runs},
               {"tried", request->tried.size()},
+              {"list_ms", request->attempt.list_age / kMillisecond},
+              {"connect_ms", request->attempt.connect / kMillisecond},
               {"admitted", Name(request->admission)},
               {"expected_wait_ms", request->expected_wait / kMillisecond},
               {"stages_ms", request->stage_times},
@@ -262,6 +264,15 @@
   }
 }
 
+void Gateway::OnReplicaConnected(CallId id) {
+  if (ServingRequest* request = impl_->ByCall(id)) {
+    Attempt& attempt = request->attempt;
+    attempt.connect = impl_->ports->Now() - attempt.sent_at;
+    impl_->metrics->Observe("acaciachute_gateway_connect_seconds",
+                            request->service, attempt.connect);
+  }
+}
+
 void Gateway::OnReplicaHead(CallId id, ReplicaHead head) {
   if (auto* request = impl_->ByCall(id)) {
     impl_->OnHead(request, std::move(head));
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -138,6 +138,8 @@
   void OnGone(ExchangeId id);
   void OnWritten(ExchangeId id);
 
+  // The request left on a connection that had to be made first.
+  void OnReplicaConnected(CallId id);
   void OnReplicaHead(CallId id, ReplicaHead head);
   void OnReplicaBody(CallId id, std::string_view bytes);
   void OnReplicaEnd(CallId id);
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway_attempt.cc
@@ -64,6 +64,9 @@
   request->attempt = {};
   request->attempt.replica = replica;
   request->attempt.sent_at = now;
+  request->attempt.list_age = directory->Age(now);
+  metrics->Observe("acaciachute_gateway_replica_list_age_seconds",
+                   request->service, request->attempt.list_age);
   request->attempt.call = ports->Send(order);
   by_call[request->attempt.call] = request;
 }
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -26,6 +26,8 @@
   CallId call = 0;  // Zero: none is in progress.
   ReplicaEntry replica;
   TimeUs sent_at = 0;
+  DurationUs list_age = 0;  // Of the replicas, when this one was chosen.
+  DurationUs connect = 0;   // From then until the request left.
   std::optional<ReplicaHead> head;
   std::string body;      // Of a plain answer, until it is whole.
   bool read = false;     // The first event came.
--- a/src/coordination/table_watch.cc
+++ b/src/coordination/table_watch.cc
@@ -72,7 +72,11 @@
     return;
   }
   if (failures_ > 0 && answer.known_after) {
-    log_->Write("table_back", {{"table", table_}, {"failures", failures_}});
+    const TimeUs known_at = asked_at_ + *answer.known_after;
+    log_->Write("table_back", {{"table", table_},
+                               {"failures", failures_},
+                               {"version", answer.version},
+                               {"known_ms", (now - known_at) / kMillisecond}});
     failures_ = 0;
   }
   if (whole_) {
@@ -84,7 +88,8 @@
 
 void TableWatch::TellCurrent(TimeUs asked_at, const TableAnswer& answer) {
   if (answer.known_after) {
-    listener_->OnTableCurrent(table_, asked_at + *answer.known_after);
+    known_at_ = std::max(known_at_, asked_at + *answer.known_after);
+    listener_->OnTableCurrent(table_, known_at_);
   }
 }
 
@@ -104,6 +109,7 @@
   known_ = true;
   const std::vector<TableRow> rows = std::exchange(pages_, {});
   listener_->OnTable(table_, rows);
+  known_at_ = std::max(known_at_, first_known_at_);
   listener_->OnTableCurrent(table_, first_known_at_);
   AskSoon(now, !rows.empty());
 }
@@ -123,7 +129,8 @@
     log_->Write("table_lost", {{"table", table_},
                                {"why", answer.why},
                                {"version", version_},
-                               {"age_ms", (now - asked_at_) / kMillisecond}});
+                               {"age_ms", (now - asked_at_) / kMillisecond},
+                               {"known_ms", (now - known_at_) / kMillisecond}});
   }
   pages_.clear();
   listener_->OnTableLost(table_);
--- a/src/coordination/table_watch.h
+++ b/src/coordination/table_watch.h
@@ -92,6 +92,7 @@
   bool reading_ = false;  // A call is in progress.
   bool whole_ = true;     // It reads the whole table.
   TimeUs asked_at_ = 0;
+  TimeUs known_at_ = 0;        // Up to which the table is known; for logs.
   TimeUs first_known_at_ = 0;  // Of the pages of one reading.
   TimeUs next_at_ = 0;
   std::uint64_t version_ = 0;
--- a/src/ctl/log_explain.cc
+++ b/src/ctl/log_explain.cc
@@ -42,6 +42,14 @@
   return StrCat(TextOf(line, "pieces"), " pieces for ", TextOf(line, "service"),
                 " handed on: ", TextOf(line, "why"));
 }
+// Lines of earlier versions do not tell it.
+std::string ListAge(const Json& line) {
+  if (!line.contains("list_ms")) {
+    return "";
+  }
+  return StrCat("; chosen from a list ", TextOf(line, "list_ms"),
+                " ms old, connected after ", TextOf(line, "connect_ms"), " ms");
+}
 std::string Ended(const Json& line) {
   return StrCat("ended: ", TextOf(line, "outcome"), " (status ",
                 TextOf(line, "status"), ") after ", TextOf(line, "total_ms"),
@@ -50,7 +58,7 @@
                 "] ms, first event at ", TextOf(line, "first_ms"),
                 " ms; replica ", TextOf(line, "replica"), ", ",
                 TextOf(line, "tried"), " asked, ", TextOf(line, "runs"),
-                " runs; configuration ", TextOf(line, "config"));
+                " runs; configuration ", TextOf(line, "config"), ListAge(line));
 }
 
 // The lines that carry a request's id.
@@ -76,7 +84,11 @@
 }
 std::string Replica(const Json& line) {
   return StrCat("replica ", TextOf(line, "replica"), " of ",
-                TextOf(line, "service"), ": ", TextOf(line, "change"));
+                TextOf(line, "service"), ": ", TextOf(line, "change"),
+                line.contains("list_ms")
+                    ? StrCat(", by a list ", TextOf(line, "list_ms"),
+                             " ms old until then")
+                    : std::string());
 }
 std::string Peer(const Json& line) {
   return StrCat("gateway ", TextOf(line, "peer"), ": ", TextOf(line, "state"));
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -335,6 +335,7 @@
                            {"first", call.pieces.front().key.request},
                            {"left_waiting", call.left_waiting},
                            {"held_kb", call.held_bytes >> 10U},
+                           {"list_ms", directory.Age(Now()) / kMillisecond},
                            {"slowness", call.slowness}});
   pieces.Run(call);
 }
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -121,6 +121,7 @@
   }
 
   // CallSink: requests at replicas.
+  void OnConnected(CallId id) override { gateway->OnReplicaConnected(id); }
   void OnAnswerHead(CallId id, const HttpAnswerHead& head) override {
     gateway->OnReplicaHead(id, platform::ReadReplicaHead(head));
   }
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -191,6 +191,7 @@
     gateway->OnConfirmed(known_at);
   } else {
     directory.OnStoreBack(Now());
+    directory.OnCurrent(known_at);
   }
   FollowedTable* followed = Followed(table);
   followed->relay.OnCurrent(known_at, followed->watch.version());
@@ -209,6 +210,7 @@
                         {"life", replica.id.life},
                         {"service", replica.service},
                         {"change", Name(change)},
+                        {"list_ms", directory.Age(Now()) / kMillisecond},
                         {"address", AddressText(replica.address)}});
   gateway->OnReplica(replica, change);
   const bool restarted = change == DirectoryChange::kRestarted;
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -159,6 +159,10 @@
   }
 }
 
+void ReplicaDirectory::OnCurrent(TimeUs known_at) {
+  known_at_ = std::max(known_at_, known_at);
+}
+
 void ReplicaDirectory::OnTick(TimeUs now) {
   if (now >= forget_ended_at_) {
     forget_ended_at_ = now + kSecond;
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -119,6 +119,8 @@
   // The store stopped or began to answer.
   void OnStoreLost() { store_lost_ = true; }
   void OnStoreBack(TimeUs now);
+  // Every row up to what the store held at `known_at` was given.
+  void OnCurrent(TimeUs known_at);
   // Lets go of entries that were kept for the outage; call it every 10 ms.
   void OnTick(TimeUs now);
 
@@ -141,6 +143,10 @@
   const ReplicaEntry* MakerOf(std::string_view handle) const;
   bool TakesWork(const ReplicaId& id) const;
   std::size_t size() const { return entries_.size(); }
+  // How old the list is; negative: nothing was told yet.
+  DurationUs Age(TimeUs now) const {
+    return known_at_ < 0 ? known_at_ : now - known_at_;
+  }
 
  private:
   struct Row {
@@ -194,6 +200,7 @@
   absl::node_hash_map<std::string, ServiceRows> services_;
   // Usually one row an address; see `MakerOf`.
   absl::flat_hash_map<std::string, std::vector<Row*>> by_address_;
+  TimeUs known_at_ = -1;
   bool store_lost_ = false;
   TimeUs keep_until_ = 0;  // Vanished entries, after an outage.
 };
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -120,7 +120,12 @@
     }
   }
 
-  void OnConnected() override { SendPending(); }
+  void OnConnected() override {
+    SendPending();
+    if (sink_ != nullptr) {
+      sink_->OnConnected(id_);
+    }
+  }
 
   void OnBytes(std::string_view bytes) override {
     if (id_ == 0) {
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -41,6 +41,8 @@
 class CallSink {
  public:
   virtual ~CallSink() = default;
+  // The request left on a connection that was made for it.
+  virtual void OnConnected(CallId id) { static_cast<void>(id); }
   virtual void OnAnswerHead(CallId id, const HttpAnswerHead& head) = 0;
   virtual void OnAnswerBody(CallId id, std::string_view bytes) = 0;
   // One of these ends the call, unless it is cancelled.
--- a/tests/log_explain_test.cc
+++ b/tests/log_explain_test.cc
@@ -19,6 +19,8 @@
 {"at_us":5600000,"node":"front-a","event":"refused","id":"aa","reason":"not_current","verdict":"not_run","detail":"keys cannot be checked against the newest configuration","config":7,"config_age_ms":4600}
 {"at_us":5700000,"node":"front-a","event":"lost","id":"bb","replica":"i-1","why":"broken: Connection reset by peer","begun":true}
 {"at_us":5710000,"node":"front-a","event":"request","id":"bb","route":"r","outcome":"upstream_failed","status":502,"replica":"i-1","runs":1,"tried":1,"stages_ms":"0:400","first_ms":520,"total_ms":900,"target_ms":1100,"config":7}
+{"at_us":9000000,"node":"front-a","event":"replica","replica":"i-2","service":"llm","change":"kept_in_outage","list_ms":2628}
+{"at_us":9700000,"node":"front-a","event":"request","id":"dd","route":"r","outcome":"answered","status":200,"replica":"i-2","runs":1,"tried":1,"list_ms":226,"connect_ms":35,"stages_ms":"","first_ms":520,"total_ms":900,"target_ms":1100,"config":7}
 )";
 
 TEST(LogExplainTest, LeadsFromARefusalToTheLostStore) {
@@ -39,6 +41,19 @@
   EXPECT_THAT(found.request[1].text, HasSubstr("stages whole at [0:400]"));
 }
 
+// A request reached a replica that had left: the lines tell an old list from an
+// entry that was kept and from a choice that took long to leave.
+TEST(LogExplainTest, TellsHowOldTheListWasAndHowLongTheRequestTookToLeave) {
+  std::istringstream log(kLog);
+  const LogExplanation found = ExplainFromLog(&log, "dd");
+  ASSERT_EQ(found.request.size(), 1U);
+  EXPECT_THAT(found.request[0].text,
+              HasSubstr("a list 226 ms old, connected after 35 ms"));
+  ASSERT_FALSE(found.around.empty());
+  EXPECT_THAT(found.around.back().text,
+              HasSubstr("kept_in_outage, by a list 2628 ms old"));
+}
+
 TEST(LogExplainTest, SaysWhenNoLineTells) {
   std::istringstream log(kLog);
   EXPECT_FALSE(ExplainFromLog(&log, "cc").found());
