Reproduce late choices of replicas that left, in virtual time

The model lacked calls that were in progress when the store fell silent: they were failed at once, so the relay was left within 70 ms, which is why the fleet's tests never saw it.

No functional change

--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -4,7 +4,8 @@
 //
 // What must hold is checked at every tick of every gateway: its version never
 // goes back, and it holds every row that the store held at the time up to which
-// it claims to know the table.
+// it claims to know the table. Rows whose keys begin with "replica" are in each
+// gateway's list of replicas, too.
 #ifndef ACACIACHUTE_TESTS_GATEWAY_TABLE_NET_H_
 #define ACACIACHUTE_TESTS_GATEWAY_TABLE_NET_H_
 
@@ -20,6 +21,7 @@
 #include "coordination/table_relay.h"
 #include "coordination/table_source.h"
 #include "coordination/table_watch.h"
+#include "state/replica_directory.h"
 #include "tests/gateway/quiet_log.h"
 
 namespace acaciachute {
@@ -45,7 +47,7 @@
     bool unanswered = false;  // Until its timeout.
   };
 
-  struct Node : TableReader, TableRelayOutput, TableListener {
+  struct Node : TableReader, TableRelayOutput, TableListener, DirectoryWatcher {
     Node(TableNet* net_in, std::size_t index_in, GatewayHost host)
         : net(net_in),
           index(index_in),
@@ -64,6 +66,7 @@
       version = 0;
       known_at = -1;
       lost = false;
+      directory = std::make_unique<ReplicaDirectory>(this);
       relay = std::make_unique<TableRelay>("t", this);
       const DurationUs stale =
           2 * net->wait_ + kStoreTimeout + 50 * kMillisecond;
@@ -91,28 +94,50 @@
     void OnTable(const std::string&,
                  const std::vector<TableRow>& list) override {
       rows.clear();
+      std::vector<ReplicaEntry> replicas;
       for (const TableRow& it : list) {
         rows[it.key] = it.value;
+        if (IsReplica(it)) {
+          replicas.push_back(EntryOf(it));
+        }
       }
+      directory->Replace(net->now_, replicas, {});
       relay->OnTable(list, watch->version());
     }
     void OnRow(const std::string&, const TableRow& row) override {
       if (row.removed) {
         rows.erase(row.key);
+        directory->Remove(net->now_, row.key);
       } else {
         rows[row.key] = row.value;
+        if (IsReplica(row)) {
+          directory->Put(EntryOf(row));
+        }
       }
       relay->OnRow(row);
     }
     void OnTableCurrent(const std::string&, TimeUs at) override {
       known_at = std::max(known_at, at);
       lost = false;
+      directory->OnStoreBack(net->now_);
       relay->OnCurrent(at, watch->version());
     }
     void OnTableLost(const std::string&) override {
       lost = true;
+      directory->OnStoreLost();
       relay->OnLost();
     }
+    void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
+
+    static bool IsReplica(const TableRow& row) {
+      return row.key.starts_with("replica");
+    }
+    static ReplicaEntry EntryOf(const TableRow& row) {
+      ReplicaEntry entry;
+      entry.id = row.key;
+      entry.service = "s";
+      return entry;
+    }
 
     TableNet* const net;
     const std::size_t index;
@@ -123,6 +148,7 @@
     Random random;
     Metrics metrics;
     GatewayPeers peers;
+    std::unique_ptr<ReplicaDirectory> directory;
     std::unique_ptr<TableRelay> relay;
     std::unique_ptr<TableSource> source;
     std::unique_ptr<TableWatch> watch;
@@ -165,6 +191,18 @@
     }
   }
 
+  // The gateway loses the store without a word: what it asked before is not
+  // answered either.
+  void Silence(std::size_t n) {
+    nodes_[n]->mood = Mood::kSilent;
+    for (Call& it : calls_open_) {
+      if (it.from == n && !it.unanswered) {
+        it.unanswered = true;
+        it.until += kStoreTimeout;
+      }
+    }
+  }
+
   void Write(const std::string& key, const std::string& value) {
     rows_[key] = {key, value, ++version_, false};
     past_[key].emplace_back(now_, value);
@@ -352,6 +390,7 @@
         it->source->OnTick(now_);
         it->relay->OnTick(now_);
         it->watch->OnTick(now_);
+        it->directory->OnTick(now_);
         Check(it.get());
       }
     }
