Take only a question that the store left unanswered for an outage

Callers saw whole answers, but requests reached replicas up to 3.9 s after the store had acknowledged their removal (bound 3 s).

Cause: any failure of a gateway's source counted as an outage of the store, also when the relay that it asked lost the store and said so. In an outage entries that vanish are kept until two seconds after the return, so that lapsed entries of living replicas do not empty the list; here they belonged to replicas that had left, and the gateway had reached the store all the while.

In virtual time a removed replica was chosen for 3.95 s.

Now a failure reaches the watch only when the store itself did not answer this gateway; relays that fail are passed over, then the store is asked. Vanished entries are kept no longer than a settable time counted from the question that the store left unanswered, so a host that was cut off lets go of them before it counts as one in touch. Why it works: a gateway in touch gets its answer from the store, so it never keeps a vanished entry.

A directory test says now that the store was asked in vain again before it came back, as it is: the time counts from there. Tried first: passing the relay's word on as any failure; all knew 1.2 s after an outage in place of 1 s (AllKnowSoonAfterAnOutage).

--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -54,6 +54,10 @@
          kHurryShare * static_cast<double>(stale_);
 }
 
+bool TableSource::MayAskStore(TimeUs now) const {
+  return !store_failed_ || now >= store_next_at_;
+}
+
 bool TableSource::AsksStoreFirst() const {
   return peers_->relay_plan().others.empty() || peers_->relay_plan().is_relay;
 }
@@ -65,8 +69,7 @@
   question_ = std::move(question);
   peer_call_ = {};
   const bool later_page = !question_.from.empty();
-  const bool store_helps =
-      RelaysFail() && (!store_failed_ || now >= store_next_at_);
+  const bool store_helps = RelaysFail() && MayAskStore(now);
   if (later_page || AsksStoreFirst() || store_helps) {
     AskStore(now);
   }
@@ -143,7 +146,7 @@
 void TableSource::OnStoreAnswer(TimeUs now, TableAnswer answer) {
   const StoreCall call = std::exchange(store_call_, {});
   if (answer.kind == TableAnswer::Kind::kFailed) {
-    OnStoreFailed(now, answer);
+    OnStoreFailed(now, call.question.asked_at, answer);
     return;
   }
   store_failed_ = false;
@@ -163,8 +166,11 @@
   }
 }
 
-void TableSource::OnStoreFailed(TimeUs now, const TableAnswer& answer) {
+void TableSource::OnStoreFailed(TimeUs now,
+                                TimeUs asked_at,
+                                const TableAnswer& answer) {
   store_failed_ = true;
+  store_failed_at_ = asked_at;
   why_ = answer.why;
   if (question_.open && peer_call_.peer.empty()) {
     Fail(now, answer);
@@ -198,10 +204,17 @@
   why_ = answer.why;
   ++peer_failures_;
   peer_call_ = {};
-  if (store_call_.open) {
-    AskPeer(now);  // Which holds the question until the store is back.
-  } else {
+  if (RelaysFail() && MayAskStore(now)) {
+    AskStore(now);
+  }
+  const bool store_is_lost = store_failed_ && !store_call_.open;
+  if (store_is_lost && !MayAskStore(now)) {
     Fail(now, answer);
+    return;
+  }
+  AskPeer(now);  // Which may hold the question until the store is back.
+  if (peer_call_.peer.empty()) {
+    AskStore(now);
   }
 }
 
@@ -239,14 +252,15 @@
   why_ = why;
   peer_call_ = {};
   ++peer_failures_;
-  const bool store_helps = (RelaysFail() || Hurries(now)) &&
-                           (!store_failed_ || now >= store_next_at_);
-  if (store_helps) {
+  if ((RelaysFail() || Hurries(now)) && MayAskStore(now)) {
     AskStore(now);
   }
   if (!RelaysFail()) {
     AskPeer(now);
   }
+  if (peer_call_.peer.empty() && !store_call_.open && MayAskStore(now)) {
+    AskStore(now);
+  }
   if (!peer_call_.peer.empty() || store_call_.open) {
     return;
   }
--- a/src/coordination/table_source.h
+++ b/src/coordination/table_source.h
@@ -67,7 +67,9 @@
               EventLog* log,
               AnswerFn on_answer);
 
-  // TableReader. One answer follows each, through `on_answer`.
+  // TableReader. One answer follows each, through `on_answer`. It is a failure
+  // only when the store itself did not answer this gateway: a relay that lost
+  // the store says nothing of the store.
   void ReadRows(TimeUs now,
                 const std::string& table,
                 const std::string& from) override;
@@ -83,6 +85,10 @@
   // Ends what takes too long; call it every 10 ms.
   void OnTick(TimeUs now);
 
+  // When the question that the store last failed to answer was sent; negative:
+  // it never failed.
+  TimeUs store_failed_at() const { return store_failed_at_; }
+
  private:
   struct Question {
     bool open = false;
@@ -111,9 +117,11 @@
   NodeId Choose(TimeUs now);
   bool AsksStoreFirst() const;
   bool RelaysFail() const;
+  // While the store does not answer, it is asked now and then.
+  bool MayAskStore(TimeUs now) const;
   // Whether what is known is so old that there is no time to wait.
   bool Hurries(TimeUs now) const;
-  void OnStoreFailed(TimeUs now, const TableAnswer& answer);
+  void OnStoreFailed(TimeUs now, TimeUs asked_at, const TableAnswer& answer);
   void OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer);
   void OnPeerAnswer(TimeUs now, TableAnswer answer);
   void OnPeerFailed(TimeUs now, std::string_view why);
@@ -138,7 +146,8 @@
   TimeUs known_at_ = -1;       // The last answer's; negative: none.
   std::uint64_t version_ = 0;  // The highest that was answered.
   bool store_failed_ = false;
-  int peer_failures_ = 0;  // In a row.
+  TimeUs store_failed_at_ = -1;  // When the last one that failed was asked.
+  int peer_failures_ = 0;        // In a row.
   TimeUs store_next_at_ = 0;
   std::map<NodeId, TimeUs> shunned_until_;
   std::string told_source_;  // Who was asked last, as the log has it.
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -198,9 +198,10 @@
 }
 
 void GatewayNode::Impl::OnTableLost(const std::string& table) {
-  Followed(table)->relay.OnLost();
+  FollowedTable* followed = Followed(table);
+  followed->relay.OnLost();
   if (table == platform::kReplicaTable) {
-    directory.OnStoreLost();
+    directory.OnStoreLost(followed->source.store_failed_at());
   }
 }
 
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -152,10 +152,18 @@
   }
 }
 
+void ReplicaDirectory::OnStoreLost(TimeUs asked_at) {
+  store_lost_ = true;
+  store_lost_at_ = std::max(store_lost_at_, asked_at);
+}
+
+// Whether the store was away or just this host cut off is not known. A host
+// that was cut off must have let go of what left before it counts as one that
+// reaches the store.
 void ReplicaDirectory::OnStoreBack(TimeUs now) {
   if (store_lost_) {
     store_lost_ = false;
-    keep_until_ = now + kBackWithin;
+    keep_until_ = std::min(now + kBackWithin, store_lost_at_ + most_kept_);
   }
 }
 
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -6,7 +6,9 @@
 // during an outage or just after it stays in use until `kBackWithin` after the
 // return; a replica that lives has written its entry again by then, and one
 // that has not is gone. An entry that says that its replica leaves is believed
-// at once, in an outage too.
+// at once, in an outage too. Only a question that the store did not answer this
+// host is an outage: otherwise an entry that vanishes is one of a replica that
+// left.
 //
 // Failure: a replica starts again under its name. Symptom: it never gets work
 // again because its life before had left, or requests wait for results, prompt
@@ -116,9 +118,13 @@
   void Replace(TimeUs now,
                const std::vector<ReplicaEntry>& entries,
                const std::vector<std::string>& unreadable);
-  // The store stopped or began to answer.
-  void OnStoreLost() { store_lost_ = true; }
+  // The store did not answer what it was asked at `asked_at`, or it answers
+  // again.
+  void OnStoreLost(TimeUs asked_at);
   void OnStoreBack(TimeUs now);
+  // See `kBackWithin`; the time counts from when the store was last asked in
+  // vain.
+  void SetMostKept(DurationUs most_kept) { most_kept_ = most_kept; }
   // Every row up to what the store held at `known_at` was given.
   void OnCurrent(TimeUs known_at);
   // Lets go of entries that were kept for the outage; call it every 10 ms.
@@ -202,6 +208,8 @@
   absl::flat_hash_map<std::string, std::vector<Row*>> by_address_;
   TimeUs known_at_ = -1;
   bool store_lost_ = false;
+  TimeUs store_lost_at_ = 0;  // Asked in vain then.
+  DurationUs most_kept_ = kBackWithin;
   TimeUs keep_until_ = 0;  // Vanished entries, after an outage.
 };
 
--- a/tests/gateway/replica_directory_model_test.cc
+++ b/tests/gateway/replica_directory_model_test.cc
@@ -179,7 +179,7 @@
         directory.PutUnreadable(entry.id.name);
         break;
       case 2:
-        directory.OnStoreLost();
+        directory.OnStoreLost(now);
         break;
       case 3:
         directory.OnStoreBack(now);
--- a/tests/gateway/replica_directory_test.cc
+++ b/tests/gateway/replica_directory_test.cc
@@ -39,8 +39,9 @@
   TimeUs now = 100 * kSecond;
   rig.directory.Put(DirectoryRig::Entry("alive"));
   rig.directory.Put(DirectoryRig::Entry("dead"));
-  rig.directory.OnStoreLost();
+  rig.directory.OnStoreLost(now);
   now += 10 * kSecond;
+  rig.directory.OnStoreLost(now);
   rig.directory.OnStoreBack(now);
   rig.directory.Replace(now, {}, {});
   EXPECT_EQ(rig.directory.Of("s").size(), 2U);
@@ -51,12 +52,29 @@
   EXPECT_EQ(rig.directory.Of("s")[0]->id, "alive");
 }
 
+// Guards against: a host that was cut off goes on with replicas that left, also
+// when it has reached the store for so long that it must know of them.
+TEST(ReplicaDirectoryTest, KeepsVanishedEntriesNoLongerThanTheOutageMayMatter) {
+  DirectoryRig rig;
+  TimeUs now = 100 * kSecond;
+  rig.directory.SetMostKept(3 * kSecond);
+  rig.directory.Put(DirectoryRig::Entry("r"));
+  rig.directory.OnStoreLost(now);
+  now += 2500 * kMillisecond;
+  rig.directory.OnStoreBack(now);
+  rig.directory.Remove(now, "r");
+  EXPECT_EQ(rig.directory.Of("s").size(), 1U);
+  now += 500 * kMillisecond;
+  rig.directory.OnTick(now);
+  EXPECT_TRUE(rig.directory.Of("s").empty());
+}
+
 // A replica that said that it leaves gets nothing new, in an outage too, and an
 // older row that is read late does not take that back.
 TEST(ReplicaDirectoryTest, BelievesThatAReplicaLeavesForGood) {
   DirectoryRig rig;
   rig.directory.Put(DirectoryRig::Entry("r"));
-  rig.directory.OnStoreLost();
+  rig.directory.OnStoreLost(100 * kSecond);
   rig.directory.Put(DirectoryRig::Entry("r", true));
   rig.directory.Put(DirectoryRig::Entry("r", false));
   EXPECT_TRUE(rig.directory.Of("s").empty());
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -33,6 +33,8 @@
   static constexpr DurationUs kStoreTimeout = 700 * kMillisecond;
   static constexpr DurationUs kStale =
       2 * kWait + kStoreTimeout + 50 * kMillisecond;
+  // A host that has reached the store for as long must keep the bounds.
+  static constexpr DurationUs kContact = 4 * kSecond;
   static constexpr DurationUs kBeatEvery = 100 * kMillisecond;
 
   // How the store meets a gateway.
@@ -67,6 +69,7 @@
       known_at = -1;
       lost = false;
       directory = std::make_unique<ReplicaDirectory>(this);
+      directory->SetMostKept(kContact);
       relay = std::make_unique<TableRelay>("t", this);
       const DurationUs stale =
           2 * net->wait_ + kStoreTimeout + 50 * kMillisecond;
@@ -124,7 +127,7 @@
     }
     void OnTableLost(const std::string&) override {
       lost = true;
-      directory->OnStoreLost();
+      directory->OnStoreLost(source->store_failed_at());
       relay->OnLost();
     }
     void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -160,6 +160,29 @@
   EXPECT_NE(rig.asked.back(), "a");
 }
 
+// Guards against: replicas whose rows are gone are kept as in an outage,
+// because the gateway that is asked lost the store. Nothing failed while the
+// store has not been asked in vain.
+TEST(TableSourceTest, ARelayThatLostTheStoreIsNoOutage) {
+  SourceRig rig;
+  rig.Learn(5);
+  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+  TableAnswer lost;
+  lost.kind = TableAnswer::Kind::kStoreLost;
+  rig.Reply(lost);
+  EXPECT_TRUE(rig.got.empty());
+  EXPECT_NE(rig.asked.back(), "a");
+  rig.Reply(lost);
+  rig.Reply(lost);
+  EXPECT_TRUE(rig.got.empty());
+  EXPECT_EQ(rig.store_asked, 1);
+  rig.source.OnStoreAnswer(rig.now, {});
+  rig.Reply(lost);
+  ASSERT_EQ(rig.got.size(), 1U);
+  EXPECT_EQ(rig.got[0].kind, TableAnswer::Kind::kStoreLost);
+  EXPECT_EQ(rig.source.store_failed_at(), rig.now);
+}
+
 // All relays fail: the store itself is asked, and then not more than every few
 // seconds while it does not answer either.
 TEST(TableSourceTest, AsksTheStoreWhenRelaysFail) {
