Bound the age of what a gateway knows of the store's tables

Callers saw whole answers, but requests reached replicas that had left up to 2.6 s before from a list that old, plus the way to the replica; lists were up to 3.96 s old at gateways that reached the store (bound 3 s on that deployment, 2 s on two others).

Cause: a gateway learnt through another one that had lost the store, and each wait on the way was added to the next: 1,500 ms held by the store, 700 until that is given up, 600 held by the relay, 350 for its answer, 150 to settle. The relay was left for old knowledge only at 3.75 s, and no setting of the bounds was read.

Now the waits stand in FreshnessPlan, as shares of the settings' bounds (drain for the replicas; the least of configuration, evacuation and revocation for the operator's table). What is known has an age, whoever told it; at half the bound the gateway asks the store itself, in place of a question that the store still holds. The sum (half, a look, a fifth for the store's answer, 0.24 for the way) is below the bound at any value, and bounds that no plan can keep are refused by name. A connection that is made after its time is given up, not used.

AllKnowSoonAfterAnOutage asks now also that a row written at the return is held by all, and allows the ticks that messages take: ages count from questions, and were 40 ms above the time since the return. Ruled out: shorter waits alone (1.9 calls a second and relay broke FewAskTheStore); refusing requests at an age (an outage would stop all).

--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 TableSource::TableSource(std::string table,
-                         DurationUs stale,
+                         const FreshnessPlan* plan,
                          const GatewayPeers* peers,
                          TableReader* store,
                          TableRelayOutput* output,
@@ -23,7 +23,7 @@
                          EventLog* log,
                          AnswerFn on_answer)
     : table_(std::move(table)),
-      stale_(stale),
+      plan_(plan),
       peers_(peers),
       store_(store),
       output_(output),
@@ -49,9 +49,23 @@
   return peer_failures_ >= kFailuresUntilStore;
 }
 
-bool TableSource::Hurries(TimeUs now) const {
-  return static_cast<double>(now - known_at_) >
-         kHurryShare * static_cast<double>(stale_);
+bool TableSource::IsOld(TimeUs now) const {
+  return now - known_at_ >= plan_->ask_store;
+}
+
+void TableSource::AskStoreWhenOld(TimeUs now) {
+  const bool held = store_call_.open && store_call_.question.wait > 0;
+  if (!question_.open || known_at_ < 0 || !IsOld(now) || !MayAskStore(now) ||
+      (store_call_.open && !held)) {
+    return;
+  }
+  metrics_->Count("acaciachute_gateway_table_old_total", table_);
+  log_->Write("table_old", {{"table", table_},
+                            {"known_ms", (now - known_at_) / kMillisecond},
+                            {"version", version_},
+                            {"relay", peer_call_.peer}});
+  store_call_ = {};  // The store forgets it when it is asked anew.
+  AskStore(now);
 }
 
 bool TableSource::MayAskStore(TimeUs now) const {
@@ -72,6 +86,8 @@
   const bool store_helps = RelaysFail() && MayAskStore(now);
   if (later_page || AsksStoreFirst() || store_helps) {
     AskStore(now);
+  } else {
+    AskStoreWhenOld(now);
   }
   const bool peer_helps = !AsksStoreFirst() || store_failed_;
   if (!later_page && peer_helps) {
@@ -86,10 +102,16 @@
   if (store_call_.open) {
     return;  // Its answer, or its timeout, comes first.
   }
-  store_next_at_ = now + kStoreAgain / 2 +
-                   static_cast<DurationUs>(random_->Below(kStoreAgain / 2));
+  // Half of it at random, so that many gateways do not ask it together.
+  const DurationUs half = plan_->store_again / 2;
+  store_next_at_ =
+      now + half +
+      static_cast<DurationUs>(random_->Below(static_cast<std::uint64_t>(half)));
   store_call_ = {true, question_};
   store_call_.question.asked_at = now;
+  if (IsOld(now)) {
+    store_call_.question.wait = 0;
+  }
   metrics_->Count("acaciachute_gateway_table_questions_total", kStore);
   if (peer_call_.peer.empty()) {
     TellSource(now, std::string(kStore), why_);
@@ -98,7 +120,7 @@
     store_->ReadRows(now, table_, question_.from);
   } else {
     store_->ReadChanges(now, table_, question_.after,
-                        Hurries(now) ? 0 : question_.wait);
+                        store_call_.question.wait);
   }
 }
 
@@ -150,6 +172,11 @@
     return;
   }
   store_failed_ = false;
+  if (answer.store_time && answer.known_after) {
+    const TimeUs asked_at = call.question.asked_at;
+    answer.known_after =
+        store_clock_.LocalTimeOf(*answer.store_time, asked_at, now) - asked_at;
+  }
   if (answer.kind == TableAnswer::Kind::kHistoryGone) {
     answer.known_after.reset();
     answer.version = question_.after;
@@ -230,7 +257,8 @@
   const TimeUs asked_at = peer_call_.asked_at;
   const TimeUs known_at =
       answer.known_after ? asked_at + *answer.known_after : known_at_;
-  if (known_at_ >= 0 && now - std::max(known_at, known_at_) > stale_) {
+  if (known_at_ >= 0 &&
+      now - std::max(known_at, known_at_) >= plan_->ask_store) {
     OnPeerFailed(now, "what it knows is old");
     return;
   }
@@ -252,7 +280,7 @@
   why_ = why;
   peer_call_ = {};
   ++peer_failures_;
-  if ((RelaysFail() || Hurries(now)) && MayAskStore(now)) {
+  if ((RelaysFail() || IsOld(now)) && MayAskStore(now)) {
     AskStore(now);
   }
   if (!RelaysFail()) {
@@ -280,6 +308,7 @@
       now - peer_call_.asked_at > TableRelay::kMostHeld + kReplyTime) {
     OnPeerFailed(now, "no answer in time");
   }
+  AskStoreWhenOld(now);
 }
 
 void TableSource::Finish(TimeUs now, TimeUs asked_at, TableAnswer answer) {
--- a/src/coordination/table_source.h
+++ b/src/coordination/table_source.h
@@ -10,8 +10,9 @@
 // Failure: the gateway that is asked dies, freezes, is cut off, lags behind, or
 // is turned away by the store. Symptom: those that follow it go on under a
 // configuration that was replaced, or refuse all requests with keys once the
-// bound on their age is over. Each of these is noticed within a second, while
-// what is known is young enough for two more tries.
+// bound on their age is over. Most of these are noticed within a second. None
+// need be: when what is known is as old as `FreshnessPlan` allows, the store
+// itself is asked.
 #ifndef ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
 #define ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
 
@@ -22,7 +23,9 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/freshness_plan.h"
 #include "coordination/gateway_peers.h"
+#include "coordination/remote_clock.h"
 #include "coordination/table_relay.h"
 #include "coordination/table_watch.h"
 #include "messages.h"
@@ -45,20 +48,10 @@
   static constexpr DurationUs kShunWithoutStore = kSecond;
   // Relays that fail one after the other until the store itself is asked.
   static constexpr int kFailuresUntilStore = 3;
-  // Of the stale age: when a relay fails and what is known is as old as this,
-  // there is no time to try relays one after the other, and the store is asked
-  // beside the next. Sound relays keep it younger.
-  static constexpr double kHurryShare = 0.8;
-  // While relays fail, the store is asked this often; half of it is at random,
-  // so that many gateways do not ask it together.
-  static constexpr DurationUs kStoreAgain = 4 * kSecond;
-
   using AnswerFn = std::function<void(TimeUs now, const TableAnswer& answer)>;
 
-  // `stale` is the age at which a relay's knowledge is too old: more than two
-  // of the waits with which the store is asked.
   TableSource(std::string table,
-              DurationUs stale,
+              const FreshnessPlan* plan,
               const GatewayPeers* peers,
               TableReader* store,
               TableRelayOutput* output,
@@ -119,8 +112,9 @@
   bool RelaysFail() const;
   // While the store does not answer, it is asked now and then.
   bool MayAskStore(TimeUs now) const;
-  // Whether what is known is so old that there is no time to wait.
-  bool Hurries(TimeUs now) const;
+  // Whether the store itself has to be asked, because what is known is old.
+  bool IsOld(TimeUs now) const;
+  void AskStoreWhenOld(TimeUs now);
   void OnStoreFailed(TimeUs now, TimeUs asked_at, const TableAnswer& answer);
   void OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer);
   void OnPeerAnswer(TimeUs now, TableAnswer answer);
@@ -130,7 +124,7 @@
   void TellSource(TimeUs now, const std::string& source, std::string_view why);
 
   const std::string table_;
-  const DurationUs stale_;
+  const FreshnessPlan* const plan_;
   const GatewayPeers* const peers_;
   TableReader* const store_;
   TableRelayOutput* const output_;
@@ -142,6 +136,7 @@
   Question question_;
   StoreCall store_call_;
   PeerCall peer_call_;
+  RemoteClock store_clock_;
   std::uint64_t next_sequence_ = 0;
   TimeUs known_at_ = -1;       // The last answer's; negative: none.
   std::uint64_t version_ = 0;  // The highest that was answered.
--- a/src/coordination/table_watch.cc
+++ b/src/coordination/table_watch.cc
@@ -6,13 +6,13 @@
 namespace acaciachute {
 
 TableWatch::TableWatch(std::string table,
-                       DurationUs wait,
+                       const FreshnessPlan* plan,
                        TableReader* reader,
                        TableListener* listener,
                        Random* random,
                        EventLog* log)
     : table_(std::move(table)),
-      wait_(wait),
+      plan_(plan),
       reader_(reader),
       listener_(listener),
       random_(random),
@@ -31,7 +31,8 @@
     // After a failure what is known is old: the answer must not wait for news.
     // Held for its usual time, it came two seconds late, and requests whose
     // keys could not be checked were refused meanwhile.
-    reader_->ReadChanges(now, table_, version_, failures_ > 0 ? 0 : wait_);
+    reader_->ReadChanges(now, table_, version_,
+                         failures_ > 0 ? 0 : plan_->store_wait);
     return;
   }
   // The first key after the last that was read: a zero byte is the least
@@ -42,7 +43,7 @@
 
 void TableWatch::AskSoon(TimeUs now, bool news) {
   if (news) {
-    next_at_ = now + kSettle;
+    next_at_ = now + plan_->settle;
   } else {
     Ask(now);
   }
--- a/src/coordination/table_watch.h
+++ b/src/coordination/table_watch.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/freshness_plan.h"
 #include "state/event_log.h"
 #include "state/random.h"
 #include "state/table_rows.h"
@@ -25,6 +26,7 @@
  public:
   virtual ~TableReader() = default;
   // One answer follows each, through `TableWatch::OnAnswer`, also on a timeout.
+  // A question for a table takes the place of one that was not answered yet.
   virtual void ReadRows(TimeUs now,
                         const std::string& table,
                         const std::string& from) = 0;
@@ -52,13 +54,8 @@
   static constexpr DurationUs kRetry = 60 * kMillisecond;
   static constexpr DurationUs kMostRetry = 500 * kMillisecond;
 
-  // After news. Rows that change one after the other, as when all replicas of a
-  // deployment start, then come in one answer instead of one call each.
-  static constexpr DurationUs kSettle = 150 * kMillisecond;
-
-  // `wait` is how long the store holds a question without news.
   TableWatch(std::string table,
-             DurationUs wait,
+             const FreshnessPlan* plan,
              TableReader* reader,
              TableListener* listener,
              Random* random,
@@ -83,7 +80,7 @@
   void TellCurrent(TimeUs asked_at, const TableAnswer& answer);
 
   const std::string table_;
-  const DurationUs wait_;
+  const FreshnessPlan* const plan_;
   TableReader* const reader_;
   TableListener* const listener_;
   Random* const random_;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -13,6 +14,9 @@
 namespace acaciachute {
 namespace {
 
+// A sound replica accepts within a few ms; beyond this another one answers
+// sooner.
+constexpr DurationUs kConnect = 200 * kMillisecond;
 constexpr DurationUs kTick = 10 * kMillisecond;
 constexpr DurationUs kSettingsCheck = kSecond;
 // The balancer asks once a second and takes a host out after two misses.
@@ -40,13 +44,24 @@
 // with keys as soon as the last answer is too old, which counts from when it
 // was asked for. The shorter the questions wait, the longer callers are served.
 constexpr double kConfigurationWaitShare = 0.1;
-// A connection that falls silent is noticed after this and an answer's time,
-// within the time that the platform allows for news of replicas.
-constexpr DurationUs kReplicasWait = 1500 * kMillisecond;
 
-DurationUs ConfigurationWait(const HostSettings& settings) {
-  return static_cast<DurationUs>(kConfigurationWaitShare *
-                                 static_cast<double>(settings.key_revocation));
+// The operator's table has the configuration and the orders to empty failure
+// domains.
+FreshnessPlan PlanConfiguration(const HostSettings& settings) {
+  const FreshnessBounds& bounds = settings.freshness;
+  FreshnessPlan plan =
+      PlanFreshness(std::min({bounds.config_apply, bounds.evacuation,
+                              settings.key_revocation}),
+                    bounds.contact);
+  plan.store_wait = std::min(
+      plan.store_wait,
+      static_cast<DurationUs>(kConfigurationWaitShare *
+                              static_cast<double>(settings.key_revocation)));
+  return plan;
+}
+
+FreshnessPlan PlanReplicas(const HostSettings& settings) {
+  return PlanFreshness(settings.freshness.drain, settings.freshness.contact);
 }
 
 GatewayOptions OptionsOf(const HostSettings& settings) {
@@ -99,7 +114,7 @@
               OnStoreAnswer(table, answer);
             }),
       configuration(platform::kOperatorTable,
-                    ConfigurationWait(settings),
+                    PlanConfiguration(settings),
                     &peers,
                     &store,
                     this,
@@ -108,7 +123,7 @@
                     &metrics,
                     &log),
       replicas(platform::kReplicaTable,
-               kReplicasWait,
+               PlanReplicas(settings),
                &peers,
                &store,
                this,
@@ -118,6 +133,15 @@
                &log) {
   gateway = std::make_unique<Gateway>(OptionsOf(settings), this, &desk,
                                       &directory, &random, &metrics, &log);
+  ApplyBounds();
+}
+
+void GatewayNode::Impl::ApplyBounds() {
+  configuration.plan = PlanConfiguration(settings);
+  replicas.plan = PlanReplicas(settings);
+  // What was chosen last must be there when this host counts as in touch.
+  directory.SetMostKept(settings.freshness.contact - replicas.plan.act);
+  pieces.SetMostConnect(replicas.plan.Connect());
 }
 
 absl::Status GatewayNode::Impl::Start() {
@@ -202,18 +226,23 @@
   }
   const GatewayOptions before = OptionsOf(settings);
   const GatewayOptions after = OptionsOf(*fresh);
-  if (after == before) {
+  if (after == before && fresh->freshness == settings.freshness) {
     return;
   }
   log.Write("settings", {{"key_age_ms", after.key_age / kMillisecond},
                          {"retry_ratio", after.budget.ratio},
                          {"retry_slack", after.budget.slack},
                          {"cold_over", after.cold.over},
-                         {"cold_slack", after.cold.slack}});
+                         {"cold_slack", after.cold.slack},
+                         {"drain_ms", fresh->freshness.drain / kMillisecond},
+                         {"config_apply_ms",
+                          fresh->freshness.config_apply / kMillisecond}});
   settings.key_revocation = fresh->key_revocation;
   settings.retries = fresh->retries;
   settings.cold = fresh->cold;
   settings.replica_beat = fresh->replica_beat;
+  settings.freshness = fresh->freshness;
+  ApplyBounds();
   gateway->SetOptions(after);
 }
 
@@ -287,9 +316,7 @@
   if (!order.may_repeat) {
     options.most_idle = kFresh;
   }
-  // A sound replica accepts within a few ms; beyond this another one answers
-  // sooner.
-  options.connect = 200 * kMillisecond;
+  options.connect = std::min(kConnect, replicas.plan.Connect());
   options.most_kept = order.most_idle_connections;
   return channels.Start(order.address, platform::WriteSendOrder(order), options,
                         this);
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -36,9 +36,8 @@
 
 // One table of the store, as this gateway follows it and passes it on.
 struct FollowedTable {
-  // `wait` is how long the store holds a question without news.
   FollowedTable(const std::string& table,
-                DurationUs wait,
+                const FreshnessPlan& plan_in,
                 const GatewayPeers* peers,
                 TableReader* store,
                 TableRelayOutput* output,
@@ -47,6 +46,7 @@
                 Metrics* metrics,
                 EventLog* log);
 
+  FreshnessPlan plan;
   TableRelay relay;
   TableSource source;
   TableWatch watch;
@@ -67,6 +67,8 @@
   absl::Status Start();
   void Drain();
   void Reload();
+  // How old what is known may get, and how long a choice holds.
+  void ApplyBounds();
   void Tick();
   void CheckDrained();
 
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -7,18 +7,8 @@
 #include "daemon/gateway_node_impl.h"
 
 namespace acaciachute {
-namespace {
-
-// Older than a gateway that reaches the store ever gets: it was asked twice,
-// the second time in vain.
-constexpr DurationUs StaleAge(DurationUs wait) {
-  return 2 * wait + platform::StoreClient::kTimeout + 50 * kMillisecond;
-}
-
-}  // namespace
-
 FollowedTable::FollowedTable(const std::string& table,
-                             DurationUs wait,
+                             const FreshnessPlan& plan_in,
                              const GatewayPeers* peers,
                              TableReader* store,
                              TableRelayOutput* output,
@@ -26,9 +16,10 @@
                              Random* random,
                              Metrics* metrics,
                              EventLog* log)
-    : relay(table, output),
+    : plan(plan_in),
+      relay(table, output),
       source(table,
-             StaleAge(wait),
+             &plan,
              peers,
              store,
              output,
@@ -38,7 +29,7 @@
              [this](TimeUs now, const TableAnswer& answer) {
                watch.OnAnswer(now, answer);
              }),
-      watch(table, wait, &source, listener, random, log) {}
+      watch(table, &plan, &source, listener, random, log) {}
 
 FollowedTable* GatewayNode::Impl::Followed(const std::string& table) {
   if (table == platform::kOperatorTable) {
--- a/src/state/host_settings.h
+++ b/src/state/host_settings.h
@@ -25,6 +25,16 @@
   bool operator==(const ColdBound&) const = default;
 };
 
+// How long after the store's acknowledgement a host that has reached the store
+// for `contact` may act on what was true before.
+struct FreshnessBounds {
+  DurationUs drain = 2 * kSecond;         // Send to a replica that left.
+  DurationUs config_apply = 2 * kSecond;  // Go by the configuration before.
+  DurationUs evacuation = 5 * kSecond;    // Send to an emptied failure domain.
+  DurationUs contact = 3 * kSecond;
+  bool operator==(const FreshnessBounds&) const = default;
+};
+
 struct HostSettings {
   NodeId node;
   std::string ip;
@@ -39,6 +49,7 @@
   std::uint32_t max_descriptors = 0;
   // How long after it was taken away a key may still be used.
   DurationUs key_revocation = 5 * kSecond;
+  FreshnessBounds freshness;
   DurationUs grace = 8 * kSecond;  // From the order to stop to the kill.
   AttemptBudgetLimits retries;     // Over all entries together.
   ColdBound cold;
--- a/src/state/table_rows.h
+++ b/src/state/table_rows.h
@@ -30,6 +30,8 @@
   bool truncated = false;     // More rows follow the last key.
   std::uint64_t version = 0;  // Of the whole store.
   std::string why;            // When failed.
+  // The store's steady clock when it answered, if it told.
+  std::optional<TimeUs> store_time;
   // The rows are all that the store held at this time after the question was
   // sent, by the asker's clock; negative when whoever answers knew it before.
   // None: there was no news, and nothing says how old that is.
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -120,7 +120,13 @@
     }
   }
 
+  // Expired connections are looked for now and then; one that is made between
+  // is too late as well: whoever chose the address may know better by now.
   void OnConnected() override {
+    if (id_ != 0 && Loop::Now() > connect_by_) {
+      Fail(CallFailureKind::kConnect, "no connection in time");
+      return;
+    }
     SendPending();
     if (sink_ != nullptr) {
       sink_->OnConnected(id_);
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -29,12 +29,14 @@
 class TableNet {
  public:
   static constexpr DurationUs kTick = 10 * kMillisecond;
-  static constexpr DurationUs kWait = 1500 * kMillisecond;
+  // Within which news of the store must take effect.
+  static constexpr DurationUs kBound = 3 * kSecond;
   static constexpr DurationUs kStoreTimeout = 700 * kMillisecond;
-  static constexpr DurationUs kStale =
-      2 * kWait + kStoreTimeout + 50 * kMillisecond;
+  static constexpr DurationUs kStale = 3750 * kMillisecond;
   // A host that has reached the store for as long must keep the bounds.
   static constexpr DurationUs kContact = 4 * kSecond;
+  // The store's clock, against the gateways'.
+  static constexpr DurationUs kStoreBehind = 77 * kSecond;
   static constexpr DurationUs kBeatEvery = 100 * kMillisecond;
 
   // How the store meets a gateway.
@@ -71,14 +73,12 @@
       directory = std::make_unique<ReplicaDirectory>(this);
       directory->SetMostKept(kContact);
       relay = std::make_unique<TableRelay>("t", this);
-      const DurationUs stale =
-          2 * net->wait_ + kStoreTimeout + 50 * kMillisecond;
       source = std::make_unique<TableSource>(
-          "t", stale, &peers, this, this, &random, &metrics, &log,
+          "t", &net->plan_, &peers, this, this, &random, &metrics, &log,
           [this](TimeUs now, const TableAnswer& answer) {
             watch->OnAnswer(now, answer);
           });
-      watch = std::make_unique<TableWatch>("t", net->wait_, source.get(), this,
+      watch = std::make_unique<TableWatch>("t", &net->plan_, source.get(), this,
                                            &random, &log);
     }
 
@@ -159,6 +159,7 @@
     Mood mood = Mood::kServes;
     bool alive = true;
     bool frozen = false;
+    int runs_every = 1;  // Of the ticks; more on a host that is slow.
     std::map<std::string, std::string> rows;
     std::uint64_t version = 0;
     TimeUs known_at = -1;
@@ -168,8 +169,10 @@
   using CutFn = std::function<bool(std::size_t from, std::size_t to)>;
 
   // Gateways over `domains` failure domains; one in six is large.
-  TableNet(std::size_t n, std::size_t domains, DurationUs wait = kWait)
-      : wait_(wait) {
+  TableNet(std::size_t n,
+           std::size_t domains,
+           const FreshnessPlan& plan = PlanFreshness(kBound, kContact))
+      : plan_(plan) {
     Write("config", "0");
     for (std::size_t i = 0; i < n; ++i) {
       nodes_.push_back(std::make_unique<Node>(
@@ -275,7 +278,7 @@
   }
 
  private:
-  const DurationUs wait_;  // That the store holds a question without news.
+  const FreshnessPlan plan_;
 
   struct Letter {
     std::size_t from = 0;
@@ -284,11 +287,14 @@
   };
 
   bool Runs(std::size_t n) const {
-    return nodes_[n]->alive && !nodes_[n]->frozen;
+    const Node& it = *nodes_[n];
+    return it.alive && !it.frozen && now_ / kTick % it.runs_every == 0;
   }
 
   void OnCall(Call call) {
     ++calls_;
+    std::erase_if(calls_open_,
+                  [&](const Call& it) { return it.from == call.from; });
     whole_reads_ += call.whole ? 1 : 0;
     if (nodes_[call.from]->mood == Mood::kSilent) {
       call.unanswered = true;
@@ -313,6 +319,7 @@
     }
     answer.kind = TableAnswer::Kind::kRows;
     answer.version = version_;
+    answer.store_time = now_ - kStoreBehind;
     for (const auto& [key, row] : rows_) {
       if (call.whole ? !row.removed : row.version > call.after) {
         answer.rows.push_back(row);
@@ -332,12 +339,11 @@
 
   void AnswerCalls() {
     std::vector<Call> due;
-    std::copy_if(
-        calls_open_.begin(), calls_open_.end(), std::back_inserter(due),
-        [&](const Call& it) { return !nodes_[it.from]->frozen && IsDue(it); });
-    std::erase_if(calls_open_, [&](const Call& it) {
-      return !nodes_[it.from]->frozen && IsDue(it);
-    });
+    std::copy_if(calls_open_.begin(), calls_open_.end(),
+                 std::back_inserter(due),
+                 [&](const Call& it) { return Runs(it.from) && IsDue(it); });
+    std::erase_if(calls_open_,
+                  [&](const Call& it) { return Runs(it.from) && IsDue(it); });
     for (const Call& it : due) {
       nodes_[it.from]->source->OnStoreAnswer(now_, AnswerOf(it));
     }
@@ -345,7 +351,7 @@
 
   void Deliver() {
     for (const Letter& it : std::exchange(letters_, {})) {
-      if (nodes_[it.to]->frozen) {
+      if (nodes_[it.to]->alive && !Runs(it.to)) {
         letters_.push_back(it);
       } else if (nodes_[it.to]->alive && !(cut_ && cut_(it.from, it.to))) {
         Take(it);
--- a/tests/gateway/table_relay_test.cc
+++ b/tests/gateway/table_relay_test.cc
@@ -137,9 +137,17 @@
     net.Run(8 * kSecond);
     EXPECT_LE(net.calls() - before, 8 * 60U);
     net.SetMood(TableNet::Mood::kServes);
+    net.Write("config", "1");
     const TimeUs back = net.now();
+    // An age counts from the questions: a tick each for the store's answer, the
+    // relay's and what it was asked, and what the clocks may have parted by.
+    constexpr DurationUs kOnTheWay = 5 * TableNet::kTick;
     const DurationUs took = net.RunUntil(
-        [&] { return net.OldestAge() <= net.now() - back; }, 5 * kSecond);
+        [&] {
+          return net.AllHold("config", "1") &&
+                 net.OldestAge() <= net.now() - back + kOnTheWay;
+        },
+        5 * kSecond);
     EXPECT_LE(took, kSecond);
     ExpectSound(net);
   }
@@ -152,7 +160,9 @@
 // a tenth of that bound do it, at a few calls a second.
 TEST(TableRelayTest, AnOutageFindsKeysUsableForMostOfTheirBound) {
   constexpr DurationUs kRevocation = 5 * kSecond;
-  TableNet net(103, 6, kRevocation / 10);
+  FreshnessPlan plan = PlanFreshness(TableNet::kBound, TableNet::kContact);
+  plan.store_wait = kRevocation / 10;
+  TableNet net(103, 6, plan);
   net.Run(5 * kSecond);
   const std::size_t before = net.calls();
   for (int n = 0; n < 100; ++n) {
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -10,6 +10,12 @@
 
 constexpr DurationUs kStale = 4 * kSecond;
 
+FreshnessPlan Plan() {
+  FreshnessPlan plan = PlanFreshness(2 * kStale, 4 * kSecond);
+  plan.ask_store = kStale;
+  return plan;
+}
+
 // A small gateway that may ask three large ones, each in a domain of its own.
 struct SourceRig : TableReader, TableRelayOutput {
   SourceRig() {
@@ -60,8 +66,9 @@
   TableQuestion question;
   int store_asked = 0;
   std::vector<TableAnswer> got;
+  const FreshnessPlan plan = Plan();
   TableSource source{"t",
-                     kStale,
+                     &plan,
                      &peers,
                      this,
                      this,
--- a/tests/gateway/table_watch_test.cc
+++ b/tests/gateway/table_watch_test.cc
@@ -52,7 +52,8 @@
   TimeUs now = 1000 * kSecond;
   Random random{3};
   QuietLog log;
-  TableWatch watch{"t", kSecond, this, this, &random, &log};
+  const FreshnessPlan plan = PlanFreshness(3 * kSecond, 4 * kSecond);
+  TableWatch watch{"t", &plan, this, this, &random, &log};
   std::vector<std::string> asked;
   std::vector<std::string> table;
   std::vector<std::string> changes;
@@ -66,9 +67,9 @@
   rig.Answer(5, {{"a", "", 4, false}}, true);
   rig.Answer(6, {{"b", "", 6, false}});
   EXPECT_EQ(rig.table, (std::vector<std::string>{"a", "b"}));
-  rig.Pass(TableWatch::kSettle);
+  rig.Pass(rig.plan.settle);
   rig.Answer(9, {{"c", "", 9, false}});
-  rig.Pass(TableWatch::kSettle);
+  rig.Pass(rig.plan.settle);
   EXPECT_EQ(rig.changes, std::vector<std::string>{"c"});
   // The first page's version, so that no change between the pages is missed.
   EXPECT_EQ(rig.asked,
@@ -155,7 +156,7 @@
   EXPECT_GT(rig.waits[0], 0);
   EXPECT_EQ(rig.waits[1], 0);
   rig.Answer(5);
-  rig.Pass(TableWatch::kSettle);
+  rig.Pass(rig.plan.settle);
   ASSERT_EQ(rig.waits.size(), 3U);
   EXPECT_EQ(rig.waits[2], rig.waits[0]);
 }
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -9,6 +9,7 @@
 #include "platform/host_settings_file.h"
 #include "platform/requests.h"
 #include "platform/rows.h"
+#include "text.h"
 
 namespace acaciachute::platform {
 namespace {
@@ -31,6 +32,30 @@
   EXPECT_DOUBLE_EQ(settings->retries.ratio, 0.2);
 }
 
+TEST(HostSettingsFileTest, ReadsHowOldNewsMayGet) {
+  const auto settings =
+      ParseHostSettings(std::string(kSettings) +
+                        "bounds.drain_ms=3000\nbounds.config_apply_ms=2500\n"
+                        "bounds.evacuate_ms=5500\nbounds.contact_ms=4000\n");
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->freshness,
+            (FreshnessBounds{3 * kSecond, 2500 * kMillisecond,
+                             5500 * kMillisecond, 4 * kSecond}));
+}
+
+// Guards against: a bound that no plan can keep is taken and silently missed.
+TEST(HostSettingsFileTest, RefusesBoundsThatCannotBeKept) {
+  for (const char* it : {"bounds.drain_ms=0", "bounds.config_apply_ms=-5",
+                         "bounds.contact_ms=199", "bounds.evacuate_ms=soon",
+                         "bounds.revoke_ms=999999999999"}) {
+    const auto settings = ParseHostSettings(StrCat(kSettings, it, "\n"));
+    ASSERT_FALSE(settings.ok()) << it;
+    const std::string line = it;
+    EXPECT_THAT(std::string(settings.status().message()),
+                HasSubstr(line.substr(0, line.find('='))));
+  }
+}
+
 TEST(HostSettingsFileTest, NamesEveryMistakeAtOnce) {
   const auto settings = ParseHostSettings(
       "node_name=n\nip=10.0.0.1\nzone=a\nlisten.front=nowhere\n"
