--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -232,6 +232,43 @@
 }
 
 // A silent replica does not hold a caller for ever.
+// Guards against: a host that is short of its processor sends a request to a
+// replica that it chose long ago, because the connection was made meanwhile.
+TEST(HttpChannelsTest, SendsNothingOnAConnectionThatCameTooLate) {
+  Loop loop;
+  RawServer server(&loop);
+  HttpChannels channels(&loop);
+  Sink sink;
+  ChannelOptions options;
+  options.connect = 20 * kMs;
+  channels.Start(server.address, Get(), options, &sink);
+  g_usleep(60 * kMs);
+  RunUntil(&loop, [&] { return sink.over(); });
+  ASSERT_TRUE(sink.failure);
+  EXPECT_EQ(sink.failure->kind, CallFailureKind::kConnect);
+  EXPECT_FALSE(sink.failure->sent);
+  for (const auto& it : server.peers) {
+    EXPECT_EQ(it->received, "");
+  }
+}
+
+TEST(HttpChannelsTest, TellsWhenARequestLeftOnANewConnection) {
+  struct Connecting : Sink {
+    void OnConnected(CallId) override { ++connected; }
+    int connected = 0;
+  };
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) { peer->stream->Write(kMine); };
+  HttpChannels channels(&loop);
+  for (int n = 0; n < 2; ++n) {
+    Connecting sink;
+    channels.Start(server.address, Get(), {}, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    EXPECT_EQ(sink.connected, n == 0 ? 1 : 0);
+  }
+}
+
 TEST(HttpChannelsTest, EndsASilentCall) {
   Loop loop;
   RawServer server(&loop);
