Move what follows the store's tables into a room of its own

src/coordination/ is one folder of a hundred files. The first room is tables/: whom to ask (table_source, relay_plan), following (table_watch), passing on (table_relay), how old it may get (freshness_plan, remote_clock). Only paths of includes and guards change; the build takes the rooms of each layer. No functional change

--- a/src/coordination/gateway_join.h
+++ b/src/coordination/gateway_join.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <string_view>
 
-#include "coordination/table_watch.h"
+#include "coordination/tables/table_watch.h"
 #include "state/event_log.h"
 #include "state/random.h"
 #include "types.h"
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/gateway_peers.h
@@ -19,7 +19,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/relay_plan.h"
+#include "coordination/tables/relay_plan.h"
 #include "messages.h"
 #include "state/event_log.h"
 #include "state/random.h"
--- a/src/coordination/freshness_plan.cc
+++ b/src/coordination/tables/freshness_plan.cc
@@ -1,4 +1,4 @@
-#include "coordination/freshness_plan.h"
+#include "coordination/tables/freshness_plan.h"
 
 #include <algorithm>
 
--- a/src/coordination/freshness_plan.h
+++ b/src/coordination/tables/freshness_plan.h
@@ -7,8 +7,8 @@
 // replaced, at hosts that reach the store themselves. So no wait along the way
 // is added to another: what a gateway knows has an age, whoever told it, and at
 // `ask_store` it asks the store itself. `Sum` is what is left to add up.
-#ifndef ACACIACHUTE_SRC_COORDINATION_FRESHNESS_PLAN_H_
-#define ACACIACHUTE_SRC_COORDINATION_FRESHNESS_PLAN_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_FRESHNESS_PLAN_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLES_FRESHNESS_PLAN_H_
 
 #include "types.h"
 
@@ -52,4 +52,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_FRESHNESS_PLAN_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLES_FRESHNESS_PLAN_H_
--- a/src/coordination/relay_plan.cc
+++ b/src/coordination/tables/relay_plan.cc
@@ -1,4 +1,4 @@
-#include "coordination/relay_plan.h"
+#include "coordination/tables/relay_plan.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/coordination/relay_plan.h
+++ b/src/coordination/tables/relay_plan.h
@@ -4,8 +4,8 @@
 // failure domain one gateway in `kFollowersARelay` asks it, a large host, by
 // rendezvous hash, so that gateways agree without asking anybody. While two
 // disagree, one more asks the store, or an answer goes one way further.
-#ifndef ACACIACHUTE_SRC_COORDINATION_RELAY_PLAN_H_
-#define ACACIACHUTE_SRC_COORDINATION_RELAY_PLAN_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_RELAY_PLAN_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLES_RELAY_PLAN_H_
 
 #include <string>
 #include <vector>
@@ -43,4 +43,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_RELAY_PLAN_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLES_RELAY_PLAN_H_
--- a/src/coordination/remote_clock.h
+++ b/src/coordination/tables/remote_clock.h
@@ -6,8 +6,8 @@
 // that the other held for a while then tells when it was given, not just when
 // it was asked for. Steady clocks part by `kMostDrift` at most; a bound loses
 // as much as it gets older.
-#ifndef ACACIACHUTE_SRC_COORDINATION_REMOTE_CLOCK_H_
-#define ACACIACHUTE_SRC_COORDINATION_REMOTE_CLOCK_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_REMOTE_CLOCK_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLES_REMOTE_CLOCK_H_
 
 #include <algorithm>
 #include <optional>
@@ -50,4 +50,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_REMOTE_CLOCK_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLES_REMOTE_CLOCK_H_
--- a/src/coordination/table_relay.cc
+++ b/src/coordination/tables/table_relay.cc
@@ -1,4 +1,4 @@
-#include "coordination/table_relay.h"
+#include "coordination/tables/table_relay.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/coordination/table_relay.h
+++ b/src/coordination/tables/table_relay.h
@@ -11,8 +11,8 @@
 // question to the store was sent, by this gateway's clock, so the asker counts
 // from its own question. Passing on through several gateways only makes it
 // older.
-#ifndef ACACIACHUTE_SRC_COORDINATION_TABLE_RELAY_H_
-#define ACACIACHUTE_SRC_COORDINATION_TABLE_RELAY_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_RELAY_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_RELAY_H_
 
 #include <cstdint>
 #include <map>
@@ -98,4 +98,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_TABLE_RELAY_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_RELAY_H_
--- a/src/coordination/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -1,4 +1,4 @@
-#include "coordination/table_source.h"
+#include "coordination/tables/table_source.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/coordination/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -13,8 +13,8 @@
 // bound on their age is over. Most of these are noticed within a second. None
 // need be: when what is known is as old as `FreshnessPlan` allows, the store
 // itself is asked.
-#ifndef ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
-#define ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_SOURCE_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_SOURCE_H_
 
 #include <cstdint>
 #include <functional>
@@ -23,11 +23,11 @@
 #include <string_view>
 #include <vector>
 
-#include "coordination/freshness_plan.h"
 #include "coordination/gateway_peers.h"
-#include "coordination/remote_clock.h"
-#include "coordination/table_relay.h"
-#include "coordination/table_watch.h"
+#include "coordination/tables/freshness_plan.h"
+#include "coordination/tables/remote_clock.h"
+#include "coordination/tables/table_relay.h"
+#include "coordination/tables/table_watch.h"
 #include "messages.h"
 #include "state/event_log.h"
 #include "state/metrics.h"
@@ -155,4 +155,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_TABLE_SOURCE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_SOURCE_H_
--- a/src/coordination/table_watch.cc
+++ b/src/coordination/tables/table_watch.cc
@@ -1,4 +1,4 @@
-#include "coordination/table_watch.h"
+#include "coordination/tables/table_watch.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/coordination/table_watch.h
+++ b/src/coordination/tables/table_watch.h
@@ -7,14 +7,14 @@
 // Each call has a time limit; what is older than what is known is passed over;
 // after a gap the whole table is read again. Being current counts from when the
 // question was sent: its answer may have waited anywhere.
-#ifndef ACACIACHUTE_SRC_COORDINATION_TABLE_WATCH_H_
-#define ACACIACHUTE_SRC_COORDINATION_TABLE_WATCH_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_WATCH_H_
+#define ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_WATCH_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "coordination/freshness_plan.h"
+#include "coordination/tables/freshness_plan.h"
 #include "state/event_log.h"
 #include "state/random.h"
 #include "state/table_rows.h"
@@ -100,4 +100,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_TABLE_WATCH_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_TABLES_TABLE_WATCH_H_
--- a/tests/gateway/freshness_test.cc
+++ b/tests/gateway/freshness_test.cc
@@ -1,6 +1,6 @@
 // How long after the store's acknowledgement a gateway still goes by what was
 // true before.
-#include "coordination/freshness_plan.h"
+#include "coordination/tables/freshness_plan.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -8,7 +8,7 @@
 #include <array>
 #include <tuple>
 
-#include "coordination/remote_clock.h"
+#include "coordination/tables/remote_clock.h"
 #include "tests/gateway/table_net.h"
 
 namespace acaciachute {
--- a/tests/gateway/relay_plan_test.cc
+++ b/tests/gateway/relay_plan_test.cc
@@ -1,5 +1,5 @@
 // Who asks the store, and whom the others ask.
-#include "coordination/relay_plan.h"
+#include "coordination/tables/relay_plan.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -18,9 +18,9 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/table_relay.h"
-#include "coordination/table_source.h"
-#include "coordination/table_watch.h"
+#include "coordination/tables/table_relay.h"
+#include "coordination/tables/table_source.h"
+#include "coordination/tables/table_watch.h"
 #include "state/replica_directory.h"
 #include "tests/gateway/quiet_log.h"
 
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -1,5 +1,5 @@
 // What a gateway makes of other gateways' answers for a table of the store.
-#include "coordination/table_source.h"
+#include "coordination/tables/table_source.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway/table_watch_test.cc
+++ b/tests/gateway/table_watch_test.cc
@@ -1,5 +1,5 @@
 // What is known of a table when answers are lost, stale or late.
-#include "coordination/table_watch.h"
+#include "coordination/tables/table_watch.h"
 
 #include <gtest/gtest.h>
 
