--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -5,8 +5,8 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include <csignal>
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <functional>
 #include <map>
