Hear a store that is slow, and lose no time to a question that was lost

What callers would see: while the store takes over 0.7 s for every answer, each gateway gives all of its questions up, so requests with keys are refused after the bound on their age although the store works. Two more cases, found by the model below: where the settings' bound is 3.5 s or more, a store that is just as slow as the sum of waits allows for counted as lost, and replicas that had left were kept (20 s in the model, bound 4); where a host in touch is one that reached the store for under 0.9 s, a question lost in a cut kept the next from being asked for 0.7 s.

Cause: one question a table was in progress, with one fixed time limit of 0.7 s for two purposes: when the store counts as failing, and for how long its answer is heard. The plan of waits knew neither; the model's store had no limit at all, which is why it did not show.

Now `StoreQuestions` holds up to three: one that is awaited, for `store_in_time` (a quarter of the time in touch, above `store_answer`), and older ones whose answers are still taken. A failed question may be followed by its answer. While a store fails it is still asked after 0.7 s at most, and a pause between questions does not keep an old table from being asked for again.

Ruled out: a longer limit (an outage is noticed later, and a lost question blocks the next for longer); asking at shorter periods (more calls).

Evidence: FreshnessContactTest (contact from 0.2 to 10 s, the store away in silence and back at twelve moments) and FreshnessTest.ASlowStoreIsHeard. Lines: `table_late`.

Not closed: while every answer is late, replicas whose rows vanish are kept as in an outage, because late answers do not tell a slow store from one that froze.

--- a/src/coordination/gateway_join.h
+++ b/src/coordination/gateway_join.h
@@ -41,6 +41,8 @@
   // Found again after a cut that outlasted `GatewayPeers::kForget`.
   static constexpr DurationUs kReadAgain = 30 * kSecond;
   static constexpr DurationUs kRetry = 500 * kMillisecond;
+  // Within which the rows are answered, or they are asked for again.
+  static constexpr DurationUs kReadTimeout = 700 * kMillisecond;
 
   GatewayJoin(NodeId self,
               Address address,
--- a/src/coordination/tables/freshness_plan.h
+++ b/src/coordination/tables/freshness_plan.h
@@ -24,8 +24,13 @@
   DurationUs store_answer = 0;
   // From a choice until what was chosen has the request.
   DurationUs act = 0;
+  // Beyond what it was asked to wait, after which the store counts as one that
+  // does not answer; more than `store_answer`. A later answer is taken too.
+  DurationUs store_in_time = 0;
   // A store that does not answer is asked again after this at the latest.
   DurationUs store_again = 0;
+  // While nobody answers; a store that is due to be asked again still is.
+  DurationUs most_pause = 0;
 
   // The waits of gateways that work: they keep every age below `ask_store`.
   // How long the store holds a question without news.
--- a/src/coordination/tables/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -16,7 +16,7 @@
 TableSource::TableSource(std::string table,
                          const FreshnessPlan* plan,
                          const GatewayPeers* peers,
-                         TableReader* store,
+                         StoreReader* store,
                          TableRelayOutput* output,
                          Random* random,
                          Metrics* metrics,
@@ -25,24 +25,24 @@
     : table_(std::move(table)),
       plan_(plan),
       peers_(peers),
-      store_(store),
       output_(output),
       random_(random),
       metrics_(metrics),
       log_(log),
-      on_answer_(std::move(on_answer)) {}
+      on_answer_(std::move(on_answer)),
+      store_questions_(table_, store) {}
 
 void TableSource::ReadRows(TimeUs now,
                            const std::string&,
                            const std::string& from) {
-  Begin(now, {true, true, from, 0, 0, now});
+  Begin(now, {true, from, 0, 0});
 }
 
 void TableSource::ReadChanges(TimeUs now,
                               const std::string&,
                               std::uint64_t after,
                               DurationUs wait) {
-  Begin(now, {true, false, "", after, wait, now});
+  Begin(now, {false, "", after, wait});
 }
 
 bool TableSource::RelaysFail() const {
@@ -54,9 +54,10 @@
 }
 
 void TableSource::AskStoreWhenOld(TimeUs now) {
-  const bool held = store_call_.open && store_call_.question.wait > 0;
-  if (!question_.open || known_at_ < 0 || !IsOld(now) || !MayAskStore(now) ||
-      (store_call_.open && !held)) {
+  const StoreQuestions::Sent* const awaited = store_questions_.Awaited();
+  const bool held = awaited != nullptr && awaited->query.wait > 0;
+  if (!IsWanted() || known_at_ < 0 || !IsOld(now) || !MayAskStore(now) ||
+      (awaited != nullptr && !held)) {
     return;
   }
   metrics_->Count("acaciachute_gateway_table_old_total", table_);
@@ -64,8 +65,7 @@
                             {"known_ms", (now - known_at_) / kMillisecond},
                             {"version", version_},
                             {"relay", peer_call_.peer}});
-  store_call_ = {};  // The store forgets it when it is asked anew.
-  AskStore(now);
+  SendToStore(now);
 }
 
 bool TableSource::MayAskStore(TimeUs now) const {
@@ -79,10 +79,10 @@
 // A relay asks the store, and another gateway too while the store fails. A
 // follower asks a relay, and the store too while relays fail. A later page of a
 // table is the store's: relays send theirs whole.
-void TableSource::Begin(TimeUs now, Question question) {
-  question_ = std::move(question);
+void TableSource::Begin(TimeUs now, TableQuery query) {
+  question_ = {State::kOpen, std::move(query), now};
   peer_call_ = {};
-  const bool later_page = !question_.from.empty();
+  const bool later_page = !question_.query.from.empty();
   const bool store_helps = RelaysFail() && MayAskStore(now);
   if (later_page || AsksStoreFirst() || store_helps) {
     AskStore(now);
@@ -93,35 +93,32 @@
   if (!later_page && peer_helps) {
     AskPeer(now);
   }
-  if (!store_call_.open && peer_call_.peer.empty()) {
+  if (peer_call_.peer.empty()) {
     AskStore(now);
   }
 }
 
 void TableSource::AskStore(TimeUs now) {
-  if (store_call_.open) {
-    return;  // Its answer, or its timeout, comes first.
+  if (store_questions_.Awaited() == nullptr) {
+    SendToStore(now);
   }
+}
+
+void TableSource::SendToStore(TimeUs now) {
   // Half of it at random, so that many gateways do not ask it together.
   const DurationUs half = plan_->store_again / 2;
   store_next_at_ =
       now + half +
       static_cast<DurationUs>(random_->Below(static_cast<std::uint64_t>(half)));
-  store_call_ = {true, question_};
-  store_call_.question.asked_at = now;
+  TableQuery query = question_.query;
   if (IsOld(now)) {
-    store_call_.question.wait = 0;
+    query.wait = 0;
   }
   metrics_->Count("acaciachute_gateway_table_questions_total", kStore);
   if (peer_call_.peer.empty()) {
     TellSource(now, std::string(kStore), why_);
   }
-  if (question_.whole) {
-    store_->ReadRows(now, table_, question_.from);
-  } else {
-    store_->ReadChanges(now, table_, question_.after,
-                        store_call_.question.wait);
-  }
+  store_questions_.Ask(now, std::move(query));
 }
 
 // The store may serve just those that are no relays: relays that find no other
@@ -157,42 +154,73 @@
   TableQuestion it;
   it.table = table_;
   it.sequence = peer_call_.sequence;
-  it.whole = question_.whole;
-  it.after = question_.whole ? version_ : question_.after;
-  it.wait = question_.wait;
+  it.whole = question_.query.whole;
+  it.after = question_.query.whole ? version_ : question_.query.after;
+  it.wait = question_.query.wait;
   it.age = known_at_ < 0 ? std::numeric_limits<DurationUs>::max() / 2
                          : now - known_at_;
   output_->SendToPeer(peer, it);
 }
 
-void TableSource::OnStoreAnswer(TimeUs now, TableAnswer answer) {
-  const StoreCall call = std::exchange(store_call_, {});
+void TableSource::OnStoreAnswer(TimeUs now,
+                                std::uint64_t id,
+                                TableAnswer answer) {
+  const auto sent = store_questions_.Take(id);
+  if (!sent) {
+    return;
+  }
   if (answer.kind == TableAnswer::Kind::kFailed) {
-    OnStoreFailed(now, call.question.asked_at, answer);
+    // One that is not awaited failed already, or a newer one is.
+    if (sent->awaited) {
+      OnStoreFailed(now, sent->asked_at, answer);
+    }
     return;
   }
+  TellLate(now, *sent);
   store_failed_ = false;
   if (answer.store_time && answer.known_after) {
-    const TimeUs asked_at = call.question.asked_at;
     answer.known_after =
-        store_clock_.LocalTimeOf(*answer.store_time, asked_at, now) - asked_at;
+        store_clock_.LocalTimeOf(*answer.store_time, sent->asked_at, now) -
+        sent->asked_at;
   }
   if (answer.kind == TableAnswer::Kind::kHistoryGone) {
     answer.known_after.reset();
-    answer.version = question_.after;
-  }
-  // A relay may have answered the question that this one was; what changed
-  // since then is in the answer too.
-  const bool fits = question_.open && call.question.whole == question_.whole &&
-                    call.question.from == question_.from &&
-                    (call.question.whole || answer.version >= question_.after);
-  if (fits) {
-    Finish(now, call.question.asked_at, std::move(answer));
-  } else if (question_.open && peer_call_.peer.empty()) {
+    answer.version = sent->query.after;
+  }
+  if (Fits(*sent, answer)) {
+    Finish(now, sent->asked_at, std::move(answer));
+  } else if (IsOpen() && peer_call_.peer.empty()) {
     AskStore(now);
   }
 }
 
+// Of a reading that failed, the first page is: a new one begins with it.
+bool TableSource::IsWanted() const {
+  return IsOpen() ||
+         (question_.state == State::kFailed && question_.query.from.empty());
+}
+
+// A relay may have answered the question that this one was; what changed since
+// then is in the answer too.
+bool TableSource::Fits(const StoreQuestions::Sent& sent,
+                       const TableAnswer& answer) const {
+  const TableQuery& query = question_.query;
+  return IsWanted() && sent.query.whole == query.whole &&
+         sent.query.from == query.from &&
+         (query.whole || answer.version >= query.after);
+}
+
+void TableSource::TellLate(TimeUs now, const StoreQuestions::Sent& sent) {
+  const DurationUs took = now - sent.asked_at;
+  if (sent.awaited || took < sent.query.wait + StoreInTime()) {
+    return;
+  }
+  metrics_->Count("acaciachute_gateway_table_late_total", table_);
+  log_->Write("table_late", {{"table", table_},
+                             {"took_ms", took / kMillisecond},
+                             {"wait_ms", sent.query.wait / kMillisecond}});
+}
+
 void TableSource::OnStoreFailed(TimeUs now,
                                 TimeUs asked_at,
                                 const TableAnswer& answer) {
@@ -202,7 +230,7 @@
   }
   store_failed_at_ = asked_at;
   why_ = answer.why;
-  if (question_.open && peer_call_.peer.empty()) {
+  if (IsOpen() && peer_call_.peer.empty()) {
     Fail(now, answer);
   }
 }
@@ -210,7 +238,7 @@
 void TableSource::OnReply(TimeUs now,
                           const NodeId& from,
                           const TableReply& reply) {
-  if (!question_.open || from != peer_call_.peer ||
+  if (!IsOpen() || from != peer_call_.peer ||
       reply.sequence != peer_call_.sequence) {
     return;  // Late: another one was asked meanwhile.
   }
@@ -238,7 +266,8 @@
   if (RelaysFail() && MayAskStore(now)) {
     AskStore(now);
   }
-  const bool store_is_lost = store_failed_ && !store_call_.open;
+  const bool store_is_lost =
+      store_failed_ && store_questions_.Awaited() == nullptr;
   if (store_is_lost && !MayAskStore(now)) {
     Fail(now, answer);
     return;
@@ -254,7 +283,7 @@
   if (!rows) {
     answer.known_after.reset();
   }
-  if (rows && question_.whole && !answer.known_after) {
+  if (rows && question_.query.whole && !answer.known_after) {
     OnPeerFailed(now, "no whole table");
     return;
   }
@@ -266,13 +295,14 @@
     OnPeerFailed(now, "what it knows is old");
     return;
   }
-  if (answer.version < question_.after) {
+  const TableQuery& query = question_.query;
+  if (answer.version < query.after) {
     answer.rows.clear();  // The asker knows more.
-    answer.version = question_.after;
+    answer.version = query.after;
     answer.known_after.reset();
   }
   std::erase_if(answer.rows, [&](const TableRow& it) {
-    return !question_.whole && it.version <= question_.after;
+    return !query.whole && it.version <= query.after;
   });
   peer_failures_ = 0;
   shunned_until_.erase(peer_call_.peer);
@@ -290,10 +320,10 @@
   if (!RelaysFail()) {
     AskPeer(now);
   }
-  if (peer_call_.peer.empty() && !store_call_.open && MayAskStore(now)) {
+  if (peer_call_.peer.empty() && MayAskStore(now)) {
     AskStore(now);
   }
-  if (!peer_call_.peer.empty() || store_call_.open) {
+  if (!peer_call_.peer.empty() || store_questions_.Awaited() != nullptr) {
     return;
   }
   TableAnswer failed;
@@ -302,19 +332,35 @@
 }
 
 void TableSource::OnPeerLost(TimeUs now, const NodeId& peer) {
-  if (question_.open && peer == peer_call_.peer) {
+  if (IsOpen() && peer == peer_call_.peer) {
     OnPeerFailed(now, "no connection");
   }
 }
 
 void TableSource::OnTick(TimeUs now) {
-  if (question_.open && !peer_call_.peer.empty() &&
+  GiveUpStore(now);
+  if (IsOpen() && !peer_call_.peer.empty() &&
       now - peer_call_.asked_at > TableRelay::kMostHeld + kReplyTime) {
     OnPeerFailed(now, "no answer in time");
   }
   AskStoreWhenOld(now);
 }
 
+DurationUs TableSource::StoreInTime() const {
+  return store_failed_ ? std::min(kStoreProbe, plan_->store_in_time)
+                       : plan_->store_in_time;
+}
+
+void TableSource::GiveUpStore(TimeUs now) {
+  const auto sent = store_questions_.GiveUp(now, StoreInTime());
+  if (!sent) {
+    return;
+  }
+  TableAnswer failed;
+  failed.why = "no answer in time";
+  OnStoreFailed(now, sent->asked_at, failed);
+}
+
 void TableSource::Finish(TimeUs now, TimeUs asked_at, TableAnswer answer) {
   if (answer.known_after) {
     const TimeUs known_at = asked_at + *answer.known_after;
@@ -322,14 +368,14 @@
     answer.known_after = known_at - question_.asked_at;
     version_ = std::max(version_, answer.version);
   }
-  question_.open = false;
+  question_.state = State::kAnswered;
   peer_call_ = {};
   relay_lost_store_ = false;
   on_answer_(now, answer);
 }
 
 void TableSource::Fail(TimeUs now, const TableAnswer& answer) {
-  question_.open = false;
+  question_.state = State::kFailed;
   peer_call_ = {};
   on_answer_(now, answer);
 }
--- a/src/coordination/tables/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -26,6 +26,7 @@
 #include "coordination/gateway_peers.h"
 #include "coordination/tables/freshness_plan.h"
 #include "coordination/tables/remote_clock.h"
+#include "coordination/tables/store_questions.h"
 #include "coordination/tables/table_relay.h"
 #include "coordination/tables/table_watch.h"
 #include "messages.h"
@@ -48,6 +49,9 @@
   static constexpr DurationUs kShunWithoutStore = kSecond;
   // Relays that fail one after the other until the store itself is asked.
   static constexpr int kFailuresUntilStore = 3;
+  // While the store fails, its answer is awaited for this long at most: it is
+  // asked anew soon after its return, and late answers are taken.
+  static constexpr DurationUs kStoreProbe = 700 * kMillisecond;
   // After a first failure that no relay has met too, the store is asked again.
   static constexpr DurationUs kStoreSoon = 100 * kMillisecond;
 
@@ -56,7 +60,7 @@
   TableSource(std::string table,
               const FreshnessPlan* plan,
               const GatewayPeers* peers,
-              TableReader* store,
+              StoreReader* store,
               TableRelayOutput* output,
               Random* random,
               Metrics* metrics,
@@ -64,8 +68,9 @@
               AnswerFn on_answer);
 
   // TableReader. One answer follows each, through `on_answer`. It is a failure
-  // only when the store itself did not answer this gateway: a relay that lost
-  // the store says nothing of the store.
+  // only when the store itself did not answer this gateway in time: a relay
+  // that lost the store says nothing of the store. The answer of a store that
+  // is slow may follow a failure.
   void ReadRows(TimeUs now,
                 const std::string& table,
                 const std::string& from) override;
@@ -74,7 +79,7 @@
                    std::uint64_t after,
                    DurationUs wait) override;
 
-  void OnStoreAnswer(TimeUs now, TableAnswer answer);
+  void OnStoreAnswer(TimeUs now, std::uint64_t id, TableAnswer answer);
   void OnReply(TimeUs now, const NodeId& from, const TableReply& reply);
   // Its connection broke, or none could be made.
   void OnPeerLost(TimeUs now, const NodeId& peer);
@@ -86,28 +91,22 @@
   TimeUs store_failed_at() const { return store_failed_at_; }
 
  private:
+  enum class State { kOpen, kAnswered, kFailed };
   struct Question {
-    bool open = false;
-    bool whole = false;
-    std::string from;  // Of a page of the whole table.
-    std::uint64_t after = 0;
-    DurationUs wait = 0;
+    State state = State::kAnswered;
+    TableQuery query;
     TimeUs asked_at = 0;
   };
-  // The question as the store was asked it; it may have been answered by a
-  // relay meanwhile.
-  struct StoreCall {
-    bool open = false;
-    Question question;
-  };
   struct PeerCall {
     NodeId peer;  // Empty: none is asked.
     std::uint64_t sequence = 0;
     TimeUs asked_at = 0;
   };
 
-  void Begin(TimeUs now, Question question);
+  void Begin(TimeUs now, TableQuery query);
+  // Unless one question to it is awaited already.
   void AskStore(TimeUs now);
+  void SendToStore(TimeUs now);
   void AskPeer(TimeUs now);
   // The relay to ask; empty when there is none.
   NodeId Choose(TimeUs now);
@@ -117,8 +116,16 @@
   bool MayAskStore(TimeUs now) const;
   // Whether the store itself has to be asked, because what is known is old.
   bool IsOld(TimeUs now) const;
+  DurationUs StoreInTime() const;
+  void GiveUpStore(TimeUs now);
   void AskStoreWhenOld(TimeUs now);
+  // Whether an answer is of use; also one that comes after the failure.
+  bool IsWanted() const;
+  // Whether this is one.
+  bool Fits(const StoreQuestions::Sent& sent, const TableAnswer& answer) const;
+  void TellLate(TimeUs now, const StoreQuestions::Sent& sent);
   void OnStoreFailed(TimeUs now, TimeUs asked_at, const TableAnswer& answer);
+  bool IsOpen() const { return question_.state == State::kOpen; }
   void OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer);
   void OnPeerAnswer(TimeUs now, TableAnswer answer);
   void OnPeerFailed(TimeUs now, std::string_view why);
@@ -129,7 +136,6 @@
   const std::string table_;
   const FreshnessPlan* const plan_;
   const GatewayPeers* const peers_;
-  TableReader* const store_;
   TableRelayOutput* const output_;
   Random* const random_;
   Metrics* const metrics_;
@@ -137,7 +143,7 @@
   const AnswerFn on_answer_;
 
   Question question_;
-  StoreCall store_call_;
+  StoreQuestions store_questions_;
   PeerCall peer_call_;
   RemoteClock store_clock_;
   std::uint64_t next_sequence_ = 0;
--- a/src/coordination/tables/table_watch.cc
+++ b/src/coordination/tables/table_watch.cc
@@ -127,25 +127,30 @@
 
 void TableWatch::OnFailure(TimeUs now, const TableAnswer& answer) {
   if (failures_++ == 0) {
-    log_->Write("table_lost", {{"table", table_},
-                               {"why", answer.why},
-                               {"version", version_},
-                               {"age_ms", (now - asked_at_) / kMillisecond},
-                               {"known_ms", (now - known_at_) / kMillisecond}});
+    log_->Write(
+        "table_lost",
+        {{"table", table_},
+         {"why", answer.why},
+         {"version", version_},
+         {"age_ms", (now - asked_at_) / kMillisecond},
+         {"known_ms", known_at_ < 0 ? -1 : (now - known_at_) / kMillisecond}});
   }
   pages_.clear();
   listener_->OnTableLost(table_);
-  DurationUs wait = kRetry;
+  DurationUs pause = kRetry;
   // Another gateway held the question until now, and will hold the next one.
   const bool paced = answer.kind == TableAnswer::Kind::kStoreLost;
-  for (int n = 1; !paced && n < failures_ && wait < kMostRetry; ++n) {
-    wait *= 2;
+  for (int n = 1; !paced && n < failures_ && pause < plan_->most_pause; ++n) {
+    pause *= 2;
   }
-  wait = std::min(wait, kMostRetry);
-  // Half of it at random: hosts that lost the store together return apart.
-  next_at_ = now + wait / 2 +
+  AskAfter(now, std::min(pause, plan_->most_pause));
+}
+
+// Half of it at random: hosts that lost the store together return apart.
+void TableWatch::AskAfter(TimeUs now, DurationUs pause) {
+  next_at_ = now + pause / 2 +
              static_cast<DurationUs>(
-                 random_->Below(static_cast<std::uint64_t>(wait / 2)));
+                 random_->Below(static_cast<std::uint64_t>(pause / 2)));
 }
 
 }  // namespace acaciachute
--- a/src/coordination/tables/table_watch.h
+++ b/src/coordination/tables/table_watch.h
@@ -26,7 +26,7 @@
  public:
   virtual ~TableReader() = default;
   // One answer follows each, through `TableWatch::OnAnswer`, also on a timeout.
-  // A question for a table takes the place of one that was not answered yet.
+  // The rows may still follow a failure.
   virtual void ReadRows(TimeUs now,
                         const std::string& table,
                         const std::string& from) = 0;
@@ -49,10 +49,9 @@
 
 class TableWatch {
  public:
-  // After a failed call; grows to the second while the store is away, so that
-  // its return is noticed soon without pressing on it.
+  // After a failed call; grows to `FreshnessPlan::most_pause` while the store
+  // is away, so that its return is noticed soon without pressing on it.
   static constexpr DurationUs kRetry = 60 * kMillisecond;
-  static constexpr DurationUs kMostRetry = 500 * kMillisecond;
 
   TableWatch(std::string table,
              const FreshnessPlan* plan,
@@ -77,6 +76,7 @@
   void OnRows(TimeUs now, const TableAnswer& answer);
   void OnChanges(TimeUs now, const TableAnswer& answer);
   void OnFailure(TimeUs now, const TableAnswer& answer);
+  void AskAfter(TimeUs now, DurationUs pause);
   void TellCurrent(TimeUs asked_at, const TableAnswer& answer);
 
   const std::string table_;
@@ -89,7 +89,7 @@
   bool reading_ = false;  // A call is in progress.
   bool whole_ = true;     // It reads the whole table.
   TimeUs asked_at_ = 0;
-  TimeUs known_at_ = 0;        // Up to which the table is known; for logs.
+  TimeUs known_at_ = -1;       // Up to which it is known; negative: not yet.
   TimeUs first_known_at_ = 0;  // Of the pages of one reading.
   TimeUs next_at_ = 0;
   std::uint64_t version_ = 0;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -110,8 +110,10 @@
            &log),
       store(&channels,
             settings.store,
-            [this](const std::string& table, const TableAnswer& answer) {
-              OnStoreAnswer(table, answer);
+            [this](const std::string& table,
+                   std::uint64_t id,
+                   const TableAnswer& answer) {
+              OnStoreAnswer(table, id, answer);
             }),
       configuration(platform::kOperatorTable,
                     PlanConfiguration(settings),
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -39,7 +39,7 @@
   FollowedTable(const std::string& table,
                 const FreshnessPlan& plan_in,
                 const GatewayPeers* peers,
-                TableReader* store,
+                StoreReader* store,
                 TableRelayOutput* output,
                 TableListener* listener,
                 Random* random,
@@ -156,7 +156,9 @@
                       const std::string& why);
   // Null when this gateway does not follow it.
   FollowedTable* Followed(const std::string& table);
-  void OnStoreAnswer(const std::string& table, const TableAnswer& answer);
+  void OnStoreAnswer(const std::string& table,
+                     std::uint64_t id,
+                     const TableAnswer& answer);
   // None when the row names no replica; the log says why.
   std::optional<ReplicaEntry> ReadReplica(const TableRow& row);
 
@@ -202,7 +204,9 @@
   }
 
   // GatewayJoinOutput
-  void ReadGateways() override { store.ReadRows(Now(), kGatewayTable, ""); }
+  void ReadGateways() override {
+    store.Ask({kGatewayTable, 0, {true, "", 0, 0}, GatewayJoin::kReadTimeout});
+  }
   void WriteGateway(const std::string& key,
                     const std::string& value,
                     bool only_new) override;
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -10,7 +10,7 @@
 FollowedTable::FollowedTable(const std::string& table,
                              const FreshnessPlan& plan_in,
                              const GatewayPeers* peers,
-                             TableReader* store,
+                             StoreReader* store,
                              TableRelayOutput* output,
                              TableListener* listener,
                              Random* random,
@@ -43,11 +43,12 @@
 }
 
 void GatewayNode::Impl::OnStoreAnswer(const std::string& table,
+                                      std::uint64_t id,
                                       const TableAnswer& answer) {
   if (table == kGatewayTable) {
     join.OnRows(Now(), answer);
   } else if (FollowedTable* it = Followed(table)) {
-    it->source.OnStoreAnswer(Now(), answer);
+    it->source.OnStoreAnswer(Now(), id, answer);
   }
 }
 
--- a/tests/gateway/freshness_test.cc
+++ b/tests/gateway/freshness_test.cc
@@ -185,6 +185,62 @@
              std::to_string(std::get<DurationUs>(info.param) / kMillisecond);
     });
 
+class FreshnessContactTest : public ::testing::TestWithParam<DurationUs> {};
+
+// Guards against: a question that was lost while the store could not be reached
+// keeps a host from asking anew, for longer than the settings give it.
+TEST_P(FreshnessContactTest, WhatTheStoreHoldsIsKnownInTimeAfterItIsBack) {
+  const DurationUs contact = GetParam();
+  constexpr int kRounds = 12;
+  const FreshnessPlan plan = PlanFreshness(kBound, contact);
+  TableNet net(23, 4, plan);
+  net.SetLatency(plan.store_answer - TableNet::kTick);
+  net.Run(5 * kSecond);
+  for (int n = 0; n < kRounds; ++n) {
+    for (std::size_t it = 0; it < net.size(); ++it) {
+      net.Silence(it);
+    }
+    net.Run(kBound + n * contact / kRounds);
+    const std::string value = std::to_string(n + 1);
+    net.Write("config", value);
+    net.SetMood(TableNet::Mood::kServes);
+    const auto known = [&] { return net.AllHold("config", value); };
+    EXPECT_LE(net.RunUntil(known, 20 * kSecond), contact) << n;
+    net.Run(TableNet::kContact + n * 70 * kMillisecond);
+  }
+  EXPECT_TRUE(net.faults().empty()) << net.faults().front();
+}
+
+INSTANTIATE_TEST_SUITE_P(AllContacts,
+                         FreshnessContactTest,
+                         ::testing::Values(kLeastFreshnessBound,
+                                           500 * kMillisecond,
+                                           kSecond,
+                                           3 * kSecond,
+                                           10 * kSecond));
+
+// Guards against: a store that takes longer for each answer than a host waits
+// is never heard, and all go on with what they knew.
+TEST(FreshnessTest, ASlowStoreIsHeard) {
+  TableNet net(23, 4);
+  net.Run(5 * kSecond);
+  constexpr DurationUs kSlow = 1500 * kMillisecond;
+  net.SetLatency(kSlow);
+  net.Run(10 * kSecond);
+  DurationUs oldest = 0;
+  for (int n = 0; n < 1500; ++n) {
+    net.Run(TableNet::kTick);
+    oldest = std::max(oldest, net.OldestAge());
+  }
+  // Asked at once, answered, and the answer of the question before it.
+  EXPECT_LE(oldest, 3 * kSlow);
+  net.Write("config", "1");
+  EXPECT_LE(
+      net.RunUntil([&] { return net.AllHold("config", "1"); }, 20 * kSecond),
+      3 * kSlow);
+  EXPECT_TRUE(net.faults().empty()) << net.faults().front();
+}
+
 // The sum of all waits, at any value of the bounds.
 RC_GTEST_PROP(FreshnessPlanTest, WaitsAddUpToLessThanTheBound, ()) {
   const auto ms = rc::gen::inRange<DurationUs>(
@@ -194,6 +250,9 @@
   const FreshnessPlan plan = PlanFreshness(bound, contact);
   RC_ASSERT(plan.Sum() <= bound);
   RC_ASSERT(plan.Recovery() <= contact);
+  // A store that works is no failure, and one that fails is so in time.
+  RC_ASSERT(plan.store_answer < plan.store_in_time);
+  RC_ASSERT(plan.store_in_time + plan.most_pause < plan.store_again);
   // Gateways that work need not ask the store themselves.
   RC_ASSERT(plan.store_wait > 0);
   RC_ASSERT(plan.store_wait + plan.settle < plan.ask_store);
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -31,7 +31,6 @@
   static constexpr DurationUs kTick = 10 * kMillisecond;
   // Within which news of the store must take effect.
   static constexpr DurationUs kBound = 3 * kSecond;
-  static constexpr DurationUs kStoreTimeout = 700 * kMillisecond;
   static constexpr DurationUs kStale = 3750 * kMillisecond;
   // A host that has reached the store for as long must keep the bounds.
   static constexpr DurationUs kContact = 4 * kSecond;
@@ -44,14 +43,12 @@
 
   struct Call {
     std::size_t from = 0;
-    bool whole = false;
-    std::uint64_t after = 0;
+    StoreQuestion question;
     TimeUs asked_at = 0;
-    TimeUs until = 0;
-    bool unanswered = false;  // Until its timeout.
+    bool unanswered = false;  // Until nobody would hear the answer.
   };
 
-  struct Node : TableReader, TableRelayOutput, TableListener, DirectoryWatcher {
+  struct Node : StoreReader, TableRelayOutput, TableListener, DirectoryWatcher {
     Node(TableNet* net_in, std::size_t index_in, GatewayHost host)
         : net(net_in),
           index(index_in),
@@ -82,14 +79,13 @@
                                            &random, &log);
     }
 
-    void ReadRows(TimeUs now, const std::string&, const std::string&) override {
-      net->OnCall({index, true, 0, now, now, false});
+    void Ask(const StoreQuestion& question) override {
+      net->OnCall({index, question, net->now_, false});
     }
-    void ReadChanges(TimeUs now,
-                     const std::string&,
-                     std::uint64_t after,
-                     DurationUs wait) override {
-      net->OnCall({index, false, after, now, now + wait, false});
+    void Forget(const std::string&, std::uint64_t id) override {
+      std::erase_if(net->calls_open_, [&](const Call& it) {
+        return it.from == index && it.question.id == id;
+      });
     }
     void SendToPeer(const NodeId& peer, const Message& message) override {
       net->Send(index, peer, message);
@@ -204,10 +200,7 @@
   void Silence(std::size_t n) {
     nodes_[n]->mood = Mood::kSilent;
     for (Call& it : calls_open_) {
-      if (it.from == n && !it.unanswered) {
-        it.unanswered = true;
-        it.until += kStoreTimeout;
-      }
+      it.unanswered = it.unanswered || it.from == n;
     }
   }
 
@@ -295,27 +288,27 @@
 
   void OnCall(Call call) {
     ++calls_;
-    std::erase_if(calls_open_,
-                  [&](const Call& it) { return it.from == call.from; });
-    whole_reads_ += call.whole ? 1 : 0;
-    if (nodes_[call.from]->mood == Mood::kSilent) {
-      call.unanswered = true;
-      call.until += kStoreTimeout;
-    }
+    whole_reads_ += call.question.query.whole ? 1 : 0;
+    call.unanswered = nodes_[call.from]->mood == Mood::kSilent;
     calls_open_.push_back(call);
   }
   void Send(std::size_t from, const NodeId& to, const Message& message) {
     letters_.push_back({from, std::stoul(to.substr(1)), message});
   }
 
+  bool IsTooLate(const Call& call) const {
+    return now_ >= call.asked_at + call.question.heard_for;
+  }
+
   TableAnswer AnswerOf(const Call& call) const {
     TableAnswer answer;
     const Mood mood = nodes_[call.from]->mood;
-    if (call.unanswered || mood != Mood::kServes) {
+    if (call.unanswered || IsTooLate(call) || mood != Mood::kServes) {
       answer.why = "the store does not answer";
       return answer;
     }
-    if (!call.whole && call.after < history_from_) {
+    const TableQuery& query = call.question.query;
+    if (!query.whole && query.after < history_from_) {
       answer.kind = TableAnswer::Kind::kHistoryGone;
       return answer;
     }
@@ -323,7 +316,7 @@
     answer.version = version_;
     answer.store_time = now_ - kStoreBehind;
     for (const auto& [key, row] : rows_) {
-      if (call.whole ? !row.removed : row.version > call.after) {
+      if (query.whole ? !row.removed : row.version > query.after) {
         answer.rows.push_back(row);
       }
     }
@@ -331,12 +324,14 @@
   }
 
   bool IsDue(const Call& call) const {
-    if (call.unanswered) {
-      return now_ >= call.until;
+    const TableQuery& query = call.question.query;
+    if (call.unanswered || IsTooLate(call)) {
+      return IsTooLate(call);
     }
-    const bool news = call.whole || version_ > call.after ||
+    const bool news = query.whole || version_ > query.after ||
                       nodes_[call.from]->mood != Mood::kServes;
-    return now_ >= call.asked_at + latency_ && (news || now_ >= call.until);
+    return now_ >= call.asked_at + latency_ &&
+           (news || now_ >= call.asked_at + query.wait);
   }
 
   void AnswerCalls() {
@@ -347,7 +342,8 @@
     std::erase_if(calls_open_,
                   [&](const Call& it) { return Runs(it.from) && IsDue(it); });
     for (const Call& it : due) {
-      nodes_[it.from]->source->OnStoreAnswer(now_, AnswerOf(it));
+      nodes_[it.from]->source->OnStoreAnswer(now_, it.question.id,
+                                             AnswerOf(it));
     }
   }
 
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -17,7 +17,7 @@
 }
 
 // A small gateway that may ask three large ones, each in a domain of its own.
-struct SourceRig : TableReader, TableRelayOutput {
+struct SourceRig : StoreReader, TableRelayOutput {
   SourceRig() {
     for (const char* it : {"a", "b", "c"}) {
       GatewayBeat beat;
@@ -26,14 +26,15 @@
       peers.OnBeat(now, it, 1, beat);
     }
   }
-  void ReadRows(TimeUs, const std::string&, const std::string&) override {
+  void Ask(const StoreQuestion& question_in) override {
     ++store_asked;
+    store_questions.push_back(question_in);
   }
-  void ReadChanges(TimeUs,
-                   const std::string&,
-                   std::uint64_t,
-                   DurationUs) override {
-    ++store_asked;
+  void Forget(const std::string&, std::uint64_t id) override {
+    forgotten.push_back(id);
+  }
+  void StoreAnswers(const TableAnswer& answer) {
+    source.OnStoreAnswer(now, store_questions.back().id, answer);
   }
   void SendToPeer(const NodeId& peer, const Message& message) override {
     asked.push_back(peer);
@@ -65,6 +66,8 @@
   std::vector<NodeId> asked;
   TableQuestion question;
   int store_asked = 0;
+  std::vector<StoreQuestion> store_questions;
+  std::vector<std::uint64_t> forgotten;
   std::vector<TableAnswer> got;
   const FreshnessPlan plan = Plan();
   TableSource source{"t",
@@ -183,7 +186,7 @@
   rig.Reply(lost);
   EXPECT_TRUE(rig.got.empty());
   EXPECT_EQ(rig.store_asked, 1);
-  rig.source.OnStoreAnswer(rig.now, {});
+  rig.StoreAnswers({});
   rig.Reply(lost);
   ASSERT_EQ(rig.got.size(), 1U);
   EXPECT_EQ(rig.got[0].kind, TableAnswer::Kind::kStoreLost);
@@ -199,17 +202,73 @@
   rig.now += kStale;
   rig.source.OnTick(rig.now);
   ASSERT_EQ(rig.store_asked, 1);
-  rig.source.OnStoreAnswer(rig.now, {});
+  rig.StoreAnswers({});
   rig.now += TableSource::kStoreSoon;
   rig.source.OnTick(rig.now);
   EXPECT_EQ(rig.store_asked, 2);
   // A second failure is an outage: the store is not pressed.
-  rig.source.OnStoreAnswer(rig.now, {});
+  rig.StoreAnswers({});
   rig.now += TableSource::kStoreSoon;
   rig.source.OnTick(rig.now);
   EXPECT_EQ(rig.store_asked, 2);
 }
 
+TableAnswer StoreRows(std::uint64_t version) {
+  TableAnswer answer = SourceRig::Rows(version, 0);
+  answer.store_time = kSecond;
+  return answer;
+}
+
+// Guards against: a store that takes longer for each answer than a host waits
+// is never heard.
+TEST(TableSourceTest, TakesTheAnswerOfASlowStoreAfterTheFailure) {
+  SourceRig rig;
+  rig.Learn(5);
+  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+  rig.now += kStale;
+  rig.source.OnTick(rig.now);
+  ASSERT_EQ(rig.store_asked, 1);
+  const TimeUs asked_at = rig.now;
+  while (rig.got.empty()) {
+    rig.now += rig.plan.store_in_time;
+    rig.source.OnTick(rig.now);
+    rig.source.OnPeerLost(rig.now, rig.asked.back());
+  }
+  EXPECT_EQ(rig.got.back().kind, TableAnswer::Kind::kFailed);
+  EXPECT_EQ(rig.source.store_failed_at(), asked_at);
+  rig.StoreAnswers(StoreRows(7));
+  EXPECT_EQ(rig.got.back().kind, TableAnswer::Kind::kRows);
+  EXPECT_EQ(rig.got.back().version, 7U);
+  EXPECT_TRUE(rig.log.Saw("table_late"));
+  // Nothing that comes after it is an answer to the same question.
+  const std::size_t before = rig.got.size();
+  rig.StoreAnswers(StoreRows(8));
+  EXPECT_EQ(rig.got.size(), before);
+}
+
+// The failure of a question whose place a newer one took tells nothing.
+TEST(TableSourceTest, AReplacedQuestionThatFailsIsNoFailure) {
+  SourceRig rig;
+  rig.Learn(5);
+  for (const char* it : {"a", "b", "c"}) {
+    GatewayBeat beat;
+    beat.leaving = true;
+    rig.peers.OnBeat(rig.now, it, 1, beat);
+  }
+  rig.source.ReadChanges(rig.now, "t", 5, 2 * kStale);
+  ASSERT_EQ(rig.store_asked, 1);
+  rig.now += kStale;
+  rig.source.OnTick(rig.now);
+  ASSERT_EQ(rig.store_asked, 2);
+  EXPECT_EQ(rig.store_questions.back().query.wait, 0);
+  rig.source.OnStoreAnswer(rig.now, rig.store_questions.front().id, {});
+  EXPECT_TRUE(rig.got.empty());
+  EXPECT_LT(rig.source.store_failed_at(), 0);
+  rig.StoreAnswers(StoreRows(6));
+  ASSERT_EQ(rig.got.size(), 1U);
+  EXPECT_EQ(rig.got[0].version, 6U);
+}
+
 // All relays fail: the store itself is asked, and then not more than every few
 // seconds while it does not answer either.
 TEST(TableSourceTest, AsksTheStoreWhenRelaysFail) {
@@ -220,7 +279,7 @@
     while (rig.got.empty()) {
       const std::size_t before = rig.asked.size();
       if (rig.store_asked > 0 && before == rig.asked.size()) {
-        rig.source.OnStoreAnswer(rig.now, {});
+        rig.StoreAnswers({});
       }
       if (rig.got.empty()) {
         rig.source.OnPeerLost(rig.now, rig.asked.back());
--- a/tests/gateway/table_watch_test.cc
+++ b/tests/gateway/table_watch_test.cc
@@ -132,7 +132,7 @@
   for (int n = 0; n < 20; ++n) {
     const std::size_t before = rig.asked.size();
     rig.watch.OnAnswer(rig.now, failed);
-    rig.Pass(TableWatch::kMostRetry);
+    rig.Pass(rig.plan.most_pause);
     EXPECT_EQ(rig.asked.size(), before + 1);
   }
   EXPECT_EQ(rig.lost, 20);
@@ -151,7 +151,7 @@
   TableAnswer failed;
   failed.kind = TableAnswer::Kind::kFailed;
   rig.watch.OnAnswer(rig.now, failed);
-  rig.Pass(TableWatch::kMostRetry);
+  rig.Pass(rig.plan.most_pause);
   ASSERT_EQ(rig.waits.size(), 2U);
   EXPECT_GT(rig.waits[0], 0);
   EXPECT_EQ(rig.waits[1], 0);
