Take an answer that is older than what is known for no loss of the store

Cause: `TableWatch` handled an older state like a question that failed, so a gateway told its followers that it had lost the store and kept replicas whose rows vanished, although the store had answered. Now it is asked again after a pause, with a line of its own (`table_older`).

Evidence: TableWatchTest.PassesOverAnOlderState, with two checks more, failed on both before. Other tests of tables pass.

--- a/src/coordination/tables/table_watch.cc
+++ b/src/coordination/tables/table_watch.cc
@@ -67,9 +67,7 @@
       break;
   }
   if (answer.version < version_) {
-    TableAnswer older;
-    older.why = "an older state than the one that is known";
-    OnFailure(now, older);
+    OnOlder(now, answer.version);
     return;
   }
   if (failures_ > 0 && answer.known_after) {
@@ -146,6 +144,15 @@
   AskAfter(now, std::min(pause, plan_->most_pause));
 }
 
+// It says nothing of whether the store can be reached.
+void TableWatch::OnOlder(TimeUs now, std::uint64_t version) {
+  log_->Write(
+      "table_older",
+      {{"table", table_}, {"answered", version}, {"version", version_}});
+  pages_.clear();
+  AskAfter(now, std::min(kRetry, plan_->most_pause));
+}
+
 // Half of it at random: hosts that lost the store together return apart.
 void TableWatch::AskAfter(TimeUs now, DurationUs pause) {
   next_at_ = now + pause / 2 +
--- a/src/coordination/tables/table_watch.h
+++ b/src/coordination/tables/table_watch.h
@@ -76,6 +76,7 @@
   void OnRows(TimeUs now, const TableAnswer& answer);
   void OnChanges(TimeUs now, const TableAnswer& answer);
   void OnFailure(TimeUs now, const TableAnswer& answer);
+  void OnOlder(TimeUs now, std::uint64_t version);
   void AskAfter(TimeUs now, DurationUs pause);
   void TellCurrent(TimeUs asked_at, const TableAnswer& answer);
 
--- a/tests/gateway/table_watch_test.cc
+++ b/tests/gateway/table_watch_test.cc
@@ -117,6 +117,9 @@
   EXPECT_EQ(rig.asked.back(), "rows ");
   rig.Answer(5, {{"old", "", 5, false}});
   EXPECT_EQ(rig.table, std::vector<std::string>{"a"});
+  // The store answered: nothing is lost.
+  EXPECT_EQ(rig.lost, 0);
+  EXPECT_TRUE(rig.log.Saw("table_older"));
   rig.Pass(kSecond);
   rig.Answer(9, {{"b", "", 9, false}});
   EXPECT_EQ(rig.table, std::vector<std::string>{"b"});
