Move what makes the pieces of stages: batching, calls, progress into a room of its own

Files move to src/coordination/stages/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -19,7 +19,7 @@
 
 #include "coordination/attempt_budget.h"
 #include "coordination/engine_choice.h"
-#include "coordination/piece_desk.h"
+#include "coordination/stages/piece_desk.h"
 #include "state/client_call.h"
 #include "state/event_log.h"
 #include "state/metrics.h"
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -17,7 +17,7 @@
 #include "coordination/event_splitter.h"
 #include "coordination/gateway.h"
 #include "coordination/plain_choice.h"
-#include "coordination/stage_progress.h"
+#include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
 
--- a/src/coordination/fill_call.cc
+++ b/src/coordination/stages/fill_call.cc
@@ -1,4 +1,4 @@
-#include "coordination/fill_call.h"
+#include "coordination/stages/fill_call.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/coordination/fill_call.h
+++ b/src/coordination/stages/fill_call.h
@@ -11,8 +11,8 @@
 // and results that cross failure domains are paid for and lengthen the call.
 // With many waiting, a replica has enough pieces in its own domain to choose
 // from: being near counts as `kNearLead` of waiting, within one priority.
-#ifndef ACACIACHUTE_SRC_COORDINATION_FILL_CALL_H_
-#define ACACIACHUTE_SRC_COORDINATION_FILL_CALL_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_FILL_CALL_H_
+#define ACACIACHUTE_SRC_COORDINATION_STAGES_FILL_CALL_H_
 
 #include <cstdint>
 #include <vector>
@@ -49,4 +49,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_FILL_CALL_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_STAGES_FILL_CALL_H_
--- a/src/coordination/local_piece_desk.cc
+++ b/src/coordination/stages/local_piece_desk.cc
@@ -1,4 +1,4 @@
-#include "coordination/local_piece_desk.h"
+#include "coordination/stages/local_piece_desk.h"
 
 #include <algorithm>
 #include <set>
--- a/src/coordination/local_piece_desk.h
+++ b/src/coordination/stages/local_piece_desk.h
@@ -1,14 +1,14 @@
 // Makes all pieces by this process's own batchers, one a service.
-#ifndef ACACIACHUTE_SRC_COORDINATION_LOCAL_PIECE_DESK_H_
-#define ACACIACHUTE_SRC_COORDINATION_LOCAL_PIECE_DESK_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_LOCAL_PIECE_DESK_H_
+#define ACACIACHUTE_SRC_COORDINATION_STAGES_LOCAL_PIECE_DESK_H_
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-#include "coordination/piece_batcher.h"
-#include "coordination/piece_desk.h"
+#include "coordination/stages/piece_batcher.h"
+#include "coordination/stages/piece_desk.h"
 
 namespace acaciachute {
 
@@ -54,4 +54,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_LOCAL_PIECE_DESK_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_STAGES_LOCAL_PIECE_DESK_H_
--- a/src/coordination/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -1,4 +1,4 @@
-#include "coordination/piece_batcher.h"
+#include "coordination/stages/piece_batcher.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/coordination/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -21,8 +21,8 @@
 // busy, so the replica is tried with another call when that is worth it. A
 // replica that does one call at a time and answers the later one has done the
 // earlier: its answer will not come, and its pieces are made again at once.
-#ifndef ACACIACHUTE_SRC_COORDINATION_PIECE_BATCHER_H_
-#define ACACIACHUTE_SRC_COORDINATION_PIECE_BATCHER_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_BATCHER_H_
+#define ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_BATCHER_H_
 
 #include <cstdint>
 #include <deque>
@@ -34,8 +34,8 @@
 #include <vector>
 
 #include "coordination/attempt_budget.h"
-#include "coordination/fill_call.h"
-#include "coordination/stage_makers.h"
+#include "coordination/stages/fill_call.h"
+#include "coordination/stages/stage_makers.h"
 #include "state/piece.h"
 #include "state/replica_directory.h"
 #include "state/serving_config.h"
@@ -272,4 +272,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_PIECE_BATCHER_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_BATCHER_H_
--- a/src/coordination/piece_desk.h
+++ b/src/coordination/stages/piece_desk.h
@@ -1,6 +1,6 @@
 // Where requests hand in their pieces, whoever makes the calls for them.
-#ifndef ACACIACHUTE_SRC_COORDINATION_PIECE_DESK_H_
-#define ACACIACHUTE_SRC_COORDINATION_PIECE_DESK_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_DESK_H_
+#define ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_DESK_H_
 
 #include <string>
 #include <vector>
@@ -25,4 +25,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_PIECE_DESK_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_DESK_H_
--- a/src/coordination/shared_piece_desk.cc
+++ b/src/coordination/stages/shared_piece_desk.cc
@@ -1,4 +1,4 @@
-#include "coordination/shared_piece_desk.h"
+#include "coordination/stages/shared_piece_desk.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/coordination/shared_piece_desk.h
+++ b/src/coordination/stages/shared_piece_desk.h
@@ -6,8 +6,8 @@
 // gateway as soon as the first one is lost, or when no result came in
 // `kPatience`; a piece that is then made twice costs only its time, and the
 // second result is freed.
-#ifndef ACACIACHUTE_SRC_COORDINATION_SHARED_PIECE_DESK_H_
-#define ACACIACHUTE_SRC_COORDINATION_SHARED_PIECE_DESK_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_SHARED_PIECE_DESK_H_
+#define ACACIACHUTE_SRC_COORDINATION_STAGES_SHARED_PIECE_DESK_H_
 
 #include <map>
 #include <set>
@@ -15,8 +15,8 @@
 #include <vector>
 
 #include "coordination/gateway_peers.h"
-#include "coordination/local_piece_desk.h"
-#include "coordination/piece_desk.h"
+#include "coordination/stages/local_piece_desk.h"
+#include "coordination/stages/piece_desk.h"
 #include "messages.h"
 
 namespace acaciachute {
@@ -105,4 +105,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_SHARED_PIECE_DESK_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_STAGES_SHARED_PIECE_DESK_H_
--- a/src/coordination/stage_makers.cc
+++ b/src/coordination/stages/stage_makers.cc
@@ -1,4 +1,4 @@
-#include "coordination/stage_makers.h"
+#include "coordination/stages/stage_makers.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/coordination/stage_makers.h
+++ b/src/coordination/stages/stage_makers.h
@@ -1,7 +1,7 @@
 // What a batcher knows of its service's replicas: who is free, how slow each
 // is, who failed lately, and the memory that results hold there.
-#ifndef ACACIACHUTE_SRC_COORDINATION_STAGE_MAKERS_H_
-#define ACACIACHUTE_SRC_COORDINATION_STAGE_MAKERS_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_MAKERS_H_
+#define ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_MAKERS_H_
 
 #include <cstdint>
 #include <map>
@@ -124,4 +124,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_STAGE_MAKERS_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_MAKERS_H_
--- a/src/coordination/stage_progress.cc
+++ b/src/coordination/stages/stage_progress.cc
@@ -1,4 +1,4 @@
-#include "coordination/stage_progress.h"
+#include "coordination/stages/stage_progress.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/coordination/stage_progress.h
+++ b/src/coordination/stages/stage_progress.h
@@ -1,7 +1,7 @@
 // How far one request's stages are: which pieces can be made now, which results
 // the next stages and the model replica need, and which are needed no longer.
-#ifndef ACACIACHUTE_SRC_COORDINATION_STAGE_PROGRESS_H_
-#define ACACIACHUTE_SRC_COORDINATION_STAGE_PROGRESS_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_PROGRESS_H_
+#define ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_PROGRESS_H_
 
 #include <cstdint>
 #include <string>
@@ -80,4 +80,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_STAGE_PROGRESS_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_PROGRESS_H_
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -5,7 +5,7 @@
 #include "coordination/engine_choice.h"
 #include "coordination/event_splitter.h"
 #include "coordination/plain_choice.h"
-#include "coordination/stage_progress.h"
+#include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
 namespace {
--- a/tests/gateway/evacuation_test.cc
+++ b/tests/gateway/evacuation_test.cc
@@ -7,7 +7,7 @@
 #include <set>
 
 #include "address_text.h"
-#include "coordination/piece_batcher.h"
+#include "coordination/stages/piece_batcher.h"
 #include "platform/rows.h"
 #include "tests/gateway/gateway_rig.h"
 #include "text.h"
--- a/tests/gateway/fill_call_test.cc
+++ b/tests/gateway/fill_call_test.cc
@@ -1,5 +1,5 @@
 // Which waiting pieces a call takes when many wait.
-#include "coordination/fill_call.h"
+#include "coordination/stages/fill_call.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -1,5 +1,5 @@
 // Whom a batcher serves, where it sends, and what failures cost.
-#include "coordination/piece_batcher.h"
+#include "coordination/stages/piece_batcher.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -1,5 +1,5 @@
 // Gateways that batch for one another, and what happens when one is lost.
-#include "coordination/shared_piece_desk.h"
+#include "coordination/stages/shared_piece_desk.h"
 
 #include <gtest/gtest.h>
 
