Move which replica gets a request into a room of its own

Files move to src/coordination/choice/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/src/coordination/cold_limit.cc
+++ b/src/coordination/choice/cold_limit.cc
@@ -1,9 +1,9 @@
-#include "coordination/cold_limit.h"
+#include "coordination/choice/cold_limit.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "coordination/rendezvous.h"
+#include "coordination/choice/rendezvous.h"
 
 namespace acaciachute {
 
--- a/src/coordination/cold_limit.h
+++ b/src/coordination/choice/cold_limit.h
@@ -19,8 +19,8 @@
 //
 // Afterwards the bound doubles by steps until it is lifted (slow start), so
 // that the last request held back and the first at full rate do not meet.
-#ifndef ACACIACHUTE_SRC_COORDINATION_COLD_LIMIT_H_
-#define ACACIACHUTE_SRC_COORDINATION_COLD_LIMIT_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_COLD_LIMIT_H_
+#define ACACIACHUTE_SRC_COORDINATION_CHOICE_COLD_LIMIT_H_
 
 #include <cstdint>
 #include <deque>
@@ -102,4 +102,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_COLD_LIMIT_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_COLD_LIMIT_H_
--- a/src/coordination/engine_choice.cc
+++ b/src/coordination/choice/engine_choice.cc
@@ -1,4 +1,4 @@
-#include "coordination/engine_choice.h"
+#include "coordination/choice/engine_choice.h"
 
 #include <xxhash.h>
 
--- a/src/coordination/engine_choice.h
+++ b/src/coordination/choice/engine_choice.h
@@ -12,8 +12,8 @@
 // the running requests add, and what it fetches from elsewhere. What an engine
 // holds is believed from what was sent there and ended well; engines report
 // their load late and at a price, so nobody asks them.
-#ifndef ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
-#define ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_ENGINE_CHOICE_H_
+#define ACACIACHUTE_SRC_COORDINATION_CHOICE_ENGINE_CHOICE_H_
 
 #include <cstdint>
 #include <map>
@@ -22,7 +22,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
-#include "coordination/cold_limit.h"
+#include "coordination/choice/cold_limit.h"
 #include "state/client_call.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
@@ -139,4 +139,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_ENGINE_CHOICE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_ENGINE_CHOICE_H_
--- a/src/coordination/plain_choice.cc
+++ b/src/coordination/choice/plain_choice.cc
@@ -1,4 +1,4 @@
-#include "coordination/plain_choice.h"
+#include "coordination/choice/plain_choice.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/coordination/plain_choice.h
+++ b/src/coordination/choice/plain_choice.h
@@ -7,8 +7,8 @@
 // (a silent replica has no answer times), by its calls in progress, and by its
 // failures. Old observations fade, so that a replica that is well again draws
 // calls without health checks, which are priced.
-#ifndef ACACIACHUTE_SRC_COORDINATION_PLAIN_CHOICE_H_
-#define ACACIACHUTE_SRC_COORDINATION_PLAIN_CHOICE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_PLAIN_CHOICE_H_
+#define ACACIACHUTE_SRC_COORDINATION_CHOICE_PLAIN_CHOICE_H_
 
 #include <cstdint>
 #include <map>
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/cold_limit.h"
+#include "coordination/choice/cold_limit.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
 #include "state/replica_health.h"
@@ -75,4 +75,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_PLAIN_CHOICE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_PLAIN_CHOICE_H_
--- a/src/coordination/rendezvous.h
+++ b/src/coordination/choice/rendezvous.h
@@ -1,8 +1,8 @@
 // Weighted rendezvous hashing (Thaler and Ravishankar 1998): whoever knows the
 // same nodes names the same one for a key, and a node that comes or goes moves
 // only its own keys.
-#ifndef ACACIACHUTE_SRC_COORDINATION_RENDEZVOUS_H_
-#define ACACIACHUTE_SRC_COORDINATION_RENDEZVOUS_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_RENDEZVOUS_H_
+#define ACACIACHUTE_SRC_COORDINATION_CHOICE_RENDEZVOUS_H_
 
 #include <xxhash.h>
 
@@ -29,4 +29,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_RENDEZVOUS_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_RENDEZVOUS_H_
--- a/src/coordination/router.cc
+++ b/src/coordination/choice/router.cc
@@ -1,4 +1,4 @@
-#include "coordination/router.h"
+#include "coordination/choice/router.h"
 
 #include <algorithm>
 
--- a/src/coordination/router.h
+++ b/src/coordination/choice/router.h
@@ -6,8 +6,8 @@
 // load of all entries at once. The best of a few random samples by the time
 // until it would answer avoids both (Mitzenmacher 2001; Prequal, Wydrowski and
 // others 2024, samples by latency and calls in flight).
-#ifndef ACACIACHUTE_SRC_COORDINATION_ROUTER_H_
-#define ACACIACHUTE_SRC_COORDINATION_ROUTER_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_ROUTER_H_
+#define ACACIACHUTE_SRC_COORDINATION_CHOICE_ROUTER_H_
 
 #include <vector>
 
@@ -46,4 +46,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_ROUTER_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_ROUTER_H_
--- a/src/coordination/subset.cc
+++ b/src/coordination/choice/subset.cc
@@ -1,4 +1,4 @@
-#include "coordination/subset.h"
+#include "coordination/choice/subset.h"
 
 #include <xxhash.h>
 
--- a/src/coordination/subset.h
+++ b/src/coordination/choice/subset.h
@@ -8,8 +8,8 @@
 // evenly, and a replica that comes or goes changes the subsets by itself only.
 // Failure domains take turns, so that the loss of one leaves every entry the
 // others.
-#ifndef ACACIACHUTE_SRC_COORDINATION_SUBSET_H_
-#define ACACIACHUTE_SRC_COORDINATION_SUBSET_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_SUBSET_H_
+#define ACACIACHUTE_SRC_COORDINATION_CHOICE_SUBSET_H_
 
 #include <cstddef>
 #include <vector>
@@ -30,4 +30,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_SUBSET_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_SUBSET_H_
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway.h
@@ -18,7 +18,7 @@
 #include <vector>
 
 #include "coordination/attempt_budget.h"
-#include "coordination/engine_choice.h"
+#include "coordination/choice/engine_choice.h"
 #include "coordination/stages/piece_desk.h"
 #include "state/client_call.h"
 #include "state/event_log.h"
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway_impl.h
@@ -13,10 +13,10 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/cold_limit.h"
+#include "coordination/choice/cold_limit.h"
+#include "coordination/choice/plain_choice.h"
 #include "coordination/event_splitter.h"
 #include "coordination/gateway.h"
-#include "coordination/plain_choice.h"
 #include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/gateway_peers.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "coordination/rendezvous.h"
+#include "coordination/choice/rendezvous.h"
 
 namespace acaciachute {
 namespace {
--- a/src/coordination/load_control.cc
+++ b/src/coordination/load_control.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "coordination/subset.h"
+#include "coordination/choice/subset.h"
 
 namespace acaciachute {
 namespace {
--- a/src/coordination/tables/relay_plan.cc
+++ b/src/coordination/tables/relay_plan.cc
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 
-#include "coordination/rendezvous.h"
+#include "coordination/choice/rendezvous.h"
 
 namespace acaciachute {
 namespace {
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -2,9 +2,9 @@
 #include <gtest/gtest.h>
 
 #include "coordination/attempt_budget.h"
-#include "coordination/engine_choice.h"
+#include "coordination/choice/engine_choice.h"
+#include "coordination/choice/plain_choice.h"
 #include "coordination/event_splitter.h"
-#include "coordination/plain_choice.h"
 #include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
--- a/tests/gateway/cold_limit_test.cc
+++ b/tests/gateway/cold_limit_test.cc
@@ -1,5 +1,5 @@
 // What cold replicas get, by one gateway and by many that see different things.
-#include "coordination/cold_limit.h"
+#include "coordination/choice/cold_limit.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/load_decisions_test.cc
+++ b/tests/load_decisions_test.cc
@@ -7,11 +7,11 @@
 #include <vector>
 
 #include "coordination/admission.h"
+#include "coordination/choice/router.h"
+#include "coordination/choice/subset.h"
 #include "coordination/fair_share.h"
 #include "coordination/load_control.h"
 #include "coordination/return_schedule.h"
-#include "coordination/router.h"
-#include "coordination/subset.h"
 #include "text.h"
 
 namespace acaciachute {
