Move which gateways and entries live into a room of its own

Files move to src/coordination/membership/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/src/coordination/gateway_join.cc
+++ b/src/coordination/membership/gateway_join.cc
@@ -1,4 +1,4 @@
-#include "coordination/gateway_join.h"
+#include "coordination/membership/gateway_join.h"
 
 #include <utility>
 
--- a/src/coordination/gateway_join.h
+++ b/src/coordination/membership/gateway_join.h
@@ -8,8 +8,8 @@
 //
 // Failure: the store is away at that moment. Symptom: a gateway that works
 // alone, with smaller batches; it tries again until it succeeds.
-#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
-#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_GATEWAY_JOIN_H_
+#define ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_GATEWAY_JOIN_H_
 
 #include <optional>
 #include <string>
@@ -76,4 +76,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_JOIN_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_GATEWAY_JOIN_H_
--- a/src/coordination/gateway_peers.cc
+++ b/src/coordination/membership/gateway_peers.cc
@@ -1,4 +1,4 @@
-#include "coordination/gateway_peers.h"
+#include "coordination/membership/gateway_peers.h"
 
 #include <algorithm>
 
--- a/src/coordination/gateway_peers.h
+++ b/src/coordination/membership/gateway_peers.h
@@ -9,8 +9,8 @@
 // request; on a host with a tenth of a core that is a queue of its own, so
 // hashes are weighted steeply by the hosts' processors. While two disagree,
 // both send calls; a replica queues or refuses the second.
-#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
-#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_GATEWAY_PEERS_H_
+#define ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_GATEWAY_PEERS_H_
 
 #include <cstdint>
 #include <map>
@@ -152,4 +152,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_PEERS_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_GATEWAY_PEERS_H_
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership/membership.cc
@@ -1,4 +1,4 @@
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/coordination/membership.h
+++ b/src/coordination/membership/membership.h
@@ -17,8 +17,8 @@
 // Bounds, with `period` the current one (at most `kMaxPeriod`): a dead or
 // unreachable sidecar gets nothing new after period + `kSuspectAfter` + a tick,
 // 2.3 s at most; it is dead after `kDeadAfter` more.
-#ifndef ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_H_
-#define ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_MEMBERSHIP_H_
+#define ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_MEMBERSHIP_H_
 
 #include <cstdint>
 #include <map>
@@ -140,4 +140,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_MEMBERSHIP_H_
--- a/src/coordination/message_age.cc
+++ b/src/coordination/membership/message_age.cc
@@ -1,4 +1,4 @@
-#include "coordination/message_age.h"
+#include "coordination/membership/message_age.h"
 
 #include <algorithm>
 
--- a/src/coordination/message_age.h
+++ b/src/coordination/membership/message_age.h
@@ -7,8 +7,8 @@
 // stands for a message that waited nowhere, and what a message shows above it
 // is its age. That needs no agreement of clocks, only that they run alike
 // (the base delay of LEDBAT, RFC 6817, is found in the same way).
-#ifndef ACACIACHUTE_SRC_COORDINATION_MESSAGE_AGE_H_
-#define ACACIACHUTE_SRC_COORDINATION_MESSAGE_AGE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_MESSAGE_AGE_H_
+#define ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_MESSAGE_AGE_H_
 
 #include <map>
 
@@ -46,4 +46,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_MESSAGE_AGE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_MEMBERSHIP_MESSAGE_AGE_H_
--- a/src/coordination/sidecar_impl.h
+++ b/src/coordination/sidecar_impl.h
@@ -14,7 +14,7 @@
 #include "coordination/class_queue.h"
 #include "coordination/concurrency_limit.h"
 #include "coordination/leaving.h"
-#include "coordination/message_age.h"
+#include "coordination/membership/message_age.h"
 #include "coordination/quarantine.h"
 #include "coordination/service_times.h"
 #include "coordination/sidecar.h"
--- a/src/coordination/stages/shared_piece_desk.h
+++ b/src/coordination/stages/shared_piece_desk.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/gateway_peers.h"
+#include "coordination/membership/gateway_peers.h"
 #include "coordination/stages/local_piece_desk.h"
 #include "coordination/stages/piece_desk.h"
 #include "messages.h"
--- a/src/coordination/tables/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -23,7 +23,7 @@
 #include <string_view>
 #include <vector>
 
-#include "coordination/gateway_peers.h"
+#include "coordination/membership/gateway_peers.h"
 #include "coordination/tables/freshness_plan.h"
 #include "coordination/tables/remote_clock.h"
 #include "coordination/tables/store_questions.h"
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -10,7 +10,7 @@
 
 #include "coordination/control_duty.h"
 #include "coordination/entry.h"
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 #include "coordination/platform_client.h"
 #include "coordination/settings_sync.h"
 #include "daemon/node_pages.h"
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -10,8 +10,8 @@
 
 #include "coordination/evacuations.h"
 #include "coordination/gateway.h"
-#include "coordination/gateway_join.h"
-#include "coordination/gateway_peers.h"
+#include "coordination/membership/gateway_join.h"
+#include "coordination/membership/gateway_peers.h"
 #include "coordination/stages/local_piece_desk.h"
 #include "coordination/stages/shared_piece_desk.h"
 #include "coordination/tables/table_relay.h"
--- a/src/protocol/platform_codec.h
+++ b/src/protocol/platform_codec.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 #include "state/store.h"
 
 namespace acaciachute {
--- a/src/types.h
+++ b/src/types.h
@@ -15,7 +15,7 @@
 
 // Microseconds. `TimeUs` is a point on the local monotonic clock, which means
 // nothing to another node but for its differences (see
-// coordination/message_age.h); `DurationUs` is a length.
+// coordination/membership/message_age.h); `DurationUs` is a length.
 using TimeUs = std::int64_t;
 using DurationUs = std::int64_t;
 inline constexpr DurationUs kMillisecond = 1000;
--- a/tests/gateway/peer_net.h
+++ b/tests/gateway/peer_net.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/gateway_peers.h"
+#include "coordination/membership/gateway_peers.h"
 #include "tests/gateway/quiet_log.h"
 
 namespace acaciachute {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -1,6 +1,6 @@
 // Who is there, leaving, suspected or dead, judged by what an entry would send
 // to whom.
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -1,7 +1,7 @@
 // The last guard before an upstream: duplicates, cancels, deadlines, pauses.
 #include <gtest/gtest.h>
 
-#include "coordination/message_age.h"
+#include "coordination/membership/message_age.h"
 #include "coordination/tombstones.h"
 #include "tests/sidecar_rig.h"
 
