Move the product's own settings: spread, written, shown to be in force into a room of its own

Files move to src/coordination/settings/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -14,8 +14,8 @@
 
 #include "coordination/caller.h"
 #include "coordination/claims.h"
-#include "coordination/currency.h"
 #include "coordination/quarantine.h"
+#include "coordination/settings/currency.h"
 #include "coordination/store_calls.h"
 #include "messages.h"
 #include "state/cost_table.h"
--- a/src/coordination/currency.h
+++ b/src/coordination/settings/currency.h
@@ -1,6 +1,6 @@
 // Whether a node can show that its settings are those in force.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CURRENCY_H_
-#define ACACIACHUTE_SRC_COORDINATION_CURRENCY_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_SETTINGS_CURRENCY_H_
+#define ACACIACHUTE_SRC_COORDINATION_SETTINGS_CURRENCY_H_
 
 #include "types.h"
 
@@ -16,4 +16,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CURRENCY_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_SETTINGS_CURRENCY_H_
--- a/src/coordination/settings_sync.cc
+++ b/src/coordination/settings/settings_sync.cc
@@ -1,4 +1,4 @@
-#include "coordination/settings_sync.h"
+#include "coordination/settings/settings_sync.h"
 
 #include <xxhash.h>
 
@@ -6,7 +6,7 @@
 #include <functional>
 #include <utility>
 
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_write.h"
 
 namespace acaciachute {
 namespace {
--- a/src/coordination/settings_sync.h
+++ b/src/coordination/settings/settings_sync.h
@@ -22,8 +22,8 @@
 // before a question was sent, by the asker's clock alone, so that neither a
 // pause nor a slow network makes an old answer look fresh.
 // docs/design/040-settings.md weighs the ways.
-#ifndef ACACIACHUTE_SRC_COORDINATION_SETTINGS_SYNC_H_
-#define ACACIACHUTE_SRC_COORDINATION_SETTINGS_SYNC_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_SETTINGS_SETTINGS_SYNC_H_
+#define ACACIACHUTE_SRC_COORDINATION_SETTINGS_SETTINGS_SYNC_H_
 
 #include <cstdint>
 #include <map>
@@ -31,7 +31,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/currency.h"
+#include "coordination/settings/currency.h"
 #include "messages.h"
 #include "state/metrics.h"
 #include "state/random.h"
@@ -163,4 +163,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_SETTINGS_SYNC_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_SETTINGS_SETTINGS_SYNC_H_
--- a/src/coordination/settings_write.cc
+++ b/src/coordination/settings/settings_write.cc
@@ -1,4 +1,4 @@
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_write.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/coordination/settings_write.h
+++ b/src/coordination/settings/settings_write.h
@@ -7,8 +7,8 @@
 // lost one no longer can, or the history row that stands carries the nonce and
 // the change is ours. A rollback is a new version with an old body, because a
 // version never goes down anywhere.
-#ifndef ACACIACHUTE_SRC_COORDINATION_SETTINGS_WRITE_H_
-#define ACACIACHUTE_SRC_COORDINATION_SETTINGS_WRITE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_SETTINGS_SETTINGS_WRITE_H_
+#define ACACIACHUTE_SRC_COORDINATION_SETTINGS_SETTINGS_WRITE_H_
 
 #include <array>
 #include <cstdint>
@@ -127,4 +127,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_SETTINGS_WRITE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_SETTINGS_SETTINGS_WRITE_H_
--- a/src/ctl/settings_access.h
+++ b/src/ctl/settings_access.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_write.h"
 #include "ctl/command.h"
 #include "state/settings.h"
 
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -12,7 +12,7 @@
 #include "coordination/entry.h"
 #include "coordination/membership/membership.h"
 #include "coordination/platform_client.h"
-#include "coordination/settings_sync.h"
+#include "coordination/settings/settings_sync.h"
 #include "daemon/node_pages.h"
 #include "daemon/startup.h"
 #include "protocol/caller_http.h"
--- a/tests/currency_test.cc
+++ b/tests/currency_test.cc
@@ -1,5 +1,5 @@
 // What callers receive from an entry that cannot show that it is current.
-#include "coordination/currency.h"
+#include "coordination/settings/currency.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/model/settings_model_test.cc
+++ b/tests/model/settings_model_test.cc
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_write.h"
 #include "state/settings.h"
 #include "tests/model/explore.h"
 #include "text.h"
--- a/tests/pairs_test.cc
+++ b/tests/pairs_test.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_write.h"
 #include "tests/core_driver.h"
 #include "tests/settings_net.h"
 #include "text.h"
--- a/tests/process/entry_group.cc
+++ b/tests/process/entry_group.cc
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_write.h"
 #include "protocol/platform_codec.h"
 #include "text.h"
 
--- a/tests/settings_net.h
+++ b/tests/settings_net.h
@@ -12,8 +12,8 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/settings_sync.h"
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_sync.h"
+#include "coordination/settings/settings_write.h"
 #include "tests/fake_table.h"
 #include "text.h"
 
--- a/tests/settings_sync_test.cc
+++ b/tests/settings_sync_test.cc
@@ -1,6 +1,6 @@
 // Settings reach every entry in time, never go down, and a node that cannot
 // show that it is current takes no new work.
-#include "coordination/settings_sync.h"
+#include "coordination/settings/settings_sync.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/settings_write_test.cc
+++ b/tests/settings_write_test.cc
@@ -1,5 +1,5 @@
 // Operators' changes of settings branches, racing, retried and refused.
-#include "coordination/settings_write.h"
+#include "coordination/settings/settings_write.h"
 
 #include <gtest/gtest.h>
 
