Move who is taken, queued or refused into a room of its own

Files move to src/coordination/admission/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/bench/decision_cost.cc
+++ b/bench/decision_cost.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <string>
 
-#include "coordination/load_control.h"
+#include "coordination/admission/load_control.h"
 #include "text.h"
 
 namespace acaciachute {
--- a/src/coordination/account_table.h
+++ b/src/coordination/admission/account_table.h
@@ -1,14 +1,14 @@
 // Dense numbers for account names, so that counts by account are small maps of
 // integers.
-#ifndef ACACIACHUTE_SRC_COORDINATION_ACCOUNT_TABLE_H_
-#define ACACIACHUTE_SRC_COORDINATION_ACCOUNT_TABLE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_ACCOUNT_TABLE_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_ACCOUNT_TABLE_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/fair_share.h"
+#include "coordination/admission/fair_share.h"
 #include "state/settings.h"
 
 namespace acaciachute {
@@ -43,4 +43,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_ACCOUNT_TABLE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_ACCOUNT_TABLE_H_
--- a/src/coordination/admission.cc
+++ b/src/coordination/admission/admission.cc
@@ -1,4 +1,4 @@
-#include "coordination/admission.h"
+#include "coordination/admission/admission.h"
 
 #include <algorithm>
 
--- a/src/coordination/admission.h
+++ b/src/coordination/admission/admission.h
@@ -9,14 +9,14 @@
 // Load pattern: the same, from one account. While the wait at the tightest pool
 // is above `kContended` of what may be planned, a request needs a credit of its
 // account there; see fair_share.h.
-#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_H_
-#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_ADMISSION_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_ADMISSION_H_
 
 #include <array>
 #include <vector>
 
-#include "coordination/fair_share.h"
-#include "coordination/pool_load.h"
+#include "coordination/admission/fair_share.h"
+#include "coordination/admission/pool_load.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -69,4 +69,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_ADMISSION_H_
--- a/src/coordination/class_queue.cc
+++ b/src/coordination/admission/class_queue.cc
@@ -1,4 +1,4 @@
-#include "coordination/class_queue.h"
+#include "coordination/admission/class_queue.h"
 
 #include <iterator>
 
--- a/src/coordination/class_queue.h
+++ b/src/coordination/admission/class_queue.h
@@ -12,8 +12,8 @@
 // patient work gets a seventeenth of the slots at least and an urgent call
 // waits for one more service at most. Long jobs are passed over while they fill
 // the slots that they may have.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CLASS_QUEUE_H_
-#define ACACIACHUTE_SRC_COORDINATION_CLASS_QUEUE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_CLASS_QUEUE_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_CLASS_QUEUE_H_
 
 #include <array>
 #include <cstdint>
@@ -75,4 +75,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CLASS_QUEUE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_CLASS_QUEUE_H_
--- a/src/coordination/concurrency_limit.cc
+++ b/src/coordination/admission/concurrency_limit.cc
@@ -1,4 +1,4 @@
-#include "coordination/concurrency_limit.h"
+#include "coordination/admission/concurrency_limit.h"
 
 #include <algorithm>
 
--- a/src/coordination/concurrency_limit.h
+++ b/src/coordination/admission/concurrency_limit.h
@@ -12,8 +12,8 @@
 // the start (Chiu and Jain, 1989). The signal is latency against a recent best,
 // as in TCP Vegas (Brakmo and Peterson, 1994) and in the gradient limits that
 // services use for the same purpose.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CONCURRENCY_LIMIT_H_
-#define ACACIACHUTE_SRC_COORDINATION_CONCURRENCY_LIMIT_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_CONCURRENCY_LIMIT_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_CONCURRENCY_LIMIT_H_
 
 #include <cstdint>
 
@@ -62,4 +62,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CONCURRENCY_LIMIT_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_CONCURRENCY_LIMIT_H_
--- a/src/coordination/fair_share.cc
+++ b/src/coordination/admission/fair_share.cc
@@ -1,4 +1,4 @@
-#include "coordination/fair_share.h"
+#include "coordination/admission/fair_share.h"
 
 #include <algorithm>
 
--- a/src/coordination/fair_share.h
+++ b/src/coordination/admission/fair_share.h
@@ -8,8 +8,8 @@
 // taken never outgrows it, whatever the rate is; an account that asks for less
 // than its share stays at its cap and leaves its part to the others (deficit
 // round robin, Shreedhar and Varghese 1995, with refusal in place of a queue).
-#ifndef ACACIACHUTE_SRC_COORDINATION_FAIR_SHARE_H_
-#define ACACIACHUTE_SRC_COORDINATION_FAIR_SHARE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_FAIR_SHARE_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_FAIR_SHARE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -65,4 +65,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_FAIR_SHARE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_FAIR_SHARE_H_
--- a/src/coordination/load_control.cc
+++ b/src/coordination/admission/load_control.cc
@@ -1,4 +1,4 @@
-#include "coordination/load_control.h"
+#include "coordination/admission/load_control.h"
 
 #include <utility>
 
--- a/src/coordination/load_control.h
+++ b/src/coordination/admission/load_control.h
@@ -1,8 +1,8 @@
 // What an entry decides under load, in one place: whom it takes, where a stage
 // is sent, what is tried again. It holds the decision modules and the counts
 // that they share; the entry tells it what happens to requests and attempts.
-#ifndef ACACIACHUTE_SRC_COORDINATION_LOAD_CONTROL_H_
-#define ACACIACHUTE_SRC_COORDINATION_LOAD_CONTROL_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_LOAD_CONTROL_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_LOAD_CONTROL_H_
 
 #include <cstdint>
 #include <memory>
@@ -11,11 +11,11 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/account_table.h"
-#include "coordination/admission.h"
+#include "coordination/admission/account_table.h"
+#include "coordination/admission/admission.h"
+#include "coordination/admission/retry_budget.h"
+#include "coordination/admission/return_schedule.h"
 #include "coordination/choice/router.h"
-#include "coordination/retry_budget.h"
-#include "coordination/return_schedule.h"
 #include "state/random.h"
 #include "state/replica_table.h"
 #include "state/settings.h"
@@ -103,4 +103,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_LOAD_CONTROL_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_LOAD_CONTROL_H_
--- a/src/coordination/pool_load.cc
+++ b/src/coordination/admission/pool_load.cc
@@ -1,4 +1,4 @@
-#include "coordination/pool_load.h"
+#include "coordination/admission/pool_load.h"
 
 #include <algorithm>
 
--- a/src/coordination/pool_load.h
+++ b/src/coordination/admission/pool_load.h
@@ -10,8 +10,8 @@
 //
 // Everything is kept as sums that change with one replica at a time, so an
 // estimate costs the same for nine replicas and for 1,500.
-#ifndef ACACIACHUTE_SRC_COORDINATION_POOL_LOAD_H_
-#define ACACIACHUTE_SRC_COORDINATION_POOL_LOAD_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_POOL_LOAD_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_POOL_LOAD_H_
 
 #include <array>
 #include <cstdint>
@@ -66,4 +66,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_POOL_LOAD_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_POOL_LOAD_H_
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/admission/retry_budget.h
@@ -4,8 +4,8 @@
 // again elsewhere. Without a budget the retries multiply the load that caused
 // them. A tenth is the share at which retries cannot more than slightly raise
 // the load, while single failures are still all retried.
-#ifndef ACACIACHUTE_SRC_COORDINATION_RETRY_BUDGET_H_
-#define ACACIACHUTE_SRC_COORDINATION_RETRY_BUDGET_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_RETRY_BUDGET_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_RETRY_BUDGET_H_
 
 #include <algorithm>
 
@@ -32,4 +32,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_RETRY_BUDGET_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_RETRY_BUDGET_H_
--- a/src/coordination/return_schedule.h
+++ b/src/coordination/admission/return_schedule.h
@@ -4,8 +4,8 @@
 // come back together and are a burst again. Each refusal takes the next free
 // place in a line that moves as fast as the pool serves, so the resends arrive
 // at a rate that can be served; behind `kMost` places are drawn at random.
-#ifndef ACACIACHUTE_SRC_COORDINATION_RETURN_SCHEDULE_H_
-#define ACACIACHUTE_SRC_COORDINATION_RETURN_SCHEDULE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_RETURN_SCHEDULE_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_RETURN_SCHEDULE_H_
 
 #include <algorithm>
 
@@ -45,4 +45,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_RETURN_SCHEDULE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_RETURN_SCHEDULE_H_
--- a/src/coordination/service_times.cc
+++ b/src/coordination/admission/service_times.cc
@@ -1,4 +1,4 @@
-#include "coordination/service_times.h"
+#include "coordination/admission/service_times.h"
 
 #include <algorithm>
 
--- a/src/coordination/service_times.h
+++ b/src/coordination/admission/service_times.h
@@ -4,8 +4,8 @@
 // longer than the rest. Without an estimate by kind, work that cannot end in
 // time is started, and long jobs cannot be told from short ones. Calls are told
 // apart by their path; an entry's own estimate, where it has one, goes first.
-#ifndef ACACIACHUTE_SRC_COORDINATION_SERVICE_TIMES_H_
-#define ACACIACHUTE_SRC_COORDINATION_SERVICE_TIMES_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_ADMISSION_SERVICE_TIMES_H_
+#define ACACIACHUTE_SRC_COORDINATION_ADMISSION_SERVICE_TIMES_H_
 
 #include <map>
 #include <string>
@@ -40,4 +40,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_SERVICE_TIMES_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_ADMISSION_SERVICE_TIMES_H_
--- a/src/coordination/entry_request.h
+++ b/src/coordination/entry_request.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "coordination/admission/load_control.h"
 #include "coordination/caller.h"
-#include "coordination/load_control.h"
 #include "state/settings.h"
 #include "state/span.h"
 #include "types.h"
--- a/src/coordination/pipeline.h
+++ b/src/coordination/pipeline.h
@@ -10,8 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/admission/load_control.h"
 #include "coordination/entry_request.h"
-#include "coordination/load_control.h"
 #include "coordination/quarantine.h"
 #include "messages.h"
 #include "state/metrics.h"
--- a/src/coordination/sidecar_impl.h
+++ b/src/coordination/sidecar_impl.h
@@ -11,12 +11,12 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/class_queue.h"
-#include "coordination/concurrency_limit.h"
+#include "coordination/admission/class_queue.h"
+#include "coordination/admission/concurrency_limit.h"
+#include "coordination/admission/service_times.h"
 #include "coordination/leaving.h"
 #include "coordination/membership/message_age.h"
 #include "coordination/quarantine.h"
-#include "coordination/service_times.h"
 #include "coordination/sidecar.h"
 #include "coordination/tombstones.h"
 
--- a/tests/class_queue_test.cc
+++ b/tests/class_queue_test.cc
@@ -1,13 +1,13 @@
 // Whom an upstream serves next, and how much it is given at once.
-#include "coordination/class_queue.h"
+#include "coordination/admission/class_queue.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
 #include <set>
 
-#include "coordination/concurrency_limit.h"
-#include "coordination/service_times.h"
+#include "coordination/admission/concurrency_limit.h"
+#include "coordination/admission/service_times.h"
 #include "tests/property.h"
 #include "tests/sidecar_rig.h"
 
--- a/tests/load_decisions_test.cc
+++ b/tests/load_decisions_test.cc
@@ -6,12 +6,12 @@
 #include <string>
 #include <vector>
 
-#include "coordination/admission.h"
+#include "coordination/admission/admission.h"
+#include "coordination/admission/fair_share.h"
+#include "coordination/admission/load_control.h"
+#include "coordination/admission/return_schedule.h"
 #include "coordination/choice/router.h"
 #include "coordination/choice/subset.h"
-#include "coordination/fair_share.h"
-#include "coordination/load_control.h"
-#include "coordination/return_schedule.h"
 #include "text.h"
 
 namespace acaciachute {
--- a/tests/load_properties_test.cc
+++ b/tests/load_properties_test.cc
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "bench/decisions.h"
-#include "coordination/fair_share.h"
-#include "coordination/load_control.h"
+#include "coordination/admission/fair_share.h"
+#include "coordination/admission/load_control.h"
 #include "tests/property.h"
 #include "text.h"
 
