Move who orders the replicas of a pool, and that only that one is obeyed into a room of its own

Files move to src/coordination/control/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/src/coordination/control_duty.cc
+++ b/src/coordination/control/control_duty.cc
@@ -1,4 +1,4 @@
-#include "coordination/control_duty.h"
+#include "coordination/control/control_duty.h"
 
 #include <xxhash.h>
 
--- a/src/coordination/control_duty.h
+++ b/src/coordination/control/control_duty.h
@@ -1,15 +1,15 @@
 // The control duties of one entry: for each pool that names models, a lease
 // that it competes for and, while it holds it, the pool's orders.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CONTROL_DUTY_H_
-#define ACACIACHUTE_SRC_COORDINATION_CONTROL_DUTY_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CONTROL_CONTROL_DUTY_H_
+#define ACACIACHUTE_SRC_COORDINATION_CONTROL_CONTROL_DUTY_H_
 
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "coordination/lease.h"
-#include "coordination/pool_control.h"
+#include "coordination/control/lease.h"
+#include "coordination/control/pool_control.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "state/replica_table.h"
@@ -62,4 +62,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CONTROL_DUTY_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CONTROL_CONTROL_DUTY_H_
--- a/src/coordination/fence.cc
+++ b/src/coordination/control/fence.cc
@@ -1,4 +1,4 @@
-#include "coordination/fence.h"
+#include "coordination/control/fence.h"
 
 #include <algorithm>
 #include <array>
--- a/src/coordination/fence.h
+++ b/src/coordination/control/fence.h
@@ -16,8 +16,8 @@
 // A process that has just started cannot know which ids its predecessor passed
 // under the number in force; unless the upstream itself remembers ids, it wants
 // a newer number, which costs the holder one write.
-#ifndef ACACIACHUTE_SRC_COORDINATION_FENCE_H_
-#define ACACIACHUTE_SRC_COORDINATION_FENCE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CONTROL_FENCE_H_
+#define ACACIACHUTE_SRC_COORDINATION_CONTROL_FENCE_H_
 
 #include <cstdint>
 #include <deque>
@@ -109,4 +109,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_FENCE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CONTROL_FENCE_H_
--- a/src/coordination/lease.cc
+++ b/src/coordination/control/lease.cc
@@ -1,4 +1,4 @@
-#include "coordination/lease.h"
+#include "coordination/control/lease.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/coordination/lease.h
+++ b/src/coordination/control/lease.h
@@ -11,8 +11,8 @@
 // clock, which began no earlier than that write. The number grows with each
 // acquisition; sidecars refuse orders below the largest that they saw, and that
 // covers a holder that is paused between its check and its order.
-#ifndef ACACIACHUTE_SRC_COORDINATION_LEASE_H_
-#define ACACIACHUTE_SRC_COORDINATION_LEASE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CONTROL_LEASE_H_
+#define ACACIACHUTE_SRC_COORDINATION_CONTROL_LEASE_H_
 
 #include <cstdint>
 #include <optional>
@@ -130,4 +130,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_LEASE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CONTROL_LEASE_H_
--- a/src/coordination/pool_control.cc
+++ b/src/coordination/control/pool_control.cc
@@ -1,4 +1,4 @@
-#include "coordination/pool_control.h"
+#include "coordination/control/pool_control.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/coordination/pool_control.h
+++ b/src/coordination/control/pool_control.h
@@ -9,8 +9,8 @@
 // An order keeps its id until its outcome is known, so a lost answer repeats it
 // without a second load. Without the lease nothing is sent, and what was in
 // progress is forgotten: the next holder asks again.
-#ifndef ACACIACHUTE_SRC_COORDINATION_POOL_CONTROL_H_
-#define ACACIACHUTE_SRC_COORDINATION_POOL_CONTROL_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CONTROL_POOL_CONTROL_H_
+#define ACACIACHUTE_SRC_COORDINATION_CONTROL_POOL_CONTROL_H_
 
 #include <cstdint>
 #include <deque>
@@ -89,4 +89,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_POOL_CONTROL_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CONTROL_POOL_CONTROL_H_
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/control_duty.h"
+#include "coordination/control/control_duty.h"
 #include "coordination/entry.h"
 #include "coordination/membership/membership.h"
 #include "coordination/platform_client.h"
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-#include "coordination/fence.h"
+#include "coordination/control/fence.h"
 #include "coordination/sidecar.h"
 #include "daemon/node_pages.h"
 #include "daemon/startup.h"
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "coordination/fence.h"
+#include "coordination/control/fence.h"
 #include "coordination/sidecar.h"
 #include "messages.h"
 #include "types.h"
--- a/tests/fence_test.cc
+++ b/tests/fence_test.cc
@@ -1,5 +1,5 @@
 // An old holder's order is never carried out, nor is any order twice.
-#include "coordination/fence.h"
+#include "coordination/control/fence.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/lease_test.cc
+++ b/tests/lease_test.cc
@@ -1,5 +1,5 @@
 // One holder at a time, and no old holder's order passes after its successor's.
-#include "coordination/lease.h"
+#include "coordination/control/lease.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/model/fence_model_test.cc
+++ b/tests/model/fence_model_test.cc
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/fence.h"
+#include "coordination/control/fence.h"
 #include "state/metrics.h"
 #include "tests/model/explore.h"
 #include "text.h"
--- a/tests/pool_control_test.cc
+++ b/tests/pool_control_test.cc
@@ -1,5 +1,5 @@
 // Orders of a lease's holder: one at a time, bounded, repeated without harm.
-#include "coordination/pool_control.h"
+#include "coordination/control/pool_control.h"
 
 #include <gtest/gtest.h>
 
