Move the process beside one upstream into a room of its own

Files move to src/coordination/sidecar/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -12,7 +12,7 @@
 
 #include "bench/naive.h"
 #include "coordination/entry.h"
-#include "coordination/sidecar.h"
+#include "coordination/sidecar/sidecar.h"
 #include "text.h"
 
 namespace acaciachute::bench {
--- a/src/coordination/leaving.cc
+++ b/src/coordination/sidecar/leaving.cc
@@ -1,4 +1,4 @@
-#include "coordination/leaving.h"
+#include "coordination/sidecar/leaving.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/coordination/leaving.h
+++ b/src/coordination/sidecar/leaving.h
@@ -9,8 +9,8 @@
 // last said that it was ready. A report's age is counted from when it was asked
 // for, so that a slow answer cannot stretch it. By another route alone the
 // bound is that route's own lag and nothing on top of it.
-#ifndef ACACIACHUTE_SRC_COORDINATION_LEAVING_H_
-#define ACACIACHUTE_SRC_COORDINATION_LEAVING_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_SIDECAR_LEAVING_H_
+#define ACACIACHUTE_SRC_COORDINATION_SIDECAR_LEAVING_H_
 
 #include <array>
 #include <string_view>
@@ -58,4 +58,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_LEAVING_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_SIDECAR_LEAVING_H_
--- a/src/coordination/sidecar.cc
+++ b/src/coordination/sidecar/sidecar.cc
@@ -1,11 +1,11 @@
-#include "coordination/sidecar.h"
+#include "coordination/sidecar/sidecar.h"
 
 #include <algorithm>
 #include <limits>
 #include <utility>
 #include <vector>
 
-#include "coordination/sidecar_impl.h"
+#include "coordination/sidecar/sidecar_impl.h"
 
 namespace acaciachute {
 namespace {
--- a/src/coordination/sidecar.h
+++ b/src/coordination/sidecar/sidecar.h
@@ -3,8 +3,8 @@
 // It queues, limits concurrency, drops duplicates, checks deadlines again at
 // hand-over, refuses new work as soon as its upstream leaves, and says of each
 // attempt whether it may have run.
-#ifndef ACACIACHUTE_SRC_COORDINATION_SIDECAR_H_
-#define ACACIACHUTE_SRC_COORDINATION_SIDECAR_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_SIDECAR_SIDECAR_H_
+#define ACACIACHUTE_SRC_COORDINATION_SIDECAR_SIDECAR_H_
 
 #include <cstdint>
 #include <memory>
@@ -111,4 +111,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_SIDECAR_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_SIDECAR_SIDECAR_H_
--- a/src/coordination/sidecar_impl.h
+++ b/src/coordination/sidecar/sidecar_impl.h
@@ -1,7 +1,7 @@
 // Inside of `Sidecar`, shared by its two files: sidecar.cc has what entries
 // send, sidecar_upstream.cc what the upstream says.
-#ifndef ACACIACHUTE_SRC_COORDINATION_SIDECAR_IMPL_H_
-#define ACACIACHUTE_SRC_COORDINATION_SIDECAR_IMPL_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_SIDECAR_SIDECAR_IMPL_H_
+#define ACACIACHUTE_SRC_COORDINATION_SIDECAR_SIDECAR_IMPL_H_
 
 #include <deque>
 #include <optional>
@@ -14,11 +14,11 @@
 #include "coordination/admission/class_queue.h"
 #include "coordination/admission/concurrency_limit.h"
 #include "coordination/admission/service_times.h"
-#include "coordination/leaving.h"
 #include "coordination/membership/message_age.h"
 #include "coordination/quarantine.h"
-#include "coordination/sidecar.h"
-#include "coordination/tombstones.h"
+#include "coordination/sidecar/leaving.h"
+#include "coordination/sidecar/sidecar.h"
+#include "coordination/sidecar/tombstones.h"
 
 namespace acaciachute {
 namespace detail {
@@ -127,4 +127,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_SIDECAR_IMPL_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_SIDECAR_SIDECAR_IMPL_H_
--- a/src/coordination/sidecar_upstream.cc
+++ b/src/coordination/sidecar/sidecar_upstream.cc
@@ -3,8 +3,8 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/sidecar.h"
-#include "coordination/sidecar_impl.h"
+#include "coordination/sidecar/sidecar.h"
+#include "coordination/sidecar/sidecar_impl.h"
 
 namespace acaciachute {
 
--- a/src/coordination/tombstones.cc
+++ b/src/coordination/sidecar/tombstones.cc
@@ -1,4 +1,4 @@
-#include "coordination/tombstones.h"
+#include "coordination/sidecar/tombstones.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/coordination/tombstones.h
+++ b/src/coordination/sidecar/tombstones.h
@@ -9,8 +9,8 @@
 // that ends first is dropped, and from then on an unknown attempt of a request
 // up to its number is taken for a copy: it is never run and answered with "may
 // have run". The bound costs some attempts, never the promise.
-#ifndef ACACIACHUTE_SRC_COORDINATION_TOMBSTONES_H_
-#define ACACIACHUTE_SRC_COORDINATION_TOMBSTONES_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_SIDECAR_TOMBSTONES_H_
+#define ACACIACHUTE_SRC_COORDINATION_SIDECAR_TOMBSTONES_H_
 
 #include <map>
 #include <set>
@@ -52,4 +52,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_TOMBSTONES_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_SIDECAR_TOMBSTONES_H_
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "coordination/control/fence.h"
-#include "coordination/sidecar.h"
+#include "coordination/sidecar/sidecar.h"
 #include "daemon/node_pages.h"
 #include "daemon/startup.h"
 #include "protocol/lease_codec.h"
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "coordination/control/fence.h"
-#include "coordination/sidecar.h"
+#include "coordination/sidecar/sidecar.h"
 #include "messages.h"
 #include "types.h"
 
--- a/tests/core_driver.h
+++ b/tests/core_driver.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "coordination/entry.h"
-#include "coordination/sidecar.h"
+#include "coordination/sidecar/sidecar.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "state/settings.h"
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -3,7 +3,7 @@
 
 #include <functional>
 
-#include "coordination/leaving.h"
+#include "coordination/sidecar/leaving.h"
 #include "tests/sidecar_rig.h"
 
 namespace acaciachute {
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/sidecar.h"
+#include "coordination/sidecar/sidecar.h"
 #include "state/metrics.h"
 
 namespace acaciachute {
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -2,7 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "coordination/membership/message_age.h"
-#include "coordination/tombstones.h"
+#include "coordination/sidecar/tombstones.h"
 #include "tests/sidecar_rig.h"
 
 namespace acaciachute {
--- a/tests/trace_replay_test.cc
+++ b/tests/trace_replay_test.cc
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "coordination/entry.h"
-#include "coordination/sidecar.h"
+#include "coordination/sidecar/sidecar.h"
 #include "tests/core_driver.h"
 #include "tests/fake_table.h"
 #include "text.h"
