Move the product's own interface: entries, claims, the pipeline into a room of its own

Files move to src/coordination/interface/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "bench/process_usage.h"
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 #include "protocol/bearer.h"
 #include "protocol/frame.h"
 #include "tests/process/harness.h"
--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -11,7 +11,7 @@
 #include <utility>
 
 #include "bench/naive.h"
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 #include "coordination/sidecar/sidecar.h"
 #include "text.h"
 
--- a/bench/naive.h
+++ b/bench/naive.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <utility>
 
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 
 namespace acaciachute::bench {
 
--- a/src/coordination/breaker.cc
+++ b/src/coordination/interface/breaker.cc
@@ -1,4 +1,4 @@
-#include "coordination/breaker.h"
+#include "coordination/interface/breaker.h"
 
 #include <algorithm>
 
--- a/src/coordination/breaker.h
+++ b/src/coordination/interface/breaker.h
@@ -6,8 +6,8 @@
 // late but good, and refusing because of them would turn a slow hour into an
 // outage. So calls in a row that bring no answer, or none in useful time, mean
 // down; late answers mean slow, and only lower how many calls go side by side.
-#ifndef ACACIACHUTE_SRC_COORDINATION_BREAKER_H_
-#define ACACIACHUTE_SRC_COORDINATION_BREAKER_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_BREAKER_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_BREAKER_H_
 
 #include <array>
 #include <cstdint>
@@ -73,4 +73,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_BREAKER_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_BREAKER_H_
--- a/src/coordination/caller.h
+++ b/src/coordination/interface/caller.h
@@ -1,6 +1,6 @@
 // What a caller asks of an entry and the one answer it receives.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CALLER_H_
-#define ACACIACHUTE_SRC_COORDINATION_CALLER_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_CALLER_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_CALLER_H_
 
 #include <cstdint>
 #include <string>
@@ -78,4 +78,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CALLER_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_CALLER_H_
--- a/src/coordination/claim_batch.cc
+++ b/src/coordination/interface/claim_batch.cc
@@ -1,4 +1,4 @@
-#include "coordination/claim_batch.h"
+#include "coordination/interface/claim_batch.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/coordination/claim_batch.h
+++ b/src/coordination/interface/claim_batch.h
@@ -9,15 +9,15 @@
 //
 // A transaction holds as a whole or not at all. On a conflict the rows that did
 // not hold come back; their writes are told, and the rest goes out again.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CLAIM_BATCH_H_
-#define ACACIACHUTE_SRC_COORDINATION_CLAIM_BATCH_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_CLAIM_BATCH_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_CLAIM_BATCH_H_
 
 #include <deque>
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "coordination/store_calls.h"
+#include "coordination/interface/store_calls.h"
 #include "state/metrics.h"
 #include "state/store.h"
 #include "types.h"
@@ -68,4 +68,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CLAIM_BATCH_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_CLAIM_BATCH_H_
--- a/src/coordination/claims.cc
+++ b/src/coordination/interface/claims.cc
@@ -1,4 +1,4 @@
-#include "coordination/claims.h"
+#include "coordination/interface/claims.h"
 
 #include <algorithm>
 #include <limits>
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/claim_batch.h"
+#include "coordination/interface/claim_batch.h"
 #include "state/claim.h"
 #include "text.h"
 
--- a/src/coordination/claims.h
+++ b/src/coordination/interface/claims.h
@@ -5,16 +5,16 @@
 // The holder runs; every other copy waits for the holder's stored answer, or
 // says that the request may have run, and never runs. The row is written again
 // when the request ends, so that a lost answer can be asked for.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CLAIMS_H_
-#define ACACIACHUTE_SRC_COORDINATION_CLAIMS_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_CLAIMS_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_CLAIMS_H_
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include "coordination/caller.h"
-#include "coordination/store_calls.h"
+#include "coordination/interface/caller.h"
+#include "coordination/interface/store_calls.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "types.h"
@@ -93,4 +93,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CLAIMS_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_CLAIMS_H_
--- a/src/coordination/entry.cc
+++ b/src/coordination/interface/entry.cc
@@ -1,4 +1,4 @@
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 
 #include <algorithm>
 #include <limits>
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/entry_request.h"
-#include "coordination/pipeline.h"
+#include "coordination/interface/entry_request.h"
+#include "coordination/interface/pipeline.h"
 #include "state/claim.h"
 #include "text.h"
 
--- a/src/coordination/entry.h
+++ b/src/coordination/interface/entry.h
@@ -3,8 +3,8 @@
 // A request is admitted or refused, claimed when it is not idempotent, run
 // stage by stage, assembled and answered once. Failures are short tests that
 // hand over messages late, twice, out of order or never.
-#ifndef ACACIACHUTE_SRC_COORDINATION_ENTRY_H_
-#define ACACIACHUTE_SRC_COORDINATION_ENTRY_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_ENTRY_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_ENTRY_H_
 
 #include <cstdint>
 #include <functional>
@@ -12,11 +12,11 @@
 #include <string>
 #include <string_view>
 
-#include "coordination/caller.h"
-#include "coordination/claims.h"
-#include "coordination/quarantine.h"
+#include "coordination/interface/caller.h"
+#include "coordination/interface/claims.h"
+#include "coordination/interface/quarantine.h"
+#include "coordination/interface/store_calls.h"
 #include "coordination/settings/currency.h"
-#include "coordination/store_calls.h"
 #include "messages.h"
 #include "state/cost_table.h"
 #include "state/metrics.h"
@@ -105,4 +105,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_ENTRY_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_ENTRY_H_
--- a/src/coordination/entry_request.h
+++ b/src/coordination/interface/entry_request.h
@@ -1,6 +1,6 @@
 // A request in progress at an entry, and the attempt of its current stage.
-#ifndef ACACIACHUTE_SRC_COORDINATION_ENTRY_REQUEST_H_
-#define ACACIACHUTE_SRC_COORDINATION_ENTRY_REQUEST_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_ENTRY_REQUEST_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_ENTRY_REQUEST_H_
 
 #include <cstdint>
 #include <map>
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "coordination/admission/load_control.h"
-#include "coordination/caller.h"
+#include "coordination/interface/caller.h"
 #include "state/settings.h"
 #include "state/span.h"
 #include "types.h"
@@ -60,4 +60,4 @@
 
 }  // namespace acaciachute::detail
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_ENTRY_REQUEST_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_ENTRY_REQUEST_H_
--- a/src/coordination/pipeline.cc
+++ b/src/coordination/interface/pipeline.cc
@@ -1,4 +1,4 @@
-#include "coordination/pipeline.h"
+#include "coordination/interface/pipeline.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/coordination/pipeline.h
+++ b/src/coordination/interface/pipeline.h
@@ -3,16 +3,16 @@
 // Each result carries (request, stage, attempt, sidecar incarnation); whatever
 // belongs to another attempt is dropped and counted, and only a complete
 // sequence of chunks is an answer.
-#ifndef ACACIACHUTE_SRC_COORDINATION_PIPELINE_H_
-#define ACACIACHUTE_SRC_COORDINATION_PIPELINE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_PIPELINE_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_PIPELINE_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "coordination/admission/load_control.h"
-#include "coordination/entry_request.h"
-#include "coordination/quarantine.h"
+#include "coordination/interface/entry_request.h"
+#include "coordination/interface/quarantine.h"
 #include "messages.h"
 #include "state/metrics.h"
 #include "state/random.h"
@@ -101,4 +101,4 @@
 
 }  // namespace acaciachute::detail
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_PIPELINE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_PIPELINE_H_
--- a/src/coordination/platform_client.cc
+++ b/src/coordination/interface/platform_client.cc
@@ -1,4 +1,4 @@
-#include "coordination/platform_client.h"
+#include "coordination/interface/platform_client.h"
 
 #include <algorithm>
 
--- a/src/coordination/platform_client.h
+++ b/src/coordination/interface/platform_client.h
@@ -5,8 +5,8 @@
 // outage, and a hot one never stops. Without budgets these reads take the
 // connections, and the table's rate, that claims need. Each purpose has its own
 // rate and its own places, and what is above them is refused before any effect.
-#ifndef ACACIACHUTE_SRC_COORDINATION_PLATFORM_CLIENT_H_
-#define ACACIACHUTE_SRC_COORDINATION_PLATFORM_CLIENT_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_PLATFORM_CLIENT_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_PLATFORM_CLIENT_H_
 
 #include <array>
 #include <cstdint>
@@ -15,7 +15,7 @@
 #include <string_view>
 #include <vector>
 
-#include "coordination/breaker.h"
+#include "coordination/interface/breaker.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "state/store.h"
@@ -88,4 +88,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_PLATFORM_CLIENT_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_PLATFORM_CLIENT_H_
--- a/src/coordination/quarantine.cc
+++ b/src/coordination/interface/quarantine.cc
@@ -1,4 +1,4 @@
-#include "coordination/quarantine.h"
+#include "coordination/interface/quarantine.h"
 
 #include <algorithm>
 #include <array>
--- a/src/coordination/quarantine.h
+++ b/src/coordination/interface/quarantine.h
@@ -17,8 +17,8 @@
 // epoch wins, within one the worse standing, and crashes are joined, so nodes
 // agree in whatever order they hear. A record is about one request in one pool:
 // a request that passes the encoders unharmed may yet crash every generator.
-#ifndef ACACIACHUTE_SRC_COORDINATION_QUARANTINE_H_
-#define ACACIACHUTE_SRC_COORDINATION_QUARANTINE_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_QUARANTINE_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_QUARANTINE_H_
 
 #include <cstdint>
 #include <map>
@@ -112,4 +112,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_QUARANTINE_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_QUARANTINE_H_
--- a/src/coordination/store_calls.h
+++ b/src/coordination/interface/store_calls.h
@@ -2,8 +2,8 @@
 //
 // An answer is taken once: a second one under the same ticket, or one for a
 // call of a predecessor, finds no continuation and is dropped.
-#ifndef ACACIACHUTE_SRC_COORDINATION_STORE_CALLS_H_
-#define ACACIACHUTE_SRC_COORDINATION_STORE_CALLS_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_INTERFACE_STORE_CALLS_H_
+#define ACACIACHUTE_SRC_COORDINATION_INTERFACE_STORE_CALLS_H_
 
 #include <functional>
 #include <utility>
@@ -52,4 +52,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_STORE_CALLS_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_INTERFACE_STORE_CALLS_H_
--- a/src/coordination/sidecar/sidecar.h
+++ b/src/coordination/sidecar/sidecar.h
@@ -10,7 +10,7 @@
 #include <memory>
 #include <string>
 
-#include "coordination/quarantine.h"
+#include "coordination/interface/quarantine.h"
 #include "messages.h"
 #include "state/metrics.h"
 #include "state/span.h"
--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "coordination/control/control_duty.h"
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
+#include "coordination/interface/platform_client.h"
 #include "coordination/membership/membership.h"
-#include "coordination/platform_client.h"
 #include "coordination/settings/settings_sync.h"
 #include "daemon/node_pages.h"
 #include "daemon/startup.h"
--- a/src/messages.h
+++ b/src/messages.h
@@ -15,7 +15,8 @@
 namespace acaciachute {
 
 // What a node knows of a request that was in progress when an upstream died;
-// coordination/quarantine.h says how records of two nodes are put together.
+// coordination/interface/quarantine.h says how records of two nodes are put
+// together.
 struct QuarantineRecord {
   std::uint64_t fingerprint = 0;
   std::uint32_t epoch = 0;
--- a/src/protocol/caller_http.h
+++ b/src/protocol/caller_http.h
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 #include "state/settings.h"
 
 namespace acaciachute {
--- a/src/protocol/quarantine_http.h
+++ b/src/protocol/quarantine_http.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string_view>
 
-#include "coordination/quarantine.h"
+#include "coordination/interface/quarantine.h"
 #include "protocol/caller_http.h"
 
 namespace acaciachute {
--- a/tests/claims_property_test.cc
+++ b/tests/claims_property_test.cc
@@ -3,7 +3,7 @@
 // processes die, restart and pause. Runs are counted at the upstream's side.
 #include <map>
 
-#include "coordination/claims.h"
+#include "coordination/interface/claims.h"
 #include "tests/core_driver.h"
 #include "tests/property.h"
 #include "text.h"
--- a/tests/claims_test.cc
+++ b/tests/claims_test.cc
@@ -1,6 +1,6 @@
 // At most once: what the callers of one key see while the table loses answers,
 // lands writes late or is down, and while entries die.
-#include "coordination/claims.h"
+#include "coordination/interface/claims.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core_driver.h
+++ b/tests/core_driver.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 #include "coordination/sidecar/sidecar.h"
 #include "state/metrics.h"
 #include "state/random.h"
--- a/tests/currency_test.cc
+++ b/tests/currency_test.cc
@@ -5,7 +5,7 @@
 
 #include <vector>
 
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 
 namespace acaciachute {
 namespace {
--- a/tests/model/claims_model_test.cc
+++ b/tests/model/claims_model_test.cc
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 #include "state/claim.h"
 #include "tests/core_driver.h"
 #include "tests/model/explore.h"
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -1,5 +1,5 @@
 // When the platform is asked and when not: down, slow, busy.
-#include "coordination/platform_client.h"
+#include "coordination/interface/platform_client.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -1,5 +1,5 @@
 // One request that ends each upstream it reaches, sent again and again.
-#include "coordination/quarantine.h"
+#include "coordination/interface/quarantine.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/trace_replay_test.cc
+++ b/tests/trace_replay_test.cc
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/entry.h"
+#include "coordination/interface/entry.h"
 #include "coordination/sidecar/sidecar.h"
 #include "tests/core_driver.h"
 #include "tests/fake_table.h"
