Move the gateway that clients on the platform reach into a room of its own

Files move to src/coordination/gateway/, include paths and guards follow, and nothing else changes. One folder held some hundred files of nine concerns. No functional change.

--- a/src/coordination/attempt_budget.h
+++ b/src/coordination/gateway/attempt_budget.h
@@ -8,8 +8,8 @@
 // requests that it sent itself, so that the sum holds without messages. Half of
 // both is left unspent: an entry that restarts forgets what it has spent, and
 // the number of entries is a belief.
-#ifndef ACACIACHUTE_SRC_COORDINATION_ATTEMPT_BUDGET_H_
-#define ACACIACHUTE_SRC_COORDINATION_ATTEMPT_BUDGET_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_ATTEMPT_BUDGET_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_ATTEMPT_BUDGET_H_
 
 #include <algorithm>
 #include <deque>
@@ -74,4 +74,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_ATTEMPT_BUDGET_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_ATTEMPT_BUDGET_H_
--- a/src/coordination/evacuations.cc
+++ b/src/coordination/gateway/evacuations.cc
@@ -1,4 +1,4 @@
-#include "coordination/evacuations.h"
+#include "coordination/gateway/evacuations.h"
 
 #include <set>
 
--- a/src/coordination/evacuations.h
+++ b/src/coordination/gateway/evacuations.h
@@ -7,8 +7,8 @@
 // known has the configuration's age. Rows carry versions; an older one than the
 // last that was taken for a failure domain changes nothing. What was begun
 // there ends there, and results that lie there are still read.
-#ifndef ACACIACHUTE_SRC_COORDINATION_EVACUATIONS_H_
-#define ACACIACHUTE_SRC_COORDINATION_EVACUATIONS_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_EVACUATIONS_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_EVACUATIONS_H_
 
 #include <cstdint>
 #include <map>
@@ -59,4 +59,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_EVACUATIONS_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_EVACUATIONS_H_
--- a/src/coordination/event_splitter.cc
+++ b/src/coordination/gateway/event_splitter.cc
@@ -1,4 +1,4 @@
-#include "coordination/event_splitter.h"
+#include "coordination/gateway/event_splitter.h"
 
 #include <algorithm>
 
--- a/src/coordination/event_splitter.h
+++ b/src/coordination/gateway/event_splitter.h
@@ -4,8 +4,8 @@
 // on at another replica. Symptom: the client gets half an event joined to the
 // next, or one twice. Only whole events are passed on, and the number of the
 // last one says where to go on.
-#ifndef ACACIACHUTE_SRC_COORDINATION_EVENT_SPLITTER_H_
-#define ACACIACHUTE_SRC_COORDINATION_EVENT_SPLITTER_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_EVENT_SPLITTER_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_EVENT_SPLITTER_H_
 
 #include <cstdint>
 #include <optional>
@@ -31,4 +31,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_EVENT_SPLITTER_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_EVENT_SPLITTER_H_
--- a/src/coordination/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -1,8 +1,8 @@
-#include "coordination/gateway.h"
+#include "coordination/gateway/gateway.h"
 
 #include <algorithm>
 
-#include "coordination/gateway_impl.h"
+#include "coordination/gateway/gateway_impl.h"
 #include "text.h"
 
 namespace acaciachute {
--- a/src/coordination/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -7,8 +7,8 @@
 // or when its route allows repeats. A refusal that says "not run" is given in
 // these cases only. Everything here is without I/O; time, connections and
 // timers come through `GatewayPorts`, so that a failure is a short test.
-#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_H_
-#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_GATEWAY_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_GATEWAY_H_
 
 #include <cstdint>
 #include <memory>
@@ -17,8 +17,8 @@
 #include <string_view>
 #include <vector>
 
-#include "coordination/attempt_budget.h"
 #include "coordination/choice/engine_choice.h"
+#include "coordination/gateway/attempt_budget.h"
 #include "coordination/stages/piece_desk.h"
 #include "state/client_call.h"
 #include "state/event_log.h"
@@ -175,4 +175,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_GATEWAY_H_
--- a/src/coordination/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -2,7 +2,7 @@
 // time for them.
 #include <algorithm>
 
-#include "coordination/gateway_impl.h"
+#include "coordination/gateway/gateway_impl.h"
 #include "text.h"
 
 namespace acaciachute {
--- a/src/coordination/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -2,7 +2,7 @@
 // there is none.
 #include <algorithm>
 
-#include "coordination/gateway_impl.h"
+#include "coordination/gateway/gateway_impl.h"
 #include "text.h"
 
 namespace acaciachute {
--- a/src/coordination/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -1,6 +1,6 @@
 // The inside of `Gateway`, shared by its source files.
-#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
-#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_GATEWAY_IMPL_H_
+#define ACACIACHUTE_SRC_COORDINATION_GATEWAY_GATEWAY_IMPL_H_
 
 #include <array>
 #include <map>
@@ -15,8 +15,8 @@
 #include "absl/container/flat_hash_map.h"
 #include "coordination/choice/cold_limit.h"
 #include "coordination/choice/plain_choice.h"
-#include "coordination/event_splitter.h"
-#include "coordination/gateway.h"
+#include "coordination/gateway/event_splitter.h"
+#include "coordination/gateway/gateway.h"
 #include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
@@ -225,4 +225,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_IMPL_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_GATEWAY_GATEWAY_IMPL_H_
--- a/src/coordination/gateway_stages.cc
+++ b/src/coordination/gateway/gateway_stages.cc
@@ -2,7 +2,7 @@
 #include <algorithm>
 #include <map>
 
-#include "coordination/gateway_impl.h"
+#include "coordination/gateway/gateway_impl.h"
 #include "text.h"
 
 namespace acaciachute {
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -33,7 +33,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/attempt_budget.h"
+#include "coordination/gateway/attempt_budget.h"
 #include "coordination/stages/fill_call.h"
 #include "coordination/stages/stage_makers.h"
 #include "state/piece.h"
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "coordination/evacuations.h"
-#include "coordination/gateway.h"
+#include "coordination/gateway/evacuations.h"
+#include "coordination/gateway/gateway.h"
 #include "coordination/membership/gateway_join.h"
 #include "coordination/membership/gateway_peers.h"
 #include "coordination/stages/local_piece_desk.h"
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -1,10 +1,10 @@
 // Where requests go: engines, plain replicas, the budget of repeats.
 #include <gtest/gtest.h>
 
-#include "coordination/attempt_budget.h"
 #include "coordination/choice/engine_choice.h"
 #include "coordination/choice/plain_choice.h"
-#include "coordination/event_splitter.h"
+#include "coordination/gateway/attempt_budget.h"
+#include "coordination/gateway/event_splitter.h"
 #include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
--- a/tests/gateway/evacuation_test.cc
+++ b/tests/gateway/evacuation_test.cc
@@ -1,6 +1,6 @@
 // Failure domains that the operator empties: where work goes meanwhile, and
 // what clients hear when there is nowhere to go.
-#include "coordination/evacuations.h"
+#include "coordination/gateway/evacuations.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/gateway.h"
+#include "coordination/gateway/gateway.h"
 #include "state/metrics.h"
 #include "state/random.h"
 #include "tests/gateway/quiet_log.h"
