Take no count of elements beyond the bytes of a message

What operators would see: a gateway that is busy for minutes and takes up to its memory's limit, because a peer of another build, or one that is broken, sends frames with the right hash and a wrong count inside.

Cause: cereal's archive resizes a vector or string to the count that it reads, before it finds the bytes missing. `FrameReader` reads the same layout, takes no count above the bytes left, and makes elements one by one.

Ruled out: a limit on counts alone (elements of a hundred bytes in memory and eight on the wire multiply it); a smaller limit on frames (tables and bodies need it).

FrameTest.ElementsTakeNoMemoryBeforeTheyAreRead; mutated frames bear the right hash in DecoderMutationTest too, two more kinds of messages with them. The layout on the wire is the same.

--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -13,6 +13,7 @@
 #include <sstream>
 
 #include "absl/status/status.h"
+#include "protocol/frame_reader.h"
 
 namespace acaciachute {
 
@@ -249,12 +250,10 @@
   }
   Envelope envelope;
   try {
-    std::istringstream stream(std::string(hashed.substr(kFramePrefixSize)));
-    cereal::PortableBinaryInputArchive archive(stream);
-    archive(envelope);
+    FrameReader reader(hashed.substr(kFramePrefixSize));
+    reader(envelope);
   } catch (const std::exception&) {
-    // cereal throws on a short or malformed body; with a right hash that means
-    // a peer of another build.
+    // With a right hash, a peer of another build.
     return absl::InvalidArgumentError("frame: malformed message");
   }
   return envelope;
--- a/tests/decoder_mutation_test.cc
+++ b/tests/decoder_mutation_test.cc
@@ -16,6 +16,7 @@
 #include "state/random.h"
 #include "state/settings.h"
 #include "state/span.h"
+#include "tests/sealed_frame.h"
 
 namespace acaciachute {
 namespace {
@@ -61,12 +62,15 @@
   call.account = "office";
   call.body = R"({"a":1})";
   Heartbeat heartbeat;
-  for (const Message& message : std::vector<Message>{
-           call, heartbeat, StageChunk{}, StageFailure{}, ControlOrder{},
-           TableQuestion{}, TableReply{}, GatewayBeat{}}) {
+  for (const Message& message :
+       std::vector<Message>{call, heartbeat, StageChunk{}, StageFailure{},
+                            ControlOrder{}, TableQuestion{}, TableReply{},
+                            GatewayBeat{}, PieceOrders{}, SettingsBodies{}}) {
     const std::string good = EncodeFrame({"entry-1", 1, 1, message}, kKey);
     ForEachMutation(good, [&](const std::string& frame) {
       EXPECT_TRUE(frame == good || !DecodeFrame(frame, kKey).ok());
+      // What a faulty peer sends bears the right hash.
+      DecodeFrame(SealedFrame(frame, kKey), kKey).IgnoreError();
     });
   }
 }
--- a/tests/frame_test.cc
+++ b/tests/frame_test.cc
@@ -3,7 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include <cereal/types/string.hpp>
+#include <chrono>
+
+#include "protocol/frame_reader.h"
 #include "protocol/replay_guard.h"
+#include "tests/sealed_frame.h"
 
 namespace acaciachute {
 namespace {
@@ -64,6 +69,56 @@
   }
 }
 
+Envelope WithRows() {
+  TableReply reply;
+  reply.table = "t";
+  reply.answer.kind = TableAnswer::Kind::kRows;
+  reply.answer.rows = {{"key", "value", 9, false}, {"gone", "", 10, true}};
+  return {"entry-1", 11, 3, reply};
+}
+
+// Guards against: a wrong count takes memory, and minutes, before the bytes
+// turn out to be missing.
+TEST(FrameTest, NoCountTakesMoreThanTheMessageHolds) {
+  const std::string good = EncodeFrame(WithRows(), kKey);
+  ASSERT_EQ(SealedFrame(good, kKey), good);
+  const auto started = std::chrono::steady_clock::now();
+  int refused = 0;
+  for (std::size_t at = kFramePrefixSize; at + 40 <= good.size(); ++at) {
+    for (const int byte : {2, 3, 4, 5, 7}) {
+      std::string bad = good;
+      bad[at + static_cast<std::size_t>(byte)] = '\x7f';
+      refused += DecodeFrame(SealedFrame(bad, kKey), kKey).ok() ? 0 : 1;
+    }
+  }
+  EXPECT_GT(refused, 100);
+  EXPECT_LT(std::chrono::steady_clock::now() - started,
+            std::chrono::seconds(5));
+}
+
+// A count that is just below the bytes left, of elements larger than those.
+TEST(FrameTest, ElementsTakeNoMemoryBeforeTheyAreRead) {
+  constexpr std::uint64_t kLeft = 1'000'000;
+  std::string bytes(1, '\1');
+  for (unsigned n = 0; n < sizeof kLeft; ++n) {
+    bytes.push_back(static_cast<char>(kLeft >> (8 * n)));
+  }
+  // The first one would be longer than what follows.
+  bytes += std::string(kLeft, '\xff');
+  std::vector<std::string> rows;
+  FrameReader reader(bytes);
+  EXPECT_THROW(reader(rows), cereal::Exception);
+  EXPECT_LE(rows.capacity(), 1U);
+}
+
+// A process whose numbers have the other order of bytes.
+TEST(FrameTest, ReadsNumbersOfEitherOrder) {
+  FrameReader reader(std::string_view("\0\0\0\1\2", 5));
+  std::uint32_t number = 0;
+  reader(number);
+  EXPECT_EQ(number, 0x102U);
+}
+
 TEST(FrameTest, AnotherKeyIsRefused) {
   EXPECT_FALSE(DecodeFrame(EncodeFrame(MakeEnvelope(), kKey), "other").ok());
 }
