Ask the store, not a gateway, for changes that a gateway does not know

Seen: of 103 gateways that were killed together, those that had started and read the tables a few milliseconds before the gateway which they ask were told "history gone" (17 lines `table_history_gone` in 0.2 s, in a play that does nothing else) and read the whole table again, from that gateway. At 3,000 replicas this is a megabyte for each, over a link that needs a second for it.

Cause: a gateway has no changes from before its own start. The asker took this for the store's own word that they are no longer kept. Now the store is asked for the changes, which it keeps; the whole table is read when the store fails or says so itself.

TableSourceTest has the case with the store away.

Ruled out: relays that start with the whole history (the store gives none), an answer with all keys (most of the bytes).

--- a/src/coordination/tables/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -250,6 +250,8 @@
       OnStoreLostAtPeer(now, reply.answer);
       return;
     case TableAnswer::Kind::kHistoryGone:
+      OnHistoryGoneAtPeer(now, reply.answer);
+      return;
     case TableAnswer::Kind::kRows:
       OnPeerAnswer(now, reply.answer);
       return;
@@ -278,6 +280,19 @@
   }
 }
 
+// A gateway that started later knows no changes from before its start. The
+// store keeps them: a few rows in place of the whole table.
+void TableSource::OnHistoryGoneAtPeer(TimeUs now, const TableAnswer& answer) {
+  if (store_failed_ || question_.query.whole) {
+    OnPeerAnswer(now, answer);
+    return;
+  }
+  why_ = "no changes from so long ago";
+  peer_call_ = {};
+  question_.query.wait = 0;
+  AskStore(now);
+}
+
 void TableSource::OnPeerAnswer(TimeUs now, TableAnswer answer) {
   const bool rows = answer.kind == TableAnswer::Kind::kRows;
   if (!rows) {
--- a/src/coordination/tables/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -127,6 +127,7 @@
   void OnStoreFailed(TimeUs now, TimeUs asked_at, const TableAnswer& answer);
   bool IsOpen() const { return question_.state == State::kOpen; }
   void OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer);
+  void OnHistoryGoneAtPeer(TimeUs now, const TableAnswer& answer);
   void OnPeerAnswer(TimeUs now, TableAnswer answer);
   void OnPeerFailed(TimeUs now, std::string_view why);
   void Finish(TimeUs now, TimeUs asked_at, TableAnswer answer);
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -52,11 +52,11 @@
     Node(TableNet* net_in, std::size_t index_in, GatewayHost host)
         : net(net_in),
           index(index_in),
-          name(host.node),
-          domain(host.domain),
-          cores(host.cores),
-          random(index_in + 1),
-          peers(std::move(host), &log) {
+          self(std::move(host)),
+          name(self.node),
+          domain(self.domain),
+          cores(self.cores),
+          random(index_in + 1) {
       Start();
     }
 
@@ -67,11 +67,12 @@
       version = 0;
       known_at = -1;
       lost = false;
+      peers = std::make_unique<GatewayPeers>(self, &log);
       directory = std::make_unique<ReplicaDirectory>(this);
       directory->SetMostKept(kContact);
       relay = std::make_unique<TableRelay>("t", this);
       source = std::make_unique<TableSource>(
-          "t", &net->plan_, &peers, this, this, &random, &metrics, &log,
+          "t", &net->plan_, peers.get(), this, this, &random, &metrics, &log,
           [this](TimeUs now, const TableAnswer& answer) {
             watch->OnAnswer(now, answer);
           });
@@ -140,13 +141,14 @@
 
     TableNet* const net;
     const std::size_t index;
+    const GatewayHost self;
     const NodeId name;
     const std::string domain;
     const double cores;
     QuietLog log;
     Random random;
     Metrics metrics;
-    GatewayPeers peers;
+    std::unique_ptr<GatewayPeers> peers;
     std::unique_ptr<ReplicaDirectory> directory;
     std::unique_ptr<TableRelay> relay;
     std::unique_ptr<TableSource> source;
@@ -184,6 +186,8 @@
   TimeUs now() const { return now_; }
   std::size_t calls() const { return calls_; }
   std::size_t whole_reads() const { return whole_reads_; }
+  // Whole tables that gateways gave each other.
+  std::size_t whole_replies() const { return whole_replies_; }
   const std::vector<std::string>& faults() const { return faults_; }
   void SetCut(CutFn cut) { cut_ = std::move(cut); }
   // How long the store takes to answer.
@@ -229,7 +233,7 @@
   std::vector<std::size_t> Relays() const {
     std::vector<std::size_t> relays;
     for (const auto& it : nodes_) {
-      if (it->alive && it->peers.relay_plan().is_relay) {
+      if (it->alive && it->peers->relay_plan().is_relay) {
         relays.push_back(it->index);
       }
     }
@@ -363,6 +367,7 @@
     if (const auto* question = std::get_if<TableQuestion>(&it.message)) {
       to.relay->OnQuestion(now_, nodes_[it.from]->name, *question);
     } else if (const auto* reply = std::get_if<TableReply>(&it.message)) {
+      whole_replies_ += reply->answer.rows.size() == rows_.size() ? 1 : 0;
       to.source->OnReply(now_, nodes_[it.from]->name, *reply);
     }
   }
@@ -372,7 +377,7 @@
       if (!Runs(to->index)) {
         continue;
       }
-      to->peers.TakeLost(now_);
+      to->peers->TakeLost(now_);
       for (const auto& from : nodes_) {
         if (from == to || !Runs(from->index) ||
             (cut_ && cut_(from->index, to->index))) {
@@ -381,7 +386,7 @@
         GatewayBeat beat;
         beat.cores = from->cores;
         beat.domain = from->domain;
-        to->peers.OnBeat(now_, from->name, from->incarnation, beat);
+        to->peers->OnBeat(now_, from->name, from->incarnation, beat);
       }
     }
   }
@@ -446,6 +451,7 @@
   TimeUs now_ = 1000 * kSecond;
   std::size_t calls_ = 0;
   std::size_t whole_reads_ = 0;
+  std::size_t whole_replies_ = 0;
   std::vector<std::string> faults_;
 };
 
--- a/tests/gateway/table_relay_test.cc
+++ b/tests/gateway/table_relay_test.cc
@@ -153,6 +153,33 @@
   }
 }
 
+// Load: all gateways are killed and start one after the other, while rows of a
+// large table change. Guards against: each that started before the gateway
+// which it asks is given the whole table once more, which takes the link of
+// that gateway for seconds.
+TEST(TableRelayTest, AStartReadsTheTableOnce) {
+  TableNet net(103, 6);
+  for (std::size_t n = 0; n < net.size(); ++n) {
+    net.Write("row-" + std::to_string(n), "0");
+  }
+  net.Run(5 * kSecond);
+  const std::size_t read = net.whole_reads();
+  const std::size_t replied = net.whole_replies();
+  for (std::size_t n = 0; n < net.size(); ++n) {
+    net.Kill(n);
+  }
+  net.Run(kSecond);
+  for (std::size_t n = 0; n < net.size(); ++n) {
+    net.Restart(n * 37 % net.size());
+    net.Write("row-" + std::to_string(n), "1");
+    net.Run(TableNet::kTick);
+  }
+  net.Run(5 * kSecond);
+  EXPECT_LE(net.whole_reads() - read + net.whole_replies() - replied,
+            net.size());
+  ExpectSound(net);
+}
+
 // Load: the store stops answering everybody. Callers with keys are served while
 // the configuration is known to be young enough, so it has to be young at any
 // moment at which that may happen: of the five seconds for which a key that was
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -246,6 +246,29 @@
   EXPECT_EQ(rig.got.size(), before);
 }
 
+// A relay that started a moment ago: the store is asked for the changes, and
+// for the whole table only when it fails too.
+TEST(TableSourceTest, AsksTheStoreForChangesThatARelayDoesNotKnow) {
+  SourceRig rig;
+  rig.Learn(5);
+  TableAnswer gone;
+  gone.kind = TableAnswer::Kind::kHistoryGone;
+  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
+  rig.Reply(gone);
+  EXPECT_TRUE(rig.got.empty());
+  ASSERT_EQ(rig.store_asked, 1);
+  EXPECT_FALSE(rig.store_questions.back().query.whole);
+  EXPECT_EQ(rig.store_questions.back().query.after, 5U);
+  EXPECT_EQ(rig.store_questions.back().query.wait, 0);
+  rig.StoreAnswers({});
+  ASSERT_EQ(rig.got.size(), 1U);
+  EXPECT_EQ(rig.got[0].kind, TableAnswer::Kind::kFailed);
+  rig.source.ReadChanges(rig.now, "t", 5, 0);
+  rig.Reply(gone);
+  ASSERT_EQ(rig.got.size(), 2U);
+  EXPECT_EQ(rig.got[1].kind, TableAnswer::Kind::kHistoryGone);
+}
+
 // The failure of a question whose place a newer one took tells nothing.
 TEST(TableSourceTest, AReplacedQuestionThatFailsIsNoFailure) {
   SourceRig rig;
