--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -85,21 +85,6 @@
                                     static_cast<double>(limits_.room_bytes));
 }
 
-void PieceBatcher::NoteBegun(TimeUs now, std::size_t pieces) {
-  if (waiting_.empty()) {
-    backlog_since_ = -1;
-    begun_.clear();
-    return;
-  }
-  if (backlog_since_ < 0) {
-    backlog_since_ = now;
-  }
-  begun_.push_back({now, pieces});
-  while (now - begun_.front().at > kRateWindow) {
-    begun_.pop_front();
-  }
-}
-
 void PieceBatcher::Drop(const std::string& request) {
   auto it = pieces_.lower_bound(PieceKey{request, 0, 0});
   while (it != pieces_.end() && it->first.request == request) {
@@ -274,7 +259,7 @@
   for (const PieceOrder& it : call.call.pieces) {
     AdvanceSiblings(it.key);
   }
-  NoteBegun(now, call.call.pieces.size());
+  rate_.OnBegun(now, call.call.pieces.size(), !waiting_.empty());
   const BatchId id = call.call.id;
   calls_.emplace(id, std::move(call));
   output_->StartCall(calls_.at(id).call);
@@ -575,16 +560,7 @@
   Pace pace{true, first_free,
             static_cast<double>(makers_.CallTime(1, batch)) /
                 static_cast<double>(makers * batch)};
-  const DurationUs span =
-      backlog_since_ < 0 ? 0 : std::min(now - backlog_since_, kRateWindow);
-  if (span >= kLeastRateWindow) {
-    std::size_t begun = 1;
-    for (const Begun& it : begun_) {
-      begun += now - it.at <= kRateWindow ? it.pieces : 0;
-    }
-    pace.each = std::max(
-        pace.each, static_cast<double>(span) / static_cast<double>(begun));
-  }
+  pace.each = std::max(pace.each, rate_.Each(now).value_or(0));
   return pace;
 }
 
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -25,7 +25,6 @@
 #define ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_BATCHER_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -35,6 +34,7 @@
 
 #include "coordination/gateway/attempt_budget.h"
 #include "coordination/stages/fill_call.h"
+#include "coordination/stages/queue_rate.h"
 #include "coordination/stages/stage_makers.h"
 #include "state/piece.h"
 #include "state/replica_directory.h"
@@ -105,9 +105,6 @@
   // time that its request has to spare, within these bounds.
   static constexpr DurationUs kNearPatience = 80 * kMillisecond;
   static constexpr DurationUs kMostNearPatience = 300 * kMillisecond;
-  // Over which the queue's rate is measured, and the least of it that counts.
-  static constexpr DurationUs kRateWindow = 2 * kSecond;
-  static constexpr DurationUs kLeastRateWindow = 600 * kMillisecond;
   // Load pattern: in a burst, results fill the memory of their makers, some of
   // them only because the next stage is at work on them. A call reads its
   // inputs before its work; after this share of the fixed part of a call they
@@ -227,7 +224,6 @@
   void Enqueue(TimeUs now, Piece* piece);
   void AdvanceSiblings(const PieceKey& key);
   std::uint64_t LateRoom() const;
-  void NoteBegun(TimeUs now, std::size_t pieces);
   void EndPiece(TimeUs now, bool answered, const PieceResult& result);
   void Finish(std::map<PieceKey, Piece>::iterator it,
               const PieceResult& result);
@@ -261,13 +257,7 @@
   std::map<Address, std::vector<std::string>> frees_;
   BatchId next_id_ = 1;
   TimeUs next_upkeep_ = 0;
-  // Pieces begun while others waited, for the rate at which the queue moves.
-  struct Begun {
-    TimeUs at = 0;
-    std::size_t pieces = 0;
-  };
-  std::deque<Begun> begun_;
-  TimeUs backlog_since_ = -1;  // Negative: nothing waits.
+  QueueRate rate_;
 };
 
 }  // namespace acaciachute
