Count nobody's silence while this gateway did not run

What callers saw: when a gateway that was frozen goes on, it takes every other gateway for silent until their next beats, hands their pieces to others or itself, and stages are made twice, in the moment in which it has the most to catch up with.

Cause: silence was the time since the last beat was read; a process that does not run reads none. Now a look that comes more than 200 ms after the one before shifts what was heard by what is beyond it, with a line (`suspended`). A host whose every look comes late still counts 200 ms of each, so it notices a loss, if later.

Tests: NobodyIsSilentWhileThisGatewayDidNotRun (a death during the suspension is noticed within kSilent of its end), ASlowHostStillNoticesWhoIsSilent.

Ruled out: waiting for the next beats before any verdict (a peer that died meanwhile would be noticed as late as its period allows).

--- a/src/coordination/membership/gateway_peers.cc
+++ b/src/coordination/membership/gateway_peers.cc
@@ -81,6 +81,20 @@
   return known;
 }
 
+void GatewayPeers::OnTick(TimeUs now) {
+  const DurationUs turn = now - ticked_at_.value_or(now);
+  ticked_at_ = now;
+  if (turn <= kLongestTurn) {
+    return;
+  }
+  log_->Write("suspended", {{"for_ms", turn / kMillisecond}});
+  for (auto& [node, peer] : peers_) {
+    if (peer.live) {
+      peer.heard_at += turn - kLongestTurn;
+    }
+  }
+}
+
 std::vector<NodeId> GatewayPeers::TakeLost(TimeUs now) {
   std::vector<NodeId> lost;
   for (auto it = peers_.begin(); it != peers_.end();) {
--- a/src/coordination/membership/gateway_peers.h
+++ b/src/coordination/membership/gateway_peers.h
@@ -54,6 +54,9 @@
   static constexpr DurationUs kAskAgain = (kSilent - kSuspect) / 3;
   // Longer than a beat may have been on its way.
   static constexpr DurationUs kUnreachable = 300 * kMillisecond;
+  // Between two looks, on a host that is short of its processor. What is beyond
+  // it, this process did not run.
+  static constexpr DurationUs kLongestTurn = 200 * kMillisecond;
   // Silent ones are still told, less often: they may return from a cut.
   static constexpr DurationUs kSilentBeat = kSecond;
   // After this a silent gateway is forgotten; it is read from the store again
@@ -81,6 +84,12 @@
   // those heard within `kRemember`, whatever became of them since, and those
   // that were listed a moment ago.
   std::vector<NodeId> Known(TimeUs now) const;
+  // Call it before each look at who is lost, every 30 ms.
+  //
+  // Failure: this process is suspended and goes on. Symptom: all others seem
+  // silent until their next beats, and what they had in hand is done again. So
+  // nobody's silence is counted while this process did not run.
+  void OnTick(TimeUs now);
   // Gateways that fell silent or restarted since the last call: what they had
   // is lost.
   std::vector<NodeId> TakeLost(TimeUs now);
@@ -141,6 +150,7 @@
   const GatewayHost self_;
   EventLog* const log_;
   bool leaving_ = false;
+  std::optional<TimeUs> ticked_at_;
   std::map<NodeId, Peer> peers_;
   // Until when each counts as one that may send work.
   absl::flat_hash_map<NodeId, TimeUs> known_until_;
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -22,6 +22,7 @@
     return;
   }
   next_peers_at = now + kPeersPeriod;
+  peers.OnTick(now);
   for (const NodeId& peer : peers.TakeLost(now)) {
     gateway->engines()->SetOthers(peer, {});
     desk.OnPeerLost(now, peer);
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -279,6 +279,48 @@
   EXPECT_EQ(peers.Live(), 2U);
 }
 
+// Guards against: a gateway that was suspended takes all others for silent and
+// does again what they have in hand.
+TEST(GatewayPeersTest, NobodyIsSilentWhileThisGatewayDidNotRun) {
+  QuietLog log;
+  GatewayPeers peers({"self", "", 1}, &log);
+  TimeUs now = 100 * kSecond;
+  peers.OnTick(now);
+  peers.OnBeat(now, "a", 1, {});
+  peers.OnBeat(now, "b", 1, {});
+  now += 10 * kSecond;
+  peers.OnTick(now);
+  EXPECT_TRUE(peers.TakeLost(now).empty());
+  EXPECT_TRUE(log.Saw("suspended"));
+  // One of them died meanwhile.
+  peers.OnBeat(now + kSecond / 10, "a", 1, {});
+  std::vector<NodeId> lost;
+  const TimeUs resumed = now;
+  for (; lost.empty() && now < resumed + kSecond; now += 30 * kMillisecond) {
+    peers.OnTick(now);
+    lost = peers.TakeLost(now);
+  }
+  EXPECT_EQ(lost, std::vector<NodeId>{"b"});
+  EXPECT_LE(now - resumed, GatewayPeers::kSilent);
+}
+
+// A host that is so short of its processor that each look comes late still
+// notices, if later.
+TEST(GatewayPeersTest, ASlowHostStillNoticesWhoIsSilent) {
+  QuietLog log;
+  GatewayPeers peers({"self", "", 1}, &log);
+  TimeUs now = 100 * kSecond;
+  peers.OnTick(now);
+  peers.OnBeat(now, "a", 1, {});
+  std::vector<NodeId> lost;
+  for (int n = 0; n < 10 && lost.empty(); ++n) {
+    now += 2 * GatewayPeers::kLongestTurn;
+    peers.OnTick(now);
+    lost = peers.TakeLost(now);
+  }
+  EXPECT_EQ(lost, std::vector<NodeId>{"a"});
+}
+
 // Load: 30 gateways that all tell all others. Those for whom nobody waits tell
 // less often, and are given as much longer before they are taken for lost.
 TEST(GatewayPeersTest, BeatsLessOftenAmongMany) {
