Count a beat that is read after a suspension from that moment

A beat that was read after a gateway went on, before its first look, counted as heard in the future by as much as the suspension took, so that a peer which died then would have been noticed as much later. Test: ABeatReadAfterASuspensionIsOfThatMoment, the last that the peer was heard is the beat itself.

--- a/src/coordination/membership/gateway_peers.cc
+++ b/src/coordination/membership/gateway_peers.cc
@@ -90,7 +90,8 @@
   log_->Write("suspended", {{"for_ms", turn / kMillisecond}});
   for (auto& [node, peer] : peers_) {
     if (peer.live) {
-      peer.heard_at += turn - kLongestTurn;
+      // A beat may have been read since this process goes on.
+      peer.heard_at = std::min(now, peer.heard_at + turn - kLongestTurn);
     }
   }
 }
--- a/src/coordination/tables/freshness_plan.h
+++ b/src/coordination/tables/freshness_plan.h
@@ -29,7 +29,8 @@
   DurationUs store_in_time = 0;
   // A store that does not answer is asked again after this at the latest.
   DurationUs store_again = 0;
-  // While nobody answers; a store that is due to be asked again still is.
+  // Between questions while nobody answers them. A store that is due to be
+  // asked again is asked all the same.
   DurationUs most_pause = 0;
 
   // The waits of gateways that work: they keep every age below `ask_store`.
--- a/tests/gateway/shared_piece_desk_test.cc
+++ b/tests/gateway/shared_piece_desk_test.cc
@@ -304,6 +304,20 @@
   EXPECT_LE(now - resumed, GatewayPeers::kSilent);
 }
 
+// Guards against: a beat that is read before the first look counts for as much
+// longer as the suspension took.
+TEST(GatewayPeersTest, ABeatReadAfterASuspensionIsOfThatMoment) {
+  QuietLog log;
+  GatewayPeers peers({"self", "", 1}, &log);
+  TimeUs now = 100 * kSecond;
+  peers.OnTick(now);
+  now += 10 * kSecond;
+  peers.OnBeat(now, "a", 1, {});
+  peers.OnTick(now);
+  now += GatewayPeers::kSilent + 1;
+  EXPECT_EQ(peers.TakeLost(now), std::vector<NodeId>{"a"});
+}
+
 // A host that is so short of its processor that each look comes late still
 // notices, if later.
 TEST(GatewayPeersTest, ASlowHostStillNoticesWhoIsSilent) {
