Notice one's own suspension in one piece for gateways and sidecars' members

`GatewayPeers` had come to notice a suspension of its own process beside `Membership`, which did so already with state of its own.

No functional change.

--- a/src/coordination/membership/gateway_peers.cc
+++ b/src/coordination/membership/gateway_peers.cc
@@ -82,16 +82,16 @@
 }
 
 void GatewayPeers::OnTick(TimeUs now) {
-  const DurationUs turn = now - ticked_at_.value_or(now);
-  ticked_at_ = now;
-  if (turn <= kLongestTurn) {
+  const DurationUs paused = own_pause_.OnTurn(now);
+  if (paused == 0) {
     return;
   }
-  log_->Write("suspended", {{"for_ms", turn / kMillisecond}});
+  log_->Write("suspended",
+              {{"for_ms", (paused + kLongestTurn) / kMillisecond}});
   for (auto& [node, peer] : peers_) {
     if (peer.live) {
       // A beat may have been read since this process goes on.
-      peer.heard_at = std::min(now, peer.heard_at + turn - kLongestTurn);
+      peer.heard_at = std::min(now, peer.heard_at + paused);
     }
   }
 }
--- a/src/coordination/membership/gateway_peers.h
+++ b/src/coordination/membership/gateway_peers.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "coordination/membership/own_pause.h"
 #include "coordination/tables/relay_plan.h"
 #include "messages.h"
 #include "state/event_log.h"
@@ -150,7 +151,7 @@
   const GatewayHost self_;
   EventLog* const log_;
   bool leaving_ = false;
-  std::optional<TimeUs> ticked_at_;
+  OwnPause own_pause_{kLongestTurn};
   std::map<NodeId, Peer> peers_;
   // Until when each counts as one that may send work.
   absl::flat_hash_map<NodeId, TimeUs> known_until_;
--- a/src/coordination/membership/membership.cc
+++ b/src/coordination/membership/membership.cc
@@ -41,8 +41,7 @@
   // Failure: this process was paused, and the answers wait in its socket.
   // Symptom: on waking it finds everybody silent for as long as it slept. The
   // silence starts anew, so the answers are read before anyone is suspected.
-  const bool was_paused = last_tick_ >= 0 && now - last_tick_ > kOwnPause;
-  last_tick_ = now;
+  const bool was_paused = own_pause_.OnTurn(now) > 0;
   for (auto& [name, member] : members_) {
     if (was_paused && member.silent_since >= 0) {
       member.silent_since = now;
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -58,6 +58,14 @@
     got.clear();
   }
 
+  // What it knows gets so old that the store is due to be asked.
+  void LetItGetOld(std::uint64_t version) {
+    Learn(version);
+    source.ReadChanges(now, "t", version, kSecond);
+    now += kStale;
+    source.OnTick(now);
+  }
+
   TimeUs now = 100 * kSecond;
   QuietLog log;
   Random random{5};
@@ -197,10 +205,7 @@
 // gateway whose relay is gone go on with an old table for seconds.
 TEST(TableSourceTest, ASingleRefusalIsAskedAgainSoon) {
   SourceRig rig;
-  rig.Learn(5);
-  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
-  rig.now += kStale;
-  rig.source.OnTick(rig.now);
+  rig.LetItGetOld(5);
   ASSERT_EQ(rig.store_asked, 1);
   rig.StoreAnswers({});
   rig.now += TableSource::kStoreSoon;
@@ -223,10 +228,7 @@
 // is never heard.
 TEST(TableSourceTest, TakesTheAnswerOfASlowStoreAfterTheFailure) {
   SourceRig rig;
-  rig.Learn(5);
-  rig.source.ReadChanges(rig.now, "t", 5, kSecond);
-  rig.now += kStale;
-  rig.source.OnTick(rig.now);
+  rig.LetItGetOld(5);
   ASSERT_EQ(rig.store_asked, 1);
   const TimeUs asked_at = rig.now;
   while (rig.got.empty()) {
