--- a/src/coordination/tables/store_requests.cc
+++ b/src/coordination/tables/store_requests.cc
@@ -48,8 +48,10 @@
       now - awaited->sent_at < awaited->query.wait + timeout) {
     return std::nullopt;
   }
-  requests_.back().awaited = false;
-  return requests_.back();
+  Sent& sent = requests_.back();
+  sent.awaited = false;
+  sent.received_bytes = store_->ReceivedBytes(table_, sent.id);
+  return sent;
 }
 
 }  // namespace acaciachute
--- a/src/coordination/tables/store_requests.h
+++ b/src/coordination/tables/store_requests.h
@@ -9,6 +9,7 @@
 #ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_STORE_REQUESTS_H_
 #define ACACIACHUTE_SRC_COORDINATION_TABLES_STORE_REQUESTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -42,6 +43,9 @@
   // Sends the request. Exactly one answer follows, with the same table and id,
   // also after a time-out.
   virtual void SendRequest(const StoreRequest& request) = 0;
+  // Number of bytes of the answer's body that have arrived so far.
+  virtual std::size_t ReceivedBytes(const std::string& table,
+                                    std::uint64_t id) const = 0;
   // Cancels the request: no answer follows.
   virtual void CancelRequest(const std::string& table, std::uint64_t id) = 0;
 };
@@ -60,6 +64,8 @@
     TableQuery query;
     TimeUs sent_at = 0;
     bool awaited = true;
+    // Bytes of the answer that had arrived when it was no longer awaited.
+    std::size_t received_bytes = 0;
   };
 
   StoreRequests(std::string table, StoreReader* store);
--- a/src/coordination/tables/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -383,6 +383,13 @@
   if (!sent) {
     return;
   }
+  metrics_->Count("acaciachute_gateway_table_abandoned_bytes_total", table_,
+                  sent->received_bytes);
+  log_->Write("table_timeout",
+              {{"table", table_},
+               {"after", sent->query.after},
+               {"waited_ms", (now - sent->sent_at) / kMillisecond},
+               {"received_bytes", sent->received_bytes}});
   TableAnswer failed;
   failed.why = "the store did not answer within its time limit";
   OnStoreFailed(now, sent->sent_at, failed);
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -5,6 +5,7 @@
 
 #include "address_text.h"
 #include "daemon/gateway_node_impl.h"
+#include "transport/loop.h"
 
 namespace acaciachute {
 FollowedTable::FollowedTable(const std::string& table,
@@ -166,7 +167,13 @@
   if (row.key != platform::kConfigKey || row.removed) {
     return;
   }
+  const TimeUs begun_at = Loop::Now();
   auto config = platform::ParseConfig(row.value);
+  const DurationUs parse_time = Loop::Now() - begun_at;
+  metrics.Observe("acaciachute_gateway_config_parse_seconds", "", parse_time);
+  log.Write("config_read", {{"row_version", row.version},
+                            {"bytes", row.value.size()},
+                            {"parse_ms", parse_time / kMillisecond}});
   if (!config.ok()) {
     log.Write("config_refused",
               {{"row_version", row.version},
--- a/tests/gateway/store_requests_test.cc
+++ b/tests/gateway/store_requests_test.cc
@@ -12,10 +12,15 @@
   void SendRequest(const StoreRequest& request) override {
     open_ids.push_back(request.id);
   }
+  std::size_t ReceivedBytes(const std::string&, std::uint64_t) const override {
+    return received_bytes;
+  }
   void CancelRequest(const std::string&, std::uint64_t id) override {
     std::erase(open_ids, id);
   }
 
+  std::size_t received_bytes = 0;
+
   std::vector<std::uint64_t> open_ids;
   StoreRequests requests{"t", this};
 };
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -31,6 +31,9 @@
     ++store_request_count;
     store_requests.push_back(request);
   }
+  std::size_t ReceivedBytes(const std::string&, std::uint64_t) const override {
+    return received_bytes;
+  }
   void CancelRequest(const std::string&, std::uint64_t id) override {
     cancelled.push_back(id);
   }
@@ -78,6 +81,7 @@
   int store_request_count = 0;
   std::vector<StoreRequest> store_requests;
   std::vector<std::uint64_t> cancelled;
+  std::size_t received_bytes = 0;
   std::vector<TableAnswer> answers;
   const FreshnessPlan plan = Plan();
   TableSource source{
