Add a failing test of large configurations on thin links

The model of a fleet gets links of finite rate, shared by all transfers to a host, and hosts that do nothing else while they read rows. With a configuration of 4,253 routes a small change is in force after 3.70 s, 3 s are allowed, as callers saw it: a transfer of 0.7 MB takes longer than a relay's answer is waited for, is given up and begun again elsewhere, and the abandoned ones go on filling the link.

No functional change

--- a/tests/gateway/freshness_test.cc
+++ b/tests/gateway/freshness_test.cc
@@ -250,6 +250,53 @@
   EXPECT_TRUE(net.violations().empty()) << net.violations().front();
 }
 
+// Links of 10 and 200 Mbit/s, of which requests take a fifth.
+constexpr TableNet::LinkRates kThinLinks = {1e6, 20e6};
+// Processor time that reading a kilobyte of a configuration takes.
+constexpr DurationUs kReadTimePerKilobyte = 100;
+
+// A configuration as the model's operator writes it: a line with its version
+// and a line for each of `routes` routes.
+std::string MakeConfiguration(int version, int routes) {
+  constexpr std::size_t kBytesPerRoute = 170;
+  std::string text = std::to_string(version);
+  for (int n = 0; n < routes; ++n) {
+    std::string line = "\nroute-" + std::to_string(n) + ' ';
+    line.resize(kBytesPerRoute, 'x');
+    text += line;
+  }
+  return text;
+}
+
+// Guards against a host on a thin link that serves by an old configuration for
+// seconds: the transfer of a large one took longer than the host waits, so it
+// gave the transfer up and began it again elsewhere, which filled the link.
+TEST(FreshnessTest, ChangesOfALargeConfigurationArriveInTimeOnThinLinks) {
+  constexpr int kRoutesPerGrowth = 1400;
+  constexpr int kGrowths = 3;
+  TableNet net(23, 4);
+  net.SetLinkRates(kThinLinks);
+  net.SetReadTimePerKilobyte(kReadTimePerKilobyte);
+  int version = 1;
+  int routes = 50;
+  const auto change_and_wait = [&] {
+    const std::string value = MakeConfiguration(++version, routes);
+    net.Write("config", value);
+    const auto known = [&] { return net.AllHold("config", value); };
+    EXPECT_LE(net.RunUntil(known, 20 * kSecond), kMaxStaleness)
+        << routes << " routes, version " << version;
+  };
+  net.Run(5 * kSecond);
+  for (int n = 0; n < kGrowths; ++n) {
+    routes += kRoutesPerGrowth;
+    change_and_wait();
+    ++routes;
+    change_and_wait();
+    net.Run(5 * kSecond);
+  }
+  EXPECT_TRUE(net.violations().empty()) << net.violations().front();
+}
+
 // The sum of all time limits stays within the bounds, for any values of the
 // bounds.
 RC_GTEST_PROP(FreshnessPlanTest, WaitsAddUpToLessThanTheBound, ()) {
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -1,6 +1,9 @@
 // A fleet of gateways that follow one table of a modelled store in virtual
 // time: the clock advances in ticks of 10 ms; messages and the store's answers
-// take one tick.
+// take one tick and, if the gateways' links have a rate, the time of the
+// transfer. Transfers to a gateway share its link equally; a transfer goes on
+// after the gateway has given it up. A gateway that reads rows does nothing
+// else meanwhile.
 //
 // These invariants are checked at every tick of every gateway: its version
 // never decreases, and it has every row that the store held at the time up to
@@ -51,6 +54,30 @@
     bool unanswered = false;  // Not answered before its time limit.
   };
 
+  // The rates of a host's link, in bytes per second, for small and large hosts;
+  // zero: transfers take no time.
+  struct LinkRates {
+    double small = 0;
+    double large = 0;
+  };
+
+  // Bytes on their way to a gateway over one connection, which carries one
+  // transfer after the other.
+  struct Transfer {
+    std::size_t to = 0;
+    std::uint64_t connection = 0;
+    double bytes = 0;
+    double left = 0;
+  };
+  using TransferPtr = std::shared_ptr<Transfer>;
+
+  // An answer of the store that is being transferred.
+  struct Arrival {
+    Call call;
+    TableAnswer answer;
+    TransferPtr transfer;
+  };
+
   struct Node : StoreReader, TableRelayOutput, TableListener, DirectoryWatcher {
     Node(TableNet* net_in, std::size_t index_in, GatewayHost host)
         : net(net_in),
@@ -86,10 +113,23 @@
     void SendRequest(const StoreRequest& request) override {
       net->OnCall({index, request, net->now_, false});
     }
+    std::size_t ReceivedBytes(const std::string&,
+                              std::uint64_t id) const override {
+      for (const Arrival& it : net->arrivals_) {
+        if (it.call.from == index && it.call.request.id == id) {
+          return static_cast<std::size_t>(it.transfer->bytes -
+                                          it.transfer->left);
+        }
+      }
+      return 0;
+    }
     void CancelRequest(const std::string&, std::uint64_t id) override {
       std::erase_if(net->open_calls_, [&](const Call& it) {
         return it.from == index && it.request.id == id;
       });
+      std::erase_if(net->arrivals_, [&](const Arrival& it) {
+        return it.call.from == index && it.call.request.id == id;
+      });
     }
     void SendToPeer(const NodeId& peer, const Message& message) override {
       net->Send(index, peer, message);
@@ -99,6 +139,7 @@
       rows.clear();
       std::vector<ReplicaEntry> replicas;
       for (const TableRow& it : table_rows) {
+        net->SpendReadTime(this, it);
         rows[it.key] = it.value;
         if (IsReplica(it)) {
           replicas.push_back(EntryOf(it));
@@ -112,6 +153,7 @@
         rows.erase(row.key);
         directory->Remove(net->now_, row.key);
       } else {
+        net->SpendReadTime(this, row);
         rows[row.key] = row.value;
         if (IsReplica(row)) {
           directory->Put(EntryOf(row));
@@ -162,6 +204,7 @@
     bool frozen = false;
     // The gateway runs in one of this many ticks; more than one on a slow host.
     int runs_every = 1;
+    TimeUs busy_until = 0;  // Reads rows until then.
     std::map<std::string, std::string> rows;
     std::uint64_t version = 0;
     TimeUs known_at = -1;
@@ -199,6 +242,10 @@
   }
   // How long the store takes to answer.
   void SetLatency(DurationUs latency) { latency_ = latency; }
+  void SetLinkRates(LinkRates rates) { link_rates_ = rates; }
+  // Processor time, on a whole core, that a gateway takes to read a kilobyte of
+  // rows.
+  void SetReadTimePerKilobyte(DurationUs time) { read_time_per_kb_ = time; }
   void DropHistory() { history_from_ = version_; }
   void SetStoreBehavior(StoreBehavior store_behavior) {
     for (auto& it : nodes_) {
@@ -262,6 +309,8 @@
       it->source->OnPeerLost(now_, nodes_[n]->name);
     }
     std::erase_if(open_calls_, [&](const Call& it) { return it.from == n; });
+    std::erase_if(arrivals_,
+                  [&](const Arrival& it) { return it.call.from == n; });
   }
   void Restart(std::size_t n) {
     nodes_[n]->alive = true;
@@ -291,11 +340,63 @@
     std::size_t from = 0;
     std::size_t to = 0;
     Message message;
+    TransferPtr transfer;
   };
 
   bool Runs(std::size_t n) const {
     const Node& it = *nodes_[n];
-    return it.alive && !it.frozen && now_ / kTick % it.runs_every == 0;
+    return it.alive && !it.frozen && now_ / kTick % it.runs_every == 0 &&
+           now_ >= it.busy_until;
+  }
+
+  // Size of the rows and of the fields around them.
+  static std::size_t BytesOf(const TableAnswer& answer) {
+    constexpr std::size_t kFieldBytes = 60;
+    std::size_t bytes = kFieldBytes;
+    for (const TableRow& it : answer.rows) {
+      bytes += it.key.size() + it.value.size() + kFieldBytes;
+    }
+    return bytes;
+  }
+  static std::size_t BytesOf(const Message& message) {
+    const auto* reply = std::get_if<TableReply>(&message);
+    return reply != nullptr ? BytesOf(reply->answer) : 100;
+  }
+  TransferPtr BeginTransfer(std::size_t to,
+                            std::uint64_t connection,
+                            std::size_t bytes) {
+    const auto size = static_cast<double>(bytes);
+    const bool limited = link_rates_.small > 0 && link_rates_.large > 0;
+    transfers_.push_back(std::make_shared<Transfer>(
+        Transfer{to, connection, size, limited ? size : 0}));
+    return transfers_.back();
+  }
+  // Moves the bytes of one tick over all links.
+  void MoveBytes() {
+    constexpr double kLargeHostCores = 0.5;
+    std::erase_if(transfers_, [](const auto& it) { return it->left <= 0; });
+    std::map<std::size_t, std::map<std::uint64_t, Transfer*>> active;
+    for (const TransferPtr& it : transfers_) {
+      active[it->to].emplace(it->connection, it.get());
+    }
+    for (const auto& [to, connections] : active) {
+      const double rate = nodes_[to]->cores >= kLargeHostCores
+                              ? link_rates_.large
+                              : link_rates_.small;
+      const double share = rate * static_cast<double>(kTick) / kSecond /
+                           static_cast<double>(connections.size());
+      for (const auto& [connection, transfer] : connections) {
+        transfer->left -= std::min(transfer->left, share);
+      }
+    }
+  }
+  void SpendReadTime(Node* node, const TableRow& row) {
+    constexpr std::size_t kKilobyte = 1000;
+    const auto time = static_cast<double>(
+        read_time_per_kb_ * static_cast<DurationUs>(row.value.size()) /
+        static_cast<DurationUs>(kKilobyte));
+    node->busy_until = std::max(node->busy_until, now_) +
+                       static_cast<DurationUs>(time / node->cores);
   }
 
   void OnCall(Call call) {
@@ -306,7 +407,9 @@
     open_calls_.push_back(call);
   }
   void Send(std::size_t from, const NodeId& to, const Message& message) {
-    in_flight_.push_back({from, std::stoul(to.substr(1)), message});
+    const std::size_t receiver = std::stoul(to.substr(1));
+    in_flight_.push_back({from, receiver, message,
+                          BeginTransfer(receiver, from, BytesOf(message))});
   }
 
   bool IsExpired(const Call& call) const {
@@ -357,13 +460,39 @@
     std::erase_if(open_calls_,
                   [&](const Call& it) { return Runs(it.from) && IsDue(it); });
     for (const Call& it : due) {
-      nodes_[it.from]->source->OnStoreAnswer(now_, it.request.id, AnswerOf(it));
+      // Each of the store's answers comes on a connection of its own, and in an
+      // encoding that adds a third.
+      const TableAnswer answer = AnswerOf(it);
+      const std::uint64_t connection = nodes_.size() + ++answers_;
+      arrivals_.push_back(
+          {it, answer,
+           BeginTransfer(it.from, connection, BytesOf(answer) * 4 / 3)});
+    }
+  }
+
+  // Delivers the answers whose transfer is complete, and fails those that take
+  // longer than their time limit.
+  void DeliverArrivals() {
+    const auto is_due = [&](const Arrival& it) {
+      return Runs(it.call.from) &&
+             (it.transfer->left <= 0 || IsExpired(it.call));
+    };
+    std::vector<Arrival> due;
+    std::copy_if(arrivals_.begin(), arrivals_.end(), std::back_inserter(due),
+                 is_due);
+    std::erase_if(arrivals_, is_due);
+    for (const Arrival& it : due) {
+      TableAnswer failed;
+      failed.why = "the answer was not complete in time";
+      nodes_[it.call.from]->source->OnStoreAnswer(
+          now_, it.call.request.id,
+          it.transfer->left <= 0 ? it.answer : failed);
     }
   }
 
   void Deliver() {
     for (const InFlightMessage& it : std::exchange(in_flight_, {})) {
-      if (nodes_[it.to]->alive && !Runs(it.to)) {
+      if (nodes_[it.to]->alive && (!Runs(it.to) || it.transfer->left > 0)) {
         in_flight_.push_back(it);
       } else if (nodes_[it.to]->alive &&
                  !(partition_ && partition_(it.from, it.to))) {
@@ -407,8 +536,10 @@
     if (now_ % kHeartbeatPeriod == 0) {
       ExchangeHeartbeats();
     }
+    MoveBytes();
     Deliver();
     AnswerCalls();
+    DeliverArrivals();
     for (const auto& it : nodes_) {
       if (Runs(it->index)) {
         it->source->OnTick(now_);
@@ -420,14 +551,15 @@
     }
   }
 
-  std::string ValueAt(const std::string& key, TimeUs at) const {
-    std::string value;
+  const std::string& ValueAt(const std::string& key, TimeUs at) const {
+    static const std::string kNone;
+    const std::string* value = &kNone;
     for (const auto& [time, written] : history_.at(key)) {
       if (time <= at) {
-        value = written;
+        value = &written;
       }
     }
-    return value;
+    return *value;
   }
 
   // Checks that the version of `node` never decreases and that it has every row
@@ -441,10 +573,12 @@
     if (node->known_at < 0) {
       return;
     }
+    constexpr std::size_t kMaxNumberLength = 10;
     for (const auto& [key, unused] : history_) {
-      const std::string due = ValueAt(key, node->known_at - 1);
+      const std::string& due = ValueAt(key, node->known_at - 1);
       const auto it = node->rows.find(key);
-      const std::string held = it == node->rows.end() ? "" : it->second;
+      const std::string held =
+          it == node->rows.end() ? "" : it->second.substr(0, kMaxNumberLength);
       const bool later_removal = held.empty() && rows_.at(key).removed;
       if (!due.empty() && !later_removal &&
           (held.empty() || std::stoul(held) < std::stoul(due))) {
@@ -460,7 +594,12 @@
   std::uint64_t version_ = 0;
   std::uint64_t history_from_ = 0;
   std::vector<Call> open_calls_;
+  std::vector<Arrival> arrivals_;
+  std::vector<TransferPtr> transfers_;
+  std::uint64_t answers_ = 0;
   DurationUs latency_ = kTick;
+  LinkRates link_rates_;
+  DurationUs read_time_per_kb_ = 0;
   std::vector<InFlightMessage> in_flight_;
   PartitionFn partition_;
   TimeUs now_ = 1000 * kSecond;
