Make the cost of a route independent of the number of routes

AddRoute moved all of a host name's routes at each insertion and FindRoute compared a miss with all of them; each version was built anew. Routes are found by host and prefix now, one look-up for each length of prefix that occurs, and a copy of a configuration shares what does not change, so the next version is a copy with its changes.

No functional change but for two routes of one host and prefix: the later one of a configuration is used, not the first.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -387,7 +387,7 @@
 }
 bool Gateway::can_check_keys() const {
   return impl_->config != nullptr &&
-         (!impl_->config->needs_keys || impl_->ConfigIsConfirmed());
+         (!impl_->config->needs_keys() || impl_->ConfigIsConfirmed());
 }
 std::size_t Gateway::in_progress() const {
   return impl_->requests.size();
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -63,7 +63,7 @@
                                 const ClientRequest& call,
                                 const ClientAccount** account,
                                 LocalReply* refusal) {
-  if (!config->needs_keys || route.anonymous) {
+  if (!config->needs_keys() || route.anonymous) {
     return true;
   }
   if (!ConfigIsConfirmed()) {
--- a/src/state/serving_config.cc
+++ b/src/state/serving_config.cc
@@ -1,6 +1,5 @@
 #include "state/serving_config.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciachute {
@@ -19,12 +18,26 @@
 }  // namespace
 
 void ServingConfig::AddRoute(Route route) {
-  auto& list = by_host_[LowerHost(route.host)];
-  const auto at = std::find_if(list.begin(), list.end(), [&](const Route& it) {
-    return it.prefix.size() < route.prefix.size();
-  });
-  list.insert(at, std::move(route));
-  ++routes_;
+  const std::string place = LowerHost(route.host) + route.prefix;
+  if (by_place_.Find(place) == nullptr) {
+    ++routes_;
+    ++prefix_lengths_[route.prefix.size()];
+  }
+  by_place_.Put(place, std::make_shared<const Route>(std::move(route)));
+}
+
+void ServingConfig::RemoveRoute(const Route& route) {
+  const std::string place = LowerHost(route.host) + route.prefix;
+  const RoutePtr* const found = by_place_.Find(place);
+  if (found == nullptr || (*found)->name != route.name) {
+    return;
+  }
+  by_place_.Remove(place);
+  --routes_;
+  const auto length = prefix_lengths_.find(route.prefix.size());
+  if (--length->second == 0) {
+    prefix_lengths_.erase(length);
+  }
 }
 
 void ServingConfig::AddService(Service service) {
@@ -32,25 +45,44 @@
   services_.insert_or_assign(name, std::move(service));
 }
 
+void ServingConfig::RemoveService(const std::string& name) {
+  services_.erase(name);
+}
+
 void ServingConfig::AddAccount(ClientAccount account,
                                const std::vector<std::string>& keys) {
-  needs_keys = true;
-  accounts_.push_back(std::make_unique<ClientAccount>(std::move(account)));
+  ++accounts_;
+  const auto shared = std::make_shared<const ClientAccount>(std::move(account));
   for (const auto& key : keys) {
-    by_key_.insert_or_assign(key, accounts_.back().get());
+    by_key_.Put(key, shared);
+  }
+}
+
+void ServingConfig::RemoveAccount(const std::string& name,
+                                  const std::vector<std::string>& keys) {
+  --accounts_;
+  for (const auto& key : keys) {
+    const AccountPtr* const found = by_key_.Find(key);
+    if (found != nullptr && (*found)->name == name) {
+      by_key_.Remove(key);
+    }
   }
 }
 
 const Route* ServingConfig::FindRoute(std::string_view host,
                                       std::string_view target) const {
-  const auto list = by_host_.find(LowerHost(host));
-  if (list == by_host_.end()) {
-    return nullptr;
-  }
-  const std::string_view path = target.substr(0, target.find('?'));
-  for (const Route& it : list->second) {
-    if (path.starts_with(it.prefix)) {
-      return &it;
+  std::string place = LowerHost(host);
+  const std::size_t host_size = place.size();
+  place += target.substr(0, target.find('?'));
+  for (const auto& [length, count] : prefix_lengths_) {
+    if (host_size + length > place.size()) {
+      continue;
+    }
+    const auto prefix = std::string_view(place).substr(0, host_size + length);
+    // A host name with a slash, which is none, can spell another's prefix.
+    const RoutePtr* const found = by_place_.Find(prefix);
+    if (found != nullptr && (*found)->prefix.size() == length) {
+      return found->get();
     }
   }
   return nullptr;
@@ -62,8 +94,8 @@
 }
 
 const ClientAccount* ServingConfig::FindAccount(std::string_view key) const {
-  const auto it = by_key_.find(std::string(key));
-  return it == by_key_.end() ? nullptr : it->second;
+  const AccountPtr* const found = by_key_.Find(key);
+  return found == nullptr ? nullptr : found->get();
 }
 
 }  // namespace acaciachute
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -1,11 +1,19 @@
 // One version of the configuration by which gateways serve requests: routes,
 // services, client accounts and limits.
+//
+// The next version is made from a copy of this one, which shares the routes and
+// accounts that did not change, and a look-up tries each length of prefix that
+// occurs. So neither a small change nor a request for an unknown path takes
+// longer the more routes there are.
 #ifndef ACACIACHUTE_SRC_STATE_SERVING_CONFIG_H_
 #define ACACIACHUTE_SRC_STATE_SERVING_CONFIG_H_
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +21,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "state/shared_map.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -112,11 +121,20 @@
  public:
   std::uint64_t version = 0;
   ClientLimits limits;
-  bool needs_keys = false;  // Whether any client account exists.
 
+  // Whether any client account exists.
+  bool needs_keys() const { return accounts_ > 0; }
+
+  // Each replaces what is there for the same host and prefix, name or key.
   void AddRoute(Route route);
   void AddService(Service service);
   void AddAccount(ClientAccount account, const std::vector<std::string>& keys);
+  // Each removes what was added, but not what another route, or another
+  // account, has put in its place since.
+  void RemoveRoute(const Route& route);
+  void RemoveService(const std::string& name);
+  void RemoveAccount(const std::string& name,
+                     const std::vector<std::string>& keys);
 
   // Returns the route of the host with the longest prefix that matches the path
   // of `target`, or null. A port in `host` and a query in `target` are ignored.
@@ -130,12 +148,17 @@
   }
 
  private:
+  using RoutePtr = std::shared_ptr<const Route>;
+  using AccountPtr = std::shared_ptr<const ClientAccount>;
+
   std::size_t routes_ = 0;
-  // Routes by lower-case host name, the longest prefix first.
-  absl::flat_hash_map<std::string, std::vector<Route>> by_host_;
+  std::size_t accounts_ = 0;
+  // By lower-case host name, directly followed by the prefix.
+  SharedMap<RoutePtr> by_place_;
+  // The number of routes by length of their prefixes, the longest first.
+  std::map<std::size_t, std::size_t, std::greater<>> prefix_lengths_;
   absl::flat_hash_map<std::string, Service> services_;
-  std::vector<std::unique_ptr<ClientAccount>> accounts_;
-  absl::flat_hash_map<std::string, const ClientAccount*> by_key_;
+  SharedMap<AccountPtr> by_key_;
 };
 
 }  // namespace acaciachute
