Pass on the parts of the configuration that changed, page by page

Callers saw 404s and 503s from hosts on links of 10 Mbit/s seconds after a change of a large configuration was confirmed. Cause: the configuration is one row, and every change sent all of it again to every host, as one answer with a time limit that did not know its size. What was given up filled the links on and was begun again elsewhere.

The gateways that ask the store split the row into parts (routes, services, accounts, the rest). A host parses the parts that changed only.

Frames have a new version: gateways of the build before do not hear these, and both ask the store.

--- a/src/coordination/tables/table_relay.cc
+++ b/src/coordination/tables/table_relay.cc
@@ -6,8 +6,10 @@
 
 namespace acaciachute {
 
-TableRelay::TableRelay(std::string table, TableRelayOutput* output)
-    : table_(std::move(table)), output_(output) {}
+TableRelay::TableRelay(std::string table,
+                       TableRelayOutput* output,
+                       const SplitRow* split_row)
+    : table_(std::move(table)), output_(output), split_row_(split_row) {}
 
 // Rows that are missing from the new table were removed some time before. They
 // are recorded as removals, so a requester that still has them receives the
@@ -97,6 +99,10 @@
   const auto has_newer = [&](const VersionIndex& changes) {
     return !changes.empty() && changes.rbegin()->first > request.after;
   };
+  if (split_row_ != nullptr &&
+      split_row_->version() > request.split_row.version) {
+    return true;
+  }
   return version_ > request.after &&
          (has_newer(rows_by_version_) || has_newer(removals_by_version_));
 }
@@ -115,6 +121,19 @@
 }
 
 TableAnswer TableRelay::ChangesSince(const HeldRequest& held) const {
+  TableAnswer answer = RowsSince(held);
+  if (split_row_ == nullptr || answer.kind != TableAnswer::Kind::kRows) {
+    return answer;
+  }
+  answer.split_row = split_row_->PageAfter(held.request.split_row);
+  if (answer.split_row && answer.split_row->truncated) {
+    answer.rows.clear();
+    answer.known_after.reset();
+  }
+  return answer;
+}
+
+TableAnswer TableRelay::RowsSince(const HeldRequest& held) const {
   const TableRequest& request = held.request;
   TableAnswer answer;
   if (!known_ || (request.complete_table && table_bytes_ > kMaxTableBytes)) {
--- a/src/coordination/tables/table_relay.h
+++ b/src/coordination/tables/table_relay.h
@@ -22,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/tables/split_row.h"
 #include "messages.h"
 #include "state/table_rows.h"
 #include "types.h"
@@ -48,9 +49,12 @@
   // Size of a table above which it does not fit into one message.
   static constexpr std::size_t kMaxTableBytes = 3 << 20;
 
-  TableRelay(std::string table, TableRelayOutput* output);
+  // `split_row` holds the table's split row; null if it has none.
+  TableRelay(std::string table,
+             TableRelayOutput* output,
+             const SplitRow* split_row = nullptr);
 
-  // Updates of this gateway's copy of the table.
+  // Updates of this gateway's copy of the table, without its split row.
   void OnTable(const std::vector<TableRow>& rows, std::uint64_t version);
   void OnRow(const TableRow& row);
   void OnCurrent(TimeUs known_at, std::uint64_t version);
@@ -78,8 +82,10 @@
   bool CanAnswer(const TableRequest& request) const;
   bool ShouldAnswerNow(const HeldRequest& held) const;
   void Reply(const HeldRequest& held, TableAnswer answer);
-  // All that changed after the version in the request.
+  // All that changed after the version in the request; the changes of the split
+  // row in pages, of which the last one comes with all other rows.
   TableAnswer ChangesSince(const HeldRequest& held) const;
+  TableAnswer RowsSince(const HeldRequest& held) const;
   // The answer after `kMaxHoldTime`: that there were no changes, or that this
   // gateway does not reach the store.
   TableAnswer HoldTimeoutAnswer(const HeldRequest& held) const;
@@ -87,6 +93,7 @@
 
   const std::string table_;
   TableRelayOutput* const output_;
+  const SplitRow* const split_row_;
   bool known_ = false;
   bool store_lost_ = false;
   TimeUs known_at_ = 0;  // The rows are what the store held at this time.
--- a/src/coordination/tables/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -18,6 +18,7 @@
                          const GatewayPeers* peers,
                          StoreReader* store,
                          TableRelayOutput* output,
+                         SplitRow* split_row,
                          Random* random,
                          Metrics* metrics,
                          EventLog* log,
@@ -26,6 +27,7 @@
       plan_(plan),
       peers_(peers),
       output_(output),
+      split_row_(split_row),
       random_(random),
       metrics_(metrics),
       log_(log),
@@ -150,15 +152,24 @@
   if (peer.empty()) {
     return;
   }
+  LogSource(now, peer, last_failure_);
+  SendRelayRequest(now, peer, read_.query.wait);
+}
+
+void TableSource::SendRelayRequest(TimeUs now,
+                                   const NodeId& peer,
+                                   DurationUs wait) {
   relay_request_ = {peer, ++next_sequence_, now};
   metrics_->Count("acaciachute_gateway_table_questions_total", "relay");
-  LogSource(now, peer, last_failure_);
   TableRequest it;
   it.table = table_;
   it.sequence = relay_request_.sequence;
   it.complete_table = read_.query.complete_table;
   it.after = read_.query.complete_table ? version_ : read_.query.after;
-  it.wait = read_.query.wait;
+  it.wait = wait;
+  if (split_row_ != nullptr) {
+    it.split_row = split_row_->position();
+  }
   it.age = known_at_ < 0 ? std::numeric_limits<DurationUs>::max() / 2
                          : now - known_at_;
   output_->SendToPeer(peer, it);
@@ -259,12 +270,31 @@
       OnHistoryTruncatedAtPeer(now, reply.answer);
       return;
     case TableAnswer::Kind::kRows:
-      OnPeerAnswer(now, reply.answer);
+      if (!reply.answer.split_row || OnPage(now, *reply.answer.split_row)) {
+        OnPeerAnswer(now, reply.answer);
+      }
       return;
   }
   OnPeerFailed(now, "the relay sent an answer of an unknown kind");
 }
 
+// Each page is a sign of life of the relay: its time limit starts anew.
+bool TableSource::OnPage(TimeUs now, const SplitRowPage& page) {
+  const auto result = split_row_ == nullptr ? SplitRow::PageResult::kMismatch
+                                            : split_row_->ApplyPage(page);
+  switch (result) {
+    case SplitRow::PageResult::kComplete:
+      return true;
+    case SplitRow::PageResult::kIncomplete:
+      SendRelayRequest(now, NodeId(relay_request_.peer), 0);
+      return false;
+    case SplitRow::PageResult::kMismatch:
+      break;
+  }
+  OnPeerFailed(now, "the relay's changes do not fit the version held here");
+  return false;
+}
+
 void TableSource::OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer) {
   relay_lost_store_ = true;
   backoff_until_[relay_request_.peer] = now + kStorelessRelayBackoff;
--- a/src/coordination/tables/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -27,6 +27,7 @@
 #include "coordination/membership/gateway_peers.h"
 #include "coordination/tables/freshness_plan.h"
 #include "coordination/tables/remote_clock.h"
+#include "coordination/tables/split_row.h"
 #include "coordination/tables/store_requests.h"
 #include "coordination/tables/table_relay.h"
 #include "coordination/tables/table_watch.h"
@@ -66,6 +67,7 @@
               const GatewayPeers* peers,
               StoreReader* store,
               TableRelayOutput* output,
+              SplitRow* split_row,
               Random* random,
               Metrics* metrics,
               EventLog* log,
@@ -112,6 +114,7 @@
   void RequestFromStore(TimeUs now);
   void SendStoreRequest(TimeUs now);
   void RequestFromRelay(TimeUs now);
+  void SendRelayRequest(TimeUs now, const NodeId& peer, DurationUs wait);
   // The relay to ask; empty if there is none.
   NodeId ChooseRelay(TimeUs now);
   bool PrefersStore() const;
@@ -135,6 +138,8 @@
   bool IsOpen() const { return read_.state == State::kOpen; }
   void OnStoreLostAtPeer(TimeUs now, const TableAnswer& answer);
   void OnHistoryTruncatedAtPeer(TimeUs now, const TableAnswer& answer);
+  // Receives a page of the split row. Returns whether it was the last one.
+  bool OnPage(TimeUs now, const SplitRowPage& page);
   void OnPeerAnswer(TimeUs now, TableAnswer answer);
   void OnPeerFailed(TimeUs now, std::string_view reason);
   void Finish(TimeUs now, TimeUs sent_at, TableAnswer answer);
@@ -147,6 +152,7 @@
   const FreshnessPlan* const plan_;
   const GatewayPeers* const peers_;
   TableRelayOutput* const output_;
+  SplitRow* const split_row_;  // Null if the table has none.
   Random* const random_;
   Metrics* const metrics_;
   EventLog* const log_;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -118,11 +118,15 @@
                    const TableAnswer& answer) {
               OnStoreAnswer(table, id, answer);
             }),
+      config_row([this](const std::vector<RowPart>& changes) {
+        ApplyConfigParts(changes);
+      }),
       configuration(platform::kOperatorTable,
                     PlanConfiguration(settings),
                     &peers,
                     &store,
                     this,
+                    &config_row,
                     this,
                     &random,
                     &metrics,
@@ -132,6 +136,7 @@
                &peers,
                &store,
                this,
+               nullptr,
                this,
                &random,
                &metrics,
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -18,6 +18,7 @@
 #include "coordination/tables/table_source.h"
 #include "coordination/tables/table_watch.h"
 #include "daemon/gateway_node.h"
+#include "platform/config.h"
 #include "platform/pieces.h"
 #include "platform/requests.h"
 #include "platform/rows.h"
@@ -36,11 +37,13 @@
 
 // A table of the store that this gateway follows and relays to other gateways.
 struct FollowedTable {
+  // `split_row` holds the table's split row; null if it has none.
   FollowedTable(const std::string& table,
                 const FreshnessPlan& plan_in,
                 const GatewayPeers* peers,
                 StoreReader* store,
                 TableRelayOutput* output,
+                SplitRow* split_row,
                 TableListener* listener,
                 Random* random,
                 Metrics* metrics,
@@ -153,7 +156,11 @@
   void ApplyOperatorRow(const TableRow& row);
   // Returns nullopt if the row is no evacuation or names no failure domain.
   std::optional<EvacuationRow> ReadEvacuation(const TableRow& row);
-  void ApplyConfig(const TableRow& row);
+  // The whole configuration, as the store sends it.
+  void SplitConfigRow(const TableRow& row);
+  void ApplyConfigParts(const std::vector<RowPart>& changes);
+  // Puts the changes that were received into force.
+  void PublishConfig();
   // Logs a refused row once per key and reason, however often it is written.
   void LogRefusedRow(std::string_view event,
                      const TableRow& row,
@@ -245,6 +252,15 @@
   TimeUs next_peer_check_at = 0;
   TimeUs next_known_gateways_at = 0;
   platform::StoreClient store;
+  // What has been read of the configuration since it was last in force.
+  struct ConfigRead {
+    std::size_t bytes = 0;    // Of whole rows.
+    std::size_t changes = 0;  // Changed parts.
+    DurationUs time = 0;
+  };
+  platform::ConfigReader config_reader;
+  ConfigRead config_read;
+  SplitRow config_row;
   FollowedTable configuration;
   FollowedTable replicas;
   // Limits the memory for refused rows; beyond it, `refused_rows` is cleared.
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -1,5 +1,7 @@
 // Processes the tables that a gateway reads from the platform's store: the
 // operator's table and the list of replicas.
+#include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -8,22 +10,32 @@
 #include "transport/loop.h"
 
 namespace acaciachute {
+namespace {
+
+bool IsConfig(const TableRow& row) {
+  return row.key == platform::kConfigKey;
+}
+
+}  // namespace
+
 FollowedTable::FollowedTable(const std::string& table,
                              const FreshnessPlan& plan_in,
                              const GatewayPeers* peers,
                              StoreReader* store,
                              TableRelayOutput* output,
+                             SplitRow* split_row,
                              TableListener* listener,
                              Random* random,
                              Metrics* metrics,
                              EventLog* log)
     : plan(plan_in),
-      relay(table, output),
+      relay(table, output, split_row),
       source(table,
              &plan,
              peers,
              store,
              output,
+             split_row,
              random,
              metrics,
              log,
@@ -56,11 +68,15 @@
 void GatewayNode::Impl::OnTable(const std::string& table,
                                 const std::vector<TableRow>& rows) {
   FollowedTable* followed = FindFollowedTable(table);
-  followed->relay.OnTable(rows, followed->watch.version());
   if (table == platform::kOperatorTable) {
+    std::vector<TableRow> orders;
+    std::copy_if(rows.begin(), rows.end(), std::back_inserter(orders),
+                 [](const TableRow& it) { return !IsConfig(it); });
+    followed->relay.OnTable(orders, followed->watch.version());
     ApplyOperatorTable(rows, followed->watch.version());
     return;
   }
+  followed->relay.OnTable(rows, followed->watch.version());
   std::vector<ReplicaEntry> entries;
   std::vector<std::string> unreadable;
   for (const TableRow& it : rows) {
@@ -75,6 +91,10 @@
 }
 
 void GatewayNode::Impl::OnRow(const std::string& table, const TableRow& row) {
+  if (table == platform::kOperatorTable && IsConfig(row)) {
+    SplitConfigRow(row);
+    return;
+  }
   FindFollowedTable(table)->relay.OnRow(row);
   if (table == platform::kOperatorTable) {
     ApplyOperatorRow(row);
@@ -147,7 +167,9 @@
     gateway->OnEvacuated();
   }
   for (const TableRow& it : rows) {
-    ApplyConfig(it);
+    if (IsConfig(it)) {
+      SplitConfigRow(it);
+    }
   }
 }
 
@@ -158,36 +180,61 @@
     } else if (evacuations.OnOrder(*order)) {
       gateway->OnEvacuated();
     }
+  }
+}
+
+void GatewayNode::Impl::SplitConfigRow(const TableRow& row) {
+  if (row.removed) {
+    return;
+  }
+  const TimeUs begun_at = Loop::Now();
+  const auto parts = platform::SplitConfig(row.value);
+  config_read.bytes += row.value.size();
+  config_read.time += Loop::Now() - begun_at;
+  if (parts.ok()) {
+    config_row.Replace(row.version, *parts);
     return;
   }
-  ApplyConfig(row);
+  log.Write("config_refused", {{"row_version", row.version},
+                               {"why", std::string(parts.status().message())}});
 }
 
-void GatewayNode::Impl::ApplyConfig(const TableRow& row) {
-  if (row.key != platform::kConfigKey || row.removed) {
+void GatewayNode::Impl::ApplyConfigParts(const std::vector<RowPart>& changes) {
+  const TimeUs begun_at = Loop::Now();
+  config_reader.Apply(changes);
+  config_read.changes += changes.size();
+  config_read.time += Loop::Now() - begun_at;
+}
+
+void GatewayNode::Impl::PublishConfig() {
+  if (!config_reader.changed()) {
     return;
   }
   const TimeUs begun_at = Loop::Now();
-  auto config = platform::ParseConfig(row.value);
-  const DurationUs parse_time = Loop::Now() - begun_at;
-  metrics.Observe("acaciachute_gateway_config_parse_seconds", "", parse_time);
-  log.Write("config_read", {{"row_version", row.version},
-                            {"bytes", row.value.size()},
-                            {"parse_ms", parse_time / kMillisecond}});
-  if (!config.ok()) {
+  auto config = config_reader.Read();
+  if (config.ok()) {
+    clients.SetLimits(ClientLimitsOf((*config)->limits));
+    batchers.SetServices(**config);
+    gateway->OnConfig(*std::move(config));
+  } else {
     log.Write("config_refused",
-              {{"row_version", row.version},
+              {{"row_version", config_row.version()},
                {"why", std::string(config.status().message())}});
-    return;
   }
-  clients.SetLimits(ClientLimitsOf((*config)->limits));
-  batchers.SetServices(**config);
-  gateway->OnConfig(*std::move(config));
+  config_read.time += Loop::Now() - begun_at;
+  metrics.Observe("acaciachute_gateway_config_parse_seconds", "",
+                  config_read.time);
+  log.Write("config_read", {{"row_version", config_row.version()},
+                            {"bytes", config_read.bytes},
+                            {"changes", config_read.changes},
+                            {"parse_ms", config_read.time / kMillisecond}});
+  config_read = {};
 }
 
 void GatewayNode::Impl::OnTableCurrent(const std::string& table,
                                        TimeUs known_at) {
   if (table == platform::kOperatorTable) {
+    PublishConfig();
     gateway->OnConfirmed(known_at);
   } else {
     directory.OnStoreRecovered(Now());
--- a/src/messages.h
+++ b/src/messages.h
@@ -251,6 +251,7 @@
   std::uint64_t after = 0;      // Version of the table that the sender has.
   DurationUs wait = 0;          // Zero: reply at once, even without changes.
   DurationUs age = 0;           // Age of the sender's copy of the table.
+  SplitRowPosition split_row;   // What the sender has of the split row.
 };
 
 struct TableReply {
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -149,8 +149,20 @@
   a(v.results);
 }
 template <class A>
+void serialize(A& a, RowPart& v) {
+  a(v.name, v.text, v.removed);
+}
+template <class A>
+void serialize(A& a, SplitRowPosition& v) {
+  a(v.version, v.page_base, v.page_version, v.last_part);
+}
+template <class A>
+void serialize(A& a, SplitRowPage& v) {
+  a(v.base, v.version, v.continues, v.truncated, v.last_part, v.parts);
+}
+template <class A>
 void serialize(A& a, TableRequest& v) {
-  a(v.table, v.sequence, v.complete_table, v.after, v.wait, v.age);
+  a(v.table, v.sequence, v.complete_table, v.after, v.wait, v.age, v.split_row);
 }
 template <class A>
 void serialize(A& a, TableRow& v) {
@@ -158,7 +170,7 @@
 }
 template <class A>
 void serialize(A& a, TableAnswer& v) {
-  a(v.kind, v.rows, v.truncated, v.version, v.why, v.known_after);
+  a(v.kind, v.rows, v.truncated, v.version, v.why, v.split_row, v.known_after);
 }
 template <class A>
 void serialize(A& a, TableReply& v) {
@@ -173,7 +185,7 @@
 
 // "AC", the version of the frame format, which changes with the layout of any
 // message, and a reserved byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 5, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 6, 0};
 constexpr std::size_t kHmacSize = 32;  // HMAC-SHA-256.
 constexpr std::size_t kMinFrameBytes = kFramePrefixSize + kHmacSize;
 
--- a/tests/gateway/freshness_test.cc
+++ b/tests/gateway/freshness_test.cc
@@ -256,12 +256,13 @@
 constexpr DurationUs kReadTimePerKilobyte = 100;
 
 // A configuration as the model's operator writes it: a line with its version
-// and a line for each of `routes` routes.
+// and a line for each of `routes` routes, in order of their names.
 std::string MakeConfiguration(int version, int routes) {
   constexpr std::size_t kBytesPerRoute = 170;
+  constexpr int kFirstRoute = 100'000;
   std::string text = std::to_string(version);
   for (int n = 0; n < routes; ++n) {
-    std::string line = "\nroute-" + std::to_string(n) + ' ';
+    std::string line = "\nroute-" + std::to_string(kFirstRoute + n) + ' ';
     line.resize(kBytesPerRoute, 'x');
     text += line;
   }
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,6 +44,11 @@
   static constexpr DurationUs kStoreClockLag = 77 * kSecond;
   static constexpr DurationUs kHeartbeatPeriod = 100 * kMillisecond;
 
+  // The row that is split into parts, and the name of the part with its
+  // version, which is the first in order.
+  static constexpr char kConfigKey[] = "config";
+  static constexpr char kFirstPart[] = "!";
+
   // How the store treats a gateway: it answers, refuses its requests, or does
   // not answer.
   enum class StoreBehavior { kServes, kRefuses, kNoAnswer };
@@ -100,10 +106,13 @@
       peers = std::make_unique<GatewayPeers>(self, &log);
       directory = std::make_unique<ReplicaDirectory>(this);
       directory->SetMaxRetention(kRecoveryBound);
-      relay = std::make_unique<TableRelay>("t", this);
+      split_row = std::make_unique<SplitRow>(
+          [this](const auto& changes) { OnParts(changes); });
+      config.clear();
+      relay = std::make_unique<TableRelay>("t", this, split_row.get());
       source = std::make_unique<TableSource>(
-          "t", &net->plan_, peers.get(), this, this, &random, &metrics, &log,
-          [this](TimeUs now, const TableAnswer& answer) {
+          "t", &net->plan_, peers.get(), this, this, split_row.get(), &random,
+          &metrics, &log, [this](TimeUs now, const TableAnswer& answer) {
             watch->OnAnswer(now, answer);
           });
       watch = std::make_unique<TableWatch>("t", &net->plan_, source.get(), this,
@@ -138,22 +147,37 @@
                  const std::vector<TableRow>& table_rows) override {
       rows.clear();
       std::vector<ReplicaEntry> replicas;
+      std::vector<TableRow> others;
       for (const TableRow& it : table_rows) {
-        net->SpendReadTime(this, it);
+        net->SpendReadTime(this, it.value.size());
+        if (it.key == kConfigKey) {
+          split_row->Replace(it.version, SplitConfig(it.value));
+          continue;
+        }
+        others.push_back(it);
         rows[it.key] = it.value;
         if (IsReplica(it)) {
           replicas.push_back(EntryOf(it));
         }
       }
       directory->Replace(net->now_, replicas, {});
-      relay->OnTable(table_rows, watch->version());
+      relay->OnTable(others, watch->version());
+      config_changed = !config.empty();
+      JoinConfig();
     }
     void OnRow(const std::string&, const TableRow& row) override {
+      if (row.key == kConfigKey) {
+        net->SpendReadTime(this, row.value.size());
+        if (!row.removed) {
+          split_row->Replace(row.version, SplitConfig(row.value));
+        }
+        return;
+      }
       if (row.removed) {
         rows.erase(row.key);
         directory->Remove(net->now_, row.key);
       } else {
-        net->SpendReadTime(this, row);
+        net->SpendReadTime(this, row.value.size());
         rows[row.key] = row.value;
         if (IsReplica(row)) {
           directory->Put(EntryOf(row));
@@ -162,6 +186,7 @@
       relay->OnRow(row);
     }
     void OnTableCurrent(const std::string&, TimeUs at) override {
+      JoinConfig();
       known_at = std::max(known_at, at);
       lost = false;
       directory->OnStoreRecovered(net->now_);
@@ -174,6 +199,40 @@
     }
     void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
 
+    // The configuration's first line holds its version and each other one a
+    // part, which begins with its name.
+    static std::vector<RowPart> SplitConfig(const std::string& value) {
+      std::vector<RowPart> parts;
+      std::istringstream lines(value);
+      for (std::string line; std::getline(lines, line);) {
+        const std::string name =
+            parts.empty() ? kFirstPart : line.substr(0, line.find(' '));
+        parts.push_back({name, line, false});
+      }
+      return parts;
+    }
+    void OnParts(const std::vector<RowPart>& changes) {
+      for (const RowPart& it : changes) {
+        net->SpendReadTime(this, it.text.size());
+        if (it.removed) {
+          config.erase(it.name);
+        } else {
+          config[it.name] = it.text;
+        }
+      }
+      config_changed = true;
+    }
+    void JoinConfig() {
+      if (!std::exchange(config_changed, false)) {
+        return;
+      }
+      std::string& value = rows[kConfigKey];
+      value.clear();
+      for (const auto& [name, text] : config) {
+        value += value.empty() ? text : '\n' + text;
+      }
+    }
+
     static bool IsReplica(const TableRow& row) {
       return row.key.starts_with("replica");
     }
@@ -195,6 +254,9 @@
     Metrics metrics;
     std::unique_ptr<GatewayPeers> peers;
     std::unique_ptr<ReplicaDirectory> directory;
+    std::unique_ptr<SplitRow> split_row;
+    std::map<std::string, std::string> config;  // Its parts by name.
+    bool config_changed = false;
     std::unique_ptr<TableRelay> relay;
     std::unique_ptr<TableSource> source;
     std::unique_ptr<TableWatch> watch;
@@ -356,6 +418,11 @@
     for (const TableRow& it : answer.rows) {
       bytes += it.key.size() + it.value.size() + kFieldBytes;
     }
+    if (answer.split_row) {
+      for (const RowPart& it : answer.split_row->parts) {
+        bytes += it.name.size() + it.text.size() + kFieldBytes;
+      }
+    }
     return bytes;
   }
   static std::size_t BytesOf(const Message& message) {
@@ -390,11 +457,10 @@
       }
     }
   }
-  void SpendReadTime(Node* node, const TableRow& row) {
-    constexpr std::size_t kKilobyte = 1000;
-    const auto time = static_cast<double>(
-        read_time_per_kb_ * static_cast<DurationUs>(row.value.size()) /
-        static_cast<DurationUs>(kKilobyte));
+  void SpendReadTime(Node* node, std::size_t bytes) {
+    constexpr double kKilobyte = 1000;
+    const double time = static_cast<double>(read_time_per_kb_) *
+                        static_cast<double>(bytes) / kKilobyte;
     node->busy_until = std::max(node->busy_until, now_) +
                        static_cast<DurationUs>(time / node->cores);
   }
@@ -507,7 +573,8 @@
     if (const auto* request = std::get_if<TableRequest>(&it.message)) {
       to.relay->OnTableRequest(now_, nodes_[it.from]->name, *request);
     } else if (const auto* reply = std::get_if<TableReply>(&it.message)) {
-      complete_replies_ += reply->answer.rows.size() == rows_.size() ? 1 : 0;
+      complete_replies_ +=
+          reply->answer.rows.size() + 1 == rows_.size() ? 1 : 0;
       to.source->OnReply(now_, nodes_[it.from]->name, *reply);
     }
   }
--- a/tests/gateway/table_source_test.cc
+++ b/tests/gateway/table_source_test.cc
@@ -84,16 +84,16 @@
   std::size_t received_bytes = 0;
   std::vector<TableAnswer> answers;
   const FreshnessPlan plan = Plan();
-  TableSource source{
-      "t",
-      &plan,
-      &peers,
-      this,
-      this,
-      &random,
-      &metrics,
-      &log,
-      [this](TimeUs, const TableAnswer& it) { answers.push_back(it); }};
+  TableSource source{"t",
+                     &plan,
+                     &peers,
+                     this,
+                     this,
+                     nullptr,
+                     &random,
+                     &metrics,
+                     &log,
+                     [this](TimeUs, const TableAnswer& it) { answers.push_back(it); }};
 };
 
 TEST(TableSourceTest, AsksTheRelayOfItsDomainFirst) {
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "platform/config.h"
 #include "platform/host_settings_file.h"
 #include "platform/requests.h"
 #include "platform/rows.h"
