Wait for an answer of the store as long as it arrives

A host gave a request to the store up one second after it was sent, and its connection after three, also while the answer was arriving. A large table on a thin link never came: it was asked for again from the start, and a host without peers that have it stayed without. The limits are now on the time until an answer begins and on the time without progress (4 KB in the limit, so one that trickles does not keep a host from asking anyone else), and a transfer that goes on, from the store or page by page from a relay, is not begun a second time. The same limits held around whole reads of the replicas' table.

No functional change where an answer comes at once

--- a/src/coordination/tables/store_requests.cc
+++ b/src/coordination/tables/store_requests.cc
@@ -17,9 +17,13 @@
     requests_.erase(requests_.begin() + 1);
   }
   const DurationUs answer_timeout = query.wait + kAnswerAcceptTimeout;
-  requests_.push_back({next_id_++, query, now, true});
-  store_->SendRequest(
-      {table_, requests_.back().id, std::move(query), answer_timeout});
+  Sent sent;
+  sent.id = next_id_++;
+  sent.query = query;
+  sent.sent_at = now;
+  requests_.push_back(std::move(sent));
+  store_->SendRequest({table_, requests_.back().id, std::move(query),
+                       answer_timeout, kAnswerAcceptTimeout});
 }
 
 std::optional<StoreRequests::Sent> StoreRequests::RemoveRequest(
@@ -43,15 +47,28 @@
 std::optional<StoreRequests::Sent> StoreRequests::TimeOutAwaited(
     TimeUs now,
     DurationUs timeout) {
-  const Sent* const awaited = AwaitedRequest();
-  if (awaited == nullptr ||
-      now - awaited->sent_at < awaited->query.wait + timeout) {
+  if (AwaitedRequest() == nullptr) {
     return std::nullopt;
   }
   Sent& sent = requests_.back();
+  const std::size_t received = store_->ReceivedBytes(table_, sent.id);
+  if (received >= sent.received_bytes + kMinProgressBytes) {
+    sent.received_bytes = received;
+    sent.progress_at = now;
+  }
+  const TimeUs waits_since =
+      std::max(sent.sent_at + sent.query.wait, sent.progress_at);
+  if (now - waits_since < timeout) {
+    return std::nullopt;
+  }
+  sent.received_bytes = received;
   sent.awaited = false;
-  sent.received_bytes = store_->ReceivedBytes(table_, sent.id);
   return sent;
 }
 
+bool StoreRequests::IsReceiving() const {
+  const Sent* const awaited = AwaitedRequest();
+  return awaited != nullptr && awaited->received_bytes > 0;
+}
+
 }  // namespace acaciachute
--- a/src/coordination/tables/store_requests.h
+++ b/src/coordination/tables/store_requests.h
@@ -1,5 +1,11 @@
 // The requests to the store for one table that are not answered yet.
 //
+// The time that an answer takes to arrive grows with the table and with the
+// load on the link. If it counted against a fixed time limit, a large table
+// would never arrive: each host gave the transfer up and began it again. So the
+// limit is on the time until the answer begins, and then on the time without
+// progress.
+//
 // A store may answer every request late, or a request may be lost with its
 // connection. A host that accepts the answer to one request only would then
 // either abandon the requests to a slow store, whose answers it would never
@@ -33,8 +39,10 @@
   std::string table;
   std::uint64_t id = 0;  // Unique for the table.
   TableQuery query;
-  // Time limit for the answer, counted from when the request is sent.
+  // Time limit for the answer's first byte, counted from when the request is
+  // sent, and between any two bytes of it.
   DurationUs answer_timeout = 0;
+  DurationUs progress_timeout = 0;
 };
 
 class StoreReader {
@@ -55,6 +63,9 @@
   // Time limit for the store's answer, counted from the end of the time for
   // which the store was asked to hold the request.
   static constexpr DurationUs kAnswerAcceptTimeout = 3 * kSecond;
+  // Number of bytes that have to arrive in a time limit for an answer to count
+  // as on its way.
+  static constexpr std::size_t kMinProgressBytes = 4 << 10;
   // Largest number of requests in flight. Beyond it the oldest, which a slow
   // store answers first, and the newest are kept.
   static constexpr std::size_t kMaxInFlight = 3;
@@ -64,8 +75,9 @@
     TableQuery query;
     TimeUs sent_at = 0;
     bool awaited = true;
-    // Bytes of the answer that had arrived when it was no longer awaited.
+    // Bytes of the answer that had arrived at `progress_at`.
     std::size_t received_bytes = 0;
+    TimeUs progress_at = 0;
   };
 
   StoreRequests(std::string table, StoreReader* store);
@@ -76,9 +88,11 @@
   std::optional<Sent> RemoveRequest(std::uint64_t id);
   // The awaited request; null if there is none.
   const Sent* AwaitedRequest() const;
-  // If the awaited request has been unanswered for `timeout` beyond the time
-  // for which the store was asked to hold it, it is no longer awaited and is
-  // returned.
+  // Whether the answer to the awaited request has begun to arrive.
+  bool IsReceiving() const;
+  // If nothing of the answer to the awaited request has arrived for `timeout`,
+  // beyond the time for which the store was asked to hold it, the request is no
+  // longer awaited and is returned.
   std::optional<Sent> TimeOutAwaited(TimeUs now, DurationUs timeout);
 
  private:
--- a/src/coordination/tables/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -57,9 +57,11 @@
 
 void TableSource::RequestFromStoreIfOld(TimeUs now) {
   const StoreRequests::Sent* const awaited = store_requests_.AwaitedRequest();
-  const bool held_by_store = awaited != nullptr && awaited->query.wait > 0;
+  const bool held_by_store = awaited != nullptr && awaited->query.wait > 0 &&
+                             !store_requests_.IsReceiving();
   if (!NeedsAnswer() || known_at_ < 0 || !IsStoreRequestDue(now) ||
-      !MayRequestFromStore(now) || (awaited != nullptr && !held_by_store)) {
+      !MayRequestFromStore(now) || ReceivesPages() ||
+      (awaited != nullptr && !held_by_store)) {
     return;
   }
   metrics_->Count("acaciachute_gateway_table_old_total", table_);
@@ -70,6 +72,11 @@
   SendStoreRequest(now);
 }
 
+bool TableSource::ReceivesPages() const {
+  return split_row_ != nullptr && !relay_request_.peer.empty() &&
+         split_row_->position().page_version != 0;
+}
+
 bool TableSource::MayRequestFromStore(TimeUs now) const {
   return !store_failed_ || now >= next_store_request_at_;
 }
--- a/src/coordination/tables/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -122,6 +122,9 @@
   // Whether the store may be asked now: while it fails, only when the next
   // retry is due.
   bool MayRequestFromStore(TimeUs now) const;
+  // Whether a relay sends changes of the split row page by page. The whole row
+  // from the store would take longer and slow them down.
+  bool ReceivesPages() const;
   // Whether the table is so old that the store itself has to be asked.
   bool IsStoreRequestDue(TimeUs now) const;
   DurationUs StoreTimeout() const;
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -216,8 +216,11 @@
 
   // GatewayJoinOutput
   void ReadGateways() override {
-    store.SendRequest(
-        {kGatewayTable, 0, {true, "", 0, 0}, GatewayJoin::kReadTimeout});
+    store.SendRequest({kGatewayTable,
+                       0,
+                       {true, "", 0, 0},
+                       GatewayJoin::kReadTimeout,
+                       GatewayJoin::kReadTimeout});
   }
   void WriteGateway(const std::string& key,
                     const std::string& value,
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -107,6 +107,7 @@
     started_ = Loop::Now();
     connect_deadline_ = started_ + options.connect;
     answer_deadline_ = options.total > 0 ? started_ + options.total : 0;
+    progress_timeout_ = options.progress;
     max_kept_ = std::min(kMaxIdlePerAddress,
                          options.max_kept.value_or(kMaxIdlePerAddress));
     is_head_request_ = request.method == "HEAD";
@@ -143,6 +144,10 @@
       owner_->Remove(this);  // Bytes that belong to no request.
       return;
     }
+    if (answer_deadline_ != 0 && progress_timeout_ != 0) {
+      answer_deadline_ =
+          std::max(answer_deadline_, Loop::Now() + progress_timeout_);
+    }
     input_ += bytes;
     // Callbacks may cancel the call, which removes this channel.
     Impl* owner = owner_;
@@ -330,6 +335,7 @@
   TimeUs started_ = 0;
   TimeUs connect_deadline_ = 0;
   TimeUs answer_deadline_ = 0;
+  DurationUs progress_timeout_ = 0;
   TimeUs idle_since_ = 0;
   DurationUs idle_timeout_ = kDefaultIdleTimeout;
   std::size_t max_kept_ = kMaxIdlePerAddress;
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -72,6 +72,9 @@
   // Time limit from the start of the call to the end of the answer; zero for no
   // limit.
   DurationUs total = 0;
+  // If not zero, the time limit moves on with each byte of the answer: it is
+  // never less than this after the last one.
+  DurationUs progress = 0;
   // Maximum number of idle connections to the address, including this one, that
   // are kept after the answer; `kMaxIdlePerAddress` if not set.
   std::optional<std::size_t> max_kept;
--- a/tests/gateway/freshness_test.cc
+++ b/tests/gateway/freshness_test.cc
@@ -298,6 +298,26 @@
   EXPECT_TRUE(net.violations().empty()) << net.violations().front();
 }
 
+// Guards against a host that never has a configuration, or never a current one,
+// because the store's answer takes longer to arrive than the host waits for it.
+TEST(FreshnessTest, AHostWithoutPeersReceivesALargeConfiguration) {
+  constexpr int kRoutes = 20'000;
+  constexpr DurationUs kTransferTime = 7 * kSecond;
+  TableNet net(1, 1);
+  net.SetLinkRates({kThinLinks.small, kThinLinks.small});
+  const auto known_after_write = [&](int version) {
+    const std::string value = MakeConfiguration(version, kRoutes);
+    net.Write("config", value);
+    return net.RunUntil([&] { return net.AllHold("config", value); },
+                        20 * kSecond);
+  };
+  EXPECT_LE(known_after_write(2), kTransferTime);
+  const std::size_t calls = net.calls();
+  EXPECT_LE(known_after_write(3), kTransferTime);
+  // The transfer is not begun again while it goes on.
+  EXPECT_LE(net.calls() - calls, 5U);
+}
+
 // The sum of all time limits stays within the bounds, for any values of the
 // bounds.
 RC_GTEST_PROP(FreshnessPlanTest, WaitsAddUpToLessThanTheBound, ()) {
--- a/tests/gateway/store_requests_test.cc
+++ b/tests/gateway/store_requests_test.cc
@@ -39,6 +39,25 @@
   EXPECT_FALSE(rig.requests.RemoveRequest(5));
 }
 
+// An answer that is on its way is not given up. One that trickles is, as a slow
+// store would otherwise keep a host from asking anyone else.
+TEST(StoreRequestsTest, AwaitsAnAnswerAsLongAsItArrives) {
+  StoreRig rig;
+  rig.requests.SendRequest(0, {false, "", 5, 0});
+  TimeUs now = 0;
+  for (int n = 0; n < 10; ++n) {
+    now += kSecond * 9 / 10;
+    rig.received_bytes += StoreRequests::kMinProgressBytes;
+    EXPECT_FALSE(rig.requests.TimeOutAwaited(now, kSecond)) << n;
+  }
+  EXPECT_TRUE(rig.requests.IsReceiving());
+  now += kSecond * 9 / 10;
+  ++rig.received_bytes;
+  EXPECT_FALSE(rig.requests.TimeOutAwaited(now, kSecond));
+  now += kSecond * 2 / 10;
+  EXPECT_TRUE(rig.requests.TimeOutAwaited(now, kSecond));
+}
+
 TEST(StoreRequestsTest, AwaitsOnlyTheNewestUntilItsTimeout) {
   StoreRig rig;
   EXPECT_EQ(rig.requests.AwaitedRequest(), nullptr);
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -294,6 +294,36 @@
 
 // A replica that answers before it has read the complete request continues to
 // read; it must read the remainder of that request, not the next one.
+// A large answer on a slow link takes longer than a call's time limit. It is
+// received to its end; one that stops on the way is not waited for.
+TEST(HttpChannelsTest, AnAnswerThatKeepsArrivingHasMoreTime) {
+  constexpr int kWholeBody = 8;
+  for (const int bytes : {kWholeBody, kWholeBody - 1}) {
+    Loop loop;
+    RawServer server(&loop);
+    int sent = 0;
+    server.on_bytes = [&](RawServer::Peer* peer) {
+      peer->stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+    };
+    const auto timer = loop.Every(100 * kMs, [&] {
+      if (!server.peers.empty() && sent < bytes) {
+        ++sent;
+        server.peers.front()->stream->Write("x");
+      }
+    });
+    HttpChannels channels(&loop);
+    Sink sink;
+    ChannelOptions options;
+    options.total = 200 * kMs;
+    options.progress = 200 * kMs;
+    channels.Start(server.address, Get(), options, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    loop.Cancel(timer);
+    EXPECT_EQ(sink.ends, bytes == kWholeBody ? 1 : 0);
+    EXPECT_EQ(sink.failure.has_value(), bytes != kWholeBody);
+  }
+}
+
 TEST(HttpChannelsTest, SendsTheRestOfABodyAfterAnEarlyAnswer) {
   Loop loop;
   RawServer server(&loop);
