Refuse instead of acting on a configuration known to be replaced

Callers were told 404 by configuration 18, confirmed 8.9 s before, while peers were known to have 22. A 404 or 401 was given, and a service chosen, at any age of the configuration; only keys had a limit (4.5 s of an allowed 5), and config_apply_ms was kept by timing alone, which no transfer of unknown size keeps.

Heartbeats carry the version of the configuration's row, and first bytes or pages of a change count as well: so a gateway knows that a newer one exists. Then it denies nothing, and from FreshnessPlan::MaxUseAge on it refuses requests, not run, to be tried elsewhere at once. The bound is thus kept at any size: ConfigurationBoundTest plays changes of all routes, 170 B to 1.4 MB, on thin links at bounds from 0.2 to 10 s in virtual time; a host whose own reading stopped it counts what it knows only after it has heard. While no newer one is known, as in an outage of the store, it serves on; a newer one that some host still got spreads among hosts that lost the store.

GatewayTest.DeniesNothingByAnOldConfiguration and ServesByAnOld... did not hold before (404, and served at any age).

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -25,6 +25,7 @@
       engines(directory_in, &cold_replica_limiter, random_in) {
   cold_replica_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
+  freshness.SetMaxUseAge(options.max_config_use_age);
 }
 
 ServingRequest* Gateway::Impl::FindByExchange(ExchangeId id) {
@@ -59,18 +60,16 @@
                                      const ClientRequest& call,
                                      LocalReply answer) {
   metrics->Count("acaciachute_gateway_refused_total", Name(answer.reason));
-  log->Write(
-      "refused",
-      {{"id", call.id},
-       {"reason", Name(answer.reason)},
-       {"verdict", Name(answer.verdict)},
-       {"detail", answer.detail},
-       {"retry_after_ms", answer.retry_after / kMillisecond},
-       {"another_is_current", peer_can_check_keys},
-       {"config", config ? config->version : 0},
-       {"config_age_ms", confirmed_at < 0
-                             ? -1
-                             : (output->Now() - confirmed_at) / kMillisecond}});
+  log->Write("refused",
+             {{"id", call.id},
+              {"reason", Name(answer.reason)},
+              {"verdict", Name(answer.verdict)},
+              {"detail", answer.detail},
+              {"retry_after_ms", answer.retry_after / kMillisecond},
+              {"another_is_current", peer_can_check_keys},
+              {"config", config ? config->version : 0},
+              {"config_age_ms", freshness.Age(output->Now()) / kMillisecond},
+              {"newer_config_known", freshness.newer_known()}});
   output->Refuse(id, answer);
 }
 
@@ -193,6 +192,7 @@
 
 void Gateway::SetOptions(const GatewayOptions& options) {
   impl_->options = options;
+  impl_->freshness.SetMaxUseAge(options.max_config_use_age);
   impl_->cold_replica_limiter.SetRateLimit(options.cold_rate_bound,
                                            options.replica_heartbeat_period);
   if (impl_->config != nullptr) {
@@ -218,7 +218,21 @@
 }
 
 void Gateway::OnConfirmed(TimeUs asked_at) {
-  impl_->confirmed_at = std::max(impl_->confirmed_at, asked_at);
+  impl_->freshness.OnConfirmed(asked_at);
+}
+
+void Gateway::SetNewerConfigKnown(bool newer_known) {
+  const TimeUs now = impl_->output->Now();
+  const bool before = impl_->freshness.newer_known();
+  impl_->freshness.OnTick(now, newer_known);
+  if (before == newer_known) {
+    return;
+  }
+  impl_->log->Write(
+      "newer_config",
+      {{"known", newer_known},
+       {"config", impl_->config ? impl_->config->version : 0},
+       {"config_age_ms", impl_->freshness.Age(now) / kMillisecond}});
 }
 
 void Gateway::OnReplica(const ReplicaEntry& replica, DirectoryChange change) {
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -95,6 +95,8 @@
   // Maximum age of the last confirmation that the configuration is the newest;
   // beyond it, API keys are not accepted.
   DurationUs key_age = 4 * kSecond;
+  // See `ConfigFreshness::SetMaxUseAge`.
+  DurationUs max_config_use_age = 2 * kSecond;
   ServiceRetryBudgetLimits budget;
   ColdRateBound cold_rate_bound;
   // Period at which a replica rewrites its row.
@@ -148,6 +150,8 @@
   // The configuration in use was the newest one at `asked_at`, when this
   // gateway asked the store.
   void OnConfirmed(TimeUs asked_at);
+  // Whether a newer configuration is known to exist; call it every 10 ms.
+  void SetNewerConfigKnown(bool newer_known);
   void OnReplica(const ReplicaEntry& replica, DirectoryChange change);
   // A failure domain was evacuated: refuses requests that are not at a replica
   // if a service they need has no replica left.
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -12,6 +12,9 @@
 // reaches another one, so a minimal delay is enough.
 constexpr DurationUs kRetryElsewhereDelay = 20 * kMillisecond;
 
+// Assumed timeout of a request whose route is not known.
+constexpr DurationUs kUnknownRouteTimeout = kSecond;
+
 // Clients accept a Retry-After of up to their remaining time divided by this.
 constexpr DurationUs kRetryAfterDivisor = 3;
 
@@ -56,7 +59,7 @@
 // when the request to the store was sent, on a clock that advances while the
 // host is suspended.
 bool Gateway::Impl::ConfigIsConfirmed() const {
-  return confirmed_at >= 0 && output->Now() - confirmed_at <= options.key_age;
+  return freshness.IsConfirmedWithin(output->Now(), options.key_age);
 }
 
 bool Gateway::Impl::FindAccount(const Route& route,
@@ -67,17 +70,22 @@
     return true;
   }
   if (!ConfigIsConfirmed()) {
-    *refusal = {Refusal::kNotCurrent, Verdict::kNotRun,
-                RetryAfterUncheckedKey(route, call),
-                "keys cannot be checked against the newest configuration"};
+    *refusal =
+        NotCurrent(call, route.timeout,
+                   "keys cannot be checked against the newest configuration");
     return false;
   }
   *account = call.key ? config->FindAccount(*call.key) : nullptr;
-  if (*account == nullptr) {
+  if (*account != nullptr) {
+    return true;
+  }
+  if (freshness.MayDeny(output->Now())) {
     *refusal = {Refusal::kUnauthorized, Verdict::kNotRun, 0, ""};
-    return false;
+  } else {
+    *refusal = NotCurrent(call, route.timeout,
+                          "a newer configuration may have the key");
   }
-  return true;
+  return false;
 }
 
 // The store may be unreachable for some or all hosts for seconds, and clients
@@ -87,14 +95,14 @@
 // so the Retry-After is the longest that clients accept, a third of their
 // remaining time. The wait is spread so that clients do not retry at the same
 // time.
-DurationUs Gateway::Impl::RetryAfterUncheckedKey(const Route& route,
-                                                 const ClientRequest& call) {
-  if (peer_can_check_keys) {
-    return kRetryElsewhereDelay;
-  }
-  return LongestRetryAfter(call.deadline > 0
-                               ? std::min(call.deadline, route.timeout)
-                               : route.timeout);
+LocalReply Gateway::Impl::NotCurrent(const ClientRequest& call,
+                                     DurationUs timeout,
+                                     std::string_view detail) {
+  const DurationUs left =
+      call.deadline > 0 ? std::min(call.deadline, timeout) : timeout;
+  return {Refusal::kNotCurrent, Verdict::kNotRun,
+          peer_can_check_keys ? kRetryElsewhereDelay : LongestRetryAfter(left),
+          std::string(detail)};
 }
 
 DurationUs Gateway::Impl::LongestRetryAfter(DurationUs left) {
@@ -151,9 +159,21 @@
                       "no configuration is known yet"});
     return;
   }
+  if (!freshness.MayServe(output->Now())) {
+    RefuseUnadmitted(
+        id, call,
+        NotCurrent(call, kUnknownRouteTimeout,
+                   "a newer configuration is known and has not arrived"));
+    return;
+  }
   const Route* route = config->FindRoute(call.host, call.target);
   if (route == nullptr) {
-    RefuseUnadmitted(id, call, {Refusal::kNotFound, Verdict::kNotRun, 0, ""});
+    RefuseUnadmitted(
+        id, call,
+        freshness.MayDeny(output->Now())
+            ? LocalReply{Refusal::kNotFound, Verdict::kNotRun, 0, ""}
+            : NotCurrent(call, kUnknownRouteTimeout,
+                         "a newer configuration may have the route"));
     return;
   }
   if (refuses_streams && route->kind == RouteKind::kStream) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "coordination/choice/cold_replica_limiter.h"
 #include "coordination/choice/plain_choice.h"
+#include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
 #include "coordination/stages/stage_progress.h"
@@ -164,9 +165,10 @@
   // Returns the longest Retry-After that a client with `left` remaining
   // accepts, with random spread below it.
   DurationUs LongestRetryAfter(DurationUs left);
-  // Retry-After for a client refused because its key cannot be checked.
-  DurationUs RetryAfterUncheckedKey(const Route& route,
-                                    const ClientRequest& call);
+  // The refusal of a request that the configuration in use is too old for.
+  LocalReply NotCurrent(const ClientRequest& call,
+                        DurationUs timeout,
+                        std::string_view detail);
 
   // gateway_stages.cc
   std::vector<PieceTask> TasksOf(const ServingRequest& request,
@@ -234,7 +236,7 @@
   EventLog* const log;
 
   std::shared_ptr<const ServingConfig> config;
-  TimeUs confirmed_at = -1;
+  ConfigFreshness freshness;
   // Number of gateways, including this one.
   std::size_t gateway_count = 1;
   // Set during shutdown; see `Gateway::RefuseStreams`.
--- a/src/coordination/membership/gateway_peers.cc
+++ b/src/coordination/membership/gateway_peers.cc
@@ -45,6 +45,8 @@
   peer.live = true;
   peer.leaving = heartbeat.leaving;
   peer.can_check_keys = heartbeat.can_check_keys;
+  newest_config_version_ =
+      std::max(newest_config_version_, heartbeat.config_version);
   peer.period = std::max(heartbeat.period, kGatewayHeartbeatPeriod);
   if (changed || peer.cores != heartbeat.cores ||
       peer.domain != heartbeat.domain) {
--- a/src/coordination/membership/gateway_peers.h
+++ b/src/coordination/membership/gateway_peers.h
@@ -137,6 +137,9 @@
   // Whether another live gateway may check keys, according to its last
   // heartbeat.
   bool AnyPeerCanCheckKeys() const;
+  // Highest version of the configuration that a gateway has announced. Versions
+  // never decrease, so that of a gateway which is lost counts too.
+  std::uint64_t NewestConfigVersion() const { return newest_config_version_; }
 
  private:
   struct Peer {
@@ -169,6 +172,7 @@
   const GatewayHost self_;
   EventLog* const log_;
   bool leaving_ = false;
+  std::uint64_t newest_config_version_ = 0;
   SuspensionDetector suspension_detector_{kMaxTickInterval};
   std::map<NodeId, Peer> peers_;
   // Until when each gateway counts as one that may send work.
--- a/src/coordination/tables/freshness_plan.h
+++ b/src/coordination/tables/freshness_plan.h
@@ -45,12 +45,16 @@
 
   // Share of `dispatch_time` for connecting.
   DurationUs Connect() const { return dispatch_time / 2; }
+  // Age up to which a gateway acts on what it has although something newer is
+  // known to exist. The time for the transfer and for reading it is part of
+  // `store_answer_time`; a change that takes longer, which no time limit can
+  // exclude, is not acted against: requests are refused until it is there.
+  DurationUs MaxUseAge() const {
+    return store_request_age + kAgeCheckPeriod + store_answer_time;
+  }
   // Longest time from the store's acknowledgement of a change until a gateway
   // that reaches the store no longer acts on the state before it.
-  DurationUs WorstCaseStaleness() const {
-    return store_request_age + kAgeCheckPeriod + store_answer_time +
-           dispatch_time;
-  }
+  DurationUs WorstCaseStaleness() const { return MaxUseAge() + dispatch_time; }
   // Longest time from when a gateway can reach the store again until it has the
   // store's current state.
   DurationUs RecoveryTime() const {
--- a/src/coordination/tables/table_relay.cc
+++ b/src/coordination/tables/table_relay.cc
@@ -99,12 +99,14 @@
   const auto has_newer = [&](const VersionIndex& changes) {
     return !changes.empty() && changes.rbegin()->first > request.after;
   };
-  if (split_row_ != nullptr &&
-      split_row_->version() > request.split_row.version) {
-    return true;
-  }
-  return version_ > request.after &&
-         (has_newer(rows_by_version_) || has_newer(removals_by_version_));
+  return HasNewerSplitRow(request) ||
+         (version_ > request.after &&
+          (has_newer(rows_by_version_) || has_newer(removals_by_version_)));
+}
+
+bool TableRelay::HasNewerSplitRow(const TableRequest& request) const {
+  return split_row_ != nullptr &&
+         split_row_->version() > request.split_row.version;
 }
 
 bool TableRelay::ShouldAnswerNow(const HeldRequest& held) const {
@@ -113,7 +115,8 @@
     return true;  // The answer is that this gateway has no data for it.
   }
   if (store_lost_ || version_ < request.after) {
-    return false;
+    // A newer split row helps also while nobody knows whether it is the newest.
+    return HasNewerSplitRow(request);
   }
   const DurationUs age = held.arrived_at - known_at_;
   return request.complete_table || request.wait == 0 ||
@@ -177,8 +180,11 @@
   return answer;
 }
 
-TableAnswer TableRelay::HoldTimeoutAnswer(const HeldRequest&) const {
+TableAnswer TableRelay::HoldTimeoutAnswer(const HeldRequest& held) const {
   TableAnswer answer;
+  if (split_row_ != nullptr) {
+    answer.split_row = split_row_->PageAfter(held.request.split_row);
+  }
   answer.version = version_;
   answer.known_after.reset();
   answer.kind =
@@ -194,7 +200,8 @@
                 [&](const HeldRequest& held) { return held.from == from; });
   const HeldRequest held{from, request, now, now + kMaxHoldTime};
   if (ShouldAnswerNow(held)) {
-    Reply(held, ChangesSince(held));
+    Reply(held, store_lost_ && CanAnswer(request) ? HoldTimeoutAnswer(held)
+                                                  : ChangesSince(held));
   } else {
     held_requests_.push_back(held);
   }
--- a/src/coordination/tables/table_relay.h
+++ b/src/coordination/tables/table_relay.h
@@ -77,6 +77,7 @@
   };
 
   bool HasChanges(const TableRequest& request) const;
+  bool HasNewerSplitRow(const TableRequest& request) const;
   // Whether this gateway's copy suffices for an answer, with or without
   // changes.
   bool CanAnswer(const TableRequest& request) const;
--- a/src/coordination/tables/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -77,6 +77,13 @@
          split_row_->position().page_version != 0;
 }
 
+bool TableSource::ReceivesChanges() const {
+  const StoreRequests::Sent* const awaited = store_requests_.AwaitedRequest();
+  const bool from_store =
+      store_requests_.IsReceiving() && !awaited->query.complete_table;
+  return from_store || ReceivesPages();
+}
+
 bool TableSource::MayRequestFromStore(TimeUs now) const {
   return !store_failed_ || now >= next_store_request_at_;
 }
@@ -266,6 +273,9 @@
       reply.sequence != relay_request_.sequence) {
     return;  // A late answer: another relay was asked meanwhile.
   }
+  if (reply.answer.split_row && !OnPage(now, *reply.answer.split_row)) {
+    return;
+  }
   switch (reply.answer.kind) {
     case TableAnswer::Kind::kFailed:
       OnPeerFailed(now, reply.answer.why);
@@ -277,9 +287,7 @@
       OnHistoryTruncatedAtPeer(now, reply.answer);
       return;
     case TableAnswer::Kind::kRows:
-      if (!reply.answer.split_row || OnPage(now, *reply.answer.split_row)) {
-        OnPeerAnswer(now, reply.answer);
-      }
+      OnPeerAnswer(now, reply.answer);
       return;
   }
   OnPeerFailed(now, "the relay sent an answer of an unknown kind");
--- a/src/coordination/tables/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -92,6 +92,9 @@
   // Ends requests that exceed their time limits. Call it every 10 ms.
   void OnTick(TimeUs now);
 
+  // Whether changes are arriving that are not complete yet. An answer of the
+  // store without changes is too small to be seen on its way.
+  bool ReceivesChanges() const;
   // When the last request that the store failed to answer was sent; negative if
   // it never failed.
   TimeUs store_failed_at() const { return store_failed_at_; }
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -73,6 +73,7 @@
   options.domain = settings.domain;
   options.key_age = static_cast<DurationUs>(
       kKeyAgeShare * static_cast<double>(settings.key_revocation));
+  options.max_config_use_age = PlanConfiguration(settings).MaxUseAge();
   options.budget = settings.retries;
   options.cold_rate_bound = settings.cold_rate_bound;
   options.replica_heartbeat_period = settings.replica_heartbeat_period;
@@ -183,6 +184,8 @@
     it->watch.OnTick(now);
   }
   directory.OnTick(now);
+  gateway->SetNewerConfigKnown(configuration.source.ReceivesChanges() ||
+                               peers.NewestConfigVersion() > seen_config);
   TickPeers(now);
   batchers.OnTick(now);
   dispatcher.OnTick(now);
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -158,9 +158,8 @@
   std::optional<EvacuationRow> ReadEvacuation(const TableRow& row);
   // The whole configuration, as the store sends it.
   void SplitConfigRow(const TableRow& row);
+  // Puts the changed parts into force.
   void ApplyConfigParts(const std::vector<RowPart>& changes);
-  // Puts the changes that were received into force.
-  void PublishConfig();
   // Logs a refused row once per key and reason, however often it is written.
   void LogRefusedRow(std::string_view event,
                      const TableRow& row,
@@ -255,15 +254,17 @@
   TimeUs next_peer_check_at = 0;
   TimeUs next_known_gateways_at = 0;
   platform::StoreClient store;
-  // What has been read of the configuration since it was last in force.
-  struct ConfigRead {
-    std::size_t bytes = 0;    // Of whole rows.
-    std::size_t changes = 0;  // Changed parts.
+  // The whole row with the configuration that is being read, if any.
+  struct ConfigRowRead {
+    std::size_t bytes = 0;
     DurationUs time = 0;
   };
   platform::ConfigReader config_reader;
-  ConfigRead config_read;
+  ConfigRowRead config_row_read;
   SplitRow config_row;
+  // Highest version of the row with the configuration that was read here, in
+  // force or refused.
+  std::uint64_t seen_config = 0;
   FollowedTable configuration;
   FollowedTable replicas;
   // Limits the memory for refused rows; beyond it, `refused_rows` is cleared.
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -77,6 +77,7 @@
   heartbeat.address = {settings.ip, settings.first_peer_port};
   heartbeat.leaving = draining;
   heartbeat.can_check_keys = gateway->can_check_keys();
+  heartbeat.config_version = config_row.version();
   heartbeat.cores = settings.cores;
   heartbeat.domain = settings.domain;
   heartbeat.waits = dispatcher.OwnQueueWaits(now);
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -189,28 +189,22 @@
   }
   const TimeUs begun_at = Loop::Now();
   const auto parts = platform::SplitConfig(row.value);
-  config_read.bytes += row.value.size();
-  config_read.time += Loop::Now() - begun_at;
+  config_row_read = {row.value.size(), Loop::Now() - begun_at};
+  seen_config = std::max(seen_config, row.version);
   if (parts.ok()) {
     config_row.Replace(row.version, *parts);
-    return;
+  } else {
+    log.Write("config_refused",
+              {{"row_version", row.version},
+               {"why", std::string(parts.status().message())}});
   }
-  log.Write("config_refused", {{"row_version", row.version},
-                               {"why", std::string(parts.status().message())}});
+  config_row_read = {};
 }
 
 void GatewayNode::Impl::ApplyConfigParts(const std::vector<RowPart>& changes) {
   const TimeUs begun_at = Loop::Now();
+  seen_config = std::max(seen_config, config_row.version());
   config_reader.Apply(changes);
-  config_read.changes += changes.size();
-  config_read.time += Loop::Now() - begun_at;
-}
-
-void GatewayNode::Impl::PublishConfig() {
-  if (!config_reader.changed()) {
-    return;
-  }
-  const TimeUs begun_at = Loop::Now();
   auto config = config_reader.Read();
   if (config.ok()) {
     clients.SetLimits(ClientLimitsOf((*config)->limits));
@@ -221,20 +215,17 @@
               {{"row_version", config_row.version()},
                {"why", std::string(config.status().message())}});
   }
-  config_read.time += Loop::Now() - begun_at;
-  metrics.Observe("acaciachute_gateway_config_parse_seconds", "",
-                  config_read.time);
+  const DurationUs time = config_row_read.time + Loop::Now() - begun_at;
+  metrics.Observe("acaciachute_gateway_config_parse_seconds", "", time);
   log.Write("config_read", {{"row_version", config_row.version()},
-                            {"bytes", config_read.bytes},
-                            {"changes", config_read.changes},
-                            {"parse_ms", config_read.time / kMillisecond}});
-  config_read = {};
+                            {"bytes", config_row_read.bytes},
+                            {"changes", changes.size()},
+                            {"parse_ms", time / kMillisecond}});
 }
 
 void GatewayNode::Impl::OnTableCurrent(const std::string& table,
                                        TimeUs known_at) {
   if (table == platform::kOperatorTable) {
-    PublishConfig();
     gateway->OnConfirmed(known_at);
   } else {
     directory.OnStoreRecovered(Now());
--- a/src/messages.h
+++ b/src/messages.h
@@ -215,6 +215,8 @@
   bool leaving = false;
   // Whether the sender's configuration is recent enough to check client keys.
   bool can_check_keys = false;
+  // Version of the row with the sender's configuration; zero if it has none.
+  std::uint64_t config_version = 0;
   double cores = 1;    // Processor cores available to the sender.
   std::string domain;  // Failure domain of the sender's host.
   // Maximum time until the sender's next heartbeat to this receiver.
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -115,8 +115,8 @@
 }
 template <class A>
 void serialize(A& a, GatewayHeartbeat& v) {
-  a(v.address, v.leaving, v.can_check_keys, v.cores, v.domain, v.period,
-    v.requests_reply, v.work, v.waits);
+  a(v.address, v.leaving, v.can_check_keys, v.config_version, v.cores, v.domain,
+    v.period, v.requests_reply, v.work, v.waits);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
--- a/tests/gateway/freshness_test.cc
+++ b/tests/gateway/freshness_test.cc
@@ -318,6 +318,69 @@
   EXPECT_LE(net.calls() - calls, 5U);
 }
 
+class ConfigurationBoundTest
+    : public ::testing::TestWithParam<std::tuple<DurationUs, int>> {};
+
+// Guards against a host that serves by a replaced configuration after the
+// bound, because no time limit of a transfer or of reading holds for any size.
+// All routes change in each round; hosts may refuse, but not serve by what they
+// had.
+TEST_P(ConfigurationBoundTest, NoHostServesByAReplacedConfigurationAfterIt) {
+  const auto [bound, routes] = GetParam();
+  constexpr int kRounds = 3;
+  const FreshnessPlan plan = PlanFreshness(bound, 4 * kSecond);
+  TableNet net(12, 2, plan);
+  net.SetLinkRates(kThinLinks);
+  net.SetReadTimePerKilobyte(kReadTimePerKilobyte);
+  net.Run(5 * kSecond);
+  for (int n = 1; n <= kRounds; ++n) {
+    std::string value = MakeConfiguration(n, routes);
+    std::replace(value.begin(), value.end(), 'x', static_cast<char>('a' + n));
+    net.Write("config", value);
+    for (TimeUs end = net.now() + bound + 8 * kSecond; net.now() < end;) {
+      net.Run(TableNet::kTick);
+      for (std::size_t it = 0; it < net.size(); ++it) {
+        ASSERT_FALSE(net.ServesByOldConfig(it, bound))
+            << net.node(it).name << " in round " << n;
+      }
+    }
+  }
+  EXPECT_TRUE(net.violations().empty()) << net.violations().front();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    AllBoundsAndSizes,
+    ConfigurationBoundTest,
+    ::testing::Combine(::testing::Values(kMinFreshnessBound,
+                                         kSecond,
+                                         3 * kSecond,
+                                         10 * kSecond),
+                       ::testing::Values(1, 1'000, 8'000)));
+
+// An outage of the store stops nobody from serving: no newer configuration is
+// known then. One that a host still got before the outage reaches the others.
+TEST(FreshnessTest, HostsServeOnInAnOutageAndPassANewerConfigurationOn) {
+  TableNet net(12, 2);
+  net.Run(5 * kSecond);
+  const std::size_t relay = net.Relays().front();
+  for (std::size_t it = 0; it < net.size(); ++it) {
+    if (it != relay) {
+      net.StopStoreAnswers(it);
+    }
+  }
+  net.Write("config", "1");
+  net.Run(50 * kMillisecond);
+  net.StopStoreAnswers(relay);
+  EXPECT_LE(
+      net.RunUntil([&] { return net.AllHold("config", "1"); }, 20 * kSecond),
+      2 * kSecond);
+  net.Run(20 * kSecond);
+  for (std::size_t it = 0; it < net.size(); ++it) {
+    EXPECT_TRUE(net.node(it).freshness.MayServe(net.now())) << it;
+    EXPECT_FALSE(net.node(it).freshness.MayDeny(net.now())) << it;
+  }
+}
+
 // The sum of all time limits stays within the bounds, for any values of the
 // bounds.
 RC_GTEST_PROP(FreshnessPlanTest, WaitsAddUpToLessThanTheBound, ()) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -132,6 +132,60 @@
   EXPECT_EQ(rig.sent[0].account, "");
 }
 
+// Guards against a 404 or 401 for a route or key that a confirmed change has
+// added: the gateway's configuration was older than the bound.
+TEST(GatewayTest, DeniesNothingByAnOldConfiguration) {
+  GatewayOptions options;
+  options.key_age = 4 * kSecond;
+  options.max_config_use_age = 2 * kSecond;
+  GatewayRig rig(options);
+  rig.AddReplica("r1", "app");
+  rig.now += 2 * kSecond + 1;
+  for (const ExchangeId id : {rig.Call("none"), rig.Call("plain", "unknown")}) {
+    EXPECT_EQ(rig.refused[id].reason, Refusal::kNotCurrent);
+    EXPECT_EQ(rig.refused[id].verdict, Verdict::kNotRun);
+    EXPECT_GT(rig.refused[id].retry_after, 0);
+  }
+  rig.Call("plain");
+  EXPECT_EQ(rig.sent.size(), 1U);
+}
+
+// Guards against a request that is run as a replaced configuration says, while
+// the newer one is known to exist and arrives too slowly. In an outage of the
+// store none is known, and the gateway serves on.
+TEST(GatewayTest, ServesByAnOldConfigurationOnlyWhileNoNewerOneIsKnown) {
+  GatewayOptions options;
+  options.key_age = 4 * kSecond;
+  options.max_config_use_age = 2 * kSecond;
+  GatewayRig rig(options);
+  rig.AddReplica("r1", "app");
+  const auto call_is_served = [&] {
+    const std::size_t before = rig.sent.size();
+    const ExchangeId id = rig.Call("open");
+    if (rig.sent.size() == before) {
+      EXPECT_EQ(rig.refused[id].reason, Refusal::kNotCurrent);
+    }
+    return rig.sent.size() > before;
+  };
+  rig.core.SetNewerConfigKnown(true);
+  EXPECT_TRUE(call_is_served());
+  rig.now += 2 * kSecond + 1;
+  rig.core.SetNewerConfigKnown(true);
+  EXPECT_FALSE(call_is_served());
+  rig.core.SetNewerConfigKnown(false);
+  rig.now += 150 * kMillisecond;
+  rig.core.SetNewerConfigKnown(false);
+  rig.now += 150 * kMillisecond;
+  EXPECT_TRUE(call_is_served());
+  // The process did not run for a while: heartbeats wait to be read.
+  rig.now += kSecond;
+  EXPECT_FALSE(call_is_served());
+  rig.core.SetNewerConfigKnown(false);
+  EXPECT_FALSE(call_is_served());
+  rig.core.OnConfirmed(rig.now);
+  EXPECT_TRUE(call_is_served());
+}
+
 // While the gateway cannot confirm its configuration, a key may have been
 // revoked, so requests with keys are refused with the verdict that they did not
 // run. Anonymous routes are served.
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -126,8 +126,6 @@
   EXPECT_EQ(reader.ReadEnd(), AnswerState::kDone);
 }
 
-// Guards against delivering a truncated answer as a complete one, when the
-// connection ends before the stated length.
 // Guards against a whole answer that is taken for a bad one because its head
 // arrives before the first byte of its body.
 TEST(HttpAnswerReaderTest, ReadsAHeadThatArrivesAlone) {
@@ -139,6 +137,8 @@
   EXPECT_EQ(reader.TakeBody(), "abc");
 }
 
+// Guards against delivering a truncated answer as a complete one, when the
+// connection ends before the stated length.
 TEST(HttpAnswerReaderTest, RejectsATruncatedBody) {
   for (const char* bytes :
        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
--- a/tests/gateway/table_net.h
+++ b/tests/gateway/table_net.h
@@ -22,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/gateway/config_freshness.h"
 #include "coordination/tables/table_relay.h"
 #include "coordination/tables/table_source.h"
 #include "coordination/tables/table_watch.h"
@@ -109,6 +110,8 @@
       split_row = std::make_unique<SplitRow>(
           [this](const auto& changes) { OnParts(changes); });
       config.clear();
+      freshness = {};
+      freshness.SetMaxUseAge(net->plan_.MaxUseAge());
       relay = std::make_unique<TableRelay>("t", this, split_row.get());
       source = std::make_unique<TableSource>(
           "t", &net->plan_, peers.get(), this, this, split_row.get(), &random,
@@ -162,8 +165,9 @@
       }
       directory->Replace(net->now_, replicas, {});
       relay->OnTable(others, watch->version());
-      config_changed = !config.empty();
-      JoinConfig();
+      if (!config.empty()) {
+        JoinConfig();
+      }
     }
     void OnRow(const std::string&, const TableRow& row) override {
       if (row.key == kConfigKey) {
@@ -186,7 +190,7 @@
       relay->OnRow(row);
     }
     void OnTableCurrent(const std::string&, TimeUs at) override {
-      JoinConfig();
+      freshness.OnConfirmed(at);
       known_at = std::max(known_at, at);
       lost = false;
       directory->OnStoreRecovered(net->now_);
@@ -220,12 +224,9 @@
           config[it.name] = it.text;
         }
       }
-      config_changed = true;
+      JoinConfig();
     }
     void JoinConfig() {
-      if (!std::exchange(config_changed, false)) {
-        return;
-      }
       std::string& value = rows[kConfigKey];
       value.clear();
       for (const auto& [name, text] : config) {
@@ -256,7 +257,7 @@
     std::unique_ptr<ReplicaDirectory> directory;
     std::unique_ptr<SplitRow> split_row;
     std::map<std::string, std::string> config;  // Its parts by name.
-    bool config_changed = false;
+    ConfigFreshness freshness;                  // Of the configuration.
     std::unique_ptr<TableRelay> relay;
     std::unique_ptr<TableSource> source;
     std::unique_ptr<TableWatch> watch;
@@ -364,6 +365,15 @@
     });
   }
 
+  // Whether the gateway would serve requests, at this moment, by a
+  // configuration that was replaced more than `bound` before.
+  bool ServesByOldConfig(std::size_t n, DurationUs bound) const {
+    const Node& it = *nodes_[n];
+    const auto held = it.rows.find(kConfigKey);
+    return Runs(n) && held != it.rows.end() && it.freshness.MayServe(now_) &&
+           NumberOf(held->second) < NumberOf(ValueAt(kConfigKey, now_ - bound));
+  }
+
   void Kill(std::size_t n) {
     nodes_[n]->alive = false;
     for (auto& it : nodes_) {
@@ -594,6 +604,7 @@
         GatewayHeartbeat heartbeat;
         heartbeat.cores = from->cores;
         heartbeat.domain = from->domain;
+        heartbeat.config_version = from->split_row->version();
         to->peers->OnGatewayHeartbeat(now_, from->name, from->incarnation,
                                       heartbeat);
       }
@@ -610,6 +621,9 @@
     DeliverArrivals();
     for (const auto& it : nodes_) {
       if (Runs(it->index)) {
+        it->freshness.OnTick(now_, it->source->ReceivesChanges() ||
+                                       it->peers->NewestConfigVersion() >
+                                           it->split_row->version());
         it->source->OnTick(now_);
         it->relay->OnTick(now_);
         it->watch->OnTick(now_);
@@ -619,6 +633,11 @@
     }
   }
 
+  // The number that a value begins with.
+  static unsigned long NumberOf(const std::string& value) {
+    constexpr std::size_t kMaxDigits = 10;
+    return value.empty() ? 0 : std::stoul(value.substr(0, kMaxDigits));
+  }
   const std::string& ValueAt(const std::string& key, TimeUs at) const {
     static const std::string kNone;
     const std::string* value = &kNone;
@@ -641,15 +660,13 @@
     if (node->known_at < 0) {
       return;
     }
-    constexpr std::size_t kMaxNumberLength = 10;
     for (const auto& [key, unused] : history_) {
       const std::string& due = ValueAt(key, node->known_at - 1);
       const auto it = node->rows.find(key);
-      const std::string held =
-          it == node->rows.end() ? "" : it->second.substr(0, kMaxNumberLength);
-      const bool later_removal = held.empty() && rows_.at(key).removed;
+      const bool holds = it != node->rows.end() && !it->second.empty();
+      const bool later_removal = !holds && rows_.at(key).removed;
       if (!due.empty() && !later_removal &&
-          (held.empty() || std::stoul(held) < std::stoul(due))) {
+          (!holds || NumberOf(it->second) < NumberOf(due))) {
         violations_.push_back(node->name + " claims to be current but lacks " +
                               key);
       }
