Log the limits that replicas state

The record of LIMIT does not show what a gateway knew of a replica's limit when it chose. The field is decoded at the platform's edge, from answers to requests and to calls with pieces; rate_limit tells when a replica states a limit, another one or none any more, rate_limit_unreadable what is no such number. No decision reads it yet.

No functional change

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -241,6 +241,7 @@
     return;
   }
   impl_->cold_replica_limiter.OnReplicaRemoved(replica.id);
+  impl_->rate_statements.OnReplicaRemoved(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
     choice->OnReplicaRemoved(replica.id);
@@ -294,6 +295,10 @@
   }
 }
 
+void Gateway::OnStatedRate(const ReplicaId& replica, const StatedRate& rate) {
+  impl_->OnStatedRate(replica, rate);
+}
+
 void Gateway::OnReplicaHead(CallId id, ReplicaHead head) {
   if (auto* request = impl_->FindByCall(id)) {
     impl_->OnHead(request, std::move(head));
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -174,6 +174,9 @@
   // byte of the request was sent.
   void OnReplicaFailed(CallId id, bool sent, std::string_view why);
   void OnPiece(const PieceResult& result);
+  // A replica's answer to a call with pieces states a limit on its load, or
+  // none.
+  void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
 
   // Refuses new streams from now on, because they may outlast this process,
   // which is shutting down. Called once load balancers have had time to notice
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -141,10 +141,31 @@
 }
 
 void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
+  // An answer that does not prove to be the replica's own says nothing about
+  // it, but a limit is better kept once too often.
+  const bool from_replica = head.sealed || head.not_run;
+  if (!head.other_replica && (from_replica || head.rate.per_second)) {
+    OnStatedRate(request->attempt.replica.id, head.rate);
+  }
   request->attempt.head = std::move(head);
   ReportArrival(request);
 }
 
+void Gateway::Impl::OnStatedRate(const ReplicaId& replica,
+                                 const StatedRate& rate) {
+  if (!rate.unreadable.empty()) {
+    log->Write("rate_limit_unreadable",
+               {{"replica", replica.name}, {"value", rate.unreadable}});
+  } else if (rate_statements.OnAnswer(output->Now(), replica,
+                                      rate.per_second)) {
+    metrics->Count("acaciachute_gateway_rate_limits_total");
+    log->Write("rate_limit", {{"replica", replica.name},
+                              {"life", replica.incarnation},
+                              {"limited", rate.per_second.has_value()},
+                              {"per_s", rate.per_second.value_or(0)}});
+  }
+}
+
 void Gateway::Impl::OnBody(ServingRequest* request, std::string_view bytes) {
   Attempt& attempt = request->attempt;
   const bool stream =
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "coordination/choice/cold_replica_limiter.h"
 #include "coordination/choice/plain_choice.h"
+#include "coordination/choice/rate_statements.h"
 #include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
@@ -207,6 +208,8 @@
   std::optional<std::size_t> MaxIdleConnections(
       const ServingRequest& request) const;
   void OnHead(ServingRequest* request, ReplicaHead head);
+  // A replica's answer states a limit on its load, or none.
+  void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
   void OnBody(ServingRequest* request, std::string_view bytes);
   void OnEnd(ServingRequest* request);
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
@@ -245,6 +248,7 @@
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
   ColdReplicaLimiter cold_replica_limiter;
+  RateStatements rate_statements;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/coordination/stages/local_piece_dispatcher.h
+++ b/src/coordination/stages/local_piece_dispatcher.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "coordination/stages/piece_batcher.h"
@@ -33,6 +34,9 @@
   // See `PieceBatcher::MemoryShareInUse`.
   double MemoryShareInUse(const std::string& service) const;
 
+  // The replica that a call in progress was sent to.
+  std::optional<ReplicaId> ReplicaOf(const std::string& service,
+                                     BatchId id) const;
   void OnCallEnd(TimeUs now,
                  const std::string& service,
                  BatchId id,
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -40,6 +40,7 @@
 #include "state/piece.h"
 #include "state/replica_directory.h"
 #include "state/serving_config.h"
+#include "state/stated_rate.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -72,6 +73,8 @@
   Kind kind = Kind::kBroken;
   std::string why;                   // Reason if `kind` is not `kAnswered`.
   std::vector<PieceResult> results;  // In the order of the pieces.
+  // What the replica's answer states, if there was one.
+  std::optional<StatedRate> rate = std::nullopt;
 };
 
 class PieceBatcherOutput {
@@ -156,6 +159,10 @@
   // changes.
   void OnTick(TimeUs now);
 
+  // The replica that a call in progress was sent to; empty if there is no such
+  // call.
+  std::optional<ReplicaId> ReplicaOf(BatchId id) const;
+
   bool Idle() const { return pieces_.empty() && calls_.empty(); }
   std::size_t waiting() const { return waiting_.size(); }
   QueueWait ExpectedWait(TimeUs now) const;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -368,6 +368,11 @@
                {"no_room", of(PieceOutcome::kOutOfMemory)},
                {"failed", of(PieceOutcome::kFailed)}});
   }
+  if (end.rate) {
+    if (const auto replica = batchers.ReplicaOf(service, id)) {
+      gateway->OnStatedRate(*replica, *end.rate);
+    }
+  }
   batchers.OnCallEnd(Now(), service, id, end);
   dispatcher.SendResults();
 }
--- a/src/state/client_request.h
+++ b/src/state/client_request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "state/http_fields.h"
+#include "state/stated_rate.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -54,6 +55,7 @@
   // Requests at the replica, if its answer reports them.
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
+  StatedRate rate;
 
   bool ok() const { return status >= 200 && status < 300; }
 };
