--- a/src/coordination/choice/engine_choice.cc
+++ b/src/coordination/choice/engine_choice.cc
@@ -16,10 +16,10 @@
 }  // namespace
 
 EngineChoice::EngineChoice(const ReplicaDirectory* directory,
-                           ColdReplicaLimiter* cold_replica_limiter,
+                           ReplicaRateLimiter* replica_rate_limiter,
                            Random* random)
     : directory_(directory),
-      cold_replica_limiter_(cold_replica_limiter),
+      replica_rate_limiter_(replica_rate_limiter),
       random_(random) {}
 
 // Counts the first part that the engine does not cache and all parts after it,
@@ -121,7 +121,7 @@
   const Homes homes = HomesOf(service, request);
   for (const ReplicaEntry* it : directory_->Of(service)) {
     if (std::find(tried.begin(), tried.end(), it->id) != tried.end() ||
-        !cold_replica_limiter_->MaySend(now, *it)) {
+        !replica_rate_limiter_->MaySend(now, *it)) {
       continue;
     }
     const Engine& engine = engines_[it->id];
--- a/src/coordination/choice/engine_choice.h
+++ b/src/coordination/choice/engine_choice.h
@@ -25,7 +25,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
-#include "coordination/choice/cold_replica_limiter.h"
+#include "coordination/choice/replica_rate_limiter.h"
 #include "state/client_request.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
@@ -77,7 +77,7 @@
   static constexpr std::size_t kMaxPartsPerEngine = 4096;
 
   EngineChoice(const ReplicaDirectory* directory,
-               ColdReplicaLimiter* cold_replica_limiter,
+               ReplicaRateLimiter* replica_rate_limiter,
                Random* random);
 
   // Returns null if no engine outside `tried` accepts work.
@@ -145,7 +145,7 @@
   EngineLoad LoadOf(const ReplicaId& replica) const;
 
   const ReplicaDirectory* const directory_;
-  ColdReplicaLimiter* const cold_replica_limiter_;
+  ReplicaRateLimiter* const replica_rate_limiter_;
   Random* const random_;
   absl::flat_hash_map<ReplicaId, Engine> engines_;
   std::map<ReplicaId, EngineLoad> own_loads_;
--- a/src/coordination/choice/plain_choice.cc
+++ b/src/coordination/choice/plain_choice.cc
@@ -6,10 +6,10 @@
 namespace acaciachute {
 
 PlainChoice::PlainChoice(const ReplicaDirectory* directory,
-                         ColdReplicaLimiter* cold_replica_limiter,
+                         ReplicaRateLimiter* replica_rate_limiter,
                          Random* random)
     : directory_(directory),
-      cold_replica_limiter_(cold_replica_limiter),
+      replica_rate_limiter_(replica_rate_limiter),
       random_(random) {}
 
 double PlainChoice::Score(TimeUs now,
@@ -49,7 +49,7 @@
   double best_score = 0;
   for (const ReplicaEntry* it : directory_->Of(service)) {
     if (std::find(tried.begin(), tried.end(), it->id) != tried.end() ||
-        !cold_replica_limiter_->MaySend(now, *it)) {
+        !replica_rate_limiter_->MaySend(now, *it)) {
       continue;
     }
     ReplicaHealth& health = states_[it->id].health;
--- a/src/coordination/choice/plain_choice.h
+++ b/src/coordination/choice/plain_choice.h
@@ -17,7 +17,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/choice/cold_replica_limiter.h"
+#include "coordination/choice/replica_rate_limiter.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
 #include "state/replica_health.h"
@@ -38,7 +38,7 @@
   static constexpr DurationUs kInitialAnswerTime = 20 * kMillisecond;
 
   PlainChoice(const ReplicaDirectory* directory,
-              ColdReplicaLimiter* cold_replica_limiter,
+              ReplicaRateLimiter* replica_rate_limiter,
               Random* random);
 
   // Returns null if no replica outside `tried` accepts work.
@@ -76,7 +76,7 @@
                const std::string& domain);
 
   const ReplicaDirectory* const directory_;
-  ColdReplicaLimiter* const cold_replica_limiter_;
+  ReplicaRateLimiter* const replica_rate_limiter_;
   Random* const random_;
   std::map<ReplicaId, State> states_;
   double typical_answer_time_ = static_cast<double>(kInitialAnswerTime);
--- a/src/coordination/choice/cold_replica_limiter.cc
+++ b/src/coordination/choice/replica_rate_limiter.cc
@@ -1,4 +1,4 @@
-#include "coordination/choice/cold_replica_limiter.h"
+#include "coordination/choice/replica_rate_limiter.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,13 +7,13 @@
 
 namespace acaciachute {
 
-void ColdReplicaLimiter::SetRateLimit(const ColdRateBound& bound,
+void ReplicaRateLimiter::SetRateLimit(const ColdRateBound& bound,
                                       DurationUs replica_heartbeat_period) {
   bound_ = bound;
   replica_heartbeat_period_ = replica_heartbeat_period;
 }
 
-void ColdReplicaLimiter::SetServices(const ServingConfig& config) {
+void ReplicaRateLimiter::SetServices(const ServingConfig& config) {
   services_.clear();
   for (const auto& [name, service] : config.services()) {
     if (service.cold_rate > 0) {
@@ -24,14 +24,14 @@
   }
 }
 
-void ColdReplicaLimiter::SetGateways(std::vector<NodeId> gateways) {
+void ReplicaRateLimiter::SetGateways(std::vector<NodeId> gateways) {
   if (gateways != gateways_) {
     gateways_ = std::move(gateways);
     ++generation_;
   }
 }
 
-const ColdReplicaLimiter::Limits* ColdReplicaLimiter::LimitsOf(
+const ReplicaRateLimiter::Limits* ReplicaRateLimiter::LimitsOf(
     const ReplicaEntry& replica) const {
   const auto it = services_.find(replica.service);
   return it == services_.end() ? nullptr : &it->second;
@@ -39,7 +39,7 @@
 
 // A replica whose failure domain was put back into use may have restarted while
 // the domain was evacuated, and its row may not show that yet.
-TimeUs ColdReplicaLimiter::ColdUntil(const ReplicaEntry& replica,
+TimeUs ReplicaRateLimiter::ColdUntil(const ReplicaEntry& replica,
                                      const Limits& limits) const {
   TimeUs until = replica.cold_until;
   if (replica.evacuation_ended_at > 0) {
@@ -50,7 +50,7 @@
   return until;
 }
 
-bool ColdReplicaLimiter::IsRateLimited(TimeUs now,
+bool ReplicaRateLimiter::IsRateLimited(TimeUs now,
                                        const ReplicaEntry& replica) const {
   if (replica.cold_until == 0 && replica.evacuation_ended_at == 0) {
     return false;  // Fast path: called for every replica.
@@ -60,7 +60,7 @@
          now < ColdUntil(replica, *limits) + kWarmUpDuration;
 }
 
-bool ColdReplicaLimiter::MaySend(TimeUs now, const ReplicaEntry& replica) {
+bool ReplicaRateLimiter::MaySend(TimeUs now, const ReplicaEntry& replica) {
   if (!IsRateLimited(now, replica)) {
     return true;
   }
@@ -76,7 +76,7 @@
          ShareOf(replica.id, &recent_requests, total);
 }
 
-std::size_t ColdReplicaLimiter::ShareOf(const ReplicaId& replica,
+std::size_t ReplicaRateLimiter::ShareOf(const ReplicaId& replica,
                                         RecentRequests* recent_requests,
                                         double total) {
   const auto whole_requests = static_cast<std::size_t>(total);
@@ -93,7 +93,7 @@
   return recent_requests->rank < whole_requests ? 1 : 0;
 }
 
-std::size_t ColdReplicaLimiter::RankFor(const ReplicaId& replica) const {
+std::size_t ReplicaRateLimiter::RankFor(const ReplicaId& replica) const {
   const double own_weight = RendezvousWeight(replica.name, self_, 1);
   const auto ranked_before =
       std::count_if(gateways_.begin(), gateways_.end(), [&](const NodeId& it) {
@@ -102,7 +102,7 @@
   return static_cast<std::size_t>(ranked_before);
 }
 
-void ColdReplicaLimiter::OnSent(const ReplicaEntry& replica) {
+void ReplicaRateLimiter::OnSent(const ReplicaEntry& replica) {
   if (LimitsOf(replica) != nullptr) {
     ++recent_requests_[replica.id].in_transit;
   }
@@ -110,7 +110,7 @@
 
 // Requests sent while the replica was warm count too, because it may become
 // cold within the same second.
-void ColdReplicaLimiter::OnArrived(TimeUs now, const ReplicaEntry& replica) {
+void ReplicaRateLimiter::OnArrived(TimeUs now, const ReplicaEntry& replica) {
   const auto it = recent_requests_.find(replica.id);
   if (it == recent_requests_.end()) {
     return;
@@ -121,14 +121,14 @@
   recent_requests.DropExpired(now);
 }
 
-void ColdReplicaLimiter::RecentRequests::DropExpired(TimeUs now) {
+void ReplicaRateLimiter::RecentRequests::DropExpired(TimeUs now) {
   while (!arrival_times.empty() &&
          now - arrival_times.front() > kArrivalWindow) {
     arrival_times.pop_front();
   }
 }
 
-void ColdReplicaLimiter::OnNotSent(const ReplicaEntry& replica) {
+void ReplicaRateLimiter::OnNotSent(const ReplicaEntry& replica) {
   if (const auto it = recent_requests_.find(replica.id);
       it != recent_requests_.end()) {
     it->second.in_transit -= std::min(it->second.in_transit, 1U);
--- a/src/coordination/choice/cold_replica_limiter.h
+++ b/src/coordination/choice/replica_rate_limiter.h
@@ -21,8 +21,8 @@
 // After the cold period the limit doubles in steps until it is lifted (slow
 // start), so that the last delayed requests and the first ones at full rate do
 // not arrive together.
-#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_COLD_REPLICA_LIMITER_H_
-#define ACACIACHUTE_SRC_COORDINATION_CHOICE_COLD_REPLICA_LIMITER_H_
+#ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_REPLICA_RATE_LIMITER_H_
+#define ACACIACHUTE_SRC_COORDINATION_CHOICE_REPLICA_RATE_LIMITER_H_
 
 #include <cstdint>
 #include <deque>
@@ -37,7 +37,7 @@
 
 namespace acaciachute {
 
-class ColdReplicaLimiter {
+class ReplicaRateLimiter {
  public:
   // The limit applies to the arrivals in any interval of this length.
   static constexpr DurationUs kArrivalWindow = kSecond;
@@ -53,7 +53,7 @@
   // the next version needs time to arrive here (one more).
   static constexpr DurationUs kRowDelayHeartbeats = 2;
 
-  explicit ColdReplicaLimiter(NodeId self) : self_(std::move(self)) {}
+  explicit ReplicaRateLimiter(NodeId self) : self_(std::move(self)) {}
 
   void SetRateLimit(const ColdRateBound& bound,
                     DurationUs replica_heartbeat_period);
@@ -121,4 +121,4 @@
 
 }  // namespace acaciachute
 
-#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_COLD_REPLICA_LIMITER_H_
+#endif  // ACACIACHUTE_SRC_COORDINATION_CHOICE_REPLICA_RATE_LIMITER_H_
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -21,9 +21,9 @@
       random(random_in),
       metrics(metrics_in),
       log(log_in),
-      cold_replica_limiter(options.node),
-      engines(directory_in, &cold_replica_limiter, random_in) {
-  cold_replica_limiter.SetRateLimit(options.cold_rate_bound,
+      replica_rate_limiter(options.node),
+      engines(directory_in, &replica_rate_limiter, random_in) {
+  replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
   freshness.SetMaxUseAge(options.max_config_use_age);
 }
@@ -42,7 +42,7 @@
   auto& choice = plain_choices[service];
   if (choice == nullptr) {
     choice =
-        std::make_unique<PlainChoice>(directory, &cold_replica_limiter, random);
+        std::make_unique<PlainChoice>(directory, &replica_rate_limiter, random);
   }
   return *choice;
 }
@@ -193,10 +193,10 @@
 void Gateway::SetOptions(const GatewayOptions& options) {
   impl_->options = options;
   impl_->freshness.SetMaxUseAge(options.max_config_use_age);
-  impl_->cold_replica_limiter.SetRateLimit(options.cold_rate_bound,
+  impl_->replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                            options.replica_heartbeat_period);
   if (impl_->config != nullptr) {
-    impl_->cold_replica_limiter.SetServices(*impl_->config);
+    impl_->replica_rate_limiter.SetServices(*impl_->config);
   }
   for (auto& [service, budget] : impl_->budgets) {
     budget.SetLimits(options.budget);
@@ -214,7 +214,7 @@
                                {"routes", config->routes()},
                                {"services", config->services().size()}});
   impl_->config = std::move(config);
-  impl_->cold_replica_limiter.SetServices(*impl_->config);
+  impl_->replica_rate_limiter.SetServices(*impl_->config);
 }
 
 void Gateway::OnConfirmed(TimeUs asked_at) {
@@ -240,7 +240,7 @@
   if (!restarted && change != DirectoryChange::kRemoved) {
     return;
   }
-  impl_->cold_replica_limiter.OnReplicaRemoved(replica.id);
+  impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
   impl_->rate_statements.OnReplicaRemoved(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
@@ -388,7 +388,7 @@
 }
 
 void Gateway::SetKnownGateways(std::vector<NodeId> gateways) {
-  impl_->cold_replica_limiter.SetGateways(std::move(gateways));
+  impl_->replica_rate_limiter.SetGateways(std::move(gateways));
 }
 
 void Gateway::SetPeerCanCheckKeys(bool can_check_keys) {
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -192,7 +192,7 @@
   // Number of gateways that share retry budgets and connection limits,
   // including this one.
   void SetGatewayCount(std::size_t n);
-  // See `ColdReplicaLimiter::SetGateways`.
+  // See `ReplicaRateLimiter::SetGateways`.
   void SetKnownGateways(std::vector<NodeId> gateways);
   // Whether another gateway can check keys. If this gateway cannot, it refuses
   // requests with a short Retry-After, because a new connection most likely
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -61,7 +61,7 @@
   } else {
     PlainChoiceOf(request->service).OnSent(now, replica.id);
   }
-  cold_replica_limiter.OnSent(replica);
+  replica_rate_limiter.OnSent(replica);
   request->tried.push_back(replica.id);
   request->attempt = {};
   request->attempt.replica = replica;
@@ -82,7 +82,7 @@
   const auto& replicas = directory->Of(request.service);
   return std::any_of(
       replicas.begin(), replicas.end(), [&](const ReplicaEntry* it) {
-        return cold_replica_limiter.IsRateLimited(now, *it) &&
+        return replica_rate_limiter.IsRateLimited(now, *it) &&
                std::find(request.tried.begin(), request.tried.end(), it->id) ==
                    request.tried.end();
       });
@@ -343,7 +343,7 @@
       attempt.head && (attempt.head->not_run || attempt.head->other_replica);
   if (!sent && !request->attempt.arrival_reported) {
     request->attempt.arrival_reported = true;
-    cold_replica_limiter.OnNotSent(attempt.replica);
+    replica_rate_limiter.OnNotSent(attempt.replica);
   }
   EndAttempt(request);
   if (!sent || said_not_run) {
@@ -377,7 +377,7 @@
   Attempt& attempt = request->attempt;
   if (!attempt.arrival_reported) {
     attempt.arrival_reported = true;
-    cold_replica_limiter.OnArrived(output->Now(), attempt.replica);
+    replica_rate_limiter.OnArrived(output->Now(), attempt.replica);
   }
 }
 
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "coordination/choice/cold_replica_limiter.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/rate_statements.h"
+#include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
@@ -247,7 +247,7 @@
   bool peer_can_check_keys = false;
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
-  ColdReplicaLimiter cold_replica_limiter;
+  ReplicaRateLimiter replica_rate_limiter;
   RateStatements rate_statements;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -25,7 +25,7 @@
   }
   void OnReplica(const ReplicaEntry&, DirectoryChange) override {}
   ReplicaDirectory directory{this};
-  ColdReplicaLimiter cold_replica_limiter{"g1"};
+  ReplicaRateLimiter replica_rate_limiter{"g1"};
   Random random{11};
 };
 
@@ -45,9 +45,9 @@
       {"sys", 500}, {"doc", 4000}, {"q1", 90}};
   const std::vector<PromptPart> second = {
       {"sys", 500}, {"doc", 4000}, {"q2", 90}};
-  EngineChoice here(&fleet.directory, &fleet.cold_replica_limiter,
+  EngineChoice here(&fleet.directory, &fleet.replica_rate_limiter,
                     &fleet.random);
-  EngineChoice there(&fleet.directory, &fleet.cold_replica_limiter,
+  EngineChoice there(&fleet.directory, &fleet.replica_rate_limiter,
                      &fleet.random);
   const auto* a = here.Choose(0, "s", Prompt(&first), {}, false);
   const auto* b = there.Choose(0, "s", Prompt(&second), {}, false);
@@ -58,7 +58,7 @@
 // cost more than reading the shared parts again, other engines serve it too.
 TEST(EngineChoiceTest, SpreadsAHotSession) {
   Fleet fleet(9);
-  EngineChoice choice(&fleet.directory, &fleet.cold_replica_limiter,
+  EngineChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
                       &fleet.random);
   const std::vector<PromptPart> prompt = {
       {"sys", 500}, {"doc", 4000}, {"q", 3000}};
@@ -79,12 +79,12 @@
   Fleet fleet(9);
   const std::vector<PromptPart> prompt = {
       {"sys", 500}, {"doc", 4000}, {"q", 3000}};
-  EngineChoice first(&fleet.directory, &fleet.cold_replica_limiter,
+  EngineChoice first(&fleet.directory, &fleet.replica_rate_limiter,
                      &fleet.random);
   const ReplicaId home = first.Choose(0, "s", Prompt(&prompt), {}, false)->id;
   std::set<ReplicaId> used;
   for (int n = 0; n < 100; ++n) {
-    EngineChoice choice(&fleet.directory, &fleet.cold_replica_limiter,
+    EngineChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
                         &fleet.random);
     choice.SetPeerLoads("other", {{home, {8, 90'000}}});
     used.insert(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id);
@@ -92,7 +92,7 @@
   ASSERT_EQ(used.size(), 1U);
   const ReplicaId second = *used.begin();
   EXPECT_NE(second, home);
-  EngineChoice choice(&fleet.directory, &fleet.cold_replica_limiter,
+  EngineChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
                       &fleet.random);
   choice.SetPeerLoads("other", {{home, {8, 90'000}}, {second, {4, 30'000}}});
   EXPECT_NE(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id, second);
@@ -103,7 +103,7 @@
 // prompts there cost more than fetching the results from another domain.
 TEST(EngineChoiceTest, PrefersTheDomainOfLargeResults) {
   Fleet fleet(4);
-  EngineChoice choice(&fleet.directory, &fleet.cold_replica_limiter,
+  EngineChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
                       &fleet.random);
   const std::vector<PromptPart> prompt = {{"q", 1000}};
   EngineRequest request = Prompt(&prompt);
@@ -117,7 +117,7 @@
 // Load reported by other gateways counts like this gateway's own.
 TEST(EngineChoiceTest, CountsTheWorkOfOthers) {
   Fleet fleet(2);
-  EngineChoice choice(&fleet.directory, &fleet.cold_replica_limiter,
+  EngineChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
                       &fleet.random);
   choice.SetPeerLoads("other", {{"r0", {5, 900000}}});
   const std::vector<PromptPart> prompt = {{"q", 1000}};
@@ -130,7 +130,7 @@
 // It gets little more than the calls that detect its recovery.
 TEST(PlainChoiceTest, AvoidsASlowReplica) {
   Fleet fleet(4);
-  PlainChoice choice(&fleet.directory, &fleet.cold_replica_limiter,
+  PlainChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
                      &fleet.random);
   TimeUs now = 1000 * kSecond;
   int slow = 0;
@@ -151,7 +151,7 @@
 // call in progress keeps other calls away from it.
 TEST(PlainChoiceTest, AvoidsAnUnresponsiveReplica) {
   Fleet fleet(2);
-  PlainChoice choice(&fleet.directory, &fleet.cold_replica_limiter,
+  PlainChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
                      &fleet.random);
   const TimeUs now = 1000 * kSecond;
   choice.OnSent(now - 500 * kMillisecond, "r0");
--- a/tests/gateway/cold_replica_limiter_test.cc
+++ b/tests/gateway/replica_rate_limiter_test.cc
@@ -1,6 +1,6 @@
 // Tests of the request rate of cold replicas, for one gateway and for many with
 // different views.
-#include "coordination/choice/cold_replica_limiter.h"
+#include "coordination/choice/replica_rate_limiter.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -37,9 +37,9 @@
   return entry;
 }
 
-std::unique_ptr<ColdReplicaLimiter> LimitOf(const NodeId& node,
+std::unique_ptr<ReplicaRateLimiter> LimitOf(const NodeId& node,
                                             std::vector<NodeId> gateways) {
-  auto limit = std::make_unique<ColdReplicaLimiter>(node);
+  auto limit = std::make_unique<ReplicaRateLimiter>(node);
   limit->SetRateLimit({}, 1200 * kMillisecond);
   limit->SetServices(ConfigWithColdEngines());
   limit->SetGateways(std::move(gateways));
@@ -58,7 +58,7 @@
 // Sends as many requests as the limiter allows, at most 1,000; returns their
 // number.
 int SendAll(TimeUs now,
-            ColdReplicaLimiter* limit,
+            ReplicaRateLimiter* limit,
             const ReplicaEntry& replica) {
   int sent = 0;
   while (limit->MaySend(now, replica) && sent < 1000) {
@@ -71,7 +71,7 @@
 // Between 1 and 400 gateways find one replica cold and idle, and each sends as
 // many requests as it may at once. The sum stays within the limit and uses at
 // least half of it.
-TEST(ColdReplicaLimiterTest, FleetsOfAnySizeKeepTheBoundInSum) {
+TEST(ReplicaRateLimiterTest, FleetsOfAnySizeKeepTheBoundInSum) {
   const ReplicaEntry replica = ColdReplica(10 * kSecond);
   for (const int n : {1, 5, 14, 26, 29, 103, 400}) {
     int sum = 0;
@@ -86,7 +86,7 @@
 // A request may arrive much later than it was sent, for example because it
 // waited for a connection. The next one may be sent one second after the first
 // was answered, not one second after it was sent.
-TEST(ColdReplicaLimiterTest, CountsByArrival) {
+TEST(ReplicaRateLimiterTest, CountsByArrival) {
   const ReplicaEntry replica = ColdReplica(60 * kSecond);
   const auto limit = LimitOf("g0", Names(26));
   TimeUs now = kSecond;
@@ -102,7 +102,7 @@
 }
 
 // Requests of the last second count if the replica becomes cold within it.
-TEST(ColdReplicaLimiterTest, CountsRequestsSentBeforeTheReplicaBecameCold) {
+TEST(ReplicaRateLimiterTest, CountsRequestsSentBeforeTheReplicaBecameCold) {
   ReplicaEntry replica = ColdReplica(0);
   const auto limit = LimitOf("g0", Names(26));
   EXPECT_EQ(SendAll(kSecond, limit.get(), replica), 1000);
@@ -112,7 +112,7 @@
 
 // A gateway that does not know the other gateways yet sends nothing to cold
 // replicas.
-TEST(ColdReplicaLimiterTest, SendsNothingWithoutKnownGateways) {
+TEST(ReplicaRateLimiterTest, SendsNothingWithoutKnownGateways) {
   const auto limit = LimitOf("g0", {});
   EXPECT_FALSE(limit->MaySend(kSecond, ColdReplica(9 * kSecond)));
   EXPECT_TRUE(limit->MaySend(kSecond, ColdReplica(0)));
@@ -121,7 +121,7 @@
 // The evacuation of a failure domain ends. Its replicas count as cold although
 // their rows, which are older, do not say so; afterwards the limit doubles in
 // steps.
-TEST(ColdReplicaLimiterTest, ADomainWarmsUpAfterItsEvacuationEnded) {
+TEST(ReplicaRateLimiterTest, ADomainWarmsUpAfterItsEvacuationEnded) {
   ReplicaEntry replica = ColdReplica(0);
   replica.evacuation_ended_at = kSecond;
   const TimeUs warm =
@@ -132,11 +132,11 @@
   EXPECT_EQ(at(kSecond), 2);
   EXPECT_EQ(at(warm - 1), 2);
   EXPECT_EQ(at(warm), 4);
-  EXPECT_EQ(at(warm + ColdReplicaLimiter::kLimitDoublingPeriod), 8);
-  EXPECT_EQ(at(warm + ColdReplicaLimiter::kWarmUpDuration), 1000);
+  EXPECT_EQ(at(warm + ReplicaRateLimiter::kLimitDoublingPeriod), 8);
+  EXPECT_EQ(at(warm + ReplicaRateLimiter::kWarmUpDuration), 1000);
 }
 
-TEST(ColdReplicaLimiterTest, LeavesServicesWithoutABoundAlone) {
+TEST(ReplicaRateLimiterTest, LeavesServicesWithoutABoundAlone) {
   ReplicaEntry replica = ColdReplica(10 * kSecond);
   replica.service = "app";
   const auto limit = LimitOf("g0", Names(26));
@@ -146,7 +146,7 @@
 // All engines are cold, and more requests arrive than they accept. The first
 // ones are sent, the others wait and are sent in order. A request that is not
 // sent in time is refused with a Retry-After.
-TEST(ColdReplicaLimiterTest, RequestsWaitForTheirTurn) {
+TEST(ReplicaRateLimiterTest, RequestsWaitForTheirTurn) {
   GatewayRig rig;
   rig.AddReplica("e1", "engine", "a", rig.now + 60 * kSecond);
   // The limit is 2 x 1.5 + 5 = 8 requests per second, of which the share of 0.8
@@ -174,7 +174,7 @@
 
 // The only engine is warming up, and more requests arrive than it accepts yet.
 // They wait in order, as while the engine was cold.
-TEST(ColdReplicaLimiterTest, RequestsWaitWhileItWarmsUpToo) {
+TEST(ReplicaRateLimiterTest, RequestsWaitWhileItWarmsUpToo) {
   GatewayRig rig;
   rig.AddReplica("e1", "engine", "a", rig.now);
   for (int n = 0; n < 20; ++n) {
@@ -182,7 +182,7 @@
   }
   EXPECT_EQ(rig.sent.size(), 12U);
   EXPECT_TRUE(rig.refused.empty());
-  rig.Pass(ColdReplicaLimiter::kWarmUpDuration);
+  rig.Pass(ReplicaRateLimiter::kWarmUpDuration);
   EXPECT_EQ(rig.sent.size(), 20U);
 }
 
@@ -246,16 +246,16 @@
 
  private:
   struct Gateway {
-    std::unique_ptr<ColdReplicaLimiter> limit;
+    std::unique_ptr<ReplicaRateLimiter> limit;
     std::set<NodeId> known;
     TimeUs settled_at = 0;
   };
   std::map<NodeId, Gateway> gateways_;
-  std::multimap<TimeUs, ColdReplicaLimiter*> in_transit_;
+  std::multimap<TimeUs, ReplicaRateLimiter*> in_transit_;
   std::vector<TimeUs> arrivals_;
 };
 
-RC_GTEST_PROP(ColdReplicaLimiterModelTest, NoSecondSeesMoreThanTheBound, ()) {
+RC_GTEST_PROP(ReplicaRateLimiterModelTest, NoSecondSeesMoreThanTheBound, ()) {
   // Only the seed is drawn by rapidcheck, because shrinking a history of
   // thousands of draws would not work.
   Random random(*rc::gen::arbitrary<std::uint64_t>());
