Keep the limits that replicas state, over all gateways together

Callers' requests went to replicas in need as to all others: 16 and 17 in 4 s where 12 and 11 are allowed, at limits of 1.1 and 1 a second. Cause: nothing read the limit that answers name.

The limiter of cold replicas holds both limits now. A stated one is divided in whole requests per 4 s (per request, if it is less than one), an equal part or one for the gateways with the highest hash, so the sum never exceeds it however many gateways there are; what is in transit counts. The latest statement of a replica counts and goes with heartbeats; an answer without one, or a new incarnation, ends it. Replicas that state next to nothing are still sent one request in 10 s, or nobody would learn of the end. First tries, repeats, resumed streams and calls with pieces all count; the gateway that batches uses 0.7 of a limit alone, so that two that take themselves for it keep it. Where all replicas state limits, requests wait for a turn in order of urgency, and those without one soon are refused at once.

--- a/src/coordination/choice/replica_rate_limiter.cc
+++ b/src/coordination/choice/replica_rate_limiter.cc
@@ -50,8 +50,7 @@
   return until;
 }
 
-bool ReplicaRateLimiter::IsRateLimited(TimeUs now,
-                                       const ReplicaEntry& replica) const {
+bool ReplicaRateLimiter::IsCold(TimeUs now, const ReplicaEntry& replica) const {
   if (replica.cold_until == 0 && replica.evacuation_ended_at == 0) {
     return false;  // Fast path: called for every replica.
   }
@@ -60,26 +59,97 @@
          now < ColdUntil(replica, *limits) + kWarmUpDuration;
 }
 
-bool ReplicaRateLimiter::MaySend(TimeUs now, const ReplicaEntry& replica) {
-  if (!IsRateLimited(now, replica)) {
+bool ReplicaRateLimiter::IsRateLimited(TimeUs now,
+                                       const ReplicaEntry& replica) const {
+  return IsCold(now, replica) || StatesLimit(replica);
+}
+
+std::optional<ReplicaRateLimiter::StatedLimit>
+ReplicaRateLimiter::StatedLimitOf(const ReplicaId& replica) const {
+  const std::optional<double> stated = statements_.LimitOf(replica);
+  if (!stated || *stated >= kMaxStatedRate) {
+    return std::nullopt;
+  }
+  const double per_second = std::max(*stated, kMinStatedRate);
+  const DurationUs window =
+      std::max(kStatedWindow, static_cast<DurationUs>(kSecond / per_second));
+  const double requests =
+      per_second * static_cast<double>(window) / static_cast<double>(kSecond);
+  return StatedLimit{
+      std::max<std::size_t>(1, static_cast<std::size_t>(requests)), window};
+}
+
+DurationUs ReplicaRateLimiter::LongestWindow(const ReplicaId& replica) const {
+  const auto stated = StatedLimitOf(replica);
+  return stated ? stated->window : kArrivalWindow;
+}
+
+bool ReplicaRateLimiter::MaySendToCold(TimeUs now,
+                                       const ReplicaEntry& replica) {
+  if (!IsCold(now, replica)) {
     return true;
   }
   const Limits& limits = *LimitsOf(replica);
   RecentRequests& recent_requests = recent_requests_[replica.id];
-  recent_requests.DropExpired(now);
   double total = kUsableShare * limits.max_requests;
   for (TimeUs doubling_at = ColdUntil(replica, limits); doubling_at <= now;
        doubling_at += kLimitDoublingPeriod) {
     total *= 2;
   }
-  return recent_requests.in_transit + recent_requests.arrival_times.size() <
-         ShareOf(replica.id, &recent_requests, total);
+  return recent_requests.CountWithin(now, kArrivalWindow) <
+         ShareOf(replica.id, &recent_requests, static_cast<std::size_t>(total));
+}
+
+bool ReplicaRateLimiter::MaySend(TimeUs now, const ReplicaEntry& replica) {
+  if (!MaySendToCold(now, replica)) {
+    return false;
+  }
+  const auto stated = StatedLimitOf(replica.id);
+  if (!stated) {
+    return true;
+  }
+  RecentRequests& recent_requests = recent_requests_[replica.id];
+  return recent_requests.CountWithin(now, stated->window) <
+         ShareOf(replica.id, &recent_requests, stated->max_requests);
+}
+
+bool ReplicaRateLimiter::MaySendBatch(TimeUs now, const ReplicaEntry& replica) {
+  const auto stated = StatedLimitOf(replica.id);
+  if (!stated) {
+    return true;
+  }
+  const auto part = static_cast<std::size_t>(
+      kBatchingShare * static_cast<double>(stated->max_requests));
+  return recent_requests_[replica.id].CountWithin(now, stated->window) <
+         std::max<std::size_t>(1, part);
+}
+
+// When a request in transit will arrive is not known; it counts as if it
+// arrived now. More requests than this gateway's part may be there if the limit
+// was lowered, so only the last ones count.
+std::vector<TimeUs> ReplicaRateLimiter::NextTurns(TimeUs now,
+                                                  const ReplicaEntry& replica) {
+  const auto stated = StatedLimitOf(replica.id);
+  if (!stated) {
+    return {};
+  }
+  RecentRequests& recent_requests = recent_requests_[replica.id];
+  recent_requests.DropArrivalsBefore(now - stated->window);
+  const std::size_t share =
+      ShareOf(replica.id, &recent_requests, stated->max_requests);
+  const std::size_t used = recent_requests.CountWithin(now, stated->window);
+  std::vector<TimeUs> turns(used < share ? share - used : 0, now);
+  for (const TimeUs it : recent_requests.arrival_times) {
+    turns.push_back(it + stated->window);
+  }
+  turns.resize(std::max(turns.size(), share), now + stated->window);
+  turns.erase(turns.begin(), turns.end() - static_cast<std::ptrdiff_t>(share));
+  return turns;
 }
 
 std::size_t ReplicaRateLimiter::ShareOf(const ReplicaId& replica,
                                         RecentRequests* recent_requests,
-                                        double total) {
-  const auto whole_requests = static_cast<std::size_t>(total);
+                                        std::size_t whole_requests) {
   if (gateways_.empty()) {
     return 0;
   }
@@ -103,7 +173,7 @@
 }
 
 void ReplicaRateLimiter::OnSent(const ReplicaEntry& replica) {
-  if (LimitsOf(replica) != nullptr) {
+  if (LimitsOf(replica) != nullptr || StatesLimit(replica)) {
     ++recent_requests_[replica.id].in_transit;
   }
 }
@@ -118,16 +188,23 @@
   RecentRequests& recent_requests = it->second;
   recent_requests.in_transit -= std::min(recent_requests.in_transit, 1U);
   recent_requests.arrival_times.push_back(now);
-  recent_requests.DropExpired(now);
+  recent_requests.DropArrivalsBefore(now - LongestWindow(replica.id));
 }
 
-void ReplicaRateLimiter::RecentRequests::DropExpired(TimeUs now) {
-  while (!arrival_times.empty() &&
-         now - arrival_times.front() > kArrivalWindow) {
+void ReplicaRateLimiter::RecentRequests::DropArrivalsBefore(TimeUs time) {
+  while (!arrival_times.empty() && arrival_times.front() < time) {
     arrival_times.pop_front();
   }
 }
 
+std::size_t ReplicaRateLimiter::RecentRequests::CountWithin(
+    TimeUs now,
+    DurationUs window) const {
+  const auto first = std::lower_bound(arrival_times.begin(),
+                                      arrival_times.end(), now - window);
+  return in_transit + static_cast<std::size_t>(arrival_times.end() - first);
+}
+
 void ReplicaRateLimiter::OnNotSent(const ReplicaEntry& replica) {
   if (const auto it = recent_requests_.find(replica.id);
       it != recent_requests_.end()) {
--- a/src/coordination/choice/replica_rate_limiter.h
+++ b/src/coordination/choice/replica_rate_limiter.h
@@ -1,35 +1,46 @@
-// Limits the rate of requests to a cold replica, summed over all gateways.
+// Limits the rate of requests to a replica, summed over all gateways, while it
+// is cold or states a limit itself.
 //
 // A replica that has just started, or whose failure domain was just put back
 // into use, is idle while all others are busy, so every gateway would send it
 // the next request, and it would crash under a rate that it handles when warm.
-// The limit is divided among the gateways without messages, in whole requests:
-// all gateways have an equal part or, if there are more gateways than requests,
-// those with the highest hash of (replica, gateway) have one each. A request
-// occupies its part from when it is sent until one second after the replica's
-// first response to it, or after its end. The requests of one gateway therefore
-// never arrive closer together than the limit allows, however long each was in
-// transit.
+// A replica in need states in its answers how many requests a second it accepts
+// from all gateways together.
+//
+// A limit is divided among the gateways without messages, in whole requests per
+// window: all gateways have an equal part or, if there are more gateways than
+// requests, those with the highest hash of (replica, gateway) have one each. A
+// request occupies its part from when it is sent until a window after the
+// replica's first response to it, or after its end. The requests of one gateway
+// therefore never arrive closer together than the limit allows, however long
+// each was in transit, and no window has more arrivals than the limit.
 //
 // The gateways' views of one another differ, because gateways join, leave and
 // are partitioned from each other. A gateway is counted for an hour after its
 // last message, so that the two sides of a partition do not each use the
-// complete limit. A fifth of the limit is reserved for gateways that joined a
-// moment ago. A gateway that has just joined sends nothing to cold replicas
-// until the others know of it.
+// complete limit. A fifth of the limit of a cold replica is reserved for
+// gateways that joined a moment ago. A gateway that has just joined sends
+// nothing to limited replicas until the others know of it.
 //
 // After the cold period the limit doubles in steps until it is lifted (slow
 // start), so that the last delayed requests and the first ones at full rate do
 // not arrive together.
+//
+// The pieces of a batching service are sent by one gateway for all. It uses a
+// stated limit alone, except for a share that is reserved for another gateway
+// which takes itself for the one that batches.
 #ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_REPLICA_RATE_LIMITER_H_
 #define ACACIACHUTE_SRC_COORDINATION_CHOICE_REPLICA_RATE_LIMITER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "coordination/choice/rate_statements.h"
 #include "state/host_settings.h"
 #include "state/replica_directory.h"
 #include "state/serving_config.h"
@@ -48,6 +59,16 @@
   // lifted after `kWarmUpDuration`.
   static constexpr DurationUs kWarmUpDuration = kSecond;
   static constexpr DurationUs kLimitDoublingPeriod = 250 * kMillisecond;
+  // The shortest window of a stated limit, which applies to arrivals in any
+  // such interval. It is longer for limits below one request per window.
+  static constexpr DurationUs kStatedWindow = 4 * kSecond;
+  // Rate at which a replica that states less gets requests all the same: its
+  // answers show when it no longer does.
+  static constexpr double kMinStatedRate = 0.1;
+  // Stated rates from here on limit nothing.
+  static constexpr double kMaxStatedRate = 1e6;
+  // Share of a stated limit that the gateway which batches uses.
+  static constexpr double kBatchingShare = 0.7;
   // Number of heartbeat periods of a replica until its row in the store shows
   // that it is cold: the row may just have been rewritten (one heartbeat), and
   // the next version needs time to arrive here (one more).
@@ -63,10 +84,22 @@
   void SetGateways(std::vector<NodeId> gateways);
 
   // Whether the rate of the replica is limited now, because it is cold, as far
-  // as known here, or still warming up.
+  // as known here, or still warming up, or because it states a limit.
   bool IsRateLimited(TimeUs now, const ReplicaEntry& replica) const;
+  // Whether the replica states a limit.
+  bool StatesLimit(const ReplicaEntry& replica) const {
+    return StatedLimitOf(replica.id).has_value();
+  }
   // Whether one more request may be sent to the replica now.
   bool MaySend(TimeUs now, const ReplicaEntry& replica);
+  // The same for a call of the gateway that batches for all.
+  bool MaySendBatch(TimeUs now, const ReplicaEntry& replica);
+  // Times from which this gateway may send the next requests to a replica that
+  // states a limit, in order; empty if it has no part of the limit.
+  std::vector<TimeUs> NextTurns(TimeUs now, const ReplicaEntry& replica);
+
+  RateStatements& statements() { return statements_; }
+  const RateStatements& statements() const { return statements_; }
 
   // A request was sent to the replica.
   void OnSent(const ReplicaEntry& replica);
@@ -78,6 +111,7 @@
   // The replica was removed or restarted.
   void OnReplicaRemoved(const ReplicaId& replica) {
     recent_requests_.erase(replica);
+    statements_.OnReplicaRemoved(replica);
   }
 
  private:
@@ -87,13 +121,19 @@
     // Time that a replica stays cold after its start.
     DurationUs cold_start = 0;
   };
+  // A limit that a replica states, in whole requests per window.
+  struct StatedLimit {
+    std::size_t max_requests = 0;
+    DurationUs window = 0;
+  };
   // Requests sent to one replica.
   struct RecentRequests {
-    // Drops the arrivals before the last window.
-    void DropExpired(TimeUs now);
+    void DropArrivalsBefore(TimeUs time);
+    // Number of requests in transit or arrived within the last `window`.
+    std::size_t CountWithin(TimeUs now, DurationUs window) const;
 
     std::uint32_t in_transit = 0;
-    // Times of the arrivals within the last window.
+    // Times of the arrivals within the longest window that applies.
     std::deque<TimeUs> arrival_times;
     // Number of gateways with a higher hash for the replica, computed for the
     // gateway list numbered `generation`.
@@ -103,11 +143,16 @@
 
   // Null if the service has no limit for cold replicas.
   const Limits* LimitsOf(const ReplicaEntry& replica) const;
+  std::optional<StatedLimit> StatedLimitOf(const ReplicaId& replica) const;
+  // The longest window in which arrivals at the replica count.
+  DurationUs LongestWindow(const ReplicaId& replica) const;
+  bool IsCold(TimeUs now, const ReplicaEntry& replica) const;
+  bool MaySendToCold(TimeUs now, const ReplicaEntry& replica);
   TimeUs ColdUntil(const ReplicaEntry& replica, const Limits& limits) const;
-  // This gateway's part of `total` requests per window.
+  // This gateway's part of a limit.
   std::size_t ShareOf(const ReplicaId& replica,
                       RecentRequests* recent_requests,
-                      double total);
+                      std::size_t whole_requests);
   std::size_t RankFor(const ReplicaId& replica) const;
 
   const NodeId self_;
@@ -117,6 +162,7 @@
   std::vector<NodeId> gateways_;
   std::uint64_t generation_ = 1;  // Increases when `gateways_` changes.
   absl::flat_hash_map<ReplicaId, RecentRequests> recent_requests_;
+  RateStatements statements_;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -147,8 +147,8 @@
   if (request->parked) {
     parked.erase({request->priority, request->received_at, request->id});
   }
-  if (request->awaits_cold_replica) {
-    awaiting_cold_replica.erase(
+  if (request->awaits_limited_replica) {
+    awaiting_limited_replica.erase(
         {request->priority, request->received_at, request->id});
   }
   const auto it = by_request_id.find(request->call.id);
@@ -241,7 +241,6 @@
     return;
   }
   impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
-  impl_->rate_statements.OnReplicaRemoved(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
     choice->OnReplicaRemoved(replica.id);
@@ -373,7 +372,7 @@
 
 void Gateway::OnTick() {
   impl_->BeginParked();
-  impl_->RetryAwaitingCold();
+  impl_->RetryAwaitingLimited();
   const TimeUs now = impl_->output->Now();
   while (!impl_->deadlines.empty() && impl_->deadlines.begin()->first <= now) {
     impl_->Expire(impl_->FindByExchange(impl_->deadlines.begin()->second));
@@ -395,6 +394,18 @@
   impl_->peer_can_check_keys = can_check_keys;
 }
 
+void Gateway::OnPeerStatement(const ReplicaRateStatement& statement) {
+  const ReplicaId replica = {statement.replica, statement.incarnation};
+  if (impl_->directory->Find(replica) != nullptr &&
+      impl_->replica_rate_limiter.statements().OnPeerStatement(
+          impl_->output->Now(), statement)) {
+    impl_->LogRateLimit(replica, "gateway");
+  }
+}
+
+ReplicaRateLimiter* Gateway::rate_limiter() {
+  return &impl_->replica_rate_limiter;
+}
 EngineChoice* Gateway::engines() {
   return &impl_->engines;
 }
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "coordination/choice/engine_choice.h"
+#include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/piece_dispatcher.h"
 #include "state/client_request.h"
@@ -124,10 +125,10 @@
   // connections open to fill its replicas; the replicas reset further
   // connections, and requests that must run only once were lost.
   static constexpr double kIdleConnectionShare = 0.7;
-  // Maximum time that a request waits for capacity of a cold replica. Capacity
-  // used by a request is released one second after the replica's answer to it
-  // starts.
-  static constexpr DurationUs kMaxColdReplicaWait = 1500 * kMillisecond;
+  // Maximum time that a request waits for a replica whose rate is limited. The
+  // turn of a request at a cold replica is over one second after the replica's
+  // answer to it starts.
+  static constexpr DurationUs kMaxLimitedReplicaWait = 1500 * kMillisecond;
   // Time that a request needs from the client to this gateway. It counts
   // against the client's deadline, which starts when the client sends the
   // request.
@@ -177,6 +178,8 @@
   // A replica's answer to a call with pieces states a limit on its load, or
   // none.
   void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
+  // Another gateway received such an answer.
+  void OnPeerStatement(const ReplicaRateStatement& statement);
 
   // Refuses new streams from now on, because they may outlast this process,
   // which is shutting down. Called once load balancers have had time to notice
@@ -199,6 +202,7 @@
   // reaches a gateway that can.
   void SetPeerCanCheckKeys(bool can_check_keys);
   EngineChoice* engines();
+  ReplicaRateLimiter* rate_limiter();
   // The retry budget of a service; the stage pieces of that service share it.
   ServiceRetryBudget* RetryBudgetOf(const std::string& service);
   // Whether any configuration was received.
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -8,10 +8,6 @@
 namespace acaciachute {
 namespace {
 
-// Retry-After if another gateway can serve the client: its next connection
-// reaches another one, so a minimal delay is enough.
-constexpr DurationUs kRetryElsewhereDelay = 20 * kMillisecond;
-
 // Assumed timeout of a request whose route is not known.
 constexpr DurationUs kUnknownRouteTimeout = kSecond;
 
@@ -210,9 +206,10 @@
                  now + route->FirstEventTimeout() - kClientTransitTime);
   }
   request->resume_after = request->call.resume_after;
-  request->admission = HasNoReplica(*request, &refusal)
-                           ? AdmissionResult::kRefused
-                           : DecideAdmission(request.get(), &refusal);
+  request->admission =
+      HasNoReplica(*request, &refusal) || HasNoTurn(*request, &refusal)
+          ? AdmissionResult::kRefused
+          : DecideAdmission(request.get(), &refusal);
   if (request->admission == AdmissionResult::kRefused) {
     RefuseUnadmitted(id, request->call, refusal);
     return;
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -14,7 +14,6 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "coordination/choice/plain_choice.h"
-#include "coordination/choice/rate_statements.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
@@ -57,6 +56,10 @@
 // other requests.
 inline constexpr DurationUs kEngineFirstEventTime = 150 * kMillisecond;
 
+// Retry-After if another gateway can serve the client: its next connection
+// reaches another one, so a minimal delay is enough.
+inline constexpr DurationUs kRetryElsewhereDelay = 20 * kMillisecond;
+
 // Expected time of each stage of `route`: one call with a half-full batch.
 std::vector<DurationUs> StageTimes(const ServingConfig& config,
                                    const Route& route);
@@ -114,7 +117,8 @@
   Attempt attempt;
   std::uint32_t possible_runs = 0;  // Number of attempts that may have run.
   std::vector<ReplicaId> tried;
-  bool awaits_cold_replica = false;  // See `Gateway::Impl::AwaitColdReplica`.
+  bool awaits_limited_replica =
+      false;  // See `Gateway::Impl::AwaitLimitedReplica`.
   EventSplitter events;
   bool stream_begun = false;  // The head of the stream was sent to the client.
   TimeUs stream_begun_at = 0;
@@ -198,11 +202,20 @@
   void StartAttempt(ServingRequest* request);
   const ReplicaEntry* ChooseReplica(ServingRequest* request);
   void SendTo(ServingRequest* request, const ReplicaEntry& replica);
-  // Whether a replica that is cold or warming up, and was not tried yet, may
-  // accept the request within a short time.
-  bool ColdReplicaMayTakeLater(const ServingRequest& request) const;
-  void AwaitColdReplica(ServingRequest* request);
-  void RetryAwaitingCold();
+  // The replicas of the request's service whose rate is limited now and that
+  // were not tried yet.
+  std::vector<const ReplicaEntry*> LimitedReplicas(
+      const ServingRequest& request) const;
+  // When a replica whose rate is limited, and that was not tried yet, is
+  // expected to accept the request; empty if there is none, or if this gateway
+  // has no part of their limits.
+  std::optional<TimeUs> NextTurn(const ServingRequest& request);
+  // Whether all replicas of the request's service state limits, and none of
+  // them accepts the request in time. Fills `refusal` if so.
+  bool HasNoTurn(const ServingRequest& request, LocalReply* refusal);
+  LocalReply NoTurn(const ServingRequest& request, std::optional<TimeUs> turn);
+  void AwaitLimitedReplica(ServingRequest* request);
+  void RetryAwaitingLimited();
   // Maximum number of idle connections that this gateway keeps to one replica
   // of the request's service.
   std::optional<std::size_t> MaxIdleConnections(
@@ -210,6 +223,7 @@
   void OnHead(ServingRequest* request, ReplicaHead head);
   // A replica's answer states a limit on its load, or none.
   void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
+  void LogRateLimit(const ReplicaId& replica, std::string_view source);
   void OnBody(ServingRequest* request, std::string_view bytes);
   void OnEnd(ServingRequest* request);
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
@@ -248,7 +262,6 @@
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
   ReplicaRateLimiter replica_rate_limiter;
-  RateStatements rate_statements;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
@@ -261,8 +274,9 @@
   std::set<std::tuple<std::uint32_t, TimeUs, ExchangeId>> parked;
   // Earliest time at which the next parked request is started.
   TimeUs next_parked_at = 0;
-  // Requests waiting for capacity of a cold replica, in the same order.
-  std::set<std::tuple<std::uint32_t, TimeUs, ExchangeId>> awaiting_cold_replica;
+  // Requests waiting for a replica whose rate is limited, in the same order.
+  std::set<std::tuple<std::uint32_t, TimeUs, ExchangeId>>
+      awaiting_limited_replica;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -114,7 +114,10 @@
   if (waiting_.empty()) {
     return;
   }
-  const std::vector<const ReplicaEntry*> free = replicas_.FreeReplicas(now);
+  std::vector<const ReplicaEntry*> free = replicas_.FreeReplicas(now);
+  std::erase_if(free, [&](const ReplicaEntry* it) {
+    return !output_->MayCall(now, *it);
+  });
   for (std::size_t n = 0; n < free.size() && !waiting_.empty(); ++n) {
     if (!replicas_.ShouldUse(now, *free[n], waiting_.size())) {
       continue;
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -81,6 +81,12 @@
  public:
   virtual ~PieceBatcherOutput() = default;
   virtual void StartCall(const PieceCall& call) = 0;
+  // Whether the replica accepts one more call now; see `ReplicaRateLimiter`.
+  virtual bool MayCall(TimeUs now, const ReplicaEntry& replica) {
+    static_cast<void>(now);
+    static_cast<void>(replica);
+    return true;
+  }
   virtual void OnPiece(const PieceResult& result) = 0;
   // Sends `replica` a request to release these results.
   virtual void ReleaseAt(const Address& replica,
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -368,9 +368,16 @@
                {"no_room", of(PieceOutcome::kOutOfMemory)},
                {"failed", of(PieceOutcome::kFailed)}});
   }
-  if (end.rate) {
-    if (const auto replica = batchers.ReplicaOf(service, id)) {
-      gateway->OnStatedRate(*replica, *end.rate);
+  const auto called = batchers.ReplicaOf(service, id);
+  const ReplicaEntry* replica = called ? directory.Find(*called) : nullptr;
+  if (replica != nullptr && end.rate) {
+    gateway->OnStatedRate(replica->id, *end.rate);
+  }
+  if (replica != nullptr) {
+    if (end.kind == PieceCallEnd::Kind::kUnreached) {
+      gateway->rate_limiter()->OnNotSent(*replica);
+    } else {
+      gateway->rate_limiter()->OnArrived(Now(), *replica);
     }
   }
   batchers.OnCallEnd(Now(), service, id, end);
@@ -390,6 +397,9 @@
                            {"held_kb", call.held_bytes >> 10U},
                            {"list_ms", directory.Age(Now()) / kMillisecond},
                            {"slowness", call.slowness}});
+  if (const ReplicaEntry* it = directory.Find(call.replica)) {
+    gateway->rate_limiter()->OnSent(*it);
+  }
   pieces.Run(call);
 }
 
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -180,6 +180,9 @@
                       const PieceCallEnd& end);
   // PieceBatcherOutput
   void StartCall(const PieceCall& call) override;
+  bool MayCall(TimeUs now, const ReplicaEntry& replica) override {
+    return gateway->rate_limiter()->MaySendBatch(now, replica);
+  }
   void OnPiece(const PieceResult& result) override {
     dispatcher.OnLocalPiece(result);
   }
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -81,6 +81,7 @@
   heartbeat.cores = settings.cores;
   heartbeat.domain = settings.domain;
   heartbeat.waits = dispatcher.OwnQueueWaits(now);
+  heartbeat.rates = gateway->rate_limiter()->statements().Latest(now);
   for (const auto& [replica, load] : gateway->engines()->own_loads()) {
     heartbeat.work.push_back(
         {replica.name, replica.incarnation, load.running, load.unread_tokens});
@@ -139,6 +140,9 @@
     loads[{it.replica, it.incarnation}] = {it.running, it.unread_tokens};
   }
   gateway->engines()->SetPeerLoads(from, loads);
+  for (const ReplicaRateStatement& it : heartbeat->rates) {
+    gateway->OnPeerStatement(it);
+  }
   dispatcher.OnPeerQueueWaits(heartbeat->waits);
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -207,6 +207,15 @@
   QueueWait wait;
 };
 
+// The latest answer of a replica that has stated a limit on its load.
+struct ReplicaRateStatement {
+  std::string replica;
+  Incarnation incarnation = 0;
+  bool limited = false;   // False: it states no limit any more.
+  double per_second = 0;  // From all gateways together.
+  DurationUs age = 0;
+};
+
 // Gateway to gateway, over UDP: periodic heartbeat with the sender's work in
 // progress and queue waits.
 struct GatewayHeartbeat {
@@ -225,6 +234,7 @@
   bool requests_reply = false;
   std::vector<EngineWork> work;
   std::vector<ServiceQueueWait> waits;
+  std::vector<ReplicaRateStatement> rates;
 };
 
 // Gateway to the gateway that batches a service's pieces: tasks to run.
--- a/tests/gateway/rate_fleet.h
+++ b/tests/gateway/rate_fleet.h
@@ -35,18 +35,18 @@
   }
 
   RateFleet(std::size_t gateways, std::size_t engines) {
+    for (std::size_t n = 0; n < engines; ++n) {
+      engines_.push_back("e" + std::to_string(n));
+    }
+    told_at_.resize(gateways, -1);
+    rigs_.resize(gateways);
     for (std::size_t n = 0; n < gateways; ++n) {
       names_.push_back(OptionsOf(n).node);
     }
     for (std::size_t n = 0; n < gateways; ++n) {
-      rigs_.push_back(std::make_unique<GatewayRig>(OptionsOf(n)));
-      rigs_[n]->core.SetKnownGateways(names_);
-      rigs_[n]->core.SetGatewayCount(gateways);
-      for (std::size_t k = 0; k < engines; ++k) {
-        rigs_[n]->AddReplica("e" + std::to_string(k), "engine");
-      }
+      rigs_[n] = std::make_unique<GatewayRig>(OptionsOf(n));
+      Restart(n);
     }
-    told_at_.resize(gateways, -1);
   }
 
   std::size_t size() const { return rigs_.size(); }
@@ -61,6 +61,33 @@
     }
   }
 
+  // Restarts a gateway's process: it forgets what it has sent and been told.
+  void Restart(std::size_t n) {
+    const TimeUs at = now();
+    open_.erase(n);
+    told_at_[n] = -1;
+    rigs_[n] = std::make_unique<GatewayRig>(OptionsOf(n));
+    rigs_[n]->now = at;
+    rigs_[n]->core.SetKnownGateways(names_);
+    rigs_[n]->core.SetGatewayCount(rigs_.size());
+    for (const NodeId& it : engines_) {
+      rigs_[n]->AddReplica(it, "engine");
+    }
+  }
+  // Each gateway hears the heartbeats of all others.
+  void ExchangeStatements() {
+    for (const auto& from : rigs_) {
+      const auto latest = from->core.rate_limiter()->statements().Latest(now());
+      for (const auto& to : rigs_) {
+        for (const ReplicaRateStatement& it : latest) {
+          if (to != from) {
+            to->core.OnPeerStatement(it);
+          }
+        }
+      }
+    }
+  }
+
   // Runs with `per_second` requests over the fleet, spread evenly.
   void Run(DurationUs time, double per_second) {
     for (const TimeUs end = now() + time; now() < end;) {
@@ -174,6 +201,7 @@
   }
 
   std::vector<NodeId> names_;
+  std::vector<std::string> engines_;
   std::vector<std::unique_ptr<GatewayRig>> rigs_;
   std::vector<TimeUs> told_at_;
   std::map<std::string, std::string> limits_;
