--- a/tests/gateway/rate_fleet.h
+++ b/tests/gateway/rate_fleet.h
@@ -137,7 +137,8 @@
     return most;
   }
   static std::size_t Allowed(double limit) {
-    constexpr auto kSeconds = static_cast<double>(kWindow / kSecond);
+    constexpr double kSeconds =
+        static_cast<double>(kWindow) / static_cast<double>(kSecond);
     return static_cast<std::size_t>(kFactor * kSeconds * limit + kSlack);
   }
   std::size_t served() const { return served_; }
--- a/tests/gateway/replica_rate_test.cc
+++ b/tests/gateway/replica_rate_test.cc
@@ -137,9 +137,9 @@
   GatewayRig rig;
   rig.AddReplica("e0", "engine");
   rig.core.OnStatedRate("e0", {1.0, ""});
-  std::vector<ExchangeId> calls;
-  for (int n = 0; n < 8; ++n) {
-    calls.push_back(rig.Call("stream"));
+  std::vector<ExchangeId> calls(8);
+  for (ExchangeId& it : calls) {
+    it = rig.Call("stream");
   }
   EXPECT_EQ(rig.sent.size(), 4U);
   for (std::size_t n = 4; n < calls.size(); ++n) {
