--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	@$(BUILD)/bench/bench_decisions
 	@$(BUILD)/bench/decision_cost
 	@$(BUILD)/bench/replica_rows
+	@$(BUILD)/bench/config_change
 	@$(BUILD)/bench/bench_gateway_load
 
 dissemination: build ## Measure how fast settings spread (up to 60 entries)
