--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -61,6 +61,13 @@
   listener_.CloseIdle();
 }
 
+HttpFields StandinReplica::FieldsOf(HttpFields fields) const {
+  if (!rate_limit_.empty()) {
+    fields.push_back({"Server-Limit", rate_limit_});
+  }
+  return fields;
+}
+
 void StandinReplica::OnRequest(ExchangeId id,
                                HttpRequestHead head,
                                std::string body) {
@@ -72,11 +79,14 @@
   } else if (head.target == "/stage-free") {
     listener_.Reply(id, kOk, {}, "");
   } else if (head.target == "/stage-run" && calls_.size() >= kMaxQueuedCalls) {
-    listener_.Reply(id, kFull, NotRun(""), "");
+    arrivals_.push_back(Loop::Now());
+    listener_.Reply(id, kFull, FieldsOf(NotRun("")), "");
   } else if (head.target == "/stage-run") {
+    arrivals_.push_back(Loop::Now());
     calls_.push_back({id, std::move(body)});
     BeginStageCall();
   } else {
+    arrivals_.push_back(Loop::Now());
     Run(id, head);
   }
 }
@@ -85,7 +95,7 @@
   const std::string attempt = ValueOf(head.fields, "Attempt-Id");
   if (work_.kind == ReplicaWork::Kind::kEngine &&
       FindField(head.fields, "Inputs") == nullptr) {
-    listener_.Reply(id, kBadRequest, NotRun(attempt), "");
+    listener_.Reply(id, kBadRequest, FieldsOf(NotRun(attempt)), "");
     return;
   }
   if (FindField(head.fields, "Authorization") != nullptr) {
@@ -100,8 +110,9 @@
   }
   if (work_.kind == ReplicaWork::Kind::kPlain) {
     After(work_.service_time, [this, id, attempt] {
-      listener_.Reply(id, kOk, {{"Attempt-Id", attempt}, {"Replica-Seal", id_}},
-                      StrCat("answer to ", attempt));
+      listener_.Reply(
+          id, kOk, FieldsOf({{"Attempt-Id", attempt}, {"Replica-Seal", id_}}),
+          StrCat("answer to ", attempt));
     });
     return;
   }
@@ -110,9 +121,9 @@
   After(work_.service_time, [this, id, attempt, next] {
     if (open_.contains(id)) {
       listener_.BeginStream(id, kOk,
-                            {{"Attempt-Id", attempt},
-                             {"Replica-Seal", id_},
-                             {"Content-Type", "text/event-stream"}});
+                            FieldsOf({{"Attempt-Id", attempt},
+                                      {"Replica-Seal", id_},
+                                      {"Content-Type", "text/event-stream"}}));
       SendEvent(id, attempt, next);
     }
   });
@@ -159,7 +170,8 @@
         StrCat(AddressText(address_), "/", ++next_result_);
     items.push_back({{"handle", handle}});
   }
-  listener_.Reply(call.id, kOk, {{"Content-Type", "application/json"}},
+  listener_.Reply(call.id, kOk,
+                  FieldsOf({{"Content-Type", "application/json"}}),
                   Json({{"items", items}}).dump());
 }
 
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/soak/ledger.h"
 #include "transport/http_listener.h"
@@ -37,6 +39,10 @@
   // `factor` times as long.
   void LoseNextAnswers(int n) { answers_to_lose_ = n; }
   void SetSlowdownFactor(int factor) { slowdown_factor_ = factor; }
+  // States this limit on its load in all answers; empty: none.
+  void SetRateLimit(std::string limit) { rate_limit_ = std::move(limit); }
+  // Times at which requests and calls with pieces arrived.
+  const std::vector<TimeUs>& arrivals() const { return arrivals_; }
   // Simulates a crash and restart: breaks every connection, drops all work, and
   // continues as the incarnation `id`.
   void Crash(std::string id);
@@ -58,6 +64,8 @@
     std::string body;
   };
 
+  // `fields` with those that all answers of this replica have.
+  HttpFields FieldsOf(HttpFields fields) const;
   void Run(ExchangeId id, const HttpRequestHead& head);
   void SendEvent(ExchangeId id, const std::string& attempt, int next);
   void BeginStageCall();
@@ -72,6 +80,8 @@
   HttpListener listener_;
   std::set<ExchangeId> open_;
   std::deque<StageCall> calls_;
+  std::string rate_limit_;
+  std::vector<TimeUs> arrivals_;
   int next_result_ = 0;
   int answers_to_lose_ = 0;
   int slowdown_factor_ = 1;
