Let short stalls not stop a host from serving in an outage

A host that had not run for 0.2 s refused requests for as long, if its configuration was older than its limit: in an outage of the store each burst on a host with 0.09 of a core would have done so. Look-ups of stated limits return at once while no replica states one.

--- a/src/coordination/choice/rate_statements.h
+++ b/src/coordination/choice/rate_statements.h
@@ -44,6 +44,9 @@
 
   // Empty if the replica states no limit.
   std::optional<double> LimitOf(const ReplicaId& replica) const {
+    if (by_replica_.empty()) {
+      return std::nullopt;  // Fast path: called for every replica.
+    }
     const auto it = by_replica_.find(replica);
     return it == by_replica_.end() ? std::nullopt : it->second.per_second;
   }
--- a/src/coordination/gateway/config_freshness.h
+++ b/src/coordination/gateway/config_freshness.h
@@ -56,13 +56,16 @@
   }
 
  private:
-  // Time between two ticks beyond which this process did not run.
-  static constexpr DurationUs kMaxTickInterval = 200 * kMillisecond;
+  // Share of `max_use_age_` for which this process may not have run without
+  // that counting: a host that is short of its processor would otherwise refuse
+  // requests in every outage of the store.
+  static constexpr DurationUs kMaxStallDivisor = 4;
   // Time in which a process that runs again has read what waited for it.
   static constexpr DurationUs kCatchUpTime = 200 * kMillisecond;
 
   bool Stalled(TimeUs now) const {
-    return last_tick_at_ >= 0 && now - last_tick_at_ > kMaxTickInterval;
+    return last_tick_at_ >= 0 &&
+           now - last_tick_at_ > max_use_age_ / kMaxStallDivisor;
   }
 
   DurationUs max_use_age_ = 2 * kSecond;
