--- a/bench/config_change.cc
+++ b/bench/config_change.cc
@@ -73,7 +73,12 @@
   state.counters["bytes"] = benchmark::Counter(
       static_cast<double>(bytes), benchmark::Counter::kAvgIterations);
 }
-BENCHMARK(BM_ChangedParts)->Arg(50)->Arg(1450)->Arg(4250)->Arg(8450)->Iterations(20);
+BENCHMARK(BM_ChangedParts)
+    ->Arg(50)
+    ->Arg(1450)
+    ->Arg(4250)
+    ->Arg(8450)
+    ->Iterations(20);
 
 void BM_WholeRow(benchmark::State& state) {
   Gateway gateway;
@@ -91,7 +96,12 @@
   state.counters["bytes"] = benchmark::Counter(
       static_cast<double>(bytes), benchmark::Counter::kAvgIterations);
 }
-BENCHMARK(BM_WholeRow)->Arg(50)->Arg(1450)->Arg(4250)->Arg(8450)->Iterations(20);
+BENCHMARK(BM_WholeRow)
+    ->Arg(50)
+    ->Arg(1450)
+    ->Arg(4250)
+    ->Arg(8450)
+    ->Iterations(20);
 
 // A look-up of a path without a route.
 void BM_FindNoRoute(benchmark::State& state) {
@@ -100,7 +110,12 @@
     benchmark::DoNotOptimize(config->FindRoute("app.example", "/area-none/x"));
   }
 }
-BENCHMARK(BM_FindNoRoute)->Arg(50)->Arg(1450)->Arg(4250)->Arg(8450)->Iterations(20);
+BENCHMARK(BM_FindNoRoute)
+    ->Arg(50)
+    ->Arg(1450)
+    ->Arg(4250)
+    ->Arg(8450)
+    ->Iterations(20);
 
 }  // namespace
 }  // namespace acaciachute
--- a/src/coordination/choice/replica_rate_limiter.h
+++ b/src/coordination/choice/replica_rate_limiter.h
@@ -50,9 +50,10 @@
 
 class ReplicaRateLimiter {
  public:
-  // The limit applies to the arrivals in any interval of this length.
+  // The limit of a cold replica applies to the arrivals in any interval of this
+  // length.
   static constexpr DurationUs kArrivalWindow = kSecond;
-  // Share of the limit that the known gateways use; the remainder is for
+  // Share of that limit that the known gateways use; the remainder is for
   // gateways that others do not know yet.
   static constexpr double kUsableShare = 0.8;
   // After the cold period the limit doubles every `kLimitDoublingPeriod` and is
@@ -80,7 +81,8 @@
                     DurationUs replica_heartbeat_period);
   void SetServices(const ServingConfig& config);
   // All gateways that may send requests, including this one. Empty if this
-  // gateway does not know the others well enough to send any to cold replicas.
+  // gateway does not know the others well enough to send any to limited
+  // replicas.
   void SetGateways(std::vector<NodeId> gateways);
 
   // Whether the rate of the replica is limited now, because it is cold, as far
--- a/src/coordination/gateway/config_freshness.h
+++ b/src/coordination/gateway/config_freshness.h
@@ -52,20 +52,20 @@
   bool newer_known() const { return newer_known_; }
   // Age of the last confirmation; negative if there was none.
   DurationUs Age(TimeUs now) const {
-    return confirmed_at_ < 0 ? -1 : now - confirmed_at_;
+    return confirmed_at_ < 0 ? -kMillisecond : now - confirmed_at_;
   }
 
  private:
-  // Share of `max_use_age_` for which this process may not have run without
-  // that counting: a host that is short of its processor would otherwise refuse
-  // requests in every outage of the store.
-  static constexpr DurationUs kMaxStallDivisor = 4;
+  // A process that has not run for `max_use_age_` divided by this counts as
+  // stalled. Shorter stalls are frequent on hosts that are short of processor
+  // time, which would then refuse requests in every outage of the store.
+  static constexpr int kStallDivisor = 4;
   // Time in which a process that runs again has read what waited for it.
   static constexpr DurationUs kCatchUpTime = 200 * kMillisecond;
 
   bool Stalled(TimeUs now) const {
     return last_tick_at_ >= 0 &&
-           now - last_tick_at_ > max_use_age_ / kMaxStallDivisor;
+           now - last_tick_at_ > max_use_age_ / kStallDivisor;
   }
 
   DurationUs max_use_age_ = 2 * kSecond;
