--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -202,28 +202,11 @@
   void StartAttempt(ServingRequest* request);
   const ReplicaEntry* ChooseReplica(ServingRequest* request);
   void SendTo(ServingRequest* request, const ReplicaEntry& replica);
-  // The replicas of the request's service whose rate is limited now and that
-  // were not tried yet.
-  std::vector<const ReplicaEntry*> LimitedReplicas(
-      const ServingRequest& request) const;
-  // When a replica whose rate is limited, and that was not tried yet, is
-  // expected to accept the request; empty if there is none, or if this gateway
-  // has no part of their limits.
-  std::optional<TimeUs> NextTurn(const ServingRequest& request);
-  // Whether all replicas of the request's service state limits, and none of
-  // them accepts the request in time. Fills `refusal` if so.
-  bool HasNoTurn(const ServingRequest& request, LocalReply* refusal);
-  LocalReply NoTurn(const ServingRequest& request, std::optional<TimeUs> turn);
-  void AwaitLimitedReplica(ServingRequest* request);
-  void RetryAwaitingLimited();
   // Maximum number of idle connections that this gateway keeps to one replica
   // of the request's service.
   std::optional<std::size_t> MaxIdleConnections(
       const ServingRequest& request) const;
   void OnHead(ServingRequest* request, ReplicaHead head);
-  // A replica's answer states a limit on its load, or none.
-  void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
-  void LogRateLimit(const ReplicaId& replica, std::string_view source);
   void OnBody(ServingRequest* request, std::string_view bytes);
   void OnEnd(ServingRequest* request);
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
@@ -237,6 +220,25 @@
   void EndAttempt(ServingRequest* request);
   void CancelAttempt(ServingRequest* request);
 
+  // gateway_turns.cc
+  // A replica's answer states a limit on its load, or none.
+  void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
+  void LogRateLimit(const ReplicaId& replica, std::string_view source);
+  // The replicas of the request's service whose rate is limited now and that
+  // were not tried yet.
+  std::vector<const ReplicaEntry*> LimitedReplicas(
+      const ServingRequest& request) const;
+  // When a replica whose rate is limited, and that was not tried yet, is
+  // expected to accept the request; empty if there is none, or if this gateway
+  // has no part of their limits.
+  std::optional<TimeUs> NextTurn(const ServingRequest& request);
+  // Whether all replicas of the request's service state limits, and none of
+  // them accepts the request in time. Fills `refusal` if so.
+  bool HasNoTurn(const ServingRequest& request, LocalReply* refusal);
+  LocalReply NoTurn(const ServingRequest& request, std::optional<TimeUs> turn);
+  void AwaitLimitedReplica(ServingRequest* request);
+  void RetryAwaitingLimited();
+
   ServingRequest* FindByExchange(ExchangeId id);
   ServingRequest* FindByCall(CallId id);
   PlainChoice& PlainChoiceOf(const std::string& service);
--- /dev/null
+++ b/src/coordination/gateway/gateway_turns.cc
@@ -0,0 +1,147 @@
+// Replicas whose rate is limited: what they state, and the requests that wait
+// for a turn at one of them.
+#include <algorithm>
+#include <tuple>
+
+#include "coordination/gateway/gateway_impl.h"
+#include "text.h"
+
+namespace acaciachute {
+
+void Gateway::Impl::OnStatedRate(const ReplicaId& replica,
+                                 const StatedRate& rate) {
+  if (!rate.unreadable.empty()) {
+    log->Write("rate_limit_unreadable",
+               {{"replica", replica.name}, {"value", rate.unreadable}});
+  } else if (replica_rate_limiter.statements().OnAnswer(output->Now(), replica,
+                                                        rate.per_second)) {
+    LogRateLimit(replica, "answer");
+  }
+}
+
+void Gateway::Impl::LogRateLimit(const ReplicaId& replica,
+                                 std::string_view source) {
+  const auto limit = replica_rate_limiter.statements().LimitOf(replica);
+  metrics->Count("acaciachute_gateway_rate_limits_total");
+  log->Write("rate_limit", {{"replica", replica.name},
+                            {"life", replica.incarnation},
+                            {"limited", limit.has_value()},
+                            {"per_s", limit.value_or(0)},
+                            {"source", source}});
+}
+
+std::vector<const ReplicaEntry*> Gateway::Impl::LimitedReplicas(
+    const ServingRequest& request) const {
+  const TimeUs now = output->Now();
+  std::vector<const ReplicaEntry*> limited;
+  for (const ReplicaEntry* it : directory->Of(request.service)) {
+    if (replica_rate_limiter.IsRateLimited(now, *it) &&
+        std::find(request.tried.begin(), request.tried.end(), it->id) ==
+            request.tried.end()) {
+      limited.push_back(it);
+    }
+  }
+  return limited;
+}
+
+// A cold replica has a turn again within a second. At replicas that state a
+// limit, the requests that already wait come first.
+std::optional<TimeUs> Gateway::Impl::NextTurn(const ServingRequest& request) {
+  const TimeUs now = output->Now();
+  std::vector<TimeUs> turns;
+  for (const ReplicaEntry* it : LimitedReplicas(request)) {
+    if (!replica_rate_limiter.StatesLimit(*it)) {
+      return now;
+    }
+    const auto next = replica_rate_limiter.NextTurns(now, *it);
+    turns.insert(turns.end(), next.begin(), next.end());
+  }
+  std::sort(turns.begin(), turns.end());
+  std::size_t ahead = 0;
+  for (const auto& [priority, received_at, id] : awaiting_limited_replica) {
+    const ServingRequest* other = FindByExchange(id);
+    const bool before = std::tie(priority, received_at) <
+                        std::tie(request.priority, request.received_at);
+    ahead += other != nullptr && before && other->service == request.service;
+  }
+  return ahead < turns.size() ? std::optional(turns[ahead]) : std::nullopt;
+}
+
+bool Gateway::Impl::HasNoTurn(const ServingRequest& request,
+                              LocalReply* refusal) {
+  const auto& replicas = directory->Of(request.service);
+  const bool all_state_limits = std::all_of(
+      replicas.begin(), replicas.end(), [&](const ReplicaEntry* it) {
+        return replica_rate_limiter.StatesLimit(*it);
+      });
+  if (replicas.empty() || !all_state_limits) {
+    return false;
+  }
+  // Stages that have to run first leave time for a turn to come.
+  const TimeUs now = output->Now();
+  const TimeUs latest =
+      now + std::max(kMaxLimitedReplicaWait, request.progress.TimeLeft());
+  const auto turn = NextTurn(request);
+  if (turn && *turn <= std::min(latest, request.first_response_by)) {
+    return false;
+  }
+  *refusal = NoTurn(request, turn);
+  return true;
+}
+
+// Another gateway may have a part of the limits that is free. Without another
+// one, the client is told when this gateway's part is.
+LocalReply Gateway::Impl::NoTurn(const ServingRequest& request,
+                                 std::optional<TimeUs> turn) {
+  const TimeUs now = output->Now();
+  const DurationUs wait = turn && gateway_count == 1
+                              ? std::max<DurationUs>(*turn - now, kMillisecond)
+                              : kRetryElsewhereDelay;
+  return {Refusal::kFull, Verdict::kNotRun, wait,
+          StrCat("the replicas of ", request.service,
+                 " state limits, next turn in ",
+                 turn ? (*turn - now) / kMillisecond : -1, " ms")};
+}
+
+// When every replica of a service is limited, each accepts only a few requests
+// a second. If the excess requests were refused, they would all be retried at
+// the same time; instead they wait here in order until a replica accepts the
+// next one.
+void Gateway::Impl::AwaitLimitedReplica(ServingRequest* request) {
+  if (request->awaits_limited_replica) {
+    return;
+  }
+  request->awaits_limited_replica = true;
+  awaiting_limited_replica.emplace(request->priority, request->received_at,
+                                   request->id);
+  log->Write("awaits_cold", {{"id", request->call.id},
+                             {"service", request->service},
+                             {"waiting", awaiting_limited_replica.size()}});
+  SetExpiry(request, std::min(request->first_response_by,
+                              output->Now() + kMaxLimitedReplicaWait));
+}
+
+void Gateway::Impl::RetryAwaitingLimited() {
+  // A copy, because sending may end requests.
+  const auto waiting = awaiting_limited_replica;
+  // Services whose replicas accept no more requests.
+  std::set<std::string> full;
+  for (const auto& [priority, received_at, id] : waiting) {
+    ServingRequest* request = FindByExchange(id);
+    if (request == nullptr || full.contains(request->service)) {
+      continue;
+    }
+    const ReplicaEntry* replica = ChooseReplica(request);
+    if (replica == nullptr) {
+      full.insert(request->service);
+      continue;
+    }
+    awaiting_limited_replica.erase({priority, received_at, id});
+    request->awaits_limited_replica = false;
+    SetExpiry(request, request->stream_begun ? request->deadline_at
+                                             : request->first_response_by);
+    SendTo(request, *replica);
+  }
+}
+
+}  // namespace acaciachute
