--- a/src/coordination/choice/plain_choice.h
+++ b/src/coordination/choice/plain_choice.h
@@ -56,10 +56,6 @@
   void OnEnded(const ReplicaId& replica, TimeUs sent_at);
   // The replica was removed or restarted.
   void OnReplicaRemoved(const ReplicaId& replica);
-  // Typical recent answer time over all replicas; a basis for hedging.
-  DurationUs TypicalAnswerTime() const {
-    return static_cast<DurationUs>(typical_answer_time_);
-  }
 
  private:
   struct State {
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -286,7 +286,6 @@
     } else if (!closed_by_peer_ && stream_->unsent() > 0 && input_.empty()) {
       // The server answered before it had read the whole request. It may still
       // read, so the rest of the body is sent before the connection is closed.
-      closing_ = true;
       stream_->FinishWriting();
       idle_since_ = Loop::Now();
     } else {
@@ -344,7 +343,6 @@
   bool head_delivered_ = false;
   bool discarding_ = false;
   bool closed_by_peer_ = false;
-  bool closing_ = false;
 
   friend struct HttpChannels::Impl;
 };
