--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -138,7 +138,8 @@
   for (const auto& it : route.split) {
     sum += it.weight;
   }
-  std::uint64_t draw = random->Below(sum);
+  // Without weights, the first service gets all.
+  std::uint64_t draw = sum > 0 ? random->Below(sum) : 0;
   for (const auto& it : route.split) {
     if (draw < it.weight) {
       return it.service;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -121,6 +121,20 @@
   EXPECT_FALSE(rig.fresh.can_check_keys());
 }
 
+// Guards against a draw among no weights.
+TEST(GatewayTest, ARouteWithoutWeightsGoesToItsFirstService) {
+  GatewayRig rig;
+  rig.AddReplica("r1", "app");
+  auto config = GatewayRig::Config(2);
+  Route route = *config->FindRoute("h.example", "/plain/x");
+  route.split = {{"app", 0}, {"engine", 0}};
+  config->AddRoute(route);
+  rig.core.OnConfig(config);
+  rig.Call("plain");
+  ASSERT_EQ(rig.sent.size(), 1U);
+  EXPECT_EQ(rig.sent[0].replica, ReplicaId("r1"));
+}
+
 TEST(GatewayTest, KnowsRoutesAndKeys) {
   GatewayRig rig;
   rig.AddReplica("r1", "app");
