Count the end of each call with pieces for the replica it was sent to

Found when reading the change again: a call that the batcher had given up (overdue, lost, its replica's answer too late) was not found by its id when it ended, so at a replica that states a limit its turn was never over. The end of a call names its replica now, and the look-up by id is gone.

--- a/src/coordination/stages/local_piece_dispatcher.cc
+++ b/src/coordination/stages/local_piece_dispatcher.cc
@@ -85,13 +85,6 @@
   return it == batchers_.end() ? 0 : it->second->MemoryShareInUse();
 }
 
-std::optional<ReplicaId> LocalPieceDispatcher::ReplicaOf(
-    const std::string& service,
-    BatchId id) const {
-  const auto it = batchers_.find(service);
-  return it == batchers_.end() ? std::nullopt : it->second->ReplicaOf(id);
-}
-
 void LocalPieceDispatcher::OnCallEnd(TimeUs now,
                                      const std::string& service,
                                      BatchId id,
--- a/src/coordination/stages/local_piece_dispatcher.h
+++ b/src/coordination/stages/local_piece_dispatcher.h
@@ -34,9 +34,6 @@
   // See `PieceBatcher::MemoryShareInUse`.
   double MemoryShareInUse(const std::string& service) const;
 
-  // The replica that a call in progress was sent to.
-  std::optional<ReplicaId> ReplicaOf(const std::string& service,
-                                     BatchId id) const;
   void OnCallEnd(TimeUs now,
                  const std::string& service,
                  BatchId id,
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -104,12 +104,6 @@
   }
 }
 
-std::optional<ReplicaId> PieceBatcher::ReplicaOf(BatchId id) const {
-  const auto it = calls_.find(id);
-  return it == calls_.end() ? std::nullopt
-                            : std::optional(it->second.call.replica);
-}
-
 void PieceBatcher::Dispatch(TimeUs now) {
   if (waiting_.empty()) {
     return;
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -73,7 +73,9 @@
   Kind kind = Kind::kBroken;
   std::string why;                   // Reason if `kind` is not `kAnswered`.
   std::vector<PieceResult> results;  // In the order of the pieces.
-  // What the replica's answer states, if there was one.
+  // The replica that the call was sent to, and what its answer states, if there
+  // was one.
+  ReplicaId replica = {};
   std::optional<StatedRate> rate = std::nullopt;
 };
 
@@ -165,10 +167,6 @@
   // changes.
   void OnTick(TimeUs now);
 
-  // The replica that a call in progress was sent to; empty if there is no such
-  // call.
-  std::optional<ReplicaId> ReplicaOf(BatchId id) const;
-
   bool Idle() const { return pieces_.empty() && calls_.empty(); }
   std::size_t waiting() const { return waiting_.size(); }
   QueueWait ExpectedWait(TimeUs now) const;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -368,8 +368,7 @@
                {"no_room", of(PieceOutcome::kOutOfMemory)},
                {"failed", of(PieceOutcome::kFailed)}});
   }
-  const auto called = batchers.ReplicaOf(service, id);
-  const ReplicaEntry* replica = called ? directory.Find(*called) : nullptr;
+  const ReplicaEntry* replica = directory.Find(end.replica);
   if (replica != nullptr && end.rate) {
     gateway->OnStatedRate(replica->id, *end.rate);
   }
