--- a/src/coordination/stages/local_piece_dispatcher.h
+++ b/src/coordination/stages/local_piece_dispatcher.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "coordination/stages/piece_batcher.h"
