Log that replicas state in their answers that they leave

Nothing read the field, so the logs could not tell the hypotheses apart: whether an answer said so, when, and what this gateway believed of the replica then. What a replica states has one type now (ReplicaStatement), read by one function from the head of any answer: plain, stream, call with pieces, release of results, refusal. Limits on its load come the same way, at the head of a call with pieces instead of its end, also if the call then breaks. New: leaving_stated, statement_unreadable (in place of rate_limit_unreadable), and in request lines chosen_ms, which tells a choice made before the statement from one made after it.

Leaving decides nothing yet. Test changes: the limit is handed over in the new type; PieceCallsTest asserts that the statement names its replica, too.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -129,6 +129,10 @@
        {"tried", request->tried.size()},
        {"list_ms", request->attempt.replica_list_age / kMillisecond},
        {"connect_ms", request->attempt.connect_time / kMillisecond},
+       {"chosen_ms",
+        request->tried.empty()
+            ? -1
+            : (request->attempt.sent_at - request->received_at) / kMillisecond},
        {"admitted", Name(request->admission)},
        {"expected_wait_ms", request->expected_wait / kMillisecond},
        {"stages_ms", request->stage_times},
@@ -241,6 +245,7 @@
     return;
   }
   impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
+  impl_->stated_leaving.erase(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
     choice->OnReplicaRemoved(replica.id);
@@ -294,8 +299,9 @@
   }
 }
 
-void Gateway::OnStatedRate(const ReplicaId& replica, const StatedRate& rate) {
-  impl_->OnStatedRate(replica, rate);
+void Gateway::OnStatement(const ReplicaId& replica,
+                          const ReplicaStatement& statement) {
+  impl_->OnStatement(replica, statement, "");
 }
 
 void Gateway::OnReplicaHead(CallId id, ReplicaHead head) {
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -175,10 +175,10 @@
   // byte of the request was sent.
   void OnReplicaFailed(CallId id, bool sent, std::string_view why);
   void OnPiece(const PieceResult& result);
-  // A replica's answer to a call with pieces states a limit on its load, or
-  // none.
-  void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
-  // Another gateway received such an answer.
+  // What a replica states in its answer to a call with pieces or to a release
+  // of results.
+  void OnStatement(const ReplicaId& replica, const ReplicaStatement& statement);
+  // Another gateway received an answer with this limit.
   void OnPeerStatement(const ReplicaRateStatement& statement);
 
   // Refuses new streams from now on, because they may outlast this process,
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -91,12 +91,7 @@
 }
 
 void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
-  // An answer that does not prove to be the replica's own says nothing about
-  // it, but a limit is better kept once too often.
-  const bool from_replica = head.sealed || head.not_run;
-  if (!head.other_replica && (from_replica || head.rate.per_second)) {
-    OnStatedRate(request->attempt.replica.id, head.rate);
-  }
+  OnStatement(request->attempt.replica.id, head.statement, request->call.id);
   request->attempt.head = std::move(head);
   ReportArrival(request);
 }
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/config_freshness.h"
@@ -220,9 +221,15 @@
   void EndAttempt(ServingRequest* request);
   void CancelAttempt(ServingRequest* request);
 
+  // gateway_statements.cc
+  // `request`: id of the request that was answered, for the log; empty: a call
+  // with pieces or a release of results.
+  void OnStatement(const ReplicaId& replica,
+                   const ReplicaStatement& statement,
+                   std::string_view request);
+  void OnLeavingStated(const ReplicaId& replica, std::string_view request);
+
   // gateway_turns.cc
-  // A replica's answer states a limit on its load, or none.
-  void OnStatedRate(const ReplicaId& replica, const StatedRate& rate);
   void LogRateLimit(const ReplicaId& replica, std::string_view source);
   // The replicas of the request's service whose rate is limited now and that
   // were not tried yet.
@@ -264,6 +271,8 @@
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
   ReplicaRateLimiter replica_rate_limiter;
+  // Replicas whose answers stated that they leave, while they are listed.
+  absl::flat_hash_set<ReplicaId> stated_leaving;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/coordination/gateway/gateway_turns.cc
+++ b/src/coordination/gateway/gateway_turns.cc
@@ -1,5 +1,5 @@
-// Replicas whose rate is limited: what they state, and the requests that wait
-// for a turn at one of them.
+// Replicas whose rate is limited, and the requests that wait for a turn at one
+// of them.
 #include <algorithm>
 #include <tuple>
 
@@ -8,17 +8,6 @@
 
 namespace acaciachute {
 
-void Gateway::Impl::OnStatedRate(const ReplicaId& replica,
-                                 const StatedRate& rate) {
-  if (!rate.unreadable.empty()) {
-    log->Write("rate_limit_unreadable",
-               {{"replica", replica.name}, {"value", rate.unreadable}});
-  } else if (replica_rate_limiter.statements().OnAnswer(output->Now(), replica,
-                                                        rate.per_second)) {
-    LogRateLimit(replica, "answer");
-  }
-}
-
 void Gateway::Impl::LogRateLimit(const ReplicaId& replica,
                                  std::string_view source) {
   const auto limit = replica_rate_limiter.statements().LimitOf(replica);
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -40,7 +40,6 @@
 #include "state/piece.h"
 #include "state/replica_directory.h"
 #include "state/serving_config.h"
-#include "state/stated_rate.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -73,10 +72,7 @@
   Kind kind = Kind::kBroken;
   std::string why;                   // Reason if `kind` is not `kAnswered`.
   std::vector<PieceResult> results;  // In the order of the pieces.
-  // The replica that the call was sent to, and what its answer states, if there
-  // was one.
-  ReplicaId replica = {};
-  std::optional<StatedRate> rate = std::nullopt;
+  ReplicaId replica = {};            // That the call was sent to.
 };
 
 class PieceBatcherOutput {
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -91,12 +91,14 @@
       readiness_handler(this),
       readiness(&readiness_handler, loop_in),
       channels(loop_in),
-      pieces(&channels,
-             [this](const std::string& service,
-                    BatchId id,
-                    const PieceCallEnd& end) {
-               OnPieceCallEnd(service, id, end);
-             }),
+      pieces(
+          &channels,
+          [this](const std::string& service,
+                 BatchId id,
+                 const PieceCallEnd& end) { OnPieceCallEnd(service, id, end); },
+          [this](const ReplicaId& replica, const ReplicaStatement& statement) {
+            gateway->OnStatement(replica, statement);
+          }),
       directory(this),
       evacuations(&directory, &metrics, &log),
       incarnation(RandomSeed()),
@@ -369,9 +371,6 @@
                {"failed", of(PieceOutcome::kFailed)}});
   }
   const ReplicaEntry* replica = directory.Find(end.replica);
-  if (replica != nullptr && end.rate) {
-    gateway->OnStatedRate(replica->id, *end.rate);
-  }
   if (replica != nullptr) {
     if (end.kind == PieceCallEnd::Kind::kUnreached) {
       gateway->rate_limiter()->OnNotSent(*replica);
@@ -402,6 +401,13 @@
   pieces.Run(call);
 }
 
+void GatewayNode::Impl::ReleaseAt(const Address& replica,
+                                  const std::vector<std::string>& handles) {
+  const ReplicaEntry* producer = directory.ProducerOf(handles.front());
+  pieces.ReleaseResults(producer != nullptr ? producer->id : ReplicaId(),
+                        replica, handles);
+}
+
 GatewayNode::GatewayNode(const HostSettings& settings, Loop* loop)
     : impl_(std::make_unique<Impl>(settings, loop)) {}
 GatewayNode::~GatewayNode() = default;
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -187,9 +187,7 @@
     dispatcher.OnLocalPiece(result);
   }
   void ReleaseAt(const Address& replica,
-                 const std::vector<std::string>& handles) override {
-    pieces.ReleaseResults(replica, handles);
-  }
+                 const std::vector<std::string>& handles) override;
   void OnInputsRead(const std::vector<std::string>& handles) override {
     dispatcher.ReleaseResults(handles);
   }
--- a/src/state/client_request.h
+++ b/src/state/client_request.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "state/http_fields.h"
-#include "state/stated_rate.h"
+#include "state/replica_statement.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -55,7 +55,7 @@
   // Requests at the replica, if its answer reports them.
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
-  StatedRate rate;
+  ReplicaStatement statement;
 
   bool ok() const { return status >= 200 && status < 300; }
 };
--- /dev/null
+++ b/src/state/replica_statement.h
@@ -0,0 +1,29 @@
+// What a replica states about itself in an answer, whatever was asked.
+#ifndef ACACIACHUTE_SRC_STATE_REPLICA_STATEMENT_H_
+#define ACACIACHUTE_SRC_STATE_REPLICA_STATEMENT_H_
+
+#include <optional>
+#include <vector>
+
+#include "state/http_fields.h"
+
+namespace acaciachute {
+
+struct ReplicaStatement {
+  // The answer proves to be the replica's own, so what it does not state does
+  // not apply. An answer without proof may come from something between.
+  bool proven = false;
+  // The replica is about to end and wants no new requests.
+  bool leaving = false;
+  // Requests per second that the replica accepts from all gateways together;
+  // not set if it states no limit.
+  std::optional<double> max_rate;
+  // It states a limit that cannot be read, so the one known before stays.
+  bool max_rate_unreadable = false;
+  // Fields whose values cannot be read, for the log. They change nothing.
+  std::vector<HttpField> unreadable;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_SRC_STATE_REPLICA_STATEMENT_H_
--- a/tests/gateway/replica_rate_test.cc
+++ b/tests/gateway/replica_rate_test.cc
@@ -10,6 +10,14 @@
 namespace acaciachute {
 namespace {
 
+// The replica states this limit in an answer.
+void StateRate(GatewayRig* rig, const ReplicaId& replica, double max_rate) {
+  ReplicaStatement statement;
+  statement.proven = true;
+  statement.max_rate = max_rate;
+  rig->core.OnStatement(replica, statement);
+}
+
 // Guards against a replica in need that gets more requests than it has stated
 // to accept, because gateways do not read its limit or each use all of it.
 TEST(StatedRateTest, FleetsOfAnySizeKeepTheLimitOfAReplicaInSum) {
@@ -104,7 +112,7 @@
 TEST(StatedRateTest, ANewIncarnationHasNoLimit) {
   GatewayRig rig;
   rig.AddReplica(ReplicaId("e0", 1), "engine");
-  rig.core.OnStatedRate(ReplicaId("e0", 1), {1.0, ""});
+  StateRate(&rig, ReplicaId("e0", 1), 1.0);
   rig.AddReplica(ReplicaId("e0", 2), "engine");
   const auto& statements = rig.core.rate_limiter()->statements();
   EXPECT_FALSE(statements.LimitOf(ReplicaId("e0", 2)));
@@ -122,7 +130,7 @@
 TEST(StatedRateTest, BothLimitsHoldForAColdReplica) {
   GatewayRig rig;
   rig.AddReplica("e0", "engine", "a", rig.now + 60 * kSecond);
-  rig.core.OnStatedRate("e0", {0.5, ""});
+  StateRate(&rig, "e0", 0.5);
   for (int n = 0; n < 20; ++n) {
     rig.Call("stream");
   }
@@ -136,7 +144,7 @@
 TEST(StatedRateTest, WhatHasNoTurnIsRefusedAtOnce) {
   GatewayRig rig;
   rig.AddReplica("e0", "engine");
-  rig.core.OnStatedRate("e0", {1.0, ""});
+  StateRate(&rig, "e0", 1.0);
   std::vector<ExchangeId> calls(8);
   for (ExchangeId& it : calls) {
     it = rig.Call("stream");
@@ -150,7 +158,7 @@
   // The turns come again four seconds after the answers.
   for (const auto& it : std::vector(rig.sent)) {
     rig.core.OnReplicaHead(it.call, GatewayRig::Head());
-    rig.core.OnStatedRate("e0", {1.0, ""});
+    StateRate(&rig, "e0", 1.0);
   }
   rig.Pass(3 * kSecond);
   const ExchangeId waits = rig.Call("stream");
--- a/tests/platform/piece_calls_test.cc
+++ b/tests/platform/piece_calls_test.cc
@@ -38,17 +38,24 @@
   Replica replica(&loop);
   HttpChannels channels(&loop);
   std::optional<PieceCallEnd> end;
-  PieceCalls calls(&channels,
-                   [&](const std::string&, BatchId, const PieceCallEnd& it) {
-                     end = it;
-                     loop.Quit();
-                   });
+  std::optional<ReplicaStatement> statement;
+  PieceCalls calls(
+      &channels,
+      [&](const std::string&, BatchId, const PieceCallEnd& it) {
+        end = it;
+        loop.Quit();
+      },
+      [&](const ReplicaId& from, const ReplicaStatement& it) {
+        EXPECT_EQ(from, ReplicaId("m0", 3));
+        statement = it;
+      });
   PieceCall call;
   call.id = 7;
   call.replica = ReplicaId("m0", 3);
   call.pieces.resize(1);
   for (const bool listening : {true, false}) {
     end.reset();
+    statement.reset();
     call.address = listening ? replica.address : FreeAddress();
     calls.Run(call);
     loop.Run();
@@ -56,7 +63,7 @@
     EXPECT_EQ(end->replica, call.replica);
     EXPECT_EQ(end->kind, listening ? PieceCallEnd::Kind::kAnswered
                                    : PieceCallEnd::Kind::kUnreached);
-    EXPECT_EQ(end->rate.has_value(), listening);
+    EXPECT_EQ(statement.has_value(), listening);
   }
 }
 
