--- a/src/coordination/gateway/gateway_statements.cc
+++ b/src/coordination/gateway/gateway_statements.cc
@@ -17,11 +17,11 @@
   if (statement.leaving) {
     OnLeavingStated(replica, request);
   }
-  const bool states_rate =
-      statement.max_rate || (statement.proven && !statement.max_rate_unreadable);
+  const bool states_rate = statement.max_rate ||
+                           (statement.proven && !statement.max_rate_unreadable);
   if (states_rate && directory->Find(replica) != nullptr &&
-      replica_rate_limiter.statements().OnAnswer(
-                         output->Now(), replica, statement.max_rate)) {
+      replica_rate_limiter.statements().OnAnswer(output->Now(), replica,
+                                                 statement.max_rate)) {
     LogRateLimit(replica, "answer");
   }
 }
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -65,6 +65,9 @@
   if (!rate_limit_.empty()) {
     fields.push_back({"Server-Limit", rate_limit_});
   }
+  if (leaving_) {
+    fields.push_back({"Server-Leaving", "1"});
+  }
   return fields;
 }
 
@@ -77,7 +80,7 @@
   if (!expected.empty() && expected != id_) {
     listener_.Reply(id, kWrongReplica, NotRun(attempt), "");
   } else if (head.target == "/stage-free") {
-    listener_.Reply(id, kOk, {}, "");
+    listener_.Reply(id, kOk, FieldsOf({}), "");
   } else if (head.target == "/stage-run" && calls_.size() >= kMaxQueuedCalls) {
     arrivals_.push_back(Loop::Now());
     listener_.Reply(id, kFull, FieldsOf(NotRun("")), "");
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -41,6 +41,8 @@
   void SetSlowdownFactor(int factor) { slowdown_factor_ = factor; }
   // States this limit on its load in all answers; empty: none.
   void SetRateLimit(std::string limit) { rate_limit_ = std::move(limit); }
+  // States in all answers that it leaves.
+  void SetLeaving(bool leaving) { leaving_ = leaving; }
   // Times at which requests and calls with pieces arrived.
   const std::vector<TimeUs>& arrivals() const { return arrivals_; }
   // Simulates a crash and restart: breaks every connection, drops all work, and
@@ -81,6 +83,7 @@
   std::set<ExchangeId> open_;
   std::deque<StageCall> calls_;
   std::string rate_limit_;
+  bool leaving_ = false;
   std::vector<TimeUs> arrivals_;
   int next_result_ = 0;
   int answers_to_lose_ = 0;
