Send nothing to a replica after an answer says that it leaves

Callers' requests reached engines 11 to 12 s after an answer, passed on by the same gateway, had said that they leave. Cause: only the row in the store made a replica leave; the field of the answer was read by nothing.

ReplicaDirectory now takes the statement for the incarnation that made it. It outlives a vanished row, an older one and, for 120 s, the entry, also where rows name no start of the incarnation. Requests and calls whose connection is still being made are recalled; what waits is refused at once when the last replica of its service leaves. Other gateways are told by heartbeats (32 latest first-hand statements with age), so frames have version 8.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -10,7 +10,7 @@
 Gateway::Impl::Impl(GatewayOptions options_in,
                     GatewayOutput* output_in,
                     PieceDispatcher* dispatcher_in,
-                    const ReplicaDirectory* directory_in,
+                    ReplicaDirectory* directory_in,
                     Random* random_in,
                     Metrics* metrics_in,
                     EventLog* log_in)
@@ -181,7 +181,7 @@
 Gateway::Gateway(GatewayOptions options,
                  GatewayOutput* output,
                  PieceDispatcher* dispatcher,
-                 const ReplicaDirectory* directory,
+                 ReplicaDirectory* directory,
                  Random* random,
                  Metrics* metrics,
                  EventLog* log)
@@ -241,11 +241,16 @@
 
 void Gateway::OnReplica(const ReplicaEntry& replica, DirectoryChange change) {
   const bool restarted = change == DirectoryChange::kRestarted;
+  if (change == DirectoryChange::kLeaving) {
+    impl_->RecallUnsent(replica.id, "the replica leaves");
+    if (impl_->directory->Of(replica.service).empty()) {
+      impl_->RefuseUnservable();
+    }
+  }
   if (!restarted && change != DirectoryChange::kRemoved) {
     return;
   }
   impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
-  impl_->stated_leaving.erase(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
     choice->OnReplicaRemoved(replica.id);
@@ -256,20 +261,7 @@
 }
 
 void Gateway::OnEvacuated() {
-  std::vector<ExchangeId> waiting;
-  for (const auto& [id, request] : impl_->requests) {
-    if (request->attempt.call == 0) {
-      waiting.push_back(id);
-    }
-  }
-  for (const ExchangeId id : waiting) {
-    // Refusing a request may end others, so each is looked up again.
-    ServingRequest* request = impl_->FindByExchange(id);
-    LocalReply refusal;
-    if (request != nullptr && impl_->HasNoReplica(*request, &refusal)) {
-      impl_->Refuse(request, std::move(refusal));
-    }
-  }
+  impl_->RefuseUnservable();
 }
 
 void Gateway::OnCall(ExchangeId id, ClientRequest call) {
@@ -409,6 +401,14 @@
   }
 }
 
+void Gateway::OnPeerStatement(const ReplicaLeavingStatement& statement) {
+  impl_->LearnLeaving({statement.replica, statement.incarnation},
+                      {"gateway", "", statement.age});
+}
+
+const LeavingStatements& Gateway::leaving_statements() const {
+  return impl_->leaving_statements;
+}
 ReplicaRateLimiter* Gateway::rate_limiter() {
   return &impl_->replica_rate_limiter;
 }
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "coordination/choice/engine_choice.h"
+#include "coordination/choice/leaving_statements.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/piece_dispatcher.h"
@@ -86,6 +87,9 @@
   // through `Gateway::OnReplica...`.
   virtual CallId Send(const AttemptRequest& attempt_request) = 0;
   virtual void Cancel(CallId id) = 0;
+  // Cancels the call if no byte of its request was sent, and returns whether it
+  // did. Otherwise the call continues.
+  virtual bool CancelIfUnsent(CallId id) = 0;
   // Stops or resumes reading the replica's answer.
   virtual void SetReading(CallId id, bool reading) = 0;
 };
@@ -137,7 +141,7 @@
   Gateway(GatewayOptions options,
           GatewayOutput* output,
           PieceDispatcher* dispatcher,
-          const ReplicaDirectory* directory,
+          ReplicaDirectory* directory,
           Random* random,
           Metrics* metrics,
           EventLog* log);
@@ -178,8 +182,9 @@
   // What a replica states in its answer to a call with pieces or to a release
   // of results.
   void OnStatement(const ReplicaId& replica, const ReplicaStatement& statement);
-  // Another gateway received an answer with this limit.
+  // Another gateway received an answer with this statement.
   void OnPeerStatement(const ReplicaRateStatement& statement);
+  void OnPeerStatement(const ReplicaLeavingStatement& statement);
 
   // Refuses new streams from now on, because they may outlast this process,
   // which is shutting down. Called once load balancers have had time to notice
@@ -203,6 +208,8 @@
   void SetPeerCanCheckKeys(bool can_check_keys);
   EngineChoice* engines();
   ReplicaRateLimiter* rate_limiter();
+  // Replicas that stated in answers to this gateway that they leave.
+  const LeavingStatements& leaving_statements() const;
   // The retry budget of a service; the stage pieces of that service share it.
   ServiceRetryBudget* RetryBudgetOf(const std::string& service);
   // Whether any configuration was received.
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -271,9 +271,8 @@
   }
   const bool said_not_run =
       attempt.head && (attempt.head->not_run || attempt.head->other_replica);
-  if (!sent && !request->attempt.arrival_reported) {
-    request->attempt.arrival_reported = true;
-    replica_rate_limiter.OnNotSent(attempt.replica);
+  if (!sent) {
+    ReportNotSent(request);
   }
   EndAttempt(request);
   if (!sent || said_not_run) {
@@ -283,18 +282,22 @@
   }
 }
 
-// A replica may crash while it is unreachable and restart under the same name.
-// Nothing closes the connections to the old incarnation then, so requests sent
-// to it would wait until their deadlines. The old incarnation may have run
-// them, but will never answer them.
-void Gateway::Impl::FailAttemptsAt(const ReplicaId& replica) {
+std::vector<CallId> Gateway::Impl::CallsAt(const ReplicaId& replica) const {
   std::vector<CallId> calls;
   for (const auto& [call, request] : by_call) {
     if (request->attempt.replica.id == replica) {
       calls.push_back(call);
     }
   }
-  for (const CallId call : calls) {
+  return calls;
+}
+
+// A replica may crash while it is unreachable and restart under the same name.
+// Nothing closes the connections to the old incarnation then, so requests sent
+// to it would wait until their deadlines. The old incarnation may have run
+// them, but will never answer them.
+void Gateway::Impl::FailAttemptsAt(const ReplicaId& replica) {
+  for (const CallId call : CallsAt(replica)) {
     // Failing an earlier call may have ended this call's request.
     if (ServingRequest* request = FindByCall(call)) {
       output->Cancel(call);
@@ -311,6 +314,14 @@
   }
 }
 
+void Gateway::Impl::ReportNotSent(ServingRequest* request) {
+  Attempt& attempt = request->attempt;
+  if (!attempt.arrival_reported) {
+    attempt.arrival_reported = true;
+    replica_rate_limiter.OnNotSent(attempt.replica);
+  }
+}
+
 // Ends the current call and updates the load and the limits of its replica.
 void Gateway::Impl::EndAttempt(ServingRequest* request) {
   Attempt& attempt = request->attempt;
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -13,7 +13,6 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/config_freshness.h"
@@ -130,7 +129,7 @@
   Impl(GatewayOptions options_in,
        GatewayOutput* output_in,
        PieceDispatcher* dispatcher_in,
-       const ReplicaDirectory* directory_in,
+       ReplicaDirectory* directory_in,
        Random* random_in,
        Metrics* metrics_in,
        EventLog* log_in);
@@ -211,13 +210,17 @@
   void OnBody(ServingRequest* request, std::string_view bytes);
   void OnEnd(ServingRequest* request);
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
+  std::vector<CallId> CallsAt(const ReplicaId& replica) const;
   void FailAttemptsAt(const ReplicaId& replica);
   void PassEvents(ServingRequest* request, std::string_view events);
   void FinishPlainAnswer(ServingRequest* request);
   void OnNotRun(ServingRequest* request);
   void OnMayHaveRun(ServingRequest* request, std::string_view why);
   bool MayRetry(const ServingRequest& request) const;
+  // Report to the rate limiter that the request arrived, or that no byte of it
+  // was sent.
   void ReportArrival(ServingRequest* request);
+  void ReportNotSent(ServingRequest* request);
   void EndAttempt(ServingRequest* request);
   void CancelAttempt(ServingRequest* request);
 
@@ -227,7 +230,16 @@
   void OnStatement(const ReplicaId& replica,
                    const ReplicaStatement& statement,
                    std::string_view request);
-  void OnLeavingStated(const ReplicaId& replica, std::string_view request);
+  // Where a statement came from, for the log.
+  struct StatementSource {
+    std::string_view kind;     // "answer" or "gateway".
+    std::string_view request;  // Id of the request that was answered, if any.
+    DurationUs age = 0;
+  };
+  LeavingOutcome LearnLeaving(const ReplicaId& replica,
+                              const StatementSource& source);
+  void RecallUnsent(const ReplicaId& replica, std::string_view why);
+  void RefuseUnservable();
 
   // gateway_turns.cc
   void LogRateLimit(const ReplicaId& replica, std::string_view source);
@@ -256,7 +268,7 @@
   GatewayOptions options;
   GatewayOutput* const output;
   PieceDispatcher* const dispatcher;
-  const ReplicaDirectory* const directory;
+  ReplicaDirectory* const directory;
   Random* const random;
   Metrics* const metrics;
   EventLog* const log;
@@ -271,8 +283,7 @@
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
   ReplicaRateLimiter replica_rate_limiter;
-  // Replicas whose answers stated that they leave, while they are listed.
-  absl::flat_hash_set<ReplicaId> stated_leaving;
+  LeavingStatements leaving_statements;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/coordination/gateway/gateway_statements.cc
+++ b/src/coordination/gateway/gateway_statements.cc
@@ -1,5 +1,9 @@
-// What replicas state about themselves in their answers.
+// What replicas state about themselves in their answers, and what follows for
+// requests that were to be sent to them.
+#include <utility>
+
 #include "coordination/gateway/gateway_impl.h"
+#include "text.h"
 
 namespace acaciachute {
 
@@ -14,8 +18,9 @@
                                         {"field", it.name},
                                         {"value", it.value}});
   }
-  if (statement.leaving) {
-    OnLeavingStated(replica, request);
+  if (statement.leaving &&
+      LearnLeaving(replica, {"answer", request, 0}) != LeavingOutcome::kKnown) {
+    leaving_statements.OnAnswer(output->Now(), replica);
   }
   const bool states_rate = statement.max_rate ||
                            (statement.proven && !statement.max_rate_unreadable);
@@ -28,21 +33,60 @@
 
 // Logged once per incarnation: a replica that leaves says so in all its
 // answers.
-void Gateway::Impl::OnLeavingStated(const ReplicaId& replica,
-                                    std::string_view request) {
-  if (!stated_leaving.insert(replica).second) {
-    return;
+LeavingOutcome Gateway::Impl::LearnLeaving(const ReplicaId& replica,
+                                           const StatementSource& source) {
+  const TimeUs now = output->Now();
+  const LeavingOutcome outcome = directory->OnLeavingStated(now, replica);
+  if (outcome != LeavingOutcome::kKnown) {
+    metrics->Count("acaciachute_gateway_leaving_stated_total", source.kind);
+    log->Write("leaving_stated",
+               {{"replica", replica.name},
+                {"life", replica.incarnation},
+                {"source", source.kind},
+                {"id", source.request},
+                {"age_ms", source.age / kMillisecond},
+                {"outcome", Name(outcome)},
+                {"list_ms", directory->Age(now) / kMillisecond}});
+  }
+  return outcome;
+}
+
+// Requests whose connection to the replica is still being made go elsewhere.
+void Gateway::Impl::RecallUnsent(const ReplicaId& replica,
+                                 std::string_view why) {
+  for (const CallId call : CallsAt(replica)) {
+    // Sending one request elsewhere may have ended this call's request.
+    ServingRequest* request = FindByCall(call);
+    if (request == nullptr || !output->CancelIfUnsent(call)) {
+      continue;
+    }
+    log->Write(
+        "recalled",
+        {{"id", request->call.id}, {"replica", replica.name}, {"why", why}});
+    ReportNotSent(request);
+    EndAttempt(request);
+    std::erase(request->tried, replica);
+    StartAttempt(request);
+  }
+}
+
+// Requests that are not at a replica yet and cannot be served any more would
+// wait until their clients disconnect.
+void Gateway::Impl::RefuseUnservable() {
+  std::vector<ExchangeId> waiting;
+  for (const auto& [id, request] : requests) {
+    if (request->attempt.call == 0) {
+      waiting.push_back(id);
+    }
+  }
+  for (const ExchangeId id : waiting) {
+    // Refusing a request may end others, so each is looked up again.
+    ServingRequest* request = FindByExchange(id);
+    LocalReply refusal;
+    if (request != nullptr && HasNoReplica(*request, &refusal)) {
+      Refuse(request, std::move(refusal));
+    }
   }
-  const ReplicaEntry* entry = directory->Find(replica);
-  metrics->Count("acaciachute_gateway_leaving_stated_total");
-  log->Write("leaving_stated",
-             {{"replica", replica.name},
-              {"life", replica.incarnation},
-              {"source", "answer"},
-              {"id", request},
-              {"listed", entry != nullptr},
-              {"listed_leaving", entry != nullptr && entry->leaving},
-              {"list_ms", directory->Age(output->Now()) / kMillisecond}});
 }
 
 }  // namespace acaciachute
--- a/src/coordination/tables/freshness_plan.h
+++ b/src/coordination/tables/freshness_plan.h
@@ -12,6 +12,8 @@
 #ifndef ACACIACHUTE_SRC_COORDINATION_TABLES_FRESHNESS_PLAN_H_
 #define ACACIACHUTE_SRC_COORDINATION_TABLES_FRESHNESS_PLAN_H_
 
+#include <algorithm>
+
 #include "types.h"
 
 namespace acaciachute {
@@ -19,6 +21,9 @@
 struct FreshnessPlan {
   // Period of the check whether a table is too old.
   static constexpr DurationUs kAgeCheckPeriod = 10 * kMillisecond;
+  // Upper limit of `Connect`. A healthy replica accepts a connection within a
+  // few ms; after this time a retry at another one is faster.
+  static constexpr DurationUs kMaxConnectTime = 200 * kMillisecond;
 
   // Age of a table from which a gateway asks the store itself.
   DurationUs store_request_age = 0;
@@ -44,7 +49,9 @@
   DurationUs settle_delay = 0;
 
   // Share of `dispatch_time` for connecting.
-  DurationUs Connect() const { return dispatch_time / 2; }
+  DurationUs Connect() const {
+    return std::min(kMaxConnectTime, dispatch_time / 2);
+  }
   // Age up to which a gateway acts on what it has although something newer is
   // known to exist. The time for the transfer and for reading it is part of
   // `store_answer_time`; a change that takes longer, which no time limit can
@@ -55,6 +62,13 @@
   // Longest time from the store's acknowledgement of a change until a gateway
   // that reaches the store no longer acts on the state before it.
   DurationUs WorstCaseStaleness() const { return MaxUseAge() + dispatch_time; }
+  // Longest time from when a gateway receives an answer in which a replica
+  // states that it leaves, until nothing of that gateway reaches the replica
+  // any more, whether the gateway reaches the store or not. Requests whose
+  // connection is still being made are recalled and nothing is chosen for the
+  // replica from then on, so no wait of this gateway counts, only the way of
+  // what was sent before.
+  DurationUs StatementDelay() const { return dispatch_time - Connect(); }
   // Longest time from when a gateway can reach the store again until it has the
   // store's current state.
   DurationUs RecoveryTime() const {
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -14,9 +14,6 @@
 namespace acaciachute {
 namespace {
 
-// Timeout of a connection attempt to a replica. A healthy replica accepts
-// within a few ms; after this time a retry at another one is faster.
-constexpr DurationUs kConnectTimeout = 200 * kMillisecond;
 // Period of `Tick`.
 constexpr DurationUs kTickPeriod = 10 * kMillisecond;
 // Period of checks whether the host settings file has changed.
@@ -338,7 +335,7 @@
   if (!attempt.may_repeat) {
     options.max_idle_time = kMaxIdleForUnrepeatable;
   }
-  options.connect = std::min(kConnectTimeout, replicas.plan.Connect());
+  options.connect = replicas.plan.Connect();
   options.max_kept = attempt.max_idle_connections;
   return channels.Start(attempt.address, platform::WriteAttemptRequest(attempt),
                         options, this);
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -124,6 +124,9 @@
   std::size_t Unsent(ExchangeId id) override { return clients.Unsent(id); }
   CallId Send(const AttemptRequest& attempt) override;
   void Cancel(CallId id) override { channels.Cancel(id); }
+  bool CancelIfUnsent(CallId id) override {
+    return channels.CancelIfUnsent(id);
+  }
   void SetReading(CallId id, bool reading) override {
     channels.SetReading(id, reading);
   }
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -82,6 +82,7 @@
   heartbeat.domain = settings.domain;
   heartbeat.waits = dispatcher.OwnQueueWaits(now);
   heartbeat.rates = gateway->rate_limiter()->statements().Latest(now);
+  heartbeat.leaving_replicas = gateway->leaving_statements().Latest(now);
   for (const auto& [replica, load] : gateway->engines()->own_loads()) {
     heartbeat.work.push_back(
         {replica.name, replica.incarnation, load.running, load.unread_tokens});
@@ -143,6 +144,9 @@
   for (const ReplicaRateStatement& it : heartbeat->rates) {
     gateway->OnPeerStatement(it);
   }
+  for (const ReplicaLeavingStatement& it : heartbeat->leaving_replicas) {
+    gateway->OnPeerStatement(it);
+  }
   dispatcher.OnPeerQueueWaits(heartbeat->waits);
 }
 
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -253,9 +253,13 @@
                         {"address", AddressText(replica.address)}});
   gateway->OnReplica(replica, change);
   const bool restarted = change == DirectoryChange::kRestarted;
-  if (restarted || change == DirectoryChange::kRemoved) {
+  const bool leaving = change == DirectoryChange::kLeaving;
+  if (restarted || leaving || change == DirectoryChange::kRemoved) {
     channels.DropIdle(replica.address);
   }
+  if (leaving) {
+    pieces.CancelUnsentAt(replica.id, "the replica leaves");
+  }
   if (change == DirectoryChange::kRemoved) {
     batchers.OnReplicaRemoved(Now(), replica);
   } else if (restarted) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -216,6 +216,13 @@
   DurationUs age = 0;
 };
 
+// A replica that stated in an answer to the sender that it leaves.
+struct ReplicaLeavingStatement {
+  std::string replica;
+  Incarnation incarnation = 0;
+  DurationUs age = 0;  // Since the first such answer.
+};
+
 // Gateway to gateway, over UDP: periodic heartbeat with the sender's work in
 // progress and queue waits.
 struct GatewayHeartbeat {
@@ -235,6 +242,7 @@
   std::vector<EngineWork> work;
   std::vector<ServiceQueueWait> waits;
   std::vector<ReplicaRateStatement> rates;
+  std::vector<ReplicaLeavingStatement> leaving_replicas;
 };
 
 // Gateway to the gateway that batches a service's pieces: tasks to run.
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -118,9 +118,13 @@
   a(v.replica, v.incarnation, v.limited, v.per_second, v.age);
 }
 template <class A>
+void serialize(A& a, ReplicaLeavingStatement& v) {
+  a(v.replica, v.incarnation, v.age);
+}
+template <class A>
 void serialize(A& a, GatewayHeartbeat& v) {
   a(v.address, v.leaving, v.can_check_keys, v.config_version, v.cores, v.domain,
-    v.period, v.requests_reply, v.work, v.waits, v.rates);
+    v.period, v.requests_reply, v.work, v.waits, v.rates, v.leaving_replicas);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
@@ -189,7 +193,7 @@
 
 // "AC", the version of the frame format, which changes with the layout of any
 // message, and a reserved byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 7, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 8, 0};
 constexpr std::size_t kHmacSize = 32;  // HMAC-SHA-256.
 constexpr std::size_t kMinFrameBytes = kFramePrefixSize + kHmacSize;
 
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -1,6 +1,7 @@
 #include "state/replica_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "address_text.h"
 
@@ -17,14 +18,15 @@
 
 bool ReplicaDirectory::ApplyEnded(ReplicaEntry* entry) const {
   const auto it = ended_.find(entry->id.name);
-  if (it == ended_.end() || entry->id.incarnation == 0) {
+  if (it == ended_.end()) {
     return false;
   }
   const EndedIncarnation& ended = it->second;
   entry->leaving =
       entry->leaving ||
       (entry->id.incarnation == ended.incarnation && ended.announced_leaving);
-  return entry->id.incarnation < ended.incarnation;
+  return entry->id.incarnation != 0 &&
+         entry->id.incarnation < ended.incarnation;
 }
 
 void ReplicaDirectory::Insert(const ReplicaEntry& entry) {
@@ -133,6 +135,36 @@
   Erase(now, it);
 }
 
+LeavingOutcome ReplicaDirectory::OnLeavingStated(TimeUs now,
+                                                 const ReplicaId& id) {
+  const auto it = entries_.find(id.name);
+  if (it != entries_.end() && it->second.entry.id == id) {
+    return MarkLeaving(&it->second);
+  }
+  if (it != entries_.end() &&
+      it->second.entry.id.incarnation > id.incarnation) {
+    return LeavingOutcome::kKnown;
+  }
+  EndedIncarnation& ended = ended_[id.name];
+  if (ended.incarnation > id.incarnation) {
+    return LeavingOutcome::kKnown;
+  }
+  const bool known =
+      ended.incarnation == id.incarnation && ended.announced_leaving;
+  ended = {id.incarnation, true, now};
+  return known ? LeavingOutcome::kKnown : LeavingOutcome::kNotListed;
+}
+
+LeavingOutcome ReplicaDirectory::MarkLeaving(Row* row) {
+  if (row->entry.leaving) {
+    return LeavingOutcome::kKnown;
+  }
+  row->entry.leaving = true;
+  UpdateEligible(row);
+  watcher_->OnReplica(row->entry, DirectoryChange::kLeaving);
+  return LeavingOutcome::kLearned;
+}
+
 void ReplicaDirectory::Replace(TimeUs now,
                                const std::vector<ReplicaEntry>& entries,
                                const std::vector<std::string>& unreadable) {
@@ -275,7 +307,7 @@
   RemoveFromIndexes(&it->second);
   retained_.erase(entry.id.name);
   entries_.erase(it);
-  if (entry.id.incarnation != 0) {
+  if (entry.id.incarnation != 0 || entry.leaving) {
     ended_[entry.id.name] = {entry.id.incarnation, entry.leaving, now};
   }
   watcher_->OnReplica(entry, DirectoryChange::kRemoved);
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -11,6 +11,11 @@
 // store fails to answer a request of this host; at other times a removed row
 // means that the replica left.
 //
+// Leaving: a replica states that it leaves in its row or in an answer
+// (`OnLeavingStated`), and it never takes that back. An incarnation that has
+// stated it gets no new work, whatever its row says later, and is remembered
+// after its entry was removed: its last row may come back after an outage.
+//
 // Restarts: a replica may start again under the same name. Its new incarnation
 // must get work even if the previous one was leaving, and requests must not
 // wait for results, cached prompt parts or answers of the previous incarnation.
@@ -97,6 +102,19 @@
   return detail::NameIn(kDirectoryChangeNames, v);
 }
 
+// What became of a statement in an answer that a replica leaves.
+enum class LeavingOutcome {
+  kLearned,
+  kKnown,  // Known already, or that incarnation has ended.
+  // The incarnation is not listed. If it is listed again, it is leaving.
+  kNotListed,
+};
+inline constexpr std::array<std::string_view, 3> kLeavingOutcomeNames = {
+    "learned", "known", "not_listed"};
+constexpr std::string_view Name(LeavingOutcome v) {
+  return detail::NameIn(kLeavingOutcomeNames, v);
+}
+
 // Receives the changes of a directory's entries.
 class DirectoryWatcher {
  public:
@@ -111,8 +129,9 @@
   // of the store. The platform states about two seconds.
   static constexpr DurationUs kRelistTime = 2 * kSecond;
 
-  // Ended incarnations are remembered for this time, so that a row which is
-  // read late does not add one again. Much longer than the store's history.
+  // Ended incarnations, and unlisted ones that stated that they leave, are
+  // remembered for this time, so that a row which is read late does not add one
+  // again. Much longer than the store's history.
   static constexpr DurationUs kEndedRetention = 120 * kSecond;
 
   explicit ReplicaDirectory(DirectoryWatcher* watcher) : watcher_(watcher) {}
@@ -123,6 +142,8 @@
   // the row does not show that the replica ended.
   void PutUnreadable(const std::string& name);
   void Remove(TimeUs now, const std::string& name);
+  // An answer of this incarnation states that it leaves.
+  LeavingOutcome OnLeavingStated(TimeUs now, const ReplicaId& id);
   // Replaces the complete list: rows that are neither in `entries` nor in
   // `unreadable` were removed.
   void Replace(TimeUs now,
@@ -195,12 +216,14 @@
 
   // Compares a row with the last ended incarnation of its name. Returns true if
   // `entry` is of an earlier incarnation. Marks `entry` as leaving if it is of
-  // that ended incarnation and that incarnation had announced that it leaves.
+  // that ended incarnation, or of the same unknown one, and that incarnation
+  // had announced that it leaves.
   bool ApplyEnded(ReplicaEntry* entry) const;
   // Inserts or replaces the entry of that name.
   void Insert(const ReplicaEntry& entry);
   void NotifyAdded(const ReplicaEntry& entry);
   void Update(Row* row, const ReplicaEntry& entry);
+  LeavingOutcome MarkLeaving(Row* row);
   void Restart(const ReplicaEntry& known, const ReplicaEntry& entry);
   void Erase(TimeUs now, Rows::iterator it);
   // A row's service, address and incarnation may change only while the row is
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -197,6 +197,7 @@
 
   const Address& address() const { return address_; }
   CallId id() const { return id_; }
+  bool sent() const { return sent_; }
 
  private:
   void SendPending() {
@@ -424,6 +425,15 @@
   }
 }
 
+bool HttpChannels::CancelIfUnsent(CallId id) {
+  const auto it = impl_->calls.find(id);
+  if (it == impl_->calls.end() || it->second->sent()) {
+    return false;
+  }
+  impl_->Remove(it->second);
+  return true;
+}
+
 void HttpChannels::SetReading(CallId id, bool reading) {
   const auto it = impl_->calls.find(id);
   if (it != impl_->calls.end()) {
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -97,6 +97,9 @@
                CallSink* sink);
   // Closes the call's connection. No callback follows.
   void Cancel(CallId id);
+  // The same, if no byte of the request was sent. Returns whether the call was
+  // cancelled.
+  bool CancelIfUnsent(CallId id);
   // Pauses or resumes reading the answer.
   void SetReading(CallId id, bool reading);
   // Closes the idle connections to an address, whose process has ended.
--- a/tests/gateway/freshness_test.cc
+++ b/tests/gateway/freshness_test.cc
@@ -391,6 +391,8 @@
   const FreshnessPlan plan = PlanFreshness(bound, recovery_bound);
   RC_ASSERT(plan.WorstCaseStaleness() <= bound);
   RC_ASSERT(plan.RecoveryTime() <= recovery_bound);
+  RC_ASSERT(plan.StatementDelay() < bound);
+  RC_ASSERT(plan.Connect() <= plan.dispatch_time / 2);
   // A working store never exceeds the time limit, and a failing one is detected
   // in time.
   RC_ASSERT(plan.store_answer_time < plan.store_timeout);
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -183,6 +184,13 @@
     return last_call;
   }
   void Cancel(CallId id) override { cancelled.push_back(id); }
+  bool CancelIfUnsent(CallId id) override {
+    if (connecting.erase(id) == 0) {
+      return false;
+    }
+    Cancel(id);
+    return true;
+  }
   void SetReading(CallId id, bool reading) override { paused[id] = !reading; }
 
   // PieceDispatcher:
@@ -223,6 +231,8 @@
   std::vector<ExchangeId> ended;
   std::vector<ExchangeId> broken;
   std::vector<Sent> sent;
+  // Calls whose connections are still being made; set by the test.
+  std::set<CallId> connecting;
   std::vector<CallId> cancelled;
   std::map<CallId, bool> paused;
   std::vector<PieceTask> tasks;
--- a/tests/gateway/replica_directory_test.cc
+++ b/tests/gateway/replica_directory_test.cc
@@ -192,5 +192,49 @@
   EXPECT_EQ(rig.directory.ProducerOf("10.0.0.1:80/x")->id.name, "a-foreign");
 }
 
+// Guards against a replica without a start in its row that said in an answer
+// that it leaves, and gets work again when its last row comes back after an
+// outage. Its entry is not kept as in an outage.
+TEST(ReplicaDirectoryTest, RemembersThatAnUnlistedReplicaLeaves) {
+  DirectoryRig rig;
+  TimeUs now = 100 * kSecond;
+  rig.directory.Put(DirectoryRig::Entry("r"));
+  rig.directory.OnStoreLost(now);
+  EXPECT_EQ(rig.directory.OnLeavingStated(now, "r"), LeavingOutcome::kLearned);
+  EXPECT_EQ(rig.directory.OnLeavingStated(now, "r"), LeavingOutcome::kKnown);
+  EXPECT_EQ(rig.changes.back(), "r leaving");
+  rig.directory.Remove(now, "r");
+  EXPECT_EQ(rig.changes.back(), "r gone");
+  EXPECT_EQ(rig.directory.OnLeavingStated(now, "r"), LeavingOutcome::kKnown);
+  rig.directory.Put(DirectoryRig::Entry("r"));
+  EXPECT_FALSE(rig.directory.TakesWork("r"));
+  rig.directory.Remove(now, "r");
+  now += ReplicaDirectory::kEndedRetention + 2 * kSecond;
+  rig.directory.OnTick(now);
+  rig.directory.Put(DirectoryRig::Entry("r"));
+  EXPECT_TRUE(rig.directory.TakesWork("r"));
+}
+
+// Guards against statements of an ended incarnation that speak for the present
+// one, or that are taken for news again and again.
+TEST(ReplicaDirectoryTest, TakesNoStatementOfAnEndedIncarnation) {
+  DirectoryRig rig;
+  const TimeUs now = 100 * kSecond;
+  rig.directory.Put(DirectoryRig::Entry({"r", 5}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 6}));
+  EXPECT_EQ(rig.directory.OnLeavingStated(now, {"r", 5}),
+            LeavingOutcome::kKnown);
+  EXPECT_TRUE(rig.directory.TakesWork({"r", 6}));
+  rig.directory.Remove(now, "r");
+  EXPECT_EQ(rig.directory.OnLeavingStated(now, {"r", 5}),
+            LeavingOutcome::kKnown);
+  EXPECT_EQ(rig.directory.OnLeavingStated(now, {"r", 7}),
+            LeavingOutcome::kNotListed);
+  rig.directory.Put(DirectoryRig::Entry({"r", 7}));
+  EXPECT_FALSE(rig.directory.TakesWork({"r", 7}));
+  rig.directory.Put(DirectoryRig::Entry({"r", 8}));
+  EXPECT_TRUE(rig.directory.TakesWork({"r", 8}));
+}
+
 }  // namespace
 }  // namespace acaciachute
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -260,6 +260,36 @@
   }
 }
 
+// Guards against a request that is sent on a connection made for a replica that
+// wants none any more; one that was sent goes on.
+TEST(HttpChannelsTest, CancelsWhatWasNotSentYet) {
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) {
+    peer->stream->Write(kMatchingAnswer);
+  };
+  HttpChannels channels(&loop);
+  Sink cancelled;
+  const CallId connecting =
+      channels.Start(server.address, Get(), {}, &cancelled);
+  EXPECT_TRUE(channels.CancelIfUnsent(connecting));
+  EXPECT_FALSE(channels.CancelIfUnsent(connecting));
+  Sink first;
+  channels.Start(server.address, Get(), {}, &first);
+  RunUntil(&loop, [&] { return first.over(); });
+  Sink second;
+  const CallId reuses = channels.Start(server.address, Get(), {}, &second);
+  EXPECT_FALSE(channels.CancelIfUnsent(reuses));
+  RunUntil(&loop, [&] { return second.over(); });
+  EXPECT_EQ(second.body, "ok");
+  EXPECT_FALSE(cancelled.over());
+  std::size_t requests = 0;
+  for (const auto& it : server.peers) {
+    requests += it->received.empty() ? 0 : 1;
+  }
+  EXPECT_EQ(requests, 1U);
+}
+
 TEST(HttpChannelsTest, ReportsWhenARequestLeftOnANewConnection) {
   struct Connecting : Sink {
     void OnConnected(CallId) override { ++connected; }
--- a/tests/platform/piece_calls_test.cc
+++ b/tests/platform/piece_calls_test.cc
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "tests/soak/loopback.h"
 #include "transport/http_listener.h"
@@ -67,5 +68,82 @@
   }
 }
 
+// Guards against statements that are heard at the end of an answered call only:
+// a release of results, a refused call and one whose answer breaks off count.
+TEST(PieceCallsTest, EachAnswerStatesSomething) {
+  struct Leaving : Replica {
+    using Replica::Replica;
+    void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
+      const HttpFields fields = {{"Server-Leaving", "1"}};
+      if (head.target == "/stage-free") {
+        listener.Reply(id, 200, fields, "");
+      } else if (++calls == 1) {
+        listener.Reply(id, 503, {{"Not-Executed", "1"}, fields[0]}, "");
+      } else {
+        listener.BeginStream(id, 200, fields);
+        listener.Break(id);
+      }
+    }
+    int calls = 0;
+  };
+  Loop loop;
+  Leaving replica(&loop);
+  HttpChannels channels(&loop);
+  std::vector<PieceCallEnd::Kind> ends;
+  int leaving = 0;
+  PieceCalls calls(
+      &channels,
+      [&](const std::string&, BatchId, const PieceCallEnd& it) {
+        ends.push_back(it.kind);
+        loop.Quit();
+      },
+      [&](const ReplicaId& from, const ReplicaStatement& it) {
+        EXPECT_EQ(from, ReplicaId("m0", 3));
+        leaving += it.leaving;
+        if (ends.size() == 2) {
+          loop.Quit();
+        }
+      });
+  PieceCall call;
+  call.id = 7;
+  call.replica = ReplicaId("m0", 3);
+  call.address = replica.address;
+  call.pieces.resize(1);
+  for (const int n : {1, 2}) {
+    calls.Run(call);
+    loop.Run();
+    EXPECT_EQ(leaving, n);
+  }
+  using Kind = PieceCallEnd::Kind;
+  EXPECT_EQ(ends, (std::vector<Kind>{Kind::kRefused, Kind::kBroken}));
+  calls.ReleaseResults(call.replica, call.address, {"h"});
+  loop.Run();
+  EXPECT_EQ(leaving, 3);
+}
+
+// Guards against a batch that is sent to a replica which has stated meanwhile
+// that it leaves, because the connection for it was still being made.
+TEST(PieceCallsTest, EndsCallsThatAreNotSentYet) {
+  Loop loop;
+  Replica replica(&loop);
+  HttpChannels channels(&loop);
+  std::optional<PieceCallEnd> end;
+  PieceCalls calls(
+      &channels,
+      [&](const std::string&, BatchId, const PieceCallEnd& it) { end = it; },
+      [](const ReplicaId&, const ReplicaStatement&) {});
+  PieceCall call;
+  call.id = 7;
+  call.replica = ReplicaId("m0", 3);
+  call.address = replica.address;
+  call.pieces.resize(1);
+  calls.Run(call);
+  calls.CancelUnsentAt(ReplicaId("m0", 2), "another incarnation leaves");
+  EXPECT_FALSE(end);
+  calls.CancelUnsentAt(ReplicaId("m0", 3), "the replica leaves");
+  ASSERT_TRUE(end);
+  EXPECT_EQ(end->kind, PieceCallEnd::Kind::kUnreached);
+}
+
 }  // namespace
 }  // namespace acaciachute::platform
--- a/tests/process/leaving_test.cc
+++ b/tests/process/leaving_test.cc
@@ -70,9 +70,8 @@
   }
   SendFor(&loop, &world, 2 * kSecond);
   for (const StandinReplica* it : leaving) {
-    EXPECT_EQ(std::count_if(
-                  it->arrivals().begin(), it->arrivals().end(),
-                  [&](TimeUs at) { return at > told_at + kBound; }),
+    EXPECT_EQ(std::count_if(it->arrivals().begin(), it->arrivals().end(),
+                            [&](TimeUs at) { return at > told_at + kBound; }),
               0)
         << it->id();
   }
