Log that replicas turn requests away, and for how long they want rest

The logs had the status of a refusal, not whether it asked for rest. Nothing is decided by it yet.

No functional change

--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -236,6 +236,10 @@
     std::string_view request;  // Id of the request that was answered, if any.
     DurationUs age = 0;
   };
+  // The replica turned a request away.
+  void OnRefusal(const ReplicaId& replica,
+                 const ReplicaStatement& statement,
+                 std::string_view request);
   LeavingOutcome LearnLeaving(const ReplicaId& replica,
                               const StatementSource& source);
   void RecallUnsent(const ReplicaId& replica, std::string_view why);
--- a/src/coordination/gateway/gateway_statements.cc
+++ b/src/coordination/gateway/gateway_statements.cc
@@ -22,6 +22,9 @@
       LearnLeaving(replica, {"answer", request, 0}) != LeavingOutcome::kKnown) {
     leaving_statements.OnAnswer(output->Now(), replica);
   }
+  if (statement.refused) {
+    OnRefusal(replica, statement, request);
+  }
   const bool states_rate = statement.max_rate ||
                            (statement.proven && !statement.max_rate_unreadable);
   if (states_rate && directory->Find(replica) != nullptr &&
@@ -31,6 +34,19 @@
   }
 }
 
+void Gateway::Impl::OnRefusal(const ReplicaId& replica,
+                              const ReplicaStatement& statement,
+                              std::string_view request) {
+  metrics->Count("acaciachute_gateway_replica_refusals_total",
+                 statement.rest ? "asks_for_rest" : "asks_for_none");
+  log->Write(
+      "replica_refused",
+      {{"replica", replica.name},
+       {"life", replica.incarnation},
+       {"id", request},
+       {"rest_ms", statement.rest ? *statement.rest / kMillisecond : -1}});
+}
+
 // Logged once per incarnation: a replica that leaves says so in all its
 // answers.
 LeavingOutcome Gateway::Impl::LearnLeaving(const ReplicaId& replica,
--- a/src/state/replica_statement.h
+++ b/src/state/replica_statement.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "state/http_fields.h"
+#include "types.h"
 
 namespace acaciachute {
 
@@ -20,6 +21,10 @@
   std::optional<double> max_rate;
   // It states a limit that cannot be read, so the one known before stays.
   bool max_rate_unreadable = false;
+  // The replica turned the request away because it is short of capacity.
+  bool refused = false;
+  // How long it wants nothing more from this gateway. Set only if it refused.
+  std::optional<DurationUs> rest;
   // Fields whose values cannot be read, for the log. They change nothing.
   std::vector<HttpField> unreadable;
 };
