--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -81,6 +81,12 @@
     listener_.Reply(id, kWrongReplica, NotRun(attempt), "");
   } else if (head.target == "/stage-free") {
     listener_.Reply(id, kOk, FieldsOf({}), "");
+  } else if (!rest_.empty()) {
+    arrivals_.push_back(Loop::Now());
+    refusals_.push_back(Loop::Now());
+    HttpFields fields = FieldsOf(NotRun(attempt));
+    fields.push_back({"Retry-After", rest_});
+    listener_.Reply(id, kFull, fields, "");
   } else if (head.target == "/stage-run" && calls_.size() >= kMaxQueuedCalls) {
     arrivals_.push_back(Loop::Now());
     listener_.Reply(id, kFull, FieldsOf(NotRun("")), "");
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -43,6 +43,11 @@
   void SetRateLimit(std::string limit) { rate_limit_ = std::move(limit); }
   // States in all answers that it leaves.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
+  // Turns all requests and calls away and asks for this rest, in seconds;
+  // empty: serves.
+  void SetRest(std::string rest) { rest_ = std::move(rest); }
+  // Times at which requests and calls were turned away so.
+  const std::vector<TimeUs>& refusals() const { return refusals_; }
   // Times at which requests and calls with pieces arrived.
   const std::vector<TimeUs>& arrivals() const { return arrivals_; }
   // Simulates a crash and restart: breaks every connection, drops all work, and
@@ -84,6 +89,8 @@
   std::deque<StageCall> calls_;
   std::string rate_limit_;
   bool leaving_ = false;
+  std::string rest_;
+  std::vector<TimeUs> refusals_;
   std::vector<TimeUs> arrivals_;
   int next_result_ = 0;
   int answers_to_lose_ = 0;
