--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -61,12 +61,13 @@
   listener_.CloseIdle();
 }
 
-HttpFields StandinReplica::FieldsOf(HttpFields fields) const {
+HttpFields StandinReplica::FieldsOf(HttpFields fields) {
   if (!rate_limit_.empty()) {
     fields.push_back({"Server-Limit", rate_limit_});
   }
   if (leaving_) {
     fields.push_back({"Server-Leaving", "1"});
+    first_stated_leaving_at_ = first_stated_leaving_at_.value_or(Loop::Now());
   }
   return fields;
 }
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -43,6 +44,10 @@
   void SetRateLimit(std::string limit) { rate_limit_ = std::move(limit); }
   // States in all answers that it leaves.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
+  // When the first such answer was made.
+  std::optional<TimeUs> first_stated_leaving_at() const {
+    return first_stated_leaving_at_;
+  }
   // Turns all requests and calls away and asks for this rest, in seconds;
   // empty: serves.
   void SetRest(std::string rest) { rest_ = std::move(rest); }
@@ -72,7 +77,7 @@
   };
 
   // `fields` with those that all answers of this replica have.
-  HttpFields FieldsOf(HttpFields fields) const;
+  HttpFields FieldsOf(HttpFields fields);
   void Run(ExchangeId id, const HttpRequestHead& head);
   void SendEvent(ExchangeId id, const std::string& attempt, int next);
   void BeginStageCall();
@@ -89,6 +94,7 @@
   std::deque<StageCall> calls_;
   std::string rate_limit_;
   bool leaving_ = false;
+  std::optional<TimeUs> first_stated_leaving_at_;
   std::string rest_;
   std::vector<TimeUs> refusals_;
   std::vector<TimeUs> arrivals_;
