Send nothing to a replica while it has the rest that it asked for

Cause: nothing read Retry-After, and a refusal left no trace at the replica. One that refuses at once has nothing in progress, so it looked the least loaded and drew what others would have served, and the budget of repeats was spent on it.

ReplicaRests keeps until when each replica wants nothing; ReplicaRateLimiter, which all choices and the batcher ask, lets nothing through until then, and then by the slow start of cold replicas. The latest end counts; time or a new incarnation ends it. Requests and calls whose connection is still being made are recalled. While all replicas rest, requests that can wait do, the most urgent first, and a refused request may return to a replica after its rest; what cannot wait is refused at once. Predicted waits of stages know replicas that rest or state limits; releases of results wait. A resumed stream waits for a turn until its own deadline, no longer until that of its first event.

--- a/src/coordination/choice/replica_rate_limiter.cc
+++ b/src/coordination/choice/replica_rate_limiter.cc
@@ -56,12 +56,12 @@
   }
   const Limits* limits = LimitsOf(replica);
   return limits != nullptr &&
-         now < ColdUntil(replica, *limits) + kWarmUpDuration;
+         now < ColdUntil(replica, *limits) + SlowStart::kDuration;
 }
 
 bool ReplicaRateLimiter::IsRateLimited(TimeUs now,
                                        const ReplicaEntry& replica) const {
-  return IsCold(now, replica) || StatesLimit(replica);
+  return IsCold(now, replica) || HasTurns(now, replica);
 }
 
 std::optional<ReplicaRateLimiter::StatedLimit>
@@ -91,17 +91,15 @@
   }
   const Limits& limits = *LimitsOf(replica);
   RecentRequests& recent_requests = recent_requests_[replica.id];
-  double total = kUsableShare * limits.max_requests;
-  for (TimeUs doubling_at = ColdUntil(replica, limits); doubling_at <= now;
-       doubling_at += kLimitDoublingPeriod) {
-    total *= 2;
-  }
+  const double total =
+      kUsableShare * limits.max_requests *
+      static_cast<double>(SlowStart::Factor(now - ColdUntil(replica, limits)));
   return recent_requests.CountWithin(now, kArrivalWindow) <
          ShareOf(replica.id, &recent_requests, static_cast<std::size_t>(total));
 }
 
 bool ReplicaRateLimiter::MaySend(TimeUs now, const ReplicaEntry& replica) {
-  if (!MaySendToCold(now, replica)) {
+  if (!rests_.MaySend(now, replica.id) || !MaySendToCold(now, replica)) {
     return false;
   }
   const auto stated = StatedLimitOf(replica.id);
@@ -114,39 +112,80 @@
 }
 
 bool ReplicaRateLimiter::MaySendBatch(TimeUs now, const ReplicaEntry& replica) {
+  if (!rests_.MaySend(now, replica.id)) {
+    return false;
+  }
   const auto stated = StatedLimitOf(replica.id);
-  if (!stated) {
-    return true;
+  return !stated || recent_requests_[replica.id].CountWithin(
+                        now, stated->window) < BatchShare(*stated);
+}
+
+std::size_t ReplicaRateLimiter::BatchShare(const StatedLimit& stated) {
+  const auto share = static_cast<std::size_t>(
+      kBatchingShare * static_cast<double>(stated.max_requests));
+  return std::max<std::size_t>(1, share);
+}
+
+TimeUs ReplicaRateLimiter::NextBatch(TimeUs now, const ReplicaEntry& replica) {
+  TimeUs next = now;
+  if (!rests_.MaySend(now, replica.id)) {
+    next = rests_.NextTurns(now, replica.id).front();
   }
-  const auto part = static_cast<std::size_t>(
-      kBatchingShare * static_cast<double>(stated->max_requests));
-  return recent_requests_[replica.id].CountWithin(now, stated->window) <
-         std::max<std::size_t>(1, part);
+  const auto stated = StatedLimitOf(replica.id);
+  const auto it = recent_requests_.find(replica.id);
+  if (!stated || it == recent_requests_.end()) {
+    return next;
+  }
+  const auto& arrivals = it->second.arrival_times;
+  const std::size_t share = BatchShare(*stated);
+  if (it->second.CountWithin(now, stated->window) < share) {
+    return next;
+  }
+  // A call in transit counts as if it arrived now.
+  const std::size_t waits_for = arrivals.size() + it->second.in_transit - share;
+  return std::max(next,
+                  (waits_for < arrivals.size() ? arrivals[waits_for] : now) +
+                      stated->window);
 }
 
 // When a request in transit will arrive is not known; it counts as if it
 // arrived now. More requests than this gateway's part may be there if the limit
 // was lowered, so only the last ones count.
-std::vector<TimeUs> ReplicaRateLimiter::NextTurns(TimeUs now,
-                                                  const ReplicaEntry& replica) {
-  const auto stated = StatedLimitOf(replica.id);
-  if (!stated) {
-    return {};
-  }
+std::vector<TimeUs> ReplicaRateLimiter::StatedTurns(TimeUs now,
+                                                    const ReplicaEntry& replica,
+                                                    const StatedLimit& stated) {
   RecentRequests& recent_requests = recent_requests_[replica.id];
-  recent_requests.DropArrivalsBefore(now - stated->window);
+  recent_requests.DropArrivalsBefore(now - stated.window);
   const std::size_t share =
-      ShareOf(replica.id, &recent_requests, stated->max_requests);
-  const std::size_t used = recent_requests.CountWithin(now, stated->window);
+      ShareOf(replica.id, &recent_requests, stated.max_requests);
+  const std::size_t used = recent_requests.CountWithin(now, stated.window);
   std::vector<TimeUs> turns(used < share ? share - used : 0, now);
   for (const TimeUs it : recent_requests.arrival_times) {
-    turns.push_back(it + stated->window);
+    turns.push_back(it + stated.window);
   }
-  turns.resize(std::max(turns.size(), share), now + stated->window);
+  turns.resize(std::max(turns.size(), share), now + stated.window);
   turns.erase(turns.begin(), turns.end() - static_cast<std::ptrdiff_t>(share));
   return turns;
 }
 
+// A replica that rests and states a limit has a turn when both allow it.
+std::vector<TimeUs> ReplicaRateLimiter::NextTurns(TimeUs now,
+                                                  const ReplicaEntry& replica) {
+  std::vector<TimeUs> rest_turns;
+  if (rests_.IsLimited(now, replica.id)) {
+    rest_turns = rests_.NextTurns(now, replica.id);
+  }
+  const auto stated = StatedLimitOf(replica.id);
+  if (!stated) {
+    return rest_turns;
+  }
+  std::vector<TimeUs> turns = StatedTurns(now, replica, *stated);
+  for (std::size_t n = 0; n < turns.size() && n < rest_turns.size(); ++n) {
+    turns[n] = std::max(turns[n], rest_turns[n]);
+  }
+  return turns;
+}
+
 std::size_t ReplicaRateLimiter::ShareOf(const ReplicaId& replica,
                                         RecentRequests* recent_requests,
                                         std::size_t whole_requests) {
--- a/src/coordination/choice/replica_rate_limiter.h
+++ b/src/coordination/choice/replica_rate_limiter.h
@@ -1,5 +1,6 @@
 // Limits the rate of requests to a replica, summed over all gateways, while it
-// is cold or states a limit itself.
+// is cold or states a limit itself, and the requests of this gateway to a
+// replica that asked it for rest.
 //
 // A replica that has just started, or whose failure domain was just put back
 // into use, is idle while all others are busy, so every gateway would send it
@@ -22,9 +23,9 @@
 // gateways that joined a moment ago. A gateway that has just joined sends
 // nothing to limited replicas until the others know of it.
 //
-// After the cold period the limit doubles in steps until it is lifted (slow
-// start), so that the last delayed requests and the first ones at full rate do
-// not arrive together.
+// After the cold period the limit doubles in steps until it is lifted
+// (`SlowStart`), so that the last delayed requests and the first ones at full
+// rate do not arrive together.
 //
 // The pieces of a batching service are sent by one gateway for all. It uses a
 // stated limit alone, except for a share that is reserved for another gateway
@@ -41,6 +42,8 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "coordination/choice/rate_statements.h"
+#include "coordination/choice/replica_rests.h"
+#include "coordination/choice/slow_start.h"
 #include "state/host_settings.h"
 #include "state/replica_directory.h"
 #include "state/serving_config.h"
@@ -56,10 +59,6 @@
   // Share of that limit that the known gateways use; the remainder is for
   // gateways that others do not know yet.
   static constexpr double kUsableShare = 0.8;
-  // After the cold period the limit doubles every `kLimitDoublingPeriod` and is
-  // lifted after `kWarmUpDuration`.
-  static constexpr DurationUs kWarmUpDuration = kSecond;
-  static constexpr DurationUs kLimitDoublingPeriod = 250 * kMillisecond;
   // The shortest window of a stated limit, which applies to arrivals in any
   // such interval. It is longer for limits below one request per window.
   static constexpr DurationUs kStatedWindow = 4 * kSecond;
@@ -86,20 +85,26 @@
   void SetGateways(std::vector<NodeId> gateways);
 
   // Whether the rate of the replica is limited now, because it is cold, as far
-  // as known here, or still warming up, or because it states a limit.
+  // as known here, or still warming up, because it states a limit, or because
+  // it rests.
   bool IsRateLimited(TimeUs now, const ReplicaEntry& replica) const;
-  // Whether the replica states a limit.
-  bool StatesLimit(const ReplicaEntry& replica) const {
-    return StatedLimitOf(replica.id).has_value();
+  // Whether the times of the next turns at the replica are known: it states a
+  // limit or rests.
+  bool HasTurns(TimeUs now, const ReplicaEntry& replica) const {
+    return StatesLimit(replica) || rests_.IsLimited(now, replica.id);
   }
   // Whether one more request may be sent to the replica now.
   bool MaySend(TimeUs now, const ReplicaEntry& replica);
   // The same for a call of the gateway that batches for all.
   bool MaySendBatch(TimeUs now, const ReplicaEntry& replica);
+  // Time from which `MaySendBatch` holds, if no other call is sent before.
+  TimeUs NextBatch(TimeUs now, const ReplicaEntry& replica);
   // Times from which this gateway may send the next requests to a replica that
-  // states a limit, in order; empty if it has no part of the limit.
+  // has turns, in order; empty if it has no part of its limit.
   std::vector<TimeUs> NextTurns(TimeUs now, const ReplicaEntry& replica);
 
+  ReplicaRests& rests() { return rests_; }
+  const ReplicaRests& rests() const { return rests_; }
   RateStatements& statements() { return statements_; }
   const RateStatements& statements() const { return statements_; }
 
@@ -143,6 +148,15 @@
     std::uint64_t generation = 0;
   };
 
+  bool StatesLimit(const ReplicaEntry& replica) const {
+    return StatedLimitOf(replica.id).has_value();
+  }
+  // Number of calls per window that the gateway which batches may send.
+  static std::size_t BatchShare(const StatedLimit& stated);
+  // Turns by the limit that the replica states.
+  std::vector<TimeUs> StatedTurns(TimeUs now,
+                                  const ReplicaEntry& replica,
+                                  const StatedLimit& stated);
   // Null if the service has no limit for cold replicas.
   const Limits* LimitsOf(const ReplicaEntry& replica) const;
   std::optional<StatedLimit> StatedLimitOf(const ReplicaId& replica) const;
@@ -165,6 +179,7 @@
   std::uint64_t generation_ = 1;  // Increases when `gateways_` changes.
   absl::flat_hash_map<ReplicaId, RecentRequests> recent_requests_;
   RateStatements statements_;
+  ReplicaRests rests_;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -126,11 +126,11 @@
        {"config", request->config->version},
        {"replica", request->attempt.replica.id.name},
        {"runs", request->possible_runs},
-       {"tried", request->tried.size()},
+       {"tried", request->sends},
        {"list_ms", request->attempt.replica_list_age / kMillisecond},
        {"connect_ms", request->attempt.connect_time / kMillisecond},
        {"chosen_ms",
-        request->tried.empty()
+        request->sends == 0
             ? -1
             : (request->attempt.sent_at - request->received_at) / kMillisecond},
        {"admitted", Name(request->admission)},
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -24,13 +24,11 @@
 }
 
 void Gateway::Impl::StartAttempt(ServingRequest* request) {
-  const ReplicaEntry* replica = request->tried.size() < kMaxReplicasPerRequest
-                                    ? ChooseReplica(request)
-                                    : nullptr;
-  if (replica == nullptr && request->tried.size() < kMaxReplicasPerRequest &&
-      !LimitedReplicas(*request).empty()) {
+  const bool may_send = request->sends < kMaxReplicasPerRequest;
+  const ReplicaEntry* replica = may_send ? ChooseReplica(request) : nullptr;
+  if (replica == nullptr && may_send && !LimitedReplicas(*request).empty()) {
     const auto turn = NextTurn(*request);
-    if (turn && *turn <= output->Now() + kMaxLimitedReplicaWait) {
+    if (turn && *turn <= LatestTurn(*request)) {
       AwaitLimitedReplica(request);
     } else {
       Refuse(request, NoTurn(*request, turn));
@@ -41,7 +39,7 @@
     const bool listed = !directory->Of(request->service).empty();
     Refuse(request,
            {listed ? Refusal::kFull : Refusal::kNoReplica, Verdict::kNotRun, 0,
-            StrCat(request->tried.size(), " replicas asked")});
+            StrCat(request->sends, " replicas asked")});
     return;
   }
   SendTo(request, *replica);
@@ -68,7 +66,9 @@
     PlainChoiceOf(request->service).OnSent(now, replica.id);
   }
   replica_rate_limiter.OnSent(replica);
+  replica_rate_limiter.rests().OnSent(now, replica.id);
   request->tried.push_back(replica.id);
+  ++request->sends;
   request->attempt = {};
   request->attempt.replica = replica;
   request->attempt.sent_at = now;
@@ -203,7 +203,7 @@
 bool Gateway::Impl::MayRetry(const ServingRequest& request) const {
   return request.route->MayRepeat() &&
          request.possible_runs < request.route->max_attempts &&
-         request.tried.size() < kMaxReplicasPerRequest &&
+         request.sends < kMaxReplicasPerRequest &&
          output->Now() < request.deadline_at;
 }
 
@@ -218,9 +218,14 @@
                          {"status", status}});
   if (status == kConflict) {
     request->tried.clear();
+    request->sends = 0;
     RestartStages(request, "the replica found a result gone");
     return;
   }
+  if (replica_rate_limiter.rests().IsResting(output->Now(),
+                                             attempt.replica.id)) {
+    std::erase(request->tried, attempt.replica.id);
+  }
   if (attempt.head &&
       !ServiceBudget(request->service).TryUseRetries(output->Now())) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
@@ -319,6 +324,7 @@
   if (!attempt.arrival_reported) {
     attempt.arrival_reported = true;
     replica_rate_limiter.OnNotSent(attempt.replica);
+    replica_rate_limiter.rests().OnNotSent(attempt.replica.id);
   }
 }
 
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -116,7 +116,10 @@
 
   Attempt attempt;
   std::uint32_t possible_runs = 0;  // Number of attempts that may have run.
+  // Replicas that are not chosen again. One that did not run the request and
+  // rests may be, after its rest.
   std::vector<ReplicaId> tried;
+  std::size_t sends = 0;  // Attempts, but for recalled ones.
   bool awaits_limited_replica =
       false;  // See `Gateway::Impl::AwaitLimitedReplica`.
   EventSplitter events;
@@ -255,13 +258,21 @@
   // expected to accept the request; empty if there is none, or if this gateway
   // has no part of their limits.
   std::optional<TimeUs> NextTurn(const ServingRequest& request);
-  // Whether all replicas of the request's service state limits, and none of
-  // them accepts the request in time. Fills `refusal` if so.
+  // Latest turn for which the request waits.
+  TimeUs LatestTurn(const ServingRequest& request) const;
+  // Whether all replicas of the request's service state limits or rest, and
+  // none of them accepts the request in time. Fills `refusal` if so.
   bool HasNoTurn(const ServingRequest& request, LocalReply* refusal);
   LocalReply NoTurn(const ServingRequest& request, std::optional<TimeUs> turn);
   void AwaitLimitedReplica(ServingRequest* request);
   void RetryAwaitingLimited();
 
+  // When the client gives up unless the answer, or the next event of a stream
+  // that has begun, is there.
+  static TimeUs AnswerBy(const ServingRequest& request) {
+    return request.stream_begun ? request.deadline_at
+                                : request.first_response_by;
+  }
   ServingRequest* FindByExchange(ExchangeId id);
   ServingRequest* FindByCall(CallId id);
   PlainChoice& PlainChoiceOf(const std::string& service);
--- a/src/coordination/gateway/gateway_statements.cc
+++ b/src/coordination/gateway/gateway_statements.cc
@@ -45,6 +45,10 @@
        {"life", replica.incarnation},
        {"id", request},
        {"rest_ms", statement.rest ? *statement.rest / kMillisecond : -1}});
+  if (statement.rest && replica_rate_limiter.rests().OnRefused(
+                            output->Now(), replica, *statement.rest)) {
+    RecallUnsent(replica, "the replica rests");
+  }
 }
 
 // Logged once per incarnation: a replica that leaves says so in all its
--- a/src/coordination/gateway/gateway_turns.cc
+++ b/src/coordination/gateway/gateway_turns.cc
@@ -34,12 +34,12 @@
 }
 
 // A cold replica has a turn again within a second. At replicas that state a
-// limit, the requests that already wait come first.
+// limit or rest, the requests that already wait come first.
 std::optional<TimeUs> Gateway::Impl::NextTurn(const ServingRequest& request) {
   const TimeUs now = output->Now();
   std::vector<TimeUs> turns;
   for (const ReplicaEntry* it : LimitedReplicas(request)) {
-    if (!replica_rate_limiter.StatesLimit(*it)) {
+    if (!replica_rate_limiter.HasTurns(now, *it)) {
       return now;
     }
     const auto next = replica_rate_limiter.NextTurns(now, *it);
@@ -58,28 +58,43 @@
 
 bool Gateway::Impl::HasNoTurn(const ServingRequest& request,
                               LocalReply* refusal) {
+  const TimeUs now = output->Now();
   const auto& replicas = directory->Of(request.service);
-  const bool all_state_limits = std::all_of(
+  const bool all_have_turns = std::all_of(
       replicas.begin(), replicas.end(), [&](const ReplicaEntry* it) {
-        return replica_rate_limiter.StatesLimit(*it);
+        return replica_rate_limiter.HasTurns(now, *it);
       });
-  if (replicas.empty() || !all_state_limits) {
+  if (replicas.empty() || !all_have_turns) {
     return false;
   }
   // Stages that have to run first leave time for a turn to come.
-  const TimeUs now = output->Now();
   const TimeUs latest =
-      now + std::max(kMaxLimitedReplicaWait, request.progress.TimeLeft());
+      std::max(LatestTurn(request), now + request.progress.TimeLeft());
   const auto turn = NextTurn(request);
-  if (turn && *turn <= std::min(latest, request.first_response_by)) {
+  if (turn && *turn <= std::min(latest, AnswerBy(request))) {
     return false;
   }
   *refusal = NoTurn(request, turn);
   return true;
 }
 
-// Another gateway may have a part of the limits that is free. Without another
-// one, the client is told when this gateway's part is.
+// The end of a rest is known, so a request waits for it as long as it can still
+// be answered. Turns at other limited replicas are taken by whoever comes
+// first.
+TimeUs Gateway::Impl::LatestTurn(const ServingRequest& request) const {
+  const TimeUs now = output->Now();
+  const auto limited = LimitedReplicas(request);
+  const bool any_rests =
+      std::any_of(limited.begin(), limited.end(), [&](const ReplicaEntry* it) {
+        return replica_rate_limiter.rests().IsLimited(now, it->id);
+      });
+  return any_rests ? AnswerBy(request) - kEngineFirstEventTime
+                   : now + kMaxLimitedReplicaWait;
+}
+
+// Another gateway may have a part of the limits that is free, or was not asked
+// for rest. Without another one, the client is told when this gateway's next
+// turn is.
 LocalReply Gateway::Impl::NoTurn(const ServingRequest& request,
                                  std::optional<TimeUs> turn) {
   const TimeUs now = output->Now();
@@ -88,14 +103,14 @@
                               : kRetryElsewhereDelay;
   return {Refusal::kFull, Verdict::kNotRun, wait,
           StrCat("the replicas of ", request.service,
-                 " state limits, next turn in ",
+                 " state limits or rest, next turn in ",
                  turn ? (*turn - now) / kMillisecond : -1, " ms")};
 }
 
 // When every replica of a service is limited, each accepts only a few requests
-// a second. If the excess requests were refused, they would all be retried at
-// the same time; instead they wait here in order until a replica accepts the
-// next one.
+// a second, or none for now. If the excess requests were refused, they would
+// all be retried at the same time; instead they wait here in order until a
+// replica accepts the next one.
 void Gateway::Impl::AwaitLimitedReplica(ServingRequest* request) {
   if (request->awaits_limited_replica) {
     return;
@@ -106,8 +121,7 @@
   log->Write("awaits_cold", {{"id", request->call.id},
                              {"service", request->service},
                              {"waiting", awaiting_limited_replica.size()}});
-  SetExpiry(request, std::min(request->first_response_by,
-                              output->Now() + kMaxLimitedReplicaWait));
+  SetExpiry(request, std::min(AnswerBy(*request), LatestTurn(*request)));
 }
 
 void Gateway::Impl::RetryAwaitingLimited() {
@@ -127,8 +141,7 @@
     }
     awaiting_limited_replica.erase({priority, received_at, id});
     request->awaits_limited_replica = false;
-    SetExpiry(request, request->stream_begun ? request->deadline_at
-                                             : request->first_response_by);
+    SetExpiry(request, AnswerBy(*request));
     SendTo(request, *replica);
   }
 }
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -302,11 +302,16 @@
 }
 
 // Replicas in an evacuated failure domain are not contacted: their results
-// expire without a message.
-void PieceBatcher::SendReleases() {
-  for (const auto& [address, handles] : std::exchange(pending_releases_, {})) {
-    if (!replicas_.InEvacuatedDomain(handles.front())) {
+// expire without a message. Replicas that rest get theirs afterwards.
+void PieceBatcher::SendReleases(TimeUs now) {
+  for (auto& [address, handles] : std::exchange(pending_releases_, {})) {
+    if (replicas_.InEvacuatedDomain(handles.front())) {
+      continue;
+    }
+    if (output_->MayRelease(now, handles.front())) {
       output_->ReleaseAt(address, handles);
+    } else {
+      pending_releases_[address] = std::move(handles);
     }
   }
 }
@@ -559,7 +564,7 @@
     ExpireWaiting(now);
     replicas_.RemoveExpiredResults(now);
   }
-  SendReleases();
+  SendReleases(now);
   Dispatch(now);
 }
 
@@ -579,8 +584,9 @@
 }
 
 PieceBatcher::QueueSpeed PieceBatcher::CurrentQueueSpeed(TimeUs now) const {
-  const auto [replicas, time_until_free] =
-      replicas_.NextAvailability(now, kCallTimeout);
+  const auto [replicas, time_until_free] = replicas_.NextAvailability(
+      now, kCallTimeout,
+      [&](const auto& replica) { return output_->NextCall(now, replica); });
   if (replicas == 0) {
     return {};
   }
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -85,6 +85,18 @@
     static_cast<void>(replica);
     return true;
   }
+  // When it accepts the next one; `now`: at once.
+  virtual TimeUs NextCall(TimeUs now, const ReplicaEntry& replica) {
+    static_cast<void>(replica);
+    return now;
+  }
+  // Whether the replica may be sent a request to release results now. If not,
+  // the request waits.
+  virtual bool MayRelease(TimeUs now, const std::string& handle) {
+    static_cast<void>(now);
+    static_cast<void>(handle);
+    return true;
+  }
   virtual void OnPiece(const PieceResult& result) = 0;
   // Sends `replica` a request to release these results.
   virtual void ReleaseAt(const Address& replica,
@@ -221,7 +233,7 @@
   QueueSpeed CurrentQueueSpeed(TimeUs now) const;
   static DurationUs WaitBehind(const QueueSpeed& speed, std::size_t ahead);
   std::size_t ExpectedBatchSize() const;
-  void SendReleases();
+  void SendReleases(TimeUs now);
   // How long the piece waits for a replica in its preferred failure domain
   // before any replica may take it.
   static DurationUs PreferredDomainWait(TimeUs now, const Piece& piece);
--- a/src/coordination/stages/stage_replicas.cc
+++ b/src/coordination/stages/stage_replicas.cc
@@ -102,19 +102,24 @@
 
 StageReplicas::Availability StageReplicas::NextAvailability(
     TimeUs now,
-    DurationUs max_wait) const {
-  Availability first{0, max_wait};
+    DurationUs max_wait,
+    const NextCallFn& next_call) const {
+  Availability open{0, max_wait};
+  Availability closed{0, max_wait};
   for (const ReplicaEntry* it : All()) {
     if (InBackoff(now, it->id)) {
       continue;
     }
-    ++first.replicas;
     const ReplicaState* state = Find(it->id);
     const bool busy = state != nullptr && state->calls >= limits_.slots;
-    first.wait = std::min(
-        first.wait, busy ? std::max<DurationUs>(0, state->free_at - now) : 0);
+    const DurationUs until_free =
+        busy ? std::max<DurationUs>(0, state->free_at - now) : 0;
+    const DurationUs until_next = next_call(*it) - now;
+    Availability& first = until_next > 0 ? closed : open;
+    ++first.replicas;
+    first.wait = std::min(first.wait, std::max(until_free, until_next));
   }
-  return first;
+  return open.replicas > 0 ? open : closed;
 }
 
 DurationUs StageReplicas::OnCallStarted(TimeUs now,
--- a/src/coordination/stages/stage_replicas.h
+++ b/src/coordination/stages/stage_replicas.h
@@ -5,6 +5,7 @@
 #define ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_REPLICAS_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -49,10 +50,12 @@
     kLost,  // The answer was lost; the replica itself works.
   };
   struct Availability {
-    // Replicas that are not in backoff after a failure.
+    // Replicas that accept calls now or, if none does, at the earliest time.
     std::size_t replicas = 0;
     DurationUs wait = 0;  // Until the first of them is free.
   };
+  // From when a replica accepts the next call by its own statements.
+  using NextCallFn = std::function<TimeUs(const ReplicaEntry& replica)>;
 
   explicit StageReplicas(const ReplicaDirectory* directory)
       : directory_(directory) {}
@@ -72,7 +75,10 @@
   // of normal speed, though busy, would complete the `waiting` pieces sooner.
   bool ShouldUse(TimeUs now, const ReplicaEntry& replica, std::size_t waiting);
   bool InBackoff(TimeUs now, const ReplicaId& id) const;
-  Availability NextAvailability(TimeUs now, DurationUs max_wait) const;
+  // Replicas in backoff after a failure do not count.
+  Availability NextAvailability(TimeUs now,
+                                DurationUs max_wait,
+                                const NextCallFn& next_call) const;
   double Slowness(TimeUs now, const ReplicaId& id) const;
   DurationUs CallTime(double slowness, std::size_t pieces) const;
 
--- a/src/coordination/tables/freshness_plan.h
+++ b/src/coordination/tables/freshness_plan.h
@@ -63,11 +63,11 @@
   // that reaches the store no longer acts on the state before it.
   DurationUs WorstCaseStaleness() const { return MaxUseAge() + dispatch_time; }
   // Longest time from when a gateway receives an answer in which a replica
-  // states that it leaves, until nothing of that gateway reaches the replica
-  // any more, whether the gateway reaches the store or not. Requests whose
-  // connection is still being made are recalled and nothing is chosen for the
-  // replica from then on, so no wait of this gateway counts, only the way of
-  // what was sent before.
+  // states that it leaves or rests, until nothing of that gateway reaches the
+  // replica any more, whether the gateway reaches the store or not. Requests
+  // whose connection is still being made are recalled and nothing is chosen for
+  // the replica from then on, so no wait of this gateway counts, only the way
+  // of what was sent before.
   DurationUs StatementDelay() const { return dispatch_time - Connect(); }
   // Longest time from when a gateway can reach the store again until it has the
   // store's current state.
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -94,7 +94,7 @@
                  BatchId id,
                  const PieceCallEnd& end) { OnPieceCallEnd(service, id, end); },
           [this](const ReplicaId& replica, const ReplicaStatement& statement) {
-            gateway->OnStatement(replica, statement);
+            OnPieceStatement(replica, statement);
           }),
       directory(this),
       evacuations(&directory, &metrics, &log),
@@ -341,6 +341,14 @@
                         options, this);
 }
 
+void GatewayNode::Impl::OnPieceStatement(const ReplicaId& replica,
+                                         const ReplicaStatement& statement) {
+  gateway->OnStatement(replica, statement);
+  if (statement.rest) {
+    pieces.CancelUnsentAt(replica, "the replica rests");
+  }
+}
+
 // Logs calls that failed or produced only some of their pieces. A line for each
 // successful call would double the number of lines, as its start is logged.
 void GatewayNode::Impl::OnPieceCallEnd(const std::string& service,
@@ -371,6 +379,7 @@
   if (replica != nullptr) {
     if (end.kind == PieceCallEnd::Kind::kUnreached) {
       gateway->rate_limiter()->OnNotSent(*replica);
+      gateway->rate_limiter()->rests().OnNotSent(replica->id);
     } else {
       gateway->rate_limiter()->OnArrived(Now(), *replica);
     }
@@ -394,6 +403,7 @@
                            {"slowness", call.slowness}});
   if (const ReplicaEntry* it = directory.Find(call.replica)) {
     gateway->rate_limiter()->OnSent(*it);
+    gateway->rate_limiter()->rests().OnSent(Now(), it->id);
   }
   pieces.Run(call);
 }
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -178,6 +178,9 @@
   // DirectoryWatcher
   void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override;
 
+  // What a replica states in an answer to a call with pieces or to a release.
+  void OnPieceStatement(const ReplicaId& replica,
+                        const ReplicaStatement& statement);
   void OnPieceCallEnd(const std::string& service,
                       BatchId id,
                       const PieceCallEnd& end);
@@ -186,6 +189,14 @@
   bool MayCall(TimeUs now, const ReplicaEntry& replica) override {
     return gateway->rate_limiter()->MaySendBatch(now, replica);
   }
+  TimeUs NextCall(TimeUs now, const ReplicaEntry& replica) override {
+    return gateway->rate_limiter()->NextBatch(now, replica);
+  }
+  bool MayRelease(TimeUs now, const std::string& handle) override {
+    const ReplicaEntry* producer = directory.ProducerOf(handle);
+    return producer == nullptr ||
+           !gateway->rate_limiter()->rests().IsResting(now, producer->id);
+  }
   void OnPiece(const PieceResult& result) override {
     dispatcher.OnLocalPiece(result);
   }
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace acaciachute {
@@ -76,6 +77,17 @@
   }
 
   void StartCall(const PieceCall& call) override { calls.push_back(call); }
+  bool MayCall(TimeUs at, const ReplicaEntry& replica) override {
+    return at >= NextCall(at, replica);
+  }
+  TimeUs NextCall(TimeUs at, const ReplicaEntry& replica) override {
+    const auto it = closed_until.find(replica.id.name);
+    return it == closed_until.end() ? at : std::max(at, it->second);
+  }
+  bool MayRelease(TimeUs at, const std::string& handle) override {
+    const ReplicaEntry* producer = directory.ProducerOf(handle);
+    return producer == nullptr || at >= NextCall(at, *producer);
+  }
   void OnPiece(const PieceResult& result) override {
     results.push_back(result);
   }
@@ -107,6 +119,8 @@
   std::vector<std::string> freed;
   std::vector<std::string> read;
   bool short_of_memory = true;
+  // Replicas that accept no call before this time.
+  std::map<std::string, TimeUs> closed_until;
 };
 
 // Pieces of many requests arrive at once and share calls, up to the batch size.
@@ -614,5 +628,46 @@
   EXPECT_EQ(rig.results.size(), 1U);
 }
 
+// Guards against requests that are admitted and wait until they expire, because
+// the predicted wait does not know that the replicas rest or state limits. A
+// batch that one refuses goes to another.
+TEST(PieceBatcherTest, PredictsWaitsWithReplicasThatAcceptNoCalls) {
+  BatcherRig rig;
+  rig.AddReplicas(2);
+  rig.closed_until["m1"] = rig.now + 3 * kSecond;
+  rig.Add(BatcherRig::Task("r", 0));
+  EXPECT_LT(rig.batcher.ExpectedWait(rig.now).Of(1), 100 * kMs);
+  rig.batcher.Dispatch(rig.now);
+  ASSERT_EQ(rig.calls.size(), 1U);
+  EXPECT_EQ(rig.calls[0].replica, ReplicaId("m2"));
+  rig.CompleteCall(rig.calls[0]);
+  rig.closed_until["m2"] = rig.now + 2 * kSecond;
+  rig.Add(BatcherRig::Task("s", 0));
+  rig.Advance(10 * kMs);
+  EXPECT_EQ(rig.calls.size(), 1U);
+  const DurationUs wait = rig.batcher.ExpectedWait(rig.now).Of(1);
+  EXPECT_GE(wait, 1900 * kMs);
+  EXPECT_LT(wait, 2200 * kMs);
+  rig.Advance(2 * kSecond);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  EXPECT_EQ(rig.calls[1].replica, ReplicaId("m2"));
+}
+
+// Guards against a replica that asked for rest and gets requests to release
+// results; they wait and go in one message.
+TEST(PieceBatcherTest, ReleasesWaitForTheEndOfARest) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  rig.closed_until["m1"] = rig.now + kSecond;
+  rig.batcher.ReleaseResults({"10.0.0.1:80/a"});
+  rig.Advance(10 * kMs);
+  rig.batcher.ReleaseResults({"10.0.0.1:80/b"});
+  rig.Advance(10 * kMs);
+  EXPECT_TRUE(rig.freed.empty());
+  rig.Advance(kSecond);
+  EXPECT_EQ(rig.freed,
+            (std::vector<std::string>{"10.0.0.1:80/a", "10.0.0.1:80/b"}));
+}
+
 }  // namespace
 }  // namespace acaciachute
--- a/tests/gateway/replica_rate_limiter_test.cc
+++ b/tests/gateway/replica_rate_limiter_test.cc
@@ -132,8 +132,8 @@
   EXPECT_EQ(at(kSecond), 2);
   EXPECT_EQ(at(warm - 1), 2);
   EXPECT_EQ(at(warm), 4);
-  EXPECT_EQ(at(warm + ReplicaRateLimiter::kLimitDoublingPeriod), 8);
-  EXPECT_EQ(at(warm + ReplicaRateLimiter::kWarmUpDuration), 1000);
+  EXPECT_EQ(at(warm + SlowStart::kDoublingPeriod), 8);
+  EXPECT_EQ(at(warm + SlowStart::kDuration), 1000);
 }
 
 TEST(ReplicaRateLimiterTest, LeavesServicesWithoutABoundAlone) {
@@ -182,7 +182,7 @@
   }
   EXPECT_EQ(rig.sent.size(), 12U);
   EXPECT_TRUE(rig.refused.empty());
-  rig.Pass(ReplicaRateLimiter::kWarmUpDuration);
+  rig.Pass(SlowStart::kDuration);
   EXPECT_EQ(rig.sent.size(), 20U);
 }
 
