Remove the decoding of replicas' load; check that what is decoded decides

ReadsFieldsThatReplicasState asserted the decoded load; it asserts all statements of a refusal instead.

No functional change

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files '*.cc' '*.h')
 
 .DEFAULT_GOAL := help
-.PHONY: help deps build format format-check layers lint test check demo bench \
+.PHONY: help deps build format format-check layers statements lint test check demo bench \
   dissemination capacity soak clean
 
 help: ## List every target
@@ -26,13 +26,16 @@
 layers: ## Fail when a layer includes one that depends on it
 	@tools/check-layers
 
+statements: ## Fail when something decoded of replicas' answers decides nothing
+	@tools/check-statements
+
 lint: build ## Run clang-tidy over all sources
 	@tools/lint $(BUILD) $(JOBS)
 
 test: build ## Run unit tests and process tests
 	@tools/run-tests $(BUILD)
 
-check: format-check layers build lint test ## Run all checks of CI
+check: format-check layers statements build lint test ## Run all checks of CI
 
 demo: deps build ## Send requests through a deployment on loopback, print answers
 	@$(BUILD)/tests/demo
--- a/src/state/client_request.h
+++ b/src/state/client_request.h
@@ -52,9 +52,6 @@
   // Carries the replica's seal, which proves that the replica itself answered.
   bool sealed = false;
   bool encoded = false;  // The body has a content encoding.
-  // Requests at the replica, if its answer reports them.
-  std::optional<std::uint32_t> running;
-  std::optional<std::uint32_t> waiting;
   ReplicaStatement statement;
 
   bool ok() const { return status >= 200 && status < 300; }
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -287,16 +287,22 @@
 TEST(RequestsTest, ReadsFieldsThatReplicasState) {
   HttpAnswerHead head;
   head.status = 503;
-  head.fields = {{"Not-Executed", "1"},
-                 {"Replica-Load", "3,1,8"},
-                 {"Connection", "close"},
+  head.fields = {{"Not-Executed", "1"},   {"Replica-Load", "3,1,8"},
+                 {"Server-Leaving", "1"}, {"Server-Limit", "1.5"},
+                 {"Retry-After", "2"},    {"Connection", "close"},
                  {"Content-Length", "3"}};
   const ReplicaHead out = ReadReplicaHead(head);
   EXPECT_TRUE(out.not_run);
   EXPECT_FALSE(out.sealed);
-  EXPECT_EQ(out.running, 3U);
-  EXPECT_EQ(NamesOf(out.fields),
-            (std::vector<std::string>{"Not-Executed", "Replica-Load"}));
+  EXPECT_TRUE(out.statement.proven);
+  EXPECT_TRUE(out.statement.leaving);
+  EXPECT_TRUE(out.statement.refused);
+  EXPECT_EQ(out.statement.max_rate, 1.5);
+  EXPECT_EQ(out.statement.rest, 2 * kSecond);
+  EXPECT_EQ(
+      NamesOf(out.fields),
+      (std::vector<std::string>{"Not-Executed", "Replica-Load", "Retry-After",
+                                "Server-Leaving", "Server-Limit"}));
 }
 
 TEST(RequestsTest, WritesRetryAfterInFractionsOfASecond) {
