--- a/src/coordination/gateway/gateway_statements.cc
+++ b/src/coordination/gateway/gateway_statements.cc
@@ -48,7 +48,7 @@
        {"id", request},
        {"rest_ms", statement.rest ? *statement.rest / kMillisecond : -1}});
   const TimeUs now = output->Now();
-  if (!statement.rest) {
+  if (statement.rest.value_or(0) == 0) {
     replica_rate_limiter.refusals().OnRefused(now, replica);
   } else if (replica_rate_limiter.rests().OnRefused(now, replica,
                                                     *statement.rest)) {
--- a/tests/gateway/replica_rest_test.cc
+++ b/tests/gateway/replica_rest_test.cc
@@ -376,7 +376,7 @@
       rig.AddReplica(it, route[0] == 'p' ? "app" : "engine");
     }
     rig.Run(2 * kSecond, route, 50);
-    rig.refusing = {{"r1", ""}, {"r2", ""}};
+    rig.refusing = {{"r1", ""}, {"r2", "0"}};
     rig.Run(6 * kSecond, route, 50);
     for (const char* it : {"r1", "r2"}) {
       EXPECT_GE(rig.refusals[it].size(), 1U);
