Satisfy the linter in the tests of rests

clang-tidy asked for a reference where the copy was on purpose: a refusal sends another request, which may move the list that the reference points into. The two fields that are needed are handed over instead.

No functional change

--- a/tests/gateway/replica_rest_test.cc
+++ b/tests/gateway/replica_rest_test.cc
@@ -50,7 +50,8 @@
   // Answers what is due: refusals at once, other requests after `kAnswerTime`.
   void AnswerDue() {
     for (; taken < sent.size(); ++taken) {
-      TakeSent(sent[taken]);
+      const Sent it = sent[taken];  // A copy: a refusal sends another one.
+      TakeSent(it.call, it.replica.name);
     }
     while (!serving.empty() && serving.front().first <= now) {
       const CallId call = serving.front().second;
@@ -58,18 +59,17 @@
       AnswerWith(call, Head(), "id: 1\ndata: x\n\n");
     }
   }
-  void TakeSent(const Sent it) {
-    const std::string& name = it.replica.name;
+  void TakeSent(CallId call, const std::string& name) {
     arrivals[name].push_back(now);
     const auto refuses = refusing.find(name);
     if (refuses == refusing.end()) {
-      serving.emplace_back(now + kAnswerTime, it.call);
+      serving.emplace_back(now + kAnswerTime, call);
       return;
     }
     const double seconds =
         refuses->second.empty() ? 0 : std::stod(refuses->second);
     refusals[name].push_back({now, static_cast<DurationUs>(seconds * kSecond)});
-    Refuse503(it.call, refuses->second);
+    Refuse503(call, refuses->second);
   }
   // Runs with this many requests a second on the route.
   void Run(DurationUs time, const std::string& route, int per_second) {
