Keep no refusal of a replica that is not listed any more

A replica that is gone may still refuse what was sent to it before; without a rest that refusal was kept for good, as only a change of its entry drops it. Rests end by themselves and are kept: the row may come back.

--- a/src/coordination/gateway/gateway_statements.cc
+++ b/src/coordination/gateway/gateway_statements.cc
@@ -48,11 +48,13 @@
        {"id", request},
        {"rest_ms", statement.rest ? *statement.rest / kMillisecond : -1}});
   const TimeUs now = output->Now();
-  if (statement.rest.value_or(0) == 0) {
+  if (statement.rest.value_or(0) > 0) {
+    if (replica_rate_limiter.rests().OnRefused(now, replica, *statement.rest)) {
+      RecallUnsent(replica, "the replica rests");
+    }
+  } else if (directory->Find(replica) != nullptr) {
+    // Of a replica that is gone, nothing would end it.
     replica_rate_limiter.refusals().OnRefused(now, replica);
-  } else if (replica_rate_limiter.rests().OnRefused(now, replica,
-                                                    *statement.rest)) {
-    RecallUnsent(replica, "the replica rests");
   }
 }
 
--- a/tests/gateway/evacuation_test.cc
+++ b/tests/gateway/evacuation_test.cc
@@ -26,17 +26,6 @@
   void EndEvacuation(const std::string& domain, std::uint64_t version) {
     evacuations.OnEvacuationEnded(now, {domain, version});
   }
-  std::set<std::string> ReplicasUsed(const std::string& route, int calls) {
-    const std::size_t before = sent.size();
-    for (int n = 0; n < calls; ++n) {
-      Call(route);
-    }
-    std::set<std::string> used;
-    for (std::size_t n = before; n < sent.size(); ++n) {
-      used.insert(sent[n].replica.name);
-    }
-    return used;
-  }
 };
 
 // One of two failure domains is evacuated and put back into use while plain
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -124,6 +124,19 @@
     return id;
   }
 
+  // The replicas that this number of calls are sent to.
+  std::set<std::string> ReplicasUsed(const std::string& route, int calls) {
+    const std::size_t before = sent.size();
+    for (int n = 0; n < calls; ++n) {
+      Call(route);
+    }
+    std::set<std::string> used;
+    for (std::size_t n = before; n < sent.size(); ++n) {
+      used.insert(sent[n].replica.name);
+    }
+    return used;
+  }
+
   // The head of an answer that the replica produced itself.
   static ReplicaHead Head(int status = 200) {
     ReplicaHead head;
--- a/tests/gateway/replica_leaving_test.cc
+++ b/tests/gateway/replica_leaving_test.cc
@@ -31,17 +31,6 @@
     core.OnReplicaEnd(it.call);
     return it.replica;
   }
-  std::set<std::string> ReplicasUsed(const std::string& route, int calls) {
-    const std::size_t before = sent.size();
-    for (int n = 0; n < calls; ++n) {
-      Call(route);
-    }
-    std::set<std::string> used;
-    for (std::size_t n = before; n < sent.size(); ++n) {
-      used.insert(sent[n].replica.name);
-    }
-    return used;
-  }
   // Number of replicas that further requests are sent to; fails if `leaving` is
   // one of them.
   std::size_t OthersUsed(const ReplicaId& leaving, const std::string& route) {
--- a/tests/gateway/replica_rest_test.cc
+++ b/tests/gateway/replica_rest_test.cc
@@ -424,5 +424,21 @@
   EXPECT_FALSE(refusals.IsAvoided(kSecond, "r"));
 }
 
+// Guards against memory that nothing frees, for replicas that are gone and
+// refuse what was sent to them before. A rest ends by itself and is kept, as
+// the replica's row may come back.
+TEST(ReplicaRestTest, KeepsOnlyRestsOfReplicasThatAreNotListed) {
+  RestRig rig;
+  rig.AddReplica("r1", "app");
+  rig.Call("plain");
+  rig.Call("plain");
+  rig.directory.Remove(rig.now, "r1");
+  rig.Refuse503(rig.sent[0].call, "");
+  rig.Refuse503(rig.sent[1].call, "3");
+  const ReplicaRateLimiter& limiter = *rig.core.rate_limiter();
+  EXPECT_FALSE(limiter.refusals().IsAvoided(rig.now, "r1"));
+  EXPECT_TRUE(limiter.rests().IsResting(rig.now, "r1"));
+}
+
 }  // namespace
 }  // namespace acaciachute
