--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -30,7 +30,12 @@
                        << "\nlisten.ready_addr=" << AddressText(readiness_)
                        << "\ninternal_ports=" << peers.port << "," << peers.port
                        << "\nplatform.address=" << AddressText(options_.store)
-                       << "\nbounds.grace_s=8\nbounds.revoke_ms=5000\n";
+                       << "\nbounds.grace_s=8\nbounds.revoke_ms=5000"
+                       << "\nbounds.retry_budget_ratio="
+                       << options_.retries.ratio
+                       << "\nbounds.retry_slack=" << options_.retries.slack
+                       << "\nbounds.retry_window_s="
+                       << options_.retries.window / kSecond << "\n";
 }
 
 GatewayProcess::~GatewayProcess() {
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "state/host_settings.h"
 #include "transport/glib_ptr.h"
 #include "types.h"
 
@@ -17,6 +18,7 @@
   std::string name;
   std::string domain = "a";  // Failure domain.
   Address store;
+  ServiceRetryBudgetLimits retries;
   std::string log;  // File for its stdout; empty: output is dropped.
 };
 
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -15,13 +15,50 @@
 // Maximum time from the deadline of an attempt until it must have ended.
 constexpr DurationUs kMaxEndDelay = 1500 * kMillisecond;
 
+// How long after the client's deadline the one handed to a replica may end, and
+// how many arrivals may exceed that.
+constexpr DurationUs kMaxDeadlineExcess = 500 * kMillisecond;
+constexpr std::size_t kMaxLongDeadlines = 20;
+constexpr double kMaxLongDeadlineShare = 0.2;
+
+// Number of attempts that may run more often than `max_attempts` of their
+// route.
+constexpr int kMaxOverAttempted = 3;
+
 }  // namespace
 
-void Ledger::OnSent(const std::string& id, LedgerEntry entry) {
+void Ledger::OnSent(const std::string& id,
+                    LedgerEntry entry,
+                    const std::vector<std::string>& services) {
+  for (const auto& it : services) {
+    retry_judge_.OnRequest(entry.sent_at, it);
+  }
   entries_[id] = std::move(entry);
   ++open_;
 }
 
+void Ledger::OnRequestArrived(TimeUs now,
+                              const std::string& service,
+                              const std::string& id,
+                              DurationUs time_left) {
+  retry_judge_.OnArrival(now, service, id);
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) {
+    return;  // `OnRun` reports it.
+  }
+  ++arrivals_;
+  const TimeUs client_deadline = it->second.sent_at + it->second.deadline;
+  if (time_left < 0 || now + time_left > client_deadline + kMaxDeadlineExcess) {
+    ++deadlines_too_long_;
+  }
+}
+
+void Ledger::OnPieceArrived(TimeUs now,
+                            const std::string& service,
+                            const std::string& piece) {
+  retry_judge_.OnArrival(now, service, piece);
+}
+
 void Ledger::OnRun(const std::string& id, const std::string& account) {
   const auto it = entries_.find(id);
   if (it == entries_.end()) {
@@ -60,7 +97,11 @@
 
 std::vector<std::string> Ledger::Violations() const {
   std::vector<std::string> all = violations_;
+  int over_attempted = 0;
   for (const auto& [id, it] : entries_) {
+    if (it.runs > static_cast<int>(it.max_attempts)) {
+      ++over_attempted;
+    }
     if (!it.idempotent && it.runs > 1) {
       all.push_back(StrCat(id, ": ran ", it.runs, " times"));
     }
@@ -74,6 +115,25 @@
                            " ms after it was sent"));
     }
   }
+  if (over_attempted > kMaxOverAttempted) {
+    all.push_back(StrCat(over_attempted,
+                         " attempts ran more often than max_attempts allows"));
+  }
+  if (deadlines_too_long_ > kMaxLongDeadlines &&
+      static_cast<double>(deadlines_too_long_) >
+          kMaxLongDeadlineShare * static_cast<double>(arrivals_)) {
+    all.push_back(StrCat(deadlines_too_long_, " of ", arrivals_,
+                         " arrivals had more time left than their client"));
+  }
+  for (const RetryWindow& it : WorstRetryWindows()) {
+    if (it.Exceeded()) {
+      all.push_back(StrCat("retry budget of ", it.service, ": ", it.retries,
+                           " retries arrived within the window that ends at ",
+                           it.end / kMillisecond, " ms, ",
+                           static_cast<int>(it.allowed), " are allowed for ",
+                           it.requests, " requests"));
+    }
+  }
   return all;
 }
 
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/soak/retry_judge.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -20,7 +21,8 @@
   bool idempotent = false;  // May run more than once.
   TimeUs sent_at = 0;
   DurationUs deadline = 0;
-  int runs = 0;        // At replicas.
+  std::uint32_t max_attempts = 1;  // Of its route.
+  int runs = 0;                    // At replicas.
   bool ended = false;  // The client has its answer or lost its connection.
   TimeUs ended_at = 0;
   int status = 0;  // HTTP status; zero: the connection ended without answer.
@@ -30,7 +32,22 @@
 // All attempts of a soak, by attempt id.
 class Ledger {
  public:
-  void OnSent(const std::string& id, LedgerEntry entry);
+  explicit Ledger(const ServiceRetryBudgetLimits& limits)
+      : retry_judge_(limits) {}
+
+  // `services`: those that the attempt needs, those of its stages included.
+  void OnSent(const std::string& id,
+              LedgerEntry entry,
+              const std::vector<std::string>& services);
+  // A replica received the attempt, with `time_left` as its deadline (negative:
+  // none), or a piece of one; it may turn it away.
+  void OnRequestArrived(TimeUs now,
+                        const std::string& service,
+                        const std::string& id,
+                        DurationUs time_left);
+  void OnPieceArrived(TimeUs now,
+                      const std::string& service,
+                      const std::string& piece);
   // A replica starts to run the attempt, for `account`.
   void OnRun(const std::string& id, const std::string& account);
   // The client received its answer, or its connection broke.
@@ -43,6 +60,10 @@
 
   // All violations, each as one line with the id of the attempt.
   std::vector<std::string> Violations() const;
+  // The worst window of each service for the retry budget.
+  std::vector<RetryWindow> WorstRetryWindows() const {
+    return retry_judge_.WorstWindows();
+  }
   // Number of attempts by route and outcome, for the summary.
   std::map<std::string, std::map<std::string, int>> Outcomes() const;
   // Attempts that have not ended.
@@ -53,6 +74,11 @@
   std::map<std::string, LedgerEntry> entries_;
   std::vector<std::string> violations_;
   std::size_t open_ = 0;
+  RetryJudge retry_judge_;
+  // Arrivals with a deadline, and those whose deadline was missing or ended
+  // too long after the client's.
+  std::size_t arrivals_ = 0;
+  std::size_t deadlines_too_long_ = 0;
 };
 
 }  // namespace acaciachute
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -5,7 +5,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "tests/soak/loopback.h"
 #include "text.h"
@@ -29,8 +32,22 @@
 // Number of requests sent after the recovery.
 constexpr int kRequestsAfterFaults = 60;
 
+// Interval between the faults of a series.
+constexpr DurationUs kSeriesInterval = 700 * kMillisecond;
+// Share of a service's replicas, and least share of their requests, that a
+// fault affects.
+constexpr std::size_t kAffectedPercent = 80;
+constexpr int kMinFaultPercent = 40;
+// Factor on the rate of requests during a burst.
+constexpr double kBurstFactor = 2.5;
+// How often clients that repeat at once do so.
+constexpr int kClientRetries = 3;
+
 constexpr std::array<std::string_view, 4> kRoutes = {"unsafe", "safe", "staged",
                                                      "resumed"};
+// Two plain requests to three with stages.
+constexpr std::array<std::string_view, 5> kRetryRoutes = {
+    "safe", "unsafe", "staged", "resumed", "resumed"};
 
 // One soak: start, faults under load, recovery and the final checks.
 class Soak {
@@ -67,6 +84,7 @@
       report_.violations.push_back(
           StrCat(world_.ledger()->open(), " attempts did not end"));
     }
+    report_.retry_windows = world_.ledger()->WorstRetryWindows();
     Summarize();
     return report_;
   }
@@ -78,6 +96,13 @@
     Fault inject;
   };
   static const std::array<NamedFault, 15> kFaults;
+  static const std::array<NamedFault, 18> kRetryFaults;
+
+  std::span<const NamedFault> Faults() const {
+    return options_.profile == FaultProfile::kRetries
+               ? std::span<const NamedFault>(kRetryFaults)
+               : std::span<const NamedFault>(kFaults);
+  }
 
   std::size_t Draw(std::size_t n) {
     return static_cast<std::size_t>(random_.Below(n));
@@ -93,19 +118,26 @@
     After(DrawTime(500 * kMillisecond, 3 * kSecond), std::move(task));
   }
 
+  std::span<const std::string_view> Routes() const {
+    return options_.profile == FaultProfile::kRetries
+               ? std::span<const std::string_view>(kRetryRoutes)
+               : std::span<const std::string_view>(kRoutes);
+  }
+
   void SendDue() {
     if (!sending_) {
       return;
     }
-    due_requests_ += static_cast<double>(options_.rate) *
+    due_requests_ += rate_factor_ * static_cast<double>(options_.rate) *
                      static_cast<double>(kTimerPeriod) /
                      static_cast<double>(kSecond);
     for (; due_requests_ >= 1; --due_requests_) {
       const auto pick = [this](std::size_t n) {
         return static_cast<std::size_t>(request_random_.Below(n));
       };
-      const std::size_t route = pick(kRoutes.size());
-      world_.Send(std::string(kRoutes[route]), pick(world_.gateways().size()));
+      const auto routes = Routes();
+      world_.Send(std::string(routes[pick(routes.size())]),
+                  pick(world_.gateways().size()), client_retries_);
     }
   }
 
@@ -129,7 +161,8 @@
       if (!injecting_) {
         return;
       }
-      const NamedFault& fault = kFaults[Draw(kFaults.size())];
+      const auto faults = Faults();
+      const NamedFault& fault = faults[Draw(faults.size())];
       report_.faults.push_back(
           StrCat((Loop::Now() - start_) / kMillisecond, " ms ", fault.name));
       (this->*fault.inject)();
@@ -190,6 +223,66 @@
     AfterFaultDuration([replica] { replica->SetSlowdownFactor(1); });
   }
 
+  // Sets `fault` at most replicas of one service and ends it later.
+  void SetReplicaFault(ReplicaFault fault) {
+    const std::string service = DrawReplica()->service();
+    const int percent =
+        kMinFaultPercent + static_cast<int>(Draw(101 - kMinFaultPercent));
+    std::vector<StandinReplica*> affected;
+    for (auto& it : world_.replicas()) {
+      if (it->service() == service && Draw(100) < kAffectedPercent) {
+        it->SetFault(fault, percent);
+        affected.push_back(it.get());
+      }
+    }
+    AfterFaultDuration([affected] {
+      for (StandinReplica* it : affected) {
+        it->SetFault(ReplicaFault::kNone, 0);
+      }
+    });
+  }
+  void Refuse() { SetReplicaFault(ReplicaFault::kRefuse); }
+  void RefuseTooMany() { SetReplicaFault(ReplicaFault::kTooMany); }
+  void RefuseLate() { SetReplicaFault(ReplicaFault::kLate); }
+  void ResetRequests() { SetReplicaFault(ReplicaFault::kReset); }
+  void AnswerNothing() { SetReplicaFault(ReplicaFault::kSilent); }
+  void LoseInputs() { SetReplicaFault(ReplicaFault::kInputsGone); }
+  void FailRequests() { SetReplicaFault(ReplicaFault::kFail); }
+  void KillInSeries() {
+    for (int n = 0; n < 6; ++n) {
+      After(n * kSeriesInterval, [this] { Kill(); });
+    }
+  }
+  void KillAllInSeries() {
+    for (int n = 0; n < 3; ++n) {
+      After(2 * n * kSeriesInterval, [this] { KillAll(); });
+    }
+  }
+  void RestartInTurn() {
+    for (std::size_t n = 0; n < world_.gateways().size(); ++n) {
+      After(static_cast<DurationUs>(n) * kSeriesInterval,
+            [this, n] { world_.gateways()[n]->Signal(SIGTERM); });
+    }
+  }
+  void FreezeMost() {
+    for (std::size_t n = 0; n + 1 < world_.gateways().size(); ++n) {
+      Freeze();
+    }
+  }
+  void CrashReplicasInSeries() {
+    for (int n = 0; n < 4; ++n) {
+      After(n * kSeriesInterval / 2, [this] { CrashReplica(); });
+    }
+  }
+  void SendBurst() {
+    rate_factor_ = kBurstFactor;
+    AfterFaultDuration([this] { rate_factor_ = 1; });
+  }
+  void RepeatAtOnce() {
+    client_retries_ = kClientRetries;
+    AfterFaultDuration([this] { client_retries_ = 0; });
+  }
+
   // Ends all faults that still last, so that failures after it are faults of
   // the system itself.
   void EndAllFaults() {
@@ -203,6 +296,7 @@
     for (auto& it : world_.replicas()) {
       it->SetSlowdownFactor(1);
       it->LoseNextAnswers(0);
+      it->SetFault(ReplicaFault::kNone, 0);
     }
   }
 
@@ -263,6 +357,8 @@
   TimeUs start_ = 0;
   // Number of requests to send now; the fraction is carried over.
   double due_requests_ = 0;
+  double rate_factor_ = 1;
+  int client_retries_ = 0;  // Of each request that is sent now.
   bool sending_ = false;
   bool injecting_ = true;
   std::map<GatewayProcess*, bool> restarting_;
@@ -287,6 +383,27 @@
     {"a replica is slow", &Soak::SlowReplica},
 }};
 
+const std::array<Soak::NamedFault, 18> Soak::kRetryFaults = {{
+    {"replicas refuse", &Soak::Refuse},
+    {"replicas refuse with 429", &Soak::RefuseTooMany},
+    {"replicas refuse with 408", &Soak::RefuseLate},
+    {"replicas reset connections", &Soak::ResetRequests},
+    {"replicas do not answer", &Soak::AnswerNothing},
+    {"results are gone", &Soak::LoseInputs},
+    {"replicas fail", &Soak::FailRequests},
+    {"replicas crash in series", &Soak::CrashReplicasInSeries},
+    {"kill a gateway", &Soak::Kill},
+    {"kill gateways in series", &Soak::KillInSeries},
+    {"kill all gateways", &Soak::KillAll},
+    {"kill all gateways in series", &Soak::KillAllInSeries},
+    {"restart gateways in turn", &Soak::RestartInTurn},
+    {"freeze a gateway", &Soak::Freeze},
+    {"freeze most gateways", &Soak::FreezeMost},
+    {"a gateway's link to the store is cut", &Soak::CutStoreLink},
+    {"burst", &Soak::SendBurst},
+    {"clients repeat at once", &Soak::RepeatAtOnce},
+}};
+
 }  // namespace
 
 SoakReport RunSoak(Loop* loop, const SoakOptions& options) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -12,8 +12,18 @@
 
 namespace acaciachute {
 
+// The faults that a soak draws from.
+enum class FaultProfile {
+  kAll,  // Of gateways, of the store and of single replicas.
+  // Many replicas of a service refuse, lose or fail requests, which makes
+  // gateways retry, while gateways are killed, frozen and restarted in series
+  // and clients repeat at once.
+  kRetries,
+};
+
 struct SoakOptions {
   std::uint64_t seed = 1;
+  FaultProfile profile = FaultProfile::kAll;
   // Time during which faults are injected.
   DurationUs fault_time = 12 * kSecond;
   int rate = 40;  // Requests per second.
@@ -24,6 +34,8 @@
   std::string summary;              // Counts of attempts by route and outcome.
   std::vector<std::string> faults;  // Injected faults in order, with times.
   std::vector<std::string> violations;  // Violated guarantees; empty: success.
+  // Of each service: the worst window, whether it was exceeded or not.
+  std::vector<RetryWindow> retry_windows;
 };
 
 SoakReport RunSoak(Loop* loop, const SoakOptions& options);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -26,6 +26,14 @@
       cxxopts::value<int>()->default_value("3"))(
       "rate", "requests per second",
       cxxopts::value<int>()->default_value("40"))(
+      "plain", "replicas of the plain service",
+      cxxopts::value<int>()->default_value("3"))(
+      "stages", "replicas of each stage",
+      cxxopts::value<int>()->default_value("3"))(
+      "engines", "model engines", cxxopts::value<int>()->default_value("3"))(
+      "retries", "draw faults that make gateways retry")(
+      "slack", "fixed part of the retry budget",
+      cxxopts::value<double>()->default_value("56"))(
       "logs", "folder for the gateways' logs; empty: no logs",
       cxxopts::value<std::string>()->default_value(""))("help", "show this");
   const auto parsed = options.parse(argc, argv);
@@ -43,6 +51,12 @@
     soak.fault_time = parsed["seconds"].as<int>() * kSecond;
     soak.rate = parsed["rate"].as<int>();
     soak.world.gateways = parsed["gateways"].as<int>();
+    soak.world.plain_replicas = parsed["plain"].as<int>();
+    soak.world.stage_replicas = parsed["stages"].as<int>();
+    soak.world.engines = parsed["engines"].as<int>();
+    soak.world.retries.slack = parsed["slack"].as<double>();
+    soak.profile = parsed.count("retries") > 0 ? FaultProfile::kRetries
+                                               : FaultProfile::kAll;
     soak.world.log_folder = parsed["logs"].as<std::string>();
     const SoakReport report = RunSoak(&loop, soak);
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(soak.seed),
@@ -50,6 +64,10 @@
     for (const auto& it : report.faults) {
       std::printf("  fault %s\n", it.c_str());
     }
+    for (const RetryWindow& it : report.retry_windows) {
+      std::printf("  retries at %s: %zu in the worst window, %.1f allowed\n",
+                  it.service.c_str(), it.retries, it.allowed);
+    }
     for (const auto& it : report.violations) {
       std::printf("  BROKEN %s\n", it.c_str());
     }
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -16,6 +16,10 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kWrongReplica = 421;
+constexpr int kLateStatus = 408;
+constexpr int kConflict = 409;
+constexpr int kTooManyStatus = 429;
+constexpr int kFailed = 500;
 constexpr int kFull = 503;
 constexpr std::size_t kMaxQueuedCalls = 2;
 
@@ -32,10 +36,12 @@
 
 StandinReplica::StandinReplica(Loop* loop,
                                std::string id,
+                               std::string service,
                                const ReplicaWork& work,
                                Ledger* ledger)
     : loop_(loop),
       id_(std::move(id)),
+      service_(std::move(service)),
       work_(work),
       ledger_(ledger),
       address_(FreeAddress()),
@@ -78,10 +84,16 @@
   open_.insert(id);
   const std::string expected = ValueOf(head.fields, "Expect-Replica");
   const std::string attempt = ValueOf(head.fields, "Attempt-Id");
+  const bool release = head.target == "/stage-free";
+  if (!release) {
+    ReportArrival(head, body);
+  }
   if (!expected.empty() && expected != id_) {
     listener_.Reply(id, kWrongReplica, NotRun(attempt), "");
-  } else if (head.target == "/stage-free") {
+  } else if (release) {
     listener_.Reply(id, kOk, FieldsOf({}), "");
+  } else if (ApplyFault(id, head, attempt)) {
+    arrivals_.push_back(Loop::Now());
   } else if (!rest_.empty()) {
     arrivals_.push_back(Loop::Now());
     refusals_.push_back(Loop::Now());
@@ -101,6 +113,79 @@
   }
 }
 
+void StandinReplica::ReportArrival(const HttpRequestHead& head,
+                                   const std::string& body) {
+  const TimeUs now = Loop::Now();
+  if (head.target != "/stage-run") {
+    const auto deadline_ms =
+        ParseNumber<int>(ValueOf(head.fields, "Deadline-Ms"));
+    ledger_->OnRequestArrived(now, service_, ValueOf(head.fields, "Attempt-Id"),
+                              deadline_ms.value_or(-1) * kMillisecond);
+    return;
+  }
+  const Json asked = Json::parse(body);
+  for (const Json& it : asked.at("items")) {
+    ledger_->OnPieceArrived(
+        now, service_,
+        StrCat(it.at("id").get<std::string>(), "/", it.at("stage").get<int>(),
+               "/", it.at("piece").get<int>()));
+  }
+}
+
+bool StandinReplica::ApplyFault(ExchangeId id,
+                                const HttpRequestHead& head,
+                                const std::string& attempt) {
+  // Spreads the affected requests evenly, without a random sequence.
+  constexpr int kStep = 37;
+  fault_draw_ = (fault_draw_ + kStep) % 100;
+  if (fault_ == ReplicaFault::kNone || fault_draw_ >= fault_percent_) {
+    return false;
+  }
+  const bool call = head.target == "/stage-run";
+  const auto refuse = [&](int status) {
+    listener_.Reply(id, status, FieldsOf(NotRun(attempt)), "");
+  };
+  const auto run = [&] {
+    if (!call) {
+      ledger_->OnRun(attempt, ValueOf(head.fields, "Tenant"));
+    }
+  };
+  switch (fault_) {
+    case ReplicaFault::kNone:
+      return false;
+    case ReplicaFault::kRefuse:
+      refuse(kFull);
+      return true;
+    case ReplicaFault::kTooMany:
+      refuse(kTooManyStatus);
+      return true;
+    case ReplicaFault::kLate:
+      refuse(kLateStatus);
+      return true;
+    case ReplicaFault::kInputsGone:
+      if (work_.kind != ReplicaWork::Kind::kEngine) {
+        return false;
+      }
+      refuse(kConflict);
+      return true;
+    case ReplicaFault::kReset:
+      run();
+      listener_.Break(id);
+      open_.erase(id);
+      return true;
+    case ReplicaFault::kSilent:
+      run();
+      return true;
+    case ReplicaFault::kFail:
+      run();
+      listener_.Reply(
+          id, kFailed,
+          FieldsOf({{"Attempt-Id", attempt}, {"Replica-Seal", id_}}), "");
+      return true;
+  }
+  return false;
+}
+
 void StandinReplica::Run(ExchangeId id, const HttpRequestHead& head) {
   const std::string attempt = ValueOf(head.fields, "Attempt-Id");
   if (work_.kind == ReplicaWork::Kind::kEngine &&
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -29,10 +29,23 @@
   int events = 0;                 // Per stream.
 };
 
+// What a faulty replica does with requests and calls instead of serving them.
+enum class ReplicaFault {
+  kNone,
+  kRefuse,      // 503: full; not run.
+  kTooMany,     // 429: not run.
+  kLate,        // 408: not run.
+  kReset,       // Runs the request and closes the connection without answer.
+  kSilent,      // Runs the request and never answers.
+  kInputsGone,  // 409: a result is gone; not run. Engines only.
+  kFail,        // Runs the request and answers 500.
+};
+
 class StandinReplica : public ListenerHandler {
  public:
   StandinReplica(Loop* loop,
                  std::string id,
+                 std::string service,
                  const ReplicaWork& work,
                  Ledger* ledger);
 
@@ -55,10 +68,17 @@
   const std::vector<TimeUs>& refusals() const { return refusals_; }
   // Times at which requests and calls with pieces arrived.
   const std::vector<TimeUs>& arrivals() const { return arrivals_; }
+  // Treats `percent` of the requests and calls so until further notice.
+  void SetFault(ReplicaFault fault, int percent) {
+    fault_ = fault;
+    fault_percent_ = percent;
+  }
   // Simulates a crash and restart: breaks every connection, drops all work, and
   // continues as the incarnation `id`.
   void Crash(std::string id);
   const std::string& id() const { return id_; }
+  const std::string& service() const { return service_; }
+  ReplicaWork::Kind kind() const { return work_.kind; }
   const Address& address() const { return address_; }
 
   // ListenerHandler:
@@ -78,6 +98,12 @@
 
   // `fields` with those that all answers of this replica have.
   HttpFields FieldsOf(HttpFields fields);
+  // Reports what arrived to the ledger: a request, or each piece of a call.
+  void ReportArrival(const HttpRequestHead& head, const std::string& body);
+  // Whether the request was treated according to the fault that was set.
+  bool ApplyFault(ExchangeId id,
+                  const HttpRequestHead& head,
+                  const std::string& attempt);
   void Run(ExchangeId id, const HttpRequestHead& head);
   void SendEvent(ExchangeId id, const std::string& attempt, int next);
   void BeginStageCall();
@@ -86,6 +112,7 @@
 
   Loop* const loop_;
   std::string id_;
+  const std::string service_;
   const ReplicaWork work_;
   Ledger* const ledger_;
   const Address address_;
@@ -101,6 +128,9 @@
   int next_result_ = 0;
   int answers_to_lose_ = 0;
   int slowdown_factor_ = 1;
+  ReplicaFault fault_ = ReplicaFault::kNone;
+  int fault_percent_ = 0;
+  int fault_draw_ = 0;
   bool busy_ = false;
   std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -13,6 +13,9 @@
 using Json = nlohmann::json;
 
 constexpr int kOk = 200;
+constexpr int kTooMany = 429;
+constexpr int kRefused = 503;
+constexpr std::uint32_t kMaxAttempts = 2;
 constexpr char kAccount[] = "acme";
 constexpr char kApiKey[] = "key-of-acme";
 constexpr int kPieces = 4;
@@ -30,7 +33,7 @@
           {"gap_aim_ms", 300},
           {"priority", 1},
           {"service", service},
-          {"max_attempts", 2}};
+          {"max_attempts", kMaxAttempts}};
 }
 
 Json Stages() {
@@ -71,8 +74,15 @@
 // Receives and checks the answer to one attempt.
 class World::Client : public CallSink {
  public:
-  Client(World* world, std::string id, bool stream)
-      : world_(world), id_(std::move(id)), stream_(stream) {}
+  // `send_again` is called if the attempt is refused.
+  Client(World* world,
+         std::string id,
+         bool stream,
+         std::function<void()> send_again)
+      : world_(world),
+        id_(std::move(id)),
+        stream_(stream),
+        send_again_(std::move(send_again)) {}
 
   void OnAnswerHead(CallId, const HttpAnswerHead& head) override {
     status_ = head.status;
@@ -102,18 +112,28 @@
  private:
   void End(CallId call, int status, bool answer_complete) {
     world_->ledger_.OnEnded(Loop::Now(), id_, status, answer_complete);
+    const bool refused = status == kRefused || status == kTooMany;
+    const auto send_again = refused ? send_again_ : nullptr;
     world_->clients_.erase(call);  // Deletes `this`.
+    if (send_again) {
+      send_again();
+    }
   }
 
   World* const world_;
   const std::string id_;
   const bool stream_;
+  const std::function<void()> send_again_;
   int status_ = 0;
   std::string body_;
 };
 
 World::World(Loop* loop, const WorldOptions& options)
-    : loop_(loop), options_(options), store_(loop), channels_(loop) {
+    : loop_(loop),
+      options_(options),
+      ledger_(options.retries),
+      store_(loop),
+      channels_(loop) {
   const auto ms = [](int n) { return n * kMillisecond; };
   AddReplicas("plain", {ReplicaWork::Kind::kPlain, ms(15), 0, 0},
               options.plain_replicas);
@@ -130,6 +150,7 @@
     it.name = StrCat("front-", n);
     store_links_.push_back(std::make_unique<Relay>(store_.address().port));
     it.store = {"127.0.0.1", store_links_.back()->port()};
+    it.retries = options.retries;
     if (!options.log_folder.empty()) {
       it.log = StrCat(options.log_folder, "/", it.name, ".log");
     }
@@ -143,7 +164,7 @@
                         int n) {
   for (int k = 0; k < n; ++k) {
     replicas_.push_back(std::make_unique<StandinReplica>(
-        loop_, StrCat("i-", service, "-", k, "-1"), work, &ledger_));
+        loop_, StrCat("i-", service, "-", k, "-1"), service, work, &ledger_));
     service_by_address_[AddressText(replicas_.back()->address())] = service;
     WriteReplicaRow(*replicas_.back(), false);
   }
@@ -246,7 +267,9 @@
   return answer.status;
 }
 
-void World::Send(const std::string& route, std::size_t gateway) {
+void World::Send(const std::string& route,
+                 std::size_t gateway,
+                 int client_retries) {
   const std::string id = StrCat("c", ++next_id_);
   const bool stream = route == "staged" || route == "resumed";
   ChannelRequest request;
@@ -270,11 +293,23 @@
   entry.idempotent = route == "safe" || route == "resumed";
   entry.sent_at = Loop::Now();
   entry.deadline = kDeadlineMs * kMillisecond;
-  ledger_.OnSent(id, entry);
+  entry.max_attempts = kMaxAttempts;
+  const std::vector<std::string> services =
+      stream ? std::vector<std::string>{"first", "second", "engine"}
+             : std::vector<std::string>{"plain"};
+  ledger_.OnSent(id, entry, services);
   ChannelOptions options;
   options.total = (kDeadlineMs + 1000) * kMillisecond;
   options.max_idle_time = kSecond;
-  auto client = std::make_unique<Client>(this, id, stream);
+  std::function<void()> send_again;
+  if (client_retries > 0) {
+    const std::size_t next = (gateway + 1) % gateways_.size();
+    send_again = [this, route, next, client_retries] {
+      Send(route, next, client_retries - 1);
+    };
+  }
+  auto client =
+      std::make_unique<Client>(this, id, stream, std::move(send_again));
   Client* sink = client.get();
   const CallId call =
       channels_.Start(gateways_[gateway]->clients(), request, options, sink);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -26,7 +26,9 @@
   int plain_replicas = 3;
   int stage_replicas = 3;
   int engines = 3;
-  int events = 48;         // Per stream.
+  int events = 48;  // Per stream.
+  // Given to the gateways, and judged by what arrives at replicas.
+  ServiceRetryBudgetLimits retries;
   std::string log_folder;  // Of the gateways' logs; empty: no logs.
 };
 
@@ -42,9 +44,12 @@
   bool WaitFor(DurationUs timeout, const std::function<bool()>& condition);
 
   // Sends one request to `route` ("unsafe", "safe", "staged" or "resumed") at a
-  // gateway. Clients do not retry: a retry would be a new attempt, and each
-  // attempt is judged separately.
-  void Send(const std::string& route, std::size_t gateway);
+  // gateway. If it is refused, the client sends it again at once, at the next
+  // gateway, up to `client_retries` times; each is an attempt of its own with
+  // an id of its own, and each attempt is judged separately.
+  void Send(const std::string& route,
+            std::size_t gateway,
+            int client_retries = 0);
 
   // Writes to the store: a new version of the operator's configuration, and the
   // row of a replica as the replica itself would write it.
