Log and count each second send, with what is left of the budget

A 'retry' line for each (paid, refused by the budget, or free: not limited by it), a counter by service, reason and outcome, a gauge of what is left. The budget of each service writes them itself; LocalPieceDispatcher and SharedPieceDispatcher reach it the same way.

No functional change

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -48,7 +48,8 @@
 }
 
 ServiceRetryBudget& Gateway::Impl::ServiceBudget(const std::string& service) {
-  const auto [it, inserted] = budgets.try_emplace(service);
+  const auto [it, inserted] =
+      budgets.try_emplace(service, service, metrics, log);
   if (inserted) {
     it->second.SetLimits(options.budget);
     it->second.SetGatewayCount(gateway_count);
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -190,7 +190,8 @@
     return;
   }
   if (failed && MayRetry(*request) &&
-      ServiceBudget(request->service).TryUseRetries(now)) {
+      ServiceBudget(request->service)
+          .TryUse(now, {RetryReason::kFailed, request->call.id})) {
     metrics->Count("acaciachute_gateway_retries_total", "failed");
     StartAttempt(request);
     return;
@@ -226,8 +227,11 @@
                                              attempt.replica.id)) {
     std::erase(request->tried, attempt.replica.id);
   }
-  if (attempt.head &&
-      !ServiceBudget(request->service).TryUseRetries(output->Now())) {
+  ServiceRetryBudget& budget = ServiceBudget(request->service);
+  if (!attempt.head) {
+    budget.OnFree(output->Now(), {RetryReason::kNotSent, request->call.id});
+  } else if (!budget.TryUse(output->Now(),
+                            {RetryReason::kNotRun, request->call.id})) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
                      "the replica refused, and the retry budget is spent"});
     return;
@@ -245,7 +249,8 @@
                       {"why", why},
                       {"begun", request->stream_begun}});
   if (MayRetry(*request) &&
-      ServiceBudget(request->service).TryUseRetries(now)) {
+      ServiceBudget(request->service)
+          .TryUse(now, {RetryReason::kLost, request->call.id})) {
     metrics->Count("acaciachute_gateway_retries_total", "lost");
     request->events.DiscardPartialEvent();
     if (request->stream_begun) {
--- a/src/coordination/gateway/gateway_stages.cc
+++ b/src/coordination/gateway/gateway_stages.cc
@@ -141,6 +141,13 @@
        {"why", why},
        {"stages_ms", request->stage_times},
        {"after_ms", (output->Now() - request->received_at) / kMillisecond}});
+  for (std::uint32_t n = 0; n < request->route->stages.size(); ++n) {
+    if (const std::uint32_t pieces = request->progress.Pieces(n); pieces > 0) {
+      ServiceBudget(request->route->stages[n].service)
+          .OnFree(output->Now(),
+                  {RetryReason::kStagesAgain, request->call.id, pieces});
+    }
+  }
   request->stages_done = false;
   RunStages(request);
 }
--- a/src/coordination/stages/local_piece_dispatcher.h
+++ b/src/coordination/stages/local_piece_dispatcher.h
@@ -14,9 +14,6 @@
 
 class LocalPieceDispatcher : public PieceDispatcher {
  public:
-  using RetryBudgetOf =
-      std::function<ServiceRetryBudget*(const std::string& service)>;
-
   LocalPieceDispatcher(const ReplicaDirectory* directory,
                        PieceBatcherOutput* output,
                        RetryBudgetOf budget_of);
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -456,7 +456,7 @@
     --inputs_read_.at({key.request, key.stage});
   }
   if (piece->attempts < kMaxCallsPerPiece && now < piece->deadline &&
-      budget_->TryUseRetries(now)) {
+      budget_->TryUse(now, {RetryReason::kPieceFailed, key.request})) {
     Enqueue(now, piece);
     return;
   }
@@ -551,7 +551,8 @@
     const auto it = pieces_.find(task.key);
     if (it != pieces_.end() && !it->second.queued && it->second.calls == 1 &&
         it->second.attempts < kMaxCallsPerPiece &&
-        !InputsReleased(it->second) && budget_->TryUseRetries(now)) {
+        !InputsReleased(it->second) &&
+        budget_->TryUse(now, {RetryReason::kPieceOverdue, task.key.request})) {
       Enqueue(now, &it->second);
     }
   }
--- a/src/coordination/stages/shared_piece_dispatcher.cc
+++ b/src/coordination/stages/shared_piece_dispatcher.cc
@@ -10,12 +10,14 @@
     const GatewayPeers* peers,
     LocalPieceDispatcher* local,
     const ReplicaDirectory* directory,
+    RetryBudgetOf budget_of,
     SharedPieceDispatcherOutput* output,
     EventLog* log)
     : self_(std::move(self)),
       peers_(peers),
       local_(local),
       directory_(directory),
+      budget_of_(std::move(budget_of)),
       output_(output),
       log_(log) {}
 
@@ -65,6 +67,9 @@
                                  {"service", group.second},
                                  {"pieces", tasks.size()},
                                  {"why", reason}});
+    budget_of_(group.second)
+        ->OnFree(now, {RetryReason::kPieceResubmitted, group.first,
+                       static_cast<std::uint32_t>(tasks.size())});
     SendToOwner(now, std::move(tasks));
   }
 }
--- a/src/coordination/stages/shared_piece_dispatcher.h
+++ b/src/coordination/stages/shared_piece_dispatcher.h
@@ -41,6 +41,7 @@
                         const GatewayPeers* peers,
                         LocalPieceDispatcher* local,
                         const ReplicaDirectory* directory,
+                        RetryBudgetOf budget_of,
                         SharedPieceDispatcherOutput* output,
                         EventLog* log);
 
@@ -98,6 +99,7 @@
   const GatewayPeers* const peers_;
   LocalPieceDispatcher* const local_;
   const ReplicaDirectory* const directory_;
+  const RetryBudgetOf budget_of_;
   SharedPieceDispatcherOutput* const output_;
   EventLog* const log_;
   std::map<PieceKey, Pending> pending_;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -105,7 +105,16 @@
                [this](const std::string& service) {
                  return gateway->RetryBudgetOf(service);
                }),
-      dispatcher(settings.node, &peers, &batchers, &directory, this, &log),
+      dispatcher(
+          settings.node,
+          &peers,
+          &batchers,
+          &directory,
+          [this](const std::string& service) {
+            return gateway->RetryBudgetOf(service);
+          },
+          this,
+          &log),
       join(settings.node,
            {settings.ip, settings.first_peer_port},
            this,
--- a/src/state/metrics.cc
+++ b/src/state/metrics.cc
@@ -56,6 +56,7 @@
 
 struct Metrics::Impl {
   std::map<SeriesKey, std::uint64_t> counters;
+  std::map<SeriesKey, double> gauges;
   std::map<SeriesKey, Quantiles> quantiles;
 };
 
@@ -68,6 +69,12 @@
   impl_->counters[SeriesKey(name, label)] += n;
 }
 
+void Metrics::SetGauge(std::string_view name,
+                       std::string_view label,
+                       double value) {
+  impl_->gauges[SeriesKey(name, label)] = value;
+}
+
 void Metrics::Observe(std::string_view name,
                       std::string_view label,
                       DurationUs value) {
@@ -94,6 +101,13 @@
     metric.counter.value = static_cast<double>(value);
     family.metric.push_back(std::move(metric));
   }
+  for (const auto& [key, value] : impl_->gauges) {
+    auto& family =
+        FamilyOf(&families, key.first, prometheus::MetricType::Gauge);
+    auto metric = WithLabel(key.second);
+    metric.gauge.value = value;
+    family.metric.push_back(std::move(metric));
+  }
   for (const auto& [key, set] : impl_->quantiles) {
     auto& family =
         FamilyOf(&families, key.first, prometheus::MetricType::Summary);
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -23,6 +23,8 @@
   void Count(std::string_view name,
              std::string_view label = "",
              std::uint64_t n = 1);
+  // Sets a value that may rise and fall. `label` as for `Count`.
+  void SetGauge(std::string_view name, std::string_view label, double value);
   // Adds a sample to a summary, which exports the 50th, 99th and 99.9th
   // percentile in seconds.
   void Observe(std::string_view name, std::string_view label, DurationUs value);
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -7,6 +7,7 @@
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/stage_progress.h"
+#include "tests/gateway/quiet_log.h"
 
 namespace acaciachute {
 namespace {
@@ -165,7 +166,9 @@
 TEST(ServiceRetryBudgetTest, KeepsTheSumOverGateways) {
   constexpr int kGateways = 5;
   const ServiceRetryBudgetLimits limits = {0.2, 56, 10 * kSecond};
-  std::vector<ServiceRetryBudget> budgets(kGateways);
+  Metrics metrics;
+  QuietLog log;
+  std::vector<ServiceRetryBudget> budgets(kGateways, {"s", &metrics, &log});
   for (auto& it : budgets) {
     it.SetLimits(limits);
     it.SetGatewayCount(kGateways);
@@ -177,7 +180,7 @@
     ServiceRetryBudget& it = budgets[static_cast<std::size_t>(n) % kGateways];
     it.OnRequest(now);
     ++requests;
-    repeats += it.TryUseRetries(now) ? 1 : 0;
+    repeats += it.TryUse(now, {}) ? 1 : 0;
   }
   EXPECT_LE(repeats, 0.2 * requests + 56);
   EXPECT_GT(repeats, 50);
--- a/tests/gateway/evacuation_test.cc
+++ b/tests/gateway/evacuation_test.cc
@@ -12,6 +12,8 @@
 #include "tests/gateway/gateway_rig.h"
 #include "text.h"
 
+#include "tests/gateway/quiet_log.h"
+
 namespace acaciachute {
 namespace {
 
@@ -184,7 +186,9 @@
   rig.directory.Remove(rig.now, "maker-0");
   rig.AddReplica("m1", "maker", "a");
   PieceOutput output;
-  ServiceRetryBudget budget;
+  Metrics metrics;
+  QuietLog quiet_log;
+  ServiceRetryBudget budget{"maker", &metrics, &quiet_log};
   PieceBatcher batcher(&rig.directory, &budget, &output);
   batcher.SetService("maker",
                      *GatewayRig::Config(1)->FindService("maker")->batching);
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -8,6 +8,8 @@
 #include <map>
 #include <utility>
 
+#include "tests/gateway/quiet_log.h"
+
 namespace acaciachute {
 namespace {
 
@@ -112,7 +114,9 @@
   TimeUs now = 1000 * kSecond;
   int last_replica = 0;
   ReplicaDirectory directory{this};
-  ServiceRetryBudget budget;
+  Metrics metrics;
+  QuietLog quiet_log;
+  ServiceRetryBudget budget{"maker", &metrics, &quiet_log};
   PieceBatcher batcher{&directory, &budget, this};
   std::vector<PieceCall> calls;
   std::vector<PieceResult> results;
--- a/tests/gateway/shared_piece_dispatcher_test.cc
+++ b/tests/gateway/shared_piece_dispatcher_test.cc
@@ -68,13 +68,20 @@
     DispatcherNet* const net;
     const NodeId name;
     QuietLog log;
-    ServiceRetryBudget budget;
+    Metrics metrics;
+    ServiceRetryBudget budget{"maker", &metrics, &log};
     ReplicaDirectory directory{this};
     GatewayPeers peers;
     LocalPieceDispatcher local{&directory, this,
                                [this](const std::string&) { return &budget; }};
-    SharedPieceDispatcher dispatcher{name,       &peers, &local,
-                                     &directory, this,   &log};
+    SharedPieceDispatcher dispatcher{
+        name,
+        &peers,
+        &local,
+        &directory,
+        [this](const std::string&) { return &budget; },
+        this,
+        &log};
     std::vector<PieceCall> calls;
     std::vector<PieceResult> received;
     std::vector<std::string> freed;
