Let retry budgets start empty and divide by all known gateways

What callers saw: nothing by itself; a service that fails under its load got a second one from retries. Five real gateways, replicas of two services that turn everything away, a gateway killed every 0.4 s: 196 retries at the plain service in the worst 10 s where 97 are allowed, 166 of 158 at the engines.

Cause: the sum over all gateways rested on state of a process. The count of retries died with it while the whole part came back at the next start; the part was the fixed allowance divided by the gateways seen alive, so it grew while others were down (45 of the retries were sent on a part of one gateway, 68 of two). The count was of sends, of a window that forgets them: retries sent to a suspended replica over 30 s arrive together.

Change: a token bucket for each service. It is empty at the start and fills with time and with requests; a retry keeps its place until a response shows that it arrived, or for another window. What arrives in a window is at most what the bucket could hold at its start and what is earned in it, through any number of restarts; the two are halves of the same allowance. The fixed part is divided among all gateways known within the last hour, as the limits of replicas are; one that does not know the others has none. SendTo is the one place that sends requests: all sends after the first that may have arrived take a token there.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -51,8 +51,8 @@
   const auto [it, inserted] =
       budgets.try_emplace(service, service, metrics, log);
   if (inserted) {
-    it->second.SetLimits(options.budget);
-    it->second.SetGatewayCount(gateway_count);
+    it->second.SetLimits(output->Now(), options.budget);
+    it->second.SetGatewayCount(output->Now(), known_gateway_count);
   }
   return it->second;
 }
@@ -108,6 +108,7 @@
                            std::string_view outcome,
                            int status) {
   CancelAttempt(request);
+  ReturnReservedRetries(request);
   if (!request->route->stages.empty()) {
     dispatcher->CancelRequest(request->call.id);
     dispatcher->ReleaseResults(request->progress.TakeAll());
@@ -204,7 +205,7 @@
     impl_->replica_rate_limiter.SetServices(*impl_->config);
   }
   for (auto& [service, budget] : impl_->budgets) {
-    budget.SetLimits(options.budget);
+    budget.SetLimits(impl_->output->Now(), options.budget);
   }
 }
 
@@ -220,6 +221,9 @@
                                {"services", config->services().size()}});
   impl_->config = std::move(config);
   impl_->replica_rate_limiter.SetServices(*impl_->config);
+  for (const auto& [name, service] : impl_->config->services()) {
+    impl_->ServiceBudget(name);  // Starts to fill before the first retry.
+  }
 }
 
 void Gateway::OnConfirmed(TimeUs asked_at) {
@@ -380,12 +384,13 @@
 
 void Gateway::SetGatewayCount(std::size_t n) {
   impl_->gateway_count = n;
-  for (auto& [service, budget] : impl_->budgets) {
-    budget.SetGatewayCount(n);
-  }
 }
 
 void Gateway::SetKnownGateways(std::vector<NodeId> gateways) {
+  impl_->known_gateway_count = gateways.size();
+  for (auto& [service, budget] : impl_->budgets) {
+    budget.SetGatewayCount(impl_->output->Now(), gateways.size());
+  }
   impl_->replica_rate_limiter.SetGateways(std::move(gateways));
 }
 
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -197,10 +197,12 @@
   // every 10 ms.
   void OnTick();
 
-  // Number of gateways that share retry budgets and connection limits,
-  // including this one.
+  // Number of live gateways that share the connections of replicas, including
+  // this one.
   void SetGatewayCount(std::size_t n);
-  // See `ReplicaRateLimiter::SetGateways`.
+  // All gateways that may send requests, including this one, among which the
+  // limits of replicas and the retry budgets are divided. Empty if this gateway
+  // does not know the others well enough to use a part.
   void SetKnownGateways(std::vector<NodeId> gateways);
   // Whether another gateway can check keys. If this gateway cannot, it refuses
   // requests with a short Retry-After, because a new connection most likely
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -1,6 +1,7 @@
 // The attempts of one request: choosing a replica, passing on its answer, and
 // retrying or refusing when an attempt fails.
 #include <algorithm>
+#include <utility>
 
 #include "coordination/gateway/gateway_impl.h"
 #include "text.h"
@@ -45,8 +46,31 @@
   SendTo(request, *replica);
 }
 
+bool Gateway::Impl::ReserveAttempt(ServingRequest* request,
+                                   RetryReason reason) {
+  if (request->arrivals > 0 && !request->retry_reserved) {
+    request->retry_reserved =
+        ServiceBudget(request->service)
+            .TryUse(output->Now(), {reason, request->call.id});
+    return request->retry_reserved;
+  }
+  return true;
+}
+
+void Gateway::Impl::ReturnReservedRetries(ServingRequest* request) {
+  if (std::exchange(request->retry_reserved, false)) {
+    ServiceBudget(request->service).OnNotSent();
+  }
+}
+
+// The only place that sends requests to replicas.
 void Gateway::Impl::SendTo(ServingRequest* request,
                            const ReplicaEntry& replica) {
+  if (!ReserveAttempt(request, RetryReason::kNotRun)) {
+    Refuse(request,
+           {Refusal::kFull, Verdict::kNotRun, 0, "the retry budget is spent"});
+    return;
+  }
   const TimeUs now = output->Now();
   AttemptRequest attempt_request;
   attempt_request.call = &request->call;
@@ -69,7 +93,10 @@
   replica_rate_limiter.rests().OnSent(now, replica.id);
   request->tried.push_back(replica.id);
   ++request->sends;
+  ++request->arrivals;
   request->attempt = {};
+  request->attempt.retry_in_transit =
+      std::exchange(request->retry_reserved, false);
   request->attempt.replica = replica;
   request->attempt.sent_at = now;
   request->attempt.replica_list_age = directory->Age(now);
@@ -190,8 +217,7 @@
     return;
   }
   if (failed && MayRetry(*request) &&
-      ServiceBudget(request->service)
-          .TryUse(now, {RetryReason::kFailed, request->call.id})) {
+      ReserveAttempt(request, RetryReason::kFailed)) {
     metrics->Count("acaciachute_gateway_retries_total", "failed");
     StartAttempt(request);
     return;
@@ -227,11 +253,7 @@
                                              attempt.replica.id)) {
     std::erase(request->tried, attempt.replica.id);
   }
-  ServiceRetryBudget& budget = ServiceBudget(request->service);
-  if (!attempt.head) {
-    budget.OnFree(output->Now(), {RetryReason::kNotSent, request->call.id});
-  } else if (!budget.TryUse(output->Now(),
-                            {RetryReason::kNotRun, request->call.id})) {
+  if (!ReserveAttempt(request, RetryReason::kNotRun)) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
                      "the replica refused, and the retry budget is spent"});
     return;
@@ -243,14 +265,11 @@
 void Gateway::Impl::OnMayHaveRun(ServingRequest* request,
                                  std::string_view why) {
   ++request->possible_runs;
-  const TimeUs now = output->Now();
   log->Write("lost", {{"id", request->call.id},
                       {"replica", request->attempt.replica.id.name},
                       {"why", why},
                       {"begun", request->stream_begun}});
-  if (MayRetry(*request) &&
-      ServiceBudget(request->service)
-          .TryUse(now, {RetryReason::kLost, request->call.id})) {
+  if (MayRetry(*request) && ReserveAttempt(request, RetryReason::kLost)) {
     metrics->Count("acaciachute_gateway_retries_total", "lost");
     request->events.DiscardPartialEvent();
     if (request->stream_begun) {
@@ -322,6 +341,9 @@
     attempt.arrival_reported = true;
     replica_rate_limiter.OnArrived(output->Now(), attempt.replica);
   }
+  if (attempt.head && std::exchange(attempt.retry_in_transit, false)) {
+    ServiceBudget(request->service).OnArrived();
+  }
 }
 
 void Gateway::Impl::ReportNotSent(ServingRequest* request) {
@@ -330,6 +352,10 @@
     attempt.arrival_reported = true;
     replica_rate_limiter.OnNotSent(attempt.replica);
     replica_rate_limiter.rests().OnNotSent(attempt.replica.id);
+    --request->arrivals;
+    if (std::exchange(attempt.retry_in_transit, false)) {
+      ServiceBudget(request->service).OnNotSent();
+    }
   }
 }
 
@@ -342,6 +368,9 @@
   by_call.erase(attempt.call);
   attempt.call = 0;
   ReportArrival(request);
+  if (std::exchange(attempt.retry_in_transit, false)) {
+    ServiceBudget(request->service).OnUnconfirmed();
+  }
   if (IsEngine(*request)) {
     engines.OnEnded(attempt.replica.id, request->ForEngine(),
                     attempt.first_event_received);
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -40,6 +40,9 @@
   bool arrival_reported = false;
   // Reading from the replica is stopped until the client has read more.
   bool paused = false;
+  // This attempt took a token of the retry budget, and its arrival is not
+  // confirmed yet.
+  bool retry_in_transit = false;
 };
 
 // Result of the admission decision: on time, admitted although it will be late,
@@ -120,6 +123,11 @@
   // rests may be, after its rest.
   std::vector<ReplicaId> tried;
   std::size_t sends = 0;  // Attempts, but for recalled ones.
+  // Attempts that may have arrived at a replica. All sends after the first such
+  // one are retries.
+  std::size_t arrivals = 0;
+  // A retry was taken from the budget for the next attempt.
+  bool retry_reserved = false;
   bool awaits_limited_replica =
       false;  // See `Gateway::Impl::AwaitLimitedReplica`.
   EventSplitter events;
@@ -220,8 +228,14 @@
   void OnNotRun(ServingRequest* request);
   void OnMayHaveRun(ServingRequest* request, std::string_view why);
   bool MayRetry(const ServingRequest& request) const;
-  // Report to the rate limiter that the request arrived, or that no byte of it
-  // was sent.
+  // Takes a retry from the budget for the next attempt, unless the next one is
+  // the first that arrives; returns whether the attempt may be sent.
+  [[nodiscard]] bool ReserveAttempt(ServingRequest* request,
+                                    RetryReason reason);
+  // Gives back what was reserved and is not sent.
+  void ReturnReservedRetries(ServingRequest* request);
+  // Report to the rate limiter and the retry budget that the request arrived,
+  // or that no byte of it was sent.
   void ReportArrival(ServingRequest* request);
   void ReportNotSent(ServingRequest* request);
   void EndAttempt(ServingRequest* request);
@@ -290,8 +304,10 @@
 
   std::shared_ptr<const ServingConfig> config;
   ConfigFreshness freshness;
-  // Number of gateways, including this one.
+  // Number of live gateways, including this one.
   std::size_t gateway_count = 1;
+  // See `Gateway::SetKnownGateways`; zero if they are not known.
+  std::size_t known_gateway_count = 0;
   // Set during shutdown; see `Gateway::RefuseStreams`.
   bool refuses_streams = false;
   bool peer_can_check_keys = false;
--- a/src/coordination/gateway/service_retry_budget.h
+++ b/src/coordination/gateway/service_retry_budget.h
@@ -1,19 +1,30 @@
-// Limits the retries to one service over a sliding window, summed over all
-// gateways.
+// Limits the retries to one service: the arrivals at its replicas beyond the
+// first of each request or piece, over all gateways, in any window.
 //
 // When replicas of a service refuse or lose requests, every gateway retries at
 // once. Without a limit on the sum over all gateways, the retries put a second
-// load on a service that already fails under the first. Each gateway may use an
-// equal part of the fixed allowance, plus a share of the requests that it sent
-// itself, so the limit on the sum holds without messages between gateways. Half
-// of both parts stays unused as a reserve, because a gateway that restarts
-// loses its count of retries and because the number of gateways known here may
-// be wrong.
+// load on a service that already fails under the first.
+//
+// Each gateway has a token bucket for each service; each retry takes a token.
+// The bucket is empty when the process starts, and fills with time, by this
+// gateway's part of the fixed allowance, and with each request, by a share of
+// the allowed ratio. A retry occupies its place in the bucket until its
+// arrival is confirmed. So the retries of one gateway that arrive in a window
+// are at most what the bucket may hold, plus what it earns in the window:
+// - whatever was sent before the window and arrives in it was counted in the
+//   bucket at the start of the window, however long it was in transit;
+// - a process that was killed has used at most what it earned, and its
+//   successor starts with nothing, so any number of restarts changes nothing;
+// - the sum over all gateways needs no messages between them, only that each
+//   divides the fixed part by no fewer gateways than there are. Until a gateway
+//   knows the others, it has none of it.
+// What the bucket may hold and what requests earn are two parts of the same
+// ratio, of the requests before and in the window.
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_SERVICE_RETRY_BUDGET_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_SERVICE_RETRY_BUDGET_H_
 
-#include <algorithm>
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -33,15 +44,14 @@
   kNotRun,            // A replica said that it did not run the request.
   kFailed,            // A replica answered with its own failure.
   kLost,              // No complete answer; the request may have run.
-  kNotSent,           // No byte of the request was sent before.
   kStagesAgain,       // The stages of a request begin again.
   kPieceFailed,       // The call with the piece failed.
   kPieceOverdue,      // The call with the piece is overdue and still runs.
   kPieceResubmitted,  // The batching gateway was lost or sent no result.
 };
-inline constexpr std::array<std::string_view, 8> kRetryReasonNames = {
-    "not_run",      "failed",       "lost",          "not_sent",
-    "stages_again", "piece_failed", "piece_overdue", "piece_resubmitted"};
+inline constexpr std::array<std::string_view, 7> kRetryReasonNames = {
+    "not_run",       "failed",           "lost", "stages_again", "piece_failed",
+    "piece_overdue", "piece_resubmitted"};
 constexpr std::string_view Name(RetryReason v) {
   return detail::NameIn(kRetryReasonNames, v);
 }
@@ -55,64 +65,74 @@
 
 class ServiceRetryBudget {
  public:
-  // Share of the computed allowance that this gateway uses; the remainder is
-  // the reserve described above.
-  static constexpr double kUsableShare = 0.5;
+  // Share of the fixed allowance that the known gateways use; the remainder is
+  // for gateways that joined a moment ago and are not known to all others yet.
+  static constexpr double kKnownGatewaysShare = 0.9;
+  // Part of each allowance that the bucket may hold, for retries in a burst.
+  // The remainder is earned, over time or by requests.
+  static constexpr double kHeldShare = 0.5;
 
   ServiceRetryBudget(std::string service, Metrics* metrics, EventLog* log)
       : service_(std::move(service)), metrics_(metrics), log_(log) {}
 
-  void SetLimits(const ServiceRetryBudgetLimits& limits) { limits_ = limits; }
+  void SetLimits(TimeUs now, const ServiceRetryBudgetLimits& limits);
   // Number of gateways, as known here, that share the fixed allowance. Includes
-  // this gateway.
-  void SetGatewayCount(std::size_t n) {
-    gateway_count_ = std::max<std::size_t>(1, n);
-  }
+  // this gateway. Zero: the others are not known, and this gateway uses none of
+  // it.
+  void SetGatewayCount(TimeUs now, std::size_t n);
 
-  void OnRequest(TimeUs now) { Add(&requests_, now, 1); }
+  // A client's request for the service arrived here. `part`: of what a request
+  // earns, if another gateway earns the rest.
+  void OnRequest(TimeUs now, double part = 1);
 
-  // Returns whether the retry may be sent now; counts it if so.
-  bool TryUse(TimeUs now, const Retry& retry);
+  // Returns whether the retry may be sent now; takes its tokens if so. Each of
+  // its sends must then end in one of the three calls below.
+  [[nodiscard]] bool TryUse(TimeUs now, const Retry& retry);
   // Reports a retry that this budget does not limit.
   void OnFree(TimeUs now, const Retry& retry);
+  // A response shows that the sends have arrived.
+  void OnArrived(std::uint32_t n = 1);
+  // Nothing of the sends left this host.
+  void OnNotSent(std::uint32_t n = 1);
+  // No response came, and none is awaited any more. They may still arrive, for
+  // example at a replica that is suspended, and keep their places for a window.
+  void OnUnconfirmed(std::uint32_t n = 1);
+
+  // Number of retries that may be sent now.
+  double Available(TimeUs now);
+  std::size_t gateway_count() const { return gateway_count_; }
 
  private:
-  // Events counted from `start` on, for `kBucketDuration`.
-  struct Bucket {
-    TimeUs start = 0;
-    std::uint32_t count = 0;
+  struct TimedCount {
+    TimeUs time = 0;
+    double count = 0;
   };
-  static constexpr DurationUs kBucketDuration = 250 * kMillisecond;
-
-  double Allowed(TimeUs now);
-  void Report(TimeUs now, const Retry& retry, std::string_view outcome);
-  // Counts `n` events at time `now`.
-  static void Add(std::deque<Bucket>* buckets, TimeUs now, std::uint32_t n) {
-    if (buckets->empty() || now - buckets->back().start >= kBucketDuration) {
-      buckets->push_back({now, 0});
-    }
-    buckets->back().count += n;
-  }
-  // Drops buckets older than the window and returns the sum of the others.
-  double Sum(std::deque<Bucket>* buckets, TimeUs now) const {
-    while (!buckets->empty() &&
-           now - buckets->front().start > limits_.window + kBucketDuration) {
-      buckets->pop_front();
-    }
-    double sum = 0;
-    for (const auto& it : *buckets) {
-      sum += it.count;
-    }
-    return sum;
-  }
+  static constexpr DurationUs kCountInterval = 250 * kMillisecond;
+
+  double FixedPart() const;
+  // The most that tokens and retries in transit may add up to.
+  double Capacity() const;
+  // Adds the tokens earned since the last call, and discards what exceeds the
+  // capacity.
+  void Refill(TimeUs now);
+  void DiscardExcess();
+  void Report(const Retry& retry, std::string_view outcome);
 
   const std::string service_;
   Metrics* const metrics_;
   EventLog* const log_;
   ServiceRetryBudgetLimits limits_;
-  std::size_t gateway_count_ = 1;
-  std::deque<Bucket> requests_;
-  std::deque<Bucket> retries_;
+  std::size_t gateway_count_ = 0;
+  TimeUs refilled_at_ = 0;
+  double tokens_ = 0;
+  double in_transit_ = 0;  // Retries whose arrival is not confirmed.
+  // Unconfirmed retries, by the time at which they no longer count, and those
+  // since the last `Refill`.
+  std::deque<TimedCount> unconfirmed_;
+  double new_unconfirmed_ = 0;
+  // Requests within the last window, by the start of their interval.
+  std::deque<TimedCount> requests_;
+  double request_count_ = 0;  // Sum of `requests_`.
 };
 
 // The budget of a service, which lives as long as the gateway.
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -65,6 +65,31 @@
   waiting_.insert(piece->rank);
 }
 
+bool PieceBatcher::RetryPiece(TimeUs now, Piece* piece, RetryReason reason) {
+  if (!budget_->TryUse(now, {reason, piece->task.key.request})) {
+    return false;
+  }
+  ++piece->retries_in_transit;
+  Enqueue(now, piece);
+  return true;
+}
+
+void PieceBatcher::EndRetries(Piece* piece, bool answered) {
+  const std::uint32_t n = std::exchange(piece->retries_in_transit, 0);
+  if (answered) {
+    budget_->OnArrived(n);
+  } else {
+    budget_->OnUnconfirmed(n);
+  }
+}
+
+void PieceBatcher::DropRetries(const Piece& piece) {
+  const std::uint32_t unsent =
+      piece.queued ? std::min(piece.retries_in_transit, 1U) : 0;
+  budget_->OnNotSent(unsent);
+  budget_->OnUnconfirmed(piece.retries_in_transit - unsent);
+}
+
 // If part of a request's pieces start and the others wait behind other
 // requests, the finished results fill the replicas' memory, and nothing can
 // start although replicas are free. So the remaining pieces move to the front
@@ -96,6 +121,7 @@
     if (it->second.queued) {
       waiting_.erase(it->second.rank);
     }
+    DropRetries(it->second);
     it = pieces_.erase(it);
   }
   auto read = inputs_read_.lower_bound({request, 0});
@@ -397,7 +423,9 @@
     ReleaseResults({result.handle});
     return;
   }
-  --piece->second.calls;
+  if (--piece->second.calls == 0 && !piece->second.queued) {
+    EndRetries(&piece->second, answered);
+  }
   if (result.outcome == PieceOutcome::kInputMissing &&
       piece->second.calls > 0) {
     // The first call has read the inputs and may still complete the piece.
@@ -420,6 +448,7 @@
   if (it->second.queued) {
     waiting_.erase(it->second.rank);
   }
+  DropRetries(it->second);
   pieces_.erase(it);
   output_->OnPiece(result);
 }
@@ -456,8 +485,7 @@
     --inputs_read_.at({key.request, key.stage});
   }
   if (piece->attempts < kMaxCallsPerPiece && now < piece->deadline &&
-      budget_->TryUse(now, {RetryReason::kPieceFailed, key.request})) {
-    Enqueue(now, piece);
+      RetryPiece(now, piece, RetryReason::kPieceFailed)) {
     return;
   }
   Finish(pieces_.find(key), {key, outcome, ""});
@@ -551,9 +579,8 @@
     const auto it = pieces_.find(task.key);
     if (it != pieces_.end() && !it->second.queued && it->second.calls == 1 &&
         it->second.attempts < kMaxCallsPerPiece &&
-        !InputsReleased(it->second) &&
-        budget_->TryUse(now, {RetryReason::kPieceOverdue, task.key.request})) {
-      Enqueue(now, &it->second);
+        !InputsReleased(it->second)) {
+      RetryPiece(now, &it->second, RetryReason::kPieceOverdue);
     }
   }
 }
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -214,6 +214,9 @@
     bool queued = false;
     std::uint32_t calls = 0;  // Calls in progress that contain this piece.
     std::uint32_t attempts = 0;
+    // Sends that this batcher took from the retry budget and whose arrival is
+    // not confirmed.
+    std::uint32_t retries_in_transit = 0;
     std::set<ReplicaId> tried_replicas;
   };
   struct Call {
@@ -263,6 +266,12 @@
                    const ReplicaEntry& replica,
                    std::size_t max_pieces);
   void Enqueue(TimeUs now, Piece* piece);
+  // Takes a retry from the budget and queues the piece; returns whether it did.
+  bool RetryPiece(TimeUs now, Piece* piece, RetryReason reason);
+  // The piece is no longer in any call; `answered`: the last one was answered.
+  void EndRetries(Piece* piece, bool answered);
+  // The piece is dropped.
+  void DropRetries(const Piece& piece);
   void PrioritizeSiblings(const PieceKey& key);
   std::uint64_t LateMemoryBytes() const;
   void EndPiece(TimeUs now, bool answered, const PieceResult& result);
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -170,8 +170,8 @@
   QuietLog log;
   std::vector<ServiceRetryBudget> budgets(kGateways, {"s", &metrics, &log});
   for (auto& it : budgets) {
-    it.SetLimits(limits);
-    it.SetGatewayCount(kGateways);
+    it.SetLimits(0, limits);
+    it.SetGatewayCount(0, kGateways);
   }
   int repeats = 0;
   int requests = 0;
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -29,6 +29,9 @@
     std::optional<std::size_t> max_idle_connections;
   };
 
+  // Retry budgets, which are empty at the start, are full after this time.
+  static constexpr DurationUs kRetryBudgetFillTime = 20 * kSecond;
+
   explicit GatewayRig(GatewayOptions options = {})
       : core(std::move(options),
              this,
@@ -38,8 +41,9 @@
              &metrics,
              &log) {
     Configure(1);
-    core.OnConfirmed(now);
     core.SetKnownGateways({"g1"});
+    now += kRetryBudgetFillTime;
+    core.OnConfirmed(now);
     // Requests with stages are refused unless the stage service has a replica.
     AddReplica("maker-0", "maker");
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -402,6 +402,27 @@
   EXPECT_EQ(rig.sent[1].inputs, std::vector<std::string>{"10.0.0.9:80/b"});
 }
 
+GatewayOptions NoRetries() {
+  GatewayOptions options;
+  options.budget = {0, 0, 10 * kSecond};
+  return options;
+}
+
+// A send of which nothing left the host is not an arrival: the next one is free
+// as long as none before it arrived.
+TEST(GatewayRetryTest, OnlySendsAfterTheFirstArrivalTakeRetries) {
+  GatewayRig rig(NoRetries());
+  rig.AddReplica("r1", "app");
+  rig.AddReplica("r2", "app");
+  rig.AddReplica("r3", "app");
+  const ExchangeId id = rig.Call("repeat");
+  rig.core.OnReplicaFailed(rig.sent.at(0).call, false, "refused");
+  ASSERT_EQ(rig.sent.size(), 2U);
+  rig.AnswerWith(rig.sent[1].call, GatewayRig::NotRun(503));
+  EXPECT_EQ(rig.sent.size(), 2U);
+  EXPECT_TRUE(rig.refused.contains(id));
+}
+
 // In a burst, results expire while their request waits, and there is no time to
 // make them again. The client is refused at once instead of at its deadline,
 // and no more stage work is done.
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -17,7 +17,8 @@
 
 struct BatcherRig : PieceBatcherOutput, DirectoryWatcher {
   BatcherRig() {
-    budget.SetLimits({0.2, 200, 10 * kSecond});
+    budget.SetLimits(0, {0.2, 200, 10 * kSecond});
+    budget.SetGatewayCount(0, 1);
     BatchLimits limits;
     limits.slots = 1;
     limits.queue = 2;
--- a/tests/gateway/shared_piece_dispatcher_test.cc
+++ b/tests/gateway/shared_piece_dispatcher_test.cc
@@ -18,7 +18,8 @@
                 DirectoryWatcher {
     Node(DispatcherNet* owner, const NodeId& node_name)
         : net(owner), name(node_name), peers({node_name, "", 1}, &log) {
-      budget.SetLimits({0.2, 200, 10 * kSecond});
+      budget.SetLimits(0, {0.2, 200, 10 * kSecond});
+      budget.SetGatewayCount(0, 1);
       ServingConfig config;
       Service service;
       service.name = "maker";
