Let every second send of a piece pass the retry budget

What callers saw: when many results were gone or a gateway that batches was lost, the stages got a burst of work that had been done before, beside the new one; requests behind it were late.

Cause: three kinds of second sends passed no budget. Pieces handed to another gateway and stages begun again reached the batcher as new pieces, which even earned retries; an engine was asked again after a 409 for nothing; and the batcher earned for each piece where the rule counts requests.

Change: a task says itself whether its piece was sent before and who pays. Stages that begin again take the retries of all their pieces, and of the engine, before anything is sent; if one service's budget does not allow them, the request is refused at once and has not run. Pieces of a lost gateway are paid by the request's own gateway, the most urgent request first; those that are not paid end at once. The same process asked again pays itself, unless it has the piece. A request earns once at each service: half at its own gateway, half at the one that batches.

Frames between gateways have two fields more.

--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -61,6 +61,7 @@
   if (std::exchange(request->retry_reserved, false)) {
     ServiceBudget(request->service).OnNotSent();
   }
+  ReturnReservedPieces(request);
 }
 
 // The only place that sends requests to replicas.
@@ -246,6 +247,13 @@
   if (status == kConflict) {
     request->tried.clear();
     request->sends = 0;
+    if (!ReserveAttempt(request, RetryReason::kNotRun)) {
+      Refuse(request,
+             {Refusal::kFull, Verdict::kNotRun, 0,
+              "the replica found a result gone, and the retry budget is "
+              "spent"});
+      return;
+    }
     RestartStages(request, "the replica found a result gone");
     return;
   }
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -128,6 +128,10 @@
   std::size_t arrivals = 0;
   // A retry was taken from the budget for the next attempt.
   bool retry_reserved = false;
+  // Stages whose pieces were submitted. Those submitted again are retries.
+  std::set<std::uint32_t> submitted_stages;
+  // By stage: retries taken from the budget for pieces to be submitted again.
+  std::map<std::uint32_t, std::uint32_t> reserved_pieces;
   bool awaits_limited_replica =
       false;  // See `Gateway::Impl::AwaitLimitedReplica`.
   EventSplitter events;
@@ -189,6 +193,7 @@
   // gateway_stages.cc
   std::vector<PieceTask> TasksOf(const ServingRequest& request,
                                  std::uint32_t stage) const;
+  static bool EarnsRetries(const ServingRequest& request, std::uint32_t stage);
   // Failure domain in which the pieces of `stage` are best made; empty if it
   // does not matter.
   std::string PreferredDomain(const ServingRequest& request,
@@ -232,8 +237,11 @@
   // the first that arrives; returns whether the attempt may be sent.
   [[nodiscard]] bool ReserveAttempt(ServingRequest* request,
                                     RetryReason reason);
+  // The same for the pieces of all stages that were submitted before.
+  [[nodiscard]] bool ReserveStages(ServingRequest* request);
   // Gives back what was reserved and is not sent.
   void ReturnReservedRetries(ServingRequest* request);
+  void ReturnReservedPieces(ServingRequest* request);
   // Report to the rate limiter and the retry budget that the request arrived,
   // or that no byte of it was sent.
   void ReportArrival(ServingRequest* request);
--- a/src/coordination/gateway/gateway_stages.cc
+++ b/src/coordination/gateway/gateway_stages.cc
@@ -2,6 +2,7 @@
 // results.
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "coordination/gateway/gateway_impl.h"
 #include "text.h"
@@ -54,6 +55,17 @@
   return {};
 }
 
+// Whether `stage` is the first of the request's stages that its service runs,
+// and runs for the first time: a request counts once at each service.
+bool Gateway::Impl::EarnsRetries(const ServingRequest& request,
+                                 std::uint32_t stage) {
+  const auto& stages = request.route->stages;
+  return std::none_of(request.submitted_stages.begin(),
+                      request.submitted_stages.end(), [&](std::uint32_t it) {
+                        return stages[it].service == stages[stage].service;
+                      });
+}
+
 std::vector<PieceTask> Gateway::Impl::TasksOf(const ServingRequest& request,
                                               std::uint32_t stage) const {
   const TimeUs now = output->Now();
@@ -82,10 +94,14 @@
   }
   task.near_domain = PreferredDomain(request, stage);
   task.holds_bytes /= std::max(1U, request.progress.Pieces(stage));
+  task.send = request.submitted_stages.contains(stage) ? PieceSend::kRetryPaid
+                                                       : PieceSend::kFirst;
+  task.earns_retries = EarnsRetries(request, stage);
   std::vector<PieceTask> tasks;
   for (std::uint32_t n = 0; n < request.progress.Pieces(stage); ++n) {
     task.key = {request.call.id, stage, n};
     tasks.push_back(task);
+    task.earns_retries = false;  // The first one earns for all.
   }
   return tasks;
 }
@@ -98,6 +114,12 @@
     if (tasks.empty()) {
       continue;
     }
+    if (tasks.front().earns_retries) {
+      ServiceBudget(tasks.front().service)
+          .OnRequest(now, 1 - PieceTask::kOwnerEarnings);
+    }
+    request->submitted_stages.insert(stage);
+    request->reserved_pieces.erase(stage);
     dispatcher->Submit(now, std::move(tasks));
     if (FindByExchange(id) == nullptr) {
       return;  // The request was refused during `Submit`.
@@ -116,6 +138,28 @@
   StartAttempt(request);
 }
 
+bool Gateway::Impl::ReserveStages(ServingRequest* request) {
+  ReturnReservedPieces(request);
+  for (const std::uint32_t stage : request->submitted_stages) {
+    const std::uint32_t pieces = request->progress.Pieces(stage);
+    if (!ServiceBudget(request->route->stages[stage].service)
+             .TryUse(output->Now(),
+                     {RetryReason::kStagesAgain, request->call.id, pieces})) {
+      ReturnReservedPieces(request);
+      return false;
+    }
+    request->reserved_pieces[stage] = pieces;
+  }
+  return true;
+}
+
+void Gateway::Impl::ReturnReservedPieces(ServingRequest* request) {
+  for (const auto& [stage, pieces] :
+       std::exchange(request->reserved_pieces, {})) {
+    ServiceBudget(request->route->stages[stage].service).OnNotSent(pieces);
+  }
+}
+
 // Results expire after a few seconds and are lost when their replica ends. If
 // one is lost, all stages of the request run again, as long as there is time
 // for it.
@@ -135,19 +179,17 @@
                      StrCat("no time to begin again: ", why)});
     return;
   }
+  if (!ReserveStages(request)) {
+    Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
+                     StrCat(why, ", and the retry budget is spent")});
+    return;
+  }
   log->Write(
       "stages_again",
       {{"id", request->call.id},
        {"why", why},
        {"stages_ms", request->stage_times},
        {"after_ms", (output->Now() - request->received_at) / kMillisecond}});
-  for (std::uint32_t n = 0; n < request->route->stages.size(); ++n) {
-    if (const std::uint32_t pieces = request->progress.Pieces(n); pieces > 0) {
-      ServiceBudget(request->route->stages[n].service)
-          .OnFree(output->Now(),
-                  {RetryReason::kStagesAgain, request->call.id, pieces});
-    }
-  }
   request->stages_done = false;
   RunStages(request);
 }
--- a/src/coordination/gateway/service_retry_budget.cc
+++ b/src/coordination/gateway/service_retry_budget.cc
@@ -85,11 +85,6 @@
   return allowed;
 }
 
-void ServiceRetryBudget::OnFree(TimeUs now, const Retry& retry) {
-  Refill(now);
-  Report(retry, "free");
-}
-
 void ServiceRetryBudget::OnArrived(std::uint32_t n) {
   in_transit_ -= n;
 }
--- a/src/coordination/gateway/service_retry_budget.h
+++ b/src/coordination/gateway/service_retry_budget.h
@@ -88,8 +88,6 @@
   // Returns whether the retry may be sent now; takes its tokens if so. Each of
   // its sends must then end in one of the three calls below.
   [[nodiscard]] bool TryUse(TimeUs now, const Retry& retry);
-  // Reports a retry that this budget does not limit.
-  void OnFree(TimeUs now, const Retry& retry);
   // A response shows that the sends have arrived.
   void OnArrived(std::uint32_t n = 1);
   // Nothing of the sends left this host.
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -42,8 +42,17 @@
     // queued or running already.
     return;
   }
-  budget_->OnRequest(now);
+  if (task.send == PieceSend::kRetryUnpaid &&
+      !budget_->TryUse(now, {RetryReason::kPieceResubmitted, key.request})) {
+    pieces_.erase(it);
+    output_->OnPiece({key, PieceOutcome::kNotMade, ""});
+    return;
+  }
+  if (task.earns_retries && task.send == PieceSend::kFirst) {
+    budget_->OnRequest(now, PieceTask::kOwnerEarnings);
+  }
   Piece& piece = it->second;
+  piece.retries_in_transit = task.send == PieceSend::kRetryUnpaid ? 1 : 0;
   piece.deadline = now + task.time_left;
   piece.queued_at = now;
   piece.latest_start = now + task.time_to_begin;
--- a/src/coordination/stages/shared_piece_dispatcher.cc
+++ b/src/coordination/stages/shared_piece_dispatcher.cc
@@ -1,6 +1,7 @@
 #include "coordination/stages/shared_piece_dispatcher.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace acaciachute {
@@ -28,6 +29,7 @@
     pending.deadline = now + it.time_left;
     pending.latest_start = now + it.time_to_begin;
     pending.request_arrived_at = now - it.waited;
+    pending.retry_in_transit = it.send == PieceSend::kRetryPaid;
   }
   SendToOwner(now, std::move(tasks));
 }
@@ -39,6 +41,7 @@
   for (const PieceTask& it : tasks) {
     Pending& pending = pending_[it.key];
     pending.owner = owner;
+    pending.owner_live = true;
     pending.sent_at = now;
   }
   if (owner == self_) {
@@ -49,35 +52,134 @@
   }
 }
 
+std::vector<SharedPieceDispatcher::ResubmittedGroup>
+SharedPieceDispatcher::GroupByRequest(const std::vector<PieceKey>& keys) const {
+  using RequestAndService = std::pair<std::string, std::string>;
+  std::map<RequestAndService, ResubmittedGroup> by_request;
+  for (const PieceKey& key : keys) {
+    const Pending& pending = pending_.at(key);
+    ResubmittedGroup& group = by_request[{key.request, pending.task.service}];
+    group.priority = pending.task.priority;
+    group.deadline = pending.deadline;
+    group.keys.push_back(key);
+  }
+  std::vector<ResubmittedGroup> groups;
+  for (auto& [key, group] : by_request) {
+    groups.push_back(std::move(group));
+  }
+  std::stable_sort(groups.begin(), groups.end(),
+                   [](const auto& a, const auto& b) {
+                     return std::tie(a.priority, a.deadline) <
+                            std::tie(b.priority, b.deadline);
+                   });
+  return groups;
+}
+
+// When a gateway that batches for many is lost, the budget may be too small for
+// all of their pieces, so the most urgent requests come first.
 void SharedPieceDispatcher::Resubmit(TimeUs now,
                                      const std::vector<PieceKey>& keys,
                                      const char* reason) {
-  using Group = std::pair<std::string, std::string>;  // Request and service.
-  std::map<Group, std::vector<PieceTask>> groups;
-  for (const PieceKey& key : keys) {
-    Pending& pending = pending_.at(key);
+  for (const ResubmittedGroup& group : GroupByRequest(keys)) {
+    // Giving up a piece ends its request, so pieces may be gone by now.
+    if (pending_.contains(group.keys.front())) {
+      ResubmitGroup(now, group, reason);
+    }
+  }
+}
+
+// The gateway that got the pieces may have had them run before it was lost, so
+// sending them to another one takes retries. The same process knows whether it
+// had, and pays itself if so.
+void SharedPieceDispatcher::ResubmitGroup(TimeUs now,
+                                          const ResubmittedGroup& group,
+                                          const char* reason) {
+  const Pending& first = pending_.at(group.keys.front());
+  const std::string service = first.task.service;
+  const bool owner_live = first.owner_live;
+  const bool same_process =
+      owner_live && peers_->OwnerOf(service) == first.owner;
+  const bool paid = !same_process && PayFor(now, group);
+  log_->Write("pieces_again", {{"id", group.keys.front().request},
+                               {"service", service},
+                               {"pieces", group.keys.size()},
+                               {"sent", same_process || paid},
+                               {"why", reason}});
+  if (!same_process && !paid) {
+    if (owner_live) {
+      PostponeOverdue(now, group);
+    } else {
+      GiveUp(group);
+    }
+    return;
+  }
+  std::vector<PieceTask> tasks;
+  for (const PieceKey& key : group.keys) {
+    const Pending& pending = pending_.at(key);
     PieceTask task = pending.task;
     task.time_left = pending.deadline - now;
     task.time_to_begin = pending.latest_start - now;
     task.waited = now - pending.request_arrived_at;
-    groups[{key.request, task.service}].push_back(std::move(task));
+    task.send = paid ? PieceSend::kRetryPaid : PieceSend::kRetryUnpaid;
+    tasks.push_back(std::move(task));
+  }
+  SendToOwner(now, std::move(tasks));
+}
+
+bool SharedPieceDispatcher::PayFor(TimeUs now, const ResubmittedGroup& group) {
+  const PieceKey& first = group.keys.front();
+  if (!budget_of_(pending_.at(first).task.service)
+           ->TryUse(now, {RetryReason::kPieceResubmitted, first.request,
+                          static_cast<std::uint32_t>(group.keys.size())})) {
+    return false;
+  }
+  for (const PieceKey& key : group.keys) {
+    Pending& pending = pending_.at(key);
+    EndRetry(&pending, false);
+    pending.retry_in_transit = true;
+  }
+  return true;
+}
+
+// The gateway that has the pieces is alive and may still send their results.
+void SharedPieceDispatcher::PostponeOverdue(TimeUs now,
+                                            const ResubmittedGroup& group) {
+  for (const PieceKey& key : group.keys) {
+    pending_.at(key).sent_at = now;
+  }
+}
+
+void SharedPieceDispatcher::GiveUp(const ResubmittedGroup& group) {
+  for (const PieceKey& key : group.keys) {
+    if (const auto it = pending_.find(key); it != pending_.end()) {
+      Erase(it, false);
+      output_->OnOwnPiece({key, PieceOutcome::kNotMade, ""});
+    }
   }
-  for (auto& [group, tasks] : groups) {
-    log_->Write("pieces_again", {{"id", group.first},
-                                 {"service", group.second},
-                                 {"pieces", tasks.size()},
-                                 {"why", reason}});
-    budget_of_(group.second)
-        ->OnFree(now, {RetryReason::kPieceResubmitted, group.first,
-                       static_cast<std::uint32_t>(tasks.size())});
-    SendToOwner(now, std::move(tasks));
+}
+
+void SharedPieceDispatcher::EndRetry(Pending* pending, bool arrived) {
+  if (!std::exchange(pending->retry_in_transit, false)) {
+    return;
   }
+  ServiceRetryBudget* budget = budget_of_(pending->task.service);
+  if (arrived) {
+    budget->OnArrived();
+  } else {
+    budget->OnUnconfirmed();
+  }
+}
+
+void SharedPieceDispatcher::Erase(std::map<PieceKey, Pending>::iterator it,
+                                  bool arrived) {
+  EndRetry(&it->second, arrived);
+  pending_.erase(it);
 }
 
 void SharedPieceDispatcher::CancelRequest(const std::string& request) {
   auto it = pending_.lower_bound(PieceKey{request, 0, 0});
   while (it != pending_.end() && it->first.request == request) {
-    it = pending_.erase(it);
+    Erase(it++, false);
   }
   local_->CancelRequest(request);
   const auto owners = owners_.extract(request);
@@ -177,7 +279,8 @@
 }
 
 void SharedPieceDispatcher::OnOwnResult(const PieceResult& result) {
-  if (pending_.erase(result.key) > 0) {
+  if (const auto it = pending_.find(result.key); it != pending_.end()) {
+    Erase(it, result.outcome == PieceOutcome::kMade);
     output_->OnOwnPiece(result);
   } else if (!result.handle.empty()) {
     // Second result of the piece, or its request has ended.
@@ -220,8 +323,9 @@
     OnPeerCancel({request});
   }
   std::vector<PieceKey> lost;
-  for (const auto& [key, pending] : pending_) {
+  for (auto& [key, pending] : pending_) {
     if (pending.owner == peer) {
+      pending.owner_live = false;
       lost.push_back(key);
     }
   }
--- a/src/coordination/stages/shared_piece_dispatcher.h
+++ b/src/coordination/stages/shared_piece_dispatcher.h
@@ -82,17 +82,43 @@
   struct Pending {
     PieceTask task;
     NodeId owner;
+    // The process that got the piece was not lost since.
+    bool owner_live = true;
     TimeUs deadline = 0;
     TimeUs latest_start = 0;
     TimeUs request_arrived_at = 0;
     TimeUs sent_at = 0;
+    // This gateway took the piece from the retry budget, and no result shows
+    // that it arrived.
+    bool retry_in_transit = false;
   };
 
   double MemoryShareInUse(const std::string& service) const;
   void SendToOwner(TimeUs now, std::vector<PieceTask> tasks);
+  // Pieces of one request and service that are submitted again.
+  struct ResubmittedGroup {
+    std::uint32_t priority = 0;
+    TimeUs deadline = 0;
+    std::vector<PieceKey> keys;
+  };
+  // The most urgent group first.
+  std::vector<ResubmittedGroup> GroupByRequest(
+      const std::vector<PieceKey>& keys) const;
   void Resubmit(TimeUs now,
                 const std::vector<PieceKey>& keys,
                 const char* reason);
+  void ResubmitGroup(TimeUs now,
+                     const ResubmittedGroup& group,
+                     const char* reason);
+  // Takes the retries of the group from the budget; returns whether it did.
+  bool PayFor(TimeUs now, const ResubmittedGroup& group);
+  // Waits for the results for another `kResultTimeout`.
+  void PostponeOverdue(TimeUs now, const ResubmittedGroup& group);
+  // Ends the pieces of the group as not made.
+  void GiveUp(const ResubmittedGroup& group);
+  // Removes the piece; `arrived`: a result shows that it arrived.
+  void Erase(std::map<PieceKey, Pending>::iterator it, bool arrived);
+  void EndRetry(Pending* pending, bool arrived);
   void OnOwnResult(const PieceResult& result);
 
   const NodeId self_;
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -133,8 +133,8 @@
 template <class A>
 void serialize(A& a, PieceTask& v) {
   a(v.key, v.service, v.source, v.inputs, v.time_left, v.time_to_begin,
-    v.waited, v.holds_bytes, v.priority, v.result_bytes, v.sole_users,
-    v.near_domain);
+    v.waited, v.holds_bytes, v.priority, v.result_bytes, v.sole_users, v.send,
+    v.earns_retries, v.near_domain);
 }
 template <class A>
 void serialize(A& a, PieceTasks& v) {
--- a/src/state/piece.h
+++ b/src/state/piece.h
@@ -22,7 +22,19 @@
   auto operator<=>(const PieceKey&) const = default;
 };
 
+// Whether a piece was sent before, and which gateway's retry budget pays.
+enum class PieceSend : std::uint8_t {
+  kFirst,
+  kRetryPaid,    // The sender has paid.
+  kRetryUnpaid,  // The batching gateway pays, unless it has the piece already.
+};
+
 struct PieceTask {
+  // Part of what a request earns for the retry budget of a service that runs
+  // its pieces which the batching gateway earns; the request's own gateway
+  // earns the remainder. Both retry pieces.
+  static constexpr double kOwnerEarnings = 0.5;
+
   PieceKey key;
   std::string service;
   std::string source;               // Input of a stage that needs no other.
@@ -41,6 +53,9 @@
   // their inputs, so that the inputs can be released once all have been read.
   // Zero if another stage needs them.
   std::uint32_t sole_users = 0;
+  PieceSend send = PieceSend::kFirst;
+  // This piece stands for its request in the retry budget of the service.
+  bool earns_retries = false;
   // Preferred failure domain: that of the inputs, or that of the replica which
   // will fetch the result. Empty: no preference.
   std::string near_domain;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -423,6 +423,55 @@
   EXPECT_TRUE(rig.refused.contains(id));
 }
 
+// Guards against second sends after a lost result that the retry budget does
+// not count: the engine's, and those of all pieces that are made again.
+TEST(GatewayStagesTest, MakingStagesAgainTakesRetriesOfEachService) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine");
+  rig.Call("staged", "k1", {1, 2});
+  rig.Made(rig.tasks[0], "10.0.0.9:80/a");
+  ASSERT_EQ(rig.tasks.size(), 3U);
+  rig.Made(rig.tasks[1], "10.0.0.9:80/b");
+  rig.Made(rig.tasks[2], "10.0.0.9:80/c");
+  ASSERT_EQ(rig.sent.size(), 1U);
+  rig.AnswerWith(rig.sent[0].call, GatewayRig::NotRun(409));
+  const auto paid = [&](std::string_view kind) {
+    return rig.metrics.Value("acaciachute_gateway_second_sends_total", kind);
+  };
+  EXPECT_EQ(paid("engine not_run paid"), 1U);
+  EXPECT_EQ(paid("maker stages_again paid"), 3U);
+  ASSERT_EQ(rig.tasks.size(), 4U);
+  EXPECT_EQ(rig.tasks[0].send, PieceSend::kFirst);
+  EXPECT_TRUE(rig.tasks[0].earns_retries);
+  EXPECT_EQ(rig.tasks[3].send, PieceSend::kRetryPaid);
+  EXPECT_FALSE(rig.tasks[3].earns_retries);
+}
+
+// Guards against engines that are asked again without limit when many results
+// are gone: with the budget spent, the client is refused at once.
+TEST(GatewayStagesTest, RefusesWhenARetryAfterALostResultIsNotAllowed) {
+  GatewayRig rig(NoRetries());
+  rig.AddReplica("e1", "engine");
+  const ExchangeId id = rig.Call("staged", "k1", {1, 0});
+  rig.Made(rig.tasks[0], "10.0.0.9:80/a");
+  rig.AnswerWith(rig.sent.at(0).call, GatewayRig::NotRun(409));
+  EXPECT_EQ(rig.tasks.size(), 1U);
+  ASSERT_TRUE(rig.refused.contains(id));
+  EXPECT_EQ(rig.refused[id].verdict, Verdict::kNotRun);
+}
+
+// The same for a stage that found the result of an earlier one gone.
+TEST(GatewayStagesTest, RefusesWhenPiecesMayNotBeMadeAgain) {
+  GatewayRig rig(NoRetries());
+  rig.AddReplica("e1", "engine");
+  const ExchangeId id = rig.Call("staged", "k1", {1, 1});
+  rig.Made(rig.tasks[0], "10.0.0.9:80/a");
+  rig.core.OnPiece({rig.tasks.at(1).key, PieceOutcome::kInputMissing, ""});
+  EXPECT_EQ(rig.tasks.size(), 2U);
+  ASSERT_TRUE(rig.refused.contains(id));
+  EXPECT_EQ(rig.refused[id].verdict, Verdict::kNotRun);
+}
+
 // In a burst, results expire while their request waits, and there is no time to
 // make them again. The client is refused at once instead of at its deadline,
 // and no more stage work is done.
--- a/tests/gateway/shared_piece_dispatcher_test.cc
+++ b/tests/gateway/shared_piece_dispatcher_test.cc
@@ -203,6 +203,70 @@
   EXPECT_EQ(requester.received.size(), 1U);
 }
 
+// Guards against pieces that are sent once more without limit when the gateway
+// that batches them is lost, and even earn retries at the next one: a piece may
+// have been run before. The budget is enough for one; the more urgent request
+// gets it, the other one is given up at once.
+TEST(SharedPieceDispatcherTest, PiecesOfALostGatewayAreRetries) {
+  DispatcherNet net(3);
+  auto& requester = net.At(net.other);
+  PieceTask urgent = DispatcherNet::Task("s");
+  urgent.priority = 0;
+  PieceTask patient = DispatcherNet::Task("r");
+  patient.priority = 2;
+  requester.dispatcher.Submit(net.now, {patient});
+  requester.dispatcher.Submit(net.now, {urgent});
+  net.Deliver();
+  net.lost.insert(net.owner);
+  requester.budget.SetLimits(net.now, {0, 3, 10 * kSecond});
+  requester.peers.OnUnreachable(net.now, net.owner);
+  auto& next = net.At(requester.peers.OwnerOf("maker"));
+  const double before = requester.budget.Available(net.now);
+  requester.dispatcher.OnPeerLost(net.now, net.owner);
+  net.Deliver();
+  ASSERT_EQ(next.calls.size(), 1U);
+  ASSERT_EQ(next.calls[0].pieces.size(), 1U);
+  EXPECT_EQ(next.calls[0].pieces[0].key.request, "s");
+  ASSERT_EQ(requester.received.size(), 1U);
+  EXPECT_EQ(requester.received[0].key.request, "r");
+  EXPECT_EQ(requester.received[0].outcome, PieceOutcome::kNotMade);
+  EXPECT_DOUBLE_EQ(requester.budget.Available(net.now), before - 1);
+}
+
+// A gateway that is asked again for pieces that it has sends nothing and pays
+// nothing.
+TEST(SharedPieceDispatcherTest, AskingTheSameGatewayAgainIsNoRetry) {
+  DispatcherNet net(2);
+  auto& requester = net.At(net.other);
+  auto& owner = net.At(net.owner);
+  requester.dispatcher.Submit(net.now, {DispatcherNet::Task("r")});
+  net.Deliver();
+  const double before = owner.budget.Available(net.now);
+  net.now += SharedPieceDispatcher::kResultTimeout + kMillisecond;
+  requester.dispatcher.OnTick(net.now);
+  net.Deliver();
+  EXPECT_EQ(owner.calls.size(), 1U);
+  EXPECT_GE(owner.budget.Available(net.now), before);
+}
+
+// If it has them no longer, it may have run them, and pays.
+TEST(SharedPieceDispatcherTest, PiecesThatAGatewayHasNoMoreAreRetries) {
+  DispatcherNet net(2);
+  auto& requester = net.At(net.other);
+  auto& owner = net.At(net.owner);
+  requester.dispatcher.Submit(net.now, {DispatcherNet::Task("r")});
+  net.in_flight.clear();
+  owner.budget.SetLimits(net.now, {0, 0, 10 * kSecond});
+  net.now += SharedPieceDispatcher::kResultTimeout + kMillisecond;
+  requester.dispatcher.OnTick(net.now);
+  net.Deliver();
+  EXPECT_TRUE(owner.calls.empty());
+  owner.dispatcher.SendResults();
+  net.Deliver();
+  ASSERT_EQ(requester.received.size(), 1U);
+  EXPECT_EQ(requester.received[0].outcome, PieceOutcome::kNotMade);
+}
+
 // A gateway that refuses connections is not tried in a loop: pieces go to a
 // live one, and the dead one counts again only after a heartbeat that was sent
 // later.
