Add 'load retries', which adds up the retries in gateways' logs

From the logs of all gateways: for each service the 10 s with most retries, and which gateway sent how many of them, why, and on which part of the fixed allowance.

No functional change

--- a/src/ctl/load_commands.cc
+++ b/src/ctl/load_commands.cc
@@ -1,5 +1,5 @@
-// Command `load explain`: summarizes the outcomes of the requests in gateways'
-// logs and their causes.
+// Commands `load explain`: summarizes the outcomes of the requests in gateways'
+// logs and their causes, and `load retries`: adds up their retries.
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -7,6 +7,8 @@
 #include "ctl/command.h"
 #include "ctl/load_summary.h"
 #include "ctl/log_lines.h"
+#include "ctl/retry_windows.h"
+#include "state/host_settings.h"
 #include "text.h"
 
 namespace acaciachute {
@@ -51,15 +53,24 @@
   return rows;
 }
 
-ExitCode Explain(const Command& command) {
-  LoadReader reader;
+// Adds all lines of the logs that the command names to `reader`.
+template <class Reader>
+ExitCode ReadLogs(const Command& command, Reader* reader) {
   for (const std::string& path : command.words) {
     std::ifstream file;
     std::istream* log = OpenLog(path, &file);
     if (log == nullptr) {
       return PrintError(ExitCode::kUsage, StrCat("cannot read ", path));
     }
-    ForEachLogLine(log, [&](const Json& line) { reader.AddLine(line); });
+    ForEachLogLine(log, [&](const Json& line) { reader->AddLine(line); });
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode Explain(const Command& command) {
+  LoadReader reader;
+  if (const ExitCode read = ReadLogs(command, &reader); read != ExitCode::kOk) {
+    return read;
   }
   const LoadSummary summary = reader.Summary();
   if (summary.rows.empty() && summary.causes.empty()) {
@@ -85,13 +96,41 @@
   return ExitCode::kOk;
 }
 
+ExitCode Retries(const Command& command) {
+  // The window of the budget's default settings.
+  RetryReader reader(ServiceRetryBudgetLimits{}.window);
+  if (const ExitCode read = ReadLogs(command, &reader); read != ExitCode::kOk) {
+    return read;
+  }
+  Json rows = Json::array();
+  for (const RetryShare& it : reader.WorstWindows()) {
+    rows.push_back({{"service", it.service},
+                    {"window_end_us", it.window_end},
+                    {"in_window", it.in_window},
+                    {"gateway", it.gateway},
+                    {"reason", it.reason},
+                    {"sent", it.sent},
+                    {"refused", it.refused},
+                    {"gateways", it.gateways}});
+  }
+  if (rows.empty()) {
+    return PrintError(ExitCode::kFailed, "the logs have no retry");
+  }
+  PrintRows(command.format,
+            {"service", "window_end_us", "in_window", "gateway", "reason",
+             "sent", "refused", "gateways"},
+            rows);
+  return ExitCode::kOk;
+}
+
 }  // namespace
 
 void AddLoadCommands(CommandTable* table) {
   // Maximum number of LOG arguments.
   constexpr std::size_t kMaxLogFiles = 10'000;
   table->insert(
-      {{"load explain", {1, kMaxLogFiles, "load explain LOG...", Explain}}});
+      {{"load explain", {1, kMaxLogFiles, "load explain LOG...", Explain}},
+       {"load retries", {1, kMaxLogFiles, "load retries LOG...", Retries}}});
 }
 
 }  // namespace acaciachute
