Have one set of defaults for the retry budget, and check its settings

Two files named different ratios and slacks for settings that the platform leaves out; the ones that were in effect (0.1 and 20) stand now, in one place. A window below 1 s would divide the budget by nothing, and negative limits mean none: they are refused with their names, as other bounds are.

Settings with the three limits in them, as all known files have, work as before.

--- a/src/state/host_settings.h
+++ b/src/state/host_settings.h
@@ -12,8 +12,8 @@
 
 // Limits the retries of requests to one service, summed over all gateways.
 struct ServiceRetryBudgetLimits {
-  double ratio = 0.2;  // Retries per request within `window`.
-  double slack = 50;   // Retries allowed in addition within `window`.
+  double ratio = 0.1;  // Retries per request within `window`.
+  double slack = 20;   // Retries allowed in addition within `window`.
   DurationUs window = 10 * kSecond;
   bool operator==(const ServiceRetryBudgetLimits&) const = default;
 };
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -45,6 +45,25 @@
                              5500 * kMillisecond, 4 * kSecond}));
 }
 
+// Guards against two sets of defaults: limits that the file leaves out are
+// those of `ServiceRetryBudgetLimits`.
+TEST(HostSettingsFileTest, HasOneSetOfDefaultsForRetries) {
+  const auto settings = ParseHostSettings(kSettings);
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->retries.slack, ServiceRetryBudgetLimits{}.slack);
+  EXPECT_EQ(settings->retries.window, ServiceRetryBudgetLimits{}.window);
+  EXPECT_EQ(HostSettings{}.retries, ServiceRetryBudgetLimits{});
+}
+
+// Guards against a retry budget that is divided by a window of no length.
+TEST(HostSettingsFileTest, RefusesRetryLimitsThatAllowNoBudget) {
+  for (const char* it :
+       {"bounds.retry_window_s=0", "bounds.retry_window_s=-3",
+        "bounds.retry_slack=-1", "bounds.retry_budget_ratio=-0.1"}) {
+    EXPECT_FALSE(ParseHostSettings(StrCat(kSettings, it, "\n")).ok()) << it;
+  }
+}
+
 // Guards against accepting a bound that cannot be kept and then exceeding it
 // without notice.
 TEST(HostSettingsFileTest, RefusesBoundsThatCannotBeKept) {
