Let a gateway's part of a stated limit accrue after its start

A replica states a limit for all gateways over a window of 4 s or more; a process that starts has forgotten what the one before it sent, and used its whole part again a second after its start.

Change: within the first window after a gateway knows the others, its part accrues up to a half. Restarts of all gateways, also in series, lead to half as many again as the limit allows at most, which is what the rule allows without its fixed part. The limit of cold replicas has a window as long as the time in which a new gateway sends nothing, so it held. The gateway that batches keeps one call a window at once.

--- a/src/coordination/choice/replica_rate_limiter.cc
+++ b/src/coordination/choice/replica_rate_limiter.cc
@@ -24,7 +24,10 @@
   }
 }
 
-void ReplicaRateLimiter::SetGateways(std::vector<NodeId> gateways) {
+void ReplicaRateLimiter::SetGateways(TimeUs now, std::vector<NodeId> gateways) {
+  if (gateways_.empty()) {
+    gateways_known_since_ = now;
+  }
   if (gateways != gateways_) {
     gateways_ = std::move(gateways);
     ++generation_;
@@ -108,7 +111,21 @@
   }
   RecentRequests& recent_requests = recent_requests_[replica.id];
   return recent_requests.CountWithin(now, stated->window) <
-         ShareOf(replica.id, &recent_requests, stated->max_requests);
+         UsableNow(now, *stated,
+                   ShareOf(replica.id, &recent_requests, stated->max_requests));
+}
+
+std::size_t ReplicaRateLimiter::UsableNow(TimeUs now,
+                                          const StatedLimit& stated,
+                                          std::size_t part) const {
+  const DurationUs age = now - gateways_known_since_;
+  if (age >= stated.window) {
+    return part;
+  }
+  const double share =
+      std::min(kMaxStartShare,
+               static_cast<double>(age) / static_cast<double>(stated.window));
+  return static_cast<std::size_t>(share * static_cast<double>(part));
 }
 
 bool ReplicaRateLimiter::MaySendBatch(TimeUs now, const ReplicaEntry& replica) {
@@ -117,13 +134,14 @@
   }
   const auto stated = StatedLimitOf(replica.id);
   return !stated || recent_requests_[replica.id].CountWithin(
-                        now, stated->window) < BatchShare(*stated);
+                        now, stated->window) < BatchShare(now, *stated);
 }
 
-std::size_t ReplicaRateLimiter::BatchShare(const StatedLimit& stated) {
+std::size_t ReplicaRateLimiter::BatchShare(TimeUs now,
+                                           const StatedLimit& stated) const {
   const auto share = static_cast<std::size_t>(
       kBatchingShare * static_cast<double>(stated.max_requests));
-  return std::max<std::size_t>(1, share);
+  return std::max<std::size_t>(1, UsableNow(now, stated, share));
 }
 
 TimeUs ReplicaRateLimiter::NextBatch(TimeUs now, const ReplicaEntry& replica) {
@@ -137,7 +155,7 @@
     return next;
   }
   const auto& arrivals = it->second.arrival_times;
-  const std::size_t share = BatchShare(*stated);
+  const std::size_t share = BatchShare(now, *stated);
   if (it->second.CountWithin(now, stated->window) < share) {
     return next;
   }
@@ -156,8 +174,8 @@
                                                     const StatedLimit& stated) {
   RecentRequests& recent_requests = recent_requests_[replica.id];
   recent_requests.DropArrivalsBefore(now - stated.window);
-  const std::size_t share =
-      ShareOf(replica.id, &recent_requests, stated.max_requests);
+  const std::size_t share = UsableNow(
+      now, stated, ShareOf(replica.id, &recent_requests, stated.max_requests));
   const std::size_t used = recent_requests.CountWithin(now, stated.window);
   std::vector<TimeUs> turns(used < share ? share - used : 0, now);
   for (const TimeUs it : recent_requests.arrival_times) {
--- a/src/coordination/choice/replica_rate_limiter.h
+++ b/src/coordination/choice/replica_rate_limiter.h
@@ -23,6 +23,12 @@
 // gateways that joined a moment ago. A gateway that has just joined sends
 // nothing to limited replicas until the others know of it.
 //
+// A process has forgotten what the one before it sent, which still counts in
+// the window. So its part of a stated limit accrues from when it knows the
+// others, up to a half, and is complete after a window: restarts of all
+// gateways, also in series, lead to half as many requests again as the limit
+// allows.
+//
 // After the cold period the limit doubles in steps until it is lifted
 // (`SlowStart`), so that the last delayed requests and the first ones at full
 // rate do not arrive together.
@@ -70,6 +76,9 @@
   static constexpr double kMaxStatedRate = 1e6;
   // Share of a stated limit that the gateway which batches uses.
   static constexpr double kBatchingShare = 0.7;
+  // Largest share of its part of a stated limit that a gateway uses within the
+  // first window.
+  static constexpr double kMaxStartShare = 0.5;
   // Number of heartbeat periods of a replica until its row in the store shows
   // that it is cold: the row may just have been rewritten (one heartbeat), and
   // the next version needs time to arrive here (one more).
@@ -83,7 +92,7 @@
   // All gateways that may send requests, including this one. Empty if this
   // gateway does not know the others well enough to send any to limited
   // replicas.
-  void SetGateways(std::vector<NodeId> gateways);
+  void SetGateways(TimeUs now, std::vector<NodeId> gateways);
 
   // Whether the rate of the replica is limited now, because it is cold, as far
   // as known here, or still warming up, because it states a limit, or because
@@ -156,7 +165,11 @@
     return StatedLimitOf(replica.id).has_value();
   }
   // Number of calls per window that the gateway which batches may send.
-  static std::size_t BatchShare(const StatedLimit& stated);
+  std::size_t BatchShare(TimeUs now, const StatedLimit& stated) const;
+  // What this gateway may use now of `part`, its part of a stated limit.
+  std::size_t UsableNow(TimeUs now,
+                        const StatedLimit& stated,
+                        std::size_t part) const;
   // Turns by the limit that the replica states.
   std::vector<TimeUs> StatedTurns(TimeUs now,
                                   const ReplicaEntry& replica,
@@ -180,6 +193,7 @@
   DurationUs replica_heartbeat_period_ = 0;
   absl::flat_hash_map<std::string, Limits> services_;
   std::vector<NodeId> gateways_;
+  TimeUs gateways_known_since_ = 0;
   std::uint64_t generation_ = 1;  // Increases when `gateways_` changes.
   absl::flat_hash_map<ReplicaId, RecentRequests> recent_requests_;
   RateStatements statements_;
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -391,7 +391,8 @@
   for (auto& [service, budget] : impl_->budgets) {
     budget.SetGatewayCount(impl_->output->Now(), gateways.size());
   }
-  impl_->replica_rate_limiter.SetGateways(std::move(gateways));
+  impl_->replica_rate_limiter.SetGateways(impl_->output->Now(),
+                                          std::move(gateways));
 }
 
 void Gateway::SetPeerCanCheckKeys(bool can_check_keys) {
--- a/tests/gateway/rate_fleet.h
+++ b/tests/gateway/rate_fleet.h
@@ -51,6 +51,7 @@
 
   std::size_t size() const { return rigs_.size(); }
   GatewayRig& rig(std::size_t n) { return *rigs_[n]; }
+  const std::vector<NodeId>& names() const { return names_; }
   TimeUs now() const { return rigs_.front()->now; }
 
   // The text of the limit that an engine states in its answers; empty: none.
--- a/tests/gateway/replica_rate_limiter_test.cc
+++ b/tests/gateway/replica_rate_limiter_test.cc
@@ -42,7 +42,7 @@
   auto limit = std::make_unique<ReplicaRateLimiter>(node);
   limit->SetRateLimit({}, 1200 * kMillisecond);
   limit->SetServices(ConfigWithColdEngines());
-  limit->SetGateways(std::move(gateways));
+  limit->SetGateways(0, std::move(gateways));
   return limit;
 }
 
@@ -218,9 +218,9 @@
   void Step(TimeUs now, const ReplicaEntry& replica, Random* random) {
     for (auto& [name, it] : gateways_) {
       it.limit->SetGateways(
-          now >= it.settled_at
-              ? std::vector<NodeId>(it.known.begin(), it.known.end())
-              : std::vector<NodeId>());
+          now, now >= it.settled_at
+                   ? std::vector<NodeId>(it.known.begin(), it.known.end())
+                   : std::vector<NodeId>());
       const auto wanted_requests = static_cast<int>(random->Below(4));
       for (int n = 0; n < wanted_requests && it.limit->MaySend(now, replica);
            ++n) {
--- a/tests/gateway/replica_rate_test.cc
+++ b/tests/gateway/replica_rate_test.cc
@@ -108,6 +108,27 @@
   EXPECT_EQ(fleet.rig(1).core.rate_limiter()->statements().LimitOf("e0"), 1);
 }
 
+// Guards against the same sum by restarts: a process has forgotten what the one
+// before it sent within the window. Each gateway is restarted every two seconds
+// and uses its part from a second after its start, when it knows the others.
+TEST(StatedRateTest, RestartsInSeriesDoNotAddUp) {
+  constexpr double kLimit = 10;
+  RateFleet fleet(5, 4);
+  fleet.SetLimit("e0", "10");
+  fleet.Run(8 * kSecond, 200);
+  for (std::size_t n = 0; n < 10 * fleet.size(); ++n) {
+    const std::size_t restarted = n % fleet.size();
+    const std::size_t settled = (n + fleet.size() / 2) % fleet.size();
+    fleet.Restart(restarted);
+    fleet.rig(restarted).core.SetKnownGateways({});
+    fleet.rig(settled).core.SetKnownGateways(fleet.names());
+    fleet.ExchangeStatements();
+    fleet.Run(2 * kSecond / static_cast<DurationUs>(fleet.size()), 200);
+    EXPECT_LE(fleet.Arrivals("e0", RateFleet::kWindow),
+              RateFleet::Allowed(kLimit));
+  }
+}
+
 // A new incarnation of the replica has stated nothing.
 TEST(StatedRateTest, ANewIncarnationHasNoLimit) {
   GatewayRig rig;
