Let the retries of an entry's start accrue over time

One is there at once, and the others accrue over the first 20 s; what requests earn and the most that may be stored stay as they were.

The sum over entries is still that of their processes: no setting names a bound for it.

Test: LoadControlTest.RestartsInSeriesDoNotRenewTheRetries (10 lives of 2 s: 30 retries at most; 200 before).

--- a/src/coordination/admission/load_control.cc
+++ b/src/coordination/admission/load_control.cc
@@ -94,6 +94,7 @@
                                 CallerClass caller_class,
                                 DurationUs time_left,
                                 RequestLoad* load) {
+  retry_budget_.OnTime(now);
   const auto& pipeline = EstimateOf(event_name, event);
   Arrival arrival;
   arrival.caller_class = caller_class;
--- a/src/coordination/admission/load_control.h
+++ b/src/coordination/admission/load_control.h
@@ -87,8 +87,8 @@
                     DurationUs service);
   // Whether one more attempt may be made. An attempt that was never sent needs
   // no retry token.
-  bool TakeRetry(AttemptEnd end) {
-    return end == AttemptEnd::kUnsent || retry_budget_.TryUseRetry();
+  bool TakeRetry(TimeUs now, AttemptEnd end) {
+    return end == AttemptEnd::kUnsent || retry_budget_.TryUseRetry(now);
   }
 
  private:
--- a/src/coordination/interface/pipeline.cc
+++ b/src/coordination/interface/pipeline.cc
@@ -254,7 +254,7 @@
   const bool may_repeat =
       verdict == Verdict::kNotRun || request.call.idempotent;
   if (may_repeat && now < request.deadline &&
-      (!spend_retry || load_->TakeRetry(end))) {
+      (!spend_retry || load_->TakeRetry(now, end))) {
     metrics_->Count("acaciachute_retries_total", Name(reason));
     Start(now, request);
     return;
--- a/tests/load_decisions_test.cc
+++ b/tests/load_decisions_test.cc
@@ -256,22 +256,40 @@
   EXPECT_EQ(kept, kSubsetSize - 1);
 }
 
+// Guards against entries that crash again and again and have all retries of the
+// start each time: each lives for two seconds, and all attempts fail.
+TEST(LoadControlTest, RestartsInSeriesDoNotRenewTheRetries) {
+  constexpr int kLives = 10;
+  int taken = 0;
+  for (int life = 0; life < kLives; ++life) {
+    RetryBudget budget;
+    for (TimeUs now = 0; now < 2 * kSecond; now += 10 * kMillisecond) {
+      budget.OnTime(now);
+      taken += budget.TryUseRetry(now) ? 1 : 0;
+    }
+  }
+  EXPECT_LE(taken, 3 * kLives);
+}
+
 // Retries are limited to a tenth of the first attempts, apart from the initial
 // tokens, whatever fails. An attempt that was never sent does not count.
 TEST(LoadControlTest, RetriesStayWithinTheirBudget) {
   RetryBudget budget;
   int taken = 0;
+  TimeUs now = kSecond;
   for (int n = 0; n < 1000; ++n) {
+    now += 100 * kMillisecond;
     budget.OnFirstAttempt();
-    taken += budget.TryUseRetry() ? 1 : 0;
+    taken += budget.TryUseRetry(now) ? 1 : 0;
   }
   EXPECT_LE(taken, 1000 * RetryBudget::kTokensPerFirstAttempt +
                        RetryBudget::kMaxRetryTokens);
+  EXPECT_GE(taken, 1000 * RetryBudget::kTokensPerFirstAttempt);
   Random random(1);
   ReplicaTable replicas;
   LoadControl control("entry-1", &replicas, &random);
   for (int n = 0; n < 100; ++n) {
-    EXPECT_TRUE(control.TakeRetry(AttemptEnd::kUnsent));
+    EXPECT_TRUE(control.TakeRetry(now, AttemptEnd::kUnsent));
   }
 }
 
