Read numbers of log lines in one place, whatever they are

Test: LogSourcesTest.TakesATimeStampThatIsNoNumberForNone failed before (it threw).

No functional change of gateways

--- a/src/ctl/load_summary.cc
+++ b/src/ctl/load_summary.cc
@@ -12,13 +12,10 @@
 
 using Json = nlohmann::json;
 
-// Returns a number of the line, or zero if it is missing or negative.
-std::uint32_t NumberOf(const Json& line, const char* name) {
-  const auto it = line.find(name);
-  if (it == line.end() || !it->is_number()) {
-    return 0;
-  }
-  return static_cast<std::uint32_t>(std::max(0.0, it->get<double>()));
+// Returns a count of the line, or zero if it is missing or negative.
+std::uint32_t CountOf(const Json& line, const char* name) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, NumberOf(line, name)));
 }
 
 // Replaces numbers by "N", so that details that differ only in numbers count as
@@ -47,8 +44,8 @@
   const auto first = line.find("first_ms");
   const bool stream =
       first != line.end() && first->is_number() && first->get<double>() >= 0;
-  const std::uint32_t until = NumberOf(line, stream ? "first_ms" : "total_ms");
-  return until <= NumberOf(line, "target_ms") ? "in_time" : "late";
+  const std::uint32_t until = CountOf(line, stream ? "first_ms" : "total_ms");
+  return until <= CountOf(line, "target_ms") ? "in_time" : "late";
 }
 
 std::int64_t Quantile(std::vector<std::uint32_t> values, double share) {
@@ -87,16 +84,16 @@
 void LoadReader::AddRequest(const Json& line) {
   Group& group = groups_[{TextOf(line, "route"), TextOf(line, "admitted"),
                           OutcomeOf(line)}];
-  group.total_ms.push_back(NumberOf(line, "total_ms"));
-  group.expected_ms.push_back(NumberOf(line, "expected_wait_ms"));
+  group.total_ms.push_back(CountOf(line, "total_ms"));
+  group.expected_ms.push_back(CountOf(line, "expected_wait_ms"));
 }
 
 void LoadReader::AddPieceCall(const Json& line) {
   Stage& stage = stages_[TextOf(line, "service")];
   ++stage.calls;
-  stage.pieces += NumberOf(line, "pieces");
+  stage.pieces += CountOf(line, "pieces");
   stage.most_waiting =
-      std::max<std::size_t>(stage.most_waiting, NumberOf(line, "left_waiting"));
+      std::max<std::size_t>(stage.most_waiting, CountOf(line, "left_waiting"));
   const auto it = line.find("slowness");
   stage.slowness += it != line.end() && it->is_number() ? it->get<double>() : 0;
 }
--- a/src/ctl/log_explain.cc
+++ b/src/ctl/log_explain.cc
@@ -133,8 +133,8 @@
     std::vector<LogEvent>* out) {
   const auto it = table.find(TextOf(line, "event"));
   if (it != table.end()) {
-    out->push_back({line.value("at_us", TimeUs{0}), TextOf(line, "node"),
-                    it->second(line)});
+    out->push_back(
+        {NumberOf(line, "at_us"), TextOf(line, "node"), it->second(line)});
   }
 }
 
@@ -165,7 +165,7 @@
   const TimeUs from = out.request.front().at - kExplainBefore;
   const TimeUs to = out.request.back().at;
   for (const Json& it : lines) {
-    const TimeUs at = it.value("at_us", TimeUs{0});
+    const TimeUs at = NumberOf(it, "at_us");
     if (at >= from && at <= to && nodes.contains(TextOf(it, "node"))) {
       AppendDescription(ContextEvents(), it, &out.around);
     }
--- a/src/ctl/log_lines.cc
+++ b/src/ctl/log_lines.cc
@@ -14,6 +14,17 @@
   return it->is_string() ? it->get<std::string>() : it->dump();
 }
 
+std::int64_t NumberOf(const Json& line,
+                      const char* name,
+                      std::int64_t fallback) {
+  const auto it = line.find(name);
+  if (it == line.end() || !it->is_number()) {
+    return fallback;
+  }
+  return it->is_number_integer() ? it->get<std::int64_t>()
+                                 : static_cast<std::int64_t>(it->get<double>());
+}
+
 std::istream* OpenLog(const std::string& path, std::ifstream* file) {
   if (path.empty() || path == "-") {
     return &std::cin;
--- a/src/ctl/log_lines.h
+++ b/src/ctl/log_lines.h
@@ -2,6 +2,7 @@
 #ifndef ACACIACHUTE_SRC_CTL_LOG_LINES_H_
 #define ACACIACHUTE_SRC_CTL_LOG_LINES_H_
 
+#include <cstdint>
 #include <fstream>
 #include <functional>
 #include <istream>
@@ -25,6 +26,12 @@
 // Returns a member of the line as text, or "?" if it is missing.
 std::string TextOf(const nlohmann::json& line, const char* name);
 
+// Returns a member of the line as a whole number, or `fallback` if it is
+// missing or no number.
+std::int64_t NumberOf(const nlohmann::json& line,
+                      const char* name,
+                      std::int64_t fallback = 0);
+
 }  // namespace acaciachute
 
 #endif  // ACACIACHUTE_SRC_CTL_LOG_LINES_H_
--- a/src/ctl/log_sources.cc
+++ b/src/ctl/log_sources.cc
@@ -28,7 +28,7 @@
   it.table = TextOf(line, "table");
   it.gateway = gateway;
   it.source = TextOf(line, "source");
-  it.since = line.value("at_us", TimeUs{0});
+  it.since = NumberOf(line, "at_us");
   it.why = TextOf(line, "why");
   ++it.changes;
 }
@@ -37,10 +37,10 @@
 
 std::vector<GatewaySource> SourcesFromLog(std::istream* log) {
   std::vector<Json> lines = ReadLogLines(log);
-  std::stable_sort(
-      lines.begin(), lines.end(), [](const Json& a, const Json& b) {
-        return a.value("at_us", TimeUs{0}) < b.value("at_us", TimeUs{0});
-      });
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const Json& a, const Json& b) {
+                     return NumberOf(a, "at_us") < NumberOf(b, "at_us");
+                   });
   std::map<Key, GatewaySource> sources;
   for (const Json& it : lines) {
     AddLine(it, &sources);
--- a/src/ctl/retry_windows.cc
+++ b/src/ctl/retry_windows.cc
@@ -12,12 +12,12 @@
     return;
   }
   Line it;
-  it.time = line.value("at_us", TimeUs{0});
+  it.time = NumberOf(line, "at_us");
   it.gateway = TextOf(line, "node");
   it.reason = TextOf(line, "reason");
   it.sent = TextOf(line, "outcome") != "refused";
-  it.count = line.value("count", std::uint64_t{1});
-  it.gateways = line.value("gateways", std::uint64_t{0});
+  it.count = static_cast<std::uint64_t>(NumberOf(line, "count", 1));
+  it.gateways = static_cast<std::uint64_t>(NumberOf(line, "gateways"));
   lines_[TextOf(line, "service")].push_back(std::move(it));
 }
 
--- a/tests/log_sources_test.cc
+++ b/tests/log_sources_test.cc
@@ -35,5 +35,16 @@
   EXPECT_EQ(found[2].why, "no answer in time");
 }
 
+// Guards against a command that ends on a line of another writer, whose time
+// stamp is no number.
+TEST(LogSourcesTest, TakesATimeStampThatIsNoNumberForNone) {
+  std::istringstream log(
+      R"({"at_us":"noon","node":"a","event":"table_source","table":"op",)"
+      R"("source":"store"})");
+  const std::vector<GatewaySource> found = SourcesFromLog(&log);
+  ASSERT_EQ(found.size(), 1U);
+  EXPECT_EQ(found[0].since, 0);
+}
+
 }  // namespace
 }  // namespace acaciachute
