--- a/src/coordination/stages/shared_piece_dispatcher.cc
+++ b/src/coordination/stages/shared_piece_dispatcher.cc
@@ -64,6 +64,7 @@
     group.keys.push_back(key);
   }
   std::vector<ResubmittedGroup> groups;
+  groups.reserve(by_request.size());
   for (auto& [key, group] : by_request) {
     groups.push_back(std::move(group));
   }
