--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	@$(BUILD)/bench/bench_path
 	@$(BUILD)/bench/bench_decisions
 	@$(BUILD)/bench/decision_cost
+	@$(BUILD)/bench/retry_budget
 	@$(BUILD)/bench/replica_rows
 	@$(BUILD)/bench/config_change
 	@$(BUILD)/bench/bench_gateway_load
