--- a/src/coordination/gateway/service_retry_budget.h
+++ b/src/coordination/gateway/service_retry_budget.h
@@ -98,7 +98,6 @@
 
   // Number of retries that may be sent now.
   double Available(TimeUs now);
-  std::size_t gateway_count() const { return gateway_count_; }
 
  private:
   struct TimedCount {
