Log how a replica's answer ended and what end its client got

Lines said 'answered' for a whole answer, for one that an orderly close ended inside an event and for one without any event. Now AnswerEnd (state/answer_end.h) travels from HttpAnswerReader through HttpChannels and Gateway to HttpListener: 'request' and 'lost' lines, two counters and 'request explain' tell by what the answer was to end and did end, its bytes, events and the rest of one, and the end that the client got. What is decided stays as it was: an orderly close still counts as the end.

No functional change

--- a/src/coordination/gateway/event_splitter.cc
+++ b/src/coordination/gateway/event_splitter.cc
@@ -43,6 +43,12 @@
   }
   std::string complete_events = partial_event_.substr(0, end);
   partial_event_.erase(0, end);
+  for (const std::string_view terminator : {"\n\n", "\r\n\r\n"}) {
+    for (auto at = complete_events.find(terminator); at != std::string::npos;
+         at = complete_events.find(terminator, at + terminator.size())) {
+      ++complete_events_;
+    }
+  }
   if (const auto id = LastId(complete_events)) {
     last_event_id_ = id;
   }
--- a/src/coordination/gateway/event_splitter.h
+++ b/src/coordination/gateway/event_splitter.h
@@ -22,11 +22,13 @@
   const std::string& partial_event() const { return partial_event_; }
   // Id of the last complete event that had one.
   std::optional<std::uint64_t> last_event_id() const { return last_event_id_; }
+  std::uint64_t complete_events() const { return complete_events_; }
   // Discards the partial event, because its remaining bytes will not arrive.
   void DiscardPartialEvent() { partial_event_.clear(); }
 
  private:
   std::string partial_event_;
+  std::uint64_t complete_events_ = 0;
   std::optional<std::uint64_t> last_event_id_;
 };
 
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -87,19 +87,27 @@
       Info(answer.reason).retryable) {
     answer.retry_after = RetryAfter(*request);
   }
-  const bool stream_begun = request->stream_begun;
   log->Write("gave_up",
              {{"id", request->call.id},
               {"reason", Name(answer.reason)},
               {"verdict", Name(answer.verdict)},
               {"detail", answer.detail},
               {"retry_after_ms", answer.retry_after / kMillisecond}});
-  Finish(request, Name(answer.reason), Info(answer.reason).http_status);
-  if (stream_begun) {
-    output->Break(id);
+  if (request->stream_begun) {
+    request->client_end = output->EndStream(id, AnswerEnd::kBroken);
   } else {
     output->Refuse(id, answer);
+    request->client_end = AnswerEnd::kLength;
   }
+  Finish(request, Name(answer.reason), Info(answer.reason).http_status);
+}
+
+std::string_view Gateway::Impl::NameOf(const std::optional<AnswerEnd>& end) {
+  return end ? Name(*end) : "none";
+}
+
+std::string_view Gateway::Impl::ExpectedEndOf(const Attempt& attempt) {
+  return attempt.head ? Name(attempt.head->expected_end) : "none";
 }
 
 // Logs the request and removes it from all indexes. `request` is invalid after
@@ -115,6 +123,8 @@
   }
   const TimeUs now = output->Now();
   metrics->Count("acaciachute_gateway_requests_total", outcome);
+  metrics->Count("acaciachute_gateway_client_ends_total",
+                 NameOf(request->client_end));
   metrics->Observe("acaciachute_gateway_request_seconds", request->route->name,
                    now - request->received_at);
   log->Write(
@@ -127,6 +137,12 @@
        {"status", status},
        {"config", request->config->version},
        {"replica", request->attempt.replica.id.name},
+       {"expected_end", ExpectedEndOf(request->attempt)},
+       {"answer_end", NameOf(request->attempt.end)},
+       {"answer_bytes", request->attempt.received_bytes},
+       {"events", request->events.complete_events()},
+       {"rest_bytes", request->events.partial_event().size()},
+       {"client_end", NameOf(request->client_end)},
        {"runs", request->possible_runs},
        {"tried", request->sends},
        {"list_ms", request->attempt.replica_list_age / kMillisecond},
@@ -311,9 +327,9 @@
     impl_->OnBody(request, bytes);
   }
 }
-void Gateway::OnReplicaEnd(CallId id) {
+void Gateway::OnReplicaEnd(CallId id, AnswerEnd end) {
   if (auto* request = impl_->FindByCall(id)) {
-    impl_->OnEnd(request);
+    impl_->OnEnd(request, end);
   }
 }
 void Gateway::OnReplicaFailed(CallId id, bool sent, std::string_view why) {
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/piece_dispatcher.h"
+#include "state/answer_end.h"
 #include "state/client_request.h"
 #include "state/event_log.h"
 #include "state/metrics.h"
@@ -70,16 +71,18 @@
 
   // Sends the gateway's own answer to the client.
   virtual void Refuse(ExchangeId id, const LocalReply& answer) = 0;
-  // Passes a replica's complete answer to the client.
-  virtual void Answer(ExchangeId id,
-                      const ReplicaHead& head,
-                      std::string_view body) = 0;
-  virtual void BeginStream(ExchangeId id, const ReplicaHead& head) = 0;
+  // Passes on a replica's answer that ended with `end`. Returns the end that
+  // the client receives.
+  virtual AnswerEnd Answer(ExchangeId id,
+                           const ReplicaHead& head,
+                           std::string_view body,
+                           AnswerEnd end) = 0;
+  // Returns the end that the client receives if the stream is complete.
+  virtual AnswerEnd BeginStream(ExchangeId id, const ReplicaHead& head) = 0;
   virtual void StreamData(ExchangeId id, std::string_view bytes) = 0;
-  virtual void EndStream(ExchangeId id) = 0;
-  // Closes the client's connection in the middle of a stream, so that the
-  // client does not take the stream for complete.
-  virtual void Break(ExchangeId id) = 0;
+  // `kBroken` resets the client's connection, so that the client does not take
+  // the stream for complete. Returns the end that the client receives.
+  virtual AnswerEnd EndStream(ExchangeId id, AnswerEnd end) = 0;
   // Bytes queued for the client that are not sent yet.
   virtual std::size_t Unsent(ExchangeId id) = 0;
 
@@ -174,7 +177,7 @@
   void OnReplicaConnected(CallId id);
   void OnReplicaHead(CallId id, ReplicaHead head);
   void OnReplicaBody(CallId id, std::string_view bytes);
-  void OnReplicaEnd(CallId id);
+  void OnReplicaEnd(CallId id, AnswerEnd end);
   // The connection failed before the end of the answer. `sent`: whether any
   // byte of the request was sent.
   void OnReplicaFailed(CallId id, bool sent, std::string_view why);
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -126,6 +126,7 @@
 
 void Gateway::Impl::OnBody(ServingRequest* request, std::string_view bytes) {
   Attempt& attempt = request->attempt;
+  attempt.received_bytes += bytes.size();
   const bool stream =
       request->route->kind == RouteKind::kStream && attempt.head->ok();
   if (!stream) {
@@ -171,8 +172,10 @@
   }
 }
 
-void Gateway::Impl::OnEnd(ServingRequest* request) {
+void Gateway::Impl::OnEnd(ServingRequest* request, AnswerEnd end) {
   Attempt& attempt = request->attempt;
+  attempt.end = end;
+  metrics->Count("acaciachute_gateway_answer_ends_total", Name(end));
   const ReplicaHead& head = *attempt.head;
   if (head.not_run || head.other_replica) {
     EndAttempt(request);
@@ -197,7 +200,7 @@
   engines.OnSuccess(attempt.replica.id);
   ++request->possible_runs;
   EndAttempt(request);
-  output->EndStream(request->id);
+  request->client_end = output->EndStream(request->id, end);
   Finish(request, Name(Verdict::kAnswered), head.status);
 }
 
@@ -223,7 +226,8 @@
     StartAttempt(request);
     return;
   }
-  output->Answer(request->id, *attempt.head, attempt.body);
+  request->client_end =
+      output->Answer(request->id, *attempt.head, attempt.body, *attempt.end);
   Finish(request, failed ? "replica_failed" : Name(Verdict::kAnswered),
          attempt.head->status);
 }
@@ -276,6 +280,11 @@
   log->Write("lost", {{"id", request->call.id},
                       {"replica", request->attempt.replica.id.name},
                       {"why", why},
+                      {"expected_end", ExpectedEndOf(request->attempt)},
+                      {"answer_end", NameOf(request->attempt.end)},
+                      {"answer_bytes", request->attempt.received_bytes},
+                      {"events", request->events.complete_events()},
+                      {"rest_bytes", request->events.partial_event().size()},
                       {"begun", request->stream_begun}});
   if (MayRetry(*request) && ReserveAttempt(request, RetryReason::kLost)) {
     metrics->Count("acaciachute_gateway_retries_total", "lost");
@@ -299,6 +308,11 @@
 void Gateway::Impl::OnFailed(ServingRequest* request,
                              bool sent,
                              std::string_view why) {
+  if (request->attempt.head) {
+    request->attempt.end = AnswerEnd::kBroken;
+    metrics->Count("acaciachute_gateway_answer_ends_total",
+                   Name(AnswerEnd::kBroken));
+  }
   const Attempt attempt = request->attempt;
   const TimeUs now = output->Now();
   if (IsEngine(*request)) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -32,6 +32,8 @@
   // Time from the choice of the replica until the request was sent.
   DurationUs connect_time = 0;
   std::optional<ReplicaHead> head;
+  std::optional<AnswerEnd> end;  // Not set if no answer ended.
+  std::size_t received_bytes = 0;
   // Body of a plain answer, buffered until it is complete.
   std::string body;
   bool first_event_received = false;
@@ -137,6 +139,8 @@
   EventSplitter events;
   bool stream_begun = false;  // The head of the stream was sent to the client.
   TimeUs stream_begun_at = 0;
+  // Set when the client's answer has ended.
+  std::optional<AnswerEnd> client_end;
   std::optional<std::uint64_t> resume_after;
 };
 
@@ -211,6 +215,9 @@
                         const ClientRequest& call,
                         LocalReply answer);
   void Finish(ServingRequest* request, std::string_view outcome, int status);
+  // For logs and metrics.
+  static std::string_view NameOf(const std::optional<AnswerEnd>& end);
+  static std::string_view ExpectedEndOf(const Attempt& attempt);
   void Expire(ServingRequest* request);
   void SetExpiry(ServingRequest* request, TimeUs expires_at);
 
@@ -224,7 +231,7 @@
       const ServingRequest& request) const;
   void OnHead(ServingRequest* request, ReplicaHead head);
   void OnBody(ServingRequest* request, std::string_view bytes);
-  void OnEnd(ServingRequest* request);
+  void OnEnd(ServingRequest* request, AnswerEnd end);
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
   std::vector<CallId> CallsAt(const ReplicaId& replica) const;
   void FailAttemptsAt(const ReplicaId& replica);
--- a/src/ctl/log_explain.cc
+++ b/src/ctl/log_explain.cc
@@ -31,10 +31,22 @@
   return StrCat("not run by replica ", TextOf(line, "replica"), " (status ",
                 TextOf(line, "status"), ")");
 }
+// Returns an empty text for lines of earlier versions, which lack the fields.
+std::string DescribeAnswerEnd(const Json& line) {
+  if (!line.contains("answer_end")) {
+    return "";
+  }
+  return StrCat("; the replica's answer was to end with ",
+                TextOf(line, "expected_end"), " and ended with ",
+                TextOf(line, "answer_end"), " after ",
+                TextOf(line, "answer_bytes"), " bytes, ",
+                TextOf(line, "events"), " events and ",
+                TextOf(line, "rest_bytes"), " bytes of an unfinished one");
+}
 std::string DescribeLost(const Json& line) {
-  return StrCat("lost at replica ", TextOf(line, "replica"), ": ",
-                TextOf(line, "why"),
-                "; stream started: ", TextOf(line, "begun"));
+  return StrCat(
+      "lost at replica ", TextOf(line, "replica"), ": ", TextOf(line, "why"),
+      "; stream started: ", TextOf(line, "begun"), DescribeAnswerEnd(line));
 }
 std::string DescribeStagesAgain(const Json&) {
   return "stages restarted: a result was no longer available";
@@ -59,7 +71,11 @@
       TextOf(line, "stages_ms"), "] ms, first event at ",
       TextOf(line, "first_ms"), " ms; replica ", TextOf(line, "replica"), ", ",
       TextOf(line, "tried"), " replicas tried, ", TextOf(line, "runs"),
-      " runs; configuration ", TextOf(line, "config"), DescribeListAge(line));
+      " runs; configuration ", TextOf(line, "config"), DescribeListAge(line),
+      DescribeAnswerEnd(line),
+      line.contains("client_end")
+          ? StrCat("; the client's ended with ", TextOf(line, "client_end"))
+          : std::string());
 }
 
 // Events whose lines carry a request's id.
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -108,19 +108,21 @@
   // GatewayPorts:
   TimeUs Now() override { return Loop::BootNow(); }
   void Refuse(ExchangeId id, const LocalReply& answer) override;
-  void Answer(ExchangeId id,
-              const ReplicaHead& head,
-              std::string_view body) override {
-    clients.Reply(id, head.status, head.fields, body);
+  AnswerEnd Answer(ExchangeId id,
+                   const ReplicaHead& head,
+                   std::string_view body,
+                   AnswerEnd) override {
+    return clients.Reply(id, head.status, head.fields, body);
   }
-  void BeginStream(ExchangeId id, const ReplicaHead& head) override {
-    clients.BeginStream(id, head.status, head.fields);
+  AnswerEnd BeginStream(ExchangeId id, const ReplicaHead& head) override {
+    return clients.BeginStream(id, head.status, head.fields);
   }
   void StreamData(ExchangeId id, std::string_view bytes) override {
     clients.StreamData(id, bytes);
   }
-  void EndStream(ExchangeId id) override { clients.EndStream(id); }
-  void Break(ExchangeId id) override { clients.Break(id); }
+  AnswerEnd EndStream(ExchangeId id, AnswerEnd end) override {
+    return clients.EndStream(id, end);
+  }
   std::size_t Unsent(ExchangeId id) override { return clients.Unsent(id); }
   CallId Send(const AttemptRequest& attempt) override;
   void Cancel(CallId id) override { channels.Cancel(id); }
@@ -139,7 +141,9 @@
   void OnAnswerBody(CallId id, std::string_view bytes) override {
     gateway->OnReplicaBody(id, bytes);
   }
-  void OnAnswerEnd(CallId id) override { gateway->OnReplicaEnd(id); }
+  void OnAnswerEnd(CallId id, AnswerEnd end) override {
+    gateway->OnReplicaEnd(id, end);
+  }
   void OnCallFailed(CallId id, const CallFailure& failure) override {
     gateway->OnReplicaFailed(id, failure.sent,
                              StrCat(Name(failure.kind), ": ", failure.reason));
--- a/src/protocol/http1.cc
+++ b/src/protocol/http1.cc
@@ -211,6 +211,7 @@
     head.reason = ToString(message.reason());
     head.fields = CopyFields(message.base());
     head.keep_alive = parser->keep_alive();
+    head.expected_end = ExpectedEnd();
     state = State::kBody;
     if (!OnlyChunked(head.fields) ||
         (FindField(head.fields, "transfer-encoding") != nullptr &&
@@ -220,6 +221,18 @@
     }
   }
 
+  AnswerEnd ExpectedEnd() const {
+    constexpr int kNoContent = 204;
+    constexpr int kNotModified = 304;
+    if (parser->need_eof()) {
+      return AnswerEnd::kClosed;
+    }
+    if (to_head || head.status == kNoContent || head.status == kNotModified) {
+      return AnswerEnd::kNoBody;
+    }
+    return parser->chunked() ? AnswerEnd::kLastChunk : AnswerEnd::kLength;
+  }
+
   bool Step(std::string* buf) {
     std::array<char, 16 << 10> part;
     auto& body = parser->get().body();
@@ -297,6 +310,10 @@
 const HttpAnswerHead& HttpAnswerReader::head() const {
   return impl_->head;
 }
+AnswerEnd HttpAnswerReader::end() const {
+  return impl_->state == State::kDone ? impl_->head.expected_end
+                                      : AnswerEnd::kBroken;
+}
 std::string HttpAnswerReader::TakeBody() {
   return std::exchange(impl_->received, {});
 }
--- a/src/protocol/http1.h
+++ b/src/protocol/http1.h
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "state/answer_end.h"
 #include "state/http_fields.h"
 
 namespace acaciachute {
@@ -34,6 +35,8 @@
   std::string reason;
   HttpFields fields;
   bool keep_alive = true;
+  // How the answer ends if it is complete.
+  AnswerEnd expected_end = AnswerEnd::kLength;
 };
 
 struct HttpReadLimits {
@@ -89,6 +92,8 @@
   State state() const;
   const char* error() const;
   const HttpAnswerHead& head() const;
+  // `kBroken` unless the state is `kDone`.
+  AnswerEnd end() const;
   std::string TakeBody();
 
  private:
--- a/src/state/client_request.h
+++ b/src/state/client_request.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "state/answer_end.h"
 #include "state/http_fields.h"
 #include "state/replica_statement.h"
 #include "types.h"
@@ -52,6 +53,7 @@
   // Carries the replica's seal, which proves that the replica itself answered.
   bool sealed = false;
   bool encoded = false;  // The body has a content encoding.
+  AnswerEnd expected_end = AnswerEnd::kLength;  // If the answer is complete.
   ReplicaStatement statement;
 
   bool ok() const { return status >= 200 && status < 300; }
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -278,6 +278,7 @@
   void Finish() {
     const CallId id = std::exchange(id_, 0);
     CallSink* sink = std::exchange(sink_, nullptr);
+    const AnswerEnd end = reader_->end();
     Impl* owner = owner_;
     owner->calls.erase(id);
     const bool keep = !closed_by_peer_ && reader_->head().keep_alive &&
@@ -292,7 +293,7 @@
     } else {
       owner->Remove(this);
     }
-    sink->OnAnswerEnd(id);
+    sink->OnAnswerEnd(id, end);
   }
 
   void KeepIdle() {
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -49,7 +49,8 @@
   virtual void OnAnswerBody(CallId id, std::string_view bytes) = 0;
   // Unless the call is cancelled, it ends with exactly one call of
   // `OnAnswerEnd` or `OnCallFailed`.
-  virtual void OnAnswerEnd(CallId id) = 0;
+  // `end` is never `kBroken`: that is a failure.
+  virtual void OnAnswerEnd(CallId id, AnswerEnd end) = 0;
   virtual void OnCallFailed(CallId id, const CallFailure& failure) = 0;
 };
 
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -115,7 +115,7 @@
     }
   }
 
-  void Reply(int status, HttpFields fields, std::string_view body) {
+  AnswerEnd Reply(int status, HttpFields fields, std::string_view body) {
     if (!HasNoBody(status)) {
       fields.push_back({"Content-Length", std::to_string(body.size())});
     }
@@ -124,16 +124,19 @@
     if (!head_request_) {
       out += body;
     }
+    const bool no_body = head_request_ || HasNoBody(status);
     stream_->Write(out);
     EndExchange(close);
+    return no_body ? AnswerEnd::kNoBody : AnswerEnd::kLength;
   }
 
-  void BeginStream(int status, HttpFields fields) {
+  AnswerEnd BeginStream(int status, HttpFields fields) {
     close_after_ = AddConnectionField(&fields) || !chunked_;
     if (chunked_) {
       fields.push_back({"Transfer-Encoding", "chunked"});
     }
     stream_->Write(WriteAnswerHead(status, ReasonOf(status), fields));
+    return chunked_ ? AnswerEnd::kLastChunk : AnswerEnd::kClosed;
   }
 
   void StreamData(std::string_view bytes) {
@@ -142,11 +145,12 @@
     }
   }
 
-  void EndStream() {
+  AnswerEnd EndStream() {
     if (chunked_) {
       stream_->Write(kLastChunk);
     }
     EndExchange(close_after_);
+    return chunked_ ? AnswerEnd::kLastChunk : AnswerEnd::kClosed;
   }
 
   void Break() { stream_->Abort(); }
@@ -370,28 +374,33 @@
   impl_->limits = limits;
 }
 
-void HttpListener::Reply(ExchangeId id,
-                         int status,
-                         HttpFields fields,
-                         std::string_view body) {
-  if (auto* it = impl_->Find(id)) {
-    it->Reply(status, std::move(fields), body);
-  }
+AnswerEnd HttpListener::Reply(ExchangeId id,
+                              int status,
+                              HttpFields fields,
+                              std::string_view body) {
+  auto* it = impl_->Find(id);
+  return it == nullptr ? AnswerEnd::kBroken
+                       : it->Reply(status, std::move(fields), body);
 }
-void HttpListener::BeginStream(ExchangeId id, int status, HttpFields fields) {
-  if (auto* it = impl_->Find(id)) {
-    it->BeginStream(status, std::move(fields));
-  }
+AnswerEnd HttpListener::BeginStream(ExchangeId id,
+                                    int status,
+                                    HttpFields fields) {
+  auto* it = impl_->Find(id);
+  return it == nullptr ? AnswerEnd::kBroken
+                       : it->BeginStream(status, std::move(fields));
 }
 void HttpListener::StreamData(ExchangeId id, std::string_view bytes) {
   if (auto* it = impl_->Find(id)) {
     it->StreamData(bytes);
   }
 }
-void HttpListener::EndStream(ExchangeId id) {
-  if (auto* it = impl_->Find(id)) {
-    it->EndStream();
+AnswerEnd HttpListener::EndStream(ExchangeId id, AnswerEnd end) {
+  auto* it = impl_->Find(id);
+  if (it == nullptr || end == AnswerEnd::kBroken) {
+    Break(id);
+    return AnswerEnd::kBroken;
   }
+  return it->EndStream();
 }
 void HttpListener::Break(ExchangeId id) {
   if (auto* it = impl_->Find(id)) {
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -67,14 +67,16 @@
   void SetLimits(const ListenerLimits& limits);
 
   // Sends a complete answer. Here and below, unknown ids are ignored, because
-  // the client may have disconnected.
-  void Reply(ExchangeId id,
-             int status,
-             HttpFields fields,
-             std::string_view body);
-  void BeginStream(ExchangeId id, int status, HttpFields fields);
+  // the client may have disconnected, and the functions that return the end
+  // that the client receives return `kBroken`.
+  AnswerEnd Reply(ExchangeId id,
+                  int status,
+                  HttpFields fields,
+                  std::string_view body);
+  // Returns the end that the client receives if the stream is complete.
+  AnswerEnd BeginStream(ExchangeId id, int status, HttpFields fields);
   void StreamData(ExchangeId id, std::string_view bytes);
-  void EndStream(ExchangeId id);
+  AnswerEnd EndStream(ExchangeId id, AnswerEnd end);
   // Resets the connection, so that the client cannot mistake what was sent for
   // a complete answer.
   void Break(ExchangeId id);
--- a/tests/gateway/evacuation_test.cc
+++ b/tests/gateway/evacuation_test.cc
@@ -102,7 +102,7 @@
   EXPECT_EQ(rig.tasks.size(), 1U);
   rig.core.OnReplicaHead(rig.sent[0].call, GatewayRig::Head());
   rig.core.OnReplicaBody(rig.sent[0].call, "id: 1\ndata: x\n\n");
-  rig.core.OnReplicaEnd(rig.sent[0].call);
+  rig.core.OnReplicaEnd(rig.sent[0].call, AnswerEnd::kLength);
   EXPECT_EQ(rig.ended, std::vector<ExchangeId>{running});
 }
 
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -155,7 +155,7 @@
     if (!body.empty()) {
       core.OnReplicaBody(call, body);
     }
-    core.OnReplicaEnd(call);
+    core.OnReplicaEnd(call, head.expected_end);
   }
   // The head of an answer in which the replica states that it did not run the
   // request.
@@ -180,19 +180,27 @@
   void Refuse(ExchangeId id, const LocalReply& answer) override {
     refused[id] = answer;
   }
-  void Answer(ExchangeId id,
-              const ReplicaHead& head,
-              std::string_view body) override {
+  AnswerEnd Answer(ExchangeId id,
+                   const ReplicaHead& head,
+                   std::string_view body,
+                   AnswerEnd end) override {
     answered[id] = {head.status, std::string(body)};
+    client_ends[id] = end;
+    return end;
   }
-  void BeginStream(ExchangeId id, const ReplicaHead& head) override {
+  AnswerEnd BeginStream(ExchangeId id, const ReplicaHead& head) override {
     streams[id] = "";
+    return StatesComplete(head.expected_end) ? AnswerEnd::kLastChunk
+                                             : AnswerEnd::kClosed;
   }
   void StreamData(ExchangeId id, std::string_view bytes) override {
     streams[id] += bytes;
   }
-  void EndStream(ExchangeId id) override { ended.push_back(id); }
-  void Break(ExchangeId id) override { broken.push_back(id); }
+  AnswerEnd EndStream(ExchangeId id, AnswerEnd end) override {
+    (end == AnswerEnd::kBroken ? broken : ended).push_back(id);
+    client_ends[id] = end;
+    return end;
+  }
   std::size_t Unsent(ExchangeId id) override { return unsent; }
   CallId Send(const AttemptRequest& attempt) override {
     sent.push_back({++last_call, attempt.replica, attempt.time_left,
@@ -245,6 +253,8 @@
   std::map<ExchangeId, LocalReply> refused;
   std::map<ExchangeId, std::pair<int, std::string>> answered;
   std::map<ExchangeId, std::string> streams;
+  // How each answer of a replica ended for its client.
+  std::map<ExchangeId, AnswerEnd> client_ends;
   std::vector<ExchangeId> ended;
   std::vector<ExchangeId> broken;
   std::vector<Sent> sent;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -301,7 +301,7 @@
   rig.core.OnReplicaBody(call, "id: 1\ndata: a\n\nid: 2\nda");
   EXPECT_EQ(rig.streams[id], "id: 1\ndata: a\n\n");
   rig.core.OnReplicaBody(call, "ta: b\n\n");
-  rig.core.OnReplicaEnd(call);
+  rig.core.OnReplicaEnd(call, AnswerEnd::kLength);
   EXPECT_EQ(rig.streams[id], "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   EXPECT_EQ(rig.ended, std::vector<ExchangeId>{id});
 }
--- a/tests/gateway/rate_fleet.h
+++ b/tests/gateway/rate_fleet.h
@@ -183,7 +183,7 @@
       if (it.now < open.end_at) {
         remaining.push_back(open);
       } else {
-        it.core.OnReplicaEnd(open.call);
+        it.core.OnReplicaEnd(open.call, AnswerEnd::kLength);
         ++served_;
       }
     }
--- a/tests/gateway/replica_leaving_test.cc
+++ b/tests/gateway/replica_leaving_test.cc
@@ -28,7 +28,7 @@
     const Sent it = sent.back();
     core.OnReplicaHead(it.call, HeadWith("1"));
     core.OnReplicaBody(it.call, "id: 1\ndata: x\n\n");
-    core.OnReplicaEnd(it.call);
+    core.OnReplicaEnd(it.call, AnswerEnd::kLength);
     return it.replica;
   }
   // Number of replicas that further requests are sent to; fails if `leaving` is
@@ -125,7 +125,7 @@
   rig.core.OnReplicaBody(stream.call, "id: 1\ndata: x\n\n");
   rig.directory.Remove(rig.now, stream.replica.name);
   rig.core.OnReplicaBody(stream.call, "id: 2\ndata: y\n\n");
-  rig.core.OnReplicaEnd(stream.call);
+  rig.core.OnReplicaEnd(stream.call, AnswerEnd::kLength);
   EXPECT_TRUE(rig.cancelled.empty());
   EXPECT_EQ(rig.ended, std::vector<ExchangeId>{id});
 }
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -103,7 +103,7 @@
     status = head.status;
   }
   void OnAnswerBody(CallId, std::string_view bytes) override { body += bytes; }
-  void OnAnswerEnd(CallId) override { ++ends; }
+  void OnAnswerEnd(CallId, AnswerEnd) override { ++ends; }
   void OnCallFailed(CallId, const CallFailure& it) override { failure = it; }
   bool over() const { return ends > 0 || failure.has_value(); }
 
--- a/tests/log_explain_test.cc
+++ b/tests/log_explain_test.cc
@@ -21,6 +21,7 @@
 {"at_us":5710000,"node":"front-a","event":"request","id":"bb","route":"r","outcome":"upstream_failed","status":502,"replica":"i-1","runs":1,"tried":1,"stages_ms":"0:400","first_ms":520,"total_ms":900,"target_ms":1100,"config":7}
 {"at_us":9000000,"node":"front-a","event":"replica","replica":"i-2","service":"llm","change":"kept_in_outage","list_ms":2628}
 {"at_us":9700000,"node":"front-a","event":"request","id":"dd","route":"r","outcome":"answered","status":200,"replica":"i-2","runs":1,"tried":1,"list_ms":226,"connect_ms":35,"stages_ms":"","first_ms":520,"total_ms":900,"target_ms":1100,"config":7}
+{"at_us":9800000,"node":"front-a","event":"request","id":"ee","route":"r","outcome":"answered","status":200,"replica":"i-2","runs":1,"tried":1,"expected_end":"closed","answer_end":"closed","answer_bytes":812,"events":7,"rest_bytes":31,"client_end":"last_chunk","stages_ms":"","first_ms":520,"total_ms":900,"target_ms":1100,"config":7}
 )";
 
 TEST(LogExplainTest, LeadsFromARefusalToTheLostStore) {
@@ -55,6 +56,19 @@
               HasSubstr("kept_in_outage, the previous list was 2628 ms old"));
 }
 
+// Guards against lines that show an answer that was broken off and stated as
+// complete like one that was complete.
+TEST(LogExplainTest, ReportsHowTheReplicasAnswerAndTheClientsEnded) {
+  std::istringstream log(kLog);
+  const LogExplanation found = ExplainFromLog(&log, "ee");
+  ASSERT_EQ(found.request.size(), 1U);
+  EXPECT_THAT(found.request[0].text,
+              HasSubstr("ended with closed after 812 bytes, 7 events and 31 "
+                        "bytes of an unfinished one"));
+  EXPECT_THAT(found.request[0].text,
+              HasSubstr("the client's ended with last_chunk"));
+}
+
 TEST(LogExplainTest, ReportsThatNoLineConcernsTheRequest) {
   std::istringstream log(kLog);
   EXPECT_FALSE(ExplainFromLog(&log, "cc").found());
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -171,7 +171,7 @@
     retry_after = FindField(head.fields, "Retry-After") != nullptr;
   }
   void OnAnswerBody(CallId, std::string_view bytes) override { body += bytes; }
-  void OnAnswerEnd(CallId) override { ended = true; }
+  void OnAnswerEnd(CallId, AnswerEnd) override { ended = true; }
   void OnCallFailed(CallId, const CallFailure&) override { ended = true; }
   int status = 0;
   bool closes = false;
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -231,7 +231,7 @@
     return;
   }
   if (next >= work_.events) {
-    listener_.EndStream(id);
+    listener_.EndStream(id, AnswerEnd::kLastChunk);
     return;
   }
   listener_.StreamData(id, StrCat("id: ", next, "\ndata: ", attempt, " ",
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -95,7 +95,7 @@
     }
   }
   void OnAnswerBody(CallId, std::string_view bytes) override { body_ += bytes; }
-  void OnAnswerEnd(CallId call) override {
+  void OnAnswerEnd(CallId call, AnswerEnd) override {
     const bool right =
         stream_ ? IsCompleteStream(body_, id_, world_->options_.events)
                 : body_ == StrCat("answer to ", id_);
@@ -250,7 +250,7 @@
       status = head.status;
     }
     void OnAnswerBody(CallId, std::string_view) override {}
-    void OnAnswerEnd(CallId) override { ended = true; }
+    void OnAnswerEnd(CallId, AnswerEnd) override { ended = true; }
     void OnCallFailed(CallId, const CallFailure&) override { ended = true; }
     int status = 0;
     bool ended = false;
