--- /dev/null
+++ b/tests/soak/raw_listener.cc
@@ -0,0 +1,152 @@
+#include "tests/soak/raw_listener.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "glog/logging.h"
+#include "transport/socket_stream.h"
+
+namespace acaciachute {
+
+class RawListener::Connection : public SocketHandler {
+ public:
+  Connection(RawListener* owner, GPtr<GSocket> socket)
+      : owner_(owner),
+        stream_(SocketStream::Accepted(owner->loop_->sockets(),
+                                       std::move(socket),
+                                       this)) {}
+  ~Connection() override {
+    owner_->exchanges_.erase(id_);
+    stream_->Close();
+  }
+
+  void OnBytes(std::string_view bytes) override {
+    input_ += bytes;
+    ReadNext();
+  }
+  void OnEnd(const char*) override {
+    RawListener* owner = owner_;
+    const ExchangeId id = id_;
+    owner->Remove(this);  // `this` is deleted.
+    if (id != 0) {
+      owner->handler_->OnClientDisconnected(id);
+    }
+  }
+
+  void Write(std::string_view bytes) { stream_->Write(bytes); }
+  void Keep() {
+    EndExchange();
+    ReadNext();
+  }
+  void Close() {
+    EndExchange();
+    closing_ = true;
+    stream_->FinishWriting();
+  }
+  void Reset() { stream_->Abort(); }
+  bool idle() const { return id_ == 0 && !closing_; }
+
+ private:
+  void EndExchange() {
+    owner_->exchanges_.erase(id_);
+    id_ = 0;
+  }
+  void ReadNext() {
+    if (id_ != 0 || closing_ ||
+        reader_.Read(&input_) != HttpRequestReader::State::kDone) {
+      return;
+    }
+    HttpRequestHead head = reader_.TakeHead();
+    std::string body = reader_.TakeBody();
+    reader_.Reset({});
+    id_ = owner_->next_id_++;
+    owner_->exchanges_[id_] = this;
+    owner_->handler_->OnRequest(id_, std::move(head), std::move(body));
+  }
+
+  RawListener* const owner_;
+  HttpRequestReader reader_{{}};
+  std::string input_;
+  ExchangeId id_ = 0;  // Zero if no request is in progress.
+  bool closing_ = false;
+  std::shared_ptr<SocketStream> stream_;
+};
+
+RawListener::RawListener(ListenerHandler* handler,
+                         Loop* loop,
+                         const Address& address)
+    : handler_(handler), loop_(loop) {
+  constexpr int kBacklog = 1024;
+  socket_.reset(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                             G_SOCKET_PROTOCOL_TCP, nullptr));
+  const GPtr<GSocketAddress> bound(
+      g_inet_socket_address_new_from_string(address.ip.c_str(), address.port));
+  g_socket_set_blocking(socket_.get(), FALSE);
+  g_socket_set_listen_backlog(socket_.get(), kBacklog);
+  PCHECK(g_socket_bind(socket_.get(), bound.get(), TRUE, nullptr));
+  PCHECK(g_socket_listen(socket_.get(), nullptr));
+  source_ = g_socket_create_source(socket_.get(), G_IO_IN, nullptr);
+  g_source_set_callback(source_, G_SOURCE_FUNC(OnAccept), this, nullptr);
+  g_source_attach(source_, nullptr);
+}
+
+RawListener::~RawListener() {
+  g_source_destroy(source_);
+  g_source_unref(source_);
+}
+
+gboolean RawListener::OnAccept(GSocket*, GIOCondition, gpointer data) {
+  auto* self = static_cast<RawListener*>(data);
+  GPtr<GSocket> socket(g_socket_accept(self->socket_.get(), nullptr, nullptr));
+  if (socket != nullptr) {
+    auto connection = std::make_unique<Connection>(self, std::move(socket));
+    Connection* key = connection.get();
+    self->connections_.emplace(key, std::move(connection));
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+RawListener::Connection* RawListener::Find(ExchangeId id) const {
+  const auto it = exchanges_.find(id);
+  return it == exchanges_.end() ? nullptr : it->second;
+}
+
+void RawListener::Remove(Connection* connection) {
+  connections_.erase(connection);
+}
+
+void RawListener::Write(ExchangeId id, std::string_view bytes) {
+  if (auto* it = Find(id)) {
+    it->Write(bytes);
+  }
+}
+void RawListener::Keep(ExchangeId id) {
+  if (auto* it = Find(id)) {
+    it->Keep();
+  }
+}
+void RawListener::Close(ExchangeId id) {
+  if (auto* it = Find(id)) {
+    it->Close();
+  }
+}
+void RawListener::Reset(ExchangeId id) {
+  if (auto* it = Find(id)) {
+    it->Reset();
+    Remove(it);
+  }
+}
+void RawListener::CloseIdle() {
+  std::vector<Connection*> idle;
+  for (auto& [key, connection] : connections_) {
+    if (connection->idle()) {
+      idle.push_back(key);
+    }
+  }
+  for (Connection* it : idle) {
+    Remove(it);
+  }
+}
+
+}  // namespace acaciachute
--- /dev/null
+++ b/tests/soak/raw_listener.h
@@ -0,0 +1,58 @@
+// HTTP server of stand-in replicas that writes any bytes and ends its
+// connections in any way, as a faulty replica does.
+//
+// `HttpListener` writes complete answers only, and resets connections that it
+// gives up.
+#ifndef ACACIACHUTE_TESTS_SOAK_RAW_LISTENER_H_
+#define ACACIACHUTE_TESTS_SOAK_RAW_LISTENER_H_
+
+#include <gio/gio.h>
+
+#include <map>
+#include <memory>
+#include <string_view>
+
+#include "transport/glib_ptr.h"
+#include "transport/http_listener.h"
+#include "transport/loop.h"
+
+namespace acaciachute {
+
+class RawListener {
+ public:
+  // Listens on `address`. Requests and disconnects are reported to `handler`.
+  RawListener(ListenerHandler* handler, Loop* loop, const Address& address);
+  ~RawListener();
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+
+  // Unknown ids are ignored here and below.
+  void Write(ExchangeId id, std::string_view bytes);
+  // Ends the exchange; the connection accepts another request.
+  void Keep(ExchangeId id);
+  // Ends the exchange and closes its connection in order.
+  void Close(ExchangeId id);
+  // Ends the exchange and resets its connection.
+  void Reset(ExchangeId id);
+  // Closes connections without a request in order.
+  void CloseIdle();
+
+ private:
+  class Connection;
+
+  static gboolean OnAccept(GSocket*, GIOCondition, gpointer data);
+  Connection* Find(ExchangeId id) const;
+  void Remove(Connection* connection);
+
+  ListenerHandler* const handler_;
+  Loop* const loop_;
+  GPtr<GSocket> socket_;
+  GSource* source_ = nullptr;
+  ExchangeId next_id_ = 1;
+  std::map<ExchangeId, Connection*> exchanges_;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+};
+
+}  // namespace acaciachute
+
+#endif  // ACACIACHUTE_TESTS_SOAK_RAW_LISTENER_H_
