Take a stream that ends inside an event, or without one, as broken off

Callers got streams that had been broken off, framed as complete, and streams that may be resumed were not.

An answer may have neither a length nor chunks and end with its connection. A replica that crashes closes its connections in order, so that end came to Gateway::OnEnd, which passed on the part of an event that it held and stated the end by a last chunk. An event that was begun shows that the stream was broken off, in whatever framing; so does an orderly close before the first event. Such a stream now takes the way of a failed attempt: it is resumed or sent again where the route allows it, and otherwise its client's connection is reset, or gets 502 if nothing was sent.

--- a/src/coordination/gateway/event_splitter.h
+++ b/src/coordination/gateway/event_splitter.h
@@ -20,6 +20,8 @@
   std::string Add(std::string_view bytes);
   // Bytes received of an event that is not complete yet.
   const std::string& partial_event() const { return partial_event_; }
+  // Whether a stream that ends here breaks off an event.
+  bool InsideEvent() const { return !partial_event_.empty(); }
   // Id of the last complete event that had one.
   std::optional<std::uint64_t> last_event_id() const { return last_event_id_; }
   std::uint64_t complete_events() const { return complete_events_; }
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -193,9 +193,12 @@
     FinishPlainAnswer(request);
     return;
   }
-  const std::string partial_event = request->events.partial_event();
-  if (!partial_event.empty() || !attempt.first_event_received) {
-    PassEvents(request, partial_event);
+  if (const auto why = WhyIncomplete(*request, end); !why.empty()) {
+    OnFailed(request, true, why);
+    return;
+  }
+  if (!attempt.first_event_received) {
+    PassEvents(request, "");
   }
   engines.OnSuccess(attempt.replica.id);
   ++request->possible_runs;
@@ -204,6 +207,17 @@
   Finish(request, Name(Verdict::kAnswered), head.status);
 }
 
+std::string_view Gateway::Impl::WhyIncomplete(const ServingRequest& request,
+                                              AnswerEnd end) {
+  if (request.events.InsideEvent()) {
+    return "the stream ended inside an event";
+  }
+  if (!StatesComplete(end) && !request.attempt.first_event_received) {
+    return "the connection was closed before the first event";
+  }
+  return "";
+}
+
 void Gateway::Impl::FinishPlainAnswer(ServingRequest* request) {
   const Attempt attempt = request->attempt;
   const TimeUs now = output->Now();
@@ -308,7 +322,7 @@
 void Gateway::Impl::OnFailed(ServingRequest* request,
                              bool sent,
                              std::string_view why) {
-  if (request->attempt.head) {
+  if (request->attempt.head && !request->attempt.end) {
     request->attempt.end = AnswerEnd::kBroken;
     metrics->Count("acaciachute_gateway_answer_ends_total",
                    Name(AnswerEnd::kBroken));
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -236,6 +236,10 @@
   std::vector<CallId> CallsAt(const ReplicaId& replica) const;
   void FailAttemptsAt(const ReplicaId& replica);
   void PassEvents(ServingRequest* request, std::string_view events);
+  // Why a stream whose answer ended with `end` was broken off; empty if nothing
+  // shows that it was.
+  static std::string_view WhyIncomplete(const ServingRequest& request,
+                                        AnswerEnd end);
   void FinishPlainAnswer(ServingRequest* request);
   void OnNotRun(ServingRequest* request);
   void OnMayHaveRun(ServingRequest* request, std::string_view why);
