State no end to a client that the replica did not state

Callers got a length, or a last chunk, for answers without either, whose end nobody knows: such a plain answer was gathered and sent with the length of what had come, and such a stream was sent in chunks. A crash in the middle became a whole answer.

AnswerEnd now also decides what is written. An answer whose replica states no end goes to its client without a length or chunks and ends with the connection, as it came; a last chunk is written only for an end that the replica stated. A stream that was begun in chunks and resumed at a replica that states no end counts as lost there, and is resumed once more or reset. HttpListener enforces it by itself: EndStream resets a stream in chunks whose end is not stated.

The price is a connection of the client for each such answer.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -291,6 +291,7 @@
 
 void Gateway::OnClientDisconnected(ExchangeId id) {
   if (auto* request = impl_->FindByExchange(id)) {
+    request->client_end.reset();
     impl_->Finish(request, Name(Refusal::kCancelled), 0);
   }
 }
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -163,7 +163,7 @@
     metrics->Observe("acaciachute_gateway_first_event_seconds",
                      request->route->name,
                      request->stream_begun_at - request->received_at);
-    output->BeginStream(request->id, *attempt.head);
+    request->client_end = output->BeginStream(request->id, *attempt.head);
   }
   output->StreamData(request->id, events);
   if (!attempt.paused && output->Unsent(request->id) > kMaxUnsentBytes) {
@@ -212,9 +212,15 @@
   if (request.events.InsideEvent()) {
     return "the stream ended inside an event";
   }
-  if (!StatesComplete(end) && !request.attempt.first_event_received) {
+  if (StatesComplete(end)) {
+    return "";
+  }
+  if (!request.attempt.first_event_received) {
     return "the connection was closed before the first event";
   }
+  if (request.client_end && StatesComplete(*request.client_end)) {
+    return "a resumed stream was closed, and its client's states its end";
+  }
   return "";
 }
 
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -139,7 +139,8 @@
   EventSplitter events;
   bool stream_begun = false;  // The head of the stream was sent to the client.
   TimeUs stream_begun_at = 0;
-  // Set when the client's answer has ended.
+  // How the client's answer ended or, while its stream goes on, will end if it
+  // is complete.
   std::optional<AnswerEnd> client_end;
   std::optional<std::uint64_t> resume_after;
 };
@@ -236,8 +237,8 @@
   std::vector<CallId> CallsAt(const ReplicaId& replica) const;
   void FailAttemptsAt(const ReplicaId& replica);
   void PassEvents(ServingRequest* request, std::string_view events);
-  // Why a stream whose answer ended with `end` was broken off; empty if nothing
-  // shows that it was.
+  // Why a stream whose answer ended with `end` is incomplete, or cannot be
+  // shown to be complete as its client's answer would state; empty if neither.
   static std::string_view WhyIncomplete(const ServingRequest& request,
                                         AnswerEnd end);
   void FinishPlainAnswer(ServingRequest* request);
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -111,11 +111,11 @@
   AnswerEnd Answer(ExchangeId id,
                    const ReplicaHead& head,
                    std::string_view body,
-                   AnswerEnd) override {
-    return clients.Reply(id, head.status, head.fields, body);
+                   AnswerEnd end) override {
+    return clients.Reply(id, head.status, head.fields, body, end);
   }
   AnswerEnd BeginStream(ExchangeId id, const ReplicaHead& head) override {
-    return clients.BeginStream(id, head.status, head.fields);
+    return clients.BeginStream(id, head.status, head.fields, head.expected_end);
   }
   void StreamData(ExchangeId id, std::string_view bytes) override {
     clients.StreamData(id, bytes);
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -115,23 +115,30 @@
     }
   }
 
-  AnswerEnd Reply(int status, HttpFields fields, std::string_view body) {
-    if (!HasNoBody(status)) {
+  AnswerEnd Reply(int status,
+                  HttpFields fields,
+                  std::string_view body,
+                  AnswerEnd end) {
+    const bool no_body = head_request_ || HasNoBody(status);
+    const bool ends_by_close = !no_body && !StatesComplete(end);
+    if (!ends_by_close && !HasNoBody(status)) {
       fields.push_back({"Content-Length", std::to_string(body.size())});
     }
-    const bool close = AddConnectionField(&fields);
+    const bool close = AddConnectionField(&fields, ends_by_close);
     std::string out = WriteAnswerHead(status, ReasonOf(status), fields);
     if (!head_request_) {
       out += body;
     }
-    const bool no_body = head_request_ || HasNoBody(status);
     stream_->Write(out);
     EndExchange(close);
-    return no_body ? AnswerEnd::kNoBody : AnswerEnd::kLength;
+    return no_body         ? AnswerEnd::kNoBody
+           : ends_by_close ? AnswerEnd::kClosed
+                           : AnswerEnd::kLength;
   }
 
-  AnswerEnd BeginStream(int status, HttpFields fields) {
-    close_after_ = AddConnectionField(&fields) || !chunked_;
+  AnswerEnd BeginStream(int status, HttpFields fields, AnswerEnd expected_end) {
+    chunked_ = chunked_ && StatesComplete(expected_end);
+    close_after_ = AddConnectionField(&fields, !chunked_);
     if (chunked_) {
       fields.push_back({"Transfer-Encoding", "chunked"});
     }
@@ -145,6 +152,11 @@
     }
   }
 
+  // Whether the stream may end as it would if it were complete.
+  bool MayEnd(AnswerEnd end) const {
+    return chunked_ ? StatesComplete(end) : end != AnswerEnd::kBroken;
+  }
+
   AnswerEnd EndStream() {
     if (chunked_) {
       stream_->Write(kLastChunk);
@@ -231,8 +243,8 @@
 
   // Adds the Connection field. Returns whether the connection is closed after
   // this answer.
-  bool AddConnectionField(HttpFields* fields) const {
-    const bool close = owner_->draining || !keep_alive_;
+  bool AddConnectionField(HttpFields* fields, bool ends_by_close) const {
+    const bool close = ends_by_close || owner_->draining || !keep_alive_;
     fields->push_back({"Connection", close ? "close" : "keep-alive"});
     return close;
   }
@@ -377,17 +389,20 @@
 AnswerEnd HttpListener::Reply(ExchangeId id,
                               int status,
                               HttpFields fields,
-                              std::string_view body) {
+                              std::string_view body,
+                              AnswerEnd end) {
   auto* it = impl_->Find(id);
   return it == nullptr ? AnswerEnd::kBroken
-                       : it->Reply(status, std::move(fields), body);
+                       : it->Reply(status, std::move(fields), body, end);
 }
 AnswerEnd HttpListener::BeginStream(ExchangeId id,
                                     int status,
-                                    HttpFields fields) {
+                                    HttpFields fields,
+                                    AnswerEnd expected_end) {
   auto* it = impl_->Find(id);
-  return it == nullptr ? AnswerEnd::kBroken
-                       : it->BeginStream(status, std::move(fields));
+  return it == nullptr
+             ? AnswerEnd::kBroken
+             : it->BeginStream(status, std::move(fields), expected_end);
 }
 void HttpListener::StreamData(ExchangeId id, std::string_view bytes) {
   if (auto* it = impl_->Find(id)) {
@@ -396,7 +411,7 @@
 }
 AnswerEnd HttpListener::EndStream(ExchangeId id, AnswerEnd end) {
   auto* it = impl_->Find(id);
-  if (it == nullptr || end == AnswerEnd::kBroken) {
+  if (it == nullptr || !it->MayEnd(end)) {
     Break(id);
     return AnswerEnd::kBroken;
   }
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -66,16 +66,28 @@
   absl::Status Listen(const Address& address);
   void SetLimits(const ListenerLimits& limits);
 
-  // Sends a complete answer. Here and below, unknown ids are ignored, because
-  // the client may have disconnected, and the functions that return the end
-  // that the client receives return `kBroken`.
+  // Sends an answer that is at hand. `end`: how it ended at its source. If
+  // nothing stated its end there, no length is stated here either, and the
+  // connection is closed after it.
+  //
+  // Here and below, unknown ids are ignored, because the client may have
+  // disconnected, and the functions that return the end that the client
+  // receives return `kBroken`.
   AnswerEnd Reply(ExchangeId id,
                   int status,
                   HttpFields fields,
-                  std::string_view body);
-  // Returns the end that the client receives if the stream is complete.
-  AnswerEnd BeginStream(ExchangeId id, int status, HttpFields fields);
+                  std::string_view body,
+                  AnswerEnd end = AnswerEnd::kLength);
+  // `expected_end`: how the stream ends at its source if it is complete there.
+  // Returns the end that the client receives then. Only a stream whose source
+  // states its end is sent in chunks, as the last chunk states the end.
+  AnswerEnd BeginStream(ExchangeId id,
+                        int status,
+                        HttpFields fields,
+                        AnswerEnd expected_end = AnswerEnd::kLastChunk);
   void StreamData(ExchangeId id, std::string_view bytes);
+  // `end`: how the stream ended at its source. Resets the connection if that
+  // does not show what the end of the client's answer would state.
   AnswerEnd EndStream(ExchangeId id, AnswerEnd end);
   // Resets the connection, so that the client cannot mistake what was sent for
   // a complete answer.
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -502,7 +502,17 @@
     events.push_back(StrCat(event.what, " ", event.status));
   }
   void OnBytes(std::string_view bytes) override { received += bytes; }
-  void OnEnd(const char*) override { ended = true; }
+  void OnEnd(const char* error) override {
+    ended = true;
+    reset = error != nullptr;
+  }
+  // Sends a request in `version` and waits until it arrived.
+  void Ask(std::string_view version) {
+    answer_at_once = false;
+    Connect();
+    client->Write(StrCat("GET /a ", version, "\r\nHost: h\r\n\r\n"));
+    RunUntil(&loop, [&] { return last != 0; });
+  }
 
   Loop loop;
   Address address;
@@ -515,6 +525,7 @@
   ExchangeId disconnected = 0;
   bool answer_at_once = true;
   bool ended = false;
+  bool reset = false;
 };
 
 TEST(HttpListenerTest, ServesRequestsOfOneConnectionInOrder) {
@@ -572,6 +583,46 @@
   EXPECT_FALSE(Contains(rig.received, kLastChunk));
 }
 
+// Guards against an end that the source did not state: a stream that may be
+// incomplete is not sent in chunks, and its connection is closed after it.
+TEST(HttpListenerTest, StatesNoEndOfAStreamWhoseSourceStatedNone) {
+  ListenerRig rig;
+  rig.Ask("HTTP/1.1");
+  EXPECT_EQ(rig.listener.BeginStream(rig.last, 200, {}, AnswerEnd::kClosed),
+            AnswerEnd::kClosed);
+  rig.listener.StreamData(rig.last, "abc");
+  EXPECT_EQ(rig.listener.EndStream(rig.last, AnswerEnd::kClosed),
+            AnswerEnd::kClosed);
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_FALSE(rig.reset);
+  EXPECT_FALSE(Contains(rig.received, "chunked"));
+  EXPECT_TRUE(Contains(rig.received, "Connection: close"));
+  EXPECT_TRUE(rig.received.ends_with("\r\n\r\nabc"));
+}
+
+// The same for an answer that is at hand.
+TEST(HttpListenerTest, StatesNoLengthThatTheSourceDidNotState) {
+  ListenerRig rig;
+  rig.Ask("HTTP/1.1");
+  EXPECT_EQ(rig.listener.Reply(rig.last, 200, {}, "abc", AnswerEnd::kClosed),
+            AnswerEnd::kClosed);
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_FALSE(rig.reset);
+  EXPECT_FALSE(Contains(rig.received, "Content-Length"));
+  EXPECT_TRUE(rig.received.ends_with("\r\n\r\nabc"));
+}
+
+// Guards against a last chunk for a stream whose end is unknown.
+TEST(HttpListenerTest, ResetsAStreamInChunksWhoseEndIsUnknown) {
+  ListenerRig rig;
+  rig.Ask("HTTP/1.1");
+  rig.listener.BeginStream(rig.last, 200, {}, AnswerEnd::kLastChunk);
+  EXPECT_EQ(rig.listener.EndStream(rig.last, AnswerEnd::kClosed),
+            AnswerEnd::kBroken);
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_TRUE(rig.reset);
+}
+
 // A client that stalls in the middle of a head gets 408 after the time limit,
 // and its connection is closed.
 TEST(HttpListenerTest, EndsAStalledHead) {
