Reset connections whose close is the end, until the answer is complete

A client of HTTP/1.0, which has no chunks, knows the end of a stream by the orderly close of its connection. When the gateway's process was killed, or ended at the end of its grace period, the kernel closed that connection in order, and the client took the stream for complete. Since answers without a stated end are relayed as such, the same holds for them.

While such an answer is being written its socket lingers for no time, so however it is closed the client sees a reset; the setting is taken back when all bytes are with the kernel and the sending side was shut down.

--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -129,6 +129,7 @@
     if (!head_request_) {
       out += body;
     }
+    stream_->SetResetOnClose(ends_by_close);
     stream_->Write(out);
     EndExchange(close);
     return no_body         ? AnswerEnd::kNoBody
@@ -139,6 +140,7 @@
   AnswerEnd BeginStream(int status, HttpFields fields, AnswerEnd expected_end) {
     chunked_ = chunked_ && StatesComplete(expected_end);
     close_after_ = AddConnectionField(&fields, !chunked_);
+    stream_->SetResetOnClose(!chunked_);
     if (chunked_) {
       fields.push_back({"Transfer-Encoding", "chunked"});
     }
--- a/src/transport/socket_stream.cc
+++ b/src/transport/socket_stream.cc
@@ -137,10 +137,15 @@
   unsent_.erase(0, done);
   Watch(watches_readable_, !unsent_.empty());
   if (unsent_.empty() && finishing_) {
-    g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+    ShutDownWriting();
   }
 }
 
+void SocketStream::ShutDownWriting() {
+  g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+  SetResetOnClose(false);
+}
+
 void SocketStream::OnReadable() {
   const auto self = shared_from_this();  // The handler may drop its reference.
   std::array<char, kReadBufferBytes> buf;
@@ -188,7 +193,7 @@
 void SocketStream::FinishWriting() {
   finishing_ = true;
   if (connected_ && unsent_.empty() && handler_ != nullptr) {
-    g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+    ShutDownWriting();
   }
 }
 
@@ -210,12 +215,16 @@
   }
 }
 
-void SocketStream::Abort() {
+void SocketStream::SetResetOnClose(bool reset) {
   if (!g_socket_is_closed(socket_.get())) {
-    const linger reset = {.l_onoff = 1, .l_linger = 0};
-    setsockopt(g_socket_get_fd(socket_.get()), SOL_SOCKET, SO_LINGER, &reset,
-               sizeof reset);
+    const linger value = {.l_onoff = reset ? 1 : 0, .l_linger = 0};
+    setsockopt(g_socket_get_fd(socket_.get()), SOL_SOCKET, SO_LINGER, &value,
+               sizeof value);
   }
+}
+
+void SocketStream::Abort() {
+  SetResetOnClose(true);
   Close();
 }
 
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -55,6 +55,10 @@
   // Pauses or resumes reading. While paused, the receive window fills, so that
   // the peer stops sending, and a disconnect is not detected.
   void SetReading(bool reading);
+  // While set, the connection is reset however it is closed, also by the end of
+  // this process. `FinishWriting` ends this once all bytes have been passed to
+  // the kernel. For bytes whose end the peer knows only by the closing.
+  void SetResetOnClose(bool reset);
   // Shuts down the sending side once all bytes have been written.
   void FinishWriting();
   // Both end the stream without a further callback. `Close` closes the
@@ -77,6 +81,7 @@
 
   void Watch(bool readable, bool writable);
   void Flush();
+  void ShutDownWriting();
   void End(const char* error);
 
   SocketPoller* const poller_;
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -623,6 +623,20 @@
   EXPECT_TRUE(rig.reset);
 }
 
+// Guards against a stream without chunks that is broken off in order, and so as
+// if it were complete.
+TEST(HttpListenerTest, ResetsAnUnfinishedStreamWithoutChunks) {
+  ListenerRig rig;
+  rig.Ask("HTTP/1.0");
+  EXPECT_EQ(rig.listener.BeginStream(rig.last, 200, {}), AnswerEnd::kClosed);
+  rig.listener.StreamData(rig.last, "abc");
+  RunUntil(&rig.loop, [&] { return Contains(rig.received, "abc"); });
+  EXPECT_TRUE(Contains(rig.received, "Connection: close"));
+  rig.listener.EndStream(rig.last, AnswerEnd::kBroken);
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_TRUE(rig.reset);
+}
+
 // A client that stalls in the middle of a head gets 408 after the time limit,
 // and its connection is closed.
 TEST(HttpListenerTest, EndsAStalledHead) {
