Split streams at each kind of line end

Events of streams whose lines end with CR alone were held back until the stream ended, and their ids were not known, so such a stream could not be resumed; the id after a byte order mark was passed over; comments after the last event counted as a part of one. Whether a stream ends inside an event now rests on this.

EventSplitter reads bytes into lines (LF, CRLF, CR) and knows which line of an event is a comment. A blank line whose CR may be half of a CRLF ends an event only with the next byte, so that a stream cut there is known to be cut.

--- a/src/coordination/gateway/event_splitter.cc
+++ b/src/coordination/gateway/event_splitter.cc
@@ -1,58 +1,83 @@
 #include "coordination/gateway/event_splitter.h"
 
-#include <algorithm>
+#include <utility>
 
 #include "text.h"
 
 namespace acaciachute {
-namespace {
-
-// Returns the last `id:` field in `events`, which holds complete events only.
-std::optional<std::uint64_t> LastId(std::string_view events) {
-  std::size_t at = events.rfind("\nid:");
-  if (at == std::string_view::npos) {
-    if (!events.starts_with("id:")) {
-      return std::nullopt;
-    }
-    at = 0;
-  } else {
-    ++at;
+
+std::string EventSplitter::Add(std::string_view bytes) {
+  partial_event_ += bytes;
+  event_end_ = 0;
+  for (; scanned_ < partial_event_.size(); ++scanned_) {
+    OnByte(partial_event_[scanned_]);
   }
-  constexpr std::string_view kFieldName = "id:";
-  const std::size_t end = events.find_first_of("\r\n", at);
-  return ParseNumber<std::uint64_t>(Trim(
-      events.substr(at + kFieldName.size(), end - at - kFieldName.size())));
+  std::string complete_events = partial_event_.substr(0, event_end_);
+  partial_event_.erase(0, event_end_);
+  scanned_ -= event_end_;
+  line_start_ -= event_end_;
+  return complete_events;
 }
 
-}  // namespace
+void EventSplitter::OnByte(char c) {
+  const bool after_cr = std::exchange(after_cr_, c == '\r');
+  const bool ends_crlf = after_cr && c == '\n';
+  if (blank_after_cr_) {
+    EndEvent(ends_crlf ? scanned_ + 1 : scanned_);
+  }
+  if (ends_crlf) {
+    line_start_ = scanned_ + 1;
+    return;
+  }
+  if (c != '\n' && c != '\r') {
+    return;
+  }
+  const bool blank = line_start_ == scanned_;
+  if (!blank) {
+    ReadLine(std::string_view(partial_event_)
+                 .substr(0, scanned_)
+                 .substr(line_start_));
+  } else if (c == '\r' && !after_cr) {
+    blank_after_cr_ = true;
+  } else {
+    EndEvent(scanned_ + 1);
+  }
+  line_start_ = scanned_ + 1;
+}
 
-std::string EventSplitter::Add(std::string_view bytes) {
-  // A terminator may be split across two parts, so the search starts a few
-  // bytes before the new ones.
-  constexpr std::size_t kMaxTerminatorBytes = 4;
-  const std::size_t from = partial_event_.size() < kMaxTerminatorBytes
-                               ? 0
-                               : partial_event_.size() - kMaxTerminatorBytes;
-  partial_event_ += bytes;
-  std::size_t end = 0;
-  for (const std::string_view terminator : {"\n\n", "\r\n\r\n"}) {
-    const std::size_t at = partial_event_.rfind(terminator);
-    if (at != std::string::npos && at >= from) {
-      end = std::max(end, at + terminator.size());
-    }
+void EventSplitter::ReadLine(std::string_view line) {
+  constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+  if (std::exchange(first_line_, false)) {
+    ConsumePrefix(&line, kByteOrderMark);
   }
-  std::string complete_events = partial_event_.substr(0, end);
-  partial_event_.erase(0, end);
-  for (const std::string_view terminator : {"\n\n", "\r\n\r\n"}) {
-    for (auto at = complete_events.find(terminator); at != std::string::npos;
-         at = complete_events.find(terminator, at + terminator.size())) {
-      ++complete_events_;
+  has_field_ = has_field_ || !(line.empty() || line.starts_with(':'));
+  if (ConsumePrefix(&line, "id:")) {
+    if (const auto id = ParseNumber<std::uint64_t>(Trim(line))) {
+      partial_event_id_ = id;
     }
   }
-  if (const auto id = LastId(complete_events)) {
+}
+
+void EventSplitter::EndEvent(std::size_t end) {
+  event_end_ = end;
+  blank_after_cr_ = false;
+  if (std::exchange(has_field_, false)) {
+    ++complete_events_;
+  }
+  if (const auto id = std::exchange(partial_event_id_, std::nullopt)) {
     last_event_id_ = id;
   }
-  return complete_events;
+}
+
+bool EventSplitter::InsideEvent() const {
+  return has_field_ || line_start_ < partial_event_.size();
+}
+
+void EventSplitter::DiscardPartialEvent() {
+  EventSplitter next;
+  next.last_event_id_ = last_event_id_;
+  next.complete_events_ = complete_events_;
+  *this = std::move(next);
 }
 
 }  // namespace acaciachute
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -197,8 +197,9 @@
     OnFailed(request, true, why);
     return;
   }
-  if (!attempt.first_event_received) {
-    PassEvents(request, "");
+  const std::string comments = request->events.partial_event();
+  if (!comments.empty() || !attempt.first_event_received) {
+    PassEvents(request, comments);
   }
   engines.OnSuccess(attempt.replica.id);
   ++request->possible_runs;
