Pass answers without a body on as such

On routes of streams an answer without a body (204, or the answer to a HEAD request) was sent to its client in chunks, with a last chunk after a head that allows no body: bytes that belong to no answer. On all routes the answer to a HEAD request stated a length of zero, which the replica had not.

Such an answer now takes the way of plain answers, and no length is stated for a body that is left out. AnswerEndTest.AnAnswerWithoutABodyIsNoStream failed before.

--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -13,6 +13,12 @@
   return service != nullptr && service->engine.has_value();
 }
 
+bool Gateway::Impl::IsStream(const ServingRequest& request) {
+  const ReplicaHead& head = *request.attempt.head;
+  return request.route->kind == RouteKind::kStream && head.ok() &&
+         head.expected_end != AnswerEnd::kNoBody;
+}
+
 const ReplicaEntry* Gateway::Impl::ChooseReplica(ServingRequest* request) {
   const TimeUs now = output->Now();
   const bool repeat = request->route->MayRepeat();
@@ -127,9 +133,7 @@
 void Gateway::Impl::OnBody(ServingRequest* request, std::string_view bytes) {
   Attempt& attempt = request->attempt;
   attempt.received_bytes += bytes.size();
-  const bool stream =
-      request->route->kind == RouteKind::kStream && attempt.head->ok();
-  if (!stream) {
+  if (!IsStream(*request)) {
     attempt.body += bytes;
     if (attempt.body.size() > kMaxAnswerBytes) {
       CancelAttempt(request);
@@ -188,8 +192,7 @@
                                       : "the answer bears no proof");
     return;
   }
-  const bool stream = request->route->kind == RouteKind::kStream && head.ok();
-  if (!stream) {
+  if (!IsStream(*request)) {
     FinishPlainAnswer(request);
     return;
   }
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -312,6 +312,9 @@
   PlainChoice& PlainChoiceOf(const std::string& service);
   ServiceRetryBudget& ServiceBudget(const std::string& service);
   bool IsEngine(const ServingRequest& request) const;
+  // Whether the replica's answer, whose head has come, is passed on as it
+  // arrives. An answer without a body is not, as the end of a stream has bytes.
+  static bool IsStream(const ServingRequest& request);
   bool ConfigIsConfirmed() const;
 
   GatewayOptions options;
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -121,7 +121,7 @@
                   AnswerEnd end) {
     const bool no_body = head_request_ || HasNoBody(status);
     const bool ends_by_close = !no_body && !StatesComplete(end);
-    if (!ends_by_close && !HasNoBody(status)) {
+    if (!ends_by_close && !no_body) {
       fields.push_back({"Content-Length", std::to_string(body.size())});
     }
     const bool close = AddConnectionField(&fields, ends_by_close);
--- a/tests/gateway/answer_end_test.cc
+++ b/tests/gateway/answer_end_test.cc
@@ -211,6 +211,19 @@
   EXPECT_TRUE(rig.ended.empty());
 }
 
+// Guards against an answer without a body, such as 204, that its client gets
+// with chunks.
+TEST(AnswerEndTest, AnAnswerWithoutABodyIsNoStream) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine");
+  const ExchangeId id = rig.Call("stream");
+  ReplicaHead head = GatewayRig::Head(204);
+  head.expected_end = AnswerEnd::kNoBody;
+  rig.AnswerWith(rig.sent[0].call, head);
+  EXPECT_FALSE(rig.streams.contains(id));
+  EXPECT_EQ(rig.client_ends[id], AnswerEnd::kNoBody);
+}
+
 struct SplitCase {
   std::string bytes;
   std::string complete;
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -612,6 +612,18 @@
   EXPECT_TRUE(rig.received.ends_with("\r\n\r\nabc"));
 }
 
+// Guards against a length of zero for an answer whose body is left out.
+TEST(HttpListenerTest, StatesNoLengthOfABodyThatIsLeftOut) {
+  ListenerRig rig;
+  rig.answer_at_once = false;
+  rig.Connect();
+  rig.client->Write("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(&rig.loop, [&] { return rig.last != 0; });
+  EXPECT_EQ(rig.listener.Reply(rig.last, 200, {}, ""), AnswerEnd::kNoBody);
+  RunUntil(&rig.loop, [&] { return !rig.received.empty(); });
+  EXPECT_FALSE(Contains(rig.received, "Content-Length"));
+}
+
 // Guards against a last chunk for a stream whose end is unknown.
 TEST(HttpListenerTest, ResetsAStreamInChunksWhoseEndIsUnknown) {
   ListenerRig rig;
