Wait for a client that reads the last answer of its connection slowly

An answer after which its connection is closed (to HTTP/1.0, in a drain, without a stated end) was cut for a client that had not read it one second after it was written: the time for which a connection that is being closed is still read counted from the writing, not from when the bytes were with the kernel. The client saw a cut answer, or a reset, of a whole one.

That time now starts when all is passed to the kernel; until then the connection has the idle time that is allowed.

--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -14,9 +14,10 @@
 namespace acaciachute {
 namespace {
 
-// How long a connection that is being closed still reads and discards what its
-// client sends. Closing a socket with unread bytes resets the connection, which
-// could destroy the last answer before the client reads it.
+// How long a connection that is being closed, and whose last answer is with the
+// kernel, still reads and discards what its client sends. Closing a socket with
+// unread bytes resets the connection, which could destroy the last answer
+// before the client reads it.
 constexpr DurationUs kLingerTimeout = kSecond;
 // Maximum number of bytes buffered behind a request in progress.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
@@ -110,6 +111,9 @@
   }
 
   void OnFlushed() override {
+    if (closing_) {
+      closing_since_ = Loop::Now();
+    }
     if (id_ != 0) {
       owner_->handler->OnWritten(id_);
     }
@@ -179,7 +183,8 @@
   // was not sent in time.
   bool Expired(TimeUs now) {
     if (closing_) {
-      return now - closing_since_ > kLingerTimeout;
+      return now - closing_since_ >
+             (stream_->unsent() > 0 ? owner_->limits.idle : kLingerTimeout);
     }
     if (id_ != 0) {
       return false;
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -706,6 +706,23 @@
   EXPECT_FALSE(Contains(rig.received, "Content-Length"));
 }
 
+// Guards against an answer that is cut because its client reads slowly and the
+// connection is closed after it.
+TEST(HttpListenerTest, AwaitsASlowReaderOfTheLastAnswer) {
+  ListenerRig rig;
+  rig.Ask("HTTP/1.0");
+  rig.client->SetReading(false);
+  const std::string body(32 << 20, 'x');
+  rig.listener.Reply(rig.last, 200, {}, body);
+  bool paused = true;
+  rig.loop.After(1600 * kMs, [&] { paused = false; });
+  RunUntil(&rig.loop, [&] { return !paused; });
+  rig.client->SetReading(true);
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_FALSE(rig.reset);
+  EXPECT_GE(rig.received.size(), body.size());
+}
+
 // Guards against a last chunk for a stream whose end is unknown.
 TEST(HttpListenerTest, ResetsAStreamInChunksWhoseEndIsUnknown) {
   ListenerRig rig;
