Draw framings, cuts and crashes of answers in the soak

The soak's replicas ended each answer by its length or a last chunk and reset what they broke off, so no run could show what an orderly close does. Clients judge what is framed as complete: a 200 whose end is stated has the whole body; one that ends with its connection may be short only if the replica broke it off between two events, without a length or chunks, in order; what came is always a prefix of what replicas made.

The replicas write by a raw listener now.

No functional change

--- a/tests/process/soak_test.cc
+++ b/tests/process/soak_test.cc
@@ -61,5 +61,26 @@
 // 383 retries at one stage in a window that allows 163.
 INSTANTIATE_TEST_SUITE_P(FixedSeeds, RetrySoakTest, ::testing::Values(1, 4));
 
+class AnswerSoakTest : public ::testing::TestWithParam<std::uint64_t> {};
+
+// Guards against answers that were broken off and that clients get as complete
+// ones: replicas draw the framing of each answer and where it is broken off,
+// and crash in series, while gateways are killed, suspended and restarted; some
+// clients speak HTTP/1.0.
+TEST_P(AnswerSoakTest, NoAnswerBrokenOffIsFramedAsComplete) {
+  Loop loop;
+  SoakOptions options;
+  options.seed = GetParam();
+  options.profile = FaultProfile::kAnswers;
+  options.fault_time = 8 * kSecond;
+  const SoakReport report = RunSoak(&loop, options);
+  EXPECT_EQ(report.violations, std::vector<std::string>())
+      << report.summary << "\n"
+      << report.ends;
+}
+
+// With orderly closes taken for stated ends, seed 1 had 16 violations.
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, AnswerSoakTest, ::testing::Values(1, 2));
+
 }  // namespace
 }  // namespace acaciachute
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -75,10 +75,19 @@
   }
 }
 
+void Ledger::OnUnknownEnd(const std::string& id) {
+  if (const auto it = entries_.find(id); it != entries_.end()) {
+    it->second.unknown_end = true;
+  }
+}
+
 void Ledger::OnEnded(TimeUs now,
                      const std::string& id,
                      int status,
-                     bool answer_complete) {
+                     AnswerEnd end,
+                     bool whole,
+                     const std::string& problem) {
+  constexpr int kOk = 200;
   LedgerEntry& entry = entries_.at(id);
   if (entry.ended) {
     OnViolation("ended twice", id);
@@ -87,8 +96,19 @@
   entry.ended = true;
   entry.ended_at = now;
   entry.status = status;
-  entry.answer_complete = answer_complete;
+  entry.end = end;
+  entry.answer_complete = end != AnswerEnd::kBroken && (whole || status != kOk);
   --open_;
+  if (!problem.empty()) {
+    OnViolation(problem, id);
+  }
+  const bool may_be_short = end == AnswerEnd::kBroken ||
+                            (end == AnswerEnd::kClosed && entry.unknown_end);
+  if (status == kOk && !whole && !may_be_short) {
+    OnViolation(
+        StrCat("got a 200 with an incomplete body that ends with ", Name(end)),
+        id);
+  }
 }
 
 void Ledger::OnViolation(const std::string& violation, const std::string& id) {
@@ -137,6 +157,17 @@
   return all;
 }
 
+std::map<std::string, int> Ledger::Ends() const {
+  constexpr int kOk = 200;
+  std::map<std::string, int> out;
+  for (const auto& [id, it] : entries_) {
+    if (it.ended && it.status == kOk) {
+      ++out[StrCat(Name(it.end), it.answer_complete ? "" : " short")];
+    }
+  }
+  return out;
+}
+
 std::map<std::string, std::map<std::string, int>> Ledger::Outcomes() const {
   std::map<std::string, std::map<std::string, int>> out;
   for (const auto& [id, it] : entries_) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "state/answer_end.h"
 #include "tests/soak/retry_judge.h"
 #include "types.h"
 
@@ -26,7 +27,10 @@
   bool ended = false;  // The client has its answer or lost its connection.
   TimeUs ended_at = 0;
   int status = 0;  // HTTP status; zero: the connection ended without answer.
-  bool answer_complete = false;  // The answer was complete.
+  bool answer_complete = false;        // The answer was complete.
+  AnswerEnd end = AnswerEnd::kBroken;  // Of the answer, as the client saw it.
+  // A replica broke its answer off so that nobody can tell.
+  bool unknown_end = false;
 };
 
 // All attempts of a soak, by attempt id.
@@ -50,11 +54,18 @@
                       const std::string& piece);
   // A replica starts to run the attempt, for `account`.
   void OnRun(const std::string& id, const std::string& account);
-  // The client received its answer, or its connection broke.
+  // A replica broke its answer to the attempt off, or a call's (no id), and
+  // nothing that it sent shows that.
+  void OnUnknownEnd(const std::string& id);
+  // The client received its answer, or its connection broke. `problem`: what is
+  // wrong with what it received whatever the end was; empty: nothing. `whole`:
+  // it received all of the body.
   void OnEnded(TimeUs now,
                const std::string& id,
                int status,
-               bool answer_complete);
+               AnswerEnd end,
+               bool whole,
+               const std::string& problem);
   // A client or replica observed a violation.
   void OnViolation(const std::string& violation, const std::string& id);
 
@@ -66,6 +77,9 @@
   }
   // Number of attempts by route and outcome, for the summary.
   std::map<std::string, std::map<std::string, int>> Outcomes() const;
+  // Number of answers with status 200 by the end that the client saw and by
+  // whether they were whole, for the summary.
+  std::map<std::string, int> Ends() const;
   // Attempts that have not ended.
   std::size_t open() const { return open_; }
   std::size_t sent() const { return entries_.size(); }
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/soak.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <functional>
@@ -57,7 +58,7 @@
         options_(options),
         random_(options.seed),
         request_random_(~options.seed),
-        world_(loop, options.world) {}
+        world_(loop, WorldOptionsOf(options)) {}
 
   SoakReport Run() {
     if (!world_.Start()) {
@@ -69,6 +70,7 @@
     sending_ = true;
     RunEvery(loop_, kTimerPeriod, alive_, [this] { SendDue(); });
     RunEvery(loop_, kTimerPeriod, alive_, [this] { RestartEnded(); });
+    SetCuts(options_.cut_percent);
     ScheduleNextFault();
     world_.WaitFor(options_.fault_time, [] { return false; });
     injecting_ = false;
@@ -97,11 +99,26 @@
   };
   static const std::array<NamedFault, 15> kFaults;
   static const std::array<NamedFault, 18> kRetryFaults;
+  static const std::array<NamedFault, 10> kAnswerFaults;
 
   std::span<const NamedFault> Faults() const {
-    return options_.profile == FaultProfile::kRetries
-               ? std::span<const NamedFault>(kRetryFaults)
-               : std::span<const NamedFault>(kFaults);
+    switch (options_.profile) {
+      case FaultProfile::kAll:
+        return kFaults;
+      case FaultProfile::kRetries:
+        return kRetryFaults;
+      case FaultProfile::kAnswers:
+        return kAnswerFaults;
+    }
+    return kFaults;
+  }
+
+  static WorldOptions WorldOptionsOf(const SoakOptions& options) {
+    WorldOptions world = options.world;
+    if (options.profile == FaultProfile::kAnswers) {
+      world.answer_seed = options.seed;
+    }
+    return world;
   }
 
   std::size_t Draw(std::size_t n) {
@@ -274,6 +291,23 @@
       After(n * kSeriesInterval / 2, [this] { CrashReplica(); });
     }
   }
+  void SetCuts(int percent) {
+    for (auto& it : world_.replicas()) {
+      it->SetCutPercent(percent);
+    }
+  }
+  void BreakAnswersOff() {
+    const std::string service = DrawReplica()->service();
+    const int percent =
+        kMinFaultPercent + static_cast<int>(Draw(101 - kMinFaultPercent));
+    for (auto& it : world_.replicas()) {
+      if (it->service() == service && Draw(100) < kAffectedPercent) {
+        it->SetCutPercent(percent);
+      }
+    }
+    AfterFaultDuration(
+        [this] { SetCuts(injecting_ ? options_.cut_percent : 0); });
+  }
   void SendBurst() {
     rate_factor_ = kBurstFactor;
     AfterFaultDuration([this] { rate_factor_ = 1; });
@@ -298,6 +332,7 @@
       it->LoseNextAnswers(0);
       it->SetFault(ReplicaFault::kNone, 0);
     }
+    SetCuts(0);
   }
 
   // Checks that all gateways become ready and answer new requests.
@@ -346,6 +381,14 @@
         report_.summary += StrCat(" ", end, "=", n);
       }
     }
+    for (const auto& [end, n] : world_.ledger()->Ends()) {
+      report_.ends += StrCat(end, "=", n, " ");
+    }
+    std::vector<DurationUs> first = world_.first_byte_times();
+    std::sort(first.begin(), first.end());
+    report_.ends += StrCat(
+        "client connections=", world_.connections_opened(), " first byte ms=",
+        first.empty() ? 0 : first[first.size() / 2] / kMillisecond);
   }
 
   Loop* const loop_;
@@ -404,6 +447,19 @@
     {"clients repeat at once", &Soak::RepeatAtOnce},
 }};
 
+const std::array<Soak::NamedFault, 10> Soak::kAnswerFaults = {{
+    {"replicas break answers off", &Soak::BreakAnswersOff},
+    {"replicas crash in series", &Soak::CrashReplicasInSeries},
+    {"a replica crashes", &Soak::CrashReplica},
+    {"replicas reset connections", &Soak::ResetRequests},
+    {"kill a gateway", &Soak::Kill},
+    {"terminate a gateway", &Soak::Terminate},
+    {"freeze a gateway", &Soak::Freeze},
+    {"a replica is slow", &Soak::SlowReplica},
+    {"a gateway's link to the store is cut", &Soak::CutStoreLink},
+    {"burst", &Soak::SendBurst},
+}};
+
 }  // namespace
 
 SoakReport RunSoak(Loop* loop, const SoakOptions& options) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,6 +19,9 @@
   // gateways retry, while gateways are killed, frozen and restarted in series
   // and clients repeat at once.
   kRetries,
+  // As `kAll`; replicas also draw the framing of each answer and break some
+  // off at any byte, and some clients speak HTTP/1.0.
+  kAnswers,
 };
 
 struct SoakOptions {
@@ -27,12 +30,16 @@
   // Time during which faults are injected.
   DurationUs fault_time = 12 * kSecond;
   int rate = 40;  // Requests per second.
+  // Share of the answers that replicas break off all the time, if they draw
+  // them.
+  int cut_percent = 5;
   WorldOptions world;
 };
 
 struct SoakReport {
-  std::string summary;              // Counts of attempts by route and outcome.
-  std::vector<std::string> faults;  // Injected faults in order, with times.
+  std::string summary;  // Counts of attempts by route and outcome.
+  std::string ends;     // Answers with status 200 by the end that clients saw.
+  std::vector<std::string> faults;      // Injected faults in order, with times.
   std::vector<std::string> violations;  // Violated guarantees; empty: success.
   // Of each service: the worst window, whether it was exceeded or not.
   std::vector<RetryWindow> retry_windows;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -32,6 +32,10 @@
       cxxopts::value<int>()->default_value("3"))(
       "engines", "model engines", cxxopts::value<int>()->default_value("3"))(
       "retries", "draw faults that make gateways retry")(
+      "answers", "draw framings of answers, and break answers off")(
+      "unframed", "no answer has a length or chunks; with --answers")(
+      "cuts", "percent of the answers that are broken off all the time",
+      cxxopts::value<int>()->default_value("5"))(
       "slack", "fixed part of the retry budget",
       cxxopts::value<double>()->default_value("56"))(
       "logs", "folder for the gateways' logs; empty: no logs",
@@ -55,12 +59,18 @@
     soak.world.stage_replicas = parsed["stages"].as<int>();
     soak.world.engines = parsed["engines"].as<int>();
     soak.world.retries.slack = parsed["slack"].as<double>();
-    soak.profile = parsed.count("retries") > 0 ? FaultProfile::kRetries
-                                               : FaultProfile::kAll;
+    if (parsed.count("unframed") > 0) {
+      soak.world.framing = AnswerEnd::kClosed;
+    }
+    soak.cut_percent = parsed["cuts"].as<int>();
+    soak.profile = parsed.count("retries") > 0   ? FaultProfile::kRetries
+                   : parsed.count("answers") > 0 ? FaultProfile::kAnswers
+                                                 : FaultProfile::kAll;
     soak.world.log_folder = parsed["logs"].as<std::string>();
     const SoakReport report = RunSoak(&loop, soak);
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(soak.seed),
                 report.summary.c_str());
+    std::printf("  ends: %s\n", report.ends.c_str());
     for (const auto& it : report.faults) {
       std::printf("  fault %s\n", it.c_str());
     }
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "address_text.h"
+#include "tests/soak/answer_bytes.h"
 #include "tests/soak/loopback.h"
 #include "text.h"
 
@@ -45,12 +46,7 @@
       work_(work),
       ledger_(ledger),
       address_(FreeAddress()),
-      listener_(this, loop) {
-  ListenerLimits limits;
-  limits.idle = 60 * kSecond;
-  listener_.SetLimits(limits);
-  PCHECK(listener_.Listen(address_).ok());
-}
+      listener_(this, loop, address_) {}
 
 void StandinReplica::After(DurationUs delay, std::function<void()> task) {
   RunAfter(loop_, slowdown_factor_ * delay, alive_, std::move(task));
@@ -62,11 +58,61 @@
   calls_.clear();
   busy_ = false;
   for (const ExchangeId it : std::exchange(open_, {})) {
-    listener_.Break(it);
+    const bool resets = !random_ || random_->Below(2) == 0;
+    if (const auto stream = streams_.find(it); stream != streams_.end()) {
+      stream->second.answer.BreakOff(resets);
+      ReportEnd(stream->second.attempt, stream->second.answer, true);
+    } else if (resets) {
+      listener_.Reset(it);
+    } else {
+      listener_.Close(it);
+    }
   }
+  streams_.clear();
   listener_.CloseIdle();
 }
 
+AnswerPlan StandinReplica::DrawPlan(AnswerEnd usual,
+                                    int status,
+                                    const HttpFields& fields,
+                                    const std::vector<std::string>& parts) {
+  AnswerPlan plan;
+  plan.framing = usual;
+  if (!random_) {
+    return plan;
+  }
+  constexpr std::array<AnswerEnd, 3> kFramings = {
+      AnswerEnd::kLength, AnswerEnd::kLastChunk, AnswerEnd::kClosed};
+  plan.framing = framing_.value_or(kFramings[random_->Below(kFramings.size())]);
+  plan.resets = random_->Below(2) == 0;
+  if (random_->Below(100) < static_cast<std::uint64_t>(cut_percent_)) {
+    plan.cut =
+        random_->Below(AnswerBytes(plan.framing, status, fields, parts).size());
+  }
+  return plan;
+}
+
+void StandinReplica::Reply(ExchangeId id,
+                           int status,
+                           const HttpFields& fields,
+                           const std::string& body) {
+  AnswerWriter answer(&listener_, id,
+                      DrawPlan(AnswerEnd::kLength, status, fields, {body}));
+  answer.Begin(status, fields, body.size());
+  answer.Body(body);
+  answer.End();
+  open_.erase(id);
+  ReportEnd(ValueOf(fields, "Attempt-Id"), answer, false);
+}
+
+void StandinReplica::ReportEnd(const std::string& attempt,
+                               const AnswerWriter& answer,
+                               bool stream) {
+  if (answer.LooksComplete(stream)) {
+    ledger_->OnUnknownEnd(attempt);
+  }
+}
+
 HttpFields StandinReplica::FieldsOf(HttpFields fields) {
   if (!rate_limit_.empty()) {
     fields.push_back({"Server-Limit", rate_limit_});
@@ -89,9 +135,9 @@
     ReportArrival(head, body);
   }
   if (!expected.empty() && expected != id_) {
-    listener_.Reply(id, kWrongReplica, NotRun(attempt), "");
+    Reply(id, kWrongReplica, NotRun(attempt));
   } else if (release) {
-    listener_.Reply(id, kOk, FieldsOf({}), "");
+    Reply(id, kOk, FieldsOf({}));
   } else if (ApplyFault(id, head, attempt)) {
     arrivals_.push_back(Loop::Now());
   } else if (!rest_.empty()) {
@@ -99,10 +145,10 @@
     refusals_.push_back(Loop::Now());
     HttpFields fields = FieldsOf(NotRun(attempt));
     fields.push_back({"Retry-After", rest_});
-    listener_.Reply(id, kFull, fields, "");
+    Reply(id, kFull, fields);
   } else if (head.target == "/stage-run" && calls_.size() >= kMaxQueuedCalls) {
     arrivals_.push_back(Loop::Now());
-    listener_.Reply(id, kFull, FieldsOf(NotRun("")), "");
+    Reply(id, kFull, FieldsOf(NotRun("")));
   } else if (head.target == "/stage-run") {
     arrivals_.push_back(Loop::Now());
     calls_.push_back({id, std::move(body)});
@@ -143,7 +189,7 @@
   }
   const bool call = head.target == "/stage-run";
   const auto refuse = [&](int status) {
-    listener_.Reply(id, status, FieldsOf(NotRun(attempt)), "");
+    Reply(id, status, FieldsOf(NotRun(attempt)));
   };
   const auto run = [&] {
     if (!call) {
@@ -170,7 +216,7 @@
       return true;
     case ReplicaFault::kReset:
       run();
-      listener_.Break(id);
+      listener_.Reset(id);
       open_.erase(id);
       return true;
     case ReplicaFault::kSilent:
@@ -178,9 +224,8 @@
       return true;
     case ReplicaFault::kFail:
       run();
-      listener_.Reply(
-          id, kFailed,
-          FieldsOf({{"Attempt-Id", attempt}, {"Replica-Seal", id_}}), "");
+      Reply(id, kFailed,
+            FieldsOf({{"Attempt-Id", attempt}, {"Replica-Seal", id_}}));
       return true;
   }
   return false;
@@ -190,7 +235,7 @@
   const std::string attempt = ValueOf(head.fields, "Attempt-Id");
   if (work_.kind == ReplicaWork::Kind::kEngine &&
       FindField(head.fields, "Inputs") == nullptr) {
-    listener_.Reply(id, kBadRequest, FieldsOf(NotRun(attempt)), "");
+    Reply(id, kBadRequest, FieldsOf(NotRun(attempt)));
     return;
   }
   if (FindField(head.fields, "Authorization") != nullptr) {
@@ -200,14 +245,13 @@
   ledger_->OnRun(attempt, ValueOf(head.fields, "Tenant"));
   if (answers_to_lose_ > 0) {
     --answers_to_lose_;
-    After(work_.service_time, [this, id] { listener_.Break(id); });
+    After(work_.service_time, [this, id] { listener_.Reset(id); });
     return;
   }
   if (work_.kind == ReplicaWork::Kind::kPlain) {
     After(work_.service_time, [this, id, attempt] {
-      listener_.Reply(
-          id, kOk, FieldsOf({{"Attempt-Id", attempt}, {"Replica-Seal", id_}}),
-          StrCat("answer to ", attempt));
+      Reply(id, kOk, FieldsOf({{"Attempt-Id", attempt}, {"Replica-Seal", id_}}),
+            StrCat("answer to ", attempt));
     });
     return;
   }
@@ -215,29 +259,53 @@
   const int next = last ? *last + 1 : 0;  // Continues a resumed stream.
   After(work_.service_time, [this, id, attempt, next] {
     if (open_.contains(id)) {
-      listener_.BeginStream(id, kOk,
-                            FieldsOf({{"Attempt-Id", attempt},
-                                      {"Replica-Seal", id_},
-                                      {"Content-Type", "text/event-stream"}}));
-      SendEvent(id, attempt, next);
+      BeginStream(id, attempt, next);
     }
   });
 }
 
-void StandinReplica::SendEvent(ExchangeId id,
-                               const std::string& attempt,
-                               int next) {
-  if (!open_.contains(id)) {
+std::string StandinReplica::EventText(const std::string& attempt, int n) {
+  return StrCat("id: ", n, "\ndata: ", attempt, " ", std::string(50, 't'),
+                "\n\n");
+}
+
+void StandinReplica::BeginStream(ExchangeId id,
+                                 const std::string& attempt,
+                                 int next) {
+  const HttpFields fields = FieldsOf({{"Attempt-Id", attempt},
+                                      {"Replica-Seal", id_},
+                                      {"Content-Type", "text/event-stream"}});
+  std::vector<std::string> events;
+  std::size_t size = 0;
+  for (int n = next; n < work_.events; ++n) {
+    events.push_back(EventText(attempt, n));
+    size += events.back().size();
+  }
+  const AnswerPlan plan = DrawPlan(AnswerEnd::kLastChunk, kOk, fields, events);
+  const auto it =
+      streams_.emplace(id, Stream{attempt, {&listener_, id, plan}}).first;
+  it->second.answer.Begin(kOk, fields, size);
+  SendEvent(id, next);
+}
+
+void StandinReplica::SendEvent(ExchangeId id, int next) {
+  const auto it = streams_.find(id);
+  if (it == streams_.end()) {
     return;
   }
-  if (next >= work_.events) {
-    listener_.EndStream(id, AnswerEnd::kLastChunk);
+  auto& [attempt, answer] = it->second;
+  if (next < work_.events) {
+    answer.Body(EventText(attempt, next));
+  } else {
+    answer.End();
+  }
+  if (!answer.over()) {
+    After(work_.event_interval, [this, id, next] { SendEvent(id, next + 1); });
     return;
   }
-  listener_.StreamData(id, StrCat("id: ", next, "\ndata: ", attempt, " ",
-                                  std::string(50, 't'), "\n\n"));
-  After(work_.event_interval,
-        [this, id, attempt, next] { SendEvent(id, attempt, next + 1); });
+  ReportEnd(attempt, answer, true);
+  streams_.erase(it);
+  open_.erase(id);
 }
 
 void StandinReplica::BeginStageCall() {
@@ -265,9 +333,8 @@
         StrCat(AddressText(address_), "/", ++next_result_);
     items.push_back({{"handle", handle}});
   }
-  listener_.Reply(call.id, kOk,
-                  FieldsOf({{"Content-Type", "application/json"}}),
-                  Json({{"items", items}}).dump());
+  Reply(call.id, kOk, FieldsOf({{"Content-Type", "application/json"}}),
+        Json({{"items", items}}).dump());
 }
 
 }  // namespace acaciachute
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -13,8 +13,10 @@
 #include <utility>
 #include <vector>
 
+#include "state/random.h"
+#include "tests/soak/answer_writer.h"
 #include "tests/soak/ledger.h"
-#include "transport/http_listener.h"
+#include "tests/soak/raw_listener.h"
 #include "transport/loop.h"
 
 namespace acaciachute {
@@ -49,6 +51,16 @@
                  const ReplicaWork& work,
                  Ledger* ledger);
 
+  // Draws the framing of each answer (or always uses `framing`), and how it is
+  // broken off, from `seed`. Otherwise plain answers have a length, streams
+  // chunks, and both are whole unless the replica crashes.
+  void DrawAnswers(std::uint64_t seed, std::optional<AnswerEnd> framing) {
+    random_.emplace(seed);
+    framing_ = framing;
+  }
+  // Breaks `percent` of the answers off; only if answers are drawn.
+  void SetCutPercent(int percent) { cut_percent_ = percent; }
+
   // Sets faults: the next `n` answers are lost after their runs; all work takes
   // `factor` times as long.
   void LoseNextAnswers(int n) { answers_to_lose_ = n; }
@@ -76,6 +88,8 @@
   // Simulates a crash and restart: breaks every connection, drops all work, and
   // continues as the incarnation `id`.
   void Crash(std::string id);
+  // The n-th event of an engine's stream.
+  static std::string EventText(const std::string& attempt, int n);
   const std::string& id() const { return id_; }
   const std::string& service() const { return service_; }
   ReplicaWork::Kind kind() const { return work_.kind; }
@@ -85,7 +99,10 @@
   void OnRequest(ExchangeId id,
                  HttpRequestHead head,
                  std::string body) override;
-  void OnClientDisconnected(ExchangeId id) override { open_.erase(id); }
+  void OnClientDisconnected(ExchangeId id) override {
+    open_.erase(id);
+    streams_.erase(id);
+  }
   void OnWritten(ExchangeId) override {}
   void OnListenerEvent(const ListenerEvent&) override {}
 
@@ -96,6 +113,20 @@
     std::string body;
   };
 
+  // Draws the framing, instead of `usual`, and the cut of an answer.
+  AnswerPlan DrawPlan(AnswerEnd usual,
+                      int status,
+                      const HttpFields& fields,
+                      const std::vector<std::string>& parts);
+  // Sends an answer at once.
+  void Reply(ExchangeId id,
+             int status,
+             const HttpFields& fields,
+             const std::string& body = "");
+  // Reports to the ledger if the answer was broken off and looks complete.
+  void ReportEnd(const std::string& attempt,
+                 const AnswerWriter& answer,
+                 bool stream);
   // `fields` with those that all answers of this replica have.
   HttpFields FieldsOf(HttpFields fields);
   // Reports what arrived to the ledger: a request, or each piece of a call.
@@ -105,7 +136,8 @@
                   const HttpRequestHead& head,
                   const std::string& attempt);
   void Run(ExchangeId id, const HttpRequestHead& head);
-  void SendEvent(ExchangeId id, const std::string& attempt, int next);
+  void BeginStream(ExchangeId id, const std::string& attempt, int next);
+  void SendEvent(ExchangeId id, int next);
   void BeginStageCall();
   void EndStageCall(const StageCall& call);
   void After(DurationUs delay, std::function<void()> task);
@@ -116,8 +148,17 @@
   const ReplicaWork work_;
   Ledger* const ledger_;
   const Address address_;
-  HttpListener listener_;
+  RawListener listener_;
   std::set<ExchangeId> open_;
+  // Streams that were begun.
+  struct Stream {
+    std::string attempt;
+    AnswerWriter answer;
+  };
+  std::map<ExchangeId, Stream> streams_;
+  std::optional<Random> random_;
+  std::optional<AnswerEnd> framing_;  // Of all answers.
+  int cut_percent_ = 0;
   std::deque<StageCall> calls_;
   std::string rate_limit_;
   bool leaving_ = false;
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -5,6 +5,7 @@
 
 #include "address_text.h"
 #include "tests/soak/loopback.h"
+#include "tests/soak/raw_client.h"
 #include "text.h"
 
 namespace acaciachute {
@@ -20,6 +21,8 @@
 constexpr char kApiKey[] = "key-of-acme";
 constexpr int kPieces = 4;
 constexpr int kDeadlineMs = 6000;
+// If replicas draw their answers, one in this many requests is HTTP/1.0.
+constexpr std::uint64_t kHttp10Period = 4;
 
 Json RouteJson(const std::string& name,
                const std::string& kind,
@@ -47,26 +50,16 @@
           {"handle_s", 4.0},  {"link_mbps", 1000.0}};
 }
 
-// Whether `body` is the complete stream of `attempt`: all events in order, each
-// with the id of its attempt.
-bool IsCompleteStream(const std::string& body,
-                      const std::string& attempt,
-                      int events) {
-  int next = 0;
-  std::size_t at = 0;
-  while (at < body.size()) {
-    const auto end = body.find("\n\n", at);
-    if (end == std::string::npos) {
-      return false;
-    }
-    const std::string expected = StrCat("id: ", next, "\ndata: ", attempt, " ");
-    if (body.compare(at, expected.size(), expected) != 0) {
-      return false;
-    }
-    ++next;
-    at = end + 2;
+// The body of the whole answer to `attempt`.
+std::string ExpectedBody(const std::string& attempt, bool stream, int events) {
+  if (!stream) {
+    return StrCat("answer to ", attempt);
+  }
+  std::string body;
+  for (int n = 0; n < events; ++n) {
+    body += StandinReplica::EventText(attempt, n);
   }
-  return next == events;
+  return body;
 }
 
 }  // namespace
@@ -84,37 +77,67 @@
         stream_(stream),
         send_again_(std::move(send_again)) {}
 
+  // Sends `request` on a connection of its own as HTTP/1.0.
+  void SendAsHttp10(const Address& gateway, const ChannelRequest& request) {
+    HttpFields fields = request.fields;
+    fields.push_back({"Content-Length", StrCat(request.body.size())});
+    std::string head = WriteRequestHead(request.method, request.target, fields);
+    head.replace(head.find("HTTP/1.1"), 8, "HTTP/1.0");
+    http10_ = std::make_unique<RawClient>(
+        world_->loop_, gateway, head + request.body, [this] {
+          // Not from inside the client's own callback.
+          RunAfter(world_->loop_, 0, alive_, [this] { EndHttp10(); });
+        });
+  }
+
   void OnAnswerHead(CallId, const HttpAnswerHead& head) override {
     status_ = head.status;
-    const std::string* id = FindField(head.fields, "Attempt-Id");
-    if (status_ == kOk && (id == nullptr || *id != id_)) {
-      world_->ledger_.OnViolation("got an answer with a wrong Attempt-Id", id_);
-    }
-    if (status_ == kOk && FindField(head.fields, "Replica-Seal") == nullptr) {
-      world_->ledger_.OnViolation("got a 200 without a Replica-Seal", id_);
-    }
+    fields_ = head.fields;
   }
-  void OnAnswerBody(CallId, std::string_view bytes) override { body_ += bytes; }
-  void OnAnswerEnd(CallId call, AnswerEnd) override {
-    const bool right =
-        stream_ ? IsCompleteStream(body_, id_, world_->options_.events)
-                : body_ == StrCat("answer to ", id_);
-    if (status_ == kOk && !right) {
-      world_->ledger_.OnViolation("got a 200 with a wrong or incomplete body",
-                                  id_);
+  void OnAnswerBody(CallId, std::string_view bytes) override {
+    if (body_.empty() && status_ == kOk) {
+      world_->first_byte_times_.push_back(Loop::Now() - sent_at_);
     }
-    End(call, status_, true);
+    body_ += bytes;
   }
-  void OnCallFailed(CallId call, const CallFailure&) override {
-    End(call, status_, false);
+  void OnAnswerEnd(CallId, AnswerEnd end) override { End(end); }
+  void OnCallFailed(CallId, const CallFailure&) override {
+    End(AnswerEnd::kBroken);
   }
 
  private:
-  void End(CallId call, int status, bool answer_complete) {
-    world_->ledger_.OnEnded(Loop::Now(), id_, status, answer_complete);
-    const bool refused = status == kRefused || status == kTooMany;
+  void EndHttp10() {
+    status_ = http10_->status();
+    fields_ = http10_->fields();
+    body_ = http10_->body();
+    End(http10_->end());
+  }
+
+  std::string Problem(const std::string& expected, AnswerEnd end) const {
+    const std::string* id = FindField(fields_, "Attempt-Id");
+    if (id == nullptr || *id != id_) {
+      return "got an answer with a wrong Attempt-Id";
+    }
+    if (FindField(fields_, "Replica-Seal") == nullptr) {
+      return "got a 200 without a Replica-Seal";
+    }
+    if (expected.compare(0, body_.size(), body_) != 0) {
+      return "got a 200 with a body that its replicas did not make";
+    }
+    if (stream_ && end != AnswerEnd::kBroken && !body_.ends_with("\n\n")) {
+      return "got a stream that ends inside an event";
+    }
+    return "";
+  }
+
+  void End(AnswerEnd end) {
+    const std::string expected =
+        ExpectedBody(id_, stream_, world_->options_.events);
+    world_->ledger_.OnEnded(Loop::Now(), id_, status_, end, body_ == expected,
+                            status_ == kOk ? Problem(expected, end) : "");
+    const bool refused = status_ == kRefused || status_ == kTooMany;
     const auto send_again = refused ? send_again_ : nullptr;
-    world_->clients_.erase(call);  // Deletes `this`.
+    world_->clients_.erase(id_);  // Deletes `this`.
     if (send_again) {
       send_again();
     }
@@ -124,8 +147,12 @@
   const std::string id_;
   const bool stream_;
   const std::function<void()> send_again_;
+  const TimeUs sent_at_ = Loop::Now();
+  std::unique_ptr<RawClient> http10_;
   int status_ = 0;
+  HttpFields fields_;
   std::string body_;
+  const std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
 World::World(Loop* loop, const WorldOptions& options)
@@ -166,6 +193,10 @@
     replicas_.push_back(std::make_unique<StandinReplica>(
         loop_, StrCat("i-", service, "-", k, "-1"), service, work, &ledger_));
     service_by_address_[AddressText(replicas_.back()->address())] = service;
+    if (options_.answer_seed) {
+      replicas_.back()->DrawAnswers(*options_.answer_seed + replicas_.size(),
+                                    options_.framing);
+    }
     WriteReplicaRow(*replicas_.back(), false);
   }
 }
@@ -311,9 +342,13 @@
   auto client =
       std::make_unique<Client>(this, id, stream, std::move(send_again));
   Client* sink = client.get();
-  const CallId call =
-      channels_.Start(gateways_[gateway]->clients(), request, options, sink);
-  clients_[call] = std::move(client);
+  clients_[id] = std::move(client);
+  const Address& address = gateways_[gateway]->clients();
+  if (options_.answer_seed && next_id_ % kHttp10Period == 0) {
+    sink->SendAsHttp10(address, request);
+  } else {
+    channels_.Start(address, request, options, sink);
+  }
 }
 
 }  // namespace acaciachute
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -29,7 +29,11 @@
   int events = 48;  // Per stream.
   // Given to the gateways, and judged by what arrives at replicas.
   ServiceRetryBudgetLimits retries;
-  std::string log_folder;  // Of the gateways' logs; empty: no logs.
+  // If set, replicas draw the framing of their answers, and how they are broken
+  // off, from this seed, and some clients speak HTTP/1.0.
+  std::optional<std::uint64_t> answer_seed;
+  std::optional<AnswerEnd> framing;  // Of all answers, instead of a drawn one.
+  std::string log_folder;            // Of the gateways' logs; empty: no logs.
 };
 
 // The deployment; all parts but the gateways run in the process of the test.
@@ -65,6 +69,12 @@
   std::vector<std::unique_ptr<StandinReplica>>& replicas() { return replicas_; }
   // The relay between each gateway and the store.
   std::vector<std::unique_ptr<Relay>>& store_links() { return store_links_; }
+  // Connections that clients of HTTP/1.1 opened.
+  std::uint64_t connections_opened() const { return channels_.opened(); }
+  // Times until the first byte of the body of answers to them.
+  const std::vector<DurationUs>& first_byte_times() const {
+    return first_byte_times_;
+  }
   // HTTP status of a gateway's /readyz; zero when it does not answer.
   int ReadinessStatus(std::size_t gateway);
 
@@ -82,7 +92,8 @@
   std::vector<std::unique_ptr<Relay>> store_links_;
   std::vector<std::unique_ptr<GatewayProcess>> gateways_;
   HttpChannels channels_;
-  std::map<CallId, std::unique_ptr<Client>> clients_;
+  std::map<std::string, std::unique_ptr<Client>> clients_;  // By attempt.
+  std::vector<DurationUs> first_byte_times_;
   std::uint64_t version_ = 0;
   std::uint64_t next_id_ = 0;
 };
