Let a replica's process be killed in the test of broken answers

AnswerEndTest closes its raw replicas' connections itself. Now six replicas are processes that send a part of a stream, in each framing, inside the last event and before it, and kill themselves, so that the kernel ends their connections. None of the streams is framed as complete; each process is shown to have run and been killed.

No functional change

--- a/tests/process/answer_end_test.cc
+++ b/tests/process/answer_end_test.cc
@@ -1,9 +1,12 @@
 // Process tests of a real gateway whose replicas break their answers off at any
 // byte, in any framing, by raw sockets on both sides.
+#include <gio/gio.h>
+#include <glib/gstdio.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -28,6 +31,8 @@
 constexpr int kHttpOk = 200;
 constexpr DurationUs kWaitTimeout = 20 * kSecond;
 constexpr int kEvents = 4;
+// Services whose only replica is a process that kills itself.
+constexpr int kKilledReplicas = 6;
 
 std::string EventText(int n) {
   return StrCat("id: ", n, "\ndata: part ", n, "\n\n");
@@ -44,7 +49,7 @@
 };
 
 bool IsStream(const Play& play) {
-  return play.route == "stream" || play.route == "resume";
+  return play.route != "safe" && play.route != "unsafe";
 }
 
 // Parts of the body from event `next` on.
@@ -131,30 +136,25 @@
       replicas_.push_back(
           std::make_unique<PlayedReplica>(&loop_, &plays_, &runs_));
       for (const char* service : {"app", "engine"}) {
-        const std::string id = StrCat("i-", service, "-", n);
-        store_.Put("servers", id,
-                   {{"service", service},
-                    {"address", AddressText(replicas_.back()->address)},
-                    {"zone", "a"},
-                    {"version", "v1"},
-                    {"slots", 64},
-                    {"cold_left_ms", 0},
-                    {"call_seq", 0},
-                    {"state", "ready"}});
+        List(service, StrCat("i-", service, "-", n), replicas_.back()->address);
       }
     }
-    const Json services = {
+    Json services = {
         {{"name", "app"}, {"max_connections", 500}},
         {{"name", "engine"}, {"kv_capacity_tokens", 1000000}, {"slots", 64}}};
     Json resume = RouteOf("resume", "streaming", "engine");
     resume["stream_resume"] = true;
-    store_.Put(
-        "op", "config",
-        {{"version", 1},
-         {"routes",
-          {RouteOf("safe", "safe", "app"), RouteOf("unsafe", "unsafe", "app"),
-           RouteOf("stream", "streaming", "engine"), resume}},
-         {"services", services}});
+    Json routes = {RouteOf("safe", "safe", "app"),
+                   RouteOf("unsafe", "unsafe", "app"),
+                   RouteOf("stream", "streaming", "engine"), resume};
+    for (int n = 0; n < kKilledReplicas; ++n) {
+      const std::string name = StrCat("killed-", n);
+      routes.push_back(RouteOf(name, "streaming", name));
+      services.push_back(
+          {{"name", name}, {"kv_capacity_tokens", 1000000}, {"slots", 64}});
+    }
+    store_.Put("op", "config",
+               {{"version", 1}, {"routes", routes}, {"services", services}});
     GatewayProcessOptions options;
     options.name = "front-1";
     options.store = store_.address();
@@ -164,6 +164,43 @@
     gateway_->Start();
   }
 
+  ~AnswerEndTest() override {
+    for (const auto& it : answer_files_) {
+      g_remove(it.c_str());
+    }
+    for (const auto& it : killed_replicas_) {
+      g_subprocess_force_exit(it.get());
+    }
+  }
+
+  void List(const std::string& service,
+            const std::string& id,
+            const Address& address) {
+    store_.Put("servers", id,
+               {{"service", service},
+                {"address", AddressText(address)},
+                {"zone", "a"},
+                {"version", "v1"},
+                {"slots", 64},
+                {"cold_left_ms", 0},
+                {"call_seq", 0},
+                {"state", "ready"}});
+  }
+  // Starts the process of a replica that sends `answer` and kills itself.
+  void StartKilledReplica(const std::string& service, std::string_view answer) {
+    const Address address = FreeAddress();
+    const std::string file =
+        StrCat(g_get_tmp_dir(), "/acaciachute-answer-", address.port);
+    std::ofstream(file, std::ios::binary) << answer;
+    killed_replicas_.emplace_back(
+        g_subprocess_new(G_SUBPROCESS_FLAGS_NONE, nullptr,
+                         ACACIACHUTE_BIN_DIR "/tests/standin-replica",
+                         StrCat(address.port).c_str(), file.c_str(), nullptr));
+    ASSERT_NE(killed_replicas_.back(), nullptr);
+    answer_files_.push_back(file);
+    List(service, StrCat("i-", service), address);
+  }
+
   static Json RouteOf(const std::string& name,
                       const std::string& kind,
                       const std::string& service) {
@@ -307,6 +344,8 @@
   std::map<std::string, Play> plays_;
   std::map<std::string, int> runs_;
   std::vector<std::unique_ptr<PlayedReplica>> replicas_;
+  std::vector<GPtr<GSubprocess>> killed_replicas_;
+  std::vector<std::string> answer_files_;
   std::unique_ptr<GatewayProcess> gateway_;
   std::size_t next_ = 0;
   std::size_t first_of_run_ = 0;
@@ -379,6 +418,33 @@
   }
 }
 
+// Guards against a stream that looks complete because its replica's process was
+// killed: in each framing, inside the last event and before it.
+TEST_F(AnswerEndTest, AKilledReplicaCompletesNoStream) {
+  std::vector<Play> plays;
+  for (const AnswerEnd framing : kFramings) {
+    for (const bool inside : {true, false}) {
+      const std::string route = StrCat("killed-", plays.size());
+      const Play play = {route, framing};
+      const std::string answer = AnswerBytes(
+          framing, kHttpOk, {{"Replica-Seal", "proof"}}, PartsOf(play, 0));
+      const std::string last =
+          BodyBytes(framing, EventText(kEvents - 1)) + EndBytes(framing);
+      const std::size_t missing = inside ? last.size() / 2 : last.size();
+      StartKilledReplica(route, answer.substr(0, answer.size() - missing));
+      plays.push_back(play);
+    }
+  }
+  ASSERT_EQ(plays.size(), static_cast<std::size_t>(kKilledReplicas));
+  ASSERT_TRUE(Ready());
+  ExpectTruth(plays);
+  for (const auto& it : killed_replicas_) {
+    ASSERT_TRUE(WaitFor(
+        [&] { return g_subprocess_get_identifier(it.get()) == nullptr; }));
+    EXPECT_TRUE(g_subprocess_get_if_signaled(it.get())) << "it did not run";
+  }
+}
+
 // Guards against a stream to a client of HTTP/1.0, whose end is the orderly
 // close, that looks complete because the gateway's process was killed.
 TEST_F(AnswerEndTest, AKilledGatewayCompletesNoStream) {
