Resume a stream only after the last event that its client has

A client that had resumed a stream by itself got events twice if the replica broke off after it had sent comments only: the place given to the next replica was that of this gateway's events, of which there were none. And a stream whose events have no ids was begun again from its start in the middle of the client's answer.

The client's own place now holds until an event with an id was passed on, and a stream that passed events without any id is broken off instead of resumed. Both tests failed before.

--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -257,7 +257,11 @@
 }
 
 bool Gateway::Impl::MayRetry(const ServingRequest& request) const {
-  return request.route->MayRepeat() &&
+  // Without the id of the last event that was passed on, another replica cannot
+  // tell where to go on, and the client would receive events twice.
+  const bool cannot_resume =
+      request.events.complete_events() > 0 && !request.events.last_event_id();
+  return request.route->MayRepeat() && !cannot_resume &&
          request.possible_runs < request.route->max_attempts &&
          request.sends < kMaxReplicasPerRequest &&
          output->Now() < request.deadline_at;
@@ -313,8 +317,8 @@
   if (MayRetry(*request) && ReserveAttempt(request, RetryReason::kLost)) {
     metrics->Count("acaciachute_gateway_retries_total", "lost");
     request->events.DiscardPartialEvent();
-    if (request->stream_begun) {
-      request->resume_after = request->events.last_event_id();
+    if (const auto last = request->events.last_event_id()) {
+      request->resume_after = last;
     }
     if (request->route->stages.empty() ||
         !request->attempt.first_event_received) {
--- a/tests/gateway/answer_end_test.cc
+++ b/tests/gateway/answer_end_test.cc
@@ -211,6 +211,34 @@
   EXPECT_TRUE(rig.ended.empty());
 }
 
+// Guards against events that a client receives twice: it resumed a stream
+// itself, and the replica breaks off before its first event.
+TEST(AnswerEndTest, AStreamThatTheClientResumedKeepsItsPlace) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine");
+  rig.AddReplica("e2", "engine");
+  rig.CallAfter("resume", 5);
+  rig.core.OnReplicaHead(rig.sent[0].call, GatewayRig::Head());
+  rig.core.OnReplicaBody(rig.sent[0].call, ": comment\n\n");
+  rig.core.OnReplicaFailed(rig.sent[0].call, true, "broken");
+  ASSERT_EQ(rig.sent.size(), 2U);
+  EXPECT_EQ(rig.sent[1].resume_after, 5U);
+}
+
+// Guards against events that a client receives twice: they have no ids, so no
+// replica can go on after the last one.
+TEST(AnswerEndTest, AStreamWithoutIdsIsNotResumed) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine");
+  rig.AddReplica("e2", "engine");
+  const ExchangeId id = rig.Call("resume");
+  rig.core.OnReplicaHead(rig.sent[0].call, GatewayRig::Head());
+  rig.core.OnReplicaBody(rig.sent[0].call, "data: a\n\n");
+  rig.core.OnReplicaFailed(rig.sent[0].call, true, "broken");
+  EXPECT_EQ(rig.sent.size(), 1U);
+  EXPECT_EQ(rig.client_ends[id], AnswerEnd::kBroken);
+}
+
 // Guards against an answer without a body, such as 204, that its client gets
 // with chunks.
 TEST(AnswerEndTest, AnAnswerWithoutABodyIsNoStream) {
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -113,8 +113,19 @@
   ExchangeId Call(const std::string& route,
                   const std::string& key = "k1",
                   std::vector<std::uint32_t> pieces = {}) {
+    return Send(route, key, std::move(pieces), std::nullopt);
+  }
+  // The client has the events of a stream up to `last`.
+  ExchangeId CallAfter(const std::string& route, std::uint64_t last) {
+    return Send(route, "k1", {}, last);
+  }
+  ExchangeId Send(const std::string& route,
+                  const std::string& key,
+                  std::vector<std::uint32_t> pieces,
+                  std::optional<std::uint64_t> resume_after) {
     const ExchangeId id = ++last_exchange;
     ClientRequest call;
+    call.resume_after = resume_after;
     call.id = "c" + std::to_string(id);
     call.method = "POST";
     call.host = "h.example";
