--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -1,5 +1,5 @@
-// The attempts of one request: choosing a replica, passing on its answer, and
-// retrying or refusing when an attempt fails.
+// The attempts of one request: choosing a replica, and retrying or refusing
+// when an attempt fails.
 #include <algorithm>
 #include <utility>
 
@@ -13,12 +13,6 @@
   return service != nullptr && service->engine.has_value();
 }
 
-bool Gateway::Impl::IsStream(const ServingRequest& request) {
-  const ReplicaHead& head = *request.attempt.head;
-  return request.route->kind == RouteKind::kStream && head.ok() &&
-         head.expected_end != AnswerEnd::kNoBody;
-}
-
 const ReplicaEntry* Gateway::Impl::ChooseReplica(ServingRequest* request) {
   const TimeUs now = output->Now();
   const bool repeat = request->route->MayRepeat();
@@ -124,138 +118,6 @@
       static_cast<double>(gateway_count));
 }
 
-void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
-  OnStatement(request->attempt.replica.id, head.statement, request->call.id);
-  request->attempt.head = std::move(head);
-  ReportArrival(request);
-}
-
-void Gateway::Impl::OnBody(ServingRequest* request, std::string_view bytes) {
-  Attempt& attempt = request->attempt;
-  attempt.received_bytes += bytes.size();
-  if (!IsStream(*request)) {
-    attempt.body += bytes;
-    if (attempt.body.size() > kMaxAnswerBytes) {
-      CancelAttempt(request);
-      OnMayHaveRun(request, "the answer is too long");
-    }
-    return;
-  }
-  if (!attempt.head->sealed || attempt.head->encoded) {
-    return;  // Such an answer is rejected in `OnEnd`.
-  }
-  const std::string events = request->events.Add(bytes);
-  if (!events.empty()) {
-    PassEvents(request, events);
-  }
-}
-
-void Gateway::Impl::PassEvents(ServingRequest* request,
-                               std::string_view events) {
-  Attempt& attempt = request->attempt;
-  if (!attempt.first_event_received) {
-    attempt.first_event_received = true;
-    engines.OnFirstEvent(attempt.replica.id, request->ForEngine());
-    // The replica fetched its inputs before it read the prompt, so they can be
-    // released.
-    dispatcher->ReleaseResults(request->progress.TakeAll());
-  }
-  if (!request->stream_begun) {
-    request->stream_begun = true;
-    request->stream_begun_at = output->Now();
-    SetExpiry(request, request->deadline_at);
-    metrics->Observe("acaciachute_gateway_first_event_seconds",
-                     request->route->name,
-                     request->stream_begun_at - request->received_at);
-    request->client_end = output->BeginStream(request->id, *attempt.head);
-  }
-  output->StreamData(request->id, events);
-  if (!attempt.paused && output->Unsent(request->id) > kMaxUnsentBytes) {
-    attempt.paused = true;
-    output->SetReading(attempt.call, false);
-  }
-}
-
-void Gateway::Impl::OnEnd(ServingRequest* request, AnswerEnd end) {
-  Attempt& attempt = request->attempt;
-  attempt.end = end;
-  metrics->Count("acaciachute_gateway_answer_ends_total", Name(end));
-  const ReplicaHead& head = *attempt.head;
-  if (head.not_run || head.other_replica) {
-    EndAttempt(request);
-    OnNotRun(request);
-    return;
-  }
-  if (head.ok() && (!head.sealed || head.encoded)) {
-    EndAttempt(request);
-    OnMayHaveRun(request, head.sealed ? "the body is encoded"
-                                      : "the answer bears no proof");
-    return;
-  }
-  if (!IsStream(*request)) {
-    FinishPlainAnswer(request);
-    return;
-  }
-  if (const auto why = WhyIncomplete(*request, end); !why.empty()) {
-    OnFailed(request, true, why);
-    return;
-  }
-  const std::string comments = request->events.partial_event();
-  if (!comments.empty() || !attempt.first_event_received) {
-    PassEvents(request, comments);
-  }
-  engines.OnSuccess(attempt.replica.id);
-  ++request->possible_runs;
-  EndAttempt(request);
-  request->client_end = output->EndStream(request->id, end);
-  Finish(request, Name(Verdict::kAnswered), head.status);
-}
-
-std::string_view Gateway::Impl::WhyIncomplete(const ServingRequest& request,
-                                              AnswerEnd end) {
-  if (request.events.InsideEvent()) {
-    return "the stream ended inside an event";
-  }
-  if (StatesComplete(end)) {
-    return "";
-  }
-  if (!request.attempt.first_event_received) {
-    return "the connection was closed before the first event";
-  }
-  if (request.client_end && StatesComplete(*request.client_end)) {
-    return "a resumed stream was closed, and its client's states its end";
-  }
-  return "";
-}
-
-void Gateway::Impl::FinishPlainAnswer(ServingRequest* request) {
-  const Attempt attempt = request->attempt;
-  const TimeUs now = output->Now();
-  const bool failed = attempt.head->status >= 500;
-  if (!IsEngine(*request)) {
-    PlainChoiceOf(request->service)
-        .OnAnswer(now, attempt.replica.id, attempt.sent_at);
-  }
-  EndAttempt(request);
-  ++request->possible_runs;
-  if (request->stream_begun) {
-    // A replica that should have resumed the stream answered with an error.
-    Refuse(request, {Refusal::kUpstreamFailed, Verdict::kMayHaveRun, 0,
-                     "the stream could not be resumed"});
-    return;
-  }
-  if (failed && MayRetry(*request) &&
-      ReserveAttempt(request, RetryReason::kFailed)) {
-    metrics->Count("acaciachute_gateway_retries_total", "failed");
-    StartAttempt(request);
-    return;
-  }
-  request->client_end =
-      output->Answer(request->id, *attempt.head, attempt.body, *attempt.end);
-  Finish(request, failed ? "replica_failed" : Name(Verdict::kAnswered),
-         attempt.head->status);
-}
-
 bool Gateway::Impl::MayRetry(const ServingRequest& request) const {
   // Without the id of the last event that was passed on, another replica cannot
   // tell where to go on, and the client would receive events twice.
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -230,18 +230,9 @@
   // of the request's service.
   std::optional<std::size_t> MaxIdleConnections(
       const ServingRequest& request) const;
-  void OnHead(ServingRequest* request, ReplicaHead head);
-  void OnBody(ServingRequest* request, std::string_view bytes);
-  void OnEnd(ServingRequest* request, AnswerEnd end);
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
   std::vector<CallId> CallsAt(const ReplicaId& replica) const;
   void FailAttemptsAt(const ReplicaId& replica);
-  void PassEvents(ServingRequest* request, std::string_view events);
-  // Why a stream whose answer ended with `end` is incomplete, or cannot be
-  // shown to be complete as its client's answer would state; empty if neither.
-  static std::string_view WhyIncomplete(const ServingRequest& request,
-                                        AnswerEnd end);
-  void FinishPlainAnswer(ServingRequest* request);
   void OnNotRun(ServingRequest* request);
   void OnMayHaveRun(ServingRequest* request, std::string_view why);
   bool MayRetry(const ServingRequest& request) const;
@@ -261,6 +252,20 @@
   void EndAttempt(ServingRequest* request);
   void CancelAttempt(ServingRequest* request);
 
+  // gateway_answer.cc: the answer of a replica to one attempt.
+  // Whether the replica's answer, whose head has come, is passed on as it
+  // arrives. An answer without a body is not, as the end of a stream has bytes.
+  static bool IsStream(const ServingRequest& request);
+  void OnHead(ServingRequest* request, ReplicaHead head);
+  void OnBody(ServingRequest* request, std::string_view bytes);
+  void PassEvents(ServingRequest* request, std::string_view events);
+  void OnEnd(ServingRequest* request, AnswerEnd end);
+  // Why a stream whose answer ended with `end` is incomplete, or cannot be
+  // shown to be complete as its client's answer would state; empty if neither.
+  static std::string_view WhyIncomplete(const ServingRequest& request,
+                                        AnswerEnd end);
+  void FinishPlainAnswer(ServingRequest* request);
+
   // gateway_statements.cc
   // `request`: id of the request that was answered, for the log; empty: a call
   // with pieces or a release of results.
@@ -312,9 +317,6 @@
   PlainChoice& PlainChoiceOf(const std::string& service);
   ServiceRetryBudget& ServiceBudget(const std::string& service);
   bool IsEngine(const ServingRequest& request) const;
-  // Whether the replica's answer, whose head has come, is passed on as it
-  // arrives. An answer without a body is not, as the end of a stream has bytes.
-  static bool IsStream(const ServingRequest& request);
   bool ConfigIsConfirmed() const;
 
   GatewayOptions options;
--- a/tests/process/answer_end_test.cc
+++ b/tests/process/answer_end_test.cc
@@ -34,6 +34,9 @@
 // Services whose only replica is a process that kills itself.
 constexpr int kKilledReplicas = 6;
 
+constexpr AnswerEnd kFramings[] = {AnswerEnd::kLength, AnswerEnd::kLastChunk,
+                                   AnswerEnd::kClosed};
+
 std::string EventText(int n) {
   return StrCat("id: ", n, "\ndata: part ", n, "\n\n");
 }
@@ -278,6 +281,23 @@
     return plays;
   }
 
+  // Every cut of answers of these routes, in any framing, closed or reset, for
+  // either kind of client.
+  std::vector<Play> AllCutsOf(const std::vector<std::string>& routes) {
+    std::vector<Play> plays;
+    for (const auto& route : routes) {
+      for (const AnswerEnd framing : kFramings) {
+        for (const bool resets : {false, true}) {
+          for (const bool old_client : {false, true}) {
+            const auto some = CutsOf(route, framing, resets, old_client);
+            plays.insert(plays.end(), some.begin(), some.end());
+          }
+        }
+      }
+    }
+    return plays;
+  }
+
   // Why the client's answer says more than the replica's; empty: it does not.
   std::string Judge(const Play& play,
                     const std::string& attempt,
@@ -328,13 +348,13 @@
                         << AnswerOf(some[n], attempt, 0).size() << " bytes, "
                         << (some[n].resets ? "reset" : "closed")
                         << (some[n].old_client ? ", HTTP/1.0" : "") << ": "
-                        << why << " after " << client_text(*clients[n]);
+                        << why << " after " << TextOf(*clients[n]);
         }
       }
     }
     EXPECT_EQ(wrong, 0U) << "of " << plays.size();
   }
-  static std::string client_text(const RawClient& it) {
+  static std::string TextOf(const RawClient& it) {
     return StrCat(it.body().size(), " bytes, ", Name(it.end()), ", status ",
                   it.status());
   }
@@ -351,43 +371,18 @@
   std::size_t first_of_run_ = 0;
 };
 
-constexpr AnswerEnd kFramings[] = {AnswerEnd::kLength, AnswerEnd::kLastChunk,
-                                   AnswerEnd::kClosed};
-
 // Guards against a stream that its replica broke off, in whatever framing, and
 // that its client gets as a complete one.
 TEST_F(AnswerEndTest, AStreamBrokenOffIsNeverComplete) {
   ASSERT_TRUE(Ready());
-  std::vector<Play> plays;
-  for (const char* route : {"stream", "resume"}) {
-    for (const AnswerEnd framing : kFramings) {
-      for (const bool resets : {false, true}) {
-        for (const bool old_client : {false, true}) {
-          const auto some = CutsOf(route, framing, resets, old_client);
-          plays.insert(plays.end(), some.begin(), some.end());
-        }
-      }
-    }
-  }
-  ExpectTruth(plays);
+  ExpectTruth(AllCutsOf({"stream", "resume"}));
 }
 
 // Guards against a plain answer whose length nobody stated, that was broken off
 // and that its client gets with a length.
 TEST_F(AnswerEndTest, APlainAnswerStatesNoLengthThatItsReplicaDidNot) {
   ASSERT_TRUE(Ready());
-  std::vector<Play> plays;
-  for (const char* route : {"safe", "unsafe"}) {
-    for (const AnswerEnd framing : kFramings) {
-      for (const bool resets : {false, true}) {
-        for (const bool old_client : {false, true}) {
-          const auto some = CutsOf(route, framing, resets, old_client);
-          plays.insert(plays.end(), some.begin(), some.end());
-        }
-      }
-    }
-  }
-  ExpectTruth(plays);
+  ExpectTruth(AllCutsOf({"safe", "unsafe"}));
 }
 
 // Guards against whole answers that are refused, broken off or cut, and against
