--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -262,6 +262,9 @@
 
 void Gateway::OnReplica(const ReplicaEntry& replica, DirectoryChange change) {
   const bool restarted = change == DirectoryChange::kRestarted;
+  if (restarted || (change == DirectoryChange::kRemoved && !replica.leaving)) {
+    impl_->OnReplicaEnded(replica.id, Name(change));
+  }
   if (change == DirectoryChange::kLeaving) {
     impl_->RecallUnsent(replica.id, "the replica leaves");
     if (impl_->directory->Of(replica.service).empty()) {
@@ -391,6 +394,7 @@
 }
 
 void Gateway::OnTick() {
+  impl_->ProbeBroken();
   impl_->BeginParked();
   impl_->RetryAwaitingLimited();
   const TimeUs now = impl_->output->Now();
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "coordination/choice/engine_choice.h"
 #include "coordination/choice/leaving_statements.h"
 #include "coordination/choice/replica_rate_limiter.h"
+#include "coordination/crashes/broken_attempts.h"
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/piece_dispatcher.h"
 #include "state/answer_end.h"
@@ -95,6 +96,10 @@
   virtual bool CancelIfUnsent(CallId id) = 0;
   // Stops or resumes reading the replica's answer.
   virtual void SetReading(CallId id, bool reading) = 0;
+  // Finds out whether a process listens at the replica's address;
+  // `Gateway::OnReplicaProbed` follows, never from inside this call.
+  virtual void ProbeReplica(const ReplicaId& replica,
+                            const Address& address) = 0;
 };
 
 struct GatewayOptions {
@@ -181,6 +186,10 @@
   // The connection failed before the end of the answer. `sent`: whether any
   // byte of the request was sent.
   void OnReplicaFailed(CallId id, bool sent, std::string_view why);
+  // The outcome of a probe that was started at `sent_at`.
+  void OnReplicaProbed(const ReplicaId& replica,
+                       ProbeOutcome outcome,
+                       TimeUs sent_at);
   void OnPiece(const PieceResult& result);
   // What a replica states in its answer to a call with pieces or to a release
   // of results.
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -168,6 +168,7 @@
                                  std::string_view why) {
   ++request->possible_runs;
   log->Write("lost", {{"id", request->call.id},
+                      {"fingerprint", FingerprintOf(request)},
                       {"replica", request->attempt.replica.id.name},
                       {"why", why},
                       {"expected_end", ExpectedEndOf(request->attempt)},
@@ -214,6 +215,8 @@
       attempt.head && (attempt.head->not_run || attempt.head->other_replica);
   if (!sent) {
     ReportNotSent(request);
+  } else if (!said_not_run) {
+    OnBroken(request);
   }
   EndAttempt(request);
   if (!sent || said_not_run) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -143,6 +143,7 @@
   // is complete.
   std::optional<AnswerEnd> client_end;
   std::optional<std::uint64_t> resume_after;
+  std::string fingerprint;  // Empty until it is needed.
 };
 
 struct Gateway::Impl {
@@ -287,6 +288,14 @@
   void RecallUnsent(const ReplicaId& replica, std::string_view why);
   void RefuseUnservable();
 
+  // gateway_crashes.cc: replicas that end, and what was in progress there.
+  const std::string& FingerprintOf(ServingRequest* request) const;
+  // The connection of the current attempt broke after the request was sent.
+  void OnBroken(ServingRequest* request);
+  // `evidence`: what showed that the replica ended, for the log.
+  void OnReplicaEnded(const ReplicaId& replica, std::string_view evidence);
+  void ProbeBroken();
+
   // gateway_turns.cc
   void LogRateLimit(const ReplicaId& replica, std::string_view source);
   // The replicas of the request's service whose rate is limited now and that
@@ -340,6 +349,7 @@
   std::map<std::string, double> deadline_p90_us;
   ReplicaRateLimiter replica_rate_limiter;
   LeavingStatements leaving_statements;
+  BrokenAttempts broken_attempts;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -88,6 +88,7 @@
       readiness_handler(this),
       readiness(&readiness_handler, loop_in),
       channels(loop_in),
+      probes(loop_in),
       pieces(
           &channels,
           [this](const std::string& service,
@@ -350,6 +351,14 @@
                         options, this);
 }
 
+void GatewayNode::Impl::ProbeReplica(const ReplicaId& replica,
+                                     const Address& address) {
+  probes.Start(address, replicas.plan.Connect(),
+               [this, replica, sent_at = Now()](ProbeOutcome outcome) {
+                 gateway->OnReplicaProbed(replica, outcome, sent_at);
+               });
+}
+
 void GatewayNode::Impl::OnPieceStatement(const ReplicaId& replica,
                                          const ReplicaStatement& statement) {
   gateway->OnStatement(replica, statement);
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -25,6 +25,7 @@
 #include "platform/store_client.h"
 #include "state/metrics.h"
 #include "text.h"
+#include "transport/connect_probes.h"
 #include "transport/http_channels.h"
 #include "transport/http_listener.h"
 #include "transport/log_writer.h"
@@ -133,6 +134,8 @@
     channels.SetReading(id, reading);
   }
 
+  void ProbeReplica(const ReplicaId& replica, const Address& address) override;
+
   // CallSink: requests at replicas.
   void OnConnected(CallId id) override { gateway->OnReplicaConnected(id); }
   void OnAnswerHead(CallId id, const HttpAnswerHead& head) override {
@@ -260,6 +263,7 @@
   ReadinessHandler readiness_handler;
   HttpListener readiness;
   HttpChannels channels;
+  ConnectProbes probes;
   platform::PieceCalls pieces;
   ReplicaDirectory directory;
   Evacuations evacuations;
--- /dev/null
+++ b/src/state/request_fingerprint.cc
@@ -0,0 +1,39 @@
+#include "state/request_fingerprint.h"
+
+#include <glib.h>
+
+#include "text.h"
+
+namespace acaciachute {
+namespace {
+
+constexpr std::size_t kDigits = 32;
+
+// Adds the text and its length, so that different texts in sequence never add
+// up to the same bytes.
+void Add(GChecksum* sum, std::string_view text) {
+  const std::string length = StrCat(text.size(), ":");
+  g_checksum_update(sum, reinterpret_cast<const guchar*>(length.data()),
+                    static_cast<gssize>(length.size()));
+  g_checksum_update(sum, reinterpret_cast<const guchar*>(text.data()),
+                    static_cast<gssize>(text.size()));
+}
+
+}  // namespace
+
+std::string RequestFingerprint(std::string_view account,
+                               const ClientRequest& call) {
+  const std::string_view target = call.target;
+  const std::string_view path = target.substr(0, target.find('?'));
+  GChecksum* sum = g_checksum_new(G_CHECKSUM_SHA256);
+  Add(sum, account);
+  Add(sum, call.host);
+  Add(sum, call.method);
+  Add(sum, call.body.empty() ? target : path);
+  Add(sum, call.body);
+  std::string digits(g_checksum_get_string(sum), kDigits);
+  g_checksum_free(sum);
+  return digits;
+}
+
+}  // namespace acaciachute
--- a/src/transport/socket_stream.cc
+++ b/src/transport/socket_stream.cc
@@ -83,6 +83,10 @@
   g_socket_connect(stream->socket_.get(), target.get(), nullptr, &raw_error);
   if (raw_error != nullptr) {
     const GErrorPtr error(raw_error);
+    if (g_error_matches(error.get(), G_IO_ERROR,
+                        G_IO_ERROR_CONNECTION_REFUSED)) {
+      return absl::NotFoundError(error->message);
+    }
     if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_PENDING)) {
       return absl::UnavailableError(error->message);
     }
@@ -171,6 +175,8 @@
   GError* raw_error = nullptr;
   if (!g_socket_check_connect_result(socket_.get(), &raw_error)) {
     const GErrorPtr error(raw_error);
+    refused_ =
+        g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
     End(error->message);
     return;
   }
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -44,7 +44,8 @@
   static std::shared_ptr<SocketStream> Accepted(SocketPoller* poller,
                                                 GPtr<GSocket> socket,
                                                 SocketHandler* handler);
-  // Starts to connect. The handler's `OnConnected` or `OnEnd` follows.
+  // Starts to connect. The handler's `OnConnected` or `OnEnd` follows. The
+  // error of a connection that is refused at once is `NotFound`.
   static absl::StatusOr<std::shared_ptr<SocketStream>>
   Connect(SocketPoller* poller, const Address& address, SocketHandler* handler);
   ~SocketStream() override;
@@ -69,6 +70,8 @@
 
   std::size_t unsent() const { return unsent_.size(); }
   bool connected() const { return connected_; }
+  // Whether the peer refused the connection: no process listens there.
+  bool refused() const { return refused_; }
 
  private:
   SocketStream(SocketPoller* poller,
@@ -90,6 +93,7 @@
   std::string unsent_;
   std::string send_error_;  // Reported from the loop.
   bool connected_ = false;
+  bool refused_ = false;
   bool finishing_ = false;
   bool watches_readable_ = false;  // Events watched now.
   bool watches_writable_ = false;
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -227,6 +227,9 @@
     Cancel(id);
     return true;
   }
+  void ProbeReplica(const ReplicaId& replica, const Address&) override {
+    probed.push_back(replica);
+  }
   void SetReading(CallId id, bool reading) override { paused[id] = !reading; }
 
   // PieceDispatcher:
@@ -268,6 +271,7 @@
   std::map<ExchangeId, AnswerEnd> client_ends;
   std::vector<ExchangeId> ended;
   std::vector<ExchangeId> broken;
+  std::vector<ReplicaId> probed;
   std::vector<Sent> sent;
   // Calls whose connections are still being made; set by the test.
   std::set<CallId> connecting;
