Add failing tests of requests that end their replicas, by real gateways

Three real gateways, eight replicas a service that end under a marked body and refuse connections until they start again, and others beside them.

No functional change

--- /dev/null
+++ b/tests/process/crashing_test.cc
@@ -0,0 +1,63 @@
+// Process tests of real gateways and requests that end the replicas which run
+// them.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/soak/world.h"
+
+namespace acaciachute {
+namespace {
+
+// Sends `body` to `route` every half second, and others beside it, to all
+// gateways in turn.
+void SendBesideOthers(World* world,
+                      const std::string& route,
+                      const std::string& body,
+                      DurationUs time) {
+  constexpr DurationUs kPeriod = 20 * kMillisecond;
+  constexpr std::size_t kCrashingPeriod = 25;  // In requests.
+  const TimeUs end = Loop::Now() + time;
+  TimeUs next = Loop::Now();
+  std::size_t sent = 0;
+  world->WaitFor(time + kSecond, [&] {
+    for (; Loop::Now() >= next && next < end; next += kPeriod) {
+      const std::size_t n = sent++;
+      const std::size_t gateway = n % world->gateways().size();
+      if (n % kCrashingPeriod == 0) {
+        world->Send(route, gateway, 0, body);
+      } else {
+        world->Send(n % 2 == 0 ? "safe" : "resumed", gateway);
+      }
+    }
+    return Loop::Now() >= end;
+  });
+}
+
+class CrashingProcessTest : public ::testing::TestWithParam<std::string> {};
+
+// Guards against a request that ends its replicas and is sent to more of them
+// whenever its client sends it again, at whichever gateway.
+TEST_P(CrashingProcessTest, IsSentNoMoreAfterThreeReplicas) {
+  Loop loop;
+  WorldOptions options;
+  options.gateways = 3;
+  options.plain_replicas = 8;
+  options.engines = 8;
+  options.events = 5;
+  World world(&loop, options);
+  ASSERT_TRUE(world.Start());
+  const std::string body =
+      GetParam() == "resumed" ? "crash-in-stream" : "crash";
+  SendBesideOthers(&world, GetParam(), body, 15 * kSecond);
+  EXPECT_GE(world.ledger()->crashes().deaths(), CrashJudge::kDeaths);
+  EXPECT_LE(world.ledger()->crashes().MostLateArrivals(),
+            CrashJudge::kMaxLateArrivals);
+}
+
+INSTANTIATE_TEST_SUITE_P(Routes,
+                         CrashingProcessTest,
+                         ::testing::Values("unsafe", "safe", "resumed"));
+
+}  // namespace
+}  // namespace acaciachute
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -117,6 +117,9 @@
 
 std::vector<std::string> Ledger::Violations() const {
   std::vector<std::string> all = violations_;
+  for (auto& it : crash_judge_.Violations()) {
+    all.push_back(std::move(it));
+  }
   int over_attempted = 0;
   for (const auto& [id, it] : entries_) {
     if (it.runs > static_cast<int>(it.max_attempts)) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "state/answer_end.h"
+#include "tests/soak/crash_judge.h"
 #include "tests/soak/retry_judge.h"
 #include "types.h"
 
@@ -69,6 +70,9 @@
   // A client or replica observed a violation.
   void OnViolation(const std::string& violation, const std::string& id);
 
+  // Requests that end replicas.
+  CrashJudge& crashes() { return crash_judge_; }
+
   // All violations, each as one line with the id of the attempt.
   std::vector<std::string> Violations() const;
   // The worst window of each service for the retry budget.
@@ -89,6 +93,7 @@
   std::vector<std::string> violations_;
   std::size_t open_ = 0;
   RetryJudge retry_judge_;
+  CrashJudge crash_judge_;
   // Arrivals with a deadline, and those whose deadline was missing or ended
   // too long after the client's.
   std::size_t arrivals_ = 0;
--- a/tests/soak/raw_listener.cc
+++ b/tests/soak/raw_listener.cc
@@ -76,12 +76,16 @@
 RawListener::RawListener(ListenerHandler* handler,
                          Loop* loop,
                          const Address& address)
-    : handler_(handler), loop_(loop) {
+    : handler_(handler), loop_(loop), address_(address) {
+  Listen();
+}
+
+void RawListener::Listen() {
   constexpr int kBacklog = 1024;
   socket_.reset(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                              G_SOCKET_PROTOCOL_TCP, nullptr));
-  const GPtr<GSocketAddress> bound(
-      g_inet_socket_address_new_from_string(address.ip.c_str(), address.port));
+  const GPtr<GSocketAddress> bound(g_inet_socket_address_new_from_string(
+      address_.ip.c_str(), address_.port));
   g_socket_set_blocking(socket_.get(), FALSE);
   g_socket_set_listen_backlog(socket_.get(), kBacklog);
   PCHECK(g_socket_bind(socket_.get(), bound.get(), TRUE, nullptr));
@@ -92,8 +96,19 @@
 }
 
 RawListener::~RawListener() {
+  Stop();
+}
+
+void RawListener::Stop() {
+  if (socket_ == nullptr) {
+    return;
+  }
   g_source_destroy(source_);
   g_source_unref(source_);
+  socket_.reset();
+  while (!connections_.empty()) {
+    Remove(connections_.begin()->first);
+  }
 }
 
 gboolean RawListener::OnAccept(GSocket*, GIOCondition, gpointer data) {
--- a/tests/soak/raw_listener.h
+++ b/tests/soak/raw_listener.h
@@ -26,6 +26,11 @@
   RawListener(const RawListener&) = delete;
   RawListener& operator=(const RawListener&) = delete;
 
+  // Closes the listening socket and all connections, as the end of the process
+  // does: new connections are refused until `Listen`.
+  void Stop();
+  void Listen();
+
   // Unknown ids are ignored here and below.
   void Write(ExchangeId id, std::string_view bytes);
   // Ends the exchange; the connection accepts another request.
@@ -46,7 +51,8 @@
 
   ListenerHandler* const handler_;
   Loop* const loop_;
-  GPtr<GSocket> socket_;
+  const Address address_;
+  GPtr<GSocket> socket_;  // Null while it does not listen.
   GSource* source_ = nullptr;
   ExchangeId next_id_ = 1;
   std::map<ExchangeId, Connection*> exchanges_;
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -72,6 +72,30 @@
   listener_.CloseIdle();
 }
 
+void StandinReplica::GoDown() {
+  alive_ = std::make_shared<int>();
+  calls_.clear();
+  busy_ = false;
+  open_.clear();
+  streams_.clear();
+  listener_.Stop();
+}
+
+void StandinReplica::ComeBack(std::string id) {
+  id_ = std::move(id);
+  listener_.Listen();
+}
+
+void StandinReplica::CrashSoon(const std::string& body) {
+  constexpr DurationUs kCrashDelay = 30 * kMillisecond;
+  if (!on_crash_ || !body.starts_with(kCrashingBody)) {
+    return;
+  }
+  const bool in_stream = body.starts_with(StrCat(kCrashingBody, kInStream));
+  After(in_stream ? work_.service_time + work_.event_interval / 2 : kCrashDelay,
+        [this, body] { on_crash_(body); });
+}
+
 AnswerPlan StandinReplica::DrawPlan(AnswerEnd usual,
                                     int status,
                                     const HttpFields& fields,
@@ -155,6 +179,7 @@
     BeginStageCall();
   } else {
     arrivals_.push_back(Loop::Now());
+    CrashSoon(body);
     Run(id, head);
   }
 }
@@ -167,6 +192,9 @@
         ParseNumber<int>(ValueOf(head.fields, "Deadline-Ms"));
     ledger_->OnRequestArrived(now, service_, ValueOf(head.fields, "Attempt-Id"),
                               deadline_ms.value_or(-1) * kMillisecond);
+    if (body.starts_with(kCrashingBody)) {
+      ledger_->crashes().OnArrived(now, body);
+    }
     return;
   }
   const Json asked = Json::parse(body);
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -5,11 +5,13 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -88,6 +90,17 @@
   // Simulates a crash and restart: breaks every connection, drops all work, and
   // continues as the incarnation `id`.
   void Crash(std::string id);
+  // A request whose body begins with `kCrashingBody` ends the process that runs
+  // it: `on_crash` is called with the body, soon after the run begins, or, if
+  // the body goes on with `kInStream`, after the first event of its stream.
+  static constexpr std::string_view kCrashingBody = "crash";
+  static constexpr std::string_view kInStream = "-in-stream";
+  void SetCrashHandler(std::function<void(const std::string& body)> on_crash) {
+    on_crash_ = std::move(on_crash);
+  }
+  // The process ends: connections are refused until it starts again as `id`.
+  void GoDown();
+  void ComeBack(std::string id);
   // The n-th event of an engine's stream.
   static std::string EventText(const std::string& attempt, int n);
   const std::string& id() const { return id_; }
@@ -136,6 +149,8 @@
                   const HttpRequestHead& head,
                   const std::string& attempt);
   void Run(ExchangeId id, const HttpRequestHead& head);
+  // Ends this process because of the request, if its body says so.
+  void CrashSoon(const std::string& body);
   void BeginStream(ExchangeId id, const std::string& attempt, int next);
   void SendEvent(ExchangeId id, int next);
   void BeginStageCall();
@@ -166,6 +181,7 @@
   std::string rest_;
   std::vector<TimeUs> refusals_;
   std::vector<TimeUs> arrivals_;
+  std::function<void(const std::string& body)> on_crash_;
   int next_result_ = 0;
   int answers_to_lose_ = 0;
   int slowdown_factor_ = 1;
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -62,6 +62,14 @@
   return body;
 }
 
+// The name of the process that replaces the one named `id`.
+std::string NextId(const std::string& id) {
+  const auto dash = id.rfind('-');
+  const int incarnation =
+      ParseNumber<int>(std::string_view(id).substr(dash + 1)).value_or(0);
+  return StrCat(id.substr(0, dash), "-", incarnation + 1);
+}
+
 }  // namespace
 
 // Receives and checks the answer to one attempt.
@@ -193,6 +201,11 @@
     replicas_.push_back(std::make_unique<StandinReplica>(
         loop_, StrCat("i-", service, "-", k, "-1"), service, work, &ledger_));
     service_by_address_[AddressText(replicas_.back()->address())] = service;
+    StandinReplica* replica = replicas_.back().get();
+    replica->SetCrashHandler([this, replica](const std::string& body) {
+      ledger_.crashes().OnDied(Loop::Now(), body);
+      EndReplica(replica);
+    });
     if (options_.answer_seed) {
       replicas_.back()->DrawAnswers(*options_.answer_seed + replicas_.size(),
                                     options_.framing);
@@ -218,14 +231,21 @@
   store_.Remove("servers", replica.id());
 }
 
+void World::EndReplica(StandinReplica* replica) {
+  const std::string id = replica->id();
+  replica->GoDown();
+  RunAfter(loop_, kDownTime, alive_, [this, replica, id] {
+    replica->ComeBack(NextId(id));
+    WriteReplicaRow(*replica, false);
+  });
+  RunAfter(loop_, kRowLifetime, alive_,
+           [this, id] { store_.Remove("servers", id); });
+}
+
 void World::CrashReplica(std::size_t n) {
   StandinReplica& replica = *replicas_[n];
   RemoveReplicaRow(replica);
-  const std::string& id = replica.id();
-  const auto dash = id.rfind('-');
-  const int incarnation =
-      ParseNumber<int>(std::string_view(id).substr(dash + 1)).value_or(0);
-  replica.Crash(StrCat(id.substr(0, dash), "-", incarnation + 1));
+  replica.Crash(NextId(replica.id()));
   WriteReplicaRow(replica, false);
 }
 
@@ -300,7 +320,8 @@
 
 void World::Send(const std::string& route,
                  std::size_t gateway,
-                 int client_retries) {
+                 int client_retries,
+                 const std::string& body) {
   const std::string id = StrCat("c", ++next_id_);
   const bool stream = route == "staged" || route == "resumed";
   ChannelRequest request;
@@ -317,7 +338,7 @@
     request.fields.push_back({"Pieces", StrCat("1,", kPieces)});
     request.fields.push_back({"Piece-Key", id});
   }
-  request.body = std::string(600, 'b');
+  request.body = body;
   LedgerEntry entry;
   entry.route = route;
   entry.account = kAccount;
@@ -335,8 +356,8 @@
   std::function<void()> send_again;
   if (client_retries > 0) {
     const std::size_t next = (gateway + 1) % gateways_.size();
-    send_again = [this, route, next, client_retries] {
-      Send(route, next, client_retries - 1);
+    send_again = [this, route, next, client_retries, body] {
+      Send(route, next, client_retries - 1, body);
     };
   }
   auto client =
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -36,6 +36,9 @@
   std::string log_folder;            // Of the gateways' logs; empty: no logs.
 };
 
+// The body of requests that give none.
+inline const std::string kUsualBody(600, 'b');
+
 // The deployment; all parts but the gateways run in the process of the test.
 class World {
  public:
@@ -53,13 +56,19 @@
   // an id of its own, and each attempt is judged separately.
   void Send(const std::string& route,
             std::size_t gateway,
-            int client_retries = 0);
+            int client_retries = 0,
+            const std::string& body = kUsualBody);
 
   // Writes to the store: a new version of the operator's configuration, and the
   // row of a replica as the replica itself would write it.
   void WriteConfig();
   void WriteReplicaRow(const StandinReplica& replica, bool leaving);
   void RemoveReplicaRow(const StandinReplica& replica);
+  // The process of a replica ends, starts again under another name after
+  // `kDownTime`, and its old row is removed after `kRowLifetime`.
+  static constexpr DurationUs kDownTime = 700 * kMillisecond;
+  static constexpr DurationUs kRowLifetime = 2500 * kMillisecond;
+  void EndReplica(StandinReplica* replica);
   // Crashes a replica and lists its next incarnation in the store.
   void CrashReplica(std::size_t n);
 
@@ -96,6 +105,7 @@
   std::vector<DurationUs> first_byte_times_;
   std::uint64_t version_ = 0;
   std::uint64_t next_id_ = 0;
+  const std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
 }  // namespace acaciachute
