Let stand-in replicas end before they answer what ends them

The test committed before was wrong for plain replicas: they ended 30 ms after the start of a run, and had answered it whole after 15. Now they end after 10 ms.

No functional change

--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -87,7 +87,8 @@
 }
 
 void StandinReplica::CrashSoon(const std::string& body) {
-  constexpr DurationUs kCrashDelay = 30 * kMillisecond;
+  // Before any answer of a stand-in is due.
+  constexpr DurationUs kCrashDelay = 10 * kMillisecond;
   if (!on_crash_ || !body.starts_with(kCrashingBody)) {
     return;
   }
