Send a request no more once three replicas have ended under it

Callers saw: a request that ends the replica which runs it was sent on each time its client sent it, at any gateway; each time all others in progress at that replica were lost, and services of four replicas had none left.

Cause: a gateway knew one attempt of a client; what the same request had done in attempts before, here or elsewhere, was known to no one.

Gateways keep, by fingerprint, the set of replicas that ended while the request was in progress there, and pass changes on to all others at once. Three that no whole answer took back since block the request everywhere: at admission, before each send, and where it waits. Ends of a blocked request do not count for those that were beside it. From the second end on only the client repeats. Blocked requests have a row in the store, read before a gateway is ready (2 s at most). 503 without Retry-After: the only status by which these clients know that it has not run. Operators list and lift at /quarantine, as at entries.

--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "coordination/choice/leaving_statements.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/crashes/broken_attempts.h"
+#include "coordination/crashes/crash_records.h"
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/piece_dispatcher.h"
 #include "state/answer_end.h"
@@ -190,6 +191,9 @@
   void OnReplicaProbed(const ReplicaId& replica,
                        ProbeOutcome outcome,
                        TimeUs sent_at);
+  // What another gateway, or the store (`source`), knows of a request under
+  // which replicas ended.
+  void OnCrashRecord(const CrashRecord& record, std::string_view source);
   void OnPiece(const PieceResult& result);
   // What a replica states in its answer to a call with pieces or to a release
   // of results.
@@ -220,6 +224,16 @@
   // requests with a short Retry-After, because a new connection most likely
   // reaches a gateway that can.
   void SetPeerCanCheckKeys(bool can_check_keys);
+  // A crash record that this gateway's own requests changed.
+  struct CrashChange {
+    CrashRecord record;
+    bool blocked = false;  // The request is blocked, or was until now.
+  };
+  std::vector<CrashChange> TakeCrashChanges();
+  const CrashRecords& crash_records() const;
+  // An operator takes all ends of replicas under a request back. Returns false
+  // if none counts.
+  bool LiftBlock(const std::string& fingerprint);
   EngineChoice* engines();
   ReplicaRateLimiter* rate_limiter();
   // Replicas that stated in answers to this gateway that they leave.
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -189,6 +189,10 @@
   auto request =
       std::make_unique<ServingRequest>(id, std::move(call), config, route);
   request->account = account;
+  if (IsBlocked(request.get(), &refusal)) {
+    RefuseUnadmitted(id, request->call, refusal);
+    return;
+  }
   request->service = ChooseService(*route);
   request->priority = PriorityOf(*route, account);
   request->received_at = now;
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -93,6 +93,7 @@
     PassEvents(request, comments);
   }
   engines.OnSuccess(attempt.replica.id);
+  OnAnsweredWhole(request);
   ++request->possible_runs;
   EndAttempt(request);
   request->client_end = output->EndStream(request->id, end);
@@ -126,13 +127,16 @@
   }
   EndAttempt(request);
   ++request->possible_runs;
+  if (attempt.head->ok()) {
+    OnAnsweredWhole(request);
+  }
   if (request->stream_begun) {
     // A replica that should have resumed the stream answered with an error.
     Refuse(request, {Refusal::kUpstreamFailed, Verdict::kMayHaveRun, 0,
                      "the stream could not be resumed"});
     return;
   }
-  if (failed && MayRetry(*request) &&
+  if (failed && MayRetry(request) &&
       ReserveAttempt(request, RetryReason::kFailed)) {
     metrics->Count("acaciachute_gateway_retries_total", "failed");
     StartAttempt(request);
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -67,6 +67,10 @@
 // The only place that sends requests to replicas.
 void Gateway::Impl::SendTo(ServingRequest* request,
                            const ReplicaEntry& replica) {
+  if (LocalReply refusal; IsBlocked(request, &refusal)) {
+    Refuse(request, std::move(refusal));
+    return;
+  }
   if (!ReserveAttempt(request, RetryReason::kNotRun)) {
     Refuse(request,
            {Refusal::kFull, Verdict::kNotRun, 0, "the retry budget is spent"});
@@ -118,15 +122,16 @@
       static_cast<double>(gateway_count));
 }
 
-bool Gateway::Impl::MayRetry(const ServingRequest& request) const {
+bool Gateway::Impl::MayRetry(ServingRequest* request) const {
   // Without the id of the last event that was passed on, another replica cannot
   // tell where to go on, and the client would receive events twice.
   const bool cannot_resume =
-      request.events.complete_events() > 0 && !request.events.last_event_id();
-  return request.route->MayRepeat() && !cannot_resume &&
-         request.possible_runs < request.route->max_attempts &&
-         request.sends < kMaxReplicasPerRequest &&
-         output->Now() < request.deadline_at;
+      request->events.complete_events() > 0 && !request->events.last_event_id();
+  return request->route->MayRepeat() && !cannot_resume &&
+         !MayCrashReplicas(request) &&
+         request->possible_runs < request->route->max_attempts &&
+         request->sends < kMaxReplicasPerRequest &&
+         output->Now() < request->deadline_at;
 }
 
 // Retries a request that certainly did not run: the replica said so, or no byte
@@ -177,7 +182,7 @@
                       {"events", request->events.complete_events()},
                       {"rest_bytes", request->events.partial_event().size()},
                       {"begun", request->stream_begun}});
-  if (MayRetry(*request) && ReserveAttempt(request, RetryReason::kLost)) {
+  if (MayRetry(request) && ReserveAttempt(request, RetryReason::kLost)) {
     metrics->Count("acaciachute_gateway_retries_total", "lost");
     request->events.DiscardPartialEvent();
     if (const auto last = request->events.last_event_id()) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/gateway/config_freshness.h"
@@ -236,7 +237,7 @@
   void FailAttemptsAt(const ReplicaId& replica);
   void OnNotRun(ServingRequest* request);
   void OnMayHaveRun(ServingRequest* request, std::string_view why);
-  bool MayRetry(const ServingRequest& request) const;
+  bool MayRetry(ServingRequest* request) const;
   // Takes a retry from the budget for the next attempt, unless the next one is
   // the first that arrives; returns whether the attempt may be sent.
   [[nodiscard]] bool ReserveAttempt(ServingRequest* request,
@@ -292,9 +293,27 @@
   const std::string& FingerprintOf(ServingRequest* request) const;
   // The connection of the current attempt broke after the request was sent.
   void OnBroken(ServingRequest* request);
+  // The replica ended while the attempt was in progress there.
+  void OnEndedUnder(const ReplicaId& replica,
+                    const BrokenAttempt& attempt,
+                    TimeUs ended_at);
   // `evidence`: what showed that the replica ended, for the log.
   void OnReplicaEnded(const ReplicaId& replica, std::string_view evidence);
   void ProbeBroken();
+  bool MayHaveRecord(const ServingRequest& request) const;
+  // Whether the request is refused because replicas ended under it; fills
+  // `refusal` if so.
+  bool IsBlocked(ServingRequest* request, LocalReply* refusal) const;
+  // Whether so many replicas ended under the request that only its client may
+  // repeat it.
+  bool MayCrashReplicas(ServingRequest* request) const;
+  void OnAnsweredWhole(ServingRequest* request);
+  void LogTakenBack(const std::string& fingerprint,
+                    std::string_view request,
+                    bool was_blocked);
+  // Refuses requests that are not at a replica yet and became blocked.
+  void RefuseBlocked();
+  void ReportChange(const std::string& fingerprint, bool was_blocked);
 
   // gateway_turns.cc
   void LogRateLimit(const ReplicaId& replica, std::string_view source);
@@ -350,6 +369,10 @@
   ReplicaRateLimiter replica_rate_limiter;
   LeavingStatements leaving_statements;
   BrokenAttempts broken_attempts;
+  CrashRecords crash_records;
+  std::vector<CrashChange> crash_changes;
+  // Requests that this gateway has seen end replicas.
+  absl::flat_hash_set<std::string> seen_crashing;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/coordination/membership/gateway_peers.cc
+++ b/src/coordination/membership/gateway_peers.cc
@@ -250,6 +250,16 @@
   });
 }
 
+std::vector<NodeId> GatewayPeers::LivePeers() const {
+  std::vector<NodeId> live;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.live) {
+      live.push_back(node);
+    }
+  }
+  return live;
+}
+
 bool GatewayPeers::IsLive(const NodeId& node) const {
   const auto it = peers_.find(node);
   return node == self_.node || (it != peers_.end() && it->second.live);
--- a/src/coordination/membership/gateway_peers.h
+++ b/src/coordination/membership/gateway_peers.h
@@ -130,6 +130,8 @@
   // Number of live gateways, including this one.
   std::size_t LiveCount() const;
   bool IsLive(const NodeId& node) const;
+  // The other live gateways, sorted.
+  std::vector<NodeId> LivePeers() const;
   // The gateways to ask for the store's tables.
   const RelayPlan& relay_plan() const;
   // A random gateway that is alive and not leaving; empty if there is none.
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -38,6 +38,11 @@
 constexpr double kClientDescriptorShare = 0.5;
 constexpr std::size_t kReservedDescriptors = 250;
 
+// Time after the start for which a gateway is not ready unless it has read
+// which requests are blocked. An outage of the store must not keep it from
+// serving.
+constexpr DurationUs kMaxCrashRowsWait = 2 * kSecond;
+
 // Share of the key revocation bound for which the store delays its answer to a
 // request for changes of the configuration while there are none. Longer waits
 // save calls to the store, each of which has a cost. Shorter waits extend
@@ -121,6 +126,7 @@
            this,
            &random,
            &log),
+      crash_exchange(this),
       store(&channels,
             settings.store,
             [this](const std::string& table,
@@ -167,6 +173,7 @@
 }
 
 absl::Status GatewayNode::Impl::Start() {
+  started_at = Now();
   clients.SetLimits(ClientLimitsOf({}));
   if (auto status = readiness.Listen(settings.readiness); !status.ok()) {
     return status;
@@ -199,6 +206,7 @@
   batchers.OnTick(now);
   dispatcher.OnTick(now);
   gateway->OnTick();
+  TickCrashes(now);
   if (draining) {
     CheckDrained();
   }
@@ -275,11 +283,15 @@
 }
 
 bool GatewayNode::Impl::Ready() const {
-  return !draining && gateway->can_check_keys() && replicas.watch.known();
+  const bool knows_crashes = crash_exchange.has_read() ||
+                             Loop::BootNow() - started_at > kMaxCrashRowsWait;
+  return !draining && knows_crashes && gateway->can_check_keys() &&
+         replicas.watch.known();
 }
 
 void GatewayNode::Impl::OnOperatorRequest(ExchangeId id,
-                                          const HttpRequestHead& head) {
+                                          const HttpRequestHead& head,
+                                          const std::string& body) {
   constexpr int kHttpOk = 200;
   constexpr int kHttpNotFound = 404;
   constexpr int kHttpUnavailable = 503;
@@ -290,6 +302,10 @@
   } else if (head.target == "/metrics") {
     readiness.Reply(id, kHttpOk, {{"Content-Type", "text/plain"}},
                     metrics.PrometheusText());
+  } else if (head.target == "/quarantine" && head.method == "GET") {
+    ListCrashes(id);
+  } else if (head.target == "/quarantine/lift" && head.method == "POST") {
+    LiftCrashes(id, body);
   } else {
     readiness.Reply(id, kHttpNotFound, {}, "");
   }
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/crashes/crash_exchange.h"
 #include "coordination/gateway/evacuations.h"
 #include "coordination/gateway/gateway.h"
 #include "coordination/membership/gateway_join.h"
@@ -35,6 +36,9 @@
 
 // The store's table in which gateways publish their addresses.
 inline constexpr char kGatewayTable[] = "acaciachute-gateways";
+// The store's table of requests that are refused because replicas ended under
+// them.
+inline constexpr char kCrashTable[] = "acaciachute-crashes";
 
 // A table of the store that this gateway follows and relays to other gateways.
 struct FollowedTable {
@@ -65,7 +69,8 @@
                            public SharedPieceDispatcherOutput,
                            public PeerHandler,
                            public TableRelayOutput,
-                           public GatewayJoinOutput {
+                           public GatewayJoinOutput,
+                           public CrashExchangeOutput {
   Impl(HostSettings settings_in, Loop* loop_in);
 
   absl::Status Start();
@@ -81,8 +86,10 @@
   class ReadinessHandler : public ListenerHandler {
    public:
     explicit ReadinessHandler(Impl* owner) : owner_(owner) {}
-    void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
-      owner_->OnOperatorRequest(id, head);
+    void OnRequest(ExchangeId id,
+                   HttpRequestHead head,
+                   std::string body) override {
+      owner_->OnOperatorRequest(id, head, body);
     }
     void OnClientDisconnected(ExchangeId) override {}
     void OnWritten(ExchangeId) override {}
@@ -92,7 +99,9 @@
     Impl* const owner_;
   };
 
-  void OnOperatorRequest(ExchangeId id, const HttpRequestHead& head);
+  void OnOperatorRequest(ExchangeId id,
+                         const HttpRequestHead& head,
+                         const std::string& body);
   bool Ready() const;
   ListenerLimits ClientLimitsOf(const ClientLimits& limits) const;
 
@@ -249,6 +258,19 @@
   void OnGateway(const NodeId& node, const Address& address) override;
   void OnFrameKey(const std::string& key) override;
 
+  // CrashExchangeOutput
+  void SendCrashRecords(const NodeId& peer,
+                        const CrashRecordUpdate& update) override;
+  void WriteCrashRow(const std::string& key,
+                     const CrashRecord& record) override;
+  void ReadCrashRows() override;
+  void OnCrashRows(const TableAnswer& answer);
+  void TickCrashes(TimeUs now);
+  // Operators' pages: the requests under which replicas ended, and the lifting
+  // of a block.
+  void ListCrashes(ExchangeId id);
+  void LiftCrashes(ExchangeId id, const std::string& body);
+
   void TickPeers(TimeUs now);
   void UpdateKnownGateways(TimeUs now);
   void SendHeartbeats(TimeUs now);
@@ -274,6 +296,8 @@
   SharedPieceDispatcher dispatcher;
   std::unique_ptr<PeerMesh> mesh;  // Null until the frame key is known.
   GatewayJoin join;
+  CrashExchange crash_exchange;
+  TimeUs started_at = 0;
   TimeUs next_peer_check_at = 0;
   TimeUs next_known_gateways_at = 0;
   platform::StoreClient store;
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -129,12 +129,19 @@
 void GatewayNode::Impl::OnPeerDatagram(const NodeId& from,
                                        Incarnation peer_incarnation,
                                        const Message& message) {
+  if (const auto* update = std::get_if<CrashRecordUpdate>(&message)) {
+    for (const CrashRecord& it : update->records) {
+      gateway->OnCrashRecord(it, "gateway");
+    }
+    return;
+  }
   const auto* heartbeat = std::get_if<GatewayHeartbeat>(&message);
   if (heartbeat == nullptr) {
     return;
   }
   if (peers.OnGatewayHeartbeat(Now(), from, peer_incarnation, *heartbeat)) {
     mesh->SetAddress(from, heartbeat->address);
+    crash_exchange.OnNewPeer(from, gateway->crash_records().All(Now()));
   }
   std::map<ReplicaId, EngineLoad> loads;
   for (const EngineWork& it : heartbeat->work) {
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -60,6 +60,8 @@
                                       const TableAnswer& answer) {
   if (table == kGatewayTable) {
     join.OnRows(Now(), answer);
+  } else if (table == kCrashTable) {
+    OnCrashRows(answer);
   } else if (FollowedTable* it = FindFollowedTable(table)) {
     it->source.OnStoreAnswer(Now(), id, answer);
   }
--- a/src/messages.h
+++ b/src/messages.h
@@ -223,6 +223,27 @@
   DurationUs age = 0;  // Since the first such answer.
 };
 
+// A replica that ended while a request was in progress there.
+struct CrashEnd {
+  std::string replica;
+  Incarnation incarnation = 0;
+  DurationUs age = 0;
+};
+
+// What the sender knows of a request under which replicas ended.
+struct CrashRecord {
+  std::string fingerprint;  // See `RequestFingerprint`.
+  std::string account;
+  DurationUs answered_age = kNever;  // Since its last whole answer.
+  std::vector<CrashEnd> ends;
+};
+
+// Gateway to gateway, over UDP: records that changed, and all of them to a
+// gateway that has started.
+struct CrashRecordUpdate {
+  std::vector<CrashRecord> records;
+};
+
 // Gateway to gateway, over UDP: periodic heartbeat with the sender's work in
 // progress and queue waits.
 struct GatewayHeartbeat {
@@ -297,7 +318,8 @@
                              PieceRelease,
                              PieceResults,
                              TableRequest,
-                             TableReply>;
+                             TableReply,
+                             CrashRecordUpdate>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -185,6 +185,18 @@
   a(v.table, v.sequence, v.answer);
 }
 template <class A>
+void serialize(A& a, CrashEnd& v) {
+  a(v.replica, v.incarnation, v.age);
+}
+template <class A>
+void serialize(A& a, CrashRecord& v) {
+  a(v.fingerprint, v.account, v.answered_age, v.ends);
+}
+template <class A>
+void serialize(A& a, CrashRecordUpdate& v) {
+  a(v.records);
+}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
--- a/src/types.h
+++ b/src/types.h
@@ -174,6 +174,7 @@
   kCancelled,
   kNotCurrent,
   kNotFound,
+  kCrashesReplicas,
 };
 
 struct RefusalInfo {
@@ -183,7 +184,7 @@
   bool retryable;  // Whether the response carries Retry-After.
 };
 
-inline constexpr std::array<RefusalInfo, 20> kRefusals = {{
+inline constexpr std::array<RefusalInfo, 21> kRefusals = {{
     {"none", 200, "OK", false},
     {"malformed", 400, "The request is malformed", false},
     {"unauthorized", 401, "The bearer token is missing or unknown", false},
@@ -204,6 +205,8 @@
     {"cancelled", 499, "The caller gave up", false},
     {"not_current", 503, "The node cannot show that it is current", true},
     {"not_found", 404, "There is no such resource", false},
+    // Of the statuses that clients know, this one says that it has not run.
+    {"crashes_replicas", 503, "Replicas ended under this request", false},
 }};
 constexpr const RefusalInfo& Info(Refusal v) {
   return kRefusals[static_cast<std::size_t>(v)];
