Count only ends in sequence, take ends back that become known later, gossip

Only runs that began after the end before count; an answer takes back ends before it that are told later; a request that was once answered needs six; each second a gateway sends some records to a random one.

--- a/src/coordination/crashes/broken_attempts.h
+++ b/src/coordination/crashes/broken_attempts.h
@@ -23,6 +23,7 @@
   std::string fingerprint;  // See `RequestFingerprint`.
   std::string account;
   std::string request;  // Id of the attempt, for logs.
+  TimeUs began_at = 0;  // When it was sent to the replica.
   TimeUs broken_at = 0;
 };
 
--- a/src/coordination/crashes/crash_exchange.cc
+++ b/src/coordination/crashes/crash_exchange.cc
@@ -1,5 +1,6 @@
 #include "coordination/crashes/crash_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciachute {
@@ -20,8 +21,8 @@
   }
 }
 
-void CrashExchange::OnNewPeer(const NodeId& peer,
-                              std::vector<CrashRecord> records) {
+void CrashExchange::OnNewPeer(const NodeId& peer) {
+  std::vector<CrashRecord> records = output_->CrashRecordsToSend();
   if (records.size() > kMaxToNewPeer) {
     records.resize(kMaxToNewPeer);
   }
@@ -44,9 +45,23 @@
 
 void CrashExchange::OnTick(TimeUs now, const std::vector<NodeId>& peers) {
   SendChanges(now, peers);
+  Gossip(now, peers);
   CallStore(now);
 }
 
+void CrashExchange::Gossip(TimeUs now, const std::vector<NodeId>& peers) {
+  if (peers.empty() || now < next_gossip_at_) {
+    return;
+  }
+  next_gossip_at_ = now + kGossipInterval;
+  const std::vector<CrashRecord> records = output_->CrashRecordsToSend();
+  std::vector<CrashRecord> some;
+  for (std::size_t n = 0; n < std::min(kMaxPerGossip, records.size()); ++n) {
+    some.push_back(records[gossiped_++ % records.size()]);
+  }
+  SendTo(peers[random_->Below(peers.size())], some);
+}
+
 void CrashExchange::SendChanges(TimeUs now, const std::vector<NodeId>& peers) {
   std::vector<CrashRecord> due;
   for (auto it = changes_.begin(); it != changes_.end();) {
@@ -56,6 +71,7 @@
       const DurationUs since = now - change.changed_at;
       for (CrashEnd& end : due.back().ends) {
         end.age += since;
+        end.began_age += since;
       }
       if (due.back().answered_age != kNever) {
         due.back().answered_age += since;
--- a/src/coordination/crashes/crash_exchange.h
+++ b/src/coordination/crashes/crash_exchange.h
@@ -3,11 +3,12 @@
 // Each gateway sees only the ends of replicas at which it had requests in
 // progress, so a record counts only once all gateways have it. Changes go to
 // all gateways at once, as heartbeats among hundreds of them come seconds
-// apart, and three times, as datagrams are lost. A gateway that has started is
-// sent all records. If all are killed at once, only the store remembers: it has
-// a row for each blocked request, which a gateway reads before it is ready.
-// Records of requests that are not blocked are lost then, which costs two
-// replicas at most.
+// apart, and three times, as datagrams are lost. Who misses all three learns
+// from a gateway that sends some records to a random other one each second. A
+// gateway that has started is sent all records. If all are killed at once, only
+// the store remembers: it has a row for each blocked request, which a gateway
+// reads before it is ready. Records of requests that are not blocked are lost
+// then, which costs two replicas at most.
 #ifndef ACACIACHUTE_SRC_COORDINATION_CRASHES_CRASH_EXCHANGE_H_
 #define ACACIACHUTE_SRC_COORDINATION_CRASHES_CRASH_EXCHANGE_H_
 
@@ -17,6 +18,7 @@
 #include <vector>
 
 #include "messages.h"
+#include "state/random.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -26,6 +28,8 @@
   virtual ~CrashExchangeOutput() = default;
   virtual void SendCrashRecords(const NodeId& peer,
                                 const CrashRecordUpdate& update) = 0;
+  // All records, blocked requests first.
+  virtual std::vector<CrashRecord> CrashRecordsToSend() = 0;
   // Replaces a row of the store; `CrashExchange::OnWritten` follows.
   virtual void WriteCrashRow(const std::string& key,
                              const CrashRecord& record) = 0;
@@ -37,6 +41,9 @@
  public:
   static constexpr int kSends = 3;
   static constexpr DurationUs kSendInterval = 150 * kMillisecond;
+  // Interval between records to a random gateway, and records in each.
+  static constexpr DurationUs kGossipInterval = kSecond;
+  static constexpr std::size_t kMaxPerGossip = 4;
   // Records in one datagram, which they have to fit into.
   static constexpr std::size_t kMaxPerDatagram = 2;
   // Records that a gateway which has started is sent, blocked ones first.
@@ -46,7 +53,8 @@
   // Changes that wait for the store; of more, the oldest is dropped.
   static constexpr std::size_t kMaxUnwritten = 64;
 
-  explicit CrashExchange(CrashExchangeOutput* output) : output_(output) {}
+  CrashExchange(CrashExchangeOutput* output, Random* random)
+      : output_(output), random_(random) {}
 
   // The row of a request. There are 256, so the table has a bound without
   // anyone who removes rows.
@@ -61,7 +69,7 @@
   // complete enough for the store.
   void Store(const CrashRecord& record);
   // A gateway has started or was not known before.
-  void OnNewPeer(const NodeId& peer, std::vector<CrashRecord> records);
+  void OnNewPeer(const NodeId& peer);
   // `peers`: the other live gateways. Call it every 10 ms.
   void OnTick(TimeUs now, const std::vector<NodeId>& peers);
   void OnWritten(TimeUs now, bool decided);
@@ -75,16 +83,20 @@
     int sends = 0;
   };
 
+  void Gossip(TimeUs now, const std::vector<NodeId>& peers);
   void SendTo(const NodeId& peer, const std::vector<CrashRecord>& records);
   void SendChanges(TimeUs now, const std::vector<NodeId>& peers);
   void CallStore(TimeUs now);
 
   CrashExchangeOutput* const output_;
+  Random* const random_;
   std::map<std::string, Change> changes_;         // By fingerprint.
   std::map<std::string, CrashRecord> unwritten_;  // By fingerprint.
   std::string writing_;  // Fingerprint of the write in progress, if any.
   bool has_read_ = false;
   bool reading_ = false;
+  std::size_t gossiped_ = 0;  // Records sent to random gateways so far.
+  TimeUs next_gossip_at_ = 0;
   TimeUs next_read_at_ = 0;
   TimeUs next_write_at_ = 0;
 };
--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -2,20 +2,42 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace acaciachute {
 
+// Taking the run that ends first each time gives the longest sequence.
+std::size_t CrashRecords::InSequence(std::vector<EndedRun> runs) {
+  std::sort(runs.begin(), runs.end(), [](const EndedRun& a, const EndedRun& b) {
+    return a.ended_at < b.ended_at;
+  });
+  std::size_t n = 0;
+  std::optional<TimeUs> last_end;
+  for (const EndedRun& it : runs) {
+    if (!last_end || it.began_at >= *last_end) {
+      last_end = it.ended_at;
+      ++n;
+    }
+  }
+  return n;
+}
+
 std::size_t CrashRecords::Record::Standing() const {
-  return static_cast<std::size_t>(
-      std::count_if(ends.begin(), ends.end(),
-                    [this](const auto& it) { return Stands(it.second); }));
+  std::vector<EndedRun> runs;
+  for (const auto& [replica, run] : ends) {
+    if (Stands(run)) {
+      runs.push_back(run);
+    }
+  }
+  return InSequence(std::move(runs));
 }
 
 TimeUs CrashRecords::Record::LastEnd() const {
-  return std::max_element(
-             ends.begin(), ends.end(),
-             [](const auto& a, const auto& b) { return a.second < b.second; })
-      ->second;
+  return std::max_element(ends.begin(), ends.end(),
+                          [](const auto& a, const auto& b) {
+                            return a.second.ended_at < b.second.ended_at;
+                          })
+      ->second.ended_at;
 }
 
 bool CrashRecords::IsExplained(const ReplicaId& replica,
@@ -24,7 +46,7 @@
     const Record& other = entry.second;
     const auto end = other.ends.find(replica);
     return end != other.ends.end() && other.Stands(end->second) &&
-           other.Standing() >= kMaxEnds && other.Standing() > record.Standing();
+           other.HasTooMany() && other.Standing() > record.Standing();
   });
 }
 
@@ -36,15 +58,17 @@
     return verdict;
   }
   const Record& record = it->second;
-  for (const auto& [replica, ended_at] : record.ends) {
-    if (record.Stands(ended_at) && !IsExplained(replica, record)) {
-      ++verdict.ends;
+  std::vector<EndedRun> runs;
+  for (const auto& [replica, run] : record.ends) {
+    if (record.Stands(run) && !IsExplained(replica, record)) {
+      runs.push_back(run);
     }
   }
+  verdict.ends = InSequence(std::move(runs));
   verdict.last_end_age = now - record.LastEnd();
   verdict.blocked_for =
       std::max<DurationUs>(0, kBlockDuration - verdict.last_end_age);
-  verdict.blocked = verdict.ends >= kMaxEnds && verdict.blocked_for > 0;
+  verdict.blocked = verdict.ends >= record.MaxEnds() && verdict.blocked_for > 0;
   return verdict;
 }
 
@@ -52,7 +76,7 @@
   const TimeUs last = record.LastEnd();
   const DurationUs age =
       now - std::max(last, record.answered_at.value_or(last));
-  return age > (record.Standing() >= kMaxEnds ? kBlockedLifetime : kLifetime);
+  return age > (record.HasTooMany() ? kBlockedLifetime : kLifetime);
 }
 
 CrashRecords::Record& CrashRecords::FindOrAdd(TimeUs now,
@@ -67,24 +91,32 @@
   ++accounts_[account];
   Record& record = records_[fingerprint];
   record.account = account;
+  if (const auto answer = answers_.find(fingerprint);
+      answer != answers_.end()) {
+    record.answered_at = answer->second;
+  }
   return record;
 }
 
 void CrashRecords::AddEnd(Record* record,
                           const ReplicaId& replica,
-                          TimeUs ended_at) {
-  // Of several reports of one end, the first counts.
-  const auto [it, inserted] = record->ends.try_emplace(replica, ended_at);
-  it->second = std::min(it->second, ended_at);
+                          const EndedRun& run) {
+  const auto [it, inserted] = record->ends.try_emplace(replica, run);
+  // Of several reports of one end, the first tells best when it was; of several
+  // runs there, the last one counts.
+  it->second.ended_at = std::min(it->second.ended_at, run.ended_at);
+  it->second.began_at = std::max(it->second.began_at, run.began_at);
   if (record->ends.size() > kMaxEndsKept) {
-    record->ends.erase(std::min_element(
-        record->ends.begin(), record->ends.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
+    record->ends.erase(
+        std::min_element(record->ends.begin(), record->ends.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second.ended_at < b.second.ended_at;
+                         }));
   }
 }
 
 bool CrashRecords::OnReplicaEnded(TimeUs now,
-                                  TimeUs ended_at,
+                                  const EndedRun& run,
                                   const std::string& fingerprint,
                                   const std::string& account,
                                   const ReplicaId& replica) {
@@ -92,17 +124,22 @@
   if (record.ends.contains(replica)) {
     return false;
   }
-  AddEnd(&record, replica, ended_at);
+  AddEnd(&record, replica, run);
   return true;
 }
 
 bool CrashRecords::OnAnswered(TimeUs now, const std::string& fingerprint) {
+  if (answers_.size() >= kMaxAnswersKept) {
+    answers_.clear();
+  }
+  answers_[fingerprint] = now;
   const auto it = records_.find(fingerprint);
-  if (it == records_.end() || it->second.Standing() == 0) {
+  if (it == records_.end()) {
     return false;
   }
+  const bool takes_back = it->second.Standing() > 0;
   it->second.answered_at = now;
-  return true;
+  return takes_back;
 }
 
 bool CrashRecords::Merge(TimeUs now, const CrashRecord& record) {
@@ -120,7 +157,7 @@
         std::max(answered_at, own.answered_at.value_or(answered_at));
   }
   for (const CrashEnd& it : record.ends) {
-    AddEnd(&own, {it.replica, it.incarnation}, at(it.age));
+    AddEnd(&own, {it.replica, it.incarnation}, {at(it.began_age), at(it.age)});
   }
   return own.Standing() != before;
 }
@@ -138,8 +175,9 @@
   if (record.answered_at) {
     out.answered_age = now - *record.answered_at;
   }
-  for (const auto& [replica, ended_at] : record.ends) {
-    out.ends.push_back({replica.name, replica.incarnation, now - ended_at});
+  for (const auto& [replica, run] : record.ends) {
+    out.ends.push_back({replica.name, replica.incarnation, now - run.ended_at,
+                        now - run.began_at});
   }
   return out;
 }
@@ -147,7 +185,7 @@
 std::vector<CrashRecord> CrashRecords::All(TimeUs now) const {
   std::vector<std::tuple<bool, TimeUs, std::string>> order;
   for (const auto& [fingerprint, record] : records_) {
-    if (record.Standing() > 0 && !IsExpired(now, record)) {
+    if (!IsExpired(now, record)) {
       order.emplace_back(Of(now, fingerprint).blocked, record.LastEnd(),
                          fingerprint);
     }
@@ -191,7 +229,7 @@
   std::tuple<bool, TimeUs, std::string> victim = {true, 0, ""};
   for (const auto& [fingerprint, record] : records_) {
     const std::tuple<bool, TimeUs, std::string> it = {
-        record.Standing() >= kMaxEnds, record.LastEnd(), fingerprint};
+        record.HasTooMany(), record.LastEnd(), fingerprint};
     if (record.account == most->first &&
         (std::get<std::string>(victim).empty() || it < victim)) {
       victim = it;
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -28,7 +28,7 @@
   const BrokenAttempt attempt = {
       FingerprintOf(request),
       request->account != nullptr ? request->account->name : "",
-      request->call.id};
+      request->call.id, request->attempt.sent_at};
   if (broken_attempts.OnBroken(output->Now(), replica, attempt)) {
     OnEndedUnder(replica, attempt, output->Now());
   }
@@ -39,8 +39,9 @@
                                  TimeUs ended_at) {
   const TimeUs now = output->Now();
   const bool was_blocked = crash_records.Of(now, attempt.fingerprint).blocked;
-  if (!crash_records.OnReplicaEnded(now, ended_at, attempt.fingerprint,
-                                    attempt.account, replica)) {
+  if (!crash_records.OnReplicaEnded(now, {attempt.began_at, ended_at},
+                                    attempt.fingerprint, attempt.account,
+                                    replica)) {
     return;
   }
   const auto verdict = crash_records.Of(now, attempt.fingerprint);
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -126,7 +126,7 @@
            this,
            &random,
            &log),
-      crash_exchange(this),
+      crash_exchange(this, &random),
       store(&channels,
             settings.store,
             [this](const std::string& table,
--- a/src/daemon/gateway_node_crashes.cc
+++ b/src/daemon/gateway_node_crashes.cc
@@ -80,6 +80,9 @@
   Json rows = Json::array();
   for (const CrashRecord& it : gateway->crash_records().All(Now())) {
     const auto verdict = gateway->crash_records().Of(Now(), it.fingerprint);
+    if (verdict.ends == 0) {
+      continue;
+    }
     std::vector<std::string> replicas;
     for (const CrashEnd& end : it.ends) {
       replicas.push_back(end.replica);
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -261,6 +261,9 @@
   // CrashExchangeOutput
   void SendCrashRecords(const NodeId& peer,
                         const CrashRecordUpdate& update) override;
+  std::vector<CrashRecord> CrashRecordsToSend() override {
+    return gateway->crash_records().All(Now());
+  }
   void WriteCrashRow(const std::string& key,
                      const CrashRecord& record) override;
   void ReadCrashRows() override;
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -141,7 +141,7 @@
   }
   if (peers.OnGatewayHeartbeat(Now(), from, peer_incarnation, *heartbeat)) {
     mesh->SetAddress(from, heartbeat->address);
-    crash_exchange.OnNewPeer(from, gateway->crash_records().All(Now()));
+    crash_exchange.OnNewPeer(from);
   }
   std::map<ReplicaId, EngineLoad> loads;
   for (const EngineWork& it : heartbeat->work) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -228,6 +228,7 @@
   std::string replica;
   Incarnation incarnation = 0;
   DurationUs age = 0;
+  DurationUs began_age = 0;  // Since the request was sent to it.
 };
 
 // What the sender knows of a request under which replicas ended.
--- a/src/protocol/crash_codec.cc
+++ b/src/protocol/crash_codec.cc
@@ -30,6 +30,7 @@
   for (const CrashEnd& it : record.ends) {
     ends.push_back({{"replica", it.replica},
                     {"incarnation", it.incarnation},
+                    {"began_ms", TimeOf(it.began_age, unix_ms)},
                     {"ended_ms", TimeOf(it.age, unix_ms)}});
   }
   Json row = {{"fingerprint", record.fingerprint},
@@ -54,7 +55,8 @@
     for (const Json& it : row.at("ends")) {
       record.ends.push_back({it.at("replica").get<std::string>(),
                              it.at("incarnation").get<Incarnation>(),
-                             AgeOf(it.at("ended_ms"), unix_ms)});
+                             AgeOf(it.at("ended_ms"), unix_ms),
+                             AgeOf(it.at("began_ms"), unix_ms)});
     }
     return record;
   } catch (const Json::exception& e) {
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -186,7 +186,7 @@
 }
 template <class A>
 void serialize(A& a, CrashEnd& v) {
-  a(v.replica, v.incarnation, v.age);
+  a(v.replica, v.incarnation, v.age, v.began_age);
 }
 template <class A>
 void serialize(A& a, CrashRecord& v) {
--- a/tests/process/crashing_test.cc
+++ b/tests/process/crashing_test.cc
@@ -2,6 +2,7 @@
 // them.
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <string>
 
 #include "tests/soak/world.h"
@@ -51,6 +52,7 @@
       GetParam() == "resumed" ? "crash-in-stream" : "crash";
   SendBesideOthers(&world, GetParam(), body, 15 * kSecond);
   EXPECT_GE(world.ledger()->crashes().deaths(), CrashJudge::kDeaths);
+  EXPECT_EQ(world.ledger()->crashes().InnocentsRefused(), 0U);
   EXPECT_LE(world.ledger()->crashes().MostLateArrivals(),
             CrashJudge::kMaxLateArrivals);
 }
@@ -59,5 +61,29 @@
                          CrashingProcessTest,
                          ::testing::Values("unsafe", "safe", "resumed"));
 
+// Guards against gateways that forget, when all of them are killed at once,
+// which requests ended replicas, so that each mass restart costs three more.
+TEST(CrashingProcessRestartTest, IsRememberedWhenAllGatewaysAreKilled) {
+  Loop loop;
+  WorldOptions options;
+  options.gateways = 3;
+  options.plain_replicas = 8;
+  World world(&loop, options);
+  ASSERT_TRUE(world.Start());
+  SendBesideOthers(&world, "unsafe", "crash", 5 * kSecond);
+  const std::size_t deaths = world.ledger()->crashes().deaths();
+  EXPECT_GE(deaths, CrashJudge::kDeaths);
+  for (auto& it : world.gateways()) {
+    it->Signal(SIGKILL);
+  }
+  for (auto& it : world.gateways()) {
+    ASSERT_TRUE(world.WaitFor(5 * kSecond, [&] { return it->Ended(); }));
+  }
+  ASSERT_TRUE(world.Start());
+  SendBesideOthers(&world, "unsafe", "crash", 3 * kSecond);
+  EXPECT_EQ(world.ledger()->crashes().deaths(), deaths);
+  EXPECT_EQ(world.ledger()->crashes().InnocentsRefused(), 0U);
+}
+
 }  // namespace
 }  // namespace acaciachute
--- a/tests/process/soak_test.cc
+++ b/tests/process/soak_test.cc
@@ -82,5 +82,25 @@
 // With orderly closes taken for stated ends, seed 1 had 16 violations.
 INSTANTIATE_TEST_SUITE_P(FixedSeeds, AnswerSoakTest, ::testing::Values(1, 2));
 
+class CrashSoakTest : public ::testing::TestWithParam<std::uint64_t> {};
+
+// Guards against requests that end their replicas and are sent on, and against
+// others that are taken for such ones: replicas also end without a cause, and
+// gateways are killed, all at once too, suspended, restarted and cut off.
+TEST_P(CrashSoakTest, StopsWhatEndsReplicasAndNothingElse) {
+  Loop loop;
+  SoakOptions options;
+  options.seed = GetParam();
+  options.profile = FaultProfile::kCrashes;
+  options.fault_time = 15 * kSecond;
+  options.world.gateways = 5;
+  options.world.plain_replicas = 6;
+  options.world.engines = 6;
+  const SoakReport report = RunSoak(&loop, options);
+  EXPECT_EQ(report.violations, std::vector<std::string>()) << report.summary;
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, CrashSoakTest, ::testing::Values(1, 2));
+
 }  // namespace
 }  // namespace acaciachute
--- a/tests/soak/crash_judge.h
+++ b/tests/soak/crash_judge.h
@@ -29,6 +29,17 @@
     requests_[body].deaths.push_back(now);
   }
 
+  // A gateway refused a request because replicas ended under it.
+  void OnRefused(const std::string& body) { ++refusals_[body]; }
+  // Such refusals of requests that end no replica.
+  std::size_t InnocentsRefused() const {
+    std::size_t n = 0;
+    for (const auto& [body, count] : refusals_) {
+      n += requests_.contains(body) ? 0 : count;
+    }
+    return n;
+  }
+
   // Replicas that ended under all such requests.
   std::size_t deaths() const {
     std::size_t n = 0;
@@ -54,6 +65,11 @@
                              LateArrivals(it), " times too late: ", body));
       }
     }
+    if (InnocentsRefused() > 0) {
+      out.push_back(StrCat(InnocentsRefused(),
+                           " requests that end no replica were refused as if "
+                           "they did"));
+    }
     return out;
   }
 
@@ -72,7 +88,8 @@
                       [last](TimeUs at) { return at > last; }));
   }
 
-  std::map<std::string, Request> requests_;  // By body.
+  std::map<std::string, Request> requests_;      // By body.
+  std::map<std::string, std::size_t> refusals_;  // By body.
 };
 
 }  // namespace acaciachute
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -4,6 +4,7 @@
 #ifndef ACACIACHUTE_TESTS_SOAK_LEDGER_H_
 #define ACACIACHUTE_TESTS_SOAK_LEDGER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -20,6 +21,7 @@
 struct LedgerEntry {
   std::string route;
   std::string account;
+  std::size_t gateway = 0;  // That it was sent to.
   bool idempotent = false;  // May run more than once.
   TimeUs sent_at = 0;
   DurationUs deadline = 0;
@@ -70,6 +72,21 @@
   // A client or replica observed a violation.
   void OnViolation(const std::string& violation, const std::string& id);
 
+  // A replica received an attempt that ends it; counts if the gateway that sent
+  // it was in touch.
+  void OnCrashingArrived(TimeUs now,
+                         const std::string& id,
+                         const std::string& body) {
+    const auto it = entries_.find(id);
+    if (it != entries_.end() && now >= in_touch_from_[it->second.gateway]) {
+      crash_judge_.OnArrived(now, body);
+    }
+  }
+  // The gateway is disturbed, and in touch again from `until` on.
+  void OnDisturbed(std::size_t gateway, TimeUs until) {
+    TimeUs& from = in_touch_from_[gateway];
+    from = std::max(from, until);
+  }
   // Requests that end replicas.
   CrashJudge& crashes() { return crash_judge_; }
 
@@ -94,6 +111,7 @@
   std::size_t open_ = 0;
   RetryJudge retry_judge_;
   CrashJudge crash_judge_;
+  std::map<std::size_t, TimeUs> in_touch_from_;  // By gateway.
   // Arrivals with a deadline, and those whose deadline was missing or ended
   // too long after the client's.
   std::size_t arrivals_ = 0;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -86,6 +86,7 @@
       report_.violations.push_back(
           StrCat(world_.ledger()->open(), " attempts did not end"));
     }
+    report_.crashes = world_.ledger()->crashes().deaths();
     report_.retry_windows = world_.ledger()->WorstRetryWindows();
     Summarize();
     return report_;
@@ -100,6 +101,7 @@
   static const std::array<NamedFault, 15> kFaults;
   static const std::array<NamedFault, 18> kRetryFaults;
   static const std::array<NamedFault, 10> kAnswerFaults;
+  static const std::array<NamedFault, 9> kCrashFaults;
 
   std::span<const NamedFault> Faults() const {
     switch (options_.profile) {
@@ -109,6 +111,8 @@
         return kRetryFaults;
       case FaultProfile::kAnswers:
         return kAnswerFaults;
+      case FaultProfile::kCrashes:
+        return kCrashFaults;
     }
     return kFaults;
   }
@@ -153,11 +157,37 @@
         return static_cast<std::size_t>(request_random_.Below(n));
       };
       const auto routes = Routes();
+      if (options_.profile == FaultProfile::kCrashes) {
+        SendOneOfManyKinds();
+        continue;
+      }
       world_.Send(std::string(routes[pick(routes.size())]),
                   pick(world_.gateways().size()), client_retries_);
     }
   }
 
+  // One request in `kCrashingPeriod` ends replicas, on one of three routes;
+  // half of the others have a body of their own.
+  void SendOneOfManyKinds() {
+    constexpr std::uint64_t kCrashingPeriod = 30;
+    constexpr std::array<std::string_view, 3> kCrashing = {"unsafe", "safe",
+                                                           "resumed"};
+    const std::size_t gateway = static_cast<std::size_t>(
+        request_random_.Below(world_.gateways().size()));
+    const std::uint64_t draw = request_random_.Below(kCrashingPeriod);
+    if (draw == 0) {
+      const auto n = request_random_.Below(kCrashing.size());
+      std::string body(StandinReplica::kCrashingBody);
+      body += kCrashing[n] == "resumed" ? StandinReplica::kInStream : "";
+      world_.Send(std::string(kCrashing[n]), gateway, client_retries_, body);
+      return;
+    }
+    const std::string route(kRoutes[request_random_.Below(kRoutes.size())]);
+    world_.Send(
+        route, gateway, client_retries_,
+        draw % 2 == 0 ? kUsualBody : StrCat("own body ", ++own_bodies_));
+  }
+
   // Restarts gateways that have ended, as the platform does.
   void RestartEnded() {
     for (auto& it : world_.gateways()) {
@@ -166,6 +196,7 @@
         After(kRestartDelay, [this, gateway = it.get()] {
           restarting_[gateway] = false;
           gateway->Start();
+          OnDisturbed(gateway);
         });
       }
     }
@@ -188,7 +219,17 @@
   }
 
   GatewayProcess* DrawGateway() {
-    return world_.gateways()[Draw(world_.gateways().size())].get();
+    GatewayProcess* gateway =
+        world_.gateways()[Draw(world_.gateways().size())].get();
+    OnDisturbed(gateway);
+    return gateway;
+  }
+  void OnDisturbed(const GatewayProcess* gateway) {
+    for (std::size_t n = 0; n < world_.gateways().size(); ++n) {
+      if (world_.gateways()[n].get() == gateway) {
+        world_.ledger()->OnDisturbed(n, Loop::Now() + CrashJudge::kContact);
+      }
+    }
   }
   StandinReplica* DrawReplica() {
     return world_.replicas()[Draw(world_.replicas().size())].get();
@@ -200,11 +241,15 @@
   void Freeze() {
     GatewayProcess* gateway = DrawGateway();
     gateway->Signal(SIGSTOP);
-    AfterFaultDuration([gateway] { gateway->Signal(SIGCONT); });
+    AfterFaultDuration([this, gateway] {
+      gateway->Signal(SIGCONT);
+      OnDisturbed(gateway);
+    });
   }
   void KillAll() {
     for (auto& it : world_.gateways()) {
       it->Signal(SIGKILL);
+      OnDisturbed(it.get());
     }
   }
   // Sets a fault of the store and ends it after a random time.
@@ -221,9 +266,14 @@
   }
   // Cuts the link of one gateway to the store; the others stay connected.
   void CutStoreLink() {
-    Relay* link = world_.store_links()[Draw(options_.world.gateways)].get();
+    const std::size_t n = Draw(options_.world.gateways);
+    Relay* link = world_.store_links()[n].get();
     link->Cut();
-    AfterFaultDuration([link] { link->Restore(); });
+    OnDisturbed(world_.gateways()[n].get());
+    AfterFaultDuration([this, link, n] {
+      link->Restore();
+      OnDisturbed(world_.gateways()[n].get());
+    });
   }
   void FreezeStoreLink() {
     Relay* link = world_.store_links()[Draw(options_.world.gateways)].get();
@@ -232,6 +282,16 @@
   }
   void DropStoreHistory() { world_.store()->DropHistory(); }
   void ChangeConfig() { world_.WriteConfig(); }
+  void EndReplica() { world_.EndReplica(DrawReplica()); }
+  // All replicas of one service end at once.
+  void EndService() {
+    const std::string service = DrawReplica()->service();
+    for (auto& it : world_.replicas()) {
+      if (it->service() == service) {
+        world_.EndReplica(it.get());
+      }
+    }
+  }
   void CrashReplica() { world_.CrashReplica(Draw(world_.replicas().size())); }
   void LoseAnswers() { DrawReplica()->LoseNextAnswers(3); }
   void SlowReplica() {
@@ -277,8 +337,10 @@
   }
   void RestartInTurn() {
     for (std::size_t n = 0; n < world_.gateways().size(); ++n) {
-      After(static_cast<DurationUs>(n) * kSeriesInterval,
-            [this, n] { world_.gateways()[n]->Signal(SIGTERM); });
+      After(static_cast<DurationUs>(n) * kSeriesInterval, [this, n] {
+        world_.gateways()[n]->Signal(SIGTERM);
+        OnDisturbed(world_.gateways()[n].get());
+      });
     }
   }
   void FreezeMost() {
@@ -397,6 +459,7 @@
   Random request_random_;  // For requests.
   World world_;
   SoakReport report_;
+  std::uint64_t own_bodies_ = 0;  // Requests with a body of their own.
   TimeUs start_ = 0;
   // Number of requests to send now; the fraction is carried over.
   double due_requests_ = 0;
@@ -460,6 +523,18 @@
     {"burst", &Soak::SendBurst},
 }};
 
+const std::array<Soak::NamedFault, 9> Soak::kCrashFaults = {{
+    {"a replica ends", &Soak::EndReplica},
+    {"a service ends", &Soak::EndService},
+    {"replicas reset connections", &Soak::ResetRequests},
+    {"kill a gateway", &Soak::Kill},
+    {"kill all gateways", &Soak::KillAll},
+    {"restart gateways in turn", &Soak::RestartInTurn},
+    {"freeze a gateway", &Soak::Freeze},
+    {"a gateway's link to the store is cut", &Soak::CutStoreLink},
+    {"clients repeat at once", &Soak::RepeatAtOnce},
+}};
+
 }  // namespace
 
 SoakReport RunSoak(Loop* loop, const SoakOptions& options) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,11 @@
   // As `kAll`; replicas also draw the framing of each answer and break some
   // off at any byte, and some clients speak HTTP/1.0.
   kAnswers,
+  // Some requests end the replicas that run them and are sent again and again,
+  // while replicas also end without such a cause, and gateways are killed, all
+  // at once too, suspended, restarted and cut off from the store. Of the
+  // others, some have a body that many have, some one of their own.
+  kCrashes,
 };
 
 struct SoakOptions {
@@ -41,6 +46,7 @@
   std::string ends;     // Answers with status 200 by the end that clients saw.
   std::vector<std::string> faults;      // Injected faults in order, with times.
   std::vector<std::string> violations;  // Violated guarantees; empty: success.
+  std::size_t crashes = 0;              // Replicas that ended under requests.
   // Of each service: the worst window, whether it was exceeded or not.
   std::vector<RetryWindow> retry_windows;
 };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -33,6 +33,7 @@
       "engines", "model engines", cxxopts::value<int>()->default_value("3"))(
       "retries", "draw faults that make gateways retry")(
       "answers", "draw framings of answers, and break answers off")(
+      "crashes", "some requests end the replicas that run them")(
       "unframed", "no answer has a length or chunks; with --answers")(
       "cuts", "percent of the answers that are broken off all the time",
       cxxopts::value<int>()->default_value("5"))(
@@ -65,6 +66,7 @@
     soak.cut_percent = parsed["cuts"].as<int>();
     soak.profile = parsed.count("retries") > 0   ? FaultProfile::kRetries
                    : parsed.count("answers") > 0 ? FaultProfile::kAnswers
+                   : parsed.count("crashes") > 0 ? FaultProfile::kCrashes
                                                  : FaultProfile::kAll;
     soak.world.log_folder = parsed["logs"].as<std::string>();
     const SoakReport report = RunSoak(&loop, soak);
@@ -74,6 +76,9 @@
     for (const auto& it : report.faults) {
       std::printf("  fault %s\n", it.c_str());
     }
+    if (soak.profile == FaultProfile::kCrashes) {
+      std::printf("  replicas ended under requests: %zu\n", report.crashes);
+    }
     for (const RetryWindow& it : report.retry_windows) {
       std::printf("  retries at %s: %zu in the worst window, %.1f allowed\n",
                   it.service.c_str(), it.retries, it.allowed);
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -194,7 +194,7 @@
     ledger_->OnRequestArrived(now, service_, ValueOf(head.fields, "Attempt-Id"),
                               deadline_ms.value_or(-1) * kMillisecond);
     if (body.starts_with(kCrashingBody)) {
-      ledger_->crashes().OnArrived(now, body);
+      ledger_->OnCrashingArrived(now, ValueOf(head.fields, "Attempt-Id"), body);
     }
     return;
   }
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -79,10 +79,12 @@
   Client(World* world,
          std::string id,
          bool stream,
+         std::string request_body,
          std::function<void()> send_again)
       : world_(world),
         id_(std::move(id)),
         stream_(stream),
+        request_body_(std::move(request_body)),
         send_again_(std::move(send_again)) {}
 
   // Sends `request` on a connection of its own as HTTP/1.0.
@@ -139,6 +141,9 @@
   }
 
   void End(AnswerEnd end) {
+    if (status_ == kRefused && body_.find("crashes_replicas") != body_.npos) {
+      world_->ledger_.crashes().OnRefused(request_body_);
+    }
     const std::string expected =
         ExpectedBody(id_, stream_, world_->options_.events);
     world_->ledger_.OnEnded(Loop::Now(), id_, status_, end, body_ == expected,
@@ -154,6 +159,7 @@
   World* const world_;
   const std::string id_;
   const bool stream_;
+  const std::string request_body_;
   const std::function<void()> send_again_;
   const TimeUs sent_at_ = Loop::Now();
   std::unique_ptr<RawClient> http10_;
@@ -342,6 +348,7 @@
   LedgerEntry entry;
   entry.route = route;
   entry.account = kAccount;
+  entry.gateway = gateway;
   entry.idempotent = route == "safe" || route == "resumed";
   entry.sent_at = Loop::Now();
   entry.deadline = kDeadlineMs * kMillisecond;
@@ -361,7 +368,7 @@
     };
   }
   auto client =
-      std::make_unique<Client>(this, id, stream, std::move(send_again));
+      std::make_unique<Client>(this, id, stream, body, std::move(send_again));
   Client* sink = client.get();
   clients_[id] = std::move(client);
   const Address& address = gateways_[gateway]->clients();
