--- a/tests/soak/raw_listener.h
+++ b/tests/soak/raw_listener.h
@@ -30,6 +30,7 @@
   // does: new connections are refused until `Listen`.
   void Stop();
   void Listen();
+  bool listening() const { return socket_ != nullptr; }
 
   // Unknown ids are ignored here and below.
   void Write(ExchangeId id, std::string_view bytes);
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -101,6 +101,7 @@
   // The process ends: connections are refused until it starts again as `id`.
   void GoDown();
   void ComeBack(std::string id);
+  bool down() const { return !listener_.listening(); }
   // The n-th event of an engine's stream.
   static std::string EventText(const std::string& attempt, int n);
   const std::string& id() const { return id_; }
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -238,6 +238,9 @@
 }
 
 void World::EndReplica(StandinReplica* replica) {
+  if (replica->down()) {
+    return;
+  }
   const std::string id = replica->id();
   replica->GoDown();
   RunAfter(loop_, kDownTime, alive_, [this, replica, id] {
