--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -192,6 +192,7 @@
   }
   std::sort(order.rbegin(), order.rend());
   std::vector<CrashRecord> all;
+  all.reserve(order.size());
   for (const auto& [blocked, last_end, fingerprint] : order) {
     all.push_back(Get(now, fingerprint));
   }
--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -391,7 +391,8 @@
 
 // The connections of all requests at the replica break, and its address refuses
 // new ones.
-void EndReplica(GatewayRig* rig, ReplicaId replica) {
+void EndReplica(GatewayRig* rig, const ReplicaId& ended) {
+  const ReplicaId replica = ended;  // It may be in `rig->sent`, which grows.
   std::vector<CallId> calls;
   for (const auto& it : rig->sent) {
     if (it.replica == replica) {
