--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -250,6 +250,7 @@
   log.Write("replica", {{"replica", replica.id.name},
                         {"life", replica.id.incarnation},
                         {"service", replica.service},
+                        {"version", replica.version},
                         {"change", Name(change)},
                         {"list_ms", directory.Age(Now()) / kMillisecond},
                         {"address", AddressText(replica.address)}});
--- a/src/state/client_request.h
+++ b/src/state/client_request.h
@@ -39,6 +39,9 @@
   std::vector<PromptPart> prompt;
   std::vector<std::uint32_t> pieces;  // Number of pieces by stage; zero: skip.
   std::string piece_key;  // Source of the stages that need no other stage.
+  // Id of the attempt that brought the first event of the stream that the
+  // client takes up again; empty: it takes none up, or does not say.
+  std::string resumed_attempt;
   // Number of the last stream event that the client has received.
   std::optional<std::uint64_t> resume_after;
 };
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -69,7 +69,8 @@
   ReplicaId id;
   std::string service;
   Address address;
-  std::string domain;  // Failure domain.
+  std::string domain;   // Failure domain.
+  std::string version;  // Of its software.
   std::uint32_t slots = 1;
   bool leaving = false;
   // End of the cold start according to the rows; the latest value is kept.
