Let crash records cost little when there are many; compare hosts by name

Read as a newcomer: a second's list for another gateway looked at each pair of records (1,000 after some replicas with a hundred requests each), and a host in capitals or with a port was another request. Most records have fewer than three ends and are passed over; only the records that are sent are copied; the fingerprint takes the host as routes are found.

--- a/src/coordination/crashes/crash_exchange.cc
+++ b/src/coordination/crashes/crash_exchange.cc
@@ -1,6 +1,5 @@
 #include "coordination/crashes/crash_exchange.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciachute {
@@ -22,11 +21,7 @@
 }
 
 void CrashExchange::OnNewPeer(const NodeId& peer) {
-  std::vector<CrashRecord> records = output_->CrashRecordsToSend();
-  if (records.size() > kMaxToNewPeer) {
-    records.resize(kMaxToNewPeer);
-  }
-  SendTo(peer, records);
+  SendTo(peer, output_->CrashRecordsToSend(0, kMaxToNewPeer));
 }
 
 void CrashExchange::SendTo(const NodeId& peer,
@@ -54,12 +49,9 @@
     return;
   }
   next_gossip_at_ = now + kGossipInterval;
-  const std::vector<CrashRecord> records = output_->CrashRecordsToSend();
-  std::vector<CrashRecord> some;
-  for (std::size_t n = 0; n < std::min(kMaxPerGossip, records.size()); ++n) {
-    some.push_back(records[gossiped_++ % records.size()]);
-  }
-  SendTo(peers[random_->Below(peers.size())], some);
+  SendTo(peers[random_->Below(peers.size())],
+         output_->CrashRecordsToSend(gossiped_, kMaxPerGossip));
+  gossiped_ += kMaxPerGossip;
 }
 
 void CrashExchange::SendChanges(TimeUs now, const std::vector<NodeId>& peers) {
--- a/src/coordination/crashes/crash_exchange.h
+++ b/src/coordination/crashes/crash_exchange.h
@@ -28,8 +28,9 @@
   virtual ~CrashExchangeOutput() = default;
   virtual void SendCrashRecords(const NodeId& peer,
                                 const CrashRecordUpdate& update) = 0;
-  // All records, blocked requests first.
-  virtual std::vector<CrashRecord> CrashRecordsToSend() = 0;
+  // See `CrashRecords::Some`.
+  virtual std::vector<CrashRecord> CrashRecordsToSend(std::size_t first,
+                                                      std::size_t count) = 0;
   // Replaces a row of the store; `CrashExchange::OnWritten` follows.
   virtual void WriteCrashRow(const std::string& key,
                              const CrashRecord& record) = 0;
@@ -50,7 +51,7 @@
   static constexpr std::size_t kMaxToNewPeer = 16;
   // Delay until a failed read or write of the store is repeated.
   static constexpr DurationUs kRetryDelay = 500 * kMillisecond;
-  // Changes that wait for the store; of more, the oldest is dropped.
+  // Changes that wait for the store; of more, any is dropped.
   static constexpr std::size_t kMaxUnwritten = 64;
 
   CrashExchange(CrashExchangeOutput* output, Random* random)
@@ -65,9 +66,6 @@
 
   // This gateway saw the record change. `blocked`: it belongs into the store.
   void OnChanged(TimeUs now, const CrashRecord& record, bool blocked);
-  // The record of a request that this gateway has seen end replicas is now
-  // complete enough for the store.
-  void Store(const CrashRecord& record);
   // A gateway has started or was not known before.
   void OnNewPeer(const NodeId& peer);
   // `peers`: the other live gateways. Call it every 10 ms.
@@ -83,6 +81,7 @@
     int sends = 0;
   };
 
+  void Store(const CrashRecord& record);
   void Gossip(TimeUs now, const std::vector<NodeId>& peers);
   void SendTo(const NodeId& peer, const std::vector<CrashRecord>& records);
   void SendChanges(TimeUs now, const std::vector<NodeId>& peers);
--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -1,6 +1,7 @@
 #include "coordination/crashes/crash_records.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -44,6 +45,9 @@
                                const Record& record) const {
   return std::any_of(records_.begin(), records_.end(), [&](const auto& entry) {
     const Record& other = entry.second;
+    if (other.ends.size() < kMaxEnds) {
+      return false;  // Most records, so the costly checks below are rare.
+    }
     const auto end = other.ends.find(replica);
     return end != other.ends.end() && other.Stands(end->second) &&
            other.HasTooMany() && other.Standing() > record.Standing();
@@ -182,21 +186,23 @@
   return out;
 }
 
-std::vector<CrashRecord> CrashRecords::All(TimeUs now) const {
-  std::vector<std::tuple<bool, TimeUs, std::string>> order;
+std::vector<CrashRecord> CrashRecords::Some(TimeUs now,
+                                            std::size_t first,
+                                            std::size_t count) const {
+  std::vector<std::tuple<bool, TimeUs, std::string_view>> order;
+  order.reserve(records_.size());
   for (const auto& [fingerprint, record] : records_) {
     if (!IsExpired(now, record)) {
-      order.emplace_back(Of(now, fingerprint).blocked, record.LastEnd(),
-                         fingerprint);
+      order.emplace_back(record.HasTooMany(), record.LastEnd(), fingerprint);
     }
   }
   std::sort(order.rbegin(), order.rend());
-  std::vector<CrashRecord> all;
-  all.reserve(order.size());
-  for (const auto& [blocked, last_end, fingerprint] : order) {
-    all.push_back(Get(now, fingerprint));
+  std::vector<CrashRecord> some;
+  for (std::size_t n = 0; n < std::min(count, order.size()); ++n) {
+    const auto& it = order[(first + n) % order.size()];
+    some.push_back(Get(now, std::string(std::get<std::string_view>(it))));
   }
-  return all;
+  return some;
 }
 
 void CrashRecords::Erase(const std::string& fingerprint) {
--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -85,8 +85,14 @@
   bool Merge(TimeUs now, const CrashRecord& record);
   // The record of a request, for other gateways; without ends if there is none.
   CrashRecord Get(TimeUs now, const std::string& fingerprint) const;
-  // All records; blocked requests come first, then those with the latest ends.
-  std::vector<CrashRecord> All(TimeUs now) const;
+  // Up to `count` records from the `first` on, and again from the beginning.
+  // Those with too many ends come first, then those with the latest ends.
+  std::vector<CrashRecord> Some(TimeUs now,
+                                std::size_t first,
+                                std::size_t count) const;
+  std::vector<CrashRecord> All(TimeUs now) const {
+    return Some(now, 0, records_.size());
+  }
 
  private:
   struct Record {
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -261,8 +261,9 @@
   // CrashExchangeOutput
   void SendCrashRecords(const NodeId& peer,
                         const CrashRecordUpdate& update) override;
-  std::vector<CrashRecord> CrashRecordsToSend() override {
-    return gateway->crash_records().All(Now());
+  std::vector<CrashRecord> CrashRecordsToSend(std::size_t first,
+                                              std::size_t count) override {
+    return gateway->crash_records().Some(Now(), first, count);
   }
   void WriteCrashRow(const std::string& key,
                      const CrashRecord& record) override;
--- a/src/state/request_fingerprint.cc
+++ b/src/state/request_fingerprint.cc
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include <algorithm>
+
 #include "text.h"
 
 namespace acaciachute {
@@ -19,6 +21,14 @@
                     static_cast<gssize>(text.size()));
 }
 
+// Without a port and in lower case, as routes are found.
+std::string HostName(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](char c) { return g_ascii_tolower(c); });
+  return name;
+}
+
 }  // namespace
 
 std::string RequestFingerprint(std::string_view account,
@@ -27,7 +37,7 @@
   const std::string_view path = target.substr(0, target.find('?'));
   GChecksum* sum = g_checksum_new(G_CHECKSUM_SHA256);
   Add(sum, account);
-  Add(sum, call.host);
+  Add(sum, HostName(call.host));
   Add(sum, call.method);
   Add(sum, call.body.empty() ? target : path);
   Add(sum, call.body);
--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -321,6 +321,8 @@
   call.key = "another key of the account";
   EXPECT_EQ(RequestFingerprint("acme", call), fingerprint);
   EXPECT_NE(RequestFingerprint("other", call), fingerprint);
+  call.host = "H:8080";
+  EXPECT_EQ(RequestFingerprint("acme", call), fingerprint);
   call.body = "y";
   EXPECT_NE(RequestFingerprint("acme", call), fingerprint);
   call.body = "x";
@@ -363,7 +365,10 @@
       ++writes;
     }
     void ReadCrashRows() override { ++reads; }
-    std::vector<CrashRecord> CrashRecordsToSend() override { return {}; }
+    std::vector<CrashRecord> CrashRecordsToSend(std::size_t,
+                                                std::size_t) override {
+      return {};
+    }
     std::map<NodeId, int> sent;
     int writes = 0;
     int reads = 0;
