Remember which requests were answered whole before any replica ended

The popular body ran for a second and a half, and three of its runs in sequence met ends before the next answer; that it had been answered before was remembered only once its account had a record. Unit test: five ends block it not, six do.

--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -95,9 +95,10 @@
   ++accounts_[account];
   Record& record = records_[fingerprint];
   record.account = account;
-  if (const auto answer = answers_.find(fingerprint);
-      answer != answers_.end()) {
-    record.answered_at = answer->second;
+  for (const Answers* it : {&older_answers_, &answers_}) {
+    if (const auto answer = it->find(fingerprint); answer != it->end()) {
+      record.answered_at = answer->second;
+    }
   }
   return record;
 }
@@ -134,7 +135,7 @@
 
 bool CrashRecords::OnAnswered(TimeUs now, const std::string& fingerprint) {
   if (answers_.size() >= kMaxAnswersKept) {
-    answers_.clear();
+    older_answers_ = std::exchange(answers_, {});
   }
   answers_[fingerprint] = now;
   const auto it = records_.find(fingerprint);
--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -78,7 +78,7 @@
                       const ReplicaId& replica);
   // A run of the request was answered whole, or an operator lifts its block.
   // Returns whether that takes back any end. It also takes back ends before it
-  // that are known only later; call it whenever `HasAccount`.
+  // that are known only later.
   bool OnAnswered(TimeUs now, const std::string& fingerprint);
   // Merges a record of another gateway or of the store; returns whether this
   // one's changed.
@@ -130,8 +130,11 @@
 
   absl::flat_hash_map<std::string, Record> records_;  // By fingerprint.
   std::map<std::string, std::size_t> accounts_;       // Number of records.
-  // When requests of these accounts were last answered whole here.
-  absl::flat_hash_map<std::string, TimeUs> answers_;
+  // When requests were last answered whole here. At `kMaxAnswersKept`, the ones
+  // before replace the older ones.
+  using Answers = absl::flat_hash_map<std::string, TimeUs>;
+  Answers answers_;
+  Answers older_answers_;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -138,8 +138,13 @@
              CrashRecords::kMaxEndsToRepeat;
 }
 
+// Also without a record: of a request that is known to have been answered, a
+// series of ends tells less. Fingerprints of large bodies take too long for
+// that.
 void Gateway::Impl::OnAnsweredWhole(ServingRequest* request) {
-  if (!MayHaveRecord(*request)) {
+  constexpr std::size_t kMaxRememberedBody = 64 << 10;
+  if (!MayHaveRecord(*request) &&
+      request->call.body.size() > kMaxRememberedBody) {
     return;
   }
   const TimeUs now = output->Now();
--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -127,6 +127,20 @@
   EXPECT_FALSE(a.Of(6 * kSecond, kPopular).blocked);
 }
 
+// Guards against blocking a popular request with long runs, of which three in
+// sequence meet ends before the next answer.
+TEST(CrashRecordsTest, WhatWasAnsweredBeforeTakesSixEnds) {
+  CrashRecords records;
+  records.OnAnswered(kSecond, kPopular);
+  for (int n = 0; n < 5; ++n) {
+    EndUnder(&records, (n + 2) * kSecond, kPopular, n);
+  }
+  EXPECT_EQ(records.Of(8 * kSecond, kPopular).ends, 5U);
+  EXPECT_FALSE(records.Of(8 * kSecond, kPopular).blocked);
+  EndUnder(&records, 8 * kSecond, kPopular, 5);
+  EXPECT_TRUE(records.Of(8 * kSecond, kPopular).blocked);
+}
+
 // Guards against a client that makes up such requests and displaces the
 // records of others.
 TEST(CrashRecordsTest, AnAccountWithManyRecordsDisplacesItsOwn) {
