--- a/src/coordination/crashes/broken_attempts.h
+++ b/src/coordination/crashes/broken_attempts.h
@@ -23,6 +23,8 @@
   std::string fingerprint;  // See `RequestFingerprint`.
   std::string account;
   std::string request;  // Id of the attempt, for logs.
+  std::string parts;    // Ids of the prompt's parts, for logs.
+  bool begun = false;   // The first event of its answer had arrived.
   TimeUs began_at = 0;  // When it was sent to the replica.
   TimeUs broken_at = 0;
 };
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -1,5 +1,6 @@
 // Replicas that end while requests are in progress there, and requests that are
 // refused because replicas ended under them again and again.
+#include <algorithm>
 #include <utility>
 
 #include "coordination/gateway/gateway_impl.h"
@@ -17,6 +18,17 @@
   return request->fingerprint;
 }
 
+// For logs, so of limited length.
+std::string Gateway::Impl::PartIds(const ClientRequest& call) {
+  constexpr std::size_t kMaxParts = 12;
+  constexpr std::size_t kMaxIdLength = 24;
+  std::string ids;
+  for (std::size_t n = 0; n < std::min(call.prompt.size(), kMaxParts); ++n) {
+    ids += StrCat(n == 0 ? "" : ",", call.prompt[n].id.substr(0, kMaxIdLength));
+  }
+  return call.prompt.size() > kMaxParts ? StrCat(ids, ",...") : ids;
+}
+
 // What ends at a replica that leaves, or that is not listed any more, ends as
 // planned.
 void Gateway::Impl::OnBroken(ServingRequest* request) {
@@ -28,7 +40,10 @@
   const BrokenAttempt attempt = {
       FingerprintOf(request),
       request->account != nullptr ? request->account->name : "",
-      request->call.id, request->attempt.sent_at};
+      request->call.id,
+      PartIds(request->call),
+      request->attempt.first_event_received,
+      request->attempt.sent_at};
   if (broken_attempts.OnBroken(output->Now(), replica, attempt)) {
     OnEndedUnder(replica, attempt, output->Now());
   }
@@ -50,6 +65,8 @@
                              {"account", attempt.account},
                              {"replica", replica.name},
                              {"life", replica.incarnation},
+                             {"parts", attempt.parts},
+                             {"begun", attempt.begun},
                              {"ends", verdict.ends},
                              {"blocked", verdict.blocked}});
   constexpr std::size_t kMaxSeen = 4096;
@@ -96,11 +113,18 @@
     return;
   }
   metrics->Count("acaciachute_gateway_replica_ends_total", evidence);
+  const auto begun = static_cast<std::size_t>(
+      std::count_if(attempts.begin(), attempts.end(),
+                    [](const BrokenAttempt& it) { return it.begun; }));
+  metrics->Count("acaciachute_gateway_ended_under_total", "begun", begun);
+  metrics->Count("acaciachute_gateway_ended_under_total", "waiting",
+                 attempts.size() - begun);
   log->Write("replica_ended",
              {{"replica", replica.name},
               {"life", replica.incarnation},
               {"evidence", evidence},
               {"in_progress", attempts.size()},
+              {"begun", begun},
               {"after_ms", (now - attempts.front().broken_at) / kMillisecond}});
   for (const BrokenAttempt& it : attempts) {
     OnEndedUnder(replica, it, it.broken_at);
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -291,6 +291,7 @@
 
   // gateway_crashes.cc: replicas that end, and what was in progress there.
   const std::string& FingerprintOf(ServingRequest* request) const;
+  static std::string PartIds(const ClientRequest& call);
   // The connection of the current attempt broke after the request was sent.
   void OnBroken(ServingRequest* request);
   // The replica ended while the attempt was in progress there.
