Add failing tests of prompt parts that end engines, by real gateways

Three real gateways, twelve stand-in engines with four slots that end as they begin to write an answer on one part (at once or after a head, their connections closed or reset) and come back after 2 to 3 s; requests with the part, no two alike, on three routes, five a second; sound ones with the same first part or the same account beside them. Where engines end of another cause nothing is blocked, as it should be.

No functional change.

--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -1,5 +1,7 @@
 #include "tests/soak/ledger.h"
 
+#include <limits>
+#include <set>
 #include <utility>
 
 #include "text.h"
@@ -25,6 +27,13 @@
 // route.
 constexpr int kMaxOverAttempted = 3;
 
+constexpr int kOk = 200;
+
+// Sound attempts beside what ends replicas begin at least this share as often
+// as before, if there are enough of both.
+constexpr double kMinBegunShare = 0.5;
+constexpr std::size_t kMinJudged = 20;
+
 }  // namespace
 
 void Ledger::OnSent(const std::string& id,
@@ -33,6 +42,7 @@
   for (const auto& it : services) {
     retry_judge_.OnRequest(entry.sent_at, it);
   }
+  entry.in_touch = entry.sent_at >= in_touch_from_[entry.gateway];
   entries_[id] = std::move(entry);
   ++open_;
 }
@@ -87,7 +97,6 @@
                      AnswerEnd end,
                      bool whole,
                      const std::string& problem) {
-  constexpr int kOk = 200;
   LedgerEntry& entry = entries_.at(id);
   if (entry.ended) {
     OnViolation("ended twice", id);
@@ -115,8 +124,52 @@
   violations_.push_back(StrCat(id, ": ", violation));
 }
 
+BegunShare Ledger::BegunBetween(const std::string& key,
+                                TimeUs from,
+                                TimeUs until) const {
+  BegunShare out;
+  for (const auto& [id, it] : entries_) {
+    if (it.beside == key && it.in_touch && it.sent_at >= from &&
+        it.sent_at < until) {
+      ++out.sent;
+      out.begun += it.status == kOk ? 1 : 0;
+    }
+  }
+  return out;
+}
+
+BegunShare Ledger::BegunBefore(const std::string& key) const {
+  const auto first = crash_judge_.FirstDeath(key);
+  return first ? BegunBetween(key, 0, *first) : BegunShare();
+}
+
+BegunShare Ledger::BegunAfter(const std::string& key) const {
+  const auto last = crash_judge_.LastAllowedDeath(key);
+  return last ? BegunBetween(key, *last + kSoundAgainDelay,
+                             std::numeric_limits<TimeUs>::max())
+              : BegunShare();
+}
+
+void Ledger::AddSoundViolations(std::vector<std::string>* all) const {
+  std::set<std::string> keys;
+  for (const auto& [id, it] : entries_) {
+    keys.insert(it.beside);
+  }
+  for (const std::string& key : keys) {
+    const BegunShare before = BegunBefore(key);
+    const BegunShare after = BegunAfter(key);
+    if (before.sent >= kMinJudged && after.sent >= kMinJudged &&
+        after.share() < kMinBegunShare * before.share()) {
+      all->push_back(StrCat(after.begun, " of ", after.sent,
+                            " sound attempts beside ", key, " began, ",
+                            before.begun, " of ", before.sent, " before"));
+    }
+  }
+}
+
 std::vector<std::string> Ledger::Violations() const {
   std::vector<std::string> all = violations_;
+  AddSoundViolations(&all);
   for (auto& it : crash_judge_.Violations()) {
     all.push_back(std::move(it));
   }
@@ -161,7 +214,6 @@
 }
 
 std::map<std::string, int> Ledger::Ends() const {
-  constexpr int kOk = 200;
   std::map<std::string, int> out;
   for (const auto& [id, it] : entries_) {
     if (it.ended && it.status == kOk) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -34,6 +34,20 @@
   AnswerEnd end = AnswerEnd::kBroken;  // Of the answer, as the client saw it.
   // A replica broke its answer off so that nobody can tell.
   bool unknown_end = false;
+  // Key (see `CrashJudge`) of what ends replicas and of which this sound
+  // attempt has the account or other parts; empty: none.
+  std::string beside;
+  bool in_touch = false;  // Its gateway was, when it was sent.
+};
+
+// Of some attempts, those that got an answer of a replica at the first try.
+struct BegunShare {
+  std::size_t sent = 0;
+  std::size_t begun = 0;
+  double share() const {
+    return sent == 0 ? 1
+                     : static_cast<double>(begun) / static_cast<double>(sent);
+  }
 };
 
 // All attempts of a soak, by attempt id.
@@ -89,6 +103,12 @@
   }
   // Requests that end replicas.
   CrashJudge& crashes() { return crash_judge_; }
+  // Of the sound attempts beside what ends replicas, at gateways in touch:
+  // before its first end, and from `kSoundAgainDelay` after the last one that
+  // it may cause.
+  static constexpr DurationUs kSoundAgainDelay = 2 * CrashJudge::kContact;
+  BegunShare BegunBefore(const std::string& key) const;
+  BegunShare BegunAfter(const std::string& key) const;
 
   // All violations, each as one line with the id of the attempt.
   std::vector<std::string> Violations() const;
@@ -106,6 +126,11 @@
   std::size_t sent() const { return entries_.size(); }
 
  private:
+  BegunShare BegunBetween(const std::string& key,
+                          TimeUs from,
+                          TimeUs until) const;
+  void AddSoundViolations(std::vector<std::string>* all) const;
+
   std::map<std::string, LedgerEntry> entries_;
   std::vector<std::string> violations_;
   std::size_t open_ = 0;
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -56,6 +56,8 @@
   id_ = std::move(id);
   alive_ = std::make_shared<int>();
   calls_.clear();
+  waiting_.clear();
+  running_.clear();
   busy_ = false;
   for (const ExchangeId it : std::exchange(open_, {})) {
     const bool resets = !random_ || random_->Below(2) == 0;
@@ -72,11 +74,20 @@
   listener_.CloseIdle();
 }
 
-void StandinReplica::GoDown() {
+void StandinReplica::GoDown(bool resets) {
   alive_ = std::make_shared<int>();
   calls_.clear();
+  waiting_.clear();
+  running_.clear();
   busy_ = false;
-  open_.clear();
+  for (const ExchangeId it : std::exchange(open_, {})) {
+    if (const auto stream = streams_.find(it); stream != streams_.end()) {
+      stream->second.answer.BreakOff(resets);
+      ReportEnd(stream->second.attempt, stream->second.answer, true);
+    } else if (resets) {
+      listener_.Reset(it);
+    }
+  }
   streams_.clear();
   listener_.Stop();
 }
@@ -94,7 +105,7 @@
   }
   const bool in_stream = body.starts_with(StrCat(kCrashingBody, kInStream));
   After(in_stream ? work_.service_time + work_.event_interval / 2 : kCrashDelay,
-        [this, body] { on_crash_(body); });
+        [this, body] { on_crash_(body, false); });
 }
 
 AnswerPlan StandinReplica::DrawPlan(AnswerEnd usual,
@@ -181,7 +192,7 @@
   } else {
     arrivals_.push_back(Loop::Now());
     CrashSoon(body);
-    Run(id, head);
+    Serve(id, head);
   }
 }
 
@@ -193,8 +204,12 @@
         ParseNumber<int>(ValueOf(head.fields, "Deadline-Ms"));
     ledger_->OnRequestArrived(now, service_, ValueOf(head.fields, "Attempt-Id"),
                               deadline_ms.value_or(-1) * kMillisecond);
+    const std::string attempt = ValueOf(head.fields, "Attempt-Id");
     if (body.starts_with(kCrashingBody)) {
-      ledger_->OnCrashingArrived(now, ValueOf(head.fields, "Attempt-Id"), body);
+      ledger_->OnCrashingArrived(now, attempt, body);
+    }
+    if (const std::string part = CrashingPart(head); !part.empty()) {
+      ledger_->OnCrashingArrived(now, attempt, PartKey(part));
     }
     return;
   }
@@ -260,9 +275,9 @@
   return false;
 }
 
-void StandinReplica::Run(ExchangeId id, const HttpRequestHead& head) {
+void StandinReplica::Serve(ExchangeId id, const HttpRequestHead& head) {
   const std::string attempt = ValueOf(head.fields, "Attempt-Id");
-  if (work_.kind == ReplicaWork::Kind::kEngine &&
+  if (work_.kind == ReplicaWork::Kind::kEngine && work_.slots == 0 &&
       FindField(head.fields, "Inputs") == nullptr) {
     Reply(id, kBadRequest, FieldsOf(NotRun(attempt)));
     return;
@@ -271,6 +286,15 @@
     ledger_->OnViolation("a client's Authorization field was forwarded",
                          attempt);
   }
+  const auto last = ParseNumber<int>(ValueOf(head.fields, "Last-Event-Id"));
+  const int next = last ? *last + 1 : 0;  // Continues a resumed stream.
+  if (work_.slots > 0) {
+    waiting_.push_back({id, attempt, ValueOf(head.fields, "Tenant"), next,
+                        !head.target.starts_with("/chat-resumed/"),
+                        CrashingPart(head)});
+    BeginRuns();
+    return;
+  }
   ledger_->OnRun(attempt, ValueOf(head.fields, "Tenant"));
   if (answers_to_lose_ > 0) {
     --answers_to_lose_;
@@ -284,8 +308,6 @@
     });
     return;
   }
-  const auto last = ParseNumber<int>(ValueOf(head.fields, "Last-Event-Id"));
-  const int next = last ? *last + 1 : 0;  // Continues a resumed stream.
   After(work_.service_time, [this, id, attempt, next] {
     if (open_.contains(id)) {
       BeginStream(id, attempt, next);
@@ -293,6 +315,82 @@
   });
 }
 
+std::string StandinReplica::CrashingPart(const HttpRequestHead& head) const {
+  const auto parts = Split(ValueOf(head.fields, "Prompt-Prefix"), ',');
+  for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
+    const std::string id(Trim(parts[n].substr(0, parts[n].find(':'))));
+    if (crashing_parts_.contains(id)) {
+      return id;
+    }
+  }
+  return "";
+}
+
+void StandinReplica::BeginRuns() {
+  while (!waiting_.empty() && running_.size() < work_.slots) {
+    const Run run = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (!open_.contains(run.id)) {
+      continue;  // Its client has left.
+    }
+    running_.insert(run.id);
+    ledger_->OnRun(run.attempt, run.account);
+    After(work_.service_time, [this, run] {
+      if (open_.contains(run.id)) {
+        BeginAnswer(run);
+      }
+    });
+  }
+}
+
+void StandinReplica::BeginAnswer(const Run& run) {
+  if (!run.crashing_part.empty() && on_crash_) {
+    CrashOn(run);
+  } else if (!run.plain) {
+    BeginStream(run.id, run.attempt, run.next);
+  } else {
+    After(work_.events * work_.event_interval, [this, run] {
+      if (!open_.contains(run.id)) {
+        return;
+      }
+      Reply(run.id, kOk,
+            FieldsOf({{"Attempt-Id", run.attempt}, {"Replica-Seal", id_}}),
+            StrCat("answer to ", run.attempt));
+      EndRun(run.id);
+    });
+  }
+}
+
+void StandinReplica::EndRun(ExchangeId id) {
+  std::erase_if(waiting_, [id](const Run& it) { return it.id == id; });
+  if (running_.erase(id) > 0) {
+    BeginRuns();
+  }
+}
+
+void StandinReplica::CrashOn(const Run& run) {
+  constexpr DurationUs kCrashDelay = 5 * kMillisecond;
+  const int way = crashes_++;
+  const bool sends_head = way % 2 == 0;
+  const bool resets = way / 2 % 2 == 0;
+  if (sends_head) {
+    const HttpFields fields =
+        FieldsOf({{"Attempt-Id", run.attempt}, {"Replica-Seal", id_}});
+    const AnswerEnd usual =
+        run.plain ? AnswerEnd::kLength : AnswerEnd::kLastChunk;
+    const std::string body = StrCat("answer to ", run.attempt);
+    const AnswerPlan plan = DrawPlan(usual, kOk, fields, {body});
+    const auto it =
+        streams_
+            .emplace(run.id, Stream{run.attempt, {&listener_, run.id, plan}})
+            .first;
+    it->second.answer.Begin(kOk, fields, body.size());
+  }
+  After(kCrashDelay, [this, resets, key = PartKey(run.crashing_part)] {
+    on_crash_(key, resets);
+  });
+}
+
 std::string StandinReplica::EventText(const std::string& attempt, int n) {
   return StrCat("id: ", n, "\ndata: ", attempt, " ", std::string(50, 't'),
                 "\n\n");
@@ -335,6 +433,7 @@
   ReportEnd(attempt, answer, true);
   streams_.erase(it);
   open_.erase(id);
+  EndRun(id);
 }
 
 void StandinReplica::BeginStageCall() {
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -31,6 +31,9 @@
   DurationUs service_time = 0;
   DurationUs event_interval = 0;  // Interval between events of a stream.
   int events = 0;                 // Per stream.
+  // Of an engine without stages: requests that run at once, the others wait.
+  // Its plain answers take as long as its streams.
+  std::size_t slots = 0;
 };
 
 // What a faulty replica does with requests and calls instead of serving them.
@@ -95,11 +98,21 @@
   // the body goes on with `kInStream`, after the first event of its stream.
   static constexpr std::string_view kCrashingBody = "crash";
   static constexpr std::string_view kInStream = "-in-stream";
-  void SetCrashHandler(std::function<void(const std::string& body)> on_crash) {
+  using CrashHandler = std::function<void(const std::string& key, bool resets)>;
+  void SetCrashHandler(CrashHandler on_crash) {
     on_crash_ = std::move(on_crash);
   }
+  // A request whose prompt has this part, but as its last one, ends the process
+  // that begins to write an answer to it: at once or after a head, and its
+  // connections are closed or reset in turn. The handler gets `PartKey`.
+  void AddCrashingPart(const std::string& part) {
+    crashing_parts_.insert(part);
+  }
+  static std::string PartKey(const std::string& part) {
+    return std::string(CrashJudge::kPartPrefix) + part;
+  }
   // The process ends: connections are refused until it starts again as `id`.
-  void GoDown();
+  void GoDown(bool resets = false);
   void ComeBack(std::string id);
   bool down() const { return !listener_.listening(); }
   // The n-th event of an engine's stream.
@@ -116,6 +129,7 @@
   void OnClientDisconnected(ExchangeId id) override {
     open_.erase(id);
     streams_.erase(id);
+    EndRun(id);
   }
   void OnWritten(ExchangeId) override {}
   void OnListenerEvent(const ListenerEvent&) override {}
@@ -149,9 +163,25 @@
   bool ApplyFault(ExchangeId id,
                   const HttpRequestHead& head,
                   const std::string& attempt);
-  void Run(ExchangeId id, const HttpRequestHead& head);
+  void Serve(ExchangeId id, const HttpRequestHead& head);
   // Ends this process because of the request, if its body says so.
   void CrashSoon(const std::string& body);
+  // Returns the part of the request's prompt that ends this process; empty:
+  // none.
+  std::string CrashingPart(const HttpRequestHead& head) const;
+  // A request to an engine with slots.
+  struct Run {
+    ExchangeId id = 0;
+    std::string attempt;
+    std::string account;
+    int next = 0;        // The first event of its stream.
+    bool plain = false;  // Its answer is no stream.
+    std::string crashing_part;
+  };
+  void BeginRuns();
+  void BeginAnswer(const Run& run);
+  void EndRun(ExchangeId id);
+  void CrashOn(const Run& run);
   void BeginStream(ExchangeId id, const std::string& attempt, int next);
   void SendEvent(ExchangeId id, int next);
   void BeginStageCall();
@@ -176,13 +206,17 @@
   std::optional<AnswerEnd> framing_;  // Of all answers.
   int cut_percent_ = 0;
   std::deque<StageCall> calls_;
+  std::deque<Run> waiting_;
+  std::set<ExchangeId> running_;
+  std::set<std::string> crashing_parts_;
+  int crashes_ = 0;
   std::string rate_limit_;
   bool leaving_ = false;
   std::optional<TimeUs> first_stated_leaving_at_;
   std::string rest_;
   std::vector<TimeUs> refusals_;
   std::vector<TimeUs> arrivals_;
-  std::function<void(const std::string& body)> on_crash_;
+  CrashHandler on_crash_;
   int next_result_ = 0;
   int answers_to_lose_ = 0;
   int slowdown_factor_ = 1;
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -21,6 +21,8 @@
 constexpr char kApiKey[] = "key-of-acme";
 constexpr int kPieces = 4;
 constexpr int kDeadlineMs = 6000;
+constexpr int kChatEvents = 8;
+constexpr std::size_t kChatSlots = 4;
 // If replicas draw their answers, one in this many requests is HTTP/1.0.
 constexpr std::uint64_t kHttp10Period = 4;
 
@@ -75,16 +77,19 @@
 // Receives and checks the answer to one attempt.
 class World::Client : public CallSink {
  public:
-  // `send_again` is called if the attempt is refused.
+  // `crash_key`: what ends replicas in the request, or its body. `send_again`
+  // is called if the attempt is refused.
   Client(World* world,
          std::string id,
          bool stream,
-         std::string request_body,
+         int events,
+         std::string crash_key,
          std::function<void()> send_again)
       : world_(world),
         id_(std::move(id)),
         stream_(stream),
-        request_body_(std::move(request_body)),
+        events_(events),
+        crash_key_(std::move(crash_key)),
         send_again_(std::move(send_again)) {}
 
   // Sends `request` on a connection of its own as HTTP/1.0.
@@ -142,10 +147,9 @@
 
   void End(AnswerEnd end) {
     if (status_ == kRefused && body_.find("crashes_replicas") != body_.npos) {
-      world_->ledger_.crashes().OnRefused(request_body_);
+      world_->ledger_.crashes().OnRefused(crash_key_);
     }
-    const std::string expected =
-        ExpectedBody(id_, stream_, world_->options_.events);
+    const std::string expected = ExpectedBody(id_, stream_, events_);
     world_->ledger_.OnEnded(Loop::Now(), id_, status_, end, body_ == expected,
                             status_ == kOk ? Problem(expected, end) : "");
     const bool refused = status_ == kRefused || status_ == kTooMany;
@@ -159,7 +163,8 @@
   World* const world_;
   const std::string id_;
   const bool stream_;
-  const std::string request_body_;
+  const int events_;  // Of a whole stream.
+  const std::string crash_key_;
   const std::function<void()> send_again_;
   const TimeUs sent_at_ = Loop::Now();
   std::unique_ptr<RawClient> http10_;
@@ -185,6 +190,10 @@
   AddReplicas("engine",
               {ReplicaWork::Kind::kEngine, ms(50), ms(20), options.events},
               options.engines);
+  AddReplicas("chat",
+              {ReplicaWork::Kind::kEngine, ms(20), options.chat_event_interval,
+               kChatEvents, kChatSlots},
+              options.chat_engines);
   WriteConfig();
   for (int n = 0; n < options.gateways; ++n) {
     GatewayProcessOptions it;
@@ -208,10 +217,11 @@
         loop_, StrCat("i-", service, "-", k, "-1"), service, work, &ledger_));
     service_by_address_[AddressText(replicas_.back()->address())] = service;
     StandinReplica* replica = replicas_.back().get();
-    replica->SetCrashHandler([this, replica](const std::string& body) {
-      ledger_.crashes().OnDied(Loop::Now(), body);
-      EndReplica(replica);
-    });
+    replica->SetCrashHandler(
+        [this, replica](const std::string& key, bool resets) {
+          ledger_.crashes().OnDied(Loop::Now(), key);
+          EndReplica(replica, resets);
+        });
     if (options_.answer_seed) {
       replicas_.back()->DrawAnswers(*options_.answer_seed + replicas_.size(),
                                     options_.framing);
@@ -227,7 +237,7 @@
               {"address", address},
               {"zone", "a"},
               {"version", "v1"},
-              {"slots", 16},
+              {"slots", replica.service() == "chat" ? kChatSlots : 16},
               {"cold_left_ms", 0},
               {"call_seq", 0},
               {"state", leaving ? "draining" : "ready"}});
@@ -237,13 +247,19 @@
   store_.Remove("servers", replica.id());
 }
 
-void World::EndReplica(StandinReplica* replica) {
+void World::EndReplica(StandinReplica* replica, bool resets) {
   if (replica->down()) {
     return;
   }
   const std::string id = replica->id();
-  replica->GoDown();
-  RunAfter(loop_, kDownTime, alive_, [this, replica, id] {
+  replica->GoDown(resets);
+  DurationUs down_time = kDownTime;
+  if (replica->service() == "chat") {
+    constexpr int kDownTimes = 5;
+    down_time = kChatDownTime +
+                kChatDownTime / 2 * (chat_ends_++ % kDownTimes) / kDownTimes;
+  }
+  RunAfter(loop_, down_time, alive_, [this, replica, id] {
     replica->ComeBack(NextId(id));
     WriteReplicaRow(*replica, false);
   });
@@ -264,18 +280,26 @@
   Json resumed = RouteJson("resumed", "streaming", "engine");
   resumed["stages"] = Stages();
   resumed["stream_resume"] = true;
+  Json chat_resumed = RouteJson("chat-resumed", "streaming", "chat");
+  chat_resumed["stream_resume"] = true;
   const Json services = {{{"name", "plain"}, {"max_connections", 500}},
                          {{"name", "first"}, {"pieces", BatchLimits()}},
                          {{"name", "second"}, {"pieces", BatchLimits()}},
                          {{"name", "engine"},
                           {"kv_capacity_tokens", 1000000},
                           {"slots", 64},
+                          {"stride", 6}},
+                         {{"name", "chat"},
+                          {"kv_capacity_tokens", 1000000},
+                          {"slots", kChatSlots},
                           {"stride", 6}}};
   store_.Put("op", "config",
              {{"version", ++version_},
               {"routes",
                {RouteJson("unsafe", "unsafe", "plain"),
-                RouteJson("safe", "safe", "plain"), staged, resumed}},
+                RouteJson("safe", "safe", "plain"), staged, resumed,
+                RouteJson("chat-unsafe", "unsafe", "chat"),
+                RouteJson("chat-safe", "safe", "chat"), chat_resumed}},
               {"services", services},
               {"tenants", {{{"name", kAccount}, {"api_keys", {kApiKey}}}}}});
 }
@@ -284,6 +308,10 @@
   for (auto& it : gateways_) {
     it->Start();
   }
+  return WaitUntilReady();
+}
+
+bool World::WaitUntilReady() {
   for (std::size_t n = 0; n < gateways_.size(); ++n) {
     if (!WaitFor(10 * kSecond, [&] { return ReadinessStatus(n) == kOk; })) {
       return false;
@@ -327,54 +355,69 @@
   return answer.status;
 }
 
-void World::Send(const std::string& route,
-                 std::size_t gateway,
-                 int client_retries,
-                 const std::string& body) {
+void World::AddCrashingPart(const std::string& part) {
+  for (auto& it : replicas_) {
+    if (it->service() == "chat") {
+      it->AddCrashingPart(part);
+    }
+  }
+}
+
+void World::Send(const ClientCall& call) {
   const std::string id = StrCat("c", ++next_id_);
-  const bool stream = route == "staged" || route == "resumed";
+  const bool chat = call.route.starts_with("chat-");
+  const bool staged = call.route == "staged" || call.route == "resumed";
+  const bool stream = staged || call.route == "chat-resumed";
   ChannelRequest request;
   request.method = "POST";
-  request.target = "/" + route + "/x";
+  request.target = "/" + call.route + "/x";
   request.fields = {{"Host", "h.example"},
                     {"Attempt-Id", id},
                     {"Deadline-Ms", StrCat(kDeadlineMs)},
                     {"Authorization", StrCat("Bearer ", kApiKey)}};
-  if (stream) {
+  if (chat || staged) {
     request.fields.push_back({"Model", "m"});
     request.fields.push_back({"Token-Usage", "1200,300"});
-    request.fields.push_back({"Prompt-Prefix", "aa:500,bb:400,cc:300"});
+    request.fields.push_back({"Prompt-Prefix", call.prompt});
+  }
+  if (staged) {
     request.fields.push_back({"Pieces", StrCat("1,", kPieces)});
     request.fields.push_back({"Piece-Key", id});
   }
-  request.body = body;
+  request.body = call.body;
   LedgerEntry entry;
-  entry.route = route;
+  entry.route = call.route;
   entry.account = kAccount;
-  entry.gateway = gateway;
-  entry.idempotent = route == "safe" || route == "resumed";
+  entry.gateway = call.gateway;
+  entry.idempotent = call.route != "unsafe" && call.route != "chat-unsafe" &&
+                     call.route != "staged";
   entry.sent_at = Loop::Now();
   entry.deadline = kDeadlineMs * kMillisecond;
   entry.max_attempts = kMaxAttempts;
+  entry.beside = call.beside;
   const std::vector<std::string> services =
-      stream ? std::vector<std::string>{"first", "second", "engine"}
-             : std::vector<std::string>{"plain"};
+      staged ? std::vector<std::string>{"first", "second", "engine"}
+             : std::vector<std::string>{chat ? "chat" : "plain"};
   ledger_.OnSent(id, entry, services);
   ChannelOptions options;
   options.total = (kDeadlineMs + 1000) * kMillisecond;
   options.max_idle_time = kSecond;
   std::function<void()> send_again;
-  if (client_retries > 0) {
-    const std::size_t next = (gateway + 1) % gateways_.size();
-    send_again = [this, route, next, client_retries, body] {
-      Send(route, next, client_retries - 1, body);
+  if (call.client_retries > 0) {
+    send_again = [this, again = call] {
+      ClientCall next = again;
+      next.gateway = (next.gateway + 1) % gateways_.size();
+      --next.client_retries;
+      Send(next);
     };
   }
-  auto client =
-      std::make_unique<Client>(this, id, stream, body, std::move(send_again));
+  auto client = std::make_unique<Client>(
+      this, id, stream, chat ? kChatEvents : options_.events,
+      call.crash_key.empty() ? call.body : call.crash_key,
+      std::move(send_again));
   Client* sink = client.get();
   clients_[id] = std::move(client);
-  const Address& address = gateways_[gateway]->clients();
+  const Address& address = gateways_[call.gateway]->clients();
   if (options_.answer_seed && next_id_ % kHttp10Period == 0) {
     sink->SendAsHttp10(address, request);
   } else {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -27,6 +27,9 @@
   int stage_replicas = 3;
   int engines = 3;
   int events = 48;  // Per stream.
+  // Engines without stages: how many, and the interval of their events.
+  int chat_engines = 0;
+  DurationUs chat_event_interval = 12 * kMillisecond;
   // Given to the gateways, and judged by what arrives at replicas.
   ServiceRetryBudgetLimits retries;
   // If set, replicas draw the framing of their answers, and how they are broken
@@ -36,8 +39,24 @@
   std::string log_folder;            // Of the gateways' logs; empty: no logs.
 };
 
-// The body of requests that give none.
+// The body and the prompt of requests that give none.
 inline const std::string kUsualBody(600, 'b');
+inline const std::string kUsualPrompt = "aa:500,bb:400,cc:300";
+
+// One request of a client.
+struct ClientCall {
+  // "unsafe", "safe", "staged", "resumed", or, at the engines without stages,
+  // "chat-unsafe", "chat-safe" or "chat-resumed".
+  std::string route;
+  std::size_t gateway = 0;
+  int client_retries = 0;  // See `World::Send`.
+  std::string body = kUsualBody;
+  std::string prompt = kUsualPrompt;
+  // Keys (see `CrashJudge`) of what ends replicas in it, if anything does, and
+  // of what ends replicas beside it.
+  std::string crash_key;
+  std::string beside;
+};
 
 // The deployment; all parts but the gateways run in the process of the test.
 class World {
@@ -47,28 +66,43 @@
 
   // Starts all gateways; returns false when one is not ready within 10 s.
   bool Start();
+  // Returns false when a gateway is not ready within 10 s.
+  bool WaitUntilReady();
   // Runs the loop until `condition` holds; returns false after the time-out.
   bool WaitFor(DurationUs timeout, const std::function<bool()>& condition);
 
-  // Sends one request to `route` ("unsafe", "safe", "staged" or "resumed") at a
-  // gateway. If it is refused, the client sends it again at once, at the next
-  // gateway, up to `client_retries` times; each is an attempt of its own with
-  // an id of its own, and each attempt is judged separately.
+  // Sends one request to a gateway. If it is refused, the client sends it again
+  // at once, at the next gateway, up to `client_retries` times; each is an
+  // attempt of its own with an id of its own, and each attempt is judged
+  // separately.
+  void Send(const ClientCall& call);
   void Send(const std::string& route,
             std::size_t gateway,
             int client_retries = 0,
-            const std::string& body = kUsualBody);
+            const std::string& body = kUsualBody) {
+    ClientCall call;
+    call.route = route;
+    call.gateway = gateway;
+    call.client_retries = client_retries;
+    call.body = body;
+    Send(call);
+  }
 
   // Writes to the store: a new version of the operator's configuration, and the
   // row of a replica as the replica itself would write it.
   void WriteConfig();
   void WriteReplicaRow(const StandinReplica& replica, bool leaving);
   void RemoveReplicaRow(const StandinReplica& replica);
+  // Engines without stages end as they begin to write an answer on this part.
+  void AddCrashingPart(const std::string& part);
   // The process of a replica ends, starts again under another name after
-  // `kDownTime`, and its old row is removed after `kRowLifetime`.
+  // `kDownTime` (engines without stages: `kChatDownTime` and up to half of that
+  // more), and its old row is removed after `kRowLifetime`.
   static constexpr DurationUs kDownTime = 700 * kMillisecond;
+  static constexpr DurationUs kChatDownTime = 2000 * kMillisecond;
   static constexpr DurationUs kRowLifetime = 2500 * kMillisecond;
-  void EndReplica(StandinReplica* replica);
+  // `resets`: its connections are reset, not closed.
+  void EndReplica(StandinReplica* replica, bool resets = false);
   // Crashes a replica and lists its next incarnation in the store.
   void CrashReplica(std::size_t n);
 
@@ -105,6 +139,7 @@
   std::vector<DurationUs> first_byte_times_;
   std::uint64_t version_ = 0;
   std::uint64_t next_id_ = 0;
+  int chat_ends_ = 0;  // Of engines without stages.
   const std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
