Take the share of sound requests before the first end from undisturbed ones

Only those whose deadline had passed before it count now. The bound of the test becomes stricter by that.

No functional change.

--- a/tests/process/prompt_part_test.cc
+++ b/tests/process/prompt_part_test.cc
@@ -95,7 +95,7 @@
   ASSERT_TRUE(world.Start());
   // Long answers take half of the engines' slots.
   Traffic traffic(&world, GetParam() < 100 * kMillisecond ? 1 : 4);
-  traffic.Run(6 * kSecond, false);
+  traffic.Run(11 * kSecond, false);
   traffic.Run(20 * kSecond, true);
   const std::string key = StandinReplica::PartKey(kPart);
   Ledger& ledger = *world.ledger();
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -29,6 +29,9 @@
 
 constexpr int kOk = 200;
 
+// Attempts sent this long before a replica ends are not broken off by it.
+constexpr DurationUs kLongestDeadline = 6 * kSecond;
+
 // Sound attempts beside what ends replicas begin at least this share as often
 // as before, if there are enough of both.
 constexpr double kMinBegunShare = 0.5;
@@ -140,7 +143,7 @@
 
 BegunShare Ledger::BegunBefore(const std::string& key) const {
   const auto first = crash_judge_.FirstDeath(key);
-  return first ? BegunBetween(key, 0, *first) : BegunShare();
+  return first ? BegunBetween(key, 0, *first - kLongestDeadline) : BegunShare();
 }
 
 BegunShare Ledger::BegunAfter(const std::string& key) const {
