--- a/src/coordination/crashes/broken_attempts.h
+++ b/src/coordination/crashes/broken_attempts.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "state/crash_cause.h"
 #include "state/replica_directory.h"
 #include "types.h"
 
@@ -20,7 +21,9 @@
 
 // A request that was in progress at a replica when its connection broke.
 struct BrokenAttempt {
-  std::string fingerprint;  // See `RequestFingerprint`.
+  // What may have ended the replica: the request and, unless its answer had
+  // begun, the parts of its prompt.
+  std::vector<CrashCause> causes;
   std::string account;
   std::string request;  // Id of the attempt, for logs.
   std::string parts;    // Ids of the prompt's parts, for logs.
--- a/src/coordination/crashes/crash_exchange.cc
+++ b/src/coordination/crashes/crash_exchange.cc
@@ -1,78 +1,123 @@
 #include "coordination/crashes/crash_exchange.h"
 
+#include <xxhash.h>
+
+#include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace acaciachute {
+namespace {
 
-void CrashExchange::OnChanged(TimeUs now,
-                              const CrashRecord& record,
-                              bool blocked) {
-  changes_[record.fingerprint] = {record, now, 0};
-  if (blocked) {
-    Store(record);
+void AddAge(CrashReport* report, DurationUs since) {
+  for (CrashEnd& end : report->ends) {
+    end.age += since;
+    for (CrashSuspect& it : end.suspects) {
+      it.began_age += since;
+      it.cleared_age += it.cleared_age == kNever ? 0 : since;
+    }
+  }
+  for (ClearedCause& it : report->cleared) {
+    it.age += since;
   }
 }
 
-void CrashExchange::Store(const CrashRecord& record) {
-  unwritten_[record.fingerprint] = record;
-  if (unwritten_.size() > kMaxUnwritten) {
-    unwritten_.erase(unwritten_.begin());
+void Append(CrashReport* report, const CrashReport& more) {
+  report->ends.insert(report->ends.end(), more.ends.begin(), more.ends.end());
+  report->cleared.insert(report->cleared.end(), more.cleared.begin(),
+                         more.cleared.end());
+}
+
+}  // namespace
+
+std::string CrashExchange::RowKey(const CrashCause& cause) {
+  const auto place = static_cast<unsigned char>(XXH3_64bits_withSeed(
+      cause.id.data(), cause.id.size(), static_cast<XXH64_hash_t>(cause.kind)));
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  return {kDigits[place / kDigits.size()], kDigits[place % kDigits.size()]};
+}
+
+void CrashExchange::OnNews(TimeUs now, CrashReport report) {
+  if (report.empty()) {
+    return;
+  }
+  news_.push_back({std::move(report), now, 0});
+  if (news_.size() > kMaxNews) {
+    news_.pop_front();
   }
 }
 
+void CrashExchange::OnVerdict(const CrashCause& cause) {
+  unwritten_.insert(RowKey(cause));
+}
+
 void CrashExchange::OnNewPeer(const NodeId& peer) {
-  SendTo(peer, output_->CrashRecordsToSend(0, kMaxToNewPeer));
+  SendTo(peer, output_->CrashReportToSend(0, kMaxToNewPeer));
 }
 
-void CrashExchange::SendTo(const NodeId& peer,
-                           const std::vector<CrashRecord>& records) {
-  CrashRecordUpdate update;
-  for (const CrashRecord& it : records) {
-    update.records.push_back(it);
-    if (update.records.size() == kMaxPerDatagram) {
-      output_->SendCrashRecords(peer, std::exchange(update, {}));
+void CrashExchange::SendTo(const NodeId& peer, const CrashReport& report) {
+  CrashReport part;
+  std::size_t n = 0;
+  const auto send_if = [&](bool due) {
+    if (due && !part.empty()) {
+      output_->SendCrashReport(peer, std::exchange(part, {}));
+      n = 0;
+    }
+  };
+  for (const CrashEnd& end : report.ends) {
+    for (const CrashSuspect& it : end.suspects) {
+      if (part.ends.empty() || part.ends.back().replica != end.replica ||
+          part.ends.back().incarnation != end.incarnation) {
+        part.ends.push_back({end.replica, end.incarnation, end.age, {}});
+      }
+      part.ends.back().suspects.push_back(it);
+      send_if(++n == kMaxPerDatagram);
     }
   }
-  if (!update.records.empty()) {
-    output_->SendCrashRecords(peer, update);
+  for (const ClearedCause& it : report.cleared) {
+    part.cleared.push_back(it);
+    send_if(++n == kMaxPerDatagram);
   }
+  send_if(true);
 }
 
-void CrashExchange::OnTick(TimeUs now, const std::vector<NodeId>& peers) {
-  SendChanges(now, peers);
-  Gossip(now, peers);
+void CrashExchange::OnTick(TimeUs now) {
+  SendNews(now);
+  Gossip(now);
   CallStore(now);
 }
 
-void CrashExchange::Gossip(TimeUs now, const std::vector<NodeId>& peers) {
-  if (peers.empty() || now < next_gossip_at_) {
+void CrashExchange::Gossip(TimeUs now) {
+  if (now < next_gossip_at_) {
     return;
   }
   next_gossip_at_ = now + kGossipInterval;
-  SendTo(peers[random_->Below(peers.size())],
-         output_->CrashRecordsToSend(gossiped_, kMaxPerGossip));
+  const CrashReport report =
+      output_->CrashReportToSend(gossiped_, kMaxPerGossip);
+  if (report.empty()) {
+    return;
+  }
   gossiped_ += kMaxPerGossip;
+  if (const auto peers = output_->LivePeers(); !peers.empty()) {
+    SendTo(peers[random_->Below(peers.size())], report);
+  }
 }
 
-void CrashExchange::SendChanges(TimeUs now, const std::vector<NodeId>& peers) {
-  std::vector<CrashRecord> due;
-  for (auto it = changes_.begin(); it != changes_.end();) {
-    Change& change = it->second;
-    if (now - change.changed_at >= change.sends * kSendInterval) {
-      due.push_back(change.record);
-      const DurationUs since = now - change.changed_at;
-      for (CrashEnd& end : due.back().ends) {
-        end.age += since;
-        end.began_age += since;
-      }
-      if (due.back().answered_age != kNever) {
-        due.back().answered_age += since;
-      }
-      ++change.sends;
+void CrashExchange::SendNews(TimeUs now) {
+  CrashReport due;
+  for (auto it = news_.begin(); it != news_.end();) {
+    if (now - it->at >= it->sends * kSendInterval) {
+      CrashReport report = it->report;
+      AddAge(&report, now - it->at);
+      Append(&due, report);
+      ++it->sends;
     }
-    it = change.sends >= kSends ? changes_.erase(it) : std::next(it);
+    it = it->sends >= kSends ? news_.erase(it) : std::next(it);
   }
-  for (const NodeId& peer : peers) {
+  if (due.empty()) {
+    return;
+  }
+  for (const NodeId& peer : output_->LivePeers()) {
     SendTo(peer, due);
   }
 }
@@ -83,16 +128,15 @@
     output_->ReadCrashRows();
   }
   if (writing_.empty() && !unwritten_.empty() && now >= next_write_at_) {
-    const CrashRecord record = unwritten_.begin()->second;
-    writing_ = record.fingerprint;
-    output_->WriteCrashRow(RowKey(record.fingerprint), record);
+    writing_ = *unwritten_.begin();
+    unwritten_.erase(unwritten_.begin());
+    output_->WriteCrashRow(writing_);
   }
 }
 
 void CrashExchange::OnWritten(TimeUs now, bool decided) {
-  if (decided) {
-    unwritten_.erase(writing_);
-  } else {
+  if (!decided) {
+    unwritten_.insert(writing_);
     next_write_at_ = now + kRetryDelay;
   }
   writing_.clear();
--- /dev/null
+++ b/src/coordination/crashes/crash_judgement.cc
@@ -0,0 +1,137 @@
+#include "coordination/crashes/crash_judgement.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace acaciachute {
+namespace {
+
+// Of the causes with too many ends that were in progress at a replica's end,
+// those with most of them.
+struct Explanation {
+  const JudgedCause* request = nullptr;  // Null: there is none.
+  const JudgedCause* part = nullptr;     // Likewise.
+  std::size_t parts = 0;                 // Parts with as many ends as `part`.
+};
+using Explanations = std::map<ReplicaId, Explanation>;
+
+bool HasTooMany(const JudgedCause& cause, const std::vector<EndedRun>& runs) {
+  const CauseLimits limits = LimitsOf(cause.kind);
+  if (cause.cleared_before) {
+    return runs.size() >= limits.ends_if_cleared &&
+           InSequence(runs) >= limits.sequence_if_cleared;
+  }
+  return runs.size() >= limits.ends && (runs.size() >= limits.ends_at_once ||
+                                        InSequence(runs) >= limits.ends);
+}
+
+void ExplainBy(const JudgedCause& cause, Explanations* explanations) {
+  const auto rank = [](const JudgedCause* it) {
+    return it == nullptr ? 0 : it->ends.size();
+  };
+  for (const auto& [replica, run] : cause.ends) {
+    Explanation& it = (*explanations)[replica];
+    if (cause.kind == CauseKind::kRequest) {
+      it.request = rank(&cause) > rank(it.request) ? &cause : it.request;
+    } else if (rank(&cause) > rank(it.part)) {
+      it.part = &cause;
+      it.parts = 1;
+    } else if (rank(&cause) == rank(it.part)) {
+      ++it.parts;
+    }
+  }
+}
+
+bool IsExplained(const JudgedCause& cause, const Explanation& by) {
+  const std::size_t ends = cause.ends.size();
+  const bool by_part = by.part != nullptr &&
+                       (by.part->ends.size() > ends ||
+                        (by.part->ends.size() == ends && !cause.has_too_many));
+  return by_part || (by.request != nullptr && by.request->ends.size() > ends);
+}
+
+std::vector<EndedRun> CountedRuns(const JudgedCause& cause,
+                                  const Explanations& explanations) {
+  std::vector<EndedRun> runs;
+  std::set<const JudgedCause*> requests;  // Of which an end was counted.
+  for (const auto& [replica, run] : cause.ends) {
+    const auto it = explanations.find(replica);
+    if (it != explanations.end()) {
+      const JudgedCause* request = it->second.request;
+      const bool counts_once =
+          cause.kind == CauseKind::kPromptPart && request != nullptr;
+      if (IsExplained(cause, it->second) ||
+          (counts_once && !requests.insert(request).second)) {
+        continue;
+      }
+    }
+    runs.push_back(run);
+  }
+  return runs;
+}
+
+bool HasRival(const JudgedCause& cause, const Explanations& explanations) {
+  return std::all_of(cause.ends.begin(), cause.ends.end(),
+                     [&](const auto& end) {
+                       const auto it = explanations.find(end.first);
+                       return it != explanations.end() && it->second.parts > 1;
+                     });
+}
+
+void SetVerdict(JudgedCause* cause, const Explanations& explanations) {
+  const std::vector<EndedRun> runs = CountedRuns(*cause, explanations);
+  cause->counted = runs.size();
+  cause->blocked = HasTooMany(*cause, runs);
+  cause->doubt = Doubt::kNone;
+  if (!cause->blocked || cause->kind == CauseKind::kRequest) {
+    return;
+  }
+  if (InSequence(runs) < LimitsOf(cause->kind).ends) {
+    cause->doubt = Doubt::kNoSequence;
+  } else if (HasRival(*cause, explanations)) {
+    cause->doubt = Doubt::kRival;
+  }
+}
+
+}  // namespace
+
+// Taking the run that ends first each time gives the longest sequence.
+std::size_t InSequence(std::vector<EndedRun> runs) {
+  std::sort(runs.begin(), runs.end(), [](const EndedRun& a, const EndedRun& b) {
+    return a.ended_at < b.ended_at;
+  });
+  std::size_t n = 0;
+  std::optional<TimeUs> last_end;
+  for (const EndedRun& it : runs) {
+    if (!last_end || it.began_at >= *last_end) {
+      last_end = it.ended_at;
+      ++n;
+    }
+  }
+  return n;
+}
+
+// Requests first, as what is counted for parts depends on them, but not the
+// other way round: the parts of a request are in progress wherever it is.
+void JudgeCauses(std::vector<JudgedCause>* causes) {
+  Explanations explanations;
+  for (const CauseKind kind : {CauseKind::kRequest, CauseKind::kPromptPart}) {
+    for (JudgedCause& it : *causes) {
+      if (it.kind == kind) {
+        it.has_too_many = HasTooMany(it, CountedRuns(it, explanations));
+      }
+    }
+    for (const JudgedCause& it : *causes) {
+      if (it.kind == kind && it.has_too_many) {
+        ExplainBy(it, &explanations);
+      }
+    }
+  }
+  for (JudgedCause& it : *causes) {
+    SetVerdict(&it, explanations);
+  }
+}
+
+}  // namespace acaciachute
--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -1,38 +1,30 @@
 #include "coordination/crashes/crash_records.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <string_view>
 #include <tuple>
 #include <utility>
 
 namespace acaciachute {
+namespace {
 
-// Taking the run that ends first each time gives the longest sequence.
-std::size_t CrashRecords::InSequence(std::vector<EndedRun> runs) {
-  std::sort(runs.begin(), runs.end(), [](const EndedRun& a, const EndedRun& b) {
-    return a.ended_at < b.ended_at;
-  });
-  std::size_t n = 0;
-  std::optional<TimeUs> last_end;
-  for (const EndedRun& it : runs) {
-    if (!last_end || it.began_at >= *last_end) {
-      last_end = it.ended_at;
-      ++n;
-    }
-  }
-  return n;
+// Counts a record in, or out of, the number of records by account.
+void CountIn(std::map<std::string, std::size_t>* counts,
+             const std::string& account) {
+  ++(*counts)[account];
 }
-
-std::size_t CrashRecords::Record::Standing() const {
-  std::vector<EndedRun> runs;
-  for (const auto& [replica, run] : ends) {
-    if (Stands(run)) {
-      runs.push_back(run);
-    }
+void CountOut(std::map<std::string, std::size_t>* counts,
+              const std::string& account) {
+  const auto it = counts->find(account);
+  if (it != counts->end() && --it->second == 0) {
+    counts->erase(it);
   }
-  return InSequence(std::move(runs));
 }
 
+}  // namespace
+
 TimeUs CrashRecords::Record::LastEnd() const {
   return std::max_element(ends.begin(), ends.end(),
                           [](const auto& a, const auto& b) {
@@ -41,65 +33,110 @@
       ->second.ended_at;
 }
 
-bool CrashRecords::IsExplained(const ReplicaId& replica,
-                               const Record& record) const {
-  return std::any_of(records_.begin(), records_.end(), [&](const auto& entry) {
-    const Record& other = entry.second;
-    if (other.ends.size() < kMaxEnds) {
-      return false;  // Most records, so the costly checks below are rare.
+void CrashRecords::Judge() const {
+  if (std::exchange(judged_, true)) {
+    return;
+  }
+  std::vector<JudgedCause> causes;
+  causes.reserve(records_.size());
+  for (const auto& [cause, record] : records_) {
+    JudgedCause& it = causes.emplace_back();
+    it.kind = cause.kind;
+    it.cleared_before = record.cleared_at.has_value();
+    for (const auto& [replica, run] : record.ends) {
+      if (record.Stands(run)) {
+        it.ends.emplace_back(replica, run);
+      }
     }
-    const auto end = other.ends.find(replica);
-    return end != other.ends.end() && other.Stands(end->second) &&
-           other.HasTooMany() && other.Standing() > record.Standing();
-  });
+  }
+  JudgeCauses(&causes);
+  blocked_parts_ = 0;
+  auto judged = causes.begin();
+  for (auto& [cause, record] : records_) {
+    const JudgedCause& it = *judged++;
+    record.standing = it.ends.size();
+    record.has_too_many = it.has_too_many;
+    record.counted = it.counted;
+    record.state = {it.blocked, it.doubt};
+    blocked_parts_ += it.blocked && it.kind == CauseKind::kPromptPart;
+  }
 }
 
 CrashRecords::Verdict CrashRecords::Of(TimeUs now,
-                                       const std::string& fingerprint) const {
+                                       const CrashCause& cause) const {
   Verdict verdict;
-  const auto it = records_.find(fingerprint);
-  if (it == records_.end() || IsExpired(now, it->second)) {
+  const auto it = records_.find(cause);
+  if (it == records_.end() || IsExpired(now, cause.kind, it->second)) {
     return verdict;
   }
+  Judge();
   const Record& record = it->second;
-  std::vector<EndedRun> runs;
-  for (const auto& [replica, run] : record.ends) {
-    if (record.Stands(run) && !IsExplained(replica, record)) {
-      runs.push_back(run);
-    }
-  }
-  verdict.ends = InSequence(std::move(runs));
+  const CauseLimits limits = LimitsOf(cause.kind);
+  verdict.ends = record.counted;
+  verdict.cleared_before = record.cleared_at.has_value();
   verdict.last_end_age = now - record.LastEnd();
-  verdict.blocked_for =
-      std::max<DurationUs>(0, kBlockDuration - verdict.last_end_age);
-  verdict.blocked = verdict.ends >= record.MaxEnds() && verdict.blocked_for > 0;
+  verdict.doubt = record.state.doubt;
+  verdict.blocked = record.state.blocked;
+  if (limits.block_duration != kNever) {
+    verdict.blocked_for =
+        std::max<DurationUs>(0, limits.block_duration - verdict.last_end_age);
+    verdict.blocked = verdict.blocked && verdict.blocked_for > 0;
+  }
   return verdict;
 }
 
-bool CrashRecords::IsExpired(TimeUs now, const Record& record) const {
+bool CrashRecords::IsExpired(TimeUs now,
+                             CauseKind kind,
+                             const Record& record) const {
+  Judge();
+  const DurationUs lifetime =
+      record.has_too_many ? LimitsOf(kind).blocked_lifetime : kLifetime;
   const TimeUs last = record.LastEnd();
-  const DurationUs age =
-      now - std::max(last, record.answered_at.value_or(last));
-  return age > (record.HasTooMany() ? kBlockedLifetime : kLifetime);
+  return lifetime != kNever &&
+         now - std::max(last, record.cleared_at.value_or(last)) > lifetime;
+}
+
+std::uint64_t CrashRecords::ClearedKey(const CrashCause& cause) {
+  return XXH3_64bits_withSeed(cause.id.data(), cause.id.size(),
+                              static_cast<XXH64_hash_t>(cause.kind));
+}
+
+std::optional<TimeUs> CrashRecords::LastCleared(const CrashCause& cause) const {
+  const std::uint64_t key = ClearedKey(cause);
+  for (const Cleared* it : {&cleared_, &older_cleared_}) {
+    if (const auto cleared = it->find(key); cleared != it->end()) {
+      return cleared->second;
+    }
+  }
+  return std::nullopt;
+}
+
+bool CrashRecords::WasCleared(const CrashCause& cause) const {
+  const auto it = records_.find(cause);
+  return (it != records_.end() && it->second.cleared_at) ||
+         LastCleared(cause).has_value();
 }
 
 CrashRecords::Record& CrashRecords::FindOrAdd(TimeUs now,
-                                              const std::string& fingerprint,
+                                              const CrashCause& cause,
                                               const std::string& account) {
-  const auto it = records_.find(fingerprint);
+  judged_ = false;
+  const auto it = records_.find(cause);
   if (it != records_.end()) {
     return it->second;
   }
-  RemoveExpired(now);
-  EvictIfFull();
-  ++accounts_[account];
-  Record& record = records_[fingerprint];
-  record.account = account;
-  for (const Answers* it : {&older_answers_, &answers_}) {
-    if (const auto answer = it->find(fingerprint); answer != it->end()) {
-      record.answered_at = answer->second;
-    }
+  if (records_.size() >= kMaxRecords) {
+    RemoveExpired(now);
+    EvictIfFull();
+  }
+  CountIn(&accounts_, account);
+  if (cause.kind == CauseKind::kRequest) {
+    CountIn(&requests_, account);
   }
+  Record& record = records_[cause];
+  record.account = account;
+  record.cleared_at = LastCleared(cause);
+  judged_ = false;  // Removing others may have judged the rest.
   return record;
 }
 
@@ -120,113 +157,210 @@
   }
 }
 
-bool CrashRecords::OnReplicaEnded(TimeUs now,
-                                  const EndedRun& run,
-                                  const std::string& fingerprint,
-                                  const std::string& account,
-                                  const ReplicaId& replica) {
-  Record& record = FindOrAdd(now, fingerprint, account);
-  if (record.ends.contains(replica)) {
-    return false;
+std::vector<CrashCause> CrashRecords::OnReplicaEnded(
+    TimeUs now,
+    const ReplicaId& replica,
+    const std::vector<Suspect>& suspects) {
+  std::vector<CrashCause> added;
+  for (const Suspect& it : suspects) {
+    Record& record = FindOrAdd(now, it.cause, it.account);
+    if (!record.ends.contains(replica)) {
+      added.push_back(it.cause);
+    }
+    AddEnd(&record, replica, it.run);
+    record.saw_end = true;
   }
-  AddEnd(&record, replica, run);
-  return true;
+  return added;
 }
 
-bool CrashRecords::OnAnswered(TimeUs now, const std::string& fingerprint) {
-  if (answers_.size() >= kMaxAnswersKept) {
-    older_answers_ = std::exchange(answers_, {});
+bool CrashRecords::OnCleared(TimeUs now, const CrashCause& cause) {
+  if (cleared_.size() >= kMaxClearedKept) {
+    older_cleared_ = std::exchange(cleared_, {});
   }
-  answers_[fingerprint] = now;
-  const auto it = records_.find(fingerprint);
+  cleared_[ClearedKey(cause)] = now;
+  const auto it = records_.find(cause);
   if (it == records_.end()) {
     return false;
   }
-  const bool takes_back = it->second.Standing() > 0;
-  it->second.answered_at = now;
+  Judge();
+  Record& record = it->second;
+  const bool takes_back = record.standing > 0 && record.told;
+  record.cleared_at = now;
+  judged_ = false;
   return takes_back;
 }
 
-bool CrashRecords::Merge(TimeUs now, const CrashRecord& record) {
-  if (record.fingerprint.empty() || record.ends.empty()) {
-    return false;
-  }
-  Record& own = FindOrAdd(now, record.fingerprint, record.account);
-  const std::size_t before = own.Standing();
+std::vector<CrashCause> CrashRecords::Merge(TimeUs now,
+                                            const CrashReport& report) {
   const auto at = [now](DurationUs age) {
     return now - std::max<DurationUs>(0, age);
   };
-  if (record.answered_age != kNever) {
-    const TimeUs answered_at = at(record.answered_age);
-    own.answered_at =
-        std::max(answered_at, own.answered_at.value_or(answered_at));
+  Judge();
+  std::map<CrashCause, std::size_t> before;
+  const auto clear = [&](Record* record, TimeUs cleared_at) {
+    record->cleared_at =
+        std::max(cleared_at, record->cleared_at.value_or(cleared_at));
+  };
+  for (const CrashEnd& end : report.ends) {
+    for (const CrashSuspect& it : end.suspects) {
+      const auto known = records_.find(it.cause);
+      before.emplace(it.cause,
+                     known == records_.end() ? 0 : known->second.standing);
+      Record& record = FindOrAdd(now, it.cause, it.account);
+      record.told = true;
+      if (it.cleared_age != kNever) {
+        clear(&record, at(it.cleared_age));
+      }
+      AddEnd(&record, {end.replica, end.incarnation},
+             {at(it.began_age), at(end.age)});
+    }
   }
-  for (const CrashEnd& it : record.ends) {
-    AddEnd(&own, {it.replica, it.incarnation}, {at(it.began_age), at(it.age)});
+  for (const ClearedCause& it : report.cleared) {
+    const auto known = records_.find(it.cause);
+    if (known != records_.end()) {
+      before.emplace(it.cause, known->second.standing);
+      clear(&known->second, at(it.age));
+      judged_ = false;
+    }
+  }
+  Judge();
+  std::vector<CrashCause> changed;
+  for (const auto& [cause, standing] : before) {
+    const auto it = records_.find(cause);
+    if (it != records_.end() && it->second.standing != standing) {
+      changed.push_back(cause);
+    }
   }
-  return own.Standing() != before;
+  return changed;
+}
+
+std::vector<CrashCause> CrashRecords::TakeVerdictChanges() {
+  Judge();
+  std::vector<CrashCause> changed;
+  for (auto& [cause, record] : records_) {
+    if (!(record.state == record.reported_state)) {
+      record.reported_state = record.state;
+      changed.push_back(cause);
+    }
+  }
+  return changed;
+}
+
+bool CrashRecords::SawEnd(const CrashCause& cause) const {
+  const auto it = records_.find(cause);
+  return it != records_.end() && it->second.saw_end;
 }
 
-CrashRecord CrashRecords::Get(TimeUs now,
-                              const std::string& fingerprint) const {
-  CrashRecord out;
-  out.fingerprint = fingerprint;
-  const auto it = records_.find(fingerprint);
+bool CrashRecords::Stands(const ReplicaId& replica,
+                          const CrashCause& cause) const {
+  const auto it = records_.find(cause);
   if (it == records_.end()) {
-    return out;
+    return false;
   }
-  const Record& record = it->second;
-  out.account = record.account;
-  if (record.answered_at) {
-    out.answered_age = now - *record.answered_at;
+  const auto end = it->second.ends.find(replica);
+  return end != it->second.ends.end() && it->second.Stands(end->second);
+}
+
+std::string CrashRecords::AccountOf(const CrashCause& cause) const {
+  const auto it = records_.find(cause);
+  return it == records_.end() ? std::string() : it->second.account;
+}
+
+CrashReport CrashRecords::Report(TimeUs now,
+                                 const std::vector<CrashCause>& causes) {
+  std::map<ReplicaId, CrashEnd> ends;
+  CrashReport report;
+  for (const CrashCause& cause : causes) {
+    const auto found = records_.find(cause);
+    if (found == records_.end()) {
+      continue;
+    }
+    Record& record = found->second;
+    record.told = true;
+    std::vector<std::pair<TimeUs, ReplicaId>> latest;
+    for (const auto& [replica, run] : record.ends) {
+      latest.emplace_back(run.ended_at, replica);
+    }
+    std::sort(latest.rbegin(), latest.rend());
+    latest.resize(std::min(latest.size(), kMaxEndsReported));
+    for (const auto& [ended_at, replica] : latest) {
+      CrashEnd& end = ends[replica];
+      end.replica = replica.name;
+      end.incarnation = replica.incarnation;
+      end.age = std::max(end.age, now - ended_at);
+      end.suspects.push_back(
+          {cause, record.account, now - record.ends.at(replica).began_at,
+           record.cleared_at ? now - *record.cleared_at : kNever});
+    }
+  }
+  for (auto& [replica, end] : ends) {
+    report.ends.push_back(std::move(end));
   }
-  for (const auto& [replica, run] : record.ends) {
-    out.ends.push_back({replica.name, replica.incarnation, now - run.ended_at,
-                        now - run.began_at});
+  return report;
+}
+
+CrashReport CrashRecords::Report(TimeUs now,
+                                 const ReplicaId& replica,
+                                 const std::vector<CrashCause>& suspects) {
+  CrashEnd end = {replica.name, replica.incarnation, 0, {}};
+  for (const CrashCause& cause : suspects) {
+    const auto it = records_.find(cause);
+    if (it == records_.end() || !it->second.ends.contains(replica)) {
+      continue;
+    }
+    Record& record = it->second;
+    const EndedRun& run = record.ends.at(replica);
+    record.told = true;
+    end.age = std::max(end.age, now - run.ended_at);
+    end.suspects.push_back(
+        {cause, record.account, now - run.began_at,
+         record.cleared_at ? now - *record.cleared_at : kNever});
   }
-  return out;
+  return end.suspects.empty() ? CrashReport() : CrashReport{{end}, {}};
 }
 
-std::vector<CrashRecord> CrashRecords::Some(TimeUs now,
-                                            std::size_t first,
-                                            std::size_t count) const {
-  std::vector<std::tuple<bool, TimeUs, std::string_view>> order;
+std::vector<CrashCause> CrashRecords::Some(TimeUs now,
+                                           std::size_t first,
+                                           std::size_t count) const {
+  std::vector<std::tuple<bool, TimeUs, CrashCause>> order;
   order.reserve(records_.size());
-  for (const auto& [fingerprint, record] : records_) {
-    if (!IsExpired(now, record)) {
-      order.emplace_back(record.HasTooMany(), record.LastEnd(), fingerprint);
+  for (const auto& [cause, record] : records_) {
+    if (!IsExpired(now, cause.kind, record)) {
+      order.emplace_back(record.has_too_many, record.LastEnd(), cause);
     }
   }
   std::sort(order.rbegin(), order.rend());
-  std::vector<CrashRecord> some;
+  std::vector<CrashCause> some;
   for (std::size_t n = 0; n < std::min(count, order.size()); ++n) {
-    const auto& it = order[(first + n) % order.size()];
-    some.push_back(Get(now, std::string(std::get<std::string_view>(it))));
+    some.push_back(std::get<CrashCause>(order[(first + n) % order.size()]));
   }
   return some;
 }
 
-void CrashRecords::Erase(const std::string& fingerprint) {
-  const auto it = records_.find(fingerprint);
-  const auto account = accounts_.find(it->second.account);
-  if (--account->second == 0) {
-    accounts_.erase(account);
+void CrashRecords::Erase(const CrashCause& cause) {
+  const auto it = records_.find(cause);
+  CountOut(&accounts_, it->second.account);
+  if (cause.kind == CauseKind::kRequest) {
+    CountOut(&requests_, it->second.account);
   }
   records_.erase(it);
+  judged_ = false;
 }
 
 void CrashRecords::RemoveExpired(TimeUs now) {
-  std::vector<std::string> expired;
-  for (const auto& [fingerprint, record] : records_) {
-    if (IsExpired(now, record)) {
-      expired.push_back(fingerprint);
+  std::vector<CrashCause> expired;
+  for (const auto& [cause, record] : records_) {
+    if (IsExpired(now, cause.kind, record)) {
+      expired.push_back(cause);
     }
   }
-  for (const std::string& it : expired) {
+  for (const CrashCause& it : expired) {
     Erase(it);
   }
 }
 
+// The record with the fewest ends goes first: those of a cause that ends
+// replicas grow, while others come and go with each end.
 void CrashRecords::EvictIfFull() {
   if (records_.size() < kMaxRecords) {
     return;
@@ -234,16 +368,16 @@
   const auto most = std::max_element(
       accounts_.begin(), accounts_.end(),
       [](const auto& a, const auto& b) { return a.second < b.second; });
-  std::tuple<bool, TimeUs, std::string> victim = {true, 0, ""};
-  for (const auto& [fingerprint, record] : records_) {
-    const std::tuple<bool, TimeUs, std::string> it = {
-        record.HasTooMany(), record.LastEnd(), fingerprint};
-    if (record.account == most->first &&
-        (std::get<std::string>(victim).empty() || it < victim)) {
-      victim = it;
+  using Rank = std::tuple<bool, std::size_t, TimeUs>;
+  std::optional<std::pair<Rank, CrashCause>> victim;
+  for (const auto& [cause, record] : records_) {
+    const Rank rank = {record.has_too_many, record.ends.size(),
+                       record.LastEnd()};
+    if (record.account == most->first && (!victim || rank < victim->first)) {
+      victim.emplace(rank, cause);
     }
   }
-  Erase(std::get<std::string>(victim));
+  Erase(victim->second);
 }
 
 }  // namespace acaciachute
--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -1,30 +1,34 @@
-// Tells which requests end the replicas that run them.
+// Tells what ends the replicas that run it: which requests, and which parts of
+// prompts (`CrashCause`).
 //
-// Such a request is sent again by its client, at any gateway, and each time
-// ends a replica with all that others have in progress there. So gateways pass
-// on which replicas ended while which request was in progress there. A request
-// is blocked once `kMaxEnds` replicas ended under it in sequence and no run of
-// it was answered whole since:
-// - Only runs that began after the end before count: many replicas may end at
-//   once, as their hosts lose power, while copies of one request run at them.
+// Such a request is sent again by its client, or others with the same part come
+// at any gateway, and each ends a replica with all that others have in progress
+// there. So gateways pass on which replicas ended while which causes were in
+// progress there. A cause is blocked once too many replicas ended under it and
+// no answer cleared it since (`JudgeCauses`):
 // - A set of replicas is merged, not a count, so that several gateways that see
 //   the same end, or tell of it twice, count it once.
-// - A whole answer takes back all ends before it, at any gateway: a request
-//   that many clients send is in progress at every end, and is answered too.
-//   Once it was, it takes twice as many ends to block it.
-// - The ends of a blocked request do not count for requests with fewer ends:
-//   they were in progress beside it.
-// - After `kBlockDuration` it may run again, and one more end blocks it again.
+// - An answer takes back all ends before it, at any gateway: what many clients
+//   send is in progress at every end, and is answered too. Once it was, it
+//   takes more ends to block it. What clears a request is a whole answer; what
+//   clears a part is an answer that has begun, as a part that ends replicas
+//   lets none begin.
 #ifndef ACACIACHUTE_SRC_COORDINATION_CRASHES_CRASH_RECORDS_H_
 #define ACACIACHUTE_SRC_COORDINATION_CRASHES_CRASH_RECORDS_H_
 
+#include <array>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "coordination/crashes/crash_judgement.h"
 #include "messages.h"
+#include "state/crash_cause.h"
 #include "state/replica_directory.h"
 #include "types.h"
 
@@ -32,109 +36,138 @@
 
 class CrashRecords {
  public:
-  // Replicas that may end under a request before it is blocked.
-  static constexpr std::size_t kMaxEnds = 3;
-  static constexpr std::size_t kMaxEndsOnceAnswered = 2 * kMaxEnds;
-  // Ends from which on a gateway does not repeat the request by itself.
+  // Ends from which on a gateway does not repeat a request by itself.
   static constexpr std::size_t kMaxEndsToRepeat = 2;
-  // Time for which a request stays blocked after the last end. By then whoever
-  // runs the replicas has had time to mend or replace them.
-  static constexpr DurationUs kBlockDuration = 3600 * kSecond;
-  // Lifetime of a record after its last end: long for requests that were
-  // blocked, short for others, as clients send again within minutes.
-  static constexpr DurationUs kBlockedLifetime = 24 * 3600 * kSecond;
+  // Lifetime of a record that is not blocked, after its last end: clients send
+  // again within minutes.
   static constexpr DurationUs kLifetime = 600 * kSecond;
-  // Limits on memory, and on the size of a datagram with records. Of many
-  // records those of the account with most of them are dropped first, so that a
-  // client which makes up such requests displaces its own.
+  // Limits on memory, and on the size of a report. Of many records those of the
+  // account with most of them are dropped first, so that a client which makes
+  // up such requests displaces its own.
   static constexpr std::size_t kMaxRecords = 1024;
-  static constexpr std::size_t kMaxEndsKept = 8;
-  static constexpr std::size_t kMaxAnswersKept = 4096;
+  static constexpr std::size_t kMaxEndsKept = 24;
+  static constexpr std::size_t kMaxEndsReported = 8;  // The latest ones.
+  static constexpr std::size_t kMaxClearedKept = 16384;
 
-  // What is known about a request.
+  // What is known about a cause.
   struct Verdict {
     std::size_t ends = 0;  // Replicas that count.
     bool blocked = false;
+    Doubt doubt = Doubt::kNone;  // If there is any, one request may try it.
+    bool cleared_before = false;
     DurationUs last_end_age = 0;
-    DurationUs blocked_for = 0;  // Remaining time.
+    DurationUs blocked_for = kNever;  // Remaining time; `kNever`: no limit.
   };
-  Verdict Of(TimeUs now, const std::string& fingerprint) const;
+  Verdict Of(TimeUs now, const CrashCause& cause) const;
   // Whether any request of the account has a record; if not, the fingerprints
   // of its requests need not be computed.
-  bool HasAccount(const std::string& account) const {
-    return accounts_.contains(account);
+  bool HasRequestOf(const std::string& account) const {
+    return requests_.contains(account);
   }
+  bool Has(const CrashCause& cause) const { return records_.contains(cause); }
+  bool HasBlockedPart() const {
+    Judge();
+    return blocked_parts_ > 0;
+  }
+  // Whether this gateway knows of an answer that cleared the cause.
+  bool WasCleared(const CrashCause& cause) const;
 
-  // A run of a request at a replica, which ended under it.
-  struct EndedRun {
-    TimeUs began_at = 0;
-    TimeUs ended_at = 0;
+  // A cause of a request that was in progress where a replica ended.
+  struct Suspect {
+    CrashCause cause;
+    std::string account;
+    EndedRun run;
   };
-  // Returns whether the record changed.
-  bool OnReplicaEnded(TimeUs now,
-                      const EndedRun& run,
-                      const std::string& fingerprint,
-                      const std::string& account,
-                      const ReplicaId& replica);
-  // A run of the request was answered whole, or an operator lifts its block.
-  // Returns whether that takes back any end. It also takes back ends before it
-  // that are known only later.
-  bool OnAnswered(TimeUs now, const std::string& fingerprint);
-  // Merges a record of another gateway or of the store; returns whether this
-  // one's changed.
-  bool Merge(TimeUs now, const CrashRecord& record);
-  // The record of a request, for other gateways; without ends if there is none.
-  CrashRecord Get(TimeUs now, const std::string& fingerprint) const;
-  // Up to `count` records from the `first` on, and again from the beginning.
+  // This gateway saw a replica end. Returns the suspects for which that is new.
+  std::vector<CrashCause> OnReplicaEnded(TimeUs now,
+                                         const ReplicaId& replica,
+                                         const std::vector<Suspect>& suspects);
+  // An answer, or an operator, shows that the cause is sound. Returns whether
+  // that takes back any end that other gateways know. It also takes back ends
+  // before it that are known only later.
+  bool OnCleared(TimeUs now, const CrashCause& cause);
+  // Merges what another gateway or the store knows; returns the causes of which
+  // the number of ends changed.
+  std::vector<CrashCause> Merge(TimeUs now, const CrashReport& report);
+
+  // Causes that are blocked or not blocked any more, or of whose verdict the
+  // doubt changed, since the last call.
+  std::vector<CrashCause> TakeVerdictChanges();
+  // Whether this gateway saw a replica end under the cause.
+  bool SawEnd(const CrashCause& cause) const;
+  // Whether the end still counts for the cause.
+  bool Stands(const ReplicaId& replica, const CrashCause& cause) const;
+
+  // The latest ends of these causes, to tell others.
+  CrashReport Report(TimeUs now, const std::vector<CrashCause>& causes);
+  // What others are told of these suspects only.
+  CrashReport Report(TimeUs now,
+                     const ReplicaId& replica,
+                     const std::vector<CrashCause>& suspects);
+  // Up to `count` causes from the `first` on, and again from the beginning.
   // Those with too many ends come first, then those with the latest ends.
-  std::vector<CrashRecord> Some(TimeUs now,
-                                std::size_t first,
-                                std::size_t count) const;
-  std::vector<CrashRecord> All(TimeUs now) const {
+  std::vector<CrashCause> Some(TimeUs now,
+                               std::size_t first,
+                               std::size_t count) const;
+  std::vector<CrashCause> All(TimeUs now) const {
     return Some(now, 0, records_.size());
   }
+  // Of the first request under which a replica ended.
+  std::string AccountOf(const CrashCause& cause) const;
 
  private:
+  // What `Judge` says of a cause.
+  struct State {
+    bool blocked = false;
+    Doubt doubt = Doubt::kNone;
+    bool operator==(const State&) const = default;
+  };
+
   struct Record {
     std::string account;
-    std::optional<TimeUs> answered_at;   // Of the last whole answer.
+    std::optional<TimeUs> cleared_at;    // By the last answer.
     std::map<ReplicaId, EndedRun> ends;  // By replica; at least one.
+    bool saw_end = false;                // This gateway did, not only others.
+    bool told = false;                   // Another gateway knows an end.
+    // Derived by `Judge`.
+    std::size_t standing = 0;  // Ends that no answer took back.
+    bool has_too_many = false;
+    std::size_t counted = 0;  // Ends that no other cause explains.
+    State state;
+    State reported_state;  // By `TakeVerdictChanges`.
 
     // Whether no answer took the end back.
     bool Stands(const EndedRun& run) const {
-      return !answered_at || run.ended_at > *answered_at;
-    }
-    // Number of ends that stand, in sequence.
-    std::size_t Standing() const;
-    std::size_t MaxEnds() const {
-      return answered_at ? kMaxEndsOnceAnswered : kMaxEnds;
+      return !cleared_at || run.ended_at > *cleared_at;
     }
-    bool HasTooMany() const { return Standing() >= MaxEnds(); }
     TimeUs LastEnd() const;
   };
+  using Records = absl::flat_hash_map<CrashCause, Record>;
+
+  // Derives the verdicts again if anything changed.
+  void Judge() const;
 
   Record& FindOrAdd(TimeUs now,
-                    const std::string& fingerprint,
+                    const CrashCause& cause,
                     const std::string& account);
-  static void AddEnd(Record* record,
-                     const ReplicaId& replica,
-                     const EndedRun& run);
-  // The most runs of which each began after the one before had ended.
-  static std::size_t InSequence(std::vector<EndedRun> runs);
-  // Whether the end is that of a blocked request with more ends.
-  bool IsExplained(const ReplicaId& replica, const Record& record) const;
-  bool IsExpired(TimeUs now, const Record& record) const;
-  void Erase(const std::string& fingerprint);
+  void AddEnd(Record* record, const ReplicaId& replica, const EndedRun& run);
+  static std::uint64_t ClearedKey(const CrashCause& cause);
+  std::optional<TimeUs> LastCleared(const CrashCause& cause) const;
+  bool IsExpired(TimeUs now, CauseKind kind, const Record& record) const;
+  void Erase(const CrashCause& cause);
   void RemoveExpired(TimeUs now);
   void EvictIfFull();
 
-  absl::flat_hash_map<std::string, Record> records_;  // By fingerprint.
-  std::map<std::string, std::size_t> accounts_;       // Number of records.
-  // When requests were last answered whole here. At `kMaxAnswersKept`, the ones
+  mutable Records records_;  // `Judge` sets what is derived.
+  mutable bool judged_ = true;
+  mutable std::size_t blocked_parts_ = 0;
+  std::map<std::string, std::size_t> accounts_;  // Number of records.
+  std::map<std::string, std::size_t> requests_;  // Those of requests only.
+  // When causes were last cleared here, by hash. At `kMaxClearedKept`, the ones
   // before replace the older ones.
-  using Answers = absl::flat_hash_map<std::string, TimeUs>;
-  Answers answers_;
-  Answers older_answers_;
+  using Cleared = absl::flat_hash_map<std::uint64_t, TimeUs>;
+  Cleared cleared_;
+  Cleared older_cleared_;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -22,6 +22,7 @@
       metrics(metrics_in),
       log(log_in),
       replica_rate_limiter(options.node),
+      cause_trials(options.node),
       engines(directory_in, &replica_rate_limiter, random_in) {
   replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
@@ -60,6 +61,7 @@
 void Gateway::Impl::RefuseUnadmitted(ExchangeId id,
                                      const ClientRequest& call,
                                      LocalReply answer) {
+  cause_trials.OnEnded(id, false);
   metrics->Count("acaciachute_gateway_refused_total", Name(answer.reason));
   log->Write("refused",
              {{"id", call.id},
@@ -116,6 +118,7 @@
                            std::string_view outcome,
                            int status) {
   CancelAttempt(request);
+  cause_trials.OnEnded(request->id, request->arrivals > 0);
   ReturnReservedRetries(request);
   if (!request->route->stages.empty()) {
     dispatcher->CancelRequest(request->call.id);
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -101,6 +101,9 @@
   // `Gateway::OnReplicaProbed` follows, never from inside this call.
   virtual void ProbeReplica(const ReplicaId& replica,
                             const Address& address) = 0;
+
+  // The other live gateways.
+  virtual std::vector<NodeId> LivePeers() = 0;
 };
 
 struct GatewayOptions {
@@ -191,9 +194,9 @@
   void OnReplicaProbed(const ReplicaId& replica,
                        ProbeOutcome outcome,
                        TimeUs sent_at);
-  // What another gateway, or the store (`source`), knows of a request under
-  // which replicas ended.
-  void OnCrashRecord(const CrashRecord& record, std::string_view source);
+  // What another gateway, or the store (`source`), knows of replicas that
+  // ended.
+  void OnCrashReport(const CrashReport& report, std::string_view source);
   void OnPiece(const PieceResult& result);
   // What a replica states in its answer to a call with pieces or to a release
   // of results.
@@ -224,16 +227,17 @@
   // requests with a short Retry-After, because a new connection most likely
   // reaches a gateway that can.
   void SetPeerCanCheckKeys(bool can_check_keys);
-  // A crash record that this gateway's own requests changed.
-  struct CrashChange {
-    CrashRecord record;
-    bool blocked = false;  // The request is blocked, or was until now.
+  // What this gateway's own requests showed since the last call: reports for
+  // other gateways, and causes that the store has to remember or to forget.
+  struct CrashNews {
+    std::vector<CrashReport> reports;
+    std::vector<CrashCause> to_store;
   };
-  std::vector<CrashChange> TakeCrashChanges();
-  const CrashRecords& crash_records() const;
-  // An operator takes all ends of replicas under a request back. Returns false
-  // if none counts.
-  bool LiftBlock(const std::string& fingerprint);
+  CrashNews TakeCrashNews();
+  CrashRecords* crash_records();
+  // An operator takes all ends of replicas under a cause back. Returns false if
+  // none counts.
+  bool LiftBlock(const CrashCause& cause);
   EngineChoice* engines();
   ReplicaRateLimiter* rate_limiter();
   // Replicas that stated in answers to this gateway that they leave.
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -43,6 +43,7 @@
   Attempt& attempt = request->attempt;
   if (!attempt.first_event_received) {
     attempt.first_event_received = true;
+    OnBegun(*request);
     engines.OnFirstEvent(attempt.replica.id, request->ForEngine());
     // The replica fetched its inputs before it read the prompt, so they can be
     // released.
@@ -125,10 +126,18 @@
     PlainChoiceOf(request->service)
         .OnAnswer(now, attempt.replica.id, attempt.sent_at);
   }
+  // A replica that ends after the head of an answer without a length leaves an
+  // empty one that looks whole.
+  const bool may_have_ended =
+      *attempt.end == AnswerEnd::kClosed && attempt.body.empty();
+  if (may_have_ended) {
+    OnBroken(request);
+  }
   EndAttempt(request);
   ++request->possible_runs;
-  if (attempt.head->ok()) {
+  if (attempt.head->ok() && !may_have_ended) {
     OnAnsweredWhole(request);
+    OnBegun(*request);
   }
   if (request->stream_begun) {
     // A replica that should have resumed the stream answered with an error.
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -1,6 +1,11 @@
 // Replicas that end while requests are in progress there, and requests that are
-// refused because replicas ended under them again and again.
+// refused because replicas ended under them, or under others with one of their
+// prompt parts, again and again.
+#include <xxhash.h>
+
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 #include "coordination/gateway/gateway_impl.h"
@@ -8,16 +13,39 @@
 #include "text.h"
 
 namespace acaciachute {
+namespace {
+
+// Parts of one prompt that are suspects when its replica ends.
+constexpr std::size_t kMaxSuspectParts = 32;
+
+// Delay until others are told of suspects that were cleared before: most are
+// cleared again meanwhile.
+constexpr DurationUs kLateTellDelay = 150 * kMillisecond;
+
+// Retry-After of requests with a part whose verdict is doubtful: by then a
+// trial has ended.
+constexpr DurationUs kMinTrialTime = 500 * kMillisecond;
+constexpr DurationUs kTrialTimeSpread = 700 * kMillisecond;
+
+}  // namespace
+
+const std::string& Gateway::Impl::AccountOf(const ServingRequest& request) {
+  static const std::string kAnonymous;
+  return request.account != nullptr ? request.account->name : kAnonymous;
+}
 
 const std::string& Gateway::Impl::FingerprintOf(ServingRequest* request) const {
   if (request->fingerprint.empty()) {
-    request->fingerprint = RequestFingerprint(
-        request->account != nullptr ? request->account->name : "",
-        request->call);
+    request->fingerprint =
+        RequestFingerprint(AccountOf(*request), request->call);
   }
   return request->fingerprint;
 }
 
+CrashCause Gateway::Impl::RequestCause(ServingRequest* request) const {
+  return {CauseKind::kRequest, FingerprintOf(request)};
+}
+
 // For logs, so of limited length.
 std::string Gateway::Impl::PartIds(const ClientRequest& call) {
   constexpr std::size_t kMaxParts = 12;
@@ -29,6 +57,32 @@
   return call.prompt.size() > kMaxParts ? StrCat(ids, ",...") : ids;
 }
 
+// The request and, unless its answer has begun, the parts of its prompt. Of
+// very many parts, those go first that were suspects before and that were never
+// cleared; equal ones by their hash, so that the same ones are chosen each
+// time.
+std::vector<CrashCause> Gateway::Impl::SuspectsOf(
+    ServingRequest* request) const {
+  std::vector<CrashCause> suspects = {RequestCause(request)};
+  if (request->attempt.first_event_received) {
+    return suspects;
+  }
+  std::vector<CrashCause> parts = PartCauses(request->call);
+  if (parts.size() > kMaxSuspectParts) {
+    const auto rank = [this](const CrashCause& it) {
+      return std::tuple(!crash_records.Has(it), crash_records.WasCleared(it),
+                        XXH3_64bits(it.id.data(), it.id.size()));
+    };
+    std::sort(parts.begin(), parts.end(),
+              [&](const CrashCause& a, const CrashCause& b) {
+                return rank(a) < rank(b);
+              });
+    parts.resize(kMaxSuspectParts);
+  }
+  std::move(parts.begin(), parts.end(), std::back_inserter(suspects));
+  return suspects;
+}
+
 // What ends at a replica that leaves, or that is not listed any more, ends as
 // planned.
 void Gateway::Impl::OnBroken(ServingRequest* request) {
@@ -37,62 +91,109 @@
   if (listed == nullptr || listed->leaving) {
     return;
   }
-  const BrokenAttempt attempt = {
-      FingerprintOf(request),
-      request->account != nullptr ? request->account->name : "",
-      request->call.id,
-      PartIds(request->call),
-      request->attempt.first_event_received,
-      request->attempt.sent_at};
+  BrokenAttempt attempt;
+  attempt.causes = SuspectsOf(request);
+  attempt.account = AccountOf(*request);
+  attempt.request = request->call.id;
+  attempt.parts = PartIds(request->call);
+  attempt.begun = request->attempt.first_event_received;
+  attempt.began_at = request->attempt.sent_at;
+  attempt.broken_at = output->Now();
   if (broken_attempts.OnBroken(output->Now(), replica, attempt)) {
-    OnEndedUnder(replica, attempt, output->Now());
+    OnEndedUnder(replica, {attempt});
   }
 }
 
 void Gateway::Impl::OnEndedUnder(const ReplicaId& replica,
-                                 const BrokenAttempt& attempt,
-                                 TimeUs ended_at) {
+                                 const std::vector<BrokenAttempt>& attempts) {
   const TimeUs now = output->Now();
-  const bool was_blocked = crash_records.Of(now, attempt.fingerprint).blocked;
-  if (!crash_records.OnReplicaEnded(now, {attempt.began_at, ended_at},
-                                    attempt.fingerprint, attempt.account,
-                                    replica)) {
-    return;
+  std::vector<CrashRecords::Suspect> suspects;
+  for (const BrokenAttempt& attempt : attempts) {
+    for (const CrashCause& it : attempt.causes) {
+      suspects.push_back(
+          {it, attempt.account, {attempt.began_at, attempt.broken_at}});
+    }
+  }
+  const auto added = crash_records.OnReplicaEnded(now, replica, suspects);
+  for (const BrokenAttempt& it : attempts) {
+    LogEndedUnder(replica, it);
+  }
+  TellEnds(replica, added);
+  ApplyVerdicts();
+}
+
+// Names the cause with most ends.
+void Gateway::Impl::LogEndedUnder(const ReplicaId& replica,
+                                  const BrokenAttempt& attempt) {
+  const TimeUs now = output->Now();
+  const CrashCause* most = &attempt.causes.front();
+  for (const CrashCause& it : attempt.causes) {
+    if (crash_records.Of(now, it).ends > crash_records.Of(now, *most).ends) {
+      most = &it;
+    }
   }
-  const auto verdict = crash_records.Of(now, attempt.fingerprint);
+  const auto verdict = crash_records.Of(now, *most);
   log->Write("ended_under", {{"id", attempt.request},
-                             {"fingerprint", attempt.fingerprint},
+                             {"fingerprint", Text(attempt.causes.front())},
                              {"account", attempt.account},
                              {"replica", replica.name},
                              {"life", replica.incarnation},
                              {"parts", attempt.parts},
                              {"begun", attempt.begun},
+                             {"most", Text(*most)},
                              {"ends", verdict.ends},
                              {"blocked", verdict.blocked}});
-  constexpr std::size_t kMaxSeen = 4096;
-  if (seen_crashing.size() >= kMaxSeen) {
-    seen_crashing.clear();
+}
+
+void Gateway::Impl::TellEnds(const ReplicaId& replica,
+                             const std::vector<CrashCause>& suspects) {
+  const TimeUs now = output->Now();
+  LateSuspects late = {now + kLateTellDelay, replica, {}};
+  std::vector<CrashCause> at_once;
+  for (const CrashCause& it : suspects) {
+    (crash_records.WasCleared(it) ? late.causes : at_once).push_back(it);
+  }
+  crash_news.reports.push_back(crash_records.Report(now, replica, at_once));
+  if (!late.causes.empty()) {
+    late_suspects.push_back(std::move(late));
+  }
+}
+
+void Gateway::Impl::TellLateSuspects() {
+  const TimeUs now = output->Now();
+  while (!late_suspects.empty() && late_suspects.front().due_at <= now) {
+    LateSuspects& late = late_suspects.front();
+    std::erase_if(late.causes, [&](const CrashCause& it) {
+      return !crash_records.Stands(late.replica, it);
+    });
+    crash_news.reports.push_back(
+        crash_records.Report(now, late.replica, late.causes));
+    late_suspects.pop_front();
   }
-  seen_crashing.insert(attempt.fingerprint);
-  ReportChange(attempt.fingerprint, was_blocked);
 }
 
-void Gateway::Impl::ReportChange(const std::string& fingerprint,
-                                 bool was_blocked) {
+void Gateway::Impl::ApplyVerdicts() {
   const TimeUs now = output->Now();
-  const auto verdict = crash_records.Of(now, fingerprint);
-  crash_changes.push_back(
-      {crash_records.Get(now, fingerprint), was_blocked || verdict.blocked});
-  if (was_blocked != verdict.blocked) {
+  bool any_blocked = false;
+  for (const CrashCause& it : crash_records.TakeVerdictChanges()) {
+    const auto verdict = crash_records.Of(now, it);
     metrics->Count("acaciachute_gateway_blocked_requests_total",
                    verdict.blocked ? "blocked" : "lifted");
     log->Write("crash_verdict",
-               {{"fingerprint", fingerprint},
+               {{"cause", Text(it)},
+                {"kind", Name(it.kind)},
                 {"blocked", verdict.blocked},
+                {"doubt", Name(verdict.doubt)},
                 {"ends", verdict.ends},
                 {"last_end_ms", verdict.last_end_age / kMillisecond}});
+    any_blocked = any_blocked || verdict.blocked;
+    // Whoever saw an end itself writes the row, so that it is written even if
+    // each gateway saw only some of the ends.
+    if (crash_records.SawEnd(it)) {
+      crash_news.to_store.push_back(it);
+    }
   }
-  if (verdict.blocked) {
+  if (any_blocked) {
     RefuseBlocked();
   }
 }
@@ -126,40 +227,95 @@
               {"in_progress", attempts.size()},
               {"begun", begun},
               {"after_ms", (now - attempts.front().broken_at) / kMillisecond}});
-  for (const BrokenAttempt& it : attempts) {
-    OnEndedUnder(replica, it, it.broken_at);
-  }
+  OnEndedUnder(replica, attempts);
 }
 
-// Whether the request shares its account with any that has a record.
-bool Gateway::Impl::MayHaveRecord(const ServingRequest& request) const {
-  return crash_records.HasAccount(
-      request.account != nullptr ? request.account->name : "");
+std::vector<CrashCause> Gateway::Impl::BlockedCauses(
+    ServingRequest* request) const {
+  const TimeUs now = output->Now();
+  std::vector<CrashCause> blocked;
+  const auto add_if_blocked = [&](const CrashCause& it) {
+    if (crash_records.Of(now, it).blocked) {
+      blocked.push_back(it);
+    }
+  };
+  if (crash_records.HasRequestOf(AccountOf(*request))) {
+    add_if_blocked(RequestCause(request));
+  }
+  if (crash_records.HasBlockedPart()) {
+    for (const CrashCause& it : PartCauses(request->call)) {
+      add_if_blocked(it);
+    }
+  }
+  return blocked;
 }
 
-bool Gateway::Impl::IsBlocked(ServingRequest* request,
-                              LocalReply* refusal) const {
-  if (!MayHaveRecord(*request)) {
+// Not with several causes of which one is known to end replicas: the request
+// would tell nothing about the others.
+bool Gateway::Impl::MayTry(const ServingRequest& request,
+                           const std::vector<CrashCause>& blocked) {
+  const TimeUs now = output->Now();
+  bool all_tried = true;
+  for (const CrashCause& it : blocked) {
+    const Doubt doubt = crash_records.Of(now, it).doubt;
+    if (doubt == Doubt::kNone ||
+        (doubt == Doubt::kRival && blocked.size() > 1)) {
+      return false;
+    }
+    all_tried = all_tried && cause_trials.IsTrial(it, request.id);
+  }
+  if (all_tried) {
+    return true;
+  }
+  if (!cause_trials.Begin(blocked, request.id, output->LivePeers())) {
     return false;
   }
-  const std::string& fingerprint = FingerprintOf(request);
-  const auto verdict = crash_records.Of(output->Now(), fingerprint);
-  if (!verdict.blocked) {
+  log->Write("cause_trial",
+             {{"id", request.call.id}, {"cause", Text(blocked.front())}});
+  return true;
+}
+
+bool Gateway::Impl::IsBlocked(ServingRequest* request, LocalReply* refusal) {
+  const std::vector<CrashCause> blocked = BlockedCauses(request);
+  if (blocked.empty() || MayTry(*request, blocked)) {
     return false;
   }
+  const CrashCause& cause = blocked.front();
+  const auto verdict = crash_records.Of(output->Now(), cause);
+  const std::string until =
+      verdict.blocked_for == kNever
+          ? "refused until an answer or an operator clears it"
+          : StrCat("refused for ", verdict.blocked_for / kSecond,
+                   " s more, unless an operator lifts it");
   *refusal = {Refusal::kCrashesReplicas, Verdict::kNotRun, 0,
-              StrCat("fingerprint ", fingerprint, ": ", verdict.ends,
-                     " replicas ended under this request, the last one ",
-                     verdict.last_end_age / kSecond, " s ago; refused for ",
-                     verdict.blocked_for / kSecond,
-                     " s more, unless an operator lifts it")};
+              StrCat(cause.kind == CauseKind::kRequest ? "fingerprint " : "",
+                     Text(cause), ": ", verdict.ends,
+                     " replicas ended under it, the last one ",
+                     verdict.last_end_age / kSecond, " s ago; ", until)};
+  if (verdict.doubt != Doubt::kNone) {
+    refusal->retry_after = kMinTrialTime + static_cast<DurationUs>(
+                                               random->Below(kTrialTimeSpread));
+  }
   return true;
 }
 
+// Parts that were cleared before are in progress wherever a replica ends, so
+// two such ends tell little.
 bool Gateway::Impl::MayCrashReplicas(ServingRequest* request) const {
-  return MayHaveRecord(*request) &&
-         crash_records.Of(output->Now(), FingerprintOf(request)).ends >=
-             CrashRecords::kMaxEndsToRepeat;
+  const TimeUs now = output->Now();
+  const auto may_crash = [&](const CrashCause& it) {
+    const auto verdict = crash_records.Of(now, it);
+    const bool sound_part =
+        it.kind == CauseKind::kPromptPart && verdict.cleared_before;
+    return verdict.ends >=
+           (sound_part ? 2 : 1) * CrashRecords::kMaxEndsToRepeat;
+  };
+  if (crash_records.HasRequestOf(AccountOf(*request)) &&
+      may_crash(RequestCause(request))) {
+    return true;
+  }
+  const auto parts = PartCauses(request->call);
+  return std::any_of(parts.begin(), parts.end(), may_crash);
 }
 
 // Also without a record: of a request that is known to have been answered, a
@@ -167,28 +323,45 @@
 // that.
 void Gateway::Impl::OnAnsweredWhole(ServingRequest* request) {
   constexpr std::size_t kMaxRememberedBody = 64 << 10;
-  if (!MayHaveRecord(*request) &&
-      request->call.body.size() > kMaxRememberedBody) {
-    return;
-  }
-  const TimeUs now = output->Now();
-  const std::string& fingerprint = FingerprintOf(request);
-  const bool was_blocked = crash_records.Of(now, fingerprint).blocked;
-  if (crash_records.OnAnswered(now, fingerprint)) {
-    LogTakenBack(fingerprint, request->call.id, was_blocked);
-    ReportChange(fingerprint, was_blocked);
+  if (crash_records.HasRequestOf(AccountOf(*request)) ||
+      request->call.body.size() <= kMaxRememberedBody) {
+    Clear({RequestCause(request)}, request->call.id);
   }
 }
 
+void Gateway::Impl::OnBegun(const ServingRequest& request) {
+  Clear(PartCauses(request.call), request.call.id);
+}
+
 // `request`: the one that was answered; empty: an operator lifts the block.
-void Gateway::Impl::LogTakenBack(const std::string& fingerprint,
-                                 std::string_view request,
-                                 bool was_blocked) {
-  log->Write("ends_taken_back",
-             {{"id", request},
-              {"fingerprint", fingerprint},
-              {"why", request.empty() ? "operator" : "answered"},
-              {"was_blocked", was_blocked}});
+void Gateway::Impl::Clear(const std::vector<CrashCause>& causes,
+                          std::string_view request) {
+  const TimeUs now = output->Now();
+  bool any_known = false;
+  for (const CrashCause& it : causes) {
+    const bool known = crash_records.Has(it);
+    const auto before =
+        known ? crash_records.Of(now, it) : CrashRecords::Verdict();
+    const bool others_know = crash_records.OnCleared(now, it);
+    any_known = any_known || known;
+    if (others_know) {
+      crash_news.reports.push_back({{}, {{it, 0}}});
+    }
+    if (before.blocked) {
+      crash_news.to_store.push_back(it);
+    }
+    if (others_know || before.blocked) {
+      log->Write("ends_taken_back",
+                 {{"id", request},
+                  {"cause", Text(it)},
+                  {"why", request.empty() ? "operator" : "answered"},
+                  {"ends", before.ends},
+                  {"was_blocked", before.blocked}});
+    }
+  }
+  if (any_known) {
+    ApplyVerdicts();
+  }
 }
 
 void Gateway::Impl::RefuseBlocked() {
@@ -215,50 +388,49 @@
   }
 }
 
-void Gateway::OnCrashRecord(const CrashRecord& record,
+// Causes with one end are many, and decide nothing, so the line of the report
+// stands for them.
+void Gateway::OnCrashReport(const CrashReport& report,
                             std::string_view source) {
   const TimeUs now = impl_->output->Now();
-  const auto before = impl_->crash_records.Of(now, record.fingerprint);
-  if (!impl_->crash_records.Merge(now, record)) {
-    return;
-  }
-  const auto verdict = impl_->crash_records.Of(now, record.fingerprint);
-  impl_->log->Write("crash_record",
-                    {{"fingerprint", record.fingerprint},
-                     {"account", record.account},
-                     {"source", source},
-                     {"ends", verdict.ends},
-                     {"ends_before", before.ends},
-                     {"blocked", verdict.blocked},
-                     {"last_end_ms", verdict.last_end_age / kMillisecond}});
-  if (verdict.blocked == before.blocked) {
+  const auto changed = impl_->crash_records.Merge(now, report);
+  if (changed.empty()) {
     return;
   }
-  // Whoever saw an end itself writes the row, so that it is written even if
-  // each gateway saw only some of the ends.
-  if (impl_->seen_crashing.contains(record.fingerprint)) {
-    impl_->ReportChange(record.fingerprint, before.blocked);
-  } else if (verdict.blocked) {
-    impl_->RefuseBlocked();
+  impl_->log->Write("crash_report", {{"source", source},
+                                     {"ends", report.ends.size()},
+                                     {"cleared", report.cleared.size()},
+                                     {"changed", changed.size()}});
+  for (const CrashCause& it : changed) {
+    const auto verdict = impl_->crash_records.Of(now, it);
+    if (verdict.ends < CrashRecords::kMaxEndsToRepeat && !verdict.blocked) {
+      continue;
+    }
+    impl_->log->Write("crash_record",
+                      {{"cause", Text(it)},
+                       {"account", impl_->crash_records.AccountOf(it)},
+                       {"source", source},
+                       {"ends", verdict.ends},
+                       {"blocked", verdict.blocked},
+                       {"last_end_ms", verdict.last_end_age / kMillisecond}});
   }
+  impl_->ApplyVerdicts();
 }
 
-std::vector<Gateway::CrashChange> Gateway::TakeCrashChanges() {
-  return std::exchange(impl_->crash_changes, {});
+Gateway::CrashNews Gateway::TakeCrashNews() {
+  impl_->TellLateSuspects();
+  return std::exchange(impl_->crash_news, {});
 }
 
-const CrashRecords& Gateway::crash_records() const {
-  return impl_->crash_records;
+CrashRecords* Gateway::crash_records() {
+  return &impl_->crash_records;
 }
 
-bool Gateway::LiftBlock(const std::string& fingerprint) {
-  const TimeUs now = impl_->output->Now();
-  const bool was_blocked = impl_->crash_records.Of(now, fingerprint).blocked;
-  if (!impl_->crash_records.OnAnswered(now, fingerprint)) {
+bool Gateway::LiftBlock(const CrashCause& cause) {
+  if (impl_->crash_records.Of(impl_->output->Now(), cause).ends == 0) {
     return false;
   }
-  impl_->LogTakenBack(fingerprint, "", was_blocked);
-  impl_->ReportChange(fingerprint, was_blocked);
+  impl_->Clear({cause}, "");
   return true;
 }
 
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -3,6 +3,7 @@
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_GATEWAY_IMPL_H_
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -16,6 +17,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/replica_rate_limiter.h"
+#include "coordination/crashes/cause_trials.h"
 #include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
@@ -290,31 +292,44 @@
   void RefuseUnservable();
 
   // gateway_crashes.cc: replicas that end, and what was in progress there.
+  // Empty without an account.
+  static const std::string& AccountOf(const ServingRequest& request);
   const std::string& FingerprintOf(ServingRequest* request) const;
+  CrashCause RequestCause(ServingRequest* request) const;
   static std::string PartIds(const ClientRequest& call);
+  // What may have ended the replica of the current attempt.
+  std::vector<CrashCause> SuspectsOf(ServingRequest* request) const;
   // The connection of the current attempt broke after the request was sent.
   void OnBroken(ServingRequest* request);
-  // The replica ended while the attempt was in progress there.
+  // The replica ended while the attempts were in progress there.
   void OnEndedUnder(const ReplicaId& replica,
-                    const BrokenAttempt& attempt,
-                    TimeUs ended_at);
+                    const std::vector<BrokenAttempt>& attempts);
+  void LogEndedUnder(const ReplicaId& replica, const BrokenAttempt& attempt);
+  // Tells other gateways, later of those that are most likely sound.
+  void TellEnds(const ReplicaId& replica,
+                const std::vector<CrashCause>& suspects);
+  void TellLateSuspects();
+  // Acts on verdicts that changed.
+  void ApplyVerdicts();
   // `evidence`: what showed that the replica ended, for the log.
   void OnReplicaEnded(const ReplicaId& replica, std::string_view evidence);
   void ProbeBroken();
-  bool MayHaveRecord(const ServingRequest& request) const;
-  // Whether the request is refused because replicas ended under it; fills
-  // `refusal` if so.
-  bool IsBlocked(ServingRequest* request, LocalReply* refusal) const;
-  // Whether so many replicas ended under the request that only its client may
-  // repeat it.
+  std::vector<CrashCause> BlockedCauses(ServingRequest* request) const;
+  // Whether the request may try its blocked causes; see `CauseTrials`.
+  bool MayTry(const ServingRequest& request,
+              const std::vector<CrashCause>& blocked);
+  // Whether the request is refused because replicas ended under one of its
+  // causes; fills `refusal` if so.
+  bool IsBlocked(ServingRequest* request, LocalReply* refusal);
+  // Whether so many replicas ended under one of the request's causes that only
+  // its client may repeat it.
   bool MayCrashReplicas(ServingRequest* request) const;
   void OnAnsweredWhole(ServingRequest* request);
-  void LogTakenBack(const std::string& fingerprint,
-                    std::string_view request,
-                    bool was_blocked);
+  // The answer to the current attempt has begun.
+  void OnBegun(const ServingRequest& request);
+  void Clear(const std::vector<CrashCause>& causes, std::string_view request);
   // Refuses requests that are not at a replica yet and became blocked.
   void RefuseBlocked();
-  void ReportChange(const std::string& fingerprint, bool was_blocked);
 
   // gateway_turns.cc
   void LogRateLimit(const ReplicaId& replica, std::string_view source);
@@ -371,9 +386,15 @@
   LeavingStatements leaving_statements;
   BrokenAttempts broken_attempts;
   CrashRecords crash_records;
-  std::vector<CrashChange> crash_changes;
-  // Requests that this gateway has seen end replicas.
-  absl::flat_hash_set<std::string> seen_crashing;
+  CauseTrials cause_trials;
+  CrashNews crash_news;
+  // Suspects that were cleared before and are still to be told to others.
+  struct LateSuspects {
+    TimeUs due_at = 0;
+    ReplicaId replica;
+    std::vector<CrashCause> causes;
+  };
+  std::deque<LateSuspects> late_suspects;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/daemon/gateway_node_crashes.cc
+++ b/src/daemon/gateway_node_crashes.cc
@@ -1,4 +1,4 @@
-// Requests under which replicas ended: records for other gateways and for the
+// Causes under which replicas ended: reports for other gateways and for the
 // store, and the operators' pages.
 #include <glib.h>
 
@@ -23,27 +23,39 @@
 }  // namespace
 
 void GatewayNode::Impl::TickCrashes(TimeUs now) {
-  for (const Gateway::CrashChange& it : gateway->TakeCrashChanges()) {
-    crash_exchange.OnChanged(now, it.record, it.blocked);
+  Gateway::CrashNews news = gateway->TakeCrashNews();
+  for (CrashReport& it : news.reports) {
+    crash_exchange.OnNews(now, std::move(it));
   }
-  crash_exchange.OnTick(now, peers.LivePeers());
+  for (const CrashCause& it : news.to_store) {
+    crash_exchange.OnVerdict(it);
+  }
+  crash_exchange.OnTick(now);
 }
 
-void GatewayNode::Impl::SendCrashRecords(const NodeId& peer,
-                                         const CrashRecordUpdate& update) {
+void GatewayNode::Impl::SendCrashReport(const NodeId& peer,
+                                        const CrashReport& report) {
   if (mesh != nullptr) {
-    mesh->SendDatagram(peer, update);
+    mesh->SendDatagram(peer, report);
   }
 }
 
-void GatewayNode::Impl::WriteCrashRow(const std::string& key,
-                                      const CrashRecord& record) {
+void GatewayNode::Impl::WriteCrashRow(const std::string& key) {
+  const TimeUs now = Now();
+  std::vector<CrashCause> blocked;
+  for (CrashCause& it : gateway->crash_records()->All(now)) {
+    if (CrashExchange::RowKey(it) == key &&
+        gateway->crash_records()->Of(now, it).blocked) {
+      blocked.push_back(std::move(it));
+    }
+  }
+  const CrashReport report = gateway->crash_records()->Report(now, blocked);
   store.WriteRow(
-      kCrashTable, key, EncodeCrashRow(record, UnixMs()), false,
-      [this, fingerprint = record.fingerprint](platform::WriteOutcome outcome) {
+      kCrashTable, key, EncodeCrashRow(report, UnixMs()), false,
+      [this, key, count = blocked.size()](platform::WriteOutcome outcome) {
         const bool decided = outcome != platform::WriteOutcome::kUnknown;
         log.Write("crash_row",
-                  {{"fingerprint", fingerprint}, {"written", decided}});
+                  {{"key", key}, {"blocked", count}, {"written", decided}});
         crash_exchange.OnWritten(Now(), decided);
       });
 }
@@ -62,12 +74,12 @@
     log.Write("crash_rows_failed", {{"why", answer.why}});
   }
   for (const TableRow& it : answer.rows) {
-    const auto record = DecodeCrashRow(it.value, UnixMs());
-    if (record.ok()) {
-      gateway->OnCrashRecord(*record, "store");
+    const auto report = DecodeCrashRow(it.value, UnixMs());
+    if (report.ok()) {
+      gateway->OnCrashReport(*report, "store");
     } else {
       LogRefusedRow("crash_row_refused", it,
-                    std::string(record.status().message()));
+                    std::string(report.status().message()));
     }
   }
   if (ok) {
@@ -77,21 +89,24 @@
 }
 
 void GatewayNode::Impl::ListCrashes(ExchangeId id) {
+  const TimeUs now = Now();
+  CrashRecords* records = gateway->crash_records();
   Json rows = Json::array();
-  for (const CrashRecord& it : gateway->crash_records().All(Now())) {
-    const auto verdict = gateway->crash_records().Of(Now(), it.fingerprint);
+  for (const CrashCause& it : records->All(now)) {
+    const auto verdict = records->Of(now, it);
     if (verdict.ends == 0) {
       continue;
     }
     std::vector<std::string> replicas;
-    for (const CrashEnd& end : it.ends) {
+    for (const CrashEnd& end : records->Report(now, {it}).ends) {
       replicas.push_back(end.replica);
     }
     rows.push_back(
-        {{"fingerprint", it.fingerprint},
+        {{"fingerprint", Text(it)},
+         {"kind", Name(it.kind)},
          {"standing", Name(verdict.blocked ? QuarantineState::kConvicted
                                            : QuarantineState::kSuspect)},
-         {"account", it.account},
+         {"account", records->AccountOf(it)},
          {"crashed_at", replicas},
          {"age_ms", verdict.last_end_age / kMillisecond}});
   }
@@ -108,7 +123,7 @@
     return;
   }
   const auto fingerprint = in["fingerprint"].get<std::string>();
-  const bool lifted = gateway->LiftBlock(fingerprint);
+  const bool lifted = gateway->LiftBlock(ParseCause(fingerprint));
   readiness.Reply(id, lifted ? kHttpOk : kHttpNotFound,
                   {{"Content-Type", "application/json"}},
                   Json({{"lifted", fingerprint}}).dump());
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -36,7 +36,7 @@
 
 // The store's table in which gateways publish their addresses.
 inline constexpr char kGatewayTable[] = "acaciachute-gateways";
-// The store's table of requests that are refused because replicas ended under
+// The store's table of causes that are refused because replicas ended under
 // them.
 inline constexpr char kCrashTable[] = "acaciachute-crashes";
 
@@ -259,18 +259,17 @@
   void OnFrameKey(const std::string& key) override;
 
   // CrashExchangeOutput
-  void SendCrashRecords(const NodeId& peer,
-                        const CrashRecordUpdate& update) override;
-  std::vector<CrashRecord> CrashRecordsToSend(std::size_t first,
-                                              std::size_t count) override {
-    return gateway->crash_records().Some(Now(), first, count);
+  std::vector<NodeId> LivePeers() override { return peers.LivePeers(); }
+  void SendCrashReport(const NodeId& peer, const CrashReport& report) override;
+  CrashReport CrashReportToSend(std::size_t first, std::size_t count) override {
+    CrashRecords* records = gateway->crash_records();
+    return records->Report(Now(), records->Some(Now(), first, count));
   }
-  void WriteCrashRow(const std::string& key,
-                     const CrashRecord& record) override;
+  void WriteCrashRow(const std::string& key) override;
   void ReadCrashRows() override;
   void OnCrashRows(const TableAnswer& answer);
   void TickCrashes(TimeUs now);
-  // Operators' pages: the requests under which replicas ended, and the lifting
+  // Operators' pages: the causes under which replicas ended, and the lifting
   // of a block.
   void ListCrashes(ExchangeId id);
   void LiftCrashes(ExchangeId id, const std::string& body);
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -129,10 +129,8 @@
 void GatewayNode::Impl::OnPeerDatagram(const NodeId& from,
                                        Incarnation peer_incarnation,
                                        const Message& message) {
-  if (const auto* update = std::get_if<CrashRecordUpdate>(&message)) {
-    for (const CrashRecord& it : update->records) {
-      gateway->OnCrashRecord(it, "gateway");
-    }
+  if (const auto* report = std::get_if<CrashReport>(&message)) {
+    gateway->OnCrashReport(*report, from);
     return;
   }
   const auto* heartbeat = std::get_if<GatewayHeartbeat>(&message);
--- a/src/messages.h
+++ b/src/messages.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "state/crash_cause.h"
 #include "state/piece.h"
 #include "state/table_rows.h"
 #include "types.h"
@@ -223,28 +224,41 @@
   DurationUs age = 0;  // Since the first such answer.
 };
 
-// A replica that ended while a request was in progress there.
+// A cause of which a request was in progress at a replica when it ended.
+struct CrashSuspect {
+  CrashCause cause;
+  std::string account;       // Of the request.
+  DurationUs began_age = 0;  // Since the request was sent to the replica.
+  DurationUs cleared_age = kNever;  // Since an answer showed it to be sound.
+};
+
+// A replica that ended, with some of what was in progress there.
 struct CrashEnd {
   std::string replica;
   Incarnation incarnation = 0;
   DurationUs age = 0;
-  DurationUs began_age = 0;  // Since the request was sent to it.
+  std::vector<CrashSuspect> suspects;
 };
 
-// What the sender knows of a request under which replicas ended.
-struct CrashRecord {
-  std::string fingerprint;  // See `RequestFingerprint`.
-  std::string account;
-  DurationUs answered_age = kNever;  // Since its last whole answer.
-  std::vector<CrashEnd> ends;
+// An answer, or an operator, showed that the cause is sound.
+struct ClearedCause {
+  CrashCause cause;
+  DurationUs age = 0;
 };
 
-// Gateway to gateway, over UDP: records that changed, and all of them to a
-// gateway that has started.
-struct CrashRecordUpdate {
-  std::vector<CrashRecord> records;
+// Gateway to gateway, over UDP: replicas that ended, and causes that were
+// cleared. Also a row of the store.
+struct CrashReport {
+  std::vector<CrashEnd> ends;
+  std::vector<ClearedCause> cleared;
+
+  bool empty() const { return ends.empty() && cleared.empty(); }
 };
 
+// Keeps the place of a message that gateways of earlier builds send. It is
+// passed over.
+struct FormerCrashRecords {};
+
 // Gateway to gateway, over UDP: periodic heartbeat with the sender's work in
 // progress and queue waits.
 struct GatewayHeartbeat {
@@ -320,7 +334,8 @@
                              PieceResults,
                              TableRequest,
                              TableReply,
-                             CrashRecordUpdate>;
+                             FormerCrashRecords,
+                             CrashReport>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/crash_codec.cc
+++ b/src/protocol/crash_codec.cc
@@ -25,40 +25,48 @@
 
 }  // namespace
 
-std::string EncodeCrashRow(const CrashRecord& record, std::int64_t unix_ms) {
+std::string EncodeCrashRow(const CrashReport& report, std::int64_t unix_ms) {
   Json ends = Json::array();
-  for (const CrashEnd& it : record.ends) {
-    ends.push_back({{"replica", it.replica},
-                    {"incarnation", it.incarnation},
-                    {"began_ms", TimeOf(it.began_age, unix_ms)},
-                    {"ended_ms", TimeOf(it.age, unix_ms)}});
-  }
-  Json row = {{"fingerprint", record.fingerprint},
-              {"account", record.account},
-              {"ends", std::move(ends)}};
-  if (record.answered_age != kNever) {
-    row["answered_ms"] = TimeOf(record.answered_age, unix_ms);
+  for (const CrashEnd& end : report.ends) {
+    Json suspects = Json::array();
+    for (const CrashSuspect& it : end.suspects) {
+      suspects.push_back({{"cause", Text(it.cause)},
+                          {"account", it.account},
+                          {"began_ms", TimeOf(it.began_age, unix_ms)}});
+      if (it.cleared_age != kNever) {
+        suspects.back()["cleared_ms"] = TimeOf(it.cleared_age, unix_ms);
+      }
+    }
+    ends.push_back({{"replica", end.replica},
+                    {"incarnation", end.incarnation},
+                    {"ended_ms", TimeOf(end.age, unix_ms)},
+                    {"suspects", std::move(suspects)}});
   }
-  return row.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Json({{"ends", std::move(ends)}})
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-absl::StatusOr<CrashRecord> DecodeCrashRow(std::string_view text,
+absl::StatusOr<CrashReport> DecodeCrashRow(std::string_view text,
                                            std::int64_t unix_ms) {
   try {
     const Json row = Json::parse(text);
-    CrashRecord record;
-    record.fingerprint = row.at("fingerprint").get<std::string>();
-    record.account = row.at("account").get<std::string>();
-    if (row.contains("answered_ms")) {
-      record.answered_age = AgeOf(row["answered_ms"], unix_ms);
-    }
-    for (const Json& it : row.at("ends")) {
-      record.ends.push_back({it.at("replica").get<std::string>(),
-                             it.at("incarnation").get<Incarnation>(),
-                             AgeOf(it.at("ended_ms"), unix_ms),
-                             AgeOf(it.at("began_ms"), unix_ms)});
+    CrashReport report;
+    for (const Json& in : row.at("ends")) {
+      CrashEnd& end = report.ends.emplace_back();
+      end.replica = in.at("replica").get<std::string>();
+      end.incarnation = in.at("incarnation").get<Incarnation>();
+      end.age = AgeOf(in.at("ended_ms"), unix_ms);
+      for (const Json& it : in.at("suspects")) {
+        CrashSuspect& suspect = end.suspects.emplace_back();
+        suspect.cause = ParseCause(it.at("cause").get<std::string>());
+        suspect.account = it.at("account").get<std::string>();
+        suspect.began_age = AgeOf(it.at("began_ms"), unix_ms);
+        if (it.contains("cleared_ms")) {
+          suspect.cleared_age = AgeOf(it["cleared_ms"], unix_ms);
+        }
+      }
     }
-    return record;
+    return report;
   } catch (const Json::exception& e) {
     return absl::InvalidArgumentError(e.what());
   }
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -185,18 +185,28 @@
   a(v.table, v.sequence, v.answer);
 }
 template <class A>
+void serialize(A& a, CrashCause& v) {
+  a(v.kind, v.id);
+}
+template <class A>
+void serialize(A& a, CrashSuspect& v) {
+  a(v.cause, v.account, v.began_age, v.cleared_age);
+}
+template <class A>
 void serialize(A& a, CrashEnd& v) {
-  a(v.replica, v.incarnation, v.age, v.began_age);
+  a(v.replica, v.incarnation, v.age, v.suspects);
 }
 template <class A>
-void serialize(A& a, CrashRecord& v) {
-  a(v.fingerprint, v.account, v.answered_age, v.ends);
+void serialize(A& a, ClearedCause& v) {
+  a(v.cause, v.age);
 }
 template <class A>
-void serialize(A& a, CrashRecordUpdate& v) {
-  a(v.records);
+void serialize(A& a, CrashReport& v) {
+  a(v.ends, v.cleared);
 }
 template <class A>
+void serialize(A&, FormerCrashRecords&) {}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -119,13 +119,32 @@
   ExchangeId CallAfter(const std::string& route, std::uint64_t last) {
     return Send(route, "k1", {}, last);
   }
+  // A prompt with these parts and, at its end, one of its own. Its body is its
+  // own too.
+  ExchangeId Prompt(const std::string& route,
+                    const std::vector<std::string>& parts,
+                    const std::string& own_part = "own") {
+    ClientRequest call;
+    for (const std::string& it : parts) {
+      call.prompt.push_back({it, 100});
+    }
+    call.prompt.push_back({own_part, 50});
+    call.body = "body " + std::to_string(last_exchange + 1);
+    return Send(route, "k1", std::move(call));
+  }
   ExchangeId Send(const std::string& route,
                   const std::string& key,
                   std::vector<std::uint32_t> pieces,
                   std::optional<std::uint64_t> resume_after) {
-    const ExchangeId id = ++last_exchange;
     ClientRequest call;
     call.resume_after = resume_after;
+    call.pieces = std::move(pieces);
+    return Send(route, key, std::move(call));
+  }
+  ExchangeId Send(const std::string& route,
+                  const std::string& key,
+                  ClientRequest call) {
+    const ExchangeId id = ++last_exchange;
     call.id = "c" + std::to_string(id);
     call.method = "POST";
     call.host = "h.example";
@@ -133,7 +152,6 @@
     call.key = key;
     call.deadline = 10 * kSecond;
     call.prompt_tokens = 100;
-    call.pieces = std::move(pieces);
     call.piece_key = "source";
     core.OnCall(id, call);
     return id;
@@ -231,6 +249,7 @@
     probed.push_back(replica);
   }
   void SetReading(CallId id, bool reading) override { paused[id] = !reading; }
+  std::vector<NodeId> LivePeers() override { return {}; }
 
   // PieceDispatcher:
   void Submit(TimeUs, std::vector<PieceTask> list) override {
