--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -101,7 +102,7 @@
   static const std::array<NamedFault, 15> kFaults;
   static const std::array<NamedFault, 18> kRetryFaults;
   static const std::array<NamedFault, 10> kAnswerFaults;
-  static const std::array<NamedFault, 9> kCrashFaults;
+  static const std::array<NamedFault, 12> kCrashFaults;
 
   std::span<const NamedFault> Faults() const {
     switch (options_.profile) {
@@ -122,6 +123,13 @@
     if (options.profile == FaultProfile::kAnswers) {
       world.answer_seed = options.seed;
     }
+    if (options.profile == FaultProfile::kCrashes) {
+      constexpr int kChatEngines = 8;
+      constexpr DurationUs kLongInterval = 500 * kMillisecond;
+      world.chat_engines = kChatEngines;
+      world.chat_event_interval =
+          options.seed % 2 == 0 ? kLongInterval : world.chat_event_interval;
+    }
     return world;
   }
 
@@ -166,14 +174,63 @@
     }
   }
 
-  // One request in `kCrashingPeriod` ends replicas, on one of three routes;
-  // half of the others have a body of their own.
+  // The gateway of the next request: any, or mostly the one to which most new
+  // connections go.
+  std::size_t PickGateway() {
+    constexpr std::uint64_t kOthersPeriod = 10;
+    const auto n = static_cast<std::size_t>(
+        request_random_.Below(world_.gateways().size()));
+    return busiest_gateway_ && request_random_.Below(kOthersPeriod) > 0
+               ? *busiest_gateway_
+               : n;
+  }
+
+  std::string_view PickChatRoute() {
+    constexpr std::array<std::string_view, 3> kChatRoutes = {
+        "chat-safe", "chat-unsafe", "chat-resumed"};
+    return kChatRoutes[request_random_.Below(kChatRoutes.size())];
+  }
+
+  // A request to the engines without stages, like no other one. `part`: the
+  // n-th crashing part; empty: it is sound, and shares what else those have.
+  void SendChat(std::size_t gateway, std::optional<std::size_t> part) {
+    ClientCall call;
+    call.route = PickChatRoute();
+    call.gateway = gateway;
+    call.client_retries = client_retries_;
+    call.body = StrCat("own body ", ++own_bodies_);
+    const std::size_t n = part.value_or(own_bodies_ % kCrashingParts);
+    const std::string name = StrCat("bad", n);
+    call.prompt = StrCat("aa:500,ten", n, ":200,");
+    if (part) {
+      call.prompt +=
+          StrCat(name, ":300,turn", request_random_.Below(3), ":40,");
+      call.crash_key = StandinReplica::PartKey(name);
+    } else {
+      call.prompt += StrCat("doc", request_random_.Below(40), ":200,");
+      call.beside = StandinReplica::PartKey(name);
+    }
+    call.prompt += StrCat("own", own_bodies_, ":50");
+    world_.Send(call);
+  }
+
+  // One request in `kCrashingPeriod` ends replicas, on one of three routes, as
+  // many have a part that ends engines, once there is one; half of the others
+  // have a body of their own.
   void SendOneOfManyKinds() {
     constexpr std::uint64_t kCrashingPeriod = 30;
+    constexpr std::uint64_t kChatPeriod = 5;
     constexpr std::array<std::string_view, 3> kCrashing = {"unsafe", "safe",
                                                            "resumed"};
-    const std::size_t gateway = static_cast<std::size_t>(
-        request_random_.Below(world_.gateways().size()));
+    const std::size_t gateway = PickGateway();
+    if (crashing_parts_ > 0 && request_random_.Below(kCrashingPeriod) == 0) {
+      SendChat(gateway, request_random_.Below(crashing_parts_));
+      return;
+    }
+    if (request_random_.Below(kChatPeriod) == 0) {
+      SendChat(gateway, std::nullopt);
+      return;
+    }
     const std::uint64_t draw = request_random_.Below(kCrashingPeriod);
     if (draw == 0) {
       const auto n = request_random_.Below(kCrashing.size());
@@ -292,6 +349,31 @@
       }
     }
   }
+  // A prompt part ends engines from now on.
+  void AddCrashingPart() {
+    if (crashing_parts_ < kCrashingParts) {
+      world_.AddCrashingPart(StrCat("bad", crashing_parts_++));
+    }
+  }
+  // Many requests at once, to all gateways: with one part that ends engines, or
+  // with one that is new and sound.
+  void SendHerd() {
+    constexpr std::size_t kHerd = 12;
+    for (std::size_t n = 0; n < kHerd; ++n) {
+      SendChat(n % world_.gateways().size(),
+               crashing_parts_ > 0
+                   ? std::optional<std::size_t>(crashing_parts_ - 1)
+                   : std::nullopt);
+    }
+  }
+  void SendMostToOneGateway() {
+    busiest_gateway_ = Draw(world_.gateways().size());
+    rate_factor_ = kBurstFactor;
+    AfterFaultDuration([this] {
+      busiest_gateway_.reset();
+      rate_factor_ = 1;
+    });
+  }
   void CrashReplica() { world_.CrashReplica(Draw(world_.replicas().size())); }
   void LoseAnswers() { DrawReplica()->LoseNextAnswers(3); }
   void SlowReplica() {
@@ -460,6 +542,10 @@
   World world_;
   SoakReport report_;
   std::uint64_t own_bodies_ = 0;  // Requests with a body of their own.
+  // Prompt parts that end engines: how many there may be, and are by now.
+  static constexpr std::size_t kCrashingParts = 2;
+  std::size_t crashing_parts_ = 0;
+  std::optional<std::size_t> busiest_gateway_;
   TimeUs start_ = 0;
   // Number of requests to send now; the fraction is carried over.
   double due_requests_ = 0;
@@ -523,7 +609,10 @@
     {"burst", &Soak::SendBurst},
 }};
 
-const std::array<Soak::NamedFault, 9> Soak::kCrashFaults = {{
+const std::array<Soak::NamedFault, 12> Soak::kCrashFaults = {{
+    {"a prompt part ends engines", &Soak::AddCrashingPart},
+    {"a herd with one prompt part", &Soak::SendHerd},
+    {"most requests go to one gateway", &Soak::SendMostToOneGateway},
     {"a replica ends", &Soak::EndReplica},
     {"a service ends", &Soak::EndService},
     {"replicas reset connections", &Soak::ResetRequests},
