Let a stream go on, within one answer, only at the version that began it

Callers saw: streams that hold events of two software versions, here within one answer: a gateway resumed a broken stream at any replica. What two versions write does not continue one another, and replicas do not check it. The version of a stream is that of the replica whose event was passed on first; the gateway's own resume chooses among replicas of that version only, turns at limited ones included. If none serves, the answer is broken off at once; no stages are run for it and no retry is spent.

--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -49,6 +49,9 @@
     // released.
     dispatcher->ReleaseResults(request->progress.TakeAll());
   }
+  if (!request->stream_version && request->events.complete_events() > 0) {
+    request->stream_version = attempt.replica.version;
+  }
   if (!request->stream_begun) {
     request->stream_begun = true;
     request->stream_begun_at = output->Now();
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -16,12 +16,39 @@
 const ReplicaEntry* Gateway::Impl::ChooseReplica(ServingRequest* request) {
   const TimeUs now = output->Now();
   const bool repeat = request->route->MayRepeat();
+  const std::vector<ReplicaId> excluded = ExcludedReplicas(*request);
   if (IsEngine(*request)) {
-    return engines.Choose(now, request->service, request->ForEngine(),
-                          request->tried, repeat);
+    return engines.Choose(now, request->service, request->ForEngine(), excluded,
+                          repeat);
   }
   return PlainChoiceOf(request->service)
-      .Choose(now, request->service, options.domain, request->tried, repeat);
+      .Choose(now, request->service, options.domain, excluded, repeat);
+}
+
+std::vector<ReplicaId> Gateway::Impl::ExcludedReplicas(
+    const ServingRequest& request) const {
+  std::vector<ReplicaId> excluded = request.tried;
+  if (request.stream_version) {
+    for (const ReplicaEntry* it : directory->Of(request.service)) {
+      if (!HasVersionFor(request, *it)) {
+        excluded.push_back(it->id);
+      }
+    }
+  }
+  return excluded;
+}
+
+bool Gateway::Impl::CanGoOn(const ServingRequest& request) const {
+  if (!request.stream_version) {
+    return true;
+  }
+  const auto& replicas = directory->Of(request.service);
+  return std::any_of(
+      replicas.begin(), replicas.end(), [&](const ReplicaEntry* it) {
+        return HasVersionFor(request, *it) &&
+               std::find(request.tried.begin(), request.tried.end(), it->id) ==
+                   request.tried.end();
+      });
 }
 
 void Gateway::Impl::StartAttempt(ServingRequest* request) {
@@ -185,7 +212,8 @@
                       {"events", request->events.complete_events()},
                       {"rest_bytes", request->events.partial_event().size()},
                       {"begun", request->stream_begun}});
-  if (MayRetry(request) && ReserveAttempt(request, RetryReason::kLost)) {
+  if (MayRetry(request) && CanGoOn(*request) &&
+      ReserveAttempt(request, RetryReason::kLost)) {
     metrics->Count("acaciachute_gateway_retries_total", "lost");
     request->events.DiscardPartialEvent();
     if (const auto last = request->events.last_event_id()) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -146,6 +146,9 @@
   // is complete.
   std::optional<AnswerEnd> client_end;
   std::optional<std::uint64_t> resume_after;
+  // Software version of the replica whose event the client got first. What
+  // another version writes does not continue the stream. Empty: no event yet.
+  std::optional<std::string> stream_version;
   std::string fingerprint;  // Empty until it is needed.
 };
 
@@ -229,6 +232,17 @@
   // gateway_attempt.cc: the attempts of a request.
   void StartAttempt(ServingRequest* request);
   const ReplicaEntry* ChooseReplica(ServingRequest* request);
+  // Whether the replica has the version that the request's stream needs.
+  static bool HasVersionFor(const ServingRequest& request,
+                            const ReplicaEntry& replica) {
+    return !request.stream_version ||
+           *request.stream_version == replica.version;
+  }
+  // Whether a listed replica that was not tried has that version, if it needs
+  // one.
+  bool CanGoOn(const ServingRequest& request) const;
+  // The replicas that are not chosen for the request.
+  std::vector<ReplicaId> ExcludedReplicas(const ServingRequest& request) const;
   void SendTo(ServingRequest* request, const ReplicaEntry& replica);
   // Maximum number of idle connections that this gateway keeps to one replica
   // of the request's service.
--- a/src/coordination/gateway/gateway_turns.cc
+++ b/src/coordination/gateway/gateway_turns.cc
@@ -25,6 +25,7 @@
   std::vector<const ReplicaEntry*> limited;
   for (const ReplicaEntry* it : directory->Of(request.service)) {
     if (replica_rate_limiter.IsRateLimited(now, *it) &&
+        HasVersionFor(request, *it) &&
         std::find(request.tried.begin(), request.tried.end(), it->id) ==
             request.tried.end()) {
       limited.push_back(it);
