Let clients take a stream up only at the version that began it

Cause: 'Resumes' was passed on and read by nothing; the version of a stream was known by nobody beyond the attempt that began it.

With the first event of a resumable stream a gateway remembers where it began (attempt, account, service, version) and tells the three other live gateways with the highest hash of attempt and name. A gateway that a client takes a stream up at asks four of them, up to four times in 0.24 s, and the stream goes on among replicas of that version only. A gateway that starts is told what it is to hold. Unknown is refused at once (503, unknown_stream, not run): no or an unknown Resumes, another account's, an attempt that began two streams. Where a gateway in touch with the list has seen one version only since before the stream can have begun, nothing needs to be known; it answers for others too, so a restart costs no knowledge.

Three datagrams of some 150 bytes a stream at any size of the fleet, instead of one to each gateway; a question costs one round trip. Gateways of the build before drop the new messages.

It asked for half of the streams to begin; it now asks for nine of ten, and for whole ones.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -178,6 +178,7 @@
     awaiting_limited_replica.erase(
         {request->priority, request->received_at, request->id});
   }
+  awaiting_origin.erase(request->id);
   const auto it = by_request_id.find(request->call.id);
   if (it != by_request_id.end() && it->second == request) {
     by_request_id.erase(it);
@@ -400,6 +401,8 @@
 
 void Gateway::OnTick() {
   impl_->ProbeBroken();
+  impl_->SeeVersions();
+  impl_->AskForOrigins();
   impl_->BeginParked();
   impl_->RetryAwaitingLimited();
   const TimeUs now = impl_->output->Now();
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -104,6 +104,8 @@
 
   // The other live gateways.
   virtual std::vector<NodeId> LivePeers() = 0;
+  // Sends a message that may be lost.
+  virtual void SendDatagram(const NodeId& peer, const Message& message) = 0;
 };
 
 struct GatewayOptions {
@@ -197,6 +199,13 @@
   // What another gateway, or the store (`source`), knows of replicas that
   // ended.
   void OnCrashReport(const CrashReport& report, std::string_view source);
+  // Messages of other gateways about streams that clients take up again.
+  void OnStreamOrigins(const StreamOriginReport& report);
+  void OnStreamOriginQuery(const NodeId& from, const StreamOriginQuery& query);
+  void OnStreamOriginAnswer(const NodeId& from,
+                            const StreamOriginAnswer& answer);
+  // A gateway has started or was not known before.
+  void OnNewPeer(const NodeId& peer);
   void OnPiece(const PieceResult& result);
   // What a replica states in its answer to a call with pieces or to a release
   // of results.
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -224,16 +224,24 @@
   ServingRequest* it = request.get();
   by_request_id[it->call.id] = it;
   requests[id] = std::move(request);
-  if (it->admission == AdmissionResult::kParked) {
-    it->parked = true;
-    parked.emplace(it->priority, it->received_at, id);
-    // Started later than this, it could not be served before its client
-    // disconnects.
-    SetExpiry(it, it->first_response_by - it->progress.TimeLeft() -
-                      kEngineFirstEventTime);
+  if (TakesUpStream(*it)) {
+    TakeUpStream(it);
+  } else {
+    BeginAdmitted(it);
+  }
+}
+
+void Gateway::Impl::BeginAdmitted(ServingRequest* request) {
+  if (request->admission != AdmissionResult::kParked) {
+    RunStages(request);
     return;
   }
-  RunStages(it);
+  request->parked = true;
+  parked.emplace(request->priority, request->received_at, request->id);
+  // Started later than this, it could not be served before its client
+  // disconnects.
+  SetExpiry(request, request->first_response_by - request->progress.TimeLeft() -
+                         kEngineFirstEventTime);
 }
 
 // A client that retries after a refusal has less time left than the route's
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -51,6 +51,7 @@
   }
   if (!request->stream_version && request->events.complete_events() > 0) {
     request->stream_version = attempt.replica.version;
+    OnStreamBegun(*request);
   }
   if (!request->stream_begun) {
     request->stream_begun = true;
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -121,6 +121,7 @@
   } else {
     PlainChoiceOf(request->service).OnSent(now, replica.id);
   }
+  service_versions.OnSeen(now, request->service, replica.version);
   replica_rate_limiter.OnSent(replica);
   replica_rate_limiter.rests().OnSent(now, replica.id);
   request->tried.push_back(replica.id);
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -21,6 +21,8 @@
 #include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
+#include "coordination/gateway/service_versions.h"
+#include "coordination/gateway/stream_origins.h"
 #include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
@@ -72,6 +74,13 @@
 std::vector<DurationUs> StageTimes(const ServingConfig& config,
                                    const Route& route);
 
+// The search for where a stream began that the client takes up.
+struct OriginSearch {
+  std::vector<NodeId> asked;  // Gateways that have not answered.
+  int asks = 0;
+  TimeUs next_ask_at = 0;
+};
+
 struct ServingRequest {
   ServingRequest(ExchangeId id_in,
                  ClientRequest call_in,
@@ -149,6 +158,7 @@
   // Software version of the replica whose event the client got first. What
   // another version writes does not continue the stream. Empty: no event yet.
   std::optional<std::string> stream_version;
+  std::optional<OriginSearch> origin_search;
   std::string fingerprint;  // Empty until it is needed.
 };
 
@@ -165,6 +175,8 @@
 
   // gateway_admission.cc
   void Admit(ExchangeId id, ClientRequest call);
+  // Begins the stages of an admitted request, or parks it.
+  void BeginAdmitted(ServingRequest* request);
   bool FindAccount(const Route& route,
                    const ClientRequest& call,
                    const ClientAccount** account,
@@ -345,6 +357,24 @@
   // Refuses requests that are not at a replica yet and became blocked.
   void RefuseBlocked();
 
+  // gateway_streams.cc: streams that clients take up again.
+  static bool TakesUpStream(const ServingRequest& request);
+  // The client got the first event; others may be asked where it began.
+  void OnStreamBegun(const ServingRequest& request);
+  static StreamOriginQuery OriginQueryOf(const ServingRequest& request);
+  std::optional<StreamOrigin> FindOrigin(const StreamOriginQuery& query) const;
+  // Begins the request where its stream began, once that is known.
+  void TakeUpStream(ServingRequest* request);
+  void AskForOrigin(ServingRequest* request);
+  void AskForOrigins();
+  void RefuseUnknownStream(ServingRequest* request);
+  // `source`: who knew it, for the log.
+  void GoOnFrom(ServingRequest* request,
+                const StreamOrigin& origin,
+                std::string_view source);
+  void LogTakenUp(const ServingRequest& request, std::string_view source);
+  void SeeVersions();
+
   // gateway_turns.cc
   void LogRateLimit(const ReplicaId& replica, std::string_view source);
   // The replicas of the request's service whose rate is limited now and that
@@ -409,6 +439,10 @@
     std::vector<CrashCause> causes;
   };
   std::deque<LateSuspects> late_suspects;
+  StreamOrigins stream_origins;
+  ServiceVersions service_versions;
+  TimeUs next_version_scan_at = 0;
+  std::set<ExchangeId> awaiting_origin;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/daemon/gateway_node_crashes.cc
+++ b/src/daemon/gateway_node_crashes.cc
@@ -35,9 +35,7 @@
 
 void GatewayNode::Impl::SendCrashReport(const NodeId& peer,
                                         const CrashReport& report) {
-  if (mesh != nullptr) {
-    mesh->SendDatagram(peer, report);
-  }
+  SendDatagram(peer, report);
 }
 
 void GatewayNode::Impl::WriteCrashRow(const std::string& key) {
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -144,6 +144,7 @@
   }
 
   void ProbeReplica(const ReplicaId& replica, const Address& address) override;
+  void SendDatagram(const NodeId& peer, const Message& message) override;
 
   // CallSink: requests at replicas.
   void OnConnected(CallId id) override { gateway->OnReplicaConnected(id); }
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -94,6 +94,13 @@
   mesh->Send(peer, message);
 }
 
+void GatewayNode::Impl::SendDatagram(const NodeId& peer,
+                                     const Message& message) {
+  if (mesh != nullptr) {
+    mesh->SendDatagram(peer, message);
+  }
+}
+
 void GatewayNode::Impl::OnPeerMessage(const NodeId& from,
                                       Incarnation,
                                       const Message& message) {
@@ -133,6 +140,18 @@
     gateway->OnCrashReport(*report, from);
     return;
   }
+  if (const auto* report = std::get_if<StreamOriginReport>(&message)) {
+    gateway->OnStreamOrigins(*report);
+    return;
+  }
+  if (const auto* query = std::get_if<StreamOriginQuery>(&message)) {
+    gateway->OnStreamOriginQuery(from, *query);
+    return;
+  }
+  if (const auto* answer = std::get_if<StreamOriginAnswer>(&message)) {
+    gateway->OnStreamOriginAnswer(from, *answer);
+    return;
+  }
   const auto* heartbeat = std::get_if<GatewayHeartbeat>(&message);
   if (heartbeat == nullptr) {
     return;
@@ -140,6 +159,7 @@
   if (peers.OnGatewayHeartbeat(Now(), from, peer_incarnation, *heartbeat)) {
     mesh->SetAddress(from, heartbeat->address);
     crash_exchange.OnNewPeer(from);
+    gateway->OnNewPeer(from);
   }
   std::map<ReplicaId, EngineLoad> loads;
   for (const EngineWork& it : heartbeat->work) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -316,6 +316,34 @@
   TableAnswer answer;
 };
 
+// At which software version a stream began.
+struct StreamOrigin {
+  std::string attempt;  // Id of the client's attempt.
+  std::string account;  // Empty without one.
+  std::string service;
+  std::string version;
+  DurationUs age = 0;  // Since its first event.
+};
+
+// Gateway to gateway, over UDP: streams to remember.
+struct StreamOriginReport {
+  std::vector<StreamOrigin> streams;
+};
+
+// Gateway to gateway, over UDP: asks where a stream of the account began, which
+// a client takes up at the sender; the answer to it.
+struct StreamOriginQuery {
+  ExchangeId request = 0;  // At the sender.
+  std::string attempt;
+  std::string account;
+  std::string service;    // To which the sender would send it.
+  DurationUs window = 0;  // Within which the stream began.
+};
+struct StreamOriginAnswer {
+  ExchangeId request = 0;
+  std::vector<StreamOrigin> origins;  // One, or none if it is not known.
+};
+
 using Message = std::variant<StageCall,
                              StageCancel,
                              StageChunk,
@@ -335,7 +363,10 @@
                              TableRequest,
                              TableReply,
                              FormerCrashRecords,
-                             CrashReport>;
+                             CrashReport,
+                             StreamOriginReport,
+                             StreamOriginQuery,
+                             StreamOriginAnswer>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -207,6 +207,22 @@
 template <class A>
 void serialize(A&, FormerCrashRecords&) {}
 template <class A>
+void serialize(A& a, StreamOrigin& v) {
+  a(v.attempt, v.account, v.service, v.version, v.age);
+}
+template <class A>
+void serialize(A& a, StreamOriginReport& v) {
+  a(v.streams);
+}
+template <class A>
+void serialize(A& a, StreamOriginQuery& v) {
+  a(v.request, v.attempt, v.account, v.service, v.window);
+}
+template <class A>
+void serialize(A& a, StreamOriginAnswer& v) {
+  a(v.request, v.origins);
+}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
--- a/src/types.h
+++ b/src/types.h
@@ -175,6 +175,7 @@
   kNotCurrent,
   kNotFound,
   kCrashesReplicas,
+  kUnknownStream,
 };
 
 struct RefusalInfo {
@@ -184,7 +185,7 @@
   bool retryable;  // Whether the response carries Retry-After.
 };
 
-inline constexpr std::array<RefusalInfo, 21> kRefusals = {{
+inline constexpr std::array<RefusalInfo, 22> kRefusals = {{
     {"none", 200, "OK", false},
     {"malformed", 400, "The request is malformed", false},
     {"unauthorized", 401, "The bearer token is missing or unknown", false},
@@ -207,6 +208,7 @@
     {"not_found", 404, "There is no such resource", false},
     // Of the statuses that clients know, this one says that it has not run.
     {"crashes_replicas", 503, "Replicas ended under this request", false},
+    {"unknown_stream", 503, "It is not known where the stream began", true},
 }};
 constexpr const RefusalInfo& Info(Refusal v) {
   return kRefusals[static_cast<std::size_t>(v)];
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -113,11 +113,18 @@
   ExchangeId Call(const std::string& route,
                   const std::string& key = "k1",
                   std::vector<std::uint32_t> pieces = {}) {
-    return Send(route, key, std::move(pieces), std::nullopt);
+    ClientRequest call;
+    call.pieces = std::move(pieces);
+    return Send(route, key, std::move(call));
   }
-  // The client has the events of a stream up to `last`.
+  // The client has the events of a stream up to `last`, which began at the
+  // version of the replicas here.
   ExchangeId CallAfter(const std::string& route, std::uint64_t last) {
-    return Send(route, "k1", {}, last);
+    core.OnStreamOrigins({{{"began", "acme", "engine", "", 0}}});
+    ClientRequest call;
+    call.resume_after = last;
+    call.resumed_attempt = "began";
+    return Send(route, "k1", std::move(call));
   }
   // A prompt with these parts and, at its end, one of its own. Its body is its
   // own too.
@@ -132,15 +139,6 @@
     call.body = "body " + std::to_string(last_exchange + 1);
     return Send(route, "k1", std::move(call));
   }
-  ExchangeId Send(const std::string& route,
-                  const std::string& key,
-                  std::vector<std::uint32_t> pieces,
-                  std::optional<std::uint64_t> resume_after) {
-    ClientRequest call;
-    call.resume_after = resume_after;
-    call.pieces = std::move(pieces);
-    return Send(route, key, std::move(call));
-  }
   ExchangeId Send(const std::string& route,
                   const std::string& key,
                   ClientRequest call) {
@@ -249,7 +247,10 @@
     probed.push_back(replica);
   }
   void SetReading(CallId id, bool reading) override { paused[id] = !reading; }
-  std::vector<NodeId> LivePeers() override { return {}; }
+  std::vector<NodeId> LivePeers() override { return peers; }
+  void SendDatagram(const NodeId& peer, const Message& message) override {
+    datagrams.emplace_back(peer, message);
+  }
 
   // PieceDispatcher:
   void Submit(TimeUs, std::vector<PieceTask> list) override {
@@ -291,6 +292,8 @@
   std::vector<ExchangeId> ended;
   std::vector<ExchangeId> broken;
   std::vector<ReplicaId> probed;
+  std::vector<NodeId> peers;  // Returned by `LivePeers`.
+  std::vector<std::pair<NodeId, Message>> datagrams;
   std::vector<Sent> sent;
   // Calls whose connections are still being made; set by the test.
   std::set<CallId> connecting;
--- /dev/null
+++ b/tests/gateway/stream_origins_test.cc
@@ -0,0 +1,238 @@
+// Tests of streams that clients take up again where replicas of several
+// software versions serve.
+#include "coordination/gateway/stream_origins.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/gateway/service_versions.h"
+#include "tests/gateway/gateway_rig.h"
+
+namespace acaciachute {
+namespace {
+
+StreamOrigin Origin(const std::string& attempt, const std::string& version) {
+  return {attempt, "acme", "engine", version, 0};
+}
+
+// Guards against going on at the version of another account's stream, of one
+// that began long ago, or of one of two with the same id.
+TEST(StreamOriginsTest, KnowsOnlyWhatIsCertain) {
+  StreamOrigins origins;
+  origins.Add(kSecond, Origin("a", "v1"));
+  EXPECT_EQ(origins.Find(2 * kSecond, "a", "acme")->version, "v1");
+  EXPECT_FALSE(origins.Find(2 * kSecond, "a", "other"));
+  EXPECT_FALSE(origins.Find(2 * kSecond, "b", "acme"));
+  EXPECT_FALSE(
+      origins.Find(2 * kSecond + StreamOrigins::kLifetime, "a", "acme"));
+  origins.Add(2 * kSecond, Origin("a", "v1"));
+  EXPECT_TRUE(origins.Find(2 * kSecond, "a", "acme"));
+  origins.Add(2 * kSecond, Origin("a", "v2"));
+  EXPECT_FALSE(origins.Find(2 * kSecond, "a", "acme"));
+  origins.Add(2 * kSecond, Origin("", "v1"));
+  EXPECT_FALSE(origins.Find(2 * kSecond, "", "acme"));
+  const std::string huge(2 * StreamOrigins::kMaxIdLength, 'x');
+  origins.Add(2 * kSecond, Origin(huge, "v1"));
+  EXPECT_FALSE(origins.Find(2 * kSecond, huge, "acme"));
+}
+
+// Guards against memory that grows with the streams of an account.
+TEST(StreamOriginsTest, DropsTheOldest) {
+  StreamOrigins origins;
+  for (std::size_t n = 0; n < StreamOrigins::kMaxStreams + 10; ++n) {
+    origins.Add(kSecond + static_cast<TimeUs>(n),
+                Origin("a" + std::to_string(n), "v1"));
+  }
+  EXPECT_FALSE(origins.Find(2 * kSecond, "a0", "acme"));
+  EXPECT_TRUE(origins.Find(2 * kSecond, "a20", "acme"));
+}
+
+// Guards against a question to gateways of which none was told, whichever one
+// began the stream and whichever one asks, after two were lost.
+TEST(StreamOriginsTest, SomeOfTheAskedWereTold) {
+  std::vector<NodeId> all;
+  for (int n = 0; n < 20; ++n) {
+    all.push_back("g" + std::to_string(n));
+  }
+  const auto without = [&](const std::set<NodeId>& gone) {
+    std::vector<NodeId> left = all;
+    std::erase_if(left, [&](const NodeId& it) { return gone.contains(it); });
+    return left;
+  };
+  for (int n = 0; n < 200; ++n) {
+    const std::string attempt = "a" + std::to_string(n);
+    const NodeId began = all[static_cast<std::size_t>(n) % all.size()];
+    const auto told = StreamOrigins::Holders(attempt, without({began}),
+                                             StreamOrigins::kHolders);
+    for (const NodeId& lost : told) {
+      for (const NodeId& asker : without({began, lost})) {
+        const auto asked = StreamOrigins::Holders(
+            attempt, without({began, lost, asker}), StreamOrigins::kAsked);
+        EXPECT_TRUE(std::any_of(asked.begin(), asked.end(),
+                                [&](const NodeId& it) {
+                                  return std::find(told.begin(), told.end(),
+                                                   it) != told.end();
+                                }))
+            << attempt;
+      }
+    }
+  }
+}
+
+TEST(ServiceVersionsTest, IsCertainOfOneVersionAfterAMinute) {
+  ServiceVersions versions;
+  EXPECT_FALSE(versions.OnlyVersion(0, "engine", 60 * kSecond));
+  TimeUs now = kSecond;
+  const auto see_for = [&](DurationUs time, const std::string& version) {
+    for (const TimeUs end = now + time; now < end; now += kSecond) {
+      versions.OnSeen(now, "engine", version);
+    }
+  };
+  see_for(30 * kSecond, "v1");
+  EXPECT_FALSE(versions.OnlyVersion(now, "engine", 60 * kSecond));
+  see_for(40 * kSecond, "v1");
+  EXPECT_EQ(versions.OnlyVersion(now, "engine", 60 * kSecond), "v1");
+  see_for(kSecond, "v2");
+  EXPECT_FALSE(versions.OnlyVersion(now, "engine", 60 * kSecond));
+  see_for(70 * kSecond, "v2");
+  EXPECT_EQ(versions.OnlyVersion(now, "engine", 60 * kSecond), "v2");
+}
+
+// A gateway with engines e1 of version v1 and e2 of v2.
+struct TwoVersions : GatewayRig {
+  TwoVersions() {
+    AddVersion("e1", "v1");
+    AddVersion("e2", "v2");
+  }
+  void AddVersion(const std::string& name, const std::string& version) {
+    ReplicaEntry entry;
+    entry.id = name;
+    entry.service = "engine";
+    entry.address = {"10.0.1." + std::to_string(++last_host), 80};
+    entry.domain = "a";
+    entry.version = version;
+    entry.slots = 8;
+    directory.Put(entry);
+  }
+  ExchangeId TakeUp(const std::string& attempt, std::uint64_t last) {
+    ClientRequest call;
+    call.resume_after = last;
+    call.resumed_attempt = attempt;
+    return GatewayRig::Send("resume", "k1", std::move(call));
+  }
+  // Begins a stream and breaks it off after its first event; returns its id.
+  ExchangeId Begin() {
+    const ExchangeId id = Call("resume");
+    core.OnReplicaHead(sent.back().call, Head());
+    core.OnReplicaBody(sent.back().call, "id: 0\ndata: x\n\n");
+    return id;
+  }
+};
+
+// Guards against a gateway that goes on with a stream, within one answer, at a
+// replica of another version.
+TEST(GatewayStreamTest, AnAnswerGoesOnAtItsVersionOrEndsAtOnce) {
+  TwoVersions rig;
+  const ExchangeId id = rig.Begin();
+  const std::string first = rig.sent.back().replica.name;
+  rig.core.OnReplicaFailed(rig.sent.back().call, true, "reset");
+  EXPECT_EQ(rig.sent.size(), 1U);
+  ASSERT_EQ(rig.broken.size(), 1U);
+  EXPECT_EQ(rig.broken[0], id);
+  // With a second replica of that version it goes on there.
+  rig.AddVersion("e3", first == "e1" ? "v1" : "v2");
+  rig.AddVersion("e4", first == "e1" ? "v1" : "v2");
+  rig.Begin();
+  const auto version = [&](const ReplicaId& it) {
+    return rig.directory.Find(it)->version;
+  };
+  const ReplicaId began = rig.sent.back().replica;
+  rig.core.OnReplicaFailed(rig.sent.back().call, true, "reset");
+  if (version(began) == (first == "e1" ? "v1" : "v2")) {
+    ASSERT_EQ(rig.sent.size(), 3U);
+    EXPECT_EQ(version(rig.sent.back().replica), version(began));
+  } else {
+    EXPECT_EQ(rig.sent.size(), 2U);
+  }
+}
+
+// Guards against a client that takes a stream up and gets events of another
+// version, at the gateway that began it or at one that was told.
+TEST(GatewayStreamTest, AClientGoesOnAtTheVersionItsStreamBegan) {
+  TwoVersions rig;
+  rig.peers = {"g2", "g3"};
+  rig.Begin();
+  const std::string began = rig.sent.back().replica.name;
+  EXPECT_EQ(rig.datagrams.size(), 2U);
+  for (int n = 0; n < 10; ++n) {
+    rig.TakeUp("c1", 0);
+    EXPECT_EQ(rig.sent.back().replica.name, began);
+  }
+  rig.core.OnStreamOrigins({{{"c9", "acme", "engine", "v2", 0}}});
+  for (int n = 0; n < 10; ++n) {
+    rig.TakeUp("c9", 0);
+    EXPECT_EQ(rig.sent.back().replica.name, "e2");
+  }
+  // None of that version serves any more.
+  rig.directory.Remove(rig.now, "e2");
+  const std::size_t sent = rig.sent.size();
+  const ExchangeId id = rig.TakeUp("c9", 0);
+  EXPECT_EQ(rig.sent.size(), sent);
+  EXPECT_EQ(rig.refused[id].reason, Refusal::kNoReplica);
+}
+
+// Guards against going on where nobody knows how the stream began, and against
+// a client that waits for that longer than other gateways take to answer.
+TEST(GatewayStreamTest, AsksOthersAndRefusesWhatNobodyKnows) {
+  TwoVersions rig;
+  rig.peers = {"g2", "g3"};
+  const ExchangeId known = rig.TakeUp("elsewhere", 3);
+  EXPECT_TRUE(rig.sent.empty());
+  ASSERT_EQ(rig.datagrams.size(), 2U);
+  const auto query = std::get<StreamOriginQuery>(rig.datagrams[0].second);
+  EXPECT_EQ(query.attempt, "elsewhere");
+  EXPECT_EQ(query.account, "acme");
+  rig.core.OnStreamOriginAnswer("g3", {query.request, {}});
+  rig.core.OnStreamOriginAnswer(
+      "g2", {query.request, {{"elsewhere", "acme", "engine", "v2", kSecond}}});
+  ASSERT_EQ(rig.sent.size(), 1U);
+  EXPECT_EQ(rig.sent[0].replica.name, "e2");
+  EXPECT_FALSE(rig.refused.contains(known));
+  // Both say that they do not know it.
+  const ExchangeId unknown = rig.TakeUp("nowhere", 3);
+  for (const char* it : {"g2", "g3"}) {
+    EXPECT_FALSE(rig.refused.contains(unknown));
+    rig.core.OnStreamOriginAnswer(it, {unknown, {}});
+  }
+  EXPECT_EQ(rig.refused[unknown].reason, Refusal::kUnknownStream);
+  EXPECT_EQ(rig.refused[unknown].verdict, Verdict::kNotRun);
+  // Nobody answers.
+  const ExchangeId lost = rig.TakeUp("nowhere", 3);
+  for (int n = 0; n < 30; ++n) {
+    rig.Pass(10 * kMillisecond);
+  }
+  EXPECT_EQ(rig.refused[lost].reason, Refusal::kUnknownStream);
+  EXPECT_EQ(rig.sent.size(), 1U);
+}
+
+// Guards against a fleet whose gateways start again one after the other: each
+// is told what the others know and it belongs to.
+TEST(GatewayStreamTest, AGatewayThatHasStartedIsTold) {
+  TwoVersions rig;
+  rig.peers = {"g2", "g3"};
+  rig.Begin();
+  rig.datagrams.clear();
+  rig.core.OnNewPeer("g2");
+  ASSERT_EQ(rig.datagrams.size(), 1U);
+  const auto report = std::get<StreamOriginReport>(rig.datagrams[0].second);
+  ASSERT_EQ(report.streams.size(), 1U);
+  EXPECT_EQ(report.streams[0].attempt, "c1");
+}
+
+}  // namespace
+}  // namespace acaciachute
--- a/tests/process/version_test.cc
+++ b/tests/process/version_test.cc
@@ -2,9 +2,12 @@
 // that take broken streams up at any gateway.
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,7 +28,6 @@
 
 constexpr int kEvents = 8;
 constexpr int kReplicasOfEach = 4;
-constexpr int kGateways = 3;
 constexpr int kStreams = 150;
 constexpr int kMaxTries = 3;
 // The users' rule.
@@ -83,7 +85,7 @@
 
 class VersionFleet {
  public:
-  explicit VersionFleet(Loop* loop) : loop_(loop), store_(loop) {
+  VersionFleet(Loop* loop, int gateways) : loop_(loop), store_(loop) {
     for (int n = 0; n < 2 * kReplicasOfEach; ++n) {
       replicas_.push_back(std::make_unique<VersionedReplica>(
           loop, n < kReplicasOfEach ? "v1" : "v2"));
@@ -113,7 +115,7 @@
                 {"routes", {route}},
                 {"services", {service}},
                 {"tenants", Json::array()}});
-    for (int n = 0; n < kGateways; ++n) {
+    for (int n = 0; n < gateways; ++n) {
       GatewayProcessOptions it;
       it.name = StrCat("front-", n);
       it.store = store_.address();
@@ -141,8 +143,10 @@
         "Connection: close\r\nContent-Length: 0\r\nAttempt-Id: ", attempt,
         "\r\nDeadline-Ms: 6000\r\nModel: m\r\n", "Token-Usage: 100,8\r\n");
     if (last_event) {
-      head += StrCat("Last-Event-Id: ", *last_event,
-                     "\r\nResumes: ", first_attempt, "\r\n");
+      head += StrCat("Last-Event-Id: ", *last_event, "\r\n");
+    }
+    if (!first_attempt.empty()) {
+      head += StrCat("Resumes: ", first_attempt, "\r\n");
     }
     bool done = false;
     RawClient client(loop_, gateways_[gateway]->clients(), head + "\r\n",
@@ -151,26 +155,56 @@
     return client.status() == 200 ? client.body() : "";
   }
 
-  // Versions of the events that a client got over its tries, each of them at
-  // the next gateway.
-  std::set<std::string> VersionsOfStream(int stream) {
-    std::set<std::string> versions;
-    std::optional<int> last;
-    std::string first;
-    for (int n = 0; n < kMaxTries && last.value_or(-1) < kEvents - 1; ++n) {
-      const std::string attempt = StrCat("s", stream, "-", n);
-      const std::size_t gateway = static_cast<std::size_t>(stream + n) %
-                                  static_cast<std::size_t>(kGateways);
-      std::string body = Ask(gateway, attempt, first, last);
-      for (std::size_t at = 0;
-           (at = body.find("id: ", at)) != std::string::npos; ++at) {
-        last = body[at + 4] - '0';
-        const std::size_t version = body.find("data: ", at) + 6;
-        versions.insert(body.substr(version, 2));
-        first = first.empty() ? attempt : first;
-      }
+  // What a client has of its stream after some tries.
+  struct Stream {
+    std::set<std::string> versions;  // Of its events.
+    std::optional<int> last;         // Event.
+    std::string first;               // The attempt that brought the first one.
+    int tries = 0;
+
+    bool whole() const { return last.value_or(-1) == kEvents - 1; }
+  };
+
+  // One more try, for what is missing; returns whether it brought an event.
+  bool Try(const std::string& name, std::size_t gateway, Stream* stream) {
+    const std::string attempt = StrCat(name, "-", stream->tries++);
+    const std::string body =
+        Ask(gateway % gateways_.size(), attempt, stream->first, stream->last);
+    for (std::size_t at = 0; (at = body.find("id: ", at)) != std::string::npos;
+         ++at) {
+      stream->last = body[at + 4] - '0';
+      const std::size_t version = body.find("data: ", at) + 6;
+      stream->versions.insert(body.substr(version, 2));
+      stream->first = stream->first.empty() ? attempt : stream->first;
+    }
+    return !body.empty();
+  }
+
+  // Tries at gateways in turn until the stream is whole.
+  Stream Get(int stream) {
+    Stream out;
+    while (out.tries < kMaxTries && !out.whole()) {
+      Try(StrCat("s", stream), static_cast<std::size_t>(stream + out.tries),
+          &out);
     }
-    return versions;
+    return out;
+  }
+
+  GatewayProcess& gateway(std::size_t n) {
+    return *gateways_[n % gateways_.size()];
+  }
+  // Whether a new stream begins at the gateway.
+  bool Serves(std::size_t gateway) {
+    Stream out;
+    return Try("probe", gateway, &out);
+  }
+  void Kill(std::size_t n) {
+    gateway(n).Signal(SIGKILL);
+    WaitFor(5 * kSecond, [&] { return gateway(n).Ended(); });
+  }
+  bool Start(std::size_t n) {
+    gateway(n).Start();
+    return WaitFor(10 * kSecond, [&] { return Serves(n); });
   }
 
  private:
@@ -184,19 +218,111 @@
 // answer or over the tries of a client, each at another gateway.
 TEST(VersionProcessTest, AStreamGoesOnAtTheVersionThatBeganIt) {
   Loop loop;
-  VersionFleet fleet(&loop);
-  ASSERT_TRUE(fleet.WaitFor(
-      10 * kSecond, [&] { return !fleet.VersionsOfStream(-1).empty(); }));
+  VersionFleet fleet(&loop, 3);
+  ASSERT_TRUE(fleet.WaitFor(10 * kSecond, [&] { return fleet.Serves(0); }));
   int mixed = 0;
-  int with_events = 0;
+  int begun = 0;
+  int whole = 0;
   for (int n = 0; n < kStreams; ++n) {
-    const std::size_t versions = fleet.VersionsOfStream(n).size();
-    mixed += versions > 1;
-    with_events += versions > 0;
+    const VersionFleet::Stream stream = fleet.Get(n);
+    mixed += stream.versions.size() > 1;
+    begun += !stream.versions.empty();
+    whole += stream.whole();
   }
-  EXPECT_GT(with_events, kStreams / 2);
+  EXPECT_GT(begun, kStreams * 9 / 10);
+  // A third of the replicas' answers are broken off, so after three tries a
+  // tenth of the streams at most are not whole.
+  EXPECT_GT(whole, kStreams * 4 / 5);
   EXPECT_LE(mixed, kMaxMixedStreams);
 }
 
+// Streams that were broken off, of which the client takes the rest up after
+// something happened to the fleet.
+struct TakenUp {
+  int mixed = 0;
+  int asked = 0;
+  int went_on = 0;
+};
+
+// `harm` is called, with the gateway that began the stream, before the client
+// goes on at the third one after it.
+TakenUp TakeUpAfter(VersionFleet* fleet,
+                    int streams,
+                    const std::function<void(std::size_t)>& harm) {
+  TakenUp out;
+  for (int n = 0; out.asked < streams; ++n) {
+    VersionFleet::Stream stream;
+    const auto gateway = static_cast<std::size_t>(n);
+    fleet->Try(StrCat("k", n), gateway, &stream);
+    if (stream.whole() || !stream.last) {
+      continue;
+    }
+    harm(gateway);
+    ++out.asked;
+    out.went_on += fleet->Try(StrCat("k", n), gateway + 2, &stream);
+    out.mixed += stream.versions.size() > 1;
+  }
+  return out;
+}
+
+// Guards against knowledge that is lost with the gateway that had it: it is
+// killed together with another one after the stream's first events.
+TEST(VersionProcessTest, AStreamGoesOnAfterTwoGatewaysWereKilled) {
+  constexpr int kTaken = 10;
+  Loop loop;
+  VersionFleet fleet(&loop, 5);
+  for (std::size_t n = 0; n < 5; ++n) {
+    ASSERT_TRUE(fleet.WaitFor(10 * kSecond, [&] { return fleet.Serves(n); }));
+  }
+  std::optional<std::size_t> down;
+  const TakenUp taken = TakeUpAfter(&fleet, kTaken, [&](std::size_t gateway) {
+    if (down) {
+      fleet.Start(*down);
+      fleet.Start(*down + 1);
+    }
+    fleet.Kill(gateway);
+    fleet.Kill(gateway + 1);
+    down = gateway;
+  });
+  EXPECT_EQ(taken.mixed, 0);
+  EXPECT_GE(taken.went_on, kTaken / 2);
+}
+
+// Guards against knowledge that is lost when all gateways start again, one
+// after the other.
+TEST(VersionProcessTest, AStreamGoesOnAfterAllGatewaysWereRolled) {
+  constexpr int kTaken = 4;
+  constexpr std::size_t kGateways = 4;
+  Loop loop;
+  VersionFleet fleet(&loop, kGateways);
+  for (std::size_t n = 0; n < kGateways; ++n) {
+    ASSERT_TRUE(fleet.WaitFor(10 * kSecond, [&] { return fleet.Serves(n); }));
+  }
+  const TakenUp taken = TakeUpAfter(&fleet, kTaken, [&](std::size_t) {
+    for (std::size_t n = 0; n < kGateways; ++n) {
+      fleet.Kill(n);
+      ASSERT_TRUE(fleet.Start(n));
+      // Until the others tell it what they know.
+      fleet.WaitFor(500 * kMillisecond, [] { return false; });
+    }
+  });
+  EXPECT_EQ(taken.mixed, 0);
+  EXPECT_GE(taken.went_on, kTaken / 2);
+}
+
+// Guards against going on without knowing: the client names an attempt that
+// nobody knows, or none.
+TEST(VersionProcessTest, AStreamOfUnknownVersionIsRefused) {
+  Loop loop;
+  VersionFleet fleet(&loop, 3);
+  ASSERT_TRUE(fleet.WaitFor(10 * kSecond, [&] { return fleet.Serves(0); }));
+  VersionFleet::Stream stream;
+  stream.first = "never-sent";
+  stream.last = 2;
+  EXPECT_FALSE(fleet.Try("u", 0, &stream));
+  stream.first = "";
+  EXPECT_FALSE(fleet.Try("v", 1, &stream));
+}
+
 }  // namespace
 }  // namespace acaciachute
