--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -108,6 +109,10 @@
   // it may cause.
   static constexpr DurationUs kSoundAgainDelay = 2 * CrashJudge::kContact;
   BegunShare BegunBefore(const std::string& key) const;
+  // Of all attempts that name it, whenever they were sent.
+  BegunShare BegunOf(const std::string& beside) const {
+    return BegunBetween(beside, 0, std::numeric_limits<TimeUs>::max());
+  }
   BegunShare BegunAfter(const std::string& key) const;
 
   // All violations, each as one line with the id of the attempt.
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -401,7 +401,7 @@
   ledger_.OnSent(id, entry, services);
   ChannelOptions options;
   options.total = (kDeadlineMs + 1000) * kMillisecond;
-  options.max_idle_time = kSecond;
+  options.max_idle_time = call.keeps_connection ? kSecond : 0;
   std::function<void()> send_again;
   if (call.client_retries > 0) {
     send_again = [this, again = call] {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -56,6 +56,7 @@
   // of what ends replicas beside it.
   std::string crash_key;
   std::string beside;
+  bool keeps_connection = true;  // False: it is sent on one of its own.
 };
 
 // The deployment; all parts but the gateways run in the process of the test.
