--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -43,6 +43,7 @@
               const std::vector<CrashCause>& causes,
               int replica) {
   std::vector<CrashRecords::Suspect> suspects;
+  suspects.reserve(causes.size());
   for (const CrashCause& it : causes) {
     suspects.push_back({it, "acme", {at - kRun, at}});
   }
@@ -637,10 +638,10 @@
   EXPECT_EQ(end.suspects[0].cleared_age, 7 * kSecond);
   EXPECT_EQ(end.suspects[1].cause, Part("0a"));
   EXPECT_EQ(end.suspects[1].cleared_age, kNever);
-  for (const char* it :
-       {"", "[]", "{}", R"({"ends":[3]})", R"({"ends":[{"replica":"i"}]})",
-        R"({"ends":[{"replica":"i","incarnation":1,"ended_ms":1,)"
-        R"("suspects":[{"cause":1}]}]})"}) {
+  constexpr char kBadCause[] =
+      R"({"ends":[{"replica":"i","incarnation":1,"ended_ms":1,"suspects":[{"cause":1}]}]})";
+  for (const char* it : {"", "[]", "{}", R"({"ends":[3]})",
+                         R"({"ends":[{"replica":"i"}]})", kBadCause}) {
     EXPECT_FALSE(DecodeCrashRow(it, 0).ok()) << it;
   }
 }
@@ -944,9 +945,9 @@
 // than some, each time the same ones.
 TEST(GatewayCrashTest, KeepsFewSuspectsOfAVeryLongPrompt) {
   GatewayRig rig;
-  std::vector<std::string> parts;
-  for (int n = 0; n < 2000; ++n) {
-    parts.push_back("p" + std::to_string(n));
+  std::vector<std::string> parts(2000);
+  for (std::size_t n = 0; n < parts.size(); ++n) {
+    parts[n] = "p" + std::to_string(n);
   }
   EndEnginesUnder(&rig, parts, 4);
   EXPECT_EQ(rig.sent.size(), 3U);
--- a/tests/gateway/stream_origins_test.cc
+++ b/tests/gateway/stream_origins_test.cc
@@ -55,9 +55,9 @@
 // Guards against a question to gateways of which none was told, whichever one
 // began the stream and whichever one asks, after two were lost.
 TEST(StreamOriginsTest, SomeOfTheAskedWereTold) {
-  std::vector<NodeId> all;
-  for (int n = 0; n < 20; ++n) {
-    all.push_back("g" + std::to_string(n));
+  std::vector<NodeId> all(20);
+  for (std::size_t n = 0; n < all.size(); ++n) {
+    all[n] = "g" + std::to_string(n);
   }
   const auto without = [&](const std::set<NodeId>& gone) {
     std::vector<NodeId> left = all;
--- a/tests/process/prompt_part_test.cc
+++ b/tests/process/prompt_part_test.cc
@@ -97,8 +97,8 @@
   Traffic traffic(&world, GetParam() < 100 * kMillisecond ? 1 : 4);
   traffic.Run(11 * kSecond, false);
   traffic.Run(20 * kSecond, true);
-  ASSERT_TRUE(world.WaitFor(8 * kSecond,
-                            [&] { return world.ledger()->open() == 0; }));
+  ASSERT_TRUE(
+      world.WaitFor(8 * kSecond, [&] { return world.ledger()->open() == 0; }));
   const std::string key = StandinReplica::PartKey(kPart);
   Ledger& ledger = *world.ledger();
   EXPECT_GE(Deaths(&world), 1U);
--- a/tests/process/version_test.cc
+++ b/tests/process/version_test.cc
@@ -184,8 +184,8 @@
   Stream Get(int stream) {
     Stream out;
     while (out.tries < kMaxTries && !out.whole()) {
-      Try(StrCat("s", stream), static_cast<std::size_t>(stream + out.tries),
-          &out);
+      const int gateway = stream + out.tries;
+      Try(StrCat("s", stream), static_cast<std::size_t>(gateway), &out);
     }
     return out;
   }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,8 +26,8 @@
   // while replicas also end without such a cause, and gateways are killed, all
   // at once too, suspended, restarted and cut off from the store. Of the
   // others, some have a body that many have, some one of their own. Prompt
-  // parts end engines too, in requests of which no two are alike, some in herds,
-  // beside sound ones with the same account and other parts.
+  // parts end engines too, in requests of which no two are alike, some in
+  // herds, beside sound ones with the same account and other parts.
   kCrashes,
 };
 
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -318,7 +318,7 @@
 std::string StandinReplica::CrashingPart(const HttpRequestHead& head) const {
   const auto parts = Split(ValueOf(head.fields, "Prompt-Prefix"), ',');
   for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
-    const std::string id(Trim(parts[n].substr(0, parts[n].find(':'))));
+    std::string id(Trim(parts[n].substr(0, parts[n].find(':'))));
     if (crashing_parts_.contains(id)) {
       return id;
     }
