Doubt a verdict on a part until a request that tried it ended a replica

Cause: nobody knew any more that the parts which go with the guilty one are sound; three ends blocked all of them as rivals, a request with two of them was not let try them, and one more end of another cause made a wrong verdict certain.

A verdict on a part now is doubtful until a request with no other blocked part has tried it and ended a replica, where no other blocked part was in progress untried. Trials are counted by the set of blocked parts, so that those of guilty requests do not use up those of sound ones, and a request with all parts of the same ends tries once. That a run was a trial travels with its end, to gateways and the store.

--- a/src/coordination/crashes/broken_attempts.h
+++ b/src/coordination/crashes/broken_attempts.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
   // What may have ended the replica: the request and, unless its answer had
   // begun, the parts of its prompt.
   std::vector<CrashCause> causes;
+  std::optional<CrashCause> tried;  // The one that the request was to try.
   std::string account;
   std::string request;  // Id of the attempt, for logs.
   std::string parts;    // Ids of the prompt's parts, for logs.
--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -57,7 +57,8 @@
     record.standing = it.ends.size();
     record.has_too_many = it.has_too_many;
     record.counted = it.counted;
-    record.state = {it.blocked, it.doubt};
+    record.rivals = it.rivals;
+    record.state = {it.blocked, it.doubtful};
     blocked_parts_ += it.blocked && it.kind == CauseKind::kPromptPart;
   }
 }
@@ -75,7 +76,8 @@
   verdict.ends = record.counted;
   verdict.cleared_before = record.cleared_at.has_value();
   verdict.last_end_age = now - record.LastEnd();
-  verdict.doubt = record.state.doubt;
+  verdict.doubtful = record.state.doubtful;
+  verdict.rivals = record.rivals;
   verdict.blocked = record.state.blocked;
   if (limits.block_duration != kNever) {
     verdict.blocked_for =
@@ -148,6 +150,7 @@
   // runs there, the last one counts.
   it->second.ended_at = std::min(it->second.ended_at, run.ended_at);
   it->second.began_at = std::max(it->second.began_at, run.began_at);
+  it->second.tried = it->second.tried || run.tried;
   if (record->ends.size() > kMaxEndsKept) {
     record->ends.erase(
         std::min_element(record->ends.begin(), record->ends.end(),
@@ -212,7 +215,7 @@
         clear(&record, at(it.cleared_age));
       }
       AddEnd(&record, {end.replica, end.incarnation},
-             {at(it.began_age), at(end.age)});
+             {at(it.began_age), at(end.age), it.tried});
     }
   }
   for (const ClearedCause& it : report.cleared) {
@@ -290,7 +293,8 @@
       end.age = std::max(end.age, now - ended_at);
       end.suspects.push_back(
           {cause, record.account, now - record.ends.at(replica).began_at,
-           record.cleared_at ? now - *record.cleared_at : kNever});
+           record.cleared_at ? now - *record.cleared_at : kNever,
+           record.ends.at(replica).tried});
     }
   }
   for (auto& [replica, end] : ends) {
@@ -314,7 +318,7 @@
     end.age = std::max(end.age, now - run.ended_at);
     end.suspects.push_back(
         {cause, record.account, now - run.began_at,
-         record.cleared_at ? now - *record.cleared_at : kNever});
+         record.cleared_at ? now - *record.cleared_at : kNever, run.tried});
   }
   return end.suspects.empty() ? CrashReport() : CrashReport{{end}, {}};
 }
--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -53,7 +53,9 @@
   struct Verdict {
     std::size_t ends = 0;  // Replicas that count.
     bool blocked = false;
-    Doubt doubt = Doubt::kNone;  // If there is any, one request may try it.
+    bool doubtful = false;  // Blocked, but one request may try it.
+    // Blocked parts with the same ends, this one included.
+    std::size_t rivals = 0;
     bool cleared_before = false;
     DurationUs last_end_age = 0;
     DurationUs blocked_for = kNever;  // Remaining time; `kNever`: no limit.
@@ -119,7 +121,7 @@
   // What `Judge` says of a cause.
   struct State {
     bool blocked = false;
-    Doubt doubt = Doubt::kNone;
+    bool doubtful = false;
     bool operator==(const State&) const = default;
   };
 
@@ -133,6 +135,7 @@
     std::size_t standing = 0;  // Ends that no answer took back.
     bool has_too_many = false;
     std::size_t counted = 0;  // Ends that no other cause explains.
+    std::size_t rivals = 0;
     State state;
     State reported_state;  // By `TakeVerdictChanges`.
 
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -93,6 +93,7 @@
   }
   BrokenAttempt attempt;
   attempt.causes = SuspectsOf(request);
+  attempt.tried = request->tried_cause;
   attempt.account = AccountOf(*request);
   attempt.request = request->call.id;
   attempt.parts = PartIds(request->call);
@@ -111,7 +112,9 @@
   for (const BrokenAttempt& attempt : attempts) {
     for (const CrashCause& it : attempt.causes) {
       suspects.push_back(
-          {it, attempt.account, {attempt.began_at, attempt.broken_at}});
+          {it,
+           attempt.account,
+           {attempt.began_at, attempt.broken_at, attempt.tried == it}});
     }
   }
   const auto added = crash_records.OnReplicaEnded(now, replica, suspects);
@@ -183,7 +186,8 @@
                {{"cause", Text(it)},
                 {"kind", Name(it.kind)},
                 {"blocked", verdict.blocked},
-                {"doubt", Name(verdict.doubt)},
+                {"doubtful", verdict.doubtful},
+                {"rivals", verdict.rivals},
                 {"ends", verdict.ends},
                 {"last_end_ms", verdict.last_end_age / kMillisecond}});
     any_blocked = any_blocked || verdict.blocked;
@@ -250,34 +254,39 @@
   return blocked;
 }
 
-// Not with several causes of which one is known to end replicas: the request
-// would tell nothing about the others.
-bool Gateway::Impl::MayTry(const ServingRequest& request,
+// A request with all of several parts that have the same ends tells only
+// whether all of them are sound, so it is let try them once.
+bool Gateway::Impl::MayTry(ServingRequest* request,
                            const std::vector<CrashCause>& blocked) {
   const TimeUs now = output->Now();
-  bool all_tried = true;
   for (const CrashCause& it : blocked) {
-    const Doubt doubt = crash_records.Of(now, it).doubt;
-    if (doubt == Doubt::kNone ||
-        (doubt == Doubt::kRival && blocked.size() > 1)) {
+    if (!crash_records.Of(now, it).doubtful) {
       return false;
     }
-    all_tried = all_tried && cause_trials.IsTrial(it, request.id);
   }
-  if (all_tried) {
+  if (cause_trials.IsTrial(blocked, request->id)) {
     return true;
   }
-  if (!cause_trials.Begin(blocked, request.id, output->LivePeers())) {
+  const std::size_t rivals = crash_records.Of(now, blocked.front()).rivals;
+  const int most = blocked.size() > 1 && blocked.size() >= rivals
+                       ? 1
+                       : CauseTrials::kMaxTrials;
+  if (!cause_trials.Begin(blocked, request->id, most, output->LivePeers())) {
     return false;
   }
-  log->Write("cause_trial",
-             {{"id", request.call.id}, {"cause", Text(blocked.front())}});
+  if (blocked.size() == 1) {
+    request->tried_cause = blocked.front();
+  }
+  log->Write("cause_trial", {{"id", request->call.id},
+                             {"cause", Text(blocked.front())},
+                             {"causes", blocked.size()},
+                             {"rivals", rivals}});
   return true;
 }
 
 bool Gateway::Impl::IsBlocked(ServingRequest* request, LocalReply* refusal) {
   const std::vector<CrashCause> blocked = BlockedCauses(request);
-  if (blocked.empty() || MayTry(*request, blocked)) {
+  if (blocked.empty() || MayTry(request, blocked)) {
     return false;
   }
   const CrashCause& cause = blocked.front();
@@ -292,7 +301,7 @@
                      Text(cause), ": ", verdict.ends,
                      " replicas ended under it, the last one ",
                      verdict.last_end_age / kSecond, " s ago; ", until)};
-  if (verdict.doubt != Doubt::kNone) {
+  if (verdict.doubtful) {
     refusal->retry_after = kMinTrialTime + static_cast<DurationUs>(
                                                random->Below(kTrialTimeSpread));
   }
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -160,6 +160,8 @@
   std::optional<std::string> stream_version;
   std::optional<OriginSearch> origin_search;
   std::string fingerprint;  // Empty until it is needed.
+  // The only blocked cause of the request, if it may try it.
+  std::optional<CrashCause> tried_cause;
 };
 
 struct Gateway::Impl {
@@ -342,8 +344,7 @@
   void ProbeBroken();
   std::vector<CrashCause> BlockedCauses(ServingRequest* request) const;
   // Whether the request may try its blocked causes; see `CauseTrials`.
-  bool MayTry(const ServingRequest& request,
-              const std::vector<CrashCause>& blocked);
+  bool MayTry(ServingRequest* request, const std::vector<CrashCause>& blocked);
   // Whether the request is refused because replicas ended under one of its
   // causes; fills `refusal` if so.
   bool IsBlocked(ServingRequest* request, LocalReply* refusal);
--- a/src/messages.h
+++ b/src/messages.h
@@ -230,6 +230,7 @@
   std::string account;       // Of the request.
   DurationUs began_age = 0;  // Since the request was sent to the replica.
   DurationUs cleared_age = kNever;  // Since an answer showed it to be sound.
+  bool tried = false;               // The request was to try the cause, alone.
 };
 
 // A replica that ended, with some of what was in progress there.
--- a/src/protocol/crash_codec.cc
+++ b/src/protocol/crash_codec.cc
@@ -32,7 +32,8 @@
     for (const CrashSuspect& it : end.suspects) {
       suspects.push_back({{"cause", Text(it.cause)},
                           {"account", it.account},
-                          {"began_ms", TimeOf(it.began_age, unix_ms)}});
+                          {"began_ms", TimeOf(it.began_age, unix_ms)},
+                          {"tried", it.tried}});
       if (it.cleared_age != kNever) {
         suspects.back()["cleared_ms"] = TimeOf(it.cleared_age, unix_ms);
       }
@@ -61,6 +62,7 @@
         suspect.cause = ParseCause(it.at("cause").get<std::string>());
         suspect.account = it.at("account").get<std::string>();
         suspect.began_age = AgeOf(it.at("began_ms"), unix_ms);
+        suspect.tried = it.at("tried").get<bool>();
         if (it.contains("cleared_ms")) {
           suspect.cleared_age = AgeOf(it["cleared_ms"], unix_ms);
         }
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -190,7 +190,7 @@
 }
 template <class A>
 void serialize(A& a, CrashSuspect& v) {
-  a(v.cause, v.account, v.began_age, v.cleared_age);
+  a(v.cause, v.account, v.began_age, v.cleared_age, v.tried);
 }
 template <class A>
 void serialize(A& a, CrashEnd& v) {
