Log where the version of a stream is concluded from the list of replicas

A gateway goes on with a stream whose beginning it has a record of, or which it takes for one of the only version that it saw. The line 'stream_taken_up' named both 'here' (or the gateway that answered), so the hypotheses of the incident could not be told apart. A line and a counter now show each conclusion, with what it rests on; 'stream_taken_up' names the service too.

No functional change

--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -55,6 +55,14 @@
   if (!only || list_age < 0 || list_age > kMaxListAge) {
     return std::nullopt;
   }
+  metrics->Count("acaciachute_gateway_stream_versions_concluded_total",
+                 query.service);
+  log->Write("stream_version_concluded",
+             {{"resumes", query.attempt},
+              {"service", query.service},
+              {"version", *only},
+              {"window_ms", query.window / kMillisecond},
+              {"list_age_ms", list_age / kMillisecond}});
   return StreamOrigin{query.attempt, query.account, query.service, *only, 0};
 }
 
@@ -148,6 +156,7 @@
       {{"id", request.call.id},
        {"resumes", request.call.resumed_attempt},
        {"source", source},
+       {"service", request.service},
        {"version", request.stream_version.value_or("")},
        {"asks", request.origin_search ? request.origin_search->asks : 0},
        {"after_ms", (output->Now() - request.received_at) / kMillisecond}});
