Conclude a stream's version from records that precede each stream only

Callers saw: streams with events of two software versions after they were taken up, 16 to 52 of some 300 while a service was rolled or a route moved, 9 of 309 after a kill of all gateways. Cause: a gateway without a record of the stream took its version for the only one in the list of replicas for some seconds, and did so before it asked the gateways that had a record; these answered from the list too where they lacked one. Neither the list (replicas serve on after their rows are gone) nor the seconds (the deadline of the try) bound what a stream can be. Class: what is not known is concluded from a time window.

Records of the stream go first, here and at the gateways that were told. If none has one, the version is certain only if there has never been another: each version is recorded in the store before the first stream begins there at any gateway, and a reading that the store was asked for after the client came shows them all. Several versions, once known, are read no more. Gateways tell each other what has a record, so one of them writes it. Records are kept of all streams, and by each attempt that took one up, as clients may name that one.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -23,6 +23,7 @@
       log(log_in),
       replica_rate_limiter(options.node),
       cause_trials(options.node),
+      version_ledger(output_in, random_in, log_in),
       engines(directory_in, &replica_rate_limiter, random_in) {
   replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
@@ -246,6 +247,7 @@
   for (const auto& [name, service] : impl_->config->services()) {
     impl_->ServiceBudget(name);  // Starts to fill before the first retry.
   }
+  impl_->versions_changed = true;
 }
 
 void Gateway::OnConfirmed(TimeUs asked_at) {
@@ -267,6 +269,7 @@
 }
 
 void Gateway::OnReplica(const ReplicaEntry& replica, DirectoryChange change) {
+  impl_->versions_changed = true;
   const bool restarted = change == DirectoryChange::kRestarted;
   if (restarted || (change == DirectoryChange::kRemoved && !replica.leaving)) {
     impl_->OnReplicaEnded(replica.id, Name(change));
@@ -401,8 +404,9 @@
 
 void Gateway::OnTick() {
   impl_->ProbeBroken();
-  impl_->SeeVersions();
-  impl_->AskForOrigins();
+  impl_->RecordVersions();
+  impl_->version_ledger.OnTick(impl_->output->Now());
+  impl_->SearchOrigins();
   impl_->BeginParked();
   impl_->RetryAwaitingLimited();
   const TimeUs now = impl_->output->Now();
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "coordination/crashes/broken_attempts.h"
 #include "coordination/crashes/crash_records.h"
 #include "coordination/gateway/service_retry_budget.h"
+#include "coordination/gateway/version_ledger.h"
 #include "coordination/stages/piece_dispatcher.h"
 #include "state/answer_end.h"
 #include "state/client_request.h"
@@ -64,9 +65,8 @@
   std::optional<std::size_t> max_idle_connections;
 };
 
-class GatewayOutput {
+class GatewayOutput : public VersionLedgerOutput {
  public:
-  virtual ~GatewayOutput() = default;
   // Must advance while the host is suspended, because clients' deadlines do
   // too.
   virtual TimeUs Now() = 0;
@@ -101,11 +101,6 @@
   // `Gateway::OnReplicaProbed` follows, never from inside this call.
   virtual void ProbeReplica(const ReplicaId& replica,
                             const Address& address) = 0;
-
-  // The other live gateways.
-  virtual std::vector<NodeId> LivePeers() = 0;
-  // Sends a message that may be lost.
-  virtual void SendDatagram(const NodeId& peer, const Message& message) = 0;
 };
 
 struct GatewayOptions {
@@ -206,6 +201,15 @@
                             const StreamOriginAnswer& answer);
   // A gateway has started or was not known before.
   void OnNewPeer(const NodeId& peer);
+  // What the store, or another gateway, knows of versions at which streams can
+  // have begun; see `VersionLedger`.
+  void OnVersionRecorded(const ServiceVersion& version, bool done);
+  void OnVersionsRead(
+      const std::optional<std::vector<ServiceVersion>>& versions);
+  void OnServiceVersions(const NodeId& from,
+                         const ServiceVersionReport& report);
+  // Whether streams may begin at all versions that replicas have.
+  bool VersionsRecorded() const;
   void OnPiece(const PieceResult& result);
   // What a replica states in its answer to a call with pieces or to a release
   // of results.
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -49,8 +49,10 @@
     // released.
     dispatcher->ReleaseResults(request->progress.TakeAll());
   }
-  if (!request->stream_version && request->events.complete_events() > 0) {
-    request->stream_version = attempt.replica.version;
+  if (!request->origin_told && request->events.complete_events() > 0) {
+    request->origin_told = true;
+    request->stream_version =
+        request->stream_version.value_or(attempt.replica.version);
     OnStreamBegun(*request);
   }
   if (!request->stream_begun) {
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -26,18 +26,42 @@
 }
 
 std::vector<ReplicaId> Gateway::Impl::ExcludedReplicas(
-    const ServingRequest& request) const {
+    const ServingRequest& request) {
   std::vector<ReplicaId> excluded = request.tried;
-  if (request.stream_version) {
-    for (const ReplicaEntry* it : directory->Of(request.service)) {
-      if (!HasVersionFor(request, *it)) {
-        excluded.push_back(it->id);
-      }
+  if (request.route->kind != RouteKind::kStream) {
+    return excluded;
+  }
+  const TimeUs now = output->Now();
+  for (const ReplicaEntry* it : directory->Of(request.service)) {
+    const ServiceVersion version = {it->service, it->version};
+    if (!version_ledger.MayBegin(now, version)) {
+      version_ledger.NeedAtOnce(now, version);
+    }
+    if (!MayServe(request, *it)) {
+      excluded.push_back(it->id);
     }
   }
   return excluded;
 }
 
+bool Gateway::Impl::VersionIsRecorded(const ServingRequest& request) const {
+  const auto& replicas = directory->Of(request.service);
+  return request.route->kind != RouteKind::kStream ||
+         std::all_of(replicas.begin(), replicas.end(),
+                     [&](const ReplicaEntry* it) {
+                       return version_ledger.MayBegin(
+                           output->Now(), {it->service, it->version});
+                     });
+}
+
+bool Gateway::Impl::MayServe(const ServingRequest& request,
+                             const ReplicaEntry& replica) const {
+  return HasVersionFor(request, replica) &&
+         (request.route->kind != RouteKind::kStream ||
+          version_ledger.MayBegin(output->Now(),
+                                  {replica.service, replica.version}));
+}
+
 bool Gateway::Impl::CanGoOn(const ServingRequest& request) const {
   if (!request.stream_version) {
     return true;
@@ -63,6 +87,13 @@
     }
     return;
   }
+  if (replica == nullptr && request->sends == 0 &&
+      !VersionIsRecorded(*request)) {
+    Refuse(request,
+           {Refusal::kNotCurrent, Verdict::kNotRun, kRetryElsewhereDelay,
+            "the replicas' version is not recorded yet"});
+    return;
+  }
   if (replica == nullptr) {
     const bool listed = !directory->Of(request->service).empty();
     Refuse(request,
@@ -121,7 +152,6 @@
   } else {
     PlainChoiceOf(request->service).OnSent(now, replica.id);
   }
-  service_versions.OnSeen(now, request->service, replica.version);
   replica_rate_limiter.OnSent(replica);
   replica_rate_limiter.rests().OnSent(now, replica.id);
   request->tried.push_back(replica.id);
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -21,8 +21,8 @@
 #include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
-#include "coordination/gateway/service_versions.h"
 #include "coordination/gateway/stream_origins.h"
+#include "coordination/gateway/version_ledger.h"
 #include "coordination/stages/stage_progress.h"
 
 namespace acaciachute {
@@ -79,6 +79,8 @@
   std::vector<NodeId> asked;  // Gateways that have not answered.
   int asks = 0;
   TimeUs next_ask_at = 0;
+  // No gateway knows; the records in the store, read later than this, decide.
+  std::optional<TimeUs> reads_since;
 };
 
 struct ServingRequest {
@@ -158,6 +160,7 @@
   // Software version of the replica whose event the client got first. What
   // another version writes does not continue the stream. Empty: no event yet.
   std::optional<std::string> stream_version;
+  bool origin_told = false;  // See `Gateway::Impl::OnStreamBegun`.
   std::optional<OriginSearch> origin_search;
   std::string fingerprint;  // Empty until it is needed.
   // The only blocked cause of the request, if it may try it.
@@ -252,11 +255,16 @@
     return !request.stream_version ||
            *request.stream_version == replica.version;
   }
+  // Whether it has, and a stream may begin at its version.
+  bool MayServe(const ServingRequest& request,
+                const ReplicaEntry& replica) const;
+  // Whether streams may begin at the versions of all its replicas.
+  bool VersionIsRecorded(const ServingRequest& request) const;
   // Whether a listed replica that was not tried has that version, if it needs
   // one.
   bool CanGoOn(const ServingRequest& request) const;
   // The replicas that are not chosen for the request.
-  std::vector<ReplicaId> ExcludedReplicas(const ServingRequest& request) const;
+  std::vector<ReplicaId> ExcludedReplicas(const ServingRequest& request);
   void SendTo(ServingRequest* request, const ReplicaEntry& replica);
   // Maximum number of idle connections that this gateway keeps to one replica
   // of the request's service.
@@ -367,14 +375,20 @@
   // Begins the request where its stream began, once that is known.
   void TakeUpStream(ServingRequest* request);
   void AskForOrigin(ServingRequest* request);
-  void AskForOrigins();
-  void RefuseUnknownStream(ServingRequest* request);
+  // Goes on with all searches whose next step is due.
+  void SearchOrigins();
+  // No gateway knows where the stream began: whether there is only one version
+  // at which it can have begun.
+  void ConcludeOrigin(ServingRequest* request);
+  void RefuseUnknownStream(ServingRequest* request, std::string_view why);
   // `source`: who knew it, for the log.
   void GoOnFrom(ServingRequest* request,
                 const StreamOrigin& origin,
                 std::string_view source);
   void LogTakenUp(const ServingRequest& request, std::string_view source);
-  void SeeVersions();
+  // Has the versions of replicas recorded, after a change of replicas or of the
+  // configuration.
+  void RecordVersions();
 
   // gateway_turns.cc
   void LogRateLimit(const ReplicaId& replica, std::string_view source);
@@ -441,8 +455,8 @@
   };
   std::deque<LateSuspects> late_suspects;
   StreamOrigins stream_origins;
-  ServiceVersions service_versions;
-  TimeUs next_version_scan_at = 0;
+  VersionLedger version_ledger;
+  bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -14,26 +14,19 @@
 constexpr DurationUs kAskInterval = 60 * kMillisecond;
 constexpr int kMaxAsks = 4;
 
-// Time until a version that served is seen by a gateway that is in touch.
-constexpr DurationUs kListDelay = 3 * kSecond;
-
-// Age of the replica list beyond which it may lack a version.
-constexpr DurationUs kMaxListAge = 5 * kSecond;
-
 // Origins in one datagram, some 100 bytes each.
 constexpr std::size_t kMaxPerDatagram = 10;
 
 }  // namespace
 
 bool Gateway::Impl::TakesUpStream(const ServingRequest& request) {
-  return request.route->resumable &&
+  return request.route->kind == RouteKind::kStream &&
          (request.resume_after || !request.call.resumed_attempt.empty());
 }
 
+// Streams that cannot be taken up are told too: a later configuration may allow
+// it. A client may name the attempt that took the stream up last.
 void Gateway::Impl::OnStreamBegun(const ServingRequest& request) {
-  if (!request.route->resumable || TakesUpStream(request)) {
-    return;
-  }
   const StreamOrigin origin = {request.call.id, AccountOf(request),
                                request.service, *request.stream_version, 0};
   stream_origins.Add(output->Now(), origin);
@@ -43,36 +36,15 @@
   }
 }
 
+StreamOriginQuery Gateway::Impl::OriginQueryOf(const ServingRequest& request) {
+  return {request.id, request.call.resumed_attempt, AccountOf(request)};
+}
+
+// Only what is remembered of this very stream: other gateways may know it even
+// if this one does not.
 std::optional<StreamOrigin> Gateway::Impl::FindOrigin(
     const StreamOriginQuery& query) const {
-  const TimeUs now = output->Now();
-  if (auto origin = stream_origins.Find(now, query.attempt, query.account)) {
-    return origin;
-  }
-  const DurationUs list_age = directory->Age(now);
-  const auto only =
-      service_versions.OnlyVersion(now, query.service, query.window);
-  if (!only || list_age < 0 || list_age > kMaxListAge) {
-    return std::nullopt;
-  }
-  metrics->Count("acaciachute_gateway_stream_versions_concluded_total",
-                 query.service);
-  log->Write("stream_version_concluded",
-             {{"resumes", query.attempt},
-              {"service", query.service},
-              {"version", *only},
-              {"window_ms", query.window / kMillisecond},
-              {"list_age_ms", list_age / kMillisecond}});
-  return StreamOrigin{query.attempt, query.account, query.service, *only, 0};
-}
-
-// What the client has used up of its deadline tells how long ago its stream
-// began at most; deadlines are no longer than the route's timeout.
-StreamOriginQuery Gateway::Impl::OriginQueryOf(const ServingRequest& request) {
-  const DurationUs used =
-      std::max<DurationUs>(0, request.route->timeout - request.call.deadline);
-  return {request.id, request.call.resumed_attempt, AccountOf(request),
-          request.service, used + kListDelay};
+  return stream_origins.Find(output->Now(), query.attempt, query.account);
 }
 
 void Gateway::Impl::TakeUpStream(ServingRequest* request) {
@@ -81,17 +53,19 @@
     return;
   }
   request->origin_search.emplace();
-  request->origin_search->asked =
-      StreamOrigins::Holders(request->call.resumed_attempt, output->LivePeers(),
-                             StreamOrigins::kAsked);
   awaiting_origin.insert(request->id);
+  if (!request->call.resumed_attempt.empty()) {
+    request->origin_search->asked =
+        StreamOrigins::Holders(request->call.resumed_attempt,
+                               output->LivePeers(), StreamOrigins::kAsked);
+  }
   AskForOrigin(request);
 }
 
 void Gateway::Impl::AskForOrigin(ServingRequest* request) {
   OriginSearch& search = *request->origin_search;
   if (search.asked.empty() || search.asks == kMaxAsks) {
-    RefuseUnknownStream(request);
+    ConcludeOrigin(request);
     return;
   }
   ++search.asks;
@@ -101,26 +75,58 @@
   }
 }
 
-void Gateway::Impl::AskForOrigins() {
+void Gateway::Impl::SearchOrigins() {
   const TimeUs now = output->Now();
   const std::set<ExchangeId> waiting = awaiting_origin;
   for (const ExchangeId id : waiting) {
     ServingRequest* request = FindByExchange(id);
-    if (request->origin_search->next_ask_at <= now) {
+    if (request == nullptr || !awaiting_origin.contains(id)) {
+      continue;  // It ended with one before it.
+    }
+    if (request->origin_search->reads_since) {
+      ConcludeOrigin(request);
+    } else if (request->origin_search->next_ask_at <= now) {
       AskForOrigin(request);
     }
   }
 }
 
+void Gateway::Impl::ConcludeOrigin(ServingRequest* request) {
+  if (version_ledger.Several()) {
+    RefuseUnknownStream(request, "streams have begun at several versions");
+    return;
+  }
+  OriginSearch& search = *request->origin_search;
+  if (!search.reads_since) {
+    search.reads_since = output->Now();
+    version_ledger.Read(output->Now());
+    return;
+  }
+  if (version_ledger.read_at() >= search.reads_since) {
+    if (const auto only = version_ledger.Only()) {
+      GoOnFrom(request,
+               {request->call.resumed_attempt, AccountOf(*request),
+                only->service, only->version, 0},
+               "only_version");
+    } else {
+      RefuseUnknownStream(request, "no version has a record");
+    }
+  } else if (version_ledger.failed_read_at() >= search.reads_since) {
+    RefuseUnknownStream(request, "the store does not answer");
+  }
+}
+
 // A client's next connection may reach a gateway that knows.
-void Gateway::Impl::RefuseUnknownStream(ServingRequest* request) {
+void Gateway::Impl::RefuseUnknownStream(ServingRequest* request,
+                                        std::string_view why) {
+  awaiting_origin.erase(request->id);
   LogTakenUp(*request, "unknown");
   Refuse(request,
          {Refusal::kUnknownStream, Verdict::kNotRun, kRetryElsewhereDelay,
           StrCat("no gateway knows at which version ",
                  request->call.resumed_attempt.substr(
                      0, StreamOrigins::kMaxIdLength),
-                 " began")});
+                 " began; ", why)});
 }
 
 void Gateway::Impl::GoOnFrom(ServingRequest* request,
@@ -131,7 +137,8 @@
       std::any_of(split.begin(), split.end(),
                   [&](const auto& it) { return it.service == origin.service; });
   if (!routed) {
-    RefuseUnknownStream(request);
+    RefuseUnknownStream(
+        request, StrCat("the route no longer leads to ", origin.service));
     return;
   }
   request->service = origin.service;
@@ -162,15 +169,17 @@
        {"after_ms", (output->Now() - request.received_at) / kMillisecond}});
 }
 
-void Gateway::Impl::SeeVersions() {
-  const TimeUs now = output->Now();
-  if (config == nullptr || now < next_version_scan_at) {
+void Gateway::Impl::RecordVersions() {
+  if (config == nullptr || !std::exchange(versions_changed, false)) {
     return;
   }
-  next_version_scan_at = now + ServiceVersions::kScanPeriod;
+  const TimeUs now = output->Now();
   for (const auto& [name, service] : config->services()) {
+    if (!service.engine) {
+      continue;  // Few others write streams; theirs are recorded as they begin.
+    }
     for (const ReplicaEntry* it : directory->Of(name)) {
-      service_versions.OnSeen(now, name, it->version);
+      version_ledger.Need(now, {name, it->version});
     }
   }
 }
@@ -200,11 +209,32 @@
   if (!answer.origins.empty()) {
     impl_->GoOnFrom(request, answer.origins.front(), from);
   } else if (request->origin_search->asked.empty()) {
-    impl_->RefuseUnknownStream(request);
+    impl_->ConcludeOrigin(request);
   }
 }
 
+void Gateway::OnVersionRecorded(const ServiceVersion& version, bool done) {
+  impl_->version_ledger.OnRecorded(impl_->output->Now(), version, done);
+}
+
+void Gateway::OnVersionsRead(
+    const std::optional<std::vector<ServiceVersion>>& versions) {
+  impl_->version_ledger.OnRead(impl_->output->Now(), versions);
+  impl_->SearchOrigins();
+}
+
+void Gateway::OnServiceVersions(const NodeId& from,
+                                const ServiceVersionReport& report) {
+  impl_->version_ledger.OnReport(from, report);
+}
+
+bool Gateway::VersionsRecorded() const {
+  return impl_->config != nullptr && !impl_->versions_changed &&
+         impl_->version_ledger.MayBeginAtAll(impl_->output->Now());
+}
+
 void Gateway::OnNewPeer(const NodeId& peer) {
+  impl_->version_ledger.OnNewPeer(peer);
   StreamOriginReport report;
   for (StreamOrigin& it : impl_->stream_origins.HeldBy(
            impl_->output->Now(), peer, impl_->output->LivePeers())) {
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -207,6 +207,8 @@
   dispatcher.OnTick(now);
   gateway->OnTick();
   TickCrashes(now);
+  versions_recorded = versions_recorded ||
+                      (replicas.watch.known() && gateway->VersionsRecorded());
   if (draining) {
     CheckDrained();
   }
@@ -286,7 +288,7 @@
   const bool knows_crashes = crash_exchange.has_read() ||
                              Loop::BootNow() - started_at > kMaxCrashRowsWait;
   return !draining && knows_crashes && gateway->can_check_keys() &&
-         replicas.watch.known();
+         replicas.watch.known() && versions_recorded;
 }
 
 void GatewayNode::Impl::OnOperatorRequest(ExchangeId id,
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -39,6 +39,8 @@
 // The store's table of causes that are refused because replicas ended under
 // them.
 inline constexpr char kCrashTable[] = "acaciachute-crashes";
+// The store's table of versions at which streams can have begun.
+inline constexpr char kVersionTable[] = "acaciachute-stream-versions";
 
 // A table of the store that this gateway follows and relays to other gateways.
 struct FollowedTable {
@@ -259,6 +261,11 @@
   void OnGateway(const NodeId& node, const Address& address) override;
   void OnFrameKey(const std::string& key) override;
 
+  // VersionLedgerOutput
+  void RecordVersion(const ServiceVersion& version) override;
+  void ReadVersions() override;
+  void OnVersionRows(const TableAnswer& answer);
+
   // CrashExchangeOutput
   std::vector<NodeId> LivePeers() override { return peers.LivePeers(); }
   void SendCrashReport(const NodeId& peer, const CrashReport& report) override;
@@ -324,6 +331,8 @@
   std::map<std::string, std::string> refused_rows;
   bool draining = false;
   TimeUs drain_started_at = 0;
+  // Streams could begin at all listed versions once; see `Ready`.
+  bool versions_recorded = false;
 };
 
 }  // namespace acaciachute
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -152,6 +152,10 @@
     gateway->OnStreamOriginAnswer(from, *answer);
     return;
   }
+  if (const auto* versions = std::get_if<ServiceVersionReport>(&message)) {
+    gateway->OnServiceVersions(from, *versions);
+    return;
+  }
   const auto* heartbeat = std::get_if<GatewayHeartbeat>(&message);
   if (heartbeat == nullptr) {
     return;
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -62,6 +62,8 @@
     join.OnRows(Now(), answer);
   } else if (table == kCrashTable) {
     OnCrashRows(answer);
+  } else if (table == kVersionTable) {
+    OnVersionRows(answer);
   } else if (FollowedTable* it = FindFollowedTable(table)) {
     it->source.OnStoreAnswer(Now(), id, answer);
   }
--- a/src/messages.h
+++ b/src/messages.h
@@ -10,6 +10,7 @@
 
 #include "state/crash_cause.h"
 #include "state/piece.h"
+#include "state/service_version.h"
 #include "state/table_rows.h"
 #include "types.h"
 
@@ -337,14 +338,22 @@
   ExchangeId request = 0;  // At the sender.
   std::string attempt;
   std::string account;
-  std::string service;    // To which the sender would send it.
-  DurationUs window = 0;  // Within which the stream began.
 };
 struct StreamOriginAnswer {
   ExchangeId request = 0;
   std::vector<StreamOrigin> origins;  // One, or none if it is not known.
 };
 
+// Gateway to gateway, over UDP: versions at which the sender's streams may
+// begin, and whether the store has a record of each.
+struct ServiceVersionReport {
+  struct Item {
+    ServiceVersion version;
+    bool recorded = false;
+  };
+  std::vector<Item> versions;
+};
+
 using Message = std::variant<StageCall,
                              StageCancel,
                              StageChunk,
@@ -367,7 +376,8 @@
                              CrashReport,
                              StreamOriginReport,
                              StreamOriginQuery,
-                             StreamOriginAnswer>;
+                             StreamOriginAnswer,
+                             ServiceVersionReport>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -216,13 +216,21 @@
 }
 template <class A>
 void serialize(A& a, StreamOriginQuery& v) {
-  a(v.request, v.attempt, v.account, v.service, v.window);
+  a(v.request, v.attempt, v.account);
 }
 template <class A>
 void serialize(A& a, StreamOriginAnswer& v) {
   a(v.request, v.origins);
 }
 template <class A>
+void serialize(A& a, ServiceVersionReport::Item& v) {
+  a(v.version.service, v.version.version, v.recorded);
+}
+template <class A>
+void serialize(A& a, ServiceVersionReport& v) {
+  a(v.versions);
+}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
