Doubt a replica's version once its connections end, until its process is known

Cause: the version of a stream was that of the row read before the connection was made; the process behind it may be the next one, whose row comes later.

All connections to a process end with it, so while one is open, new ones reach the same process. When the other side ends the last one, or refuses one, the version is in doubt: streams that begin there are not remembered nor resumed, and none goes on there, until the process says at /report that it started when the row says, or until it would have written another row. A reset of some connections costs one such question at most.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -283,6 +283,7 @@
   if (!restarted && change != DirectoryChange::kRemoved) {
     return;
   }
+  impl_->version_doubts.Clear(replica.id);
   impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
@@ -322,6 +323,12 @@
     attempt.connect_time = impl_->output->Now() - attempt.sent_at;
     impl_->metrics->Observe("acaciachute_gateway_connect_seconds",
                             request->service, attempt.connect_time);
+    if (request->route->kind == RouteKind::kStream &&
+        impl_->version_doubts.OnConnected(impl_->output->Now(),
+                                          attempt.replica.id)) {
+      impl_->output->AskReplicaStart(attempt.replica.id,
+                                     attempt.replica.address);
+    }
   }
 }
 
@@ -404,6 +411,7 @@
 
 void Gateway::OnTick() {
   impl_->ProbeBroken();
+  impl_->ClearDoubts();
   impl_->RecordVersions();
   impl_->version_ledger.OnTick(impl_->output->Now());
   impl_->SearchOrigins();
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -101,6 +101,10 @@
   // `Gateway::OnReplicaProbed` follows, never from inside this call.
   virtual void ProbeReplica(const ReplicaId& replica,
                             const Address& address) = 0;
+  // Asks the process at the replica's address when it started;
+  // `Gateway::OnReplicaStart` follows, never from inside this call.
+  virtual void AskReplicaStart(const ReplicaId& replica,
+                               const Address& address) = 0;
 };
 
 struct GatewayOptions {
@@ -181,6 +185,11 @@
 
   // The request was sent on a newly opened connection.
   void OnReplicaConnected(CallId id);
+  // The other side ended the last connection to the replica, or refused one.
+  void OnConnectionsLost(const ReplicaId& replica);
+  // Empty if the process does not say it.
+  void OnReplicaStart(const ReplicaId& replica,
+                      std::optional<Incarnation> start);
   void OnReplicaHead(CallId id, ReplicaHead head);
   void OnReplicaBody(CallId id, std::string_view bytes);
   void OnReplicaEnd(CallId id, AnswerEnd end);
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -32,6 +32,12 @@
   if (!attempt.head->sealed || attempt.head->encoded) {
     return;  // Such an answer is rejected in `OnEnd`.
   }
+  if (request->stream_version && !attempt.first_event_received &&
+      version_doubts.InDoubt(attempt.replica.id)) {
+    CancelAttempt(request);
+    OnMayHaveRun(request, "another version may have taken the replica's place");
+    return;
+  }
   const std::string events = request->events.Add(bytes);
   if (!events.empty()) {
     PassEvents(request, events);
@@ -49,7 +55,8 @@
     // released.
     dispatcher->ReleaseResults(request->progress.TakeAll());
   }
-  if (!request->origin_told && request->events.complete_events() > 0) {
+  if (!request->origin_told && request->events.complete_events() > 0 &&
+      !version_doubts.InDoubt(attempt.replica.id)) {
     request->origin_told = true;
     request->stream_version =
         request->stream_version.value_or(attempt.replica.version);
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -182,9 +182,11 @@
 
 bool Gateway::Impl::MayRetry(ServingRequest* request) const {
   // Without the id of the last event that was passed on, another replica cannot
-  // tell where to go on, and the client would receive events twice.
+  // tell where to go on, and the client would receive events twice. Without its
+  // version, none is known to go on as it began.
   const bool cannot_resume =
-      request->events.complete_events() > 0 && !request->events.last_event_id();
+      request->events.complete_events() > 0 &&
+      (!request->events.last_event_id() || !request->stream_version);
   return request->route->MayRepeat() && !cannot_resume &&
          !MayCrashReplicas(request) &&
          request->possible_runs < request->route->max_attempts &&
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -22,6 +22,7 @@
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
 #include "coordination/gateway/stream_origins.h"
+#include "coordination/gateway/version_doubts.h"
 #include "coordination/gateway/version_ledger.h"
 #include "coordination/stages/stage_progress.h"
 
@@ -249,11 +250,13 @@
   // gateway_attempt.cc: the attempts of a request.
   void StartAttempt(ServingRequest* request);
   const ReplicaEntry* ChooseReplica(ServingRequest* request);
-  // Whether the replica has the version that the request's stream needs.
-  static bool HasVersionFor(const ServingRequest& request,
-                            const ReplicaEntry& replica) {
+  // Whether the replica certainly has the version that the request's stream
+  // needs.
+  bool HasVersionFor(const ServingRequest& request,
+                     const ReplicaEntry& replica) const {
     return !request.stream_version ||
-           *request.stream_version == replica.version;
+           (*request.stream_version == replica.version &&
+            !version_doubts.InDoubt(replica.id));
   }
   // Whether it has, and a stream may begin at its version.
   bool MayServe(const ServingRequest& request,
@@ -386,6 +389,8 @@
                 const StreamOrigin& origin,
                 std::string_view source);
   void LogTakenUp(const ServingRequest& request, std::string_view source);
+  // Ends doubts about replicas that would have written their rows by now.
+  void ClearDoubts();
   // Has the versions of replicas recorded, after a change of replicas or of the
   // configuration.
   void RecordVersions();
@@ -456,6 +461,7 @@
   std::deque<LateSuspects> late_suspects;
   StreamOrigins stream_origins;
   VersionLedger version_ledger;
+  VersionDoubts version_doubts;
   bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
   EngineChoice engines;
--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -14,6 +14,9 @@
 constexpr DurationUs kAskInterval = 60 * kMillisecond;
 constexpr int kMaxAsks = 4;
 
+// Heartbeat periods within which a replica that has started writes its row.
+constexpr int kRowPeriods = 2;
+
 // Origins in one datagram, some 100 bytes each.
 constexpr std::size_t kMaxPerDatagram = 10;
 
@@ -169,14 +172,55 @@
        {"after_ms", (output->Now() - request.received_at) / kMillisecond}});
 }
 
+void Gateway::Impl::ClearDoubts() {
+  const TimeUs now = output->Now();
+  const DurationUs age = directory->Age(now);
+  if (age < 0) {
+    return;
+  }
+  for (const ReplicaId& it : version_doubts.ClearBefore(
+           now - age, kRowPeriods * options.replica_heartbeat_period)) {
+    log->Write("version_doubt",
+               {{"replica", it.name}, {"in_doubt", false}, {"source", "row"}});
+  }
+}
+
+void Gateway::OnConnectionsLost(const ReplicaId& replica) {
+  const ReplicaEntry* entry = impl_->directory->Find(replica);
+  if (impl_->config == nullptr || entry == nullptr ||
+      !impl_->config->HasStreams(entry->service)) {
+    return;
+  }
+  impl_->version_doubts.OnConnectionsLost(replica);
+  impl_->metrics->Count("acaciachute_gateway_version_doubts_total",
+                        entry->service);
+  impl_->log->Write("version_doubt", {{"replica", replica.name},
+                                      {"life", replica.incarnation},
+                                      {"in_doubt", true}});
+  impl_->output->AskReplicaStart(replica, entry->address);
+}
+
+void Gateway::OnReplicaStart(const ReplicaId& replica,
+                             std::optional<Incarnation> start) {
+  const bool same = start && *start == replica.incarnation;
+  if (same) {
+    impl_->version_doubts.Clear(replica);
+  }
+  impl_->log->Write("version_doubt", {{"replica", replica.name},
+                                      {"life", replica.incarnation},
+                                      {"in_doubt", !same},
+                                      {"source", "replica"},
+                                      {"start", start.value_or(0)}});
+}
+
 void Gateway::Impl::RecordVersions() {
   if (config == nullptr || !std::exchange(versions_changed, false)) {
     return;
   }
   const TimeUs now = output->Now();
   for (const auto& [name, service] : config->services()) {
-    if (!service.engine) {
-      continue;  // Few others write streams; theirs are recorded as they begin.
+    if (!config->HasStreams(name)) {
+      continue;
     }
     for (const ReplicaEntry* it : directory->Of(name)) {
       version_ledger.Need(now, {name, it->version});
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -102,6 +102,7 @@
           [this](const ReplicaId& replica, const ReplicaStatement& statement) {
             OnPieceStatement(replica, statement);
           }),
+      replica_starts(&channels),
       directory(this),
       evacuations(&directory, &metrics, &log),
       incarnation(RandomSeed()),
@@ -159,6 +160,11 @@
                &log) {
   gateway = std::make_unique<Gateway>(OptionsOf(settings), this, &dispatcher,
                                       &directory, &random, &metrics, &log);
+  channels.SetLostHandler([this](const Address& address) {
+    if (const ReplicaEntry* it = directory.FindAt(address)) {
+      gateway->OnConnectionsLost(it->id);
+    }
+  });
   ApplyBounds();
 }
 
@@ -377,6 +383,14 @@
                });
 }
 
+void GatewayNode::Impl::AskReplicaStart(const ReplicaId& replica,
+                                        const Address& address) {
+  replica_starts.Ask(address,
+                     [this, replica](std::optional<Incarnation> start) {
+                       gateway->OnReplicaStart(replica, start);
+                     });
+}
+
 void GatewayNode::Impl::OnPieceStatement(const ReplicaId& replica,
                                          const ReplicaStatement& statement) {
   gateway->OnStatement(replica, statement);
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -21,6 +21,7 @@
 #include "daemon/gateway_node.h"
 #include "platform/config.h"
 #include "platform/pieces.h"
+#include "platform/replica_starts.h"
 #include "platform/requests.h"
 #include "platform/rows.h"
 #include "platform/store_client.h"
@@ -146,6 +147,8 @@
   }
 
   void ProbeReplica(const ReplicaId& replica, const Address& address) override;
+  void AskReplicaStart(const ReplicaId& replica,
+                       const Address& address) override;
   void SendDatagram(const NodeId& peer, const Message& message) override;
 
   // CallSink: requests at replicas.
@@ -298,6 +301,7 @@
   HttpChannels channels;
   ConnectProbes probes;
   platform::PieceCalls pieces;
+  platform::ReplicaStarts replica_starts;
   ReplicaDirectory directory;
   Evacuations evacuations;
   std::unique_ptr<Gateway> gateway;
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -282,6 +282,10 @@
   return &owner->entry;
 }
 
+const ReplicaEntry* ReplicaDirectory::FindAt(const Address& address) const {
+  return ProducerOf(AddressText(address));
+}
+
 bool ReplicaDirectory::TakesWork(const ReplicaId& id) const {
   const Row* row = RowOf(id);
   return row != nullptr && IsEligible(*row);
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -182,6 +182,8 @@
   // begins with the replica's address and a slash. Null when no replica with
   // that address is listed.
   const ReplicaEntry* ProducerOf(std::string_view handle) const;
+  // A listed replica at the address, or null.
+  const ReplicaEntry* FindAt(const Address& address) const;
   bool TakesWork(const ReplicaId& id) const;
   std::size_t size() const { return entries_.size(); }
   // Returns the age of the list; negative: the list has not been read yet.
--- a/src/state/serving_config.cc
+++ b/src/state/serving_config.cc
@@ -19,10 +19,13 @@
 
 void ServingConfig::AddRoute(Route route) {
   const std::string place = LowerHost(route.host) + route.prefix;
-  if (by_place_.Find(place) == nullptr) {
+  if (const RoutePtr* const replaced = by_place_.Find(place)) {
+    CountStreams(**replaced, -1);
+  } else {
     ++routes_;
     ++prefix_lengths_[route.prefix.size()];
   }
+  CountStreams(route, 1);
   by_place_.Put(place, std::make_shared<const Route>(std::move(route)));
 }
 
@@ -32,6 +35,7 @@
   if (found == nullptr || (*found)->name != route.name) {
     return;
   }
+  CountStreams(**found, -1);
   by_place_.Remove(place);
   --routes_;
   const auto length = prefix_lengths_.find(route.prefix.size());
@@ -40,6 +44,17 @@
   }
 }
 
+void ServingConfig::CountStreams(const Route& route, std::ptrdiff_t count) {
+  if (route.kind != RouteKind::kStream) {
+    return;
+  }
+  for (const auto& it : route.split) {
+    if ((stream_routes_[it.service] += count) == 0) {
+      stream_routes_.erase(it.service);
+    }
+  }
+}
+
 void ServingConfig::AddService(Service service) {
   const std::string name = service.name;
   services_.insert_or_assign(name, std::move(service));
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -143,6 +143,10 @@
   // Returns the account with this key, or null for an unknown key.
   const ClientAccount* FindAccount(std::string_view key) const;
   std::size_t routes() const { return routes_; }
+  // Whether a route sends streams to the service.
+  bool HasStreams(const std::string& service) const {
+    return stream_routes_.contains(service);
+  }
   const absl::flat_hash_map<std::string, Service>& services() const {
     return services_;
   }
@@ -151,6 +155,9 @@
   using RoutePtr = std::shared_ptr<const Route>;
   using AccountPtr = std::shared_ptr<const ClientAccount>;
 
+  // Adds `count` to the number of routes of streams of its services.
+  void CountStreams(const Route& route, std::ptrdiff_t count);
+
   std::size_t routes_ = 0;
   std::size_t accounts_ = 0;
   // By lower-case host name, directly followed by the prefix.
@@ -159,6 +166,8 @@
   std::map<std::size_t, std::size_t, std::greater<>> prefix_lengths_;
   absl::flat_hash_map<std::string, Service> services_;
   SharedMap<AccountPtr> by_key_;
+  // By service: the number of routes that send streams there.
+  std::map<std::string, std::ptrdiff_t> stream_routes_;
 };
 
 }  // namespace acaciachute
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -66,6 +66,8 @@
   absl::flat_hash_map<CallId, Channel*> calls;
   absl::flat_hash_map<Address, std::vector<Channel*>> idle;
   absl::flat_hash_map<Channel*, std::unique_ptr<Channel>> channels;
+  absl::flat_hash_map<Address, std::size_t> connected;  // Connections.
+  std::function<void(const Address&)> lost;
   const std::shared_ptr<const int> alive = std::make_shared<const int>();
 };
 
@@ -129,6 +131,8 @@
   // is established after its deadline but before the next sweep is rejected
   // here: the caller may prefer another address by now.
   void OnConnected() override {
+    connected_ = true;
+    ++owner_->connected[address_];
     if (id_ != 0 && Loop::Now() > connect_deadline_) {
       Fail(CallFailureKind::kConnect, "no connection in time");
       return;
@@ -156,6 +160,7 @@
   }
 
   void OnEnd(const char* error) override {
+    ended_by_peer_ = true;
     if (id_ == 0) {
       owner_->Remove(this);
       return;
@@ -163,6 +168,7 @@
     const bool in_order = error == nullptr;
     if (in_order && reader_->ReadEnd() == HttpAnswerReader::State::kDone &&
         !discarding_) {
+      ended_by_peer_ = false;  // As its answer said.
       closed_by_peer_ = true;
       Finish();
       return;
@@ -197,6 +203,8 @@
 
   const Address& address() const { return address_; }
   CallId id() const { return id_; }
+  bool connected() const { return connected_; }
+  bool ended_by_peer() const { return ended_by_peer_; }
   bool sent() const { return sent_; }
 
  private:
@@ -345,6 +353,8 @@
   bool head_delivered_ = false;
   bool discarding_ = false;
   bool closed_by_peer_ = false;
+  bool connected_ = false;
+  bool ended_by_peer_ = false;  // And not as part of an answer.
 
   friend struct HttpChannels::Impl;
 };
@@ -381,7 +391,16 @@
     }
   }
   calls.erase(channel->id());
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization): outlives it.
+  const Address address = channel->address();
+  if (channel->connected() && --connected[address] == 0) {
+    connected.erase(address);
+  }
+  const bool is_lost = channel->ended_by_peer() && !connected.contains(address);
   channels.erase(channel);
+  if (is_lost && lost) {
+    lost(address);
+  }
 }
 
 void HttpChannels::Impl::Sweep() {
@@ -442,6 +461,10 @@
   }
 }
 
+void HttpChannels::SetLostHandler(std::function<void(const Address&)> lost) {
+  impl_->lost = std::move(lost);
+}
+
 void HttpChannels::DropIdle(const Address& address) {
   const auto it = impl_->idle.find(address);
   if (it == impl_->idle.end()) {
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -103,6 +104,9 @@
   bool CancelIfUnsent(CallId id);
   // Pauses or resumes reading the answer.
   void SetReading(CallId id, bool reading);
+  // `lost` is called, from the loop, when the other side ended the last
+  // connection to an address, or refused one while none was open.
+  void SetLostHandler(std::function<void(const Address&)> lost);
   // Closes the idle connections to an address, whose process has ended.
   void DropIdle(const Address& address);
   std::size_t open() const;      // Open connections.
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -246,6 +246,9 @@
   void ProbeReplica(const ReplicaId& replica, const Address&) override {
     probed.push_back(replica);
   }
+  void AskReplicaStart(const ReplicaId& replica, const Address&) override {
+    asked_start.push_back(replica);
+  }
   void SetReading(CallId id, bool reading) override { paused[id] = !reading; }
   std::vector<NodeId> LivePeers() override { return peers; }
   void SendDatagram(const NodeId& peer, const Message& message) override {
@@ -304,6 +307,7 @@
   std::vector<ExchangeId> ended;
   std::vector<ExchangeId> broken;
   std::vector<ReplicaId> probed;
+  std::vector<ReplicaId> asked_start;
   std::vector<NodeId> peers;  // Returned by `LivePeers`.
   std::vector<std::pair<NodeId, Message>> datagrams;
   std::vector<std::pair<NodeId, Message>> version_datagrams;
--- a/tests/gateway/stream_origins_test.cc
+++ b/tests/gateway/stream_origins_test.cc
@@ -321,6 +321,72 @@
   EXPECT_TRUE(rig.core.VersionsRecorded());
 }
 
+// Guards against a stream that begins at a process of another version than the
+// row under whose name and address it runs: it is not taken for one of the
+// row's version, by this gateway or by a client.
+TEST(GatewayStreamTest, NeitherResumesNorRecordsAStreamThatBeganInDoubt) {
+  TwoVersions rig;
+  rig.AddVersion("e3", "v1");
+  rig.AddVersion("e4", "v2");
+  const ExchangeId id = rig.Call("resume");
+  const ReplicaId began = rig.sent.back().replica;
+  rig.core.OnConnectionsLost(began);
+  rig.core.OnReplicaConnected(rig.sent.back().call);
+  EXPECT_EQ(rig.asked_start, (std::vector<ReplicaId>{began, began}));
+  rig.core.OnReplicaHead(rig.sent.back().call, GatewayRig::Head());
+  rig.core.OnReplicaBody(rig.sent.back().call, "id: 0\ndata: x\n\n");
+  rig.core.OnReplicaFailed(rig.sent.back().call, true, "reset");
+  EXPECT_EQ(rig.sent.size(), 1U);
+  EXPECT_EQ(rig.broken, std::vector<ExchangeId>{id});
+  const ExchangeId taken_up = rig.TakeUp("c1", 0);
+  EXPECT_TRUE(rig.refused.contains(taken_up));
+}
+
+// Guards against a stream that goes on at such a process.
+TEST(GatewayStreamTest, GoesOnAtNoReplicaInDoubt) {
+  TwoVersions rig;
+  rig.core.OnStreamOrigins({{{"c0", "acme", "engine", "v2", 0}}});
+  rig.core.OnConnectionsLost("e2");
+  const ExchangeId refused = rig.TakeUp("c0", 0);
+  EXPECT_TRUE(rig.refused.contains(refused));
+  // A connection is lost after the choice.
+  rig.AddVersion("e4", "v2");
+  rig.TakeUp("c0", 0);
+  ASSERT_EQ(rig.sent.size(), 1U);
+  EXPECT_EQ(rig.sent[0].replica.name, "e4");
+  rig.core.OnConnectionsLost("e4");
+  rig.core.OnReplicaConnected(rig.sent[0].call);
+  rig.core.OnReplicaHead(rig.sent[0].call, GatewayRig::Head());
+  rig.core.OnReplicaBody(rig.sent[0].call, "id: 1\ndata: x\n\n");
+  EXPECT_TRUE(rig.streams.empty());
+}
+
+// Guards against replicas that stay in doubt after a reset of their
+// connections: the process says that it is the one of the row, or has not
+// written another row in time.
+TEST(GatewayStreamTest, ADoubtEndsOnceTheProcessIsKnown) {
+  TwoVersions rig;
+  rig.directory.Remove(rig.now, "e2");
+  rig.core.OnConnectionsLost("e1");
+  rig.Begin();
+  rig.core.OnReplicaConnected(rig.sent.back().call);
+  rig.core.OnReplicaStart("e1", 0);
+  rig.core.OnReplicaBody(rig.sent.back().call, "id: 1\ndata: x\n\n");
+  rig.TakeUp("c1", 1);
+  EXPECT_EQ(rig.sent.size(), 2U);
+  // It does not say it.
+  rig.core.OnConnectionsLost("e1");
+  rig.Begin();
+  rig.core.OnReplicaConnected(rig.sent.back().call);
+  rig.core.OnReplicaStart("e1", std::nullopt);
+  EXPECT_TRUE(rig.refused.contains(rig.TakeUp("c1", 1)));
+  rig.directory.OnCurrent(rig.now + 3 * kSecond);
+  rig.Pass(3 * kSecond);
+  const std::size_t sent = rig.sent.size();
+  rig.TakeUp("c1", 1);
+  EXPECT_EQ(rig.sent.size(), sent + 1);
+}
+
 // Guards against a client that names the attempt which took its stream up last.
 TEST(GatewayStreamTest, KnowsTheStreamByEachAttemptThatTookItUp) {
   TwoVersions rig;
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -311,6 +311,41 @@
   }
 }
 
+// Guards against a process that took an address over and passes for the one
+// before it: its predecessor's end shows as the end of all connections.
+TEST(HttpChannelsTest, TellsWhenTheLastConnectionWasEndedByTheOtherSide) {
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) {
+    peer->stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  };
+  HttpChannels channels(&loop);
+  int lost = 0;
+  channels.SetLostHandler([&](const Address& address) {
+    EXPECT_EQ(address, server.address);
+    ++lost;
+  });
+  Sink first;
+  Sink second;
+  channels.Start(server.address, {}, {}, &first);
+  channels.Start(server.address, {}, {}, &second);
+  RunUntil(&loop, [&] { return first.over() && second.over(); });
+  ASSERT_EQ(server.peers.size(), 2U);
+  server.peers[0]->stream->Close();
+  RunUntil(&loop, [&] { return channels.open() == 1; });
+  EXPECT_EQ(lost, 0);
+  server.peers[1]->stream->Close();
+  RunUntil(&loop, [&] { return channels.open() == 0; });
+  EXPECT_EQ(lost, 1);
+  // This side's own end of a connection shows nothing.
+  Sink third;
+  channels.Start(server.address, {}, {}, &third);
+  RunUntil(&loop, [&] { return third.over(); });
+  channels.DropIdle(server.address);
+  EXPECT_EQ(channels.open(), 0U);
+  EXPECT_EQ(lost, 1);
+}
+
 TEST(HttpChannelsTest, EndsASilentCall) {
   Loop loop;
   RawServer server(&loop);
