Lend turns of stated limits to gateways that need more

Cause: what a replica states was divided by the number of gateways. The class: what all share is divided by number, not need.

Change: a gateway whose requests find no turn asks others for as many as it lacked; they lend half of what they do not use. A turn lets the borrower send one request within 0.5 s of when it asked. The lender counts it as a request of its own from lending until a window and 1 s later, or until the borrower gives it back unused. So a lost or copied message, a cut, a freeze or a restart of either party does not raise the sum. A gateway in need lends nothing; one that knows the others for less than a window and 1 s has half of its part, as before for a window, and lends nothing, as the process before it may have lent. Frames have version 9.

--- a/src/coordination/choice/replica_rate_limiter.cc
+++ b/src/coordination/choice/replica_rate_limiter.cc
@@ -109,25 +109,88 @@
   if (!stated) {
     return true;
   }
-  RecentRequests& recent_requests = recent_requests_[replica.id];
-  return recent_requests.CountWithin(now, stated->window) <
-         UsableNow(now, *stated,
-                   ShareOf(replica.id, &recent_requests, stated->max_requests));
+  const OwnTurns own = OwnTurnsOf(now, replica.id, *stated);
+  return own.used < own.part || CountBorrowed(now, replica.id, own) > 0;
 }
 
 std::size_t ReplicaRateLimiter::UsableNow(TimeUs now,
                                           const StatedLimit& stated,
+                                          DurationUs complete_age,
                                           std::size_t part) const {
-  const DurationUs age = now - gateways_known_since_;
-  if (age >= stated.window) {
+  if (Age(now) >= complete_age) {
     return part;
   }
   const double share =
-      std::min(kMaxStartShare,
-               static_cast<double>(age) / static_cast<double>(stated.window));
+      std::min(kMaxStartShare, static_cast<double>(Age(now)) /
+                                   static_cast<double>(stated.window));
   return static_cast<std::size_t>(share * static_cast<double>(part));
 }
 
+ReplicaRateLimiter::OwnTurns ReplicaRateLimiter::OwnTurnsOf(
+    TimeUs now,
+    const ReplicaId& replica,
+    const StatedLimit& stated) {
+  RecentRequests& recent_requests = recent_requests_[replica];
+  const std::size_t part =
+      ShareOf(replica, &recent_requests, stated.max_requests);
+  return {UsableNow(now, stated, CompleteAge(stated), part),
+          recent_requests.CountWithin(now, stated.window) +
+              loans_.CountLent(now, replica)};
+}
+
+std::size_t ReplicaRateLimiter::CountBorrowed(TimeUs now,
+                                              const ReplicaId& replica,
+                                              const OwnTurns& own) {
+  return loans_.CountUnused(now, replica,
+                            own.used - std::min(own.used, own.part));
+}
+
+std::size_t ReplicaRateLimiter::CountFreeTurns(TimeUs now,
+                                               const ReplicaId& replica) {
+  const auto stated = StatedLimitOf(replica);
+  if (!stated) {
+    return 0;
+  }
+  const OwnTurns own = OwnTurnsOf(now, replica, *stated);
+  return own.part - std::min(own.part, own.used) +
+         CountBorrowed(now, replica, own);
+}
+
+std::size_t ReplicaRateLimiter::MaxStatedRequests(
+    const ReplicaId& replica) const {
+  const auto stated = StatedLimitOf(replica);
+  return stated ? stated->max_requests : 0;
+}
+
+// Half of what is free, so that there is something for the next one that asks.
+std::size_t ReplicaRateLimiter::Lend(TimeUs now,
+                                     const ReplicaId& replica,
+                                     const RateLoans::LoanId& loan,
+                                     std::size_t n) {
+  const auto stated = StatedLimitOf(replica);
+  if (!stated || Age(now) < CompleteAge(*stated)) {
+    return 0;
+  }
+  const OwnTurns own = OwnTurnsOf(now, replica, *stated);
+  const auto kept =
+      static_cast<std::size_t>(kKeptShare * static_cast<double>(own.part));
+  const std::size_t free = own.part - std::min(own.part, own.used + kept);
+  const std::size_t lent = std::min(n, (free + 1) / 2);
+  if (lent > 0) {
+    loans_.OnLent(now, replica, loan, lent, stated->window);
+  }
+  return lent;
+}
+
+void ReplicaRateLimiter::Borrow(const ReplicaId& replica,
+                                const RateLoans::LoanId& loan,
+                                std::size_t n) {
+  if (const auto stated = StatedLimitOf(replica)) {
+    loans_.OnBorrowed(replica, loan, std::min(n, stated->max_requests),
+                      stated->window);
+  }
+}
+
 bool ReplicaRateLimiter::MaySendBatch(TimeUs now, const ReplicaEntry& replica) {
   if (!rests_.MaySend(now, replica.id)) {
     return false;
@@ -141,7 +204,7 @@
                                            const StatedLimit& stated) const {
   const auto share = static_cast<std::size_t>(
       kBatchingShare * static_cast<double>(stated.max_requests));
-  return std::max<std::size_t>(1, UsableNow(now, stated, share));
+  return std::max<std::size_t>(1, UsableNow(now, stated, stated.window, share));
 }
 
 TimeUs ReplicaRateLimiter::NextBatch(TimeUs now, const ReplicaEntry& replica) {
@@ -170,19 +233,21 @@
 // arrived now. More requests than this gateway's part may be there if the limit
 // was lowered, so only the last ones count.
 std::vector<TimeUs> ReplicaRateLimiter::StatedTurns(TimeUs now,
-                                                    const ReplicaEntry& replica,
+                                                    const ReplicaId& replica,
                                                     const StatedLimit& stated) {
-  RecentRequests& recent_requests = recent_requests_[replica.id];
+  RecentRequests& recent_requests = recent_requests_[replica];
   recent_requests.DropArrivalsBefore(now - stated.window);
-  const std::size_t share = UsableNow(
-      now, stated, ShareOf(replica.id, &recent_requests, stated.max_requests));
-  const std::size_t used = recent_requests.CountWithin(now, stated.window);
-  std::vector<TimeUs> turns(used < share ? share - used : 0, now);
+  const OwnTurns own = OwnTurnsOf(now, replica, stated);
+  std::vector<TimeUs> turns = loans_.ReturnTimes(now, replica);
+  turns.insert(turns.end(), own.part - std::min(own.part, own.used), now);
   for (const TimeUs it : recent_requests.arrival_times) {
     turns.push_back(it + stated.window);
   }
-  turns.resize(std::max(turns.size(), share), now + stated.window);
-  turns.erase(turns.begin(), turns.end() - static_cast<std::ptrdiff_t>(share));
+  std::sort(turns.begin(), turns.end());
+  turns.resize(std::max(turns.size(), own.part), now + stated.window);
+  turns.erase(turns.begin(),
+              turns.end() - static_cast<std::ptrdiff_t>(own.part));
+  turns.insert(turns.begin(), CountBorrowed(now, replica, own), now);
   return turns;
 }
 
@@ -197,7 +262,7 @@
   if (!stated) {
     return rest_turns;
   }
-  std::vector<TimeUs> turns = StatedTurns(now, replica, *stated);
+  std::vector<TimeUs> turns = StatedTurns(now, replica.id, *stated);
   for (std::size_t n = 0; n < turns.size() && n < rest_turns.size(); ++n) {
     turns[n] = std::max(turns[n], rest_turns[n]);
   }
--- a/src/coordination/choice/replica_rate_limiter.h
+++ b/src/coordination/choice/replica_rate_limiter.h
@@ -23,11 +23,14 @@
 // gateways that joined a moment ago. A gateway that has just joined sends
 // nothing to limited replicas until the others know of it.
 //
-// A process has forgotten what the one before it sent, which still counts in
-// the window. So its part of a stated limit accrues from when it knows the
-// others, up to a half, and is complete after a window: restarts of all
-// gateways, also in series, lead to half as many requests again as the limit
-// allows.
+// A gateway that needs more than its part of a stated limit borrows turns from
+// gateways that need less (`RateLoans`).
+//
+// A process has forgotten what the one before it sent and lent, which still
+// counts in the window. So its part of a stated limit accrues from when it
+// knows the others, up to a half, and is complete, and lent to others, when no
+// request of before counts any more: restarts of all gateways, also in series,
+// lead to half as many requests again as the limit allows.
 //
 // After the cold period the limit doubles in steps until it is lifted
 // (`SlowStart`), so that the last delayed requests and the first ones at full
@@ -47,6 +50,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "coordination/choice/rate_loans.h"
 #include "coordination/choice/rate_statements.h"
 #include "coordination/choice/recent_refusals.h"
 #include "coordination/choice/replica_rests.h"
@@ -76,9 +80,12 @@
   static constexpr double kMaxStatedRate = 1e6;
   // Share of a stated limit that the gateway which batches uses.
   static constexpr double kBatchingShare = 0.7;
-  // Largest share of its part of a stated limit that a gateway uses within the
-  // first window.
+  // Largest share of its part of a stated limit that a gateway uses until its
+  // part is complete.
   static constexpr double kMaxStartShare = 0.5;
+  // Share of its part of a stated limit that a gateway does not lend, for the
+  // first of its own requests.
+  static constexpr double kKeptShare = 0.125;
   // Number of heartbeat periods of a replica until its row in the store shows
   // that it is cold: the row may just have been rewritten (one heartbeat), and
   // the next version needs time to arrive here (one more).
@@ -113,6 +120,23 @@
   // has turns, in order; empty if it has no part of its limit.
   std::vector<TimeUs> NextTurns(TimeUs now, const ReplicaEntry& replica);
 
+  // Number of requests that this gateway may send to the replica now, by the
+  // limit that the replica states, on its own or on borrowed turns.
+  std::size_t CountFreeTurns(TimeUs now, const ReplicaId& replica);
+  // Number of requests in a window that all gateways together may send; zero if
+  // the replica states no limit.
+  std::size_t MaxStatedRequests(const ReplicaId& replica) const;
+  // Lends up to `n` turns to another gateway; returns how many.
+  std::size_t Lend(TimeUs now,
+                   const ReplicaId& replica,
+                   const RateLoans::LoanId& loan,
+                   std::size_t n);
+  // Another gateway lent `n` turns.
+  void Borrow(const ReplicaId& replica,
+              const RateLoans::LoanId& loan,
+              std::size_t n);
+
+  RateLoans& loans() { return loans_; }
   ReplicaRests& rests() { return rests_; }
   const ReplicaRests& rests() const { return rests_; }
   RecentRefusals& refusals() { return refusals_; }
@@ -130,6 +154,7 @@
   // The replica was removed or restarted.
   void OnReplicaRemoved(const ReplicaId& replica) {
     recent_requests_.erase(replica);
+    loans_.OnReplicaRemoved(replica);
     statements_.OnReplicaRemoved(replica);
     refusals_.OnReplicaRemoved(replica);
   }
@@ -166,13 +191,34 @@
   }
   // Number of calls per window that the gateway which batches may send.
   std::size_t BatchShare(TimeUs now, const StatedLimit& stated) const;
-  // What this gateway may use now of `part`, its part of a stated limit.
+  // Time since when this gateway knows the others.
+  DurationUs Age(TimeUs now) const { return now - gateways_known_since_; }
+  // Age at which this gateway's part of a stated limit is complete.
+  static DurationUs CompleteAge(const StatedLimit& stated) {
+    return stated.window + RateLoans::kMaxArrivalDelay;
+  }
+  // What this gateway may use now of `part`, its part of a stated limit, which
+  // is complete at `complete_age`.
   std::size_t UsableNow(TimeUs now,
                         const StatedLimit& stated,
+                        DurationUs complete_age,
                         std::size_t part) const;
+  // What this gateway may use by itself of a stated limit, and how much of that
+  // is in use or lent.
+  struct OwnTurns {
+    std::size_t part = 0;
+    std::size_t used = 0;
+  };
+  OwnTurns OwnTurnsOf(TimeUs now,
+                      const ReplicaId& replica,
+                      const StatedLimit& stated);
+  // Number of borrowed turns that may be used yet.
+  std::size_t CountBorrowed(TimeUs now,
+                            const ReplicaId& replica,
+                            const OwnTurns& own);
   // Turns by the limit that the replica states.
   std::vector<TimeUs> StatedTurns(TimeUs now,
-                                  const ReplicaEntry& replica,
+                                  const ReplicaId& replica,
                                   const StatedLimit& stated);
   // Null if the service has no limit for cold replicas.
   const Limits* LimitsOf(const ReplicaEntry& replica) const;
@@ -197,6 +243,7 @@
   std::uint64_t generation_ = 1;  // Increases when `gateways_` changes.
   absl::flat_hash_map<ReplicaId, RecentRequests> recent_requests_;
   RateStatements statements_;
+  RateLoans loans_;
   ReplicaRests rests_;
   RecentRefusals refusals_;
 };
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -22,6 +22,7 @@
       metrics(metrics_in),
       log(log_in),
       replica_rate_limiter(options.node),
+      rate_loans(&replica_rate_limiter, this, metrics_in, log_in),
       cause_trials(options.node),
       engines(directory_in, &replica_rate_limiter, random_in) {
   replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
@@ -281,6 +282,7 @@
     return;
   }
   impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
+  impl_->rate_loans.OnReplicaRemoved(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
     choice->OnReplicaRemoved(replica.id);
@@ -403,6 +405,7 @@
   impl_->ProbeBroken();
   impl_->SeeVersions();
   impl_->AskForOrigins();
+  impl_->rate_loans.OnTick(impl_->output->Now());
   impl_->BeginParked();
   impl_->RetryAwaitingLimited();
   const TimeUs now = impl_->output->Now();
@@ -442,6 +445,20 @@
                       {"gateway", "", statement.age});
 }
 
+void Gateway::OnRateLoanRequest(const NodeId& from,
+                                const RateLoanRequest& request) {
+  impl_->rate_loans.OnRequest(impl_->output->Now(), from, request);
+}
+
+void Gateway::OnRateLoan(const NodeId& from, const RateLoan& loan) {
+  impl_->rate_loans.OnLoan(impl_->output->Now(), from, loan);
+}
+
+void Gateway::OnRateLoanReturn(const NodeId& from,
+                               const RateLoanReturn& unused) {
+  impl_->rate_loans.OnReturn(from, unused);
+}
+
 const LeavingStatements& Gateway::leaving_statements() const {
   return impl_->leaving_statements;
 }
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -204,6 +204,10 @@
   void OnStreamOriginQuery(const NodeId& from, const StreamOriginQuery& query);
   void OnStreamOriginAnswer(const NodeId& from,
                             const StreamOriginAnswer& answer);
+  // Messages of other gateways about turns of replicas that state limits.
+  void OnRateLoanRequest(const NodeId& from, const RateLoanRequest& request);
+  void OnRateLoan(const NodeId& from, const RateLoan& loan);
+  void OnRateLoanReturn(const NodeId& from, const RateLoanReturn& unused);
   // A gateway has started or was not known before.
   void OnNewPeer(const NodeId& peer);
   void OnPiece(const PieceResult& result);
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -16,6 +16,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "coordination/choice/plain_choice.h"
+#include "coordination/choice/rate_loan_exchange.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/crashes/cause_trials.h"
 #include "coordination/gateway/config_freshness.h"
@@ -164,7 +165,7 @@
   std::optional<CrashCause> tried_cause;
 };
 
-struct Gateway::Impl {
+struct Gateway::Impl : public RateLoanOutput {
   Impl(GatewayOptions options_in,
        GatewayOutput* output_in,
        PieceDispatcher* dispatcher_in,
@@ -386,12 +387,19 @@
   // expected to accept the request; empty if there is none, or if this gateway
   // has no part of their limits.
   std::optional<TimeUs> NextTurn(const ServingRequest& request);
+  // RateLoanOutput
+  std::vector<NodeId> PossibleLenders() override { return output->LivePeers(); }
+  void SendLoanMessage(const NodeId& peer, const Message& message) override {
+    output->SendDatagram(peer, message);
+  }
   // Latest turn for which the request waits.
   TimeUs LatestTurn(const ServingRequest& request) const;
   // Whether all replicas of the request's service state limits or rest, and
   // none of them accepts the request in time. Fills `refusal` if so.
   bool HasNoTurn(const ServingRequest& request, LocalReply* refusal);
   LocalReply NoTurn(const ServingRequest& request, std::optional<TimeUs> turn);
+  // The request has no turn now at any replica that it may be sent to.
+  void ReportShortOfTurns(const ServingRequest& request);
   void AwaitLimitedReplica(ServingRequest* request);
   void RetryAwaitingLimited();
 
@@ -428,6 +436,7 @@
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
   ReplicaRateLimiter replica_rate_limiter;
+  RateLoanExchange rate_loans;
   LeavingStatements leaving_statements;
   BrokenAttempts broken_attempts;
   CrashRecords crash_records;
--- a/src/coordination/gateway/gateway_turns.cc
+++ b/src/coordination/gateway/gateway_turns.cc
@@ -98,6 +98,7 @@
 // turn is.
 LocalReply Gateway::Impl::NoTurn(const ServingRequest& request,
                                  std::optional<TimeUs> turn) {
+  ReportShortOfTurns(request);
   const TimeUs now = output->Now();
   const DurationUs wait = turn && gateway_count == 1
                               ? std::max<DurationUs>(*turn - now, kMillisecond)
@@ -108,6 +109,14 @@
                  turn ? (*turn - now) / kMillisecond : -1, " ms")};
 }
 
+void Gateway::Impl::ReportShortOfTurns(const ServingRequest& request) {
+  const auto limited = LimitedReplicas(request);
+  for (const ReplicaEntry* it : limited) {
+    rate_loans.OnShort(output->Now(), it->id,
+                       1 / static_cast<double>(limited.size()));
+  }
+}
+
 // When every replica of a service is limited, each accepts only a few requests
 // a second, or none for now. If the excess requests were refused, they would
 // all be retried at the same time; instead they wait here in order until a
@@ -116,6 +125,7 @@
   if (request->awaits_limited_replica) {
     return;
   }
+  ReportShortOfTurns(*request);
   request->awaits_limited_replica = true;
   awaiting_limited_replica.emplace(request->priority, request->received_at,
                                    request->id);
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -152,6 +152,18 @@
     gateway->OnStreamOriginAnswer(from, *answer);
     return;
   }
+  if (const auto* wanted = std::get_if<RateLoanRequest>(&message)) {
+    gateway->OnRateLoanRequest(from, *wanted);
+    return;
+  }
+  if (const auto* loan = std::get_if<RateLoan>(&message)) {
+    gateway->OnRateLoan(from, *loan);
+    return;
+  }
+  if (const auto* unused = std::get_if<RateLoanReturn>(&message)) {
+    gateway->OnRateLoanReturn(from, *unused);
+    return;
+  }
   const auto* heartbeat = std::get_if<GatewayHeartbeat>(&message);
   if (heartbeat == nullptr) {
     return;
--- a/src/messages.h
+++ b/src/messages.h
@@ -345,6 +345,29 @@
   std::vector<StreamOrigin> origins;  // One, or none if it is not known.
 };
 
+// A number of turns at a replica that states a limit.
+struct RateTurns {
+  std::string replica;
+  Incarnation incarnation = 0;
+  std::uint32_t count = 0;
+};
+
+// Gateway to gateway, over UDP: asks for turns that the receiver does not need;
+// the answer to it, unless the receiver lends none.
+struct RateLoanRequest {
+  TimeUs asked_at = 0;  // By the sender's clock.
+  std::vector<RateTurns> wanted;
+};
+struct RateLoan {
+  TimeUs asked_at = 0;  // Of the request.
+  std::vector<RateTurns> lent;
+};
+// The borrower gives back what it did not use of a loan.
+struct RateLoanReturn {
+  TimeUs asked_at = 0;  // Of the request.
+  std::vector<RateTurns> unused;
+};
+
 using Message = std::variant<StageCall,
                              StageCancel,
                              StageChunk,
@@ -367,7 +390,10 @@
                              CrashReport,
                              StreamOriginReport,
                              StreamOriginQuery,
-                             StreamOriginAnswer>;
+                             StreamOriginAnswer,
+                             RateLoanRequest,
+                             RateLoan,
+                             RateLoanReturn>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -223,6 +223,22 @@
   a(v.request, v.origins);
 }
 template <class A>
+void serialize(A& a, RateTurns& v) {
+  a(v.replica, v.incarnation, v.count);
+}
+template <class A>
+void serialize(A& a, RateLoanRequest& v) {
+  a(v.asked_at, v.wanted);
+}
+template <class A>
+void serialize(A& a, RateLoan& v) {
+  a(v.asked_at, v.lent);
+}
+template <class A>
+void serialize(A& a, RateLoanReturn& v) {
+  a(v.asked_at, v.unused);
+}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
@@ -231,7 +247,7 @@
 
 // "AC", the version of the frame format, which changes with the layout of any
 // message, and a reserved byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 8, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 9, 0};
 constexpr std::size_t kHmacSize = 32;  // HMAC-SHA-256.
 constexpr std::size_t kMinFrameBytes = kFramePrefixSize + kHmacSize;
 
