Kill lenders and borrowers of turns in a test of real gateways

Cause: that the sum of what gateways send to a replica holds when one that lent or borrowed turns is killed was shown in virtual time only.

Change: HerdLimitProcessTest, five gateways, four replicas that state 10 a second, 67 requests a second, nine of ten to the first gateway; one gateway a second is killed and started again.

No functional change.

--- a/tests/process/herd_test.cc
+++ b/tests/process/herd_test.cc
@@ -2,6 +2,9 @@
 // seconds.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <csignal>
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -80,6 +83,64 @@
   EXPECT_GE(herd.share(), kThreeQuarters * before.share());
 }
 
+// Largest number of requests that arrived at the replica in any four seconds
+// since `time`.
+std::size_t MostArrivals(const StandinReplica& replica, TimeUs time) {
+  constexpr DurationUs kWindow = 4 * kSecond;
+  std::deque<TimeUs> window;
+  std::size_t most = 0;
+  for (const TimeUs it : replica.arrivals()) {
+    if (it < time) {
+      continue;
+    }
+    window.push_back(it);
+    while (window.front() <= it - kWindow) {
+      window.pop_front();
+    }
+    most = std::max(most, window.size());
+  }
+  return most;
+}
+
+// Guards against turns that are used twice because the gateway that lent or
+// borrowed them is killed.
+TEST(HerdLimitProcessTest, TheSumHoldsWhileGatewaysAreKilled) {
+  // Of what a replica states in four seconds, one and a half times, and five.
+  constexpr std::size_t kAllowed = 65;
+  Loop loop;
+  WorldOptions options;
+  options.gateways = 5;
+  options.plain_replicas = 4;
+  World world(&loop, options);
+  std::vector<StandinReplica*> limited;
+  for (auto& it : world.replicas()) {
+    if (it->service() == "plain") {
+      it->SetRateLimit("10");
+      limited.push_back(it.get());
+    }
+  }
+  ASSERT_TRUE(world.Start());
+  const Routes routes = {"safe", "unsafe"};
+  constexpr DurationUs kPeriod = 15 * kMillisecond;
+  // The gateways have complete parts, and the first one borrows.
+  SendFor(&world, routes, 4 * kSecond, kPeriod, 0, "settling");
+  const TimeUs began = Loop::Now();
+  SendFor(&world, routes, 6 * kSecond, kPeriod, 9, "borrowing");
+  for (std::size_t n = 0; n < 8; ++n) {
+    // The lenders in turn, and sometimes the borrower.
+    GatewayProcess& it = *world.gateways()[n % world.gateways().size()];
+    it.Signal(SIGKILL);
+    ASSERT_TRUE(world.WaitFor(kSecond, [&] { return it.Ended(); }));
+    it.Start();
+    SendFor(&world, routes, kSecond, kPeriod, 9, "killed");
+  }
+  for (const StandinReplica* it : limited) {
+    const std::size_t most = MostArrivals(*it, began);
+    RecordProperty(StrCat("most_", it->id()), StrCat(most));
+    EXPECT_LE(most, kAllowed) << it->id();
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Limits, HerdProcessTest, ::testing::Values("", "40"));
 
 }  // namespace
