Let requests tell apart parts with the same ends, for two seconds

The one request that tries them was an answer in one piece, of which nothing arrives for 4 s, and the next one had to come to the same gateway (0.3 to 0.8 s each). Requests that waited for their stages were refused at once by a verdict that held for 11 ms, until another gateway told what else had been there.

One of the parts is guilty, so a request with only some of them likely has not that one. For two seconds from the end that blocked them such requests are sent at all gateways; one more end under one blocks that part alone, and one request at a time tries it, as before. Nothing is cleared by it that an answer did not clear before, and what waits is judged by a doubtful verdict only when it is to be sent.

Ruled out: the first event of a trial as what clears; it did so already.

PromptPartProcessTest/0, PromptPartRestartTest, CrashingProcessTest: passed.

--- a/src/coordination/crashes/crash_judgement.cc
+++ b/src/coordination/crashes/crash_judgement.cc
@@ -88,6 +88,20 @@
   return rivals;
 }
 
+// When the `n`-th of the runs ended; zero if there are fewer.
+TimeUs EndOfNth(const std::vector<EndedRun>& runs, std::size_t n) {
+  if (runs.size() < n) {
+    return 0;
+  }
+  std::vector<TimeUs> ends;
+  ends.reserve(runs.size());
+  for (const EndedRun& it : runs) {
+    ends.push_back(it.ended_at);
+  }
+  std::sort(ends.begin(), ends.end());
+  return ends[n - 1];
+}
+
 // Whether a replica ended under a request that tried the cause, and nothing
 // else that was there may have ended it.
 bool TrialFailed(const JudgedCause& cause, const Explanations& explanations) {
@@ -103,6 +117,7 @@
   const std::vector<EndedRun> runs = CountedRuns(*cause, explanations);
   cause->counted = runs.size();
   cause->blocked = HasTooMany(*cause, runs);
+  cause->decided_at = EndOfNth(runs, LimitsOf(cause->kind).ends);
   cause->rivals = Rivals(*cause, explanations);
   cause->doubtful = cause->blocked && cause->kind == CauseKind::kPromptPart &&
                     !TrialFailed(*cause, explanations);
--- a/src/coordination/crashes/crash_judgement.h
+++ b/src/coordination/crashes/crash_judgement.h
@@ -70,6 +70,7 @@
   std::size_t counted = 0;    // Ends that nothing else explains.
   bool blocked = false;
   bool doubtful = false;
+  TimeUs decided_at = 0;  // The end that made them as many as the limit.
   // Blocked parts with the same ends, this one included.
   std::size_t rivals = 0;
 };
--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -58,6 +58,7 @@
     record.has_too_many = it.has_too_many;
     record.counted = it.counted;
     record.rivals = it.rivals;
+    record.decided_at = it.decided_at;
     record.state = {it.blocked, it.doubtful};
     blocked_parts_ += it.blocked && it.kind == CauseKind::kPromptPart;
   }
@@ -78,6 +79,7 @@
   verdict.last_end_age = now - record.LastEnd();
   verdict.doubtful = record.state.doubtful;
   verdict.rivals = record.rivals;
+  verdict.decided_age = now - record.decided_at;
   verdict.blocked = record.state.blocked;
   if (limits.block_duration != kNever) {
     verdict.blocked_for =
--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -38,6 +38,11 @@
  public:
   // Ends from which on a gateway does not repeat a request by itself.
   static constexpr std::size_t kMaxEndsToRepeat = 2;
+  // Time from the end that blocked several parts with the same ends within
+  // which requests with only some of them are sent, at all gateways. Few can
+  // come too late by that: all gateways have to know of the ends after three
+  // seconds.
+  static constexpr DurationUs kTellApartWindow = 2 * kSecond;
   // Lifetime of a record that is not blocked, after its last end: clients send
   // again within minutes.
   static constexpr DurationUs kLifetime = 600 * kSecond;
@@ -56,6 +61,8 @@
     bool doubtful = false;  // Blocked, but one request may try it.
     // Blocked parts with the same ends, this one included.
     std::size_t rivals = 0;
+    // Since the end that made them as many as the limit.
+    DurationUs decided_age = 0;
     bool cleared_before = false;
     DurationUs last_end_age = 0;
     DurationUs blocked_for = kNever;  // Remaining time; `kNever`: no limit.
@@ -136,6 +143,7 @@
     bool has_too_many = false;
     std::size_t counted = 0;  // Ends that no other cause explains.
     std::size_t rivals = 0;
+    TimeUs decided_at = 0;
     State state;
     State reported_state;  // By `TakeVerdictChanges`.
 
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -254,20 +254,49 @@
   return blocked;
 }
 
+bool Gateway::Impl::AreDoubtful(const std::vector<CrashCause>& blocked) const {
+  const TimeUs now = output->Now();
+  return std::all_of(blocked.begin(), blocked.end(), [&](const CrashCause& it) {
+    return crash_records.Of(now, it).doubtful;
+  });
+}
+
+// One of several parts with the same ends is guilty. A request with only some
+// of them is likely not to have that one, and its answer tells them apart.
+bool Gateway::Impl::TellsApart(const std::vector<CrashCause>& blocked) const {
+  const TimeUs now = output->Now();
+  return std::all_of(blocked.begin(), blocked.end(), [&](const CrashCause& it) {
+    const auto verdict = crash_records.Of(now, it);
+    return blocked.size() < verdict.rivals &&
+           verdict.decided_age < CrashRecords::kTellApartWindow;
+  });
+}
+
 // A request with all of several parts that have the same ends tells only
 // whether all of them are sound, so it is let try them once.
 bool Gateway::Impl::MayTry(ServingRequest* request,
                            const std::vector<CrashCause>& blocked) {
   const TimeUs now = output->Now();
-  for (const CrashCause& it : blocked) {
-    if (!crash_records.Of(now, it).doubtful) {
-      return false;
-    }
+  if (!AreDoubtful(blocked)) {
+    return false;
   }
   if (cause_trials.IsTrial(blocked, request->id)) {
     return true;
   }
   const std::size_t rivals = crash_records.Of(now, blocked.front()).rivals;
+  const auto log_trial = [&] {
+    log->Write("cause_trial", {{"id", request->call.id},
+                               {"cause", Text(blocked.front())},
+                               {"causes", blocked.size()},
+                               {"rivals", rivals},
+                               {"tells_apart", request->tells_apart}});
+  };
+  if (TellsApart(blocked)) {
+    if (!std::exchange(request->tells_apart, true)) {
+      log_trial();
+    }
+    return true;
+  }
   const int most = blocked.size() > 1 && blocked.size() >= rivals
                        ? 1
                        : CauseTrials::kMaxTrials;
@@ -277,10 +306,8 @@
   if (blocked.size() == 1) {
     request->tried_cause = blocked.front();
   }
-  log->Write("cause_trial", {{"id", request->call.id},
-                             {"cause", Text(blocked.front())},
-                             {"causes", blocked.size()},
-                             {"rivals", rivals}});
+  request->tells_apart = false;
+  log_trial();
   return true;
 }
 
@@ -373,6 +400,8 @@
   }
 }
 
+// A doubtful verdict may change within milliseconds, when others tell of the
+// same end, so what waits is judged by it only when it is to be sent.
 void Gateway::Impl::RefuseBlocked() {
   std::vector<ExchangeId> ids;
   for (const auto& [id, request] : requests) {
@@ -382,7 +411,9 @@
     // Refusing a request may end others, so each is looked up again.
     ServingRequest* request = FindByExchange(id);
     LocalReply refusal;
-    if (request == nullptr || !IsBlocked(request, &refusal)) {
+    if (request == nullptr ||
+        (request->attempt.call == 0 && AreDoubtful(BlockedCauses(request))) ||
+        !IsBlocked(request, &refusal)) {
       continue;
     }
     const CallId call = request->attempt.call;
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -162,6 +162,7 @@
   std::string fingerprint;  // Empty until it is needed.
   // The only blocked cause of the request, if it may try it.
   std::optional<CrashCause> tried_cause;
+  bool tells_apart = false;  // It was let through by `TellsApart`.
 };
 
 struct Gateway::Impl {
@@ -343,6 +344,9 @@
   void OnReplicaEnded(const ReplicaId& replica, std::string_view evidence);
   void ProbeBroken();
   std::vector<CrashCause> BlockedCauses(ServingRequest* request) const;
+  bool AreDoubtful(const std::vector<CrashCause>& blocked) const;
+  // Whether the request has only some of the parts of which one is guilty.
+  bool TellsApart(const std::vector<CrashCause>& blocked) const;
   // Whether the request may try its blocked causes; see `CauseTrials`.
   bool MayTry(ServingRequest* request, const std::vector<CrashCause>& blocked);
   // Whether the request is refused because replicas ended under one of its
