Remember in the store requests that ended two replicas, before they are blocked

Cause: rows of the store were written for blocked causes only. A request whose ends were not in sequence (two of them at the same time) has three and no verdict, and is forgotten by a kill of all gateways: it needs three more.

Change: a request that was never answered whole is in the store from its second end on, and leaves it when it is answered or lifted. Whoever saw one of its ends writes. Of parts, only blocked ones, as before: others are in progress wherever a replica ends. The field `blocked` of the log line `crash_row` is now `causes`.

--- a/src/coordination/crashes/crash_exchange.h
+++ b/src/coordination/crashes/crash_exchange.h
@@ -7,9 +7,10 @@
 // and three times, as datagrams are lost. Who misses all three learns from a
 // gateway that sends some causes to a random other one each second. A gateway
 // that has started is sent those with most ends. If all are killed at once,
-// only the store remembers: it has rows for the blocked causes, which a gateway
-// reads before it is ready. What is known of causes that are not blocked is
-// lost then, which costs the ends below the limit.
+// only the store remembers: it has rows for the blocked causes and for requests
+// with a second end, which a gateway reads before it is ready. What is known of
+// others is lost then, which costs one end of a request, and the ends below the
+// limit of a part.
 #ifndef ACACIACHUTE_SRC_COORDINATION_CRASHES_CRASH_EXCHANGE_H_
 #define ACACIACHUTE_SRC_COORDINATION_CRASHES_CRASH_EXCHANGE_H_
 
@@ -35,8 +36,9 @@
   // See `CrashRecords::Some`.
   virtual CrashReport CrashReportToSend(std::size_t first,
                                         std::size_t count) = 0;
-  // Replaces a row of the store by what is known now of the blocked causes with
-  // this key; `CrashExchange::OnWritten` follows, never from inside this call.
+  // Replaces a row of the store by what is known now of the causes with this
+  // key that it has to remember; `CrashExchange::OnWritten` follows, never from
+  // inside this call.
   virtual void WriteCrashRow(const std::string& key) = 0;
   // `CrashExchange::OnRead` follows.
   virtual void ReadCrashRows() = 0;
--- a/src/coordination/crashes/crash_records.cc
+++ b/src/coordination/crashes/crash_records.cc
@@ -249,6 +249,29 @@
   return changed;
 }
 
+bool CrashRecords::IsStored(TimeUs now, const CrashCause& cause) const {
+  const Verdict verdict = Of(now, cause);
+  return verdict.blocked ||
+         (cause.kind == CauseKind::kRequest && !verdict.cleared_before &&
+          verdict.ends >= kMinEndsStored);
+}
+
+std::vector<CrashCause> CrashRecords::TakeStoreChanges(TimeUs now) {
+  Judge();
+  std::vector<CrashCause> changed;
+  for (auto& [cause, record] : records_) {
+    if (cause.kind != CauseKind::kRequest ||
+        (record.counted < kMinEndsStored && record.stored_ends == 0)) {
+      continue;
+    }
+    const std::size_t ends = IsStored(now, cause) ? record.counted : 0;
+    if (std::exchange(record.stored_ends, ends) != ends && record.saw_end) {
+      changed.push_back(cause);
+    }
+  }
+  return changed;
+}
+
 bool CrashRecords::SawEnd(const CrashCause& cause) const {
   const auto it = records_.find(cause);
   return it != records_.end() && it->second.saw_end;
--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -38,6 +38,8 @@
  public:
   // Ends from which on a gateway does not repeat a request by itself.
   static constexpr std::size_t kMaxEndsToRepeat = 2;
+  // Ends from which on the store remembers a request that is not blocked yet.
+  static constexpr std::size_t kMinEndsStored = 2;
   // Lifetime of a record that is not blocked, after its last end: clients send
   // again within minutes.
   static constexpr DurationUs kLifetime = 600 * kSecond;
@@ -95,6 +97,13 @@
   // Causes that are blocked or not blocked any more, or of whose verdict the
   // doubt changed, since the last call.
   std::vector<CrashCause> TakeVerdictChanges();
+  // Whether the store has to remember the cause, so that its ends count after a
+  // kill of all gateways. Of parts, only blocked ones: others are in progress
+  // wherever a replica ends, so each end would cost many writes.
+  bool IsStored(TimeUs now, const CrashCause& cause) const;
+  // Requests that this gateway saw end a replica and of which what the store
+  // has to remember changed since the last call.
+  std::vector<CrashCause> TakeStoreChanges(TimeUs now);
   // Whether this gateway saw a replica end under the cause.
   bool SawEnd(const CrashCause& cause) const;
   // Whether the end still counts for the cause.
@@ -137,7 +146,8 @@
     std::size_t counted = 0;  // Ends that no other cause explains.
     std::size_t rivals = 0;
     State state;
-    State reported_state;  // By `TakeVerdictChanges`.
+    State reported_state;         // By `TakeVerdictChanges`.
+    std::size_t stored_ends = 0;  // By `TakeStoreChanges`; zero: not stored.
 
     // Whether no answer took the end back.
     bool Stands(const EndedRun& run) const {
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -197,6 +197,9 @@
       crash_news.to_store.push_back(it);
     }
   }
+  for (CrashCause& it : crash_records.TakeStoreChanges(now)) {
+    crash_news.to_store.push_back(std::move(it));
+  }
   if (any_blocked) {
     RefuseBlocked();
   }
@@ -351,12 +354,13 @@
     const bool known = crash_records.Has(it);
     const auto before =
         known ? crash_records.Of(now, it) : CrashRecords::Verdict();
+    const bool was_stored = known && crash_records.IsStored(now, it);
     const bool others_know = crash_records.OnCleared(now, it);
     any_known = any_known || known;
     if (others_know) {
       crash_news.reports.push_back({{}, {{it, 0}}});
     }
-    if (before.blocked) {
+    if (was_stored) {
       crash_news.to_store.push_back(it);
     }
     if (others_know || before.blocked) {
--- a/src/daemon/gateway_node_crashes.cc
+++ b/src/daemon/gateway_node_crashes.cc
@@ -40,20 +40,20 @@
 
 void GatewayNode::Impl::WriteCrashRow(const std::string& key) {
   const TimeUs now = Now();
-  std::vector<CrashCause> blocked;
+  std::vector<CrashCause> causes;
   for (CrashCause& it : gateway->crash_records()->All(now)) {
     if (CrashExchange::RowKey(it) == key &&
-        gateway->crash_records()->Of(now, it).blocked) {
-      blocked.push_back(std::move(it));
+        gateway->crash_records()->IsStored(now, it)) {
+      causes.push_back(std::move(it));
     }
   }
-  const CrashReport report = gateway->crash_records()->Report(now, blocked);
+  const CrashReport report = gateway->crash_records()->Report(now, causes);
   store.WriteRow(
       kCrashTable, key, EncodeCrashRow(report, UnixMs()), false,
-      [this, key, count = blocked.size()](platform::WriteOutcome outcome) {
+      [this, key, count = causes.size()](platform::WriteOutcome outcome) {
         const bool decided = outcome != platform::WriteOutcome::kUnknown;
         log.Write("crash_row",
-                  {{"key", key}, {"blocked", count}, {"written", decided}});
+                  {{"key", key}, {"causes", count}, {"written", decided}});
         crash_exchange.OnWritten(Now(), decided);
       });
 }
--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -883,6 +883,61 @@
   EXPECT_TRUE(records.Of(4 * kSecond, kPoison).blocked);
 }
 
+// Guards against requests that are not blocked yet, as their ends were not in
+// sequence, and begin anew after each kill of all gateways.
+TEST(CrashRecordsTest, EndsOfARequestCountAfterAKillOfAllGateways) {
+  CrashRecords records;
+  EndUnder(&records, kSecond, {kPoison}, 1);
+  EXPECT_FALSE(records.IsStored(kSecond, kPoison));
+  EndUnder(&records, kSecond, {kPoison, Part("0a")}, 2);
+  EXPECT_TRUE(records.IsStored(kSecond, kPoison));
+  EXPECT_EQ(records.TakeStoreChanges(kSecond), std::vector{kPoison});
+  EXPECT_TRUE(records.TakeStoreChanges(kSecond).empty());
+  EndUnder(&records, 2 * kSecond, {kPoison, Part("0a")}, 3);
+  EXPECT_FALSE(records.Of(2 * kSecond, kPoison).blocked);
+  EXPECT_FALSE(records.IsStored(2 * kSecond, Part("0a")));
+  EXPECT_EQ(records.TakeStoreChanges(2 * kSecond), std::vector{kPoison});
+
+  const CrashReport row = records.Report(3 * kSecond, {kPoison});
+  CrashRecords after;
+  after.Merge(3 * kSecond, row);
+  EXPECT_TRUE(after.TakeStoreChanges(3 * kSecond).empty());
+  EndUnder(&after, 4 * kSecond, {kPoison}, 4);
+  EXPECT_TRUE(after.Of(4 * kSecond, kPoison).blocked);
+}
+
+// Guards against sound requests that the store remembers for good.
+TEST(CrashRecordsTest, TheStoreForgetsARequestThatIsAnswered) {
+  CrashRecords records;
+  EndUnder(&records, kSecond, {kPopular}, 1);
+  EndUnder(&records, kSecond, {kPopular}, 2);
+  EXPECT_EQ(records.TakeStoreChanges(kSecond), std::vector{kPopular});
+  records.OnCleared(2 * kSecond, kPopular);
+  EXPECT_FALSE(records.IsStored(2 * kSecond, kPopular));
+  EXPECT_EQ(records.TakeStoreChanges(2 * kSecond), std::vector{kPopular});
+  EndUnder(&records, 3 * kSecond, {kPopular}, 3);
+  EndUnder(&records, 4 * kSecond, {kPopular}, 4);
+  EXPECT_TRUE(records.TakeStoreChanges(4 * kSecond).empty());
+}
+
+// Guards against a gateway that tells the store of a request only once it is
+// blocked, or never that it was answered.
+TEST(GatewayCrashTest, TellsTheStoreOfTwoEndsAndOfTheAnswer) {
+  GatewayRig rig;
+  for (int n = 0; n < 2; ++n) {
+    rig.AddReplica("r" + std::to_string(n), "app");
+    rig.Call("plain");
+    EXPECT_TRUE(rig.core.TakeCrashNews().to_store.empty());
+    EndReplica(&rig, rig.sent.back().replica);
+  }
+  const auto all = rig.core.crash_records()->All(rig.now);
+  ASSERT_EQ(all.size(), 1U);
+  EXPECT_EQ(rig.core.TakeCrashNews().to_store, all);
+  EXPECT_TRUE(rig.core.LiftBlock(all[0]));
+  EXPECT_FALSE(rig.core.TakeCrashNews().to_store.empty());
+  EXPECT_FALSE(rig.core.crash_records()->IsStored(rig.now, all[0]));
+}
+
 // Guards against sending what waits for its stages when another gateway tells
 // that it ended replicas.
 TEST(GatewayCrashTest, RefusesWhatWaitsWhenItBecomesBlocked) {
--- a/tests/process/crashing_test.cc
+++ b/tests/process/crashing_test.cc
@@ -85,5 +85,36 @@
   EXPECT_EQ(world.ledger()->crashes().InnocentsRefused(), 0U);
 }
 
+// Guards against a request that begins anew after each kill of all gateways, as
+// too few replicas ended under it before to block it.
+TEST(CrashingProcessRestartTest, TwoEndsCountAfterAKillOfAllGateways) {
+  Loop loop;
+  WorldOptions options;
+  options.gateways = 3;
+  options.plain_replicas = 8;
+  World world(&loop, options);
+  ASSERT_TRUE(world.Start());
+  const auto deaths = [&] { return world.ledger()->crashes().deaths(); };
+  for (std::size_t n = 0; n < 2; ++n) {
+    // A gateway that has just started may refuse a request.
+    for (int sends = 0; sends < 5 && deaths() == n; ++sends) {
+      world.Send("unsafe", n, 0, "crash");
+      world.WaitFor(kSecond, [&] { return deaths() > n; });
+    }
+    ASSERT_EQ(deaths(), n + 1);
+    world.WaitFor(kSecond, [] { return false; });
+  }
+  for (auto& it : world.gateways()) {
+    it->Signal(SIGKILL);
+  }
+  for (auto& it : world.gateways()) {
+    ASSERT_TRUE(world.WaitFor(5 * kSecond, [&] { return it->Ended(); }));
+  }
+  ASSERT_TRUE(world.Start());
+  SendBesideOthers(&world, "unsafe", "crash", 4 * kSecond);
+  EXPECT_EQ(deaths(), CrashJudge::kDeaths);
+  EXPECT_EQ(world.ledger()->crashes().InnocentsRefused(), 0U);
+}
+
 }  // namespace
 }  // namespace acaciachute
