--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -43,6 +43,8 @@
   // come too late by that: all gateways have to know of the ends after three
   // seconds.
   static constexpr DurationUs kTellApartWindow = 2 * kSecond;
+  // Ends from which on the store remembers a request that is not blocked yet.
+  static constexpr std::size_t kMinEndsStored = 2;
   // Lifetime of a record that is not blocked, after its last end: clients send
   // again within minutes.
   static constexpr DurationUs kLifetime = 600 * kSecond;
@@ -102,6 +104,13 @@
   // Causes that are blocked or not blocked any more, or of whose verdict the
   // doubt changed, since the last call.
   std::vector<CrashCause> TakeVerdictChanges();
+  // Whether the store has to remember the cause, so that its ends count after a
+  // kill of all gateways. Of parts, only blocked ones: others are in progress
+  // wherever a replica ends, so each end would cost many writes.
+  bool IsStored(TimeUs now, const CrashCause& cause) const;
+  // Requests that this gateway saw end a replica and of which what the store
+  // has to remember changed since the last call.
+  std::vector<CrashCause> TakeStoreChanges(TimeUs now);
   // Whether this gateway saw a replica end under the cause.
   bool SawEnd(const CrashCause& cause) const;
   // Whether the end still counts for the cause.
@@ -145,7 +154,8 @@
     std::size_t rivals = 0;
     TimeUs decided_at = 0;
     State state;
-    State reported_state;  // By `TakeVerdictChanges`.
+    State reported_state;         // By `TakeVerdictChanges`.
+    std::size_t stored_ends = 0;  // By `TakeStoreChanges`; zero: not stored.
 
     // Whether no answer took the end back.
     bool Stands(const EndedRun& run) const {
