Draw software versions in the soak

Versions start beside others, services are rolled, rows vanish while replicas serve, routes move, replicas come back under their id as the next version with their rows at once or late; gateways are killed, paused and cut off from the store, by the seed never, after changes of versions, or at any time.

A stream that holds events of two versions, or an event that is missing, doubled or of another attempt, breaks a guarantee; so do, in calm times, 12 or more first take-ups at versions that were ready all the while, of which less than half as large a share go on as of new streams.

No functional change

--- a/tests/soak/raw_client.h
+++ b/tests/soak/raw_client.h
@@ -29,6 +29,10 @@
       stream_->Write(request);
     }
   }
+  // `task` is called whenever bytes of the body have arrived.
+  void SetBodyHandler(std::function<void()> task) {
+    on_body_ = std::move(task);
+  }
   ~RawClient() override {
     if (stream_ != nullptr) {
       stream_->Close();
@@ -38,7 +42,11 @@
   void OnBytes(std::string_view bytes) override {
     input_ += bytes;
     const auto state = reader_.Read(&input_);
-    body_ += reader_.TakeBody();
+    const std::string bytes_of_body = reader_.TakeBody();
+    body_ += bytes_of_body;
+    if (!bytes_of_body.empty() && on_body_) {
+      on_body_();
+    }
     if (state == HttpAnswerReader::State::kDone ||
         state == HttpAnswerReader::State::kBad) {
       Finish();
@@ -66,6 +74,7 @@
   }
 
   std::function<void()> done_;
+  std::function<void()> on_body_;
   std::shared_ptr<SocketStream> stream_;
   HttpAnswerReader reader_{false};
   std::string input_;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -49,6 +49,7 @@
   std::vector<std::string> faults;      // Injected faults in order, with times.
   std::vector<std::string> violations;  // Violated guarantees; empty: success.
   std::size_t crashes = 0;              // Replicas that ended under requests.
+  std::vector<std::string> figures;     // What else was counted.
   // Of each service: the worst window, whether it was exceeded or not.
   std::vector<RetryWindow> retry_windows;
 };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -8,6 +8,7 @@
 
 #include "glog/logging.h"
 #include "tests/soak/soak.h"
+#include "tests/soak/version_soak.h"
 #include "text.h"
 
 namespace acaciachute {
@@ -22,9 +23,9 @@
       cxxopts::value<int>()->default_value("1"))(
       "seconds", "time of fault injection per seed",
       cxxopts::value<int>()->default_value("12"))(
-      "gateways", "number of gateway processes",
+      "gateways", "number of gateway processes; with --versions by the seed",
       cxxopts::value<int>()->default_value("3"))(
-      "rate", "requests per second",
+      "rate", "requests per second; with --versions 10",
       cxxopts::value<int>()->default_value("40"))(
       "plain", "replicas of the plain service",
       cxxopts::value<int>()->default_value("3"))(
@@ -34,6 +35,7 @@
       "retries", "draw faults that make gateways retry")(
       "answers", "draw framings of answers, and break answers off")(
       "crashes", "some requests end the replicas that run them")(
+      "versions", "replicas of several software versions, long streams")(
       "unframed", "no answer has a length or chunks; with --answers")(
       "cuts", "percent of the answers that are broken off all the time",
       cxxopts::value<int>()->default_value("5"))(
@@ -69,10 +71,23 @@
                    : parsed.count("crashes") > 0 ? FaultProfile::kCrashes
                                                  : FaultProfile::kAll;
     soak.world.log_folder = parsed["logs"].as<std::string>();
-    const SoakReport report = RunSoak(&loop, soak);
+    const bool versions = parsed.count("versions") > 0;
+    if (versions && parsed.count("gateways") == 0) {
+      soak.world.gateways = VersionSoakGateways(soak.seed);
+    }
+    if (versions && parsed.count("rate") == 0) {
+      soak.rate = kVersionSoakRate;
+    }
+    const SoakReport report =
+        versions ? RunVersionSoak(&loop, soak) : RunSoak(&loop, soak);
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(soak.seed),
                 report.summary.c_str());
-    std::printf("  ends: %s\n", report.ends.c_str());
+    if (!versions) {
+      std::printf("  ends: %s\n", report.ends.c_str());
+    }
+    for (const auto& it : report.figures) {
+      std::printf("  %s\n", it.c_str());
+    }
     for (const auto& it : report.faults) {
       std::printf("  fault %s\n", it.c_str());
     }
