--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -40,6 +40,9 @@
   // Share of the answers that replicas break off all the time, if they draw
   // them.
   int cut_percent = 5;
+  // A soak of versions draws only faults whose name contains one of these
+  // parts, which commas separate.
+  std::string only;
   WorldOptions world;
 };
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -36,6 +36,10 @@
       "answers", "draw framings of answers, and break answers off")(
       "crashes", "some requests end the replicas that run them")(
       "versions", "replicas of several software versions, long streams")(
+      "only",
+      "draw faults with these parts of names only, as \"rolled,kill all\"; "
+      "with --versions",
+      cxxopts::value<std::string>()->default_value(""))(
       "unframed", "no answer has a length or chunks; with --answers")(
       "cuts", "percent of the answers that are broken off all the time",
       cxxopts::value<int>()->default_value("5"))(
@@ -70,6 +74,7 @@
                    : parsed.count("answers") > 0 ? FaultProfile::kAnswers
                    : parsed.count("crashes") > 0 ? FaultProfile::kCrashes
                                                  : FaultProfile::kAll;
+    soak.only = parsed["only"].as<std::string>();
     soak.world.log_folder = parsed["logs"].as<std::string>();
     const bool versions = parsed.count("versions") > 0;
     if (versions && parsed.count("gateways") == 0) {
--- a/tests/soak/version_soak.cc
+++ b/tests/soak/version_soak.cc
@@ -135,7 +135,19 @@
   }
 
   void Inject(std::span<const NamedFault> faults) {
-    const NamedFault& fault = faults[random_.Below(faults.size())];
+    std::vector<NamedFault> drawn;
+    for (const NamedFault& it : faults) {
+      const auto parts = Split(options_.only, ',');
+      if (std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
+            return Contains(it.name, part);
+          })) {
+        drawn.push_back(it);
+      }
+    }
+    if (drawn.empty()) {
+      return;
+    }
+    const NamedFault& fault = drawn[random_.Below(drawn.size())];
     const TimeUs now = Loop::Now();
     report_.faults.push_back(
         StrCat((now - start_) / kMillisecond, " ms ", fault.name));
