--- a/tests/process/soak_test.cc
+++ b/tests/process/soak_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "tests/soak/version_soak.h"
+
 namespace acaciachute {
 namespace {
 
@@ -102,5 +104,25 @@
 
 INSTANTIATE_TEST_SUITE_P(FixedSeeds, CrashSoakTest, ::testing::Values(1, 2));
 
+class VersionSoakTest : public ::testing::TestWithParam<std::uint64_t> {};
+
+// Guards against streams of two software versions, over all tries of a client:
+// versions are rolled, vanish, move and come back under the same ids, while
+// gateways are killed, paused and cut off from the store.
+TEST_P(VersionSoakTest, KeepsEachStreamAtOneVersion) {
+  Loop loop;
+  SoakOptions options;
+  options.seed = GetParam();
+  options.fault_time = 8 * kSecond;
+  options.rate = kVersionSoakRate;
+  options.world.gateways = VersionSoakGateways(options.seed);
+  const SoakReport report = RunVersionSoak(&loop, options);
+  EXPECT_EQ(report.violations, std::vector<std::string>()) << report.summary;
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds,
+                         VersionSoakTest,
+                         ::testing::Values(17, 23));
+
 }  // namespace
 }  // namespace acaciachute
