--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -40,6 +40,9 @@
   // Share of the answers that replicas break off all the time, if they draw
   // them.
   int cut_percent = 5;
+  // A soak of versions draws only faults whose name contains one of these
+  // parts, which commas separate.
+  std::string only;
   WorldOptions world;
 };
 
@@ -49,6 +52,7 @@
   std::vector<std::string> faults;      // Injected faults in order, with times.
   std::vector<std::string> violations;  // Violated guarantees; empty: success.
   std::size_t crashes = 0;              // Replicas that ended under requests.
+  std::vector<std::string> figures;     // What else was counted.
   // Of each service: the worst window, whether it was exceeded or not.
   std::vector<RetryWindow> retry_windows;
 };
