Ask a replica in doubt once, and begin streams elsewhere while it is

A refused question of /report counted as a lost connection and led to the next question at once, without end, at every gateway that met a crashed replica. One question is asked when the doubt begins, the next once the replica accepts a connection; what does not say its start is believed by its row after four heartbeat periods, when the row of an ended process is gone, instead of two. Streams began at replicas in doubt, whose version has no record then; they begin elsewhere if they can. A version that a gateway which the store turns away tells of is recorded by those it tells. Refusals say what is not known.

--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -187,7 +187,7 @@
   void OnReplicaConnected(CallId id);
   // The other side ended the last connection to the replica, or refused one.
   void OnConnectionsLost(const ReplicaId& replica);
-  // Empty if the process does not say it.
+  // Zero if the process does not say it, empty if it does not answer.
   void OnReplicaStart(const ReplicaId& replica,
                       std::optional<Incarnation> start);
   void OnReplicaHead(CallId id, ReplicaHead head);
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -32,15 +32,23 @@
     return excluded;
   }
   const TimeUs now = output->Now();
-  for (const ReplicaEntry* it : directory->Of(request.service)) {
+  std::vector<ReplicaId> in_doubt;
+  const auto& replicas = directory->Of(request.service);
+  for (const ReplicaEntry* it : replicas) {
     const ServiceVersion version = {it->service, it->version};
     if (!version_ledger.MayBegin(now, version)) {
       version_ledger.NeedAtOnce(now, version);
     }
     if (!MayServe(request, *it)) {
       excluded.push_back(it->id);
+    } else if (version_doubts.InDoubt(it->id)) {
+      in_doubt.push_back(it->id);
     }
   }
+  // A stream that begins there can't be taken up, so others go first.
+  if (excluded.size() + in_doubt.size() < replicas.size()) {
+    excluded.insert(excluded.end(), in_doubt.begin(), in_doubt.end());
+  }
   return excluded;
 }
 
--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -1,6 +1,7 @@
 // Streams that clients take up again: finding out at which software version
 // they began, so that they go on there or not at all.
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "coordination/gateway/gateway_impl.h"
@@ -14,8 +15,9 @@
 constexpr DurationUs kAskInterval = 60 * kMillisecond;
 constexpr int kMaxAsks = 4;
 
-// Heartbeat periods within which a replica that has started writes its row.
-constexpr int kRowPeriods = 2;
+// Heartbeat periods after which the row of a process that has ended is gone:
+// three of silence, and one for the store and the list.
+constexpr int kRowPeriods = 4;
 
 // Origins in one datagram, some 100 bytes each.
 constexpr std::size_t kMaxPerDatagram = 10;
@@ -96,7 +98,7 @@
 
 void Gateway::Impl::ConcludeOrigin(ServingRequest* request) {
   if (version_ledger.Several()) {
-    RefuseUnknownStream(request, "streams have begun at several versions");
+    RefuseUnknownStream(request, "streams may have begun at several versions");
     return;
   }
   OriginSearch& search = *request->origin_search;
@@ -126,10 +128,10 @@
   LogTakenUp(*request, "unknown");
   Refuse(request,
          {Refusal::kUnknownStream, Verdict::kNotRun, kRetryElsewhereDelay,
-          StrCat("no gateway knows at which version ",
+          StrCat("where ",
                  request->call.resumed_attempt.substr(
                      0, StreamOrigins::kMaxIdLength),
-                 " began; ", why)});
+                 " can go on is not known: ", why)});
 }
 
 void Gateway::Impl::GoOnFrom(ServingRequest* request,
@@ -152,9 +154,10 @@
     BeginAdmitted(request);
     return;
   }
-  Refuse(request, {Refusal::kNoReplica, Verdict::kNotRun, 0,
-                   StrCat("no replica of ", origin.service, " has version ",
-                          origin.version, ", at which the stream began")});
+  Refuse(request,
+         {Refusal::kNoReplica, Verdict::kNotRun, 0,
+          StrCat("no replica of ", origin.service, " certainly has version ",
+                 origin.version, ", at which the stream began")});
 }
 
 void Gateway::Impl::LogTakenUp(const ServingRequest& request,
@@ -191,7 +194,9 @@
       !impl_->config->HasStreams(entry->service)) {
     return;
   }
-  impl_->version_doubts.OnConnectionsLost(replica);
+  if (!impl_->version_doubts.OnConnectionsLost(replica)) {
+    return;  // It is asked again once it accepts a connection.
+  }
   impl_->metrics->Count("acaciachute_gateway_version_doubts_total",
                         entry->service);
   impl_->log->Write("version_doubt", {{"replica", replica.name},
@@ -202,9 +207,13 @@
 
 void Gateway::OnReplicaStart(const ReplicaId& replica,
                              std::optional<Incarnation> start) {
-  const bool same = start && *start == replica.incarnation;
+  const bool same = start && *start != 0 && *start == replica.incarnation;
   if (same) {
     impl_->version_doubts.Clear(replica);
+  } else if (start) {
+    // Its connection was made for the question.
+    std::ignore =
+        impl_->version_doubts.OnConnected(impl_->output->Now(), replica);
   }
   impl_->log->Write("version_doubt", {{"replica", replica.name},
                                       {"life", replica.incarnation},
@@ -269,7 +278,7 @@
 
 void Gateway::OnServiceVersions(const NodeId& from,
                                 const ServiceVersionReport& report) {
-  impl_->version_ledger.OnReport(from, report);
+  impl_->version_ledger.OnReport(impl_->output->Now(), from, report);
 }
 
 bool Gateway::VersionsRecorded() const {
--- a/src/coordination/gateway/version_doubts.h
+++ b/src/coordination/gateway/version_doubts.h
@@ -6,7 +6,7 @@
 // process end with it, so while one is open, new ones reach the same process.
 // Once the last one was ended by the other side, or one was refused, the next
 // may reach another process: its version is in doubt until the process says
-// when it started, or until it would have written its row.
+// when it started, or until the row would be gone if its process were.
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_VERSION_DOUBTS_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_VERSION_DOUBTS_H_
 
@@ -21,12 +21,13 @@
 
 class VersionDoubts {
  public:
-  // The other side ended the last connection, or refused one.
-  void OnConnectionsLost(const ReplicaId& replica) {
-    doubts_[replica] = std::nullopt;
+  // The other side ended the last connection, or refused one. Returns whether
+  // the replica was not in doubt before.
+  bool OnConnectionsLost(const ReplicaId& replica) {
+    return doubts_.insert_or_assign(replica, std::nullopt).second;
   }
-  // A new connection was made. Returns whether the process behind it is to be
-  // asked for its start.
+  // A new connection was made. Returns whether it is the first, so that the
+  // process behind it is to be asked for its start.
   [[nodiscard]] bool OnConnected(TimeUs now, const ReplicaId& replica) {
     const auto it = doubts_.find(replica);
     if (it == doubts_.end() || it->second) {
@@ -37,13 +38,13 @@
   }
   // The replica is the one that its row is of, or is listed no more.
   void Clear(const ReplicaId& replica) { doubts_.erase(replica); }
-  // `known_at`: the list of replicas was up to date then. `row_delay`: within
-  // it, a process that has started writes its row. Returns those that are in
+  // `known_at`: the list of replicas was up to date then. `row_life`: a row is
+  // gone by then if its process writes it no more. Returns those that are in
   // doubt no longer.
-  std::vector<ReplicaId> ClearBefore(TimeUs known_at, DurationUs row_delay) {
+  std::vector<ReplicaId> ClearBefore(TimeUs known_at, DurationUs row_life) {
     std::vector<ReplicaId> cleared;
     for (const auto& [replica, connected_at] : doubts_) {
-      if (connected_at && known_at - *connected_at >= row_delay) {
+      if (connected_at && known_at - *connected_at >= row_life) {
         cleared.push_back(replica);
       }
     }
--- a/src/coordination/gateway/version_ledger.cc
+++ b/src/coordination/gateway/version_ledger.cc
@@ -68,10 +68,10 @@
   BeginRead(now);
   for (auto& it : entries_) {
     Entry& entry = it.second;
-    if (!entry.needed_at || entry.recorded) {
+    if (entry.recorded) {
       continue;
     }
-    if (now >= entry.tell_at) {
+    if (entry.needed_at && now >= entry.tell_at) {
       entry.tell_at = now + kRetryDelay;
       Tell(it);
     }
@@ -134,10 +134,15 @@
   }
 }
 
-void VersionLedger::OnReport(const NodeId& from,
+void VersionLedger::OnReport(TimeUs now,
+                             const NodeId& from,
                              const ServiceVersionReport& report) {
   for (const auto& it : report.versions) {
-    auto& entry = *entries_.try_emplace(it.version).first;
+    const auto [place, is_new] = entries_.try_emplace(it.version);
+    auto& entry = *place;
+    if (is_new) {
+      entry.second.write_at = now + kRetryDelay;
+    }
     if (it.recorded) {
       SetRecorded(&entry, from);
     }
@@ -149,7 +154,7 @@
   constexpr std::size_t kMaxTold = 8;
   ServiceVersionReport report;
   for (const auto& [version, entry] : entries_) {
-    if (entry.needed_at && report.versions.size() < kMaxTold) {
+    if (report.versions.size() < kMaxTold) {
       report.versions.push_back({version, entry.recorded});
     }
   }
--- a/src/coordination/gateway/version_ledger.h
+++ b/src/coordination/gateway/version_ledger.h
@@ -86,7 +86,10 @@
   // Empty if the reading failed.
   void OnRead(TimeUs now,
               const std::optional<std::vector<ServiceVersion>>& versions);
-  void OnReport(const NodeId& from, const ServiceVersionReport& report);
+  // What a gateway that the store turns away tells is recorded here.
+  void OnReport(TimeUs now,
+                const NodeId& from,
+                const ServiceVersionReport& report);
   void OnNewPeer(const NodeId& peer);
 
  private:
