Let the first stream at a version wait for its record; stand-ins answer /report

They wait now as others do for their turn. Two stand-in replicas took the question at /report for a request of a client, and one of them ended the test program (a null pointer, found in the same run); they answer it now.

--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -52,10 +52,10 @@
   return excluded;
 }
 
-bool Gateway::Impl::VersionIsRecorded(const ServingRequest& request) const {
+bool Gateway::Impl::AnyVersionIsRecorded(const ServingRequest& request) const {
   const auto& replicas = directory->Of(request.service);
-  return request.route->kind != RouteKind::kStream ||
-         std::all_of(replicas.begin(), replicas.end(),
+  return request.route->kind != RouteKind::kStream || replicas.empty() ||
+         std::any_of(replicas.begin(), replicas.end(),
                      [&](const ReplicaEntry* it) {
                        return version_ledger.MayBegin(
                            output->Now(), {it->service, it->version});
@@ -95,11 +95,8 @@
     }
     return;
   }
-  if (replica == nullptr && request->sends == 0 &&
-      !VersionIsRecorded(*request)) {
-    Refuse(request,
-           {Refusal::kNotCurrent, Verdict::kNotRun, kRetryElsewhereDelay,
-            "the replicas' version is not recorded yet"});
+  if (replica == nullptr && may_send && !AnyVersionIsRecorded(*request)) {
+    AwaitLimitedReplica(request);  // A record takes a round trip to the store.
     return;
   }
   if (replica == nullptr) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -263,8 +263,8 @@
   // Whether it has, and a stream may begin at its version.
   bool MayServe(const ServingRequest& request,
                 const ReplicaEntry& replica) const;
-  // Whether streams may begin at the versions of all its replicas.
-  bool VersionIsRecorded(const ServingRequest& request) const;
+  // Whether streams may begin at the version of one of its replicas.
+  bool AnyVersionIsRecorded(const ServingRequest& request) const;
   // Whether a listed replica that was not tried has that version, if it needs
   // one.
   bool CanGoOn(const ServingRequest& request) const;
--- a/tests/gateway/stream_origins_test.cc
+++ b/tests/gateway/stream_origins_test.cc
@@ -306,6 +306,20 @@
   EXPECT_EQ(rig.sent.back().replica.name, "e3");
 }
 
+// Guards against a client that is refused as the first one after a start,
+// before the store has answered.
+TEST(GatewayStreamTest, AStreamWaitsForTheRecordOfItsVersion) {
+  GatewayRig rig;
+  rig.store_answers = false;
+  rig.AddReplica("e1", "engine");
+  const ExchangeId id = rig.Call("resume");
+  EXPECT_TRUE(rig.sent.empty());
+  EXPECT_FALSE(rig.refused.contains(id));
+  rig.core.OnVersionRecorded({"engine", ""}, true);
+  rig.Pass(10 * kMillisecond);
+  EXPECT_EQ(rig.sent.size(), 1U);
+}
+
 // Guards against hundreds of gateways that all write the same record.
 TEST(GatewayStreamTest, WritesNoRecordThatAnotherGatewayTellsOf) {
   GatewayRig rig;
--- a/tests/process/answer_end_test.cc
+++ b/tests/process/answer_end_test.cc
@@ -99,6 +99,12 @@
         runs_(runs) {}
 
   void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
+    if (head.method == "GET" && head.target == "/report") {
+      listener_.Write(id,
+                      "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+      listener_.Keep(id);
+      return;
+    }
     const std::string attempt = *FindField(head.fields, "Attempt-Id");
     const auto it = plays_->find(attempt);
     ASSERT_NE(it, plays_->end());
--- a/tests/process/version_test.cc
+++ b/tests/process/version_test.cc
@@ -47,6 +47,12 @@
 
   void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
     const std::string* attempt = FindField(head.fields, "Attempt-Id");
+    if (attempt == nullptr) {
+      listener_.Write(id,
+                      "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+      listener_.Keep(id);
+      return;
+    }
     const std::string* last = FindField(head.fields, "Last-Event-Id");
     const int next =
         last == nullptr ? 0 : ParseNumber<int>(*last).value_or(-1) + 1;
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -164,6 +164,10 @@
                                HttpRequestHead head,
                                std::string body) {
   open_.insert(id);
+  if (head.target == "/report") {
+    Reply(id, kOk, {{"Content-Type", "application/json"}}, "{}");
+    return;
+  }
   const std::string expected = ValueOf(head.fields, "Expect-Replica");
   const std::string attempt = ValueOf(head.fields, "Attempt-Id");
   const bool release = head.target == "/stage-free";
