Hold requests that come before the configuration is known

Change: they are held for an eighth of their deadline, a second at most, and admitted when the tables are known; time held counts. What is not known by then is refused as before, not run. Bounded in number and bytes.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -301,10 +301,14 @@
 }
 
 void Gateway::OnCall(ExchangeId id, ClientRequest call) {
-  impl_->Admit(id, std::move(call));
+  const TimeUs now = impl_->output->Now();
+  if (impl_->KnowsTables() || !impl_->startup_hold.Add(now, id, &call)) {
+    impl_->Admit(id, std::move(call), now);
+  }
 }
 
 void Gateway::OnClientDisconnected(ExchangeId id) {
+  impl_->startup_hold.Remove(id);
   if (auto* request = impl_->FindByExchange(id)) {
     request->client_end.reset();
     impl_->Finish(request, Name(Refusal::kCancelled), 0);
@@ -397,6 +401,11 @@
 }
 
 void Gateway::RefuseAll() {
+  for (const HeldRequest& it : impl_->startup_hold.TakeAll()) {
+    impl_->RefuseUnadmitted(
+        it.exchange, it.call,
+        {Refusal::kLeaving, Verdict::kNotRun, 0, "the node leaves"});
+  }
   std::vector<ServingRequest*> open;
   for (const auto& [id, request] : impl_->requests) {
     if (!request->stream_begun) {
@@ -412,6 +421,7 @@
 }
 
 void Gateway::OnTick() {
+  impl_->AdmitHeld();
   impl_->ProbeBroken();
   impl_->ClearDoubts();
   impl_->RecordVersions();
@@ -491,7 +501,7 @@
          (!impl_->config->needs_keys() || impl_->ConfigIsConfirmed());
 }
 std::size_t Gateway::in_progress() const {
-  return impl_->requests.size();
+  return impl_->requests.size() + impl_->startup_hold.size();
 }
 
 }  // namespace acaciachute
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -149,7 +149,35 @@
   return route.split.empty() ? std::string() : route.split.front().service;
 }
 
-void Gateway::Impl::Admit(ExchangeId id, ClientRequest call) {
+// Once the tables are known, they stay so; what is too old by then is judged
+// by `freshness`.
+bool Gateway::Impl::KnowsTables() {
+  knows_tables = knows_tables ||
+                 (config != nullptr && (directory->Age(output->Now()) >= 0 ||
+                                        directory->size() > 0));
+  return knows_tables;
+}
+
+void Gateway::Impl::AdmitHeld() {
+  if (startup_hold.size() == 0) {
+    return;
+  }
+  const TimeUs now = output->Now();
+  const bool known = KnowsTables();
+  for (HeldRequest& it :
+       known ? startup_hold.TakeAll() : startup_hold.TakeExpired(now)) {
+    metrics->Observe("acaciachute_gateway_held_seconds",
+                     known ? "admitted" : "refused", now - it.arrived_at);
+    log->Write("held", {{"id", it.call.id},
+                        {"ms", (now - it.arrived_at) / kMillisecond},
+                        {"tables_known", known}});
+    Admit(it.exchange, std::move(it.call), it.arrived_at);
+  }
+}
+
+void Gateway::Impl::Admit(ExchangeId id,
+                          ClientRequest call,
+                          TimeUs received_at) {
   if (config == nullptr) {
     RefuseUnadmitted(id, call,
                      {Refusal::kNotCurrent, Verdict::kNotRun, kSecond,
@@ -195,20 +223,21 @@
   }
   request->service = ChooseService(*route);
   request->priority = PriorityOf(*route, account);
-  request->received_at = now;
+  request->received_at = received_at;
   const DurationUs elapsed = ElapsedBefore(*route, request->call);
-  request->target_by = now + route->target - kClientTransitTime - elapsed;
+  request->target_by =
+      received_at + route->target - kClientTransitTime - elapsed;
   const DurationUs time_limit =
       request->call.deadline > 0
           ? std::min(request->call.deadline - kClientTransitTime,
                      route->timeout)
           : route->timeout;
-  request->deadline_at = now + time_limit;
+  request->deadline_at = received_at + time_limit;
   request->first_response_by = request->deadline_at;
   if (route->kind == RouteKind::kStream) {
     request->first_response_by =
         std::min(request->first_response_by,
-                 now + route->FirstEventTimeout() - kClientTransitTime);
+                 received_at + route->FirstEventTimeout() - kClientTransitTime);
   }
   request->resume_after = request->call.resume_after;
   request->admission =
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -15,6 +15,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "coordination/admission/startup_hold.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/rate_loan_exchange.h"
 #include "coordination/choice/replica_rate_limiter.h"
@@ -182,7 +183,14 @@
   using RequestPtr = std::unique_ptr<ServingRequest>;
 
   // gateway_admission.cc
-  void Admit(ExchangeId id, ClientRequest call);
+  // `received_at`: when the request arrived; earlier than now if it was held.
+  void Admit(ExchangeId id, ClientRequest call, TimeUs received_at);
+  // Whether the configuration and the replicas have been known; see
+  // `StartupHold`.
+  bool KnowsTables();
+  // Admits the held requests once the tables are known, and refuses those that
+  // were held for as long as they may be.
+  void AdmitHeld();
   // Begins the stages of an admitted request, or parks it.
   void BeginAdmitted(ServingRequest* request);
   bool FindAccount(const Route& route,
@@ -485,6 +493,8 @@
   absl::flat_hash_map<std::string, ServingRequest*> by_request_id;
   // By `expires_at`.
   std::set<std::pair<TimeUs, ExchangeId>> deadlines;
+  StartupHold startup_hold;
+  bool knows_tables = false;  // See `KnowsTables`.
   // Ordered by priority, then by time of arrival.
   std::set<std::tuple<std::uint32_t, TimeUs, ExchangeId>> parked;
   // Earliest time at which the next parked request is started.
