Make only the lost results of stages again

Which result was missed the replica does not say. Change: results of replicas that are gone are lost; if none is, or it happens again, all that the piece needed are, and the released ones they are made from. Results that are still there are kept, other stages go on, and only the pieces that are missing take retries. Found on the way: a call that held a piece before it was cancelled and submitted again counted for the new piece, whose number of calls went below zero; that piece never ended. Pieces now know their calls.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -372,8 +372,9 @@
   impl_->metrics->Count("acaciachute_gateway_pieces_total",
                         Name(result.outcome));
   if (result.outcome == PieceOutcome::kInputMissing) {
-    impl_->RestartStages(
-        request, StrCat("stage ", result.key.stage, " found a result gone"));
+    impl_->RemakeInputs(
+        request, result.key.stage,
+        StrCat("stage ", result.key.stage, " found a result gone"));
     return;
   }
   if (result.outcome != PieceOutcome::kMade) {
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -218,7 +218,7 @@
               "spent"});
       return;
     }
-    RestartStages(request, "the replica found a result gone");
+    RemakeInputs(request, std::nullopt, "the replica found a result gone");
     return;
   }
   if (replica_rate_limiter.rests().IsResting(output->Now(),
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -236,6 +236,15 @@
   void OnStagesDone(ServingRequest* request);
   // Discards all results and starts the stages again. `why` is logged.
   void RestartStages(ServingRequest* request, std::string_view why);
+  // A piece of `stage`, or without one the engine, did not find a result that
+  // it needs: makes what is lost again.
+  void RemakeInputs(ServingRequest* request,
+                    std::optional<std::uint32_t> stage,
+                    std::string_view why);
+  // Submits the missing pieces of stages that were submitted before.
+  void RunStagesAgain(ServingRequest* request,
+                      const std::vector<std::uint32_t>& stages,
+                      std::string_view why);
 
   // gateway.cc: the end of a request.
   void Refuse(ServingRequest* request, LocalReply answer);
@@ -286,7 +295,8 @@
   [[nodiscard]] bool ReserveAttempt(ServingRequest* request,
                                     RetryReason reason);
   // The same for the pieces of all stages that were submitted before.
-  [[nodiscard]] bool ReserveStages(ServingRequest* request);
+  [[nodiscard]] bool ReserveStages(ServingRequest* request,
+                                   const std::vector<std::uint32_t>& stages);
   // Gives back what was reserved and is not sent.
   void ReturnReservedRetries(ServingRequest* request);
   void ReturnReservedPieces(ServingRequest* request);
--- a/src/coordination/gateway/gateway_stages.cc
+++ b/src/coordination/gateway/gateway_stages.cc
@@ -97,8 +97,12 @@
   task.send = request.submitted_stages.contains(stage) ? PieceSend::kRetryPaid
                                                        : PieceSend::kFirst;
   task.earns_retries = EarnsRetries(request, stage);
+  const std::vector<std::uint32_t> missing = request.progress.Missing(stage);
+  if (task.sole_users > 0) {
+    task.sole_users = static_cast<std::uint32_t>(missing.size());
+  }
   std::vector<PieceTask> tasks;
-  for (std::uint32_t n = 0; n < request.progress.Pieces(stage); ++n) {
+  for (const std::uint32_t n : missing) {
     task.key = {request.call.id, stage, n};
     tasks.push_back(task);
     task.earns_retries = false;  // The first one earns for all.
@@ -138,10 +142,12 @@
   StartAttempt(request);
 }
 
-bool Gateway::Impl::ReserveStages(ServingRequest* request) {
+bool Gateway::Impl::ReserveStages(ServingRequest* request,
+                                  const std::vector<std::uint32_t>& stages) {
   ReturnReservedPieces(request);
-  for (const std::uint32_t stage : request->submitted_stages) {
-    const std::uint32_t pieces = request->progress.Pieces(stage);
+  for (const std::uint32_t stage : stages) {
+    const auto pieces =
+        static_cast<std::uint32_t>(request->progress.Missing(stage).size());
     if (!ServiceBudget(request->route->stages[stage].service)
              .TryUse(output->Now(),
                      {RetryReason::kStagesAgain, request->call.id, pieces})) {
@@ -160,34 +166,67 @@
   }
 }
 
-// Results expire after a few seconds and are lost when their replica ends. If
-// one is lost, all stages of the request run again, as long as there is time
-// for it.
 void Gateway::Impl::RestartStages(ServingRequest* request,
                                   std::string_view why) {
   dispatcher->ReleaseResults(request->progress.TakeAll());
   dispatcher->CancelRequest(request->call.id);
+  request->progress.Restart();
+  RunStagesAgain(
+      request,
+      {request->submitted_stages.begin(), request->submitted_stages.end()},
+      why);
+}
+
+// Results expire after a few seconds and are lost when their replica ends.
+// Making all stages again for one of them would take many times the retries and
+// the work. Which result a replica missed it does not say: those of replicas
+// that are gone are lost, and if none is, or it happens again, all that it
+// needed are, as they may have expired or have been released early.
+void Gateway::Impl::RemakeInputs(ServingRequest* request,
+                                 std::optional<std::uint32_t> stage,
+                                 std::string_view why) {
+  const bool first_time = request->restarts == 0;
+  const auto is_lost = [&](const std::string& handle) {
+    return first_time && directory->ProducerOf(handle) == nullptr;
+  };
+  const std::vector<std::uint32_t> again =
+      stage ? request->progress.LoseInputsOf(*stage, is_lost)
+            : request->progress.LoseFinalResults(is_lost);
+  for (const std::uint32_t it : again) {
+    dispatcher->CancelStage(request->call.id, it);
+  }
+  RunStagesAgain(request, again, why);
+}
+
+void Gateway::Impl::RunStagesAgain(ServingRequest* request,
+                                   const std::vector<std::uint32_t>& stages,
+                                   std::string_view why) {
   if (++request->restarts > kMaxStageRestarts) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
                      "results of stages were lost too often"});
     return;
   }
-  request->progress.Restart();
   const DurationUs left = request->first_response_by - output->Now();
   if (request->progress.TimeLeft() + kEngineFirstEventTime > left) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
                      StrCat("no time to begin again: ", why)});
     return;
   }
-  if (!ReserveStages(request)) {
+  if (!ReserveStages(request, stages)) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
                      StrCat(why, ", and the retry budget is spent")});
     return;
   }
+  std::size_t pieces = 0;
+  for (const auto& [stage, n] : request->reserved_pieces) {
+    pieces += n;
+  }
   log->Write(
       "stages_again",
       {{"id", request->call.id},
        {"why", why},
+       {"stages", stages.size()},
+       {"pieces", pieces},
        {"stages_ms", request->stage_times},
        {"after_ms", (output->Now() - request->received_at) / kMillisecond}});
   request->stages_done = false;
--- a/src/coordination/stages/local_piece_dispatcher.cc
+++ b/src/coordination/stages/local_piece_dispatcher.cc
@@ -50,6 +50,13 @@
   }
 }
 
+void LocalPieceDispatcher::CancelStage(const std::string& request,
+                                       std::uint32_t stage) {
+  for (auto& [name, batcher] : batchers_) {
+    batcher->CancelStage(request, stage);
+  }
+}
+
 void LocalPieceDispatcher::ReleaseResults(
     const std::vector<std::string>& handles) {
   for (const auto& handle : handles) {
--- a/src/coordination/stages/local_piece_dispatcher.h
+++ b/src/coordination/stages/local_piece_dispatcher.h
@@ -23,6 +23,7 @@
 
   void Submit(TimeUs now, std::vector<PieceTask> tasks) override;
   void CancelRequest(const std::string& request) override;
+  void CancelStage(const std::string& request, std::uint32_t stage) override;
   void ReleaseResults(const std::vector<std::string>& handles) override;
   void FreeForService(const std::string& service,
                       const std::vector<std::string>& handles);
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -124,14 +124,29 @@
       kLateMemoryShare * static_cast<double>(limits_.result_memory_bytes));
 }
 
+std::map<PieceKey, PieceBatcher::Piece>::iterator PieceBatcher::Cancel(
+    std::map<PieceKey, Piece>::iterator it) {
+  if (it->second.queued) {
+    waiting_.erase(it->second.rank);
+  }
+  DropRetries(it->second);
+  return pieces_.erase(it);
+}
+
+void PieceBatcher::CancelStage(const std::string& request,
+                               std::uint32_t stage) {
+  auto it = pieces_.lower_bound(PieceKey{request, stage, 0});
+  while (it != pieces_.end() && it->first.request == request &&
+         it->first.stage == stage) {
+    it = Cancel(it);
+  }
+  inputs_read_.erase({request, stage});
+}
+
 void PieceBatcher::CancelRequest(const std::string& request) {
   auto it = pieces_.lower_bound(PieceKey{request, 0, 0});
   while (it != pieces_.end() && it->first.request == request) {
-    if (it->second.queued) {
-      waiting_.erase(it->second.rank);
-    }
-    DropRetries(it->second);
-    it = pieces_.erase(it);
+    it = Cancel(it);
   }
   auto read = inputs_read_.lower_bound({request, 0});
   while (read != inputs_read_.end() && read->first.first == request) {
@@ -256,6 +271,7 @@
 }
 
 std::vector<PieceTask> PieceBatcher::TakePieces(TimeUs now,
+                                                BatchId call,
                                                 const ReplicaEntry& replica,
                                                 std::size_t max_pieces) {
   const Groups groups = EligibleGroups(now, replica);
@@ -276,7 +292,7 @@
       held += piece.task.result_bytes;
       replicas_.Reserve(replica.id, piece.task.result_bytes);
       piece.queued = false;
-      ++piece.calls;
+      piece.calls.insert(call);
       ++piece.attempts;
       piece.tried_replicas.insert(replica.id);
       piece.task.time_left = piece.deadline - now;
@@ -291,7 +307,8 @@
                                const ReplicaEntry& replica,
                                std::size_t max_pieces) {
   Call call;
-  call.call.pieces = TakePieces(now, replica, max_pieces);
+  call.call.id = next_id_++;
+  call.call.pieces = TakePieces(now, call.call.id, replica, max_pieces);
   if (call.call.pieces.empty()) {
     return;
   }
@@ -299,7 +316,6 @@
   call.call.slowness = replicas_.Slowness(now, replica.id);
   call.expected =
       replicas_.OnCallStarted(now, replica.id, call.call.pieces.size());
-  call.call.id = next_id_++;
   call.call.replica = replica.id;
   call.call.address = replica.address;
   call.call.expected = replicas_.CallTime(1, call.call.pieces.size());
@@ -379,7 +395,7 @@
       }
     }
     result.key = task.key;
-    EndPiece(now, answered, result);
+    EndPiece(now, id, answered, result);
   }
   Dispatch(now);
 }
@@ -424,19 +440,21 @@
 }
 
 void PieceBatcher::EndPiece(TimeUs now,
+                            BatchId call,
                             bool answered,
                             const PieceResult& result) {
   const auto piece = pieces_.find(result.key);
-  if (piece == pieces_.end()) {
-    // Another call returned the piece first, or its request has ended.
+  // Another call returned the piece first, or it was cancelled, and maybe
+  // submitted again since.
+  if (piece == pieces_.end() || piece->second.calls.erase(call) == 0) {
     ReleaseResults({result.handle});
     return;
   }
-  if (--piece->second.calls == 0 && !piece->second.queued) {
+  if (piece->second.calls.empty() && !piece->second.queued) {
     EndRetries(&piece->second, answered);
   }
   if (result.outcome == PieceOutcome::kInputMissing &&
-      piece->second.calls > 0) {
+      !piece->second.calls.empty()) {
     // The first call has read the inputs and may still complete the piece.
     return;
   }
@@ -476,7 +494,7 @@
 void PieceBatcher::RetryOrFinish(TimeUs now,
                                  Piece* piece,
                                  PieceOutcome outcome) {
-  if (piece->calls > 0) {
+  if (!piece->calls.empty()) {
     return;  // Another call with this piece is in progress.
   }
   ResetTriedReplicas(piece);
@@ -562,6 +580,7 @@
   for (const PieceTask& it : call.call.pieces) {
     const auto piece = pieces_.find(it.key);
     if (it.sole_users == 0 || it.inputs.empty() || piece == pieces_.end() ||
+        !piece->second.calls.contains(call.call.id) ||
         piece->second.inputs_read || !output_->ShortOfMemory(it.inputs)) {
       continue;
     }
@@ -586,7 +605,9 @@
   replicas_.OnCallOverdue(now, call->call.replica, ViewOf(*call));
   for (const auto& task : call->call.pieces) {
     const auto it = pieces_.find(task.key);
-    if (it != pieces_.end() && !it->second.queued && it->second.calls == 1 &&
+    if (it != pieces_.end() && !it->second.queued &&
+        it->second.calls.size() == 1 &&
+        it->second.calls.contains(call->call.id) &&
         it->second.attempts < kMaxCallsPerPiece &&
         !InputsReleased(it->second)) {
       RetryPiece(now, &it->second, RetryReason::kPieceOverdue);
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -161,8 +161,9 @@
   // Starts the calls that can be started. Must be called after pieces were
   // added.
   void Dispatch(TimeUs now);
-  // Cancels the request's pieces.
+  // Cancels the request's pieces, or those of one of its stages.
   void CancelRequest(const std::string& request);
+  void CancelStage(const std::string& request, std::uint32_t stage);
   // Releases results that no request needs any longer. The replicas are
   // notified at the next tick, each with one message.
   void ReleaseResults(const std::vector<std::string>& handles);
@@ -212,7 +213,7 @@
     bool inputs_read = false;
     Rank rank;
     bool queued = false;
-    std::uint32_t calls = 0;  // Calls in progress that contain this piece.
+    std::set<BatchId> calls;  // Calls in progress that contain this piece.
     std::uint32_t attempts = 0;
     // Sends that this batcher took from the retry budget and whose arrival is
     // not confirmed.
@@ -260,6 +261,7 @@
   // `max_pieces`, and more if that completes the group of a request. Their
   // results are counted as occupying the replica's memory.
   std::vector<PieceTask> TakePieces(TimeUs now,
+                                    BatchId call,
                                     const ReplicaEntry& replica,
                                     std::size_t max_pieces);
   void StartCallOn(TimeUs now,
@@ -272,9 +274,15 @@
   void EndRetries(Piece* piece, bool answered);
   // The piece is dropped.
   void DropRetries(const Piece& piece);
+  // Drops the piece; returns the next one.
+  std::map<PieceKey, Piece>::iterator Cancel(
+      std::map<PieceKey, Piece>::iterator it);
   void PrioritizeSiblings(const PieceKey& key);
   std::uint64_t LateMemoryBytes() const;
-  void EndPiece(TimeUs now, bool answered, const PieceResult& result);
+  void EndPiece(TimeUs now,
+                BatchId call,
+                bool answered,
+                const PieceResult& result);
   void Finish(std::map<PieceKey, Piece>::iterator it,
               const PieceResult& result);
   void ResetTriedReplicas(Piece* piece) const;
--- a/src/coordination/stages/piece_dispatcher.h
+++ b/src/coordination/stages/piece_dispatcher.h
@@ -3,6 +3,7 @@
 #ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_DISPATCHER_H_
 #define ACACIACHUTE_SRC_COORDINATION_STAGES_PIECE_DISPATCHER_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
   // Cancels the request's pieces. Must be called when a request that submitted
   // pieces ends.
   virtual void CancelRequest(const std::string& request) = 0;
+  // Cancels the request's pieces of one stage, which may be submitted again.
+  virtual void CancelStage(const std::string& request, std::uint32_t stage) = 0;
   // Releases results that no request needs any longer.
   virtual void ReleaseResults(const std::vector<std::string>& handles) = 0;
   virtual QueueWait ExpectedWait(TimeUs now,
--- a/src/coordination/stages/shared_piece_dispatcher.cc
+++ b/src/coordination/stages/shared_piece_dispatcher.cc
@@ -188,7 +188,24 @@
     return;
   }
   for (const NodeId& owner : owners.mapped()) {
-    output_->SendToPeer(owner, PieceCancel{request});
+    output_->SendToPeer(owner, PieceCancel{request, std::nullopt});
+  }
+}
+
+void SharedPieceDispatcher::CancelStage(const std::string& request,
+                                        std::uint32_t stage) {
+  auto it = pending_.lower_bound(PieceKey{request, stage, 0});
+  while (it != pending_.end() && it->first.request == request &&
+         it->first.stage == stage) {
+    Erase(it++, false);
+  }
+  local_->CancelStage(request, stage);
+  const auto owners = owners_.find(request);
+  if (owners == owners_.end()) {
+    return;
+  }
+  for (const NodeId& owner : owners->second) {
+    output_->SendToPeer(owner, PieceCancel{request, stage});
   }
 }
 
@@ -299,6 +316,10 @@
 }
 
 void SharedPieceDispatcher::OnPeerCancel(const PieceCancel& cancel) {
+  if (cancel.stage) {
+    local_->CancelStage(cancel.request, *cancel.stage);
+    return;
+  }
   requesters_.erase(cancel.request);
   local_->CancelRequest(cancel.request);
 }
@@ -321,7 +342,7 @@
     }
   }
   for (const auto& request : dropped) {
-    OnPeerCancel({request});
+    OnPeerCancel({request, std::nullopt});
   }
   std::vector<PieceKey> lost;
   for (auto& [key, pending] : pending_) {
--- a/src/coordination/stages/shared_piece_dispatcher.h
+++ b/src/coordination/stages/shared_piece_dispatcher.h
@@ -47,6 +47,7 @@
 
   void Submit(TimeUs now, std::vector<PieceTask> tasks) override;
   void CancelRequest(const std::string& request) override;
+  void CancelStage(const std::string& request, std::uint32_t stage) override;
   void ReleaseResults(const std::vector<std::string>& handles) override;
   QueueWait ExpectedWait(TimeUs now, const std::string& service) const override;
 
--- a/src/coordination/stages/stage_progress.cc
+++ b/src/coordination/stages/stage_progress.cc
@@ -74,6 +74,17 @@
   return static_cast<std::uint32_t>(stages_[stage].handles.size());
 }
 
+std::vector<std::uint32_t> StageProgress::Missing(std::uint32_t stage) const {
+  std::vector<std::uint32_t> missing;
+  const auto& handles = stages_[stage].handles;
+  for (std::uint32_t n = 0; n < handles.size(); ++n) {
+    if (handles[n].empty()) {
+      missing.push_back(n);
+    }
+  }
+  return missing;
+}
+
 std::vector<std::string> StageProgress::InputsOf(std::uint32_t stage) const {
   std::vector<std::string> inputs;
   for (const std::uint32_t needed : stages_[stage].after) {
@@ -183,4 +194,92 @@
   }
 }
 
+std::vector<std::uint32_t> StageProgress::LoseInputsOf(
+    std::uint32_t stage,
+    const IsLostFn& is_lost) {
+  std::vector<std::uint32_t> needed;
+  for (const std::uint32_t it : stages_[stage].after) {
+    if (it < stages_.size()) {
+      needed.push_back(it);
+    }
+  }
+  return Lose(needed, is_lost);
+}
+
+std::vector<std::uint32_t> StageProgress::LoseFinalResults(
+    const IsLostFn& is_lost) {
+  std::vector<std::uint32_t> needed;
+  for (std::uint32_t n = 0; n < stages_.size(); ++n) {
+    if (!stages_[n].has_dependents && !stages_[n].handles.empty()) {
+      needed.push_back(n);
+    }
+  }
+  return Lose(needed, is_lost);
+}
+
+void StageProgress::LoseAll(Stage* stage) {
+  std::fill(stage->handles.begin(), stage->handles.end(), std::string());
+  stage->made = 0;
+  stage->released = false;
+  stage->lost = true;
+}
+
+bool StageProgress::LoseKnown(Stage* stage, const IsLostFn& is_lost) {
+  const std::uint32_t before = stage->made;
+  for (std::string& handle : stage->handles) {
+    if (!handle.empty() && is_lost(handle)) {
+      handle.clear();
+      --stage->made;
+      stage->lost = true;
+    }
+  }
+  return stage->made < before;
+}
+
+std::vector<std::uint32_t> StageProgress::Lose(
+    const std::vector<std::uint32_t>& needed,
+    const IsLostFn& is_lost) {
+  bool any = false;
+  for (const std::uint32_t n : needed) {
+    any = LoseKnown(&stages_[n], is_lost) || any;
+  }
+  for (const std::uint32_t n : needed) {
+    if (!any) {
+      LoseAll(&stages_[n]);
+    }
+  }
+  LoseReleasedInputs();
+  return TakeInterrupted();
+}
+
+// Stages depend only on earlier ones, so each is decided when it is reached.
+void StageProgress::LoseReleasedInputs() {
+  for (std::size_t n = stages_.size(); n-- > 0;) {
+    if (stages_[n].done()) {
+      continue;
+    }
+    for (const std::uint32_t input : stages_[n].after) {
+      if (stages_[input].released) {
+        LoseAll(&stages_[input]);
+      }
+    }
+  }
+}
+
+std::vector<std::uint32_t> StageProgress::TakeInterrupted() {
+  std::vector<std::uint32_t> interrupted;
+  for (std::uint32_t n = 0; n < stages_.size(); ++n) {
+    Stage& stage = stages_[n];
+    const bool lacks_inputs =
+        std::any_of(stage.after.begin(), stage.after.end(),
+                    [&](std::uint32_t it) { return !stages_[it].done(); });
+    const bool lost = std::exchange(stage.lost, false);
+    if (stage.started && !stage.done() && (lost || lacks_inputs)) {
+      stage.started = false;
+      interrupted.push_back(n);
+    }
+  }
+  return interrupted;
+}
+
 }  // namespace acaciachute
--- a/src/coordination/stages/stage_progress.h
+++ b/src/coordination/stages/stage_progress.h
@@ -4,6 +4,7 @@
 #define ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_PROGRESS_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   DurationUs TimeAfter(std::uint32_t stage) const;
 
   std::uint32_t Pieces(std::uint32_t stage) const;
+  // The pieces of the stage that have no result, in ascending order.
+  std::vector<std::uint32_t> Missing(std::uint32_t stage) const;
   // Handles of the results of all pieces of all stages that `stage` needs.
   std::vector<std::string> InputsOf(std::uint32_t stage) const;
 
@@ -60,9 +63,20 @@
   std::vector<std::string> TakeUnneeded();
   // All results that `TakeUnneeded` has not returned yet.
   std::vector<std::string> TakeAll();
-  // Resets all stages to the beginning, after a result was lost.
+  // Resets all stages to the beginning.
   void Restart();
 
+  using IsLostFn = std::function<bool(const std::string& handle)>;
+  // A piece of `stage`, or the engine, did not find a result that it needs.
+  // Marks the results of which `is_lost` returns true as not made, or all that
+  // it needs if none is known to be lost, and the released results from which
+  // these are made. Results that are still there are kept. Returns the stages
+  // whose pieces have to be submitted again, if they were submitted before;
+  // `TakeReady` returns them when their inputs are complete.
+  std::vector<std::uint32_t> LoseInputsOf(std::uint32_t stage,
+                                          const IsLostFn& is_lost);
+  std::vector<std::uint32_t> LoseFinalResults(const IsLostFn& is_lost);
+
  private:
   struct Stage {
     std::vector<std::uint32_t> after;
@@ -76,10 +90,23 @@
     bool started = false;
     bool has_dependents = false;
     bool released = false;
+    bool lost = false;  // Results were lost; see `TakeInterrupted`.
 
     bool done() const { return made == handles.size(); }
   };
 
+  // Marks lost results of the stages in `needed` as not made.
+  std::vector<std::uint32_t> Lose(const std::vector<std::uint32_t>& needed,
+                                  const IsLostFn& is_lost);
+  static void LoseAll(Stage* stage);
+  // Returns whether any result was lost.
+  static bool LoseKnown(Stage* stage, const IsLostFn& is_lost);
+  // Marks the released results that missing pieces are made from as not made.
+  void LoseReleasedInputs();
+  // Returns the started stages that lost results or inputs, and marks them as
+  // not started.
+  std::vector<std::uint32_t> TakeInterrupted();
+
   std::vector<Stage> stages_;
 };
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -290,6 +290,7 @@
 // Gateway to gateway: cancels the pieces of a request.
 struct PieceCancel {
   std::string request;
+  std::optional<std::uint32_t> stage;  // Only that stage's; empty: all.
 };
 // Gateway to gateway: releases results that are no longer needed.
 struct PieceRelease {
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -142,7 +142,7 @@
 }
 template <class A>
 void serialize(A& a, PieceCancel& v) {
-  a(v.request);
+  a(v.request, v.stage);
 }
 template <class A>
 void serialize(A& a, PieceRelease& v) {
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -274,6 +274,9 @@
   void CancelRequest(const std::string& request) override {
     dropped.push_back(request);
   }
+  void CancelStage(const std::string& request, std::uint32_t stage) override {
+    dropped_stages.emplace_back(request, stage);
+  }
   void ReleaseResults(const std::vector<std::string>& handles) override {
     freed.insert(freed.end(), handles.begin(), handles.end());
   }
@@ -321,6 +324,7 @@
   std::map<CallId, bool> paused;
   std::vector<PieceTask> tasks;
   std::vector<std::string> dropped;
+  std::vector<std::pair<std::string, std::uint32_t>> dropped_stages;
   std::vector<std::string> freed;
 };
 
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -280,6 +280,29 @@
   EXPECT_TRUE(rig.batcher.Idle());
 }
 
+// Guards against a piece that never ends: a call that held it before it was
+// cancelled and submitted again ends, and must not count for the new one.
+TEST(PieceBatcherTest, ACallOfACancelledPieceDoesNotEndItsSuccessor) {
+  BatcherRig rig;
+  rig.AddReplicas(2);
+  rig.Add(BatcherRig::Task("r", 0));
+  rig.Advance(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 1U);
+  rig.batcher.CancelStage("r", 0);
+  rig.Add(BatcherRig::Task("r", 0));
+  PieceCallEnd gone;
+  gone.kind = PieceCallEnd::Kind::kAnswered;
+  gone.results = {{{"r", 0, 0}, PieceOutcome::kInputMissing, ""}};
+  rig.batcher.OnCallEnd(rig.now, rig.calls[0].id, gone);
+  EXPECT_TRUE(rig.results.empty());
+  rig.Advance(10 * kMs);
+  ASSERT_EQ(rig.calls.size(), 2U);
+  rig.CompleteCall(rig.calls[1]);
+  ASSERT_EQ(rig.results.size(), 1U);
+  EXPECT_EQ(rig.results[0].outcome, PieceOutcome::kMade);
+  EXPECT_TRUE(rig.batcher.Idle());
+}
+
 // A piece waits for a limited time for a replica in the domain of its inputs,
 // then takes any.
 TEST(PieceBatcherTest, PrefersTheFailureDomainOfItsInputsForAWhile) {
