Record streams in the store while a service has several versions

Cause: where a stream began is remembered by gateways only, so after a kill of all of them beside two versions nobody knew, and streams in progress were refused.

Change: `StreamRecorder`, a module of its own. Each gateway writes the streams that begin there, of services with several known versions, into 8 rows of its own in turn, one transaction each 250 ms at most (20 ms a gateway in larger fleets), once any client has named the attempt that began its stream. Nothing is written or read where no client does, or where each service has one version. A gateway asked for a stream that no gateway knows, beside several versions, reads the rows; a reading serves a second and, by its bytes, longer. A stream never waits for its row; an outage of the store leaves streams unrecorded until it is over, with one log line. A new life reads its rows before it writes, so that it does not overwrite what the others still need.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -25,6 +25,14 @@
       rate_loans(&replica_rate_limiter, this, metrics_in, log_in),
       cause_trials(options.node),
       version_ledger(output_in, random_in, log_in),
+      stream_recorder(
+          options.node,
+          output_in,
+          [this](const std::string& service) {
+            return version_ledger.SeveralOf(service);
+          },
+          metrics_in,
+          log_in),
       engines(directory_in, &replica_rate_limiter, random_in) {
   replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
@@ -416,6 +424,7 @@
   impl_->ClearDoubts();
   impl_->RecordVersions();
   impl_->version_ledger.OnTick(impl_->output->Now());
+  impl_->stream_recorder.OnTick(impl_->output->Now(), impl_->gateway_count);
   impl_->SearchOrigins();
   impl_->rate_loans.OnTick(impl_->output->Now());
   impl_->BeginParked();
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/gateway/version_ledger.h"
 #include "coordination/stages/piece_dispatcher.h"
+#include "coordination/streams/stream_recorder.h"
 #include "state/answer_end.h"
 #include "state/client_request.h"
 #include "state/event_log.h"
@@ -65,7 +66,7 @@
   std::optional<std::size_t> max_idle_connections;
 };
 
-class GatewayOutput : public VersionLedgerOutput {
+class GatewayOutput : public VersionLedgerOutput, public StreamRecorderOutput {
  public:
   // Must advance while the host is suspended, because clients' deadlines do
   // too.
@@ -221,6 +222,9 @@
       const std::optional<std::vector<ServiceVersion>>& versions);
   void OnServiceVersions(const NodeId& from,
                          const ServiceVersionReport& report);
+  // The store's rows of streams; see `StreamRecorder`.
+  void OnStreamRowsWritten(bool done);
+  void OnStreamRows(const std::optional<StreamRowsPage>& page);
   // Whether streams may begin at all versions that replicas have.
   bool VersionsRecorded() const;
   void OnPiece(const PieceResult& result);
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -26,6 +26,7 @@
 #include "coordination/gateway/version_doubts.h"
 #include "coordination/gateway/version_ledger.h"
 #include "coordination/stages/stage_progress.h"
+#include "coordination/streams/stream_recorder.h"
 
 namespace acaciachute {
 
@@ -81,7 +82,8 @@
   std::vector<NodeId> asked;  // Gateways that have not answered.
   int asks = 0;
   TimeUs next_ask_at = 0;
-  // No gateway knows; the records in the store, read later than this, decide.
+  bool asked_all = false;  // No gateway knows.
+  // The records of versions in the store, read later than this, decide.
   std::optional<TimeUs> reads_since;
 };
 
@@ -388,6 +390,8 @@
   // No gateway knows where the stream began: whether there is only one version
   // at which it can have begun.
   void ConcludeOrigin(ServingRequest* request);
+  // The same, where there are several: what the store knows of the stream.
+  void ConcludeFromRows(ServingRequest* request);
   void RefuseUnknownStream(ServingRequest* request, std::string_view why);
   // `source`: who knew it, for the log.
   void GoOnFrom(ServingRequest* request,
@@ -474,6 +478,7 @@
   std::deque<LateSuspects> late_suspects;
   StreamOrigins stream_origins;
   VersionLedger version_ledger;
+  StreamRecorder stream_recorder;
   VersionDoubts version_doubts;
   bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -35,6 +35,7 @@
   const StreamOrigin origin = {request.call.id, AccountOf(request),
                                request.service, *request.stream_version, 0};
   stream_origins.Add(output->Now(), origin);
+  stream_recorder.OnBegun(output->Now(), origin);
   for (const NodeId& it : StreamOrigins::Holders(
            origin.attempt, output->LivePeers(), StreamOrigins::kHolders)) {
     output->SendDatagram(it, StreamOriginReport{{origin}});
@@ -53,6 +54,9 @@
 }
 
 void Gateway::Impl::TakeUpStream(ServingRequest* request) {
+  if (!request->call.resumed_attempt.empty()) {
+    stream_recorder.OnNamed();
+  }
   if (const auto origin = FindOrigin(OriginQueryOf(*request))) {
     GoOnFrom(request, *origin, "here");
     return;
@@ -88,7 +92,7 @@
     if (request == nullptr || !awaiting_origin.contains(id)) {
       continue;  // It ended with one before it.
     }
-    if (request->origin_search->reads_since) {
+    if (request->origin_search->asked_all) {
       ConcludeOrigin(request);
     } else if (request->origin_search->next_ask_at <= now) {
       AskForOrigin(request);
@@ -97,11 +101,12 @@
 }
 
 void Gateway::Impl::ConcludeOrigin(ServingRequest* request) {
+  OriginSearch& search = *request->origin_search;
+  search.asked_all = true;
   if (version_ledger.Several()) {
-    RefuseUnknownStream(request, "streams may have begun at several versions");
+    ConcludeFromRows(request);
     return;
   }
-  OriginSearch& search = *request->origin_search;
   if (!search.reads_since) {
     search.reads_since = output->Now();
     version_ledger.Read(output->Now());
@@ -121,6 +126,25 @@
   }
 }
 
+void Gateway::Impl::ConcludeFromRows(ServingRequest* request) {
+  const auto state =
+      request->call.resumed_attempt.empty()
+          ? StreamRowsState::kRead
+          : stream_recorder.Ask(output->Now(), request->received_at);
+  if (state == StreamRowsState::kAwaited) {
+    return;
+  }
+  if (const auto origin = FindOrigin(OriginQueryOf(*request))) {
+    GoOnFrom(request, *origin, "store");
+    return;
+  }
+  RefuseUnknownStream(request,
+                      StrCat("there are several versions, and ",
+                             state == StreamRowsState::kRead
+                                 ? "the store has no record of it"
+                                 : "the store's records are not read"));
+}
+
 // A client's next connection may reach a gateway that knows.
 void Gateway::Impl::RefuseUnknownStream(ServingRequest* request,
                                         std::string_view why) {
@@ -245,6 +269,9 @@
 
 void Gateway::OnStreamOriginQuery(const NodeId& from,
                                   const StreamOriginQuery& query) {
+  if (!query.attempt.empty()) {
+    impl_->stream_recorder.OnNamed();
+  }
   StreamOriginAnswer answer = {query.request, {}};
   if (auto origin = impl_->FindOrigin(query)) {
     answer.origins.push_back(std::move(*origin));
@@ -276,6 +303,18 @@
   impl_->SearchOrigins();
 }
 
+void Gateway::OnStreamRowsWritten(bool done) {
+  impl_->stream_recorder.OnWritten(impl_->output->Now(), done);
+}
+
+void Gateway::OnStreamRows(const std::optional<StreamRowsPage>& page) {
+  const TimeUs now = impl_->output->Now();
+  for (const StreamOrigin& it : impl_->stream_recorder.OnRead(now, page)) {
+    impl_->stream_origins.Add(now, it);
+  }
+  impl_->SearchOrigins();
+}
+
 void Gateway::OnServiceVersions(const NodeId& from,
                                 const ServiceVersionReport& report) {
   impl_->version_ledger.OnReport(impl_->output->Now(), from, report);
--- a/src/coordination/gateway/version_ledger.cc
+++ b/src/coordination/gateway/version_ledger.cc
@@ -1,6 +1,7 @@
 #include "coordination/gateway/version_ledger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace acaciachute {
@@ -42,6 +43,13 @@
   });
 }
 
+bool VersionLedger::SeveralOf(const std::string& service) const {
+  const auto first = entries_.lower_bound({service, ""});
+  return first != entries_.end() && first->first.service == service &&
+         std::next(first) != entries_.end() &&
+         std::next(first)->first.service == service;
+}
+
 std::optional<ServiceVersion> VersionLedger::Only() const {
   if (entries_.size() != 1 || !entries_.begin()->second.recorded) {
     return std::nullopt;
--- a/src/coordination/gateway/version_ledger.h
+++ b/src/coordination/gateway/version_ledger.h
@@ -21,6 +21,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "messages.h"
@@ -71,6 +72,8 @@
 
   // Whether more than one version is known.
   bool Several() const { return entries_.size() > 1; }
+  // The same, of one service.
+  bool SeveralOf(const std::string& service) const;
   // The one version that is known, if it has a record.
   std::optional<ServiceVersion> Only() const;
   // Reads the records, unless a reading that begins now or later is due.
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -42,6 +42,8 @@
 inline constexpr char kCrashTable[] = "acaciachute-crashes";
 // The store's table of versions at which streams can have begun.
 inline constexpr char kVersionTable[] = "acaciachute-stream-versions";
+// The store's table of streams that clients may take up.
+inline constexpr char kStreamTable[] = "acaciachute-streams";
 
 // A table of the store that this gateway follows and relays to other gateways.
 struct FollowedTable {
@@ -269,6 +271,11 @@
   void ReadVersions() override;
   void OnVersionRows(const TableAnswer& answer);
 
+  // StreamRecorderOutput
+  void WriteStreamRows(const std::vector<StreamRow>& rows) override;
+  void ReadStreamRows(const std::string& after) override;
+  void OnStreamRows(const TableAnswer& answer);
+
   // CrashExchangeOutput
   std::vector<NodeId> LivePeers() override { return peers.LivePeers(); }
   void SendCrashReport(const NodeId& peer, const CrashReport& report) override;
--- a/src/daemon/gateway_node_store.cc
+++ b/src/daemon/gateway_node_store.cc
@@ -64,6 +64,8 @@
     OnCrashRows(answer);
   } else if (table == kVersionTable) {
     OnVersionRows(answer);
+  } else if (table == kStreamTable) {
+    OnStreamRows(answer);
   } else if (FollowedTable* it = FindFollowedTable(table)) {
     it->source.OnStoreAnswer(Now(), id, answer);
   }
--- a/src/daemon/gateway_node_streams.cc
+++ b/src/daemon/gateway_node_streams.cc
@@ -1,9 +1,11 @@
-// The store's records of versions at which streams can have begun.
+// The store's records of versions at which streams can have begun, and of
+// streams.
 #include <glib.h>
 
 #include <nlohmann/json.hpp>
 
 #include "daemon/gateway_node_impl.h"
+#include "protocol/stream_row_codec.h"
 
 namespace acaciachute {
 namespace {
@@ -30,6 +32,10 @@
   return hash.get();
 }
 
+std::int64_t UnixMs() {
+  return g_get_real_time() / kMillisecond;
+}
+
 std::optional<ServiceVersion> ReadRow(const std::string& text) {
   const Json row = Json::parse(text, nullptr, false);
   if (!row.is_object() || !row.contains(kServiceField) ||
@@ -79,4 +85,44 @@
   gateway->OnVersionsRead(versions);
 }
 
+void GatewayNode::Impl::WriteStreamRows(const std::vector<StreamRow>& rows) {
+  std::vector<platform::StoreClient::RowWrite> writes;
+  for (const StreamRow& it : rows) {
+    writes.push_back({StreamRowKey(it), EncodeStreamRow(it, UnixMs())});
+  }
+  store.WriteRows(kStreamTable, writes, [this](platform::WriteOutcome outcome) {
+    gateway->OnStreamRowsWritten(outcome == platform::WriteOutcome::kDone);
+  });
+}
+
+void GatewayNode::Impl::ReadStreamRows(const std::string& after) {
+  store.SendRequest({kStreamTable,
+                     0,
+                     {true, after.empty() ? "" : after + '\0', 0, 0},
+                     GatewayJoin::kReadTimeout,
+                     GatewayJoin::kReadTimeout});
+}
+
+void GatewayNode::Impl::OnStreamRows(const TableAnswer& answer) {
+  if (answer.kind != TableAnswer::Kind::kRows) {
+    log.Write("stream_rows_failed", {{"why", answer.why}});
+    gateway->OnStreamRows(std::nullopt);
+    return;
+  }
+  StreamRowsPage page;
+  page.truncated = answer.truncated && !answer.rows.empty();
+  for (const TableRow& it : answer.rows) {
+    page.bytes += it.value.size();
+    page.last_key = it.key;
+    auto row = DecodeStreamRow(it.key, it.value, UnixMs());
+    if (row.ok()) {
+      page.rows.push_back(*std::move(row));
+    } else {
+      LogRefusedRow("stream_row_refused", it,
+                    std::string(row.status().message()));
+    }
+  }
+  gateway->OnStreamRows(page);
+}
+
 }  // namespace acaciachute
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -267,6 +267,21 @@
     core.OnVersionsRead(store_answers ? std::optional(recorded) : std::nullopt);
   }
 
+  void WriteStreamRows(const std::vector<StreamRow>& rows) override {
+    if (store_answers) {
+      stream_rows = rows;
+    }
+    core.OnStreamRowsWritten(store_answers);
+  }
+  void ReadStreamRows(const std::string&) override {
+    ++stream_row_reads;
+    if (store_answers) {
+      core.OnStreamRows(StreamRowsPage{stream_rows, 0, "", false});
+    } else {
+      core.OnStreamRows(std::nullopt);
+    }
+  }
+
   // PieceDispatcher:
   void Submit(TimeUs, std::vector<PieceTask> list) override {
     tasks.insert(tasks.end(), list.begin(), list.end());
@@ -314,6 +329,8 @@
   bool store_answers = true;  // For records of versions.
   std::vector<ServiceVersion> recorded;
   int version_reads = 0;
+  std::vector<StreamRow> stream_rows;  // The last ones that were written.
+  int stream_row_reads = 0;
   std::vector<Sent> sent;
   // Calls whose connections are still being made; set by the test.
   std::set<CallId> connecting;
