--- a/src/coordination/admission/fair_share.cc
+++ b/src/coordination/admission/fair_share.cc
@@ -1,6 +1,7 @@
 #include "coordination/admission/fair_share.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciachute {
 namespace {
@@ -12,11 +13,15 @@
 
 }  // namespace
 
+double FairShare::CurrentCredits(const Balance& balance) const {
+  return std::min(
+      kMaxCredits,
+      balance.credits +
+          balance.weight * (granted_per_weight_ - balance.granted_at_refresh));
+}
+
 void FairShare::RefreshCredits(Balance* balance) const {
-  balance->credits = std::min(
-      kMaxCredits, balance->credits +
-                       balance->weight *
-                           (granted_per_weight_ - balance->granted_at_refresh));
+  balance->credits = CurrentCredits(*balance);
   balance->granted_at_refresh = granted_per_weight_;
 }
 
@@ -56,6 +61,39 @@
   --answers_until_sweep_;
 }
 
+double FairShare::CreditsOf(AccountIndex account) const {
+  const auto it = below_max_credits_.find(account);
+  return it == below_max_credits_.end() ? kMaxCredits
+                                        : CurrentCredits(it->second);
+}
+
+double FairShare::AnswersUntilCredit(AccountIndex account) const {
+  const auto it = below_max_credits_.find(account);
+  if (it == below_max_credits_.end()) {
+    return 0;
+  }
+  const double missing = std::max(0.0, 1 - CurrentCredits(it->second));
+  return missing * total_weight_ / it->second.weight;
+}
+
+std::vector<AccountIndex> FairShare::InDebt(std::size_t count) const {
+  std::vector<std::pair<double, AccountIndex>> debts;
+  for (const auto& [account, balance] : below_max_credits_) {
+    const double credits = CurrentCredits(balance);
+    if (credits < 0) {
+      debts.emplace_back(credits, account);
+    }
+  }
+  std::sort(debts.begin(), debts.end());
+  debts.resize(std::min(count, debts.size()));
+  std::vector<AccountIndex> accounts;
+  accounts.reserve(debts.size());
+  for (const auto& [unused, account] : debts) {
+    accounts.push_back(account);
+  }
+  return accounts;
+}
+
 void FairShare::Sweep() {
   double weight = 0;
   for (auto& [unused, balance] : below_max_credits_) {
--- a/src/coordination/admission/fair_share.h
+++ b/src/coordination/admission/fair_share.h
@@ -14,12 +14,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 
 namespace acaciachute {
 
-// Dense number of an account, assigned by `AccountTable`.
+// Number of an account, by `AccountTable` or, where several processes have to
+// mean the same account, by `AccountId`.
 using AccountIndex = std::uint32_t;
 
 class FairShare {
@@ -51,6 +53,13 @@
   // The pool answered one request of any account.
   void OnAnswer();
 
+  // Credits of the account; negative while it is in debt.
+  double CreditsOf(AccountIndex account) const;
+  // Number of answers of the pool until the account has a credit.
+  double AnswersUntilCredit(AccountIndex account) const;
+  // Accounts in debt, the largest debt first, at most `count`.
+  std::vector<AccountIndex> InDebt(std::size_t count) const;
+
   // Number of accounts below `kMaxCredits`; only these are stored.
   std::size_t size() const { return below_max_credits_.size(); }
 
@@ -63,7 +72,8 @@
   };
   using Balances = absl::flat_hash_map<AccountIndex, Balance>;
 
-  // Adds the credits granted since the last refresh.
+  // Credits including those granted since the last refresh.
+  double CurrentCredits(const Balance& balance) const;
   void RefreshCredits(Balance* balance) const;
   // Removes the accounts whose credits have reached the maximum.
   void Sweep();
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -25,7 +25,8 @@
       rate_loans(&replica_rate_limiter, this, metrics_in, log_in),
       cause_trials(options.node),
       version_ledger(output_in, random_in, log_in),
-      engines(directory_in, &replica_rate_limiter, random_in) {
+      engines(directory_in, &replica_rate_limiter, random_in),
+      account_shares(random_in, metrics_in, log_in) {
   replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
   freshness.SetMaxUseAge(options.max_config_use_age);
@@ -418,6 +419,7 @@
   impl_->version_ledger.OnTick(impl_->output->Now());
   impl_->SearchOrigins();
   impl_->rate_loans.OnTick(impl_->output->Now());
+  impl_->account_shares.OnTick(impl_->output->Now());
   impl_->BeginParked();
   impl_->RetryAwaitingLimited();
   const TimeUs now = impl_->output->Now();
@@ -477,6 +479,9 @@
 ReplicaRateLimiter* Gateway::rate_limiter() {
   return &impl_->replica_rate_limiter;
 }
+AccountShares* Gateway::account_shares() {
+  return &impl_->account_shares;
+}
 EngineChoice* Gateway::engines() {
   return &impl_->engines;
 }
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/admission/account_shares.h"
 #include "coordination/choice/engine_choice.h"
 #include "coordination/choice/leaving_statements.h"
 #include "coordination/choice/replica_rate_limiter.h"
@@ -265,6 +266,7 @@
   // none counts.
   bool LiftBlock(const CrashCause& cause);
   EngineChoice* engines();
+  AccountShares* account_shares();
   ReplicaRateLimiter* rate_limiter();
   // Replicas that stated in answers to this gateway that they leave.
   const LeavingStatements& leaving_statements() const;
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -36,6 +36,12 @@
 constexpr DurationUs kParkedStartPeriod = 100 * kMillisecond;
 constexpr double kParkedAdmissionShare = 0.6;
 
+// A service is scarce for a request if the wait there takes more than this
+// share of the time that the request can wait. A shorter queue only absorbs
+// random variation, and keeps the replicas busy while requests behind it are
+// refused.
+constexpr double kScarceWaitShare = 0.5;
+
 // The account's priority takes precedence; the route's priority orders requests
 // within it, because accounts of the same priority still have urgent and
 // patient requests.
@@ -47,6 +53,11 @@
          std::min(route.priority, kRoutePriorities - 1);
 }
 
+std::string_view AccountNameOf(const ServingRequest& request) {
+  return request.account != nullptr ? std::string_view(request.account->name)
+                                    : std::string_view();
+}
+
 }  // namespace
 
 // A key may be revoked while this gateway cannot read the store, and requests
@@ -211,14 +222,17 @@
                  now + route->FirstEventTimeout() - kClientTransitTime);
   }
   request->resume_after = request->call.resume_after;
-  request->admission =
-      HasNoReplica(*request, &refusal) || HasNoTurn(*request, &refusal)
-          ? AdmissionResult::kRefused
-          : DecideAdmission(request.get(), &refusal);
+  const std::vector<PoolDemand> demands = DemandsOf(*request);
+  request->admission = HasNoReplica(*request, &refusal) ||
+                               HasNoTurn(*request, &refusal) ||
+                               IsOverShare(*request, demands, &refusal)
+                           ? AdmissionResult::kRefused
+                           : DecideAdmission(request.get(), &refusal);
   if (request->admission == AdmissionResult::kRefused) {
     RefuseUnadmitted(id, request->call, refusal);
     return;
   }
+  account_shares.OnAdmitted(now, AccountNameOf(*request), demands);
   ServiceBudget(request->service).OnRequest(now);
   SetExpiry(request.get(), request->first_response_by);
   ServingRequest* it = request.get();
@@ -283,6 +297,64 @@
   return waits;
 }
 
+std::vector<std::string_view> Gateway::Impl::SharedPoolsOf(
+    const ServingRequest& request) {
+  std::vector<std::string_view> pools;
+  if (!request.config->needs_keys()) {
+    return pools;
+  }
+  for (std::uint32_t n = 0; n < request.route->stages.size(); ++n) {
+    const std::string& service = request.route->stages[n].service;
+    if (request.progress.Pieces(n) > 0 &&
+        std::find(pools.begin(), pools.end(), service) == pools.end()) {
+      pools.emplace_back(service);
+    }
+  }
+  return pools;
+}
+
+std::vector<PoolDemand> Gateway::Impl::DemandsOf(
+    const ServingRequest& request) const {
+  const TimeUs now = output->Now();
+  const TimeUs earliest_answer =
+      now + request.progress.TimeLeft() + kEngineFirstEventTime;
+  const bool late = earliest_answer > request.target_by;
+  const DurationUs spare =
+      (late ? request.first_response_by : request.target_by) - earliest_answer;
+  const auto scarce_wait =
+      static_cast<DurationUs>(kScarceWaitShare * static_cast<double>(spare));
+  std::vector<PoolDemand> demands;
+  for (const std::string_view it : SharedPoolsOf(request)) {
+    const QueueWait queue = dispatcher->ExpectedWait(now, std::string(it));
+    const DurationUs wait = late ? queue.late : queue.Of(request.priority);
+    demands.push_back({it, wait, scarce_wait, spare});
+  }
+  return demands;
+}
+
+bool Gateway::Impl::IsOverShare(const ServingRequest& request,
+                                const std::vector<PoolDemand>& demands,
+                                LocalReply* refusal) {
+  if (TakesUpStream(request)) {
+    return false;
+  }
+  const TimeUs now = output->Now();
+  const std::string_view account = AccountNameOf(request);
+  const ShareVerdict verdict = account_shares.MayTake(now, account, demands);
+  if (verdict.may_take) {
+    return false;
+  }
+  *refusal = {
+      Refusal::kOverShare, Verdict::kNotRun,
+      std::min(verdict.retry_after,
+               LongestRetryAfter(request.first_response_by - now)),
+      StrCat(request.route->name, ": the share of ", account, " at ",
+             verdict.pool, " is used up, credits ",
+             static_cast<int>(verdict.credits), ", next credit for it in ",
+             verdict.retry_after / kMillisecond, " ms")};
+  return true;
+}
+
 // In a burst, more requests arrive than the stages can process; if all were
 // admitted, all would wait and all would be late. Requests that can meet their
 // target are admitted. Others are admitted behind them if they would still be
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -15,6 +15,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "coordination/admission/account_shares.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/rate_loan_exchange.h"
 #include "coordination/choice/replica_rate_limiter.h"
@@ -126,6 +127,7 @@
   bool parked = false;
   // All stage results that the replica needs are available.
   bool stages_done = false;
+  bool stages_were_done = false;  // The same, also before a restart of stages.
   TimeUs stages_done_at = 0;
   // For logs: the time at which each stage was complete.
   std::string stage_times;
@@ -205,6 +207,16 @@
     DurationUs work = 0;
   };
   WaitEstimate EstimateWaits(const ServingRequest& request) const;
+  // The stage services that the request needs, if client accounts share them.
+  static std::vector<std::string_view> SharedPoolsOf(
+      const ServingRequest& request);
+  // The same, with the expected waits.
+  std::vector<PoolDemand> DemandsOf(const ServingRequest& request) const;
+  // Whether one of them is short of room and the account's share of it is used
+  // up; fills `refusal` if so.
+  bool IsOverShare(const ServingRequest& request,
+                   const std::vector<PoolDemand>& demands,
+                   LocalReply* refusal);
   // Starts the first parked request whose queues have become short enough.
   void BeginParked();
   // Estimates how long ago the client first sent this request, if this is a
@@ -478,6 +490,7 @@
   bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
   EngineChoice engines;
+  AccountShares account_shares;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
   absl::flat_hash_map<ExchangeId, RequestPtr> requests;
--- a/src/coordination/gateway/gateway_stages.cc
+++ b/src/coordination/gateway/gateway_stages.cc
@@ -133,6 +133,11 @@
 void Gateway::Impl::OnStagesDone(ServingRequest* request) {
   request->stages_done = true;
   request->stages_done_at = output->Now();
+  if (!std::exchange(request->stages_were_done, true)) {
+    for (const std::string_view it : SharedPoolsOf(*request)) {
+      account_shares.OnAnswer(request->stages_done_at, it);
+    }
+  }
   request->near_domain = MostCommonDomain(request->progress.FinalResults());
   request->fetched_bytes = request->progress.FinalBytes();
   StartAttempt(request);
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -63,8 +63,10 @@
   GatewayHeartbeat heartbeat = CurrentHeartbeat(now);
   for (const DueHeartbeat& it : due) {
     heartbeat.period = it.promise;
+    heartbeat.pool_use = gateway->account_shares()->ReportTo(now, it.node);
     mesh->SendDatagram(it.node, heartbeat);
   }
+  heartbeat.pool_use.clear();
   heartbeat.requests_reply = true;
   for (const DueHeartbeat& it : probes) {
     heartbeat.period = it.promise;
@@ -189,6 +191,8 @@
     gateway->OnPeerStatement(it);
   }
   dispatcher.OnPeerQueueWaits(heartbeat->waits);
+  gateway->account_shares()->OnReport(Now(), from, peer_incarnation,
+                                      heartbeat->pool_use);
 }
 
 void GatewayNode::Impl::WriteGateway(const std::string& key,
--- a/src/messages.h
+++ b/src/messages.h
@@ -261,6 +261,22 @@
 // passed over.
 struct FormerCrashRecords {};
 
+// Requests of one client account that were admitted to a pool.
+struct AccountUse {
+  std::uint32_t account = 0;  // Hash of its name; see `AccountId`.
+  std::uint16_t admitted = 0;
+};
+
+// What the sender knows of a scarce pool from its own requests in one of its
+// windows. Counts of a window only grow.
+struct PoolUse {
+  std::string pool;
+  std::uint32_t window = 0;
+  bool scarce = false;  // By the sender's own judgement.
+  std::uint16_t answers = 0;
+  std::vector<AccountUse> accounts;  // Some of those that used it.
+};
+
 // Gateway to gateway, over UDP: periodic heartbeat with the sender's work in
 // progress and queue waits.
 struct GatewayHeartbeat {
@@ -281,6 +297,7 @@
   std::vector<ServiceQueueWait> waits;
   std::vector<ReplicaRateStatement> rates;
   std::vector<ReplicaLeavingStatement> leaving_replicas;
+  std::vector<PoolUse> pool_use;
 };
 
 // Gateway to the gateway that batches a service's pieces: tasks to run.
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -122,9 +122,18 @@
   a(v.replica, v.incarnation, v.age);
 }
 template <class A>
+void serialize(A& a, AccountUse& v) {
+  a(v.account, v.admitted);
+}
+template <class A>
+void serialize(A& a, PoolUse& v) {
+  a(v.pool, v.window, v.scarce, v.answers, v.accounts);
+}
+template <class A>
 void serialize(A& a, GatewayHeartbeat& v) {
   a(v.address, v.leaving, v.can_check_keys, v.config_version, v.cores, v.domain,
-    v.period, v.requests_reply, v.work, v.waits, v.rates, v.leaving_replicas);
+    v.period, v.requests_reply, v.work, v.waits, v.rates, v.leaving_replicas,
+    v.pool_use);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
@@ -255,7 +264,7 @@
 
 // "AC", the version of the frame format, which changes with the layout of any
 // message, and a reserved byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 9, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 10, 0};
 constexpr std::size_t kHmacSize = 32;  // HMAC-SHA-256.
 constexpr std::size_t kMinFrameBytes = kFramePrefixSize + kHmacSize;
 
