Let accounts with small debts take the room before those with large ones

An account that needs just its share has spent its last credit now and then by chance, and the hot one took that room; and reports of other gateways, which come in parts of up to 0.7 s, were counted admissions first, so limits on debts cut off what counted.

--- a/src/coordination/admission/account_shares.cc
+++ b/src/coordination/admission/account_shares.cc
@@ -84,7 +84,7 @@
 // between the two waits goes to the former.
 DurationUs AccountShares::LongestWait(const PoolDemand& demand,
                                       double credits) {
-  const double debt = std::clamp((1 - credits) / FairShare::kMaxDebt, 0.0, 1.0);
+  const double debt = std::clamp((1 - credits) / kMaxDebt, 0.0, 1.0);
   const auto room = static_cast<double>(
       std::max<DurationUs>(0, demand.max_wait - demand.scarce_wait));
   return demand.scarce_wait + static_cast<DurationUs>((1 - debt) * room);
@@ -275,25 +275,41 @@
   return report_;
 }
 
+// Admissions and answers took place side by side. If all of one kind were
+// counted first, limits on credits or debts would cut off what the other kind
+// makes up for.
+void AccountShares::AddNews(TimeUs now,
+                            Pool* pool,
+                            const PeerPoolUse::News& news) {
+  constexpr std::uint32_t kRounds = 8;
+  // More admissions than this change no balance any more.
+  constexpr auto kMaxSpent =
+      static_cast<std::uint32_t>(FairShare::kMaxCredits + kMaxDebt);
+  const auto part = [](std::uint32_t n, std::uint32_t round) {
+    return n * (round + 1) / kRounds - n * round / kRounds;
+  };
+  for (std::uint32_t round = 0; round < kRounds; ++round) {
+    for (const AccountUse& it : news.admitted) {
+      const std::uint32_t spent =
+          std::min<std::uint32_t>(it.admitted, kMaxSpent);
+      for (std::uint32_t n = part(spent, round); n > 0; --n) {
+        pool->balances.Spend(it.account, kWeight, true);
+      }
+    }
+    AddAnswers(now, pool, part(news.answers, round));
+  }
+}
+
 void AccountShares::OnReport(TimeUs now,
                              const NodeId& from,
                              Incarnation incarnation,
                              const std::vector<PoolUse>& report) {
-  // Answers or debts beyond this change no balance any more.
-  constexpr auto kMaxSpent =
-      static_cast<std::uint16_t>(FairShare::kMaxCredits + FairShare::kMaxDebt);
   for (const PoolUse& use : report) {
     Pool& pool = PoolNamed(use.pool);
     if (use.scarce) {
       SetScarce(now, use.pool, &pool, from, 0);
     }
-    const auto news = pool.peer_use.OnReport(now, from, incarnation, use);
-    for (const AccountUse& it : news.admitted) {
-      for (int n = std::min(it.admitted, kMaxSpent); n > 0; --n) {
-        pool.balances.Spend(it.account, kWeight, true);
-      }
-    }
-    AddAnswers(now, &pool, news.answers);
+    AddNews(now, &pool, pool.peer_use.OnReport(now, from, incarnation, use));
   }
 }
 
--- a/src/coordination/admission/account_shares.h
+++ b/src/coordination/admission/account_shares.h
@@ -63,6 +63,10 @@
   static constexpr DurationUs kScarceHold = kSecond;
   // Period at which a gateway tells each other one what it admitted.
   static constexpr DurationUs kReportPeriod = 500 * kMillisecond;
+  // Limit on an account's debt. Twice that of one gateway alone: what the
+  // others admitted becomes known in parts, each of which may exceed what an
+  // account has.
+  static constexpr double kMaxDebt = 2 * FairShare::kMaxDebt;
   // Limits on one report.
   static constexpr std::size_t kMaxReportedAccounts = 16;
   static constexpr std::size_t kMaxReportedPools = 4;
@@ -105,7 +109,7 @@
     std::uint64_t refused = 0;
   };
   struct Pool {
-    FairShare balances;
+    FairShare balances{kMaxDebt};
     OwnPoolUse own_use;
     PeerPoolUse peer_use;
     // When the pool was last judged to be scarce, by this gateway or by any.
@@ -136,6 +140,7 @@
                                  std::string_view name);
   static std::string DebtorsOf(const Pool& pool);
   static void AddAnswers(TimeUs now, Pool* pool, std::uint32_t n);
+  static void AddNews(TimeUs now, Pool* pool, const PeerPoolUse::News& news);
   DurationUs RetryAfter(TimeUs now, Pool* pool, AccountIndex account);
   void BuildReport(TimeUs now);
 
--- a/src/coordination/admission/fair_share.cc
+++ b/src/coordination/admission/fair_share.cc
@@ -44,7 +44,7 @@
   }
   RefreshCredits(&balance);
   const double floor =
-      full ? -kMaxDebt : std::min(kMinUncontendedCredits, balance.credits);
+      full ? -max_debt_ : std::min(kMinUncontendedCredits, balance.credits);
   balance.credits = std::max(floor, balance.credits - 1);
 }
 
--- a/src/coordination/admission/fair_share.h
+++ b/src/coordination/admission/fair_share.h
@@ -44,6 +44,9 @@
   // chance.
   static constexpr double kMinUncontendedCredits = kMaxCredits / 2;
 
+  // `max_debt`: see `kMaxDebt`.
+  explicit FairShare(double max_debt = kMaxDebt) : max_debt_(max_debt) {}
+
   // Whether the account may send a request while the pool is full.
   bool HasCredit(AccountIndex account, double weight);
   // A request of the account was admitted, with or without a credit. If the
@@ -78,6 +81,7 @@
   // Removes the accounts whose credits have reached the maximum.
   void Sweep();
 
+  double max_debt_;
   Balances below_max_credits_;
   // Sum over the stored accounts.
   double total_weight_ = 0;
--- a/tests/gateway/account_shares_test.cc
+++ b/tests/gateway/account_shares_test.cc
@@ -25,6 +25,11 @@
 // Part of what admission by arrival takes that shares must take in total.
 constexpr double kTotalKept = 0.98;
 
+std::size_t HeapBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
 // Load in parts of the capacity, and the share of a single account in it.
 struct Load {
   double total = 1;
@@ -214,7 +219,7 @@
   for (std::size_t n = 0; n < kAccounts; ++n) {
     names.push_back(StrCat("account-", n));
   }
-  const std::size_t bytes_before = mallinfo2().uordblks;
+  const std::size_t bytes_before = HeapBytes();
   AccountShares shares(&random, &metrics, &log);
   const std::vector<PoolDemand> demands = {
       {"stage", kSecond, kSecond / 2, kSecond}};
@@ -236,7 +241,7 @@
   }
   const double microseconds =
       1e6 * static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
-  const std::size_t bytes = mallinfo2().uordblks - bytes_before;
+  const std::size_t bytes = HeapBytes() - bytes_before;
   GatewayHeartbeat heartbeat;
   const std::size_t bare = EncodeFrame({"g", 1, 1, heartbeat}, "key").size();
   heartbeat.pool_use = shares.ReportTo(now, "peer");
