Give the gateway's test of shares an engine

Cause: without a replica of the engine, all its requests were refused for that reason before shares were asked, so the test failed at its first run. Change: the rig of that test has an engine; no check changed. No functional change

--- a/tests/gateway/account_shares_test.cc
+++ b/tests/gateway/account_shares_test.cc
@@ -326,6 +326,7 @@
 // account's share, and against the account's debt hitting another one.
 TEST(AccountSharesTest, GatewayRefusesTheAccountWhoseShareIsUsedUp) {
   GatewayRig rig;
+  rig.AddReplica("engine-0", "engine");
   auto config = GatewayRig::Config(2);
   config->AddAccount({"small", {}}, {"k2"});
   rig.core.OnConfig(config);
