--- a/src/coordination/admission/fair_share.h
+++ b/src/coordination/admission/fair_share.h
@@ -14,12 +14,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 
 namespace acaciachute {
 
-// Dense number of an account, assigned by `AccountTable`.
+// Number of an account, by `AccountTable` or, where several processes have to
+// mean the same account, by `AccountId`.
 using AccountIndex = std::uint32_t;
 
 class FairShare {
@@ -42,6 +44,9 @@
   // chance.
   static constexpr double kMinUncontendedCredits = kMaxCredits / 2;
 
+  // `max_debt`: see `kMaxDebt`.
+  explicit FairShare(double max_debt = kMaxDebt) : max_debt_(max_debt) {}
+
   // Whether the account may send a request while the pool is full.
   bool HasCredit(AccountIndex account, double weight);
   // A request of the account was admitted, with or without a credit. If the
@@ -51,6 +56,13 @@
   // The pool answered one request of any account.
   void OnAnswer();
 
+  // Credits of the account; negative while it is in debt.
+  double CreditsOf(AccountIndex account) const;
+  // Number of answers of the pool until the account has a credit.
+  double AnswersUntilCredit(AccountIndex account) const;
+  // Accounts in debt, the largest debt first, at most `count`.
+  std::vector<AccountIndex> InDebt(std::size_t count) const;
+
   // Number of accounts below `kMaxCredits`; only these are stored.
   std::size_t size() const { return below_max_credits_.size(); }
 
@@ -63,11 +75,13 @@
   };
   using Balances = absl::flat_hash_map<AccountIndex, Balance>;
 
-  // Adds the credits granted since the last refresh.
+  // Credits including those granted since the last refresh.
+  double CurrentCredits(const Balance& balance) const;
   void RefreshCredits(Balance* balance) const;
   // Removes the accounts whose credits have reached the maximum.
   void Sweep();
 
+  double max_debt_;
   Balances below_max_credits_;
   // Sum over the stored accounts.
   double total_weight_ = 0;
