Learn how long work takes at each replica, and choose by it

Cause: engines and plain replicas of one service differ in speed and slow down before they are full, but all engines counted as equally fast, each gateway learned of plain replicas alone, and nothing read Replica-Load.

Change: platform reads Replica-Load into ReplicaStatement::load. LearnedCapacity fits the time of work to the load by service and keeps a factor for each replica, told between gateways in heartbeats (at most 4 KB/s a host). EngineChoice and PlainChoice score by expected time where replicas state a pace or are seen to differ; else as before.

The whole unit test programme was not run on this commit.

--- a/src/coordination/choice/engine_choice.cc
+++ b/src/coordination/choice/engine_choice.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciachute {
 namespace {
@@ -13,14 +14,26 @@
   return prompt.empty() ? 0 : prompt.size() - 1;
 }
 
+// Cost of fetching the results from another failure domain, in prompt tokens.
+double FetchTokens(const EngineRequest& request, const ReplicaEntry& replica) {
+  constexpr double kMegabyte = 1e6;
+  if (request.near_domain.empty() || request.near_domain == replica.domain) {
+    return 0;
+  }
+  return EngineChoice::kCrossDomainTokensPerMb *
+         static_cast<double>(request.fetched_bytes) / kMegabyte;
+}
+
 }  // namespace
 
 EngineChoice::EngineChoice(const ReplicaDirectory* directory,
                            ReplicaRateLimiter* replica_rate_limiter,
-                           Random* random)
+                           Random* random,
+                           LearnedCapacity* capacity)
     : directory_(directory),
       replica_rate_limiter_(replica_rate_limiter),
-      random_(random) {}
+      random_(random),
+      capacity_(capacity) {}
 
 // Counts the first part that the engine does not cache and all parts after it,
 // plus the prompt tokens that no part lists.
@@ -86,27 +99,99 @@
   return sum;
 }
 
-double EngineChoice::Score(const ReplicaEntry& replica,
-                           const Engine& engine,
-                           const EngineRequest& request,
-                           const Homes& homes) const {
+ReplicaWork EngineChoice::WorkThere(TimeUs now,
+                                    const ReplicaEntry& replica) const {
   const EngineLoad load = LoadOf(replica.id);
+  ReplicaWork work;
+  work.unread_tokens = static_cast<double>(load.unread_tokens);
+  work.in_progress = load.running;
+  work.slots = std::max(1U, replica.slots);
+  if (capacity_ != nullptr) {
+    work.in_progress = std::max(work.in_progress,
+                                capacity_->StatedInProgress(now, replica.id));
+  }
+  return work;
+}
+
+ReplicaWork EngineChoice::WorkFor(TimeUs now,
+                                  const ReplicaEntry& replica,
+                                  const EngineRequest& request) {
+  const Homes homes = HomesOf(replica.service, request);
+  const bool home = homes.first != nullptr && homes.first->id == replica.id;
   const UncachedTokens uncached =
-      UncachedTokensAt(engine, request, &replica == homes.first);
-  const double reread_weight =
-      kRereadWeight * (&replica == homes.second ? kSecondHomeShare : 1);
-  double tokens = static_cast<double>(load.unread_tokens + uncached.own) +
-                  reread_weight * static_cast<double>(uncached.shared) +
-                  kTokensPerRunningRequest * load.running;
+      UncachedTokensAt(engines_[replica.id], request, home);
+  ReplicaWork work = WorkThere(now, replica);
+  work.read_tokens =
+      std::max(1.0, static_cast<double>(uncached.own + uncached.shared));
+  return work;
+}
+
+double EngineChoice::RereadWeight(const Choice& choice,
+                                  const ReplicaEntry& replica) const {
+  const double weight =
+      choice.learned == nullptr
+          ? kRereadWeight
+          : kEvictionFactor * (1 + choice.learned->in_progress);
+  return weight * (&replica == choice.homes.second ? kSecondHomeShare : 1);
+}
+
+double EngineChoice::ScoreInTokens(const Choice& choice,
+                                   const ReplicaEntry& replica,
+                                   const UncachedTokens& uncached) const {
+  const EngineLoad load = LoadOf(replica.id);
+  double tokens =
+      static_cast<double>(load.unread_tokens + uncached.own) +
+      RereadWeight(choice, replica) * static_cast<double>(uncached.shared) +
+      kTokensPerRunningRequest * load.running;
   if (load.running >= replica.slots) {
     tokens += kQueueingCostTokens;
   }
-  if (!request.near_domain.empty() && request.near_domain != replica.domain) {
-    constexpr double kMegabyte = 1e6;
-    tokens += kCrossDomainTokensPerMb *
-              static_cast<double>(request.fetched_bytes) / kMegabyte;
+  return tokens + FetchTokens(choice.request, replica) + 1;
+}
+
+double EngineChoice::ExpectedMs(const Choice& choice,
+                                const ReplicaEntry& replica,
+                                const UncachedTokens& uncached) const {
+  constexpr double kThousand = 1000;
+  const LearnedCapacity::Service& learned = *choice.learned;
+  ReplicaWork work = WorkThere(choice.now, replica);
+  work.read_tokens =
+      static_cast<double>(uncached.own) +
+      RereadWeight(choice, replica) * static_cast<double>(uncached.shared);
+  double ms = capacity_->ExpectedMs(choice.now, learned, replica.id, work);
+  if (work.in_progress >= work.slots) {
+    ms += learned.stream_ms * (work.in_progress - work.slots + 1) / work.slots;
+  }
+  return ms + FetchTokens(choice.request, replica) / kThousand *
+                  learned.time.ReadCost();
+}
+
+double EngineChoice::Score(const Choice& choice,
+                           const ReplicaEntry& replica,
+                           const Engine& engine) const {
+  const UncachedTokens uncached =
+      UncachedTokensAt(engine, choice.request, &replica == choice.homes.first);
+  const double work = choice.learned == nullptr
+                          ? ScoreInTokens(choice, replica, uncached)
+                          : ExpectedMs(choice, replica, uncached);
+  return work * engine.health.Penalty();
+}
+
+EngineChoice::Rank EngineChoice::RankOf(const Choice& choice,
+                                        const ReplicaEntry& replica) const {
+  if (replica_rate_limiter_->refusals().IsAvoided(choice.now, replica.id)) {
+    return Rank::kRefused;
+  }
+  if (choice.learned == nullptr || choice.request.pause == 0) {
+    return Rank::kNormal;
   }
-  return (tokens + 1) * engine.health.Penalty();
+  ReplicaWork work = WorkThere(choice.now, replica);
+  work.in_progress += 1;
+  const double pause =
+      capacity_->ExpectedPauseMs(choice.now, *choice.learned, replica.id, work);
+  return pause * kMillisecond > static_cast<double>(choice.request.pause)
+             ? Rank::kSlowSteps
+             : Rank::kNormal;
 }
 
 const ReplicaEntry* EngineChoice::Choose(TimeUs now,
@@ -116,11 +201,11 @@
                                          bool may_repeat) {
   const ReplicaEntry* best = nullptr;
   const ReplicaEntry* avoided = nullptr;
-  const ReplicaEntry* refused = nullptr;
-  double best_score = 0;
-  double refused_score = 0;
+  std::pair<Rank, double> best_score;
   std::uint64_t ties = 0;
-  const Homes homes = HomesOf(service, request);
+  const Choice choice = {
+      now, request, HomesOf(service, request),
+      capacity_ == nullptr ? nullptr : capacity_->Find(now, service)};
   for (const ReplicaEntry* it : directory_->Of(service)) {
     if (std::find(tried.begin(), tried.end(), it->id) != tried.end() ||
         !replica_rate_limiter_->MaySend(now, *it)) {
@@ -131,14 +216,7 @@
       avoided = it;
       continue;
     }
-    const double score = Score(*it, engine, request, homes);
-    if (replica_rate_limiter_->refusals().IsAvoided(now, it->id)) {
-      if (refused == nullptr || score < refused_score) {
-        refused = it;
-        refused_score = score;
-      }
-      continue;
-    }
+    const std::pair score = {RankOf(choice, *it), Score(choice, *it, engine)};
     if (best == nullptr || score < best_score) {
       best = it;
       best_score = score;
@@ -149,10 +227,7 @@
       best = it;
     }
   }
-  if (best != nullptr) {
-    return best;
-  }
-  return refused != nullptr ? refused : avoided;
+  return best != nullptr ? best : avoided;
 }
 
 void EngineChoice::OnSent(const ReplicaId& replica,
--- a/src/coordination/choice/engine_choice.h
+++ b/src/coordination/choice/engine_choice.h
@@ -8,10 +8,12 @@
 // by their sum. The home of a prompt is the engine with the highest hash of the
 // prompt's shared parts and the engine (rendezvous hashing); it is the same on
 // every gateway and is assumed to cache these parts. Each engine is scored by
-// the work until this request's first token, in prompt tokens, so that no
-// engine's speed has to be known: the tokens still unread there, the tokens of
-// this prompt that it does not cache, the cost of the running requests, and the
-// cost of fetching results from other failure domains. The contents of an
+// the work until this request's first token: the tokens still unread there, the
+// tokens of this prompt that it does not cache, the cost of the running
+// requests, and the cost of fetching results from other failure domains. The
+// score is in prompt tokens, so that no engine's speed has to be known, or,
+// once the engines of the service are known to differ, the time that each is
+// expected to take for that work (`LearnedCapacity`). The contents of an
 // engine's cache are inferred from the requests that were sent there and
 // completed; engines are not asked, because their load reports are late and are
 // charged for.
@@ -25,6 +27,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "coordination/choice/learned_capacity.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "state/client_request.h"
 #include "state/random.h"
@@ -48,14 +51,19 @@
   // and their size.
   std::string near_domain;
   std::uint64_t fetched_bytes = 0;
+  // Longest pause between events that the caller wants; zero: any.
+  DurationUs pause = 0;
 };
 
 class EngineChoice {
  public:
   // Weight of tokens of shared parts that the engine would have to read again.
   // Reading them again delays other requests and evicts other parts from the
-  // engine's cache.
+  // engine's cache. Used while the engines are not known to differ.
   static constexpr double kRereadWeight = 10;
+  // Where they are, reading a shared part again counts for each request in
+  // progress there, and so often: it evicts as much that is then read again.
+  static constexpr double kEvictionFactor = 2;
   // Factor on `kRereadWeight` for the second home of a prompt, the engine with
   // the second highest hash. While homes are busy in a burst or after the loss
   // of engines, prompts go to other engines. With many gateways, each sees few
@@ -78,7 +86,8 @@
 
   EngineChoice(const ReplicaDirectory* directory,
                ReplicaRateLimiter* replica_rate_limiter,
-               Random* random);
+               Random* random,
+               LearnedCapacity* capacity = nullptr);
 
   // Returns null if no engine outside `tried` accepts work.
   const ReplicaEntry* Choose(TimeUs now,
@@ -92,6 +101,10 @@
                              const EngineRequest& request) const {
     return HomesOf(service, request).first;
   }
+  // What the request finds at the replica, if it is sent now.
+  ReplicaWork WorkFor(TimeUs now,
+                      const ReplicaEntry& replica,
+                      const EngineRequest& request);
   void OnSent(const ReplicaId& replica, const EngineRequest& request);
   // The first event arrived, so the engine has read the prompt.
   void OnFirstEvent(const ReplicaId& replica, const EngineRequest& request);
@@ -137,16 +150,37 @@
   static UncachedTokens UncachedTokensAt(const Engine& engine,
                                          const EngineRequest& request,
                                          bool home);
-  // Expected work until the first token, in prompt tokens; lower is better.
-  double Score(const ReplicaEntry& replica,
-               const Engine& engine,
-               const EngineRequest& request,
-               const Homes& homes) const;
+  // One choice: what is the same for all engines.
+  struct Choice {
+    TimeUs now = 0;
+    const EngineRequest& request;
+    Homes homes;
+    // Null: the engines are not known to differ.
+    const LearnedCapacity::Service* learned = nullptr;
+  };
+  // Engines of a lower rank are chosen first.
+  enum class Rank { kNormal, kSlowSteps, kRefused };
+  Rank RankOf(const Choice& choice, const ReplicaEntry& replica) const;
+  // Expected work until the first token, in prompt tokens, or the expected time
+  // for it in milliseconds, if learned; lower is better.
+  double Score(const Choice& choice,
+               const ReplicaEntry& replica,
+               const Engine& engine) const;
+  double ScoreInTokens(const Choice& choice,
+                       const ReplicaEntry& replica,
+                       const UncachedTokens& uncached) const;
+  double ExpectedMs(const Choice& choice,
+                    const ReplicaEntry& replica,
+                    const UncachedTokens& uncached) const;
+  double RereadWeight(const Choice& choice, const ReplicaEntry& replica) const;
+  // Work of all gateways there, as known here.
+  ReplicaWork WorkThere(TimeUs now, const ReplicaEntry& replica) const;
   EngineLoad LoadOf(const ReplicaId& replica) const;
 
   const ReplicaDirectory* const directory_;
   ReplicaRateLimiter* const replica_rate_limiter_;
   Random* const random_;
+  LearnedCapacity* const capacity_;
   absl::flat_hash_map<ReplicaId, Engine> engines_;
   std::map<ReplicaId, EngineLoad> own_loads_;
   std::map<NodeId, std::map<ReplicaId, EngineLoad>> peer_loads_;
--- a/src/coordination/choice/plain_choice.cc
+++ b/src/coordination/choice/plain_choice.cc
@@ -7,20 +7,40 @@
 
 PlainChoice::PlainChoice(const ReplicaDirectory* directory,
                          ReplicaRateLimiter* replica_rate_limiter,
-                         Random* random)
+                         Random* random,
+                         LearnedCapacity* capacity)
     : directory_(directory),
       replica_rate_limiter_(replica_rate_limiter),
-      random_(random) {}
+      random_(random),
+      capacity_(capacity) {}
 
-double PlainChoice::Score(TimeUs now,
-                          const ReplicaEntry& replica,
-                          const std::string& domain) {
-  State& state = states_[replica.id];
+ReplicaWork PlainChoice::WorkFor(TimeUs now, const ReplicaEntry& replica) {
+  ReplicaWork work;
+  work.in_progress = static_cast<double>(states_[replica.id].sent_times.size());
+  work.slots = std::max(1U, replica.slots);
+  if (capacity_ != nullptr) {
+    work.in_progress = std::max(work.in_progress,
+                                capacity_->StatedInProgress(now, replica.id));
+  }
+  return work;
+}
+
+double PlainChoice::OwnEstimate(TimeUs now, const State& state) const {
   const double age_weight =
       std::exp(-static_cast<double>(now - state.measured_at) /
                static_cast<double>(kObservationDecayTime));
-  double time = typical_answer_time_ +
-                (state.answer_time - typical_answer_time_) * age_weight;
+  return typical_answer_time_ +
+         (state.answer_time - typical_answer_time_) * age_weight;
+}
+
+double PlainChoice::Score(const Choice& choice, const ReplicaEntry& replica) {
+  State& state = states_[replica.id];
+  const TimeUs now = choice.now;
+  double time = choice.learned == nullptr
+                    ? OwnEstimate(now, state)
+                    : kMillisecond * capacity_->ExpectedMs(
+                                         now, *choice.learned, replica.id,
+                                         WorkFor(now, replica));
   if (!state.sent_times.empty()) {
     time = std::max(time, static_cast<double>(now - *state.sent_times.begin()));
   }
@@ -30,13 +50,21 @@
   }
   // Time on the two network links to another failure domain and back.
   constexpr double kCrossDomainTime = 2.5 * kMillisecond;
-  if (replica.domain != domain) {
+  if (replica.domain != choice.domain) {
     time += kCrossDomainTime;
   }
-  const double slots = std::max(1U, replica.slots);
-  const double load_per_slot =
-      static_cast<double>(state.sent_times.size()) / slots;
-  return time * (1 + load_per_slot) * state.health.Penalty();
+  if (choice.learned == nullptr) {
+    const double slots = std::max(1U, replica.slots);
+    time *= 1 + static_cast<double>(state.sent_times.size()) / slots;
+  }
+  return time * state.health.Penalty();
+}
+
+bool PlainChoice::IsLast(const Choice& choice,
+                         const ReplicaEntry& replica) const {
+  return replica_rate_limiter_->refusals().IsAvoided(choice.now, replica.id) ||
+         (choice.learned != nullptr &&
+          capacity_->IsFull(choice.now, replica.id));
 }
 
 const ReplicaEntry* PlainChoice::Choose(TimeUs now,
@@ -46,9 +74,12 @@
                                         bool may_repeat) {
   const ReplicaEntry* best = nullptr;
   const ReplicaEntry* avoided = nullptr;
-  const ReplicaEntry* refused = nullptr;
+  const ReplicaEntry* last = nullptr;
   double best_score = 0;
-  double refused_score = 0;
+  double last_score = 0;
+  const Choice choice = {
+      now, domain,
+      capacity_ == nullptr ? nullptr : capacity_->Find(now, service)};
   for (const ReplicaEntry* it : directory_->Of(service)) {
     if (std::find(tried.begin(), tried.end(), it->id) != tried.end() ||
         !replica_rate_limiter_->MaySend(now, *it)) {
@@ -67,11 +98,11 @@
     // the same replica at once.
     const double jitter =
         1 + 0.1 * static_cast<double>(random_->Below(100)) / 100;
-    const double score = Score(now, *it, domain) * jitter;
-    if (replica_rate_limiter_->refusals().IsAvoided(now, it->id)) {
-      if (refused == nullptr || score < refused_score) {
-        refused = it;
-        refused_score = score;
+    const double score = Score(choice, *it) * jitter;
+    if (IsLast(choice, *it)) {
+      if (last == nullptr || score < last_score) {
+        last = it;
+        last_score = score;
       }
       continue;
     }
@@ -83,7 +114,7 @@
   if (best != nullptr) {
     return best;
   }
-  return refused != nullptr ? refused : avoided;
+  return last != nullptr ? last : avoided;
 }
 
 void PlainChoice::OnSent(TimeUs now, const ReplicaId& replica) {
--- a/src/coordination/choice/plain_choice.h
+++ b/src/coordination/choice/plain_choice.h
@@ -5,8 +5,10 @@
 // of their calls or stop responding while their health check still passes. Each
 // replica is scored by its recent answer times, by the age of its oldest call
 // in progress (an unresponsive replica has no answer times), by the number of
-// its calls in progress, and by its failures. Old observations lose weight, so
-// that a replica that has recovered gets calls again without health checks,
+// its calls in progress, and by its failures. Where the replicas of a service
+// are known to differ, `LearnedCapacity` gives the expected time instead, at
+// the load of all gateways that a replica states. Old observations lose weight,
+// so that a replica that has recovered gets calls again without health checks,
 // which are charged for.
 #ifndef ACACIACHUTE_SRC_COORDINATION_CHOICE_PLAIN_CHOICE_H_
 #define ACACIACHUTE_SRC_COORDINATION_CHOICE_PLAIN_CHOICE_H_
@@ -17,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/choice/learned_capacity.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "state/random.h"
 #include "state/replica_directory.h"
@@ -39,7 +42,8 @@
 
   PlainChoice(const ReplicaDirectory* directory,
               ReplicaRateLimiter* replica_rate_limiter,
-              Random* random);
+              Random* random,
+              LearnedCapacity* capacity = nullptr);
 
   // Returns null if no replica outside `tried` accepts work.
   const ReplicaEntry* Choose(TimeUs now,
@@ -47,6 +51,8 @@
                              const std::string& domain,
                              const std::vector<ReplicaId>& tried,
                              bool may_repeat);
+  // What a call finds at the replica, if it is sent now.
+  ReplicaWork WorkFor(TimeUs now, const ReplicaEntry& replica);
   void OnSent(TimeUs now, const ReplicaId& replica);
   // Result of a call. `OnEnded` is called after `OnAnswer` or `OnFailure`, and
   // without either for a call that its client cancelled or that the replica
@@ -66,14 +72,24 @@
     ReplicaHealth health;
   };
 
+  // One choice: what is the same for all replicas.
+  struct Choice {
+    TimeUs now = 0;
+    const std::string& domain;
+    // Null: the replicas are not known to differ.
+    const LearnedCapacity::Service* learned = nullptr;
+  };
+  // Answer time by this gateway's own observations.
+  double OwnEstimate(TimeUs now, const State& state) const;
   // Expected answer time in microseconds; lower is better.
-  double Score(TimeUs now,
-               const ReplicaEntry& replica,
-               const std::string& domain);
+  double Score(const Choice& choice, const ReplicaEntry& replica);
+  // It refused lately or is full by its own statement.
+  bool IsLast(const Choice& choice, const ReplicaEntry& replica) const;
 
   const ReplicaDirectory* const directory_;
   ReplicaRateLimiter* const replica_rate_limiter_;
   Random* const random_;
+  LearnedCapacity* const capacity_;
   std::map<ReplicaId, State> states_;
   double typical_answer_time_ = static_cast<double>(kInitialAnswerTime);
 };
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -25,7 +25,8 @@
       rate_loans(&replica_rate_limiter, this, metrics_in, log_in),
       cause_trials(options.node),
       version_ledger(output_in, random_in, log_in),
-      engines(directory_in, &replica_rate_limiter, random_in) {
+      capacity(directory_in, metrics_in, log_in),
+      engines(directory_in, &replica_rate_limiter, random_in, &capacity) {
   replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
   freshness.SetMaxUseAge(options.max_config_use_age);
@@ -44,8 +45,8 @@
 PlainChoice& Gateway::Impl::PlainChoiceOf(const std::string& service) {
   auto& choice = plain_choices[service];
   if (choice == nullptr) {
-    choice =
-        std::make_unique<PlainChoice>(directory, &replica_rate_limiter, random);
+    choice = std::make_unique<PlainChoice>(directory, &replica_rate_limiter,
+                                           random, &capacity);
   }
   return *choice;
 }
@@ -288,6 +289,7 @@
   impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
   impl_->rate_loans.OnReplicaRemoved(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
+  impl_->capacity.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
     choice->OnReplicaRemoved(replica.id);
   }
@@ -477,6 +479,10 @@
 ReplicaRateLimiter* Gateway::rate_limiter() {
   return &impl_->replica_rate_limiter;
 }
+LearnedCapacity* Gateway::capacity() {
+  return &impl_->capacity;
+}
+
 EngineChoice* Gateway::engines() {
   return &impl_->engines;
 }
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -265,6 +265,7 @@
   // none counts.
   bool LiftBlock(const CrashCause& cause);
   EngineChoice* engines();
+  LearnedCapacity* capacity();
   ReplicaRateLimiter* rate_limiter();
   // Replicas that stated in answers to this gateway that they leave.
   const LeavingStatements& leaving_statements() const;
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -44,12 +44,20 @@
   }
 }
 
+void Gateway::Impl::LearnTime(const ServingRequest& request) {
+  const Attempt& attempt = request.attempt;
+  const TimeUs now = output->Now();
+  capacity.OnAnswer(now, attempt.replica.id, attempt.work,
+                    now - attempt.sent_at - attempt.connect_time);
+}
+
 void Gateway::Impl::PassEvents(ServingRequest* request,
                                std::string_view events) {
   Attempt& attempt = request->attempt;
   if (!attempt.first_event_received) {
     attempt.first_event_received = true;
     OnBegun(*request);
+    LearnTime(*request);
     engines.OnFirstEvent(attempt.replica.id, request->ForEngine());
     // The replica fetched its inputs before it read the prompt, so they can be
     // released.
@@ -107,6 +115,11 @@
     PassEvents(request, comments);
   }
   engines.OnSuccess(attempt.replica.id);
+  if (request->possible_runs == 0) {
+    capacity.OnStreamEnded(output->Now(), attempt.replica.id, attempt.work,
+                           request->events.complete_events(),
+                           output->Now() - request->stream_begun_at);
+  }
   OnAnsweredWhole(request);
   ++request->possible_runs;
   EndAttempt(request);
@@ -149,6 +162,9 @@
   EndAttempt(request);
   ++request->possible_runs;
   if (attempt.head->ok() && !may_have_ended) {
+    if (!IsEngine(*request)) {
+      LearnTime(*request);
+    }
     OnAnsweredWhole(request);
     OnBegun(*request);
   }
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -151,12 +151,16 @@
   attempt_request.resume_after = request->resume_after;
   attempt_request.may_repeat = request->route->MayRepeat();
   attempt_request.max_idle_connections = MaxIdleConnections(*request);
+  ReplicaWork work;
   if (IsEngine(*request)) {
     attempt_request.priority = request->priority;
+    work = engines.WorkFor(now, replica, request->ForEngine());
     engines.OnSent(replica.id, request->ForEngine());
   } else {
+    work = PlainChoiceOf(request->service).WorkFor(now, replica);
     PlainChoiceOf(request->service).OnSent(now, replica.id);
   }
+  capacity.OnSent(replica.id);
   replica_rate_limiter.OnSent(replica);
   replica_rate_limiter.rests().OnSent(now, replica.id);
   request->tried.push_back(replica.id);
@@ -166,6 +170,7 @@
   request->attempt.retry_in_transit =
       std::exchange(request->retry_reserved, false);
   request->attempt.replica = replica;
+  request->attempt.work = work;
   request->attempt.sent_at = now;
   request->attempt.replica_list_age = directory->Age(now);
   metrics->Observe("acaciachute_gateway_replica_list_age_seconds",
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -15,6 +15,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "coordination/choice/learned_capacity.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/rate_loan_exchange.h"
 #include "coordination/choice/replica_rate_limiter.h"
@@ -44,6 +45,7 @@
   // Body of a plain answer, buffered until it is complete.
   std::string body;
   bool first_event_received = false;
+  ReplicaWork work;  // What the request found at the replica.
   // The cold replica limiter was notified that the request arrived or was not
   // sent.
   bool arrival_reported = false;
@@ -97,7 +99,8 @@
         progress(route_in->stages, call.pieces, StageTimes(*config, *route)) {}
 
   EngineRequest ForEngine() const {
-    return {&call.prompt, call.prompt_tokens, near_domain, fetched_bytes};
+    return {&call.prompt, call.prompt_tokens, near_domain, fetched_bytes,
+            route->pause};
   }
 
   const ExchangeId id;
@@ -303,6 +306,8 @@
   static bool IsStream(const ServingRequest& request);
   void OnHead(ServingRequest* request, ReplicaHead head);
   void OnBody(ServingRequest* request, std::string_view bytes);
+  // The first event, or a whole plain answer, is here.
+  void LearnTime(const ServingRequest& request);
   void PassEvents(ServingRequest* request, std::string_view events);
   void OnEnd(ServingRequest* request, AnswerEnd end);
   // Why a stream whose answer ended with `end` is incomplete, or cannot be
@@ -461,6 +466,7 @@
   ReplicaRateLimiter replica_rate_limiter;
   RateLoanExchange rate_loans;
   LeavingStatements leaving_statements;
+  std::map<std::string, TimeUs> next_unreadable_line_at;  // By field.
   BrokenAttempts broken_attempts;
   CrashRecords crash_records;
   CauseTrials cause_trials;
@@ -477,6 +483,7 @@
   VersionDoubts version_doubts;
   bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
+  LearnedCapacity capacity;
   EngineChoice engines;
   std::map<std::string, std::unique_ptr<PlainChoice>> plain_choices;
   std::map<std::string, ServiceRetryBudget> budgets;
--- a/src/coordination/gateway/gateway_statements.cc
+++ b/src/coordination/gateway/gateway_statements.cc
@@ -6,13 +6,29 @@
 #include "text.h"
 
 namespace acaciachute {
+namespace {
+
+// By field; a replica repeats in each answer what cannot be read.
+constexpr DurationUs kUnreadableLinePeriod = kSecond;
+
+}  // namespace
 
 // A statement in an answer without proof counts, because acting on it once too
 // often costs little. What such an answer does not state means nothing.
 void Gateway::Impl::OnStatement(const ReplicaId& replica,
                                 const ReplicaStatement& statement,
                                 std::string_view request) {
+  const TimeUs now = output->Now();
+  if (statement.load) {
+    capacity.OnStatement(now, replica, *statement.load);
+  }
   for (const HttpField& it : statement.unreadable) {
+    metrics->Count("acaciachute_gateway_statements_unreadable_total");
+    TimeUs& next_line_at = next_unreadable_line_at[it.name];
+    if (now < next_line_at) {
+      continue;
+    }
+    next_line_at = now + kUnreadableLinePeriod;
     log->Write("statement_unreadable", {{"replica", replica.name},
                                         {"id", request},
                                         {"field", it.name},
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -83,6 +83,10 @@
   heartbeat.waits = dispatcher.OwnQueueWaits(now);
   heartbeat.rates = gateway->rate_limiter()->statements().Latest(now);
   heartbeat.leaving_replicas = gateway->leaving_statements().Latest(now);
+  heartbeat.paces = gateway->capacity()->ToTell(
+      now,
+      LearnedCapacity::FiguresPerHeartbeat(
+          peers.LiveCount() - 1, peers.HeartbeatPeriod(dispatcher.Batches())));
   for (const auto& [replica, load] : gateway->engines()->own_loads()) {
     heartbeat.work.push_back(
         {replica.name, replica.incarnation, load.running, load.unread_tokens});
@@ -188,6 +192,9 @@
   for (const ReplicaLeavingStatement& it : heartbeat->leaving_replicas) {
     gateway->OnPeerStatement(it);
   }
+  for (const ReplicaPace& it : heartbeat->paces) {
+    gateway->capacity()->OnPeerPace(Now(), from, it);
+  }
   dispatcher.OnPeerQueueWaits(heartbeat->waits);
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -225,6 +225,15 @@
   DurationUs age = 0;  // Since the first such answer.
 };
 
+// How long work takes at a replica, by answers to the sender.
+struct ReplicaPace {
+  std::uint64_t replica = 0;  // Digest of its id.
+  bool crowded = false;       // With more than half of its slots in use.
+  std::uint16_t answers = 0;  // To the sender so far; wraps around.
+  std::uint16_t percent = 0;  // Of the usual time in its service.
+  std::uint16_t age_ms = 0;   // Of the latest answer, at most a minute.
+};
+
 // A cause of which a request was in progress at a replica when it ended.
 struct CrashSuspect {
   CrashCause cause;
@@ -281,6 +290,7 @@
   std::vector<ServiceQueueWait> waits;
   std::vector<ReplicaRateStatement> rates;
   std::vector<ReplicaLeavingStatement> leaving_replicas;
+  std::vector<ReplicaPace> paces;
 };
 
 // Gateway to the gateway that batches a service's pieces: tasks to run.
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -122,9 +122,14 @@
   a(v.replica, v.incarnation, v.age);
 }
 template <class A>
+void serialize(A& a, ReplicaPace& v) {
+  a(v.replica, v.crowded, v.answers, v.percent, v.age_ms);
+}
+template <class A>
 void serialize(A& a, GatewayHeartbeat& v) {
   a(v.address, v.leaving, v.can_check_keys, v.config_version, v.cores, v.domain,
-    v.period, v.requests_reply, v.work, v.waits, v.rates, v.leaving_replicas);
+    v.period, v.requests_reply, v.work, v.waits, v.rates, v.leaving_replicas,
+    v.paces);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
--- a/src/state/replica_statement.h
+++ b/src/state/replica_statement.h
@@ -2,6 +2,7 @@
 #ifndef ACACIACHUTE_SRC_STATE_REPLICA_STATEMENT_H_
 #define ACACIACHUTE_SRC_STATE_REPLICA_STATEMENT_H_
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -10,6 +11,16 @@
 
 namespace acaciachute {
 
+// How busy the replica was when it answered.
+struct StatedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  // How long work takes there now, as a factor on the usual time; not set if it
+  // does not say.
+  std::optional<double> pace;
+};
+
 struct ReplicaStatement {
   // The answer proves to be the replica's own, so what it does not state does
   // not apply. An answer without proof may come from something between.
@@ -25,6 +36,7 @@
   bool refused = false;
   // How long it wants nothing more from this gateway. Set only if it refused.
   std::optional<DurationUs> rest;
+  std::optional<StatedLoad> load;
   // Fields whose values cannot be read, for the log. They change nothing.
   std::vector<HttpField> unreadable;
 };
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -324,6 +324,32 @@
                                 "Server-Leaving", "Server-Limit"}));
 }
 
+TEST(RequestsTest, ReadsTheLoadThatReplicasState) {
+  const auto read = [](const std::string& value) {
+    HttpAnswerHead head;
+    head.status = 200;
+    head.fields = {{"replica-load", value}};
+    return ReadReplicaStatement(head);
+  };
+  const auto three = read("3,1,8");
+  ASSERT_TRUE(three.load);
+  EXPECT_EQ(three.load->running, 3U);
+  EXPECT_EQ(three.load->waiting, 1U);
+  EXPECT_EQ(three.load->slots, 8U);
+  EXPECT_FALSE(three.load->pace);
+  EXPECT_EQ(read(" 3, 1, 8, 250 ").load->pace, 2.5);
+  // Guards against load that draws or repels requests without being one.
+  for (const char* value :
+       {"", "3,1", "3,1,8,", "3,1,8,100,1", "a,1,8", "-1,0,8", "9,0,8", "3,1,0",
+        "0,0,0", "3,1,8,0", "3,1,8,-5", "3,1,8,nan", "3,1,8,inf",
+        "3,99999999999,8", "3,2000000,8", "3,1,8,1e9"}) {
+    SCOPED_TRACE(value);
+    const auto statement = read(value);
+    EXPECT_FALSE(statement.load);
+    EXPECT_EQ(statement.unreadable.size(), 1U);
+  }
+}
+
 TEST(RequestsTest, WritesRetryAfterInFractionsOfASecond) {
   const HttpReply reply = WriteLocalReply(
       {Refusal::kFull, Verdict::kNotRun, 1250 * kMillisecond, "busy"});
