--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -33,7 +33,8 @@
           },
           metrics_in,
           log_in),
-      engines(directory_in, &replica_rate_limiter, random_in),
+      capacity(directory_in, metrics_in, log_in),
+      engines(directory_in, &replica_rate_limiter, random_in, &capacity),
       account_shares(random_in, metrics_in, log_in) {
   replica_rate_limiter.SetRateLimit(options.cold_rate_bound,
                                     options.replica_heartbeat_period);
@@ -53,8 +54,8 @@
 PlainChoice& Gateway::Impl::PlainChoiceOf(const std::string& service) {
   auto& choice = plain_choices[service];
   if (choice == nullptr) {
-    choice =
-        std::make_unique<PlainChoice>(directory, &replica_rate_limiter, random);
+    choice = std::make_unique<PlainChoice>(directory, &replica_rate_limiter,
+                                           random, &capacity);
   }
   return *choice;
 }
@@ -297,6 +298,7 @@
   impl_->replica_rate_limiter.OnReplicaRemoved(replica.id);
   impl_->rate_loans.OnReplicaRemoved(replica.id);
   impl_->engines.OnReplicaRemoved(replica.id);
+  impl_->capacity.OnReplicaRemoved(replica.id);
   for (auto& [service, choice] : impl_->plain_choices) {
     choice->OnReplicaRemoved(replica.id);
   }
@@ -502,6 +504,10 @@
 AccountShares* Gateway::account_shares() {
   return &impl_->account_shares;
 }
+LearnedCapacity* Gateway::capacity() {
+  return &impl_->capacity;
+}
+
 EngineChoice* Gateway::engines() {
   return &impl_->engines;
 }
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -271,6 +271,7 @@
   bool LiftBlock(const CrashCause& cause);
   EngineChoice* engines();
   AccountShares* account_shares();
+  LearnedCapacity* capacity();
   ReplicaRateLimiter* rate_limiter();
   // Replicas that stated in answers to this gateway that they leave.
   const LeavingStatements& leaving_statements() const;
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -130,10 +130,14 @@
   a(v.pool, v.window, v.scarce, v.answers, v.accounts);
 }
 template <class A>
+void serialize(A& a, ReplicaPace& v) {
+  a(v.replica, v.crowded, v.answers, v.percent, v.age_ms);
+}
+template <class A>
 void serialize(A& a, GatewayHeartbeat& v) {
   a(v.address, v.leaving, v.can_check_keys, v.config_version, v.cores, v.domain,
     v.period, v.requests_reply, v.work, v.waits, v.rates, v.leaving_replicas,
-    v.pool_use);
+    v.pool_use, v.paces);
 }
 template <class A>
 void serialize(A& a, PieceKey& v) {
