--- a/src/daemon/gateway_node_streams.cc
+++ b/src/daemon/gateway_node_streams.cc
@@ -87,6 +87,7 @@
 
 void GatewayNode::Impl::WriteStreamRows(const std::vector<StreamRow>& rows) {
   std::vector<platform::StoreClient::RowWrite> writes;
+  writes.reserve(rows.size());
   for (const StreamRow& it : rows) {
     writes.push_back({StreamRowKey(it), EncodeStreamRow(it, UnixMs())});
   }
