--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -161,6 +161,8 @@
        {"admitted", Name(request->admission)},
        {"expected_wait_ms", request->expected_wait / kMillisecond},
        {"stages_ms", request->stage_times},
+       {"waits_ms", request->stage_waits.Text()},
+       {"elapsed_ms", request->elapsed_before / kMillisecond},
        {"staged_ms",
         request->stages_done
             ? (request->stages_done_at - request->received_at) / kMillisecond
@@ -385,6 +387,7 @@
   if (request->progress.OnMade(result.key.stage, result.key.piece,
                                result.handle)) {
     const DurationUs after = impl_->output->Now() - request->received_at;
+    impl_->OnStageMade(request, result.key.stage);
     request->stage_times += StrCat(request->stage_times.empty() ? "" : " ",
                                    result.key.stage, ":", after / kMillisecond);
   }
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -22,19 +22,9 @@
 constexpr double kRetryDeadlineShare = 0.83;
 constexpr double kMinRetryAfterShare = 0.2;
 
-// A request that will miss its target is admitted if it is expected to be
-// served within this share of its remaining time; the margin is large because
-// the estimates are rough.
-constexpr double kLateAdmissionShare = 0.35;
-
-// A parked request is started once the expected queue wait is below
-// `kParkedStartWait`. Each gateway starts one per `kParkedStartPeriod`, because
-// the queue lengths reported by the batching gateways are up to one heartbeat
-// old. A request is parked only if it is expected to be served within
-// `kParkedAdmissionShare` of its remaining time.
-constexpr DurationUs kParkedStartWait = 500 * kMillisecond;
+// Each gateway starts one parked request per `kParkedStartPeriod`, because the
+// queue lengths reported by the batching gateways are up to one heartbeat old.
 constexpr DurationUs kParkedStartPeriod = 100 * kMillisecond;
-constexpr double kParkedAdmissionShare = 0.6;
 
 // The account's priority takes precedence; the route's priority orders requests
 // within it, because accounts of the same priority still have urgent and
@@ -196,8 +186,9 @@
   request->service = ChooseService(*route);
   request->priority = PriorityOf(*route, account);
   request->received_at = now;
-  const DurationUs elapsed = ElapsedBefore(*route, request->call);
-  request->target_by = now + route->target - kClientTransitTime - elapsed;
+  request->elapsed_before = ElapsedBefore(*route, request->call);
+  request->target_by =
+      now + route->target - kClientTransitTime - request->elapsed_before;
   const DurationUs time_limit =
       request->call.deadline > 0
           ? std::min(request->call.deadline - kClientTransitTime,
@@ -266,21 +257,18 @@
              : 0;
 }
 
-Gateway::Impl::WaitEstimate Gateway::Impl::EstimateWaits(
+std::vector<StageOutlook> Gateway::Impl::OutlookOf(
     const ServingRequest& request) const {
   const TimeUs now = output->Now();
-  WaitEstimate waits;
-  for (std::uint32_t n = 0; n < request.route->stages.size(); ++n) {
-    if (request.progress.Pieces(n) == 0) {
-      continue;
-    }
-    const QueueWait wait =
-        dispatcher->ExpectedWait(now, request.route->stages[n].service);
-    waits.in_time += wait.Of(request.priority);
-    waits.late = std::max(waits.late, wait.late);
-  }
-  waits.work = request.progress.TimeLeft() + kEngineFirstEventTime;
-  return waits;
+  return OutlookOfStages(*request.route, *request.config, request.progress,
+                         [&](const std::string& service) {
+                           return dispatcher->ExpectedWait(now, service);
+                         });
+}
+
+DurationUs Gateway::Impl::ExpectedWork(const ServingRequest& request) const {
+  return request.progress.TimeLeft() +
+         first_event_times.Expected(output->Now(), request.service);
 }
 
 // In a burst, more requests arrive than the stages can process; if all were
@@ -296,38 +284,41 @@
     return AdmissionResult::kInTime;
   }
   const TimeUs now = output->Now();
-  const auto [in_time, late, work] = EstimateWaits(*request);
-  request->expected_wait = in_time;
-  if (now + in_time + work <= request->target_by) {
-    return AdmissionResult::kInTime;
-  }
-  const DurationUs left = request->first_response_by - now;
-  const auto share = [left](double part) {
-    return static_cast<DurationUs>(part * static_cast<double>(left));
-  };
-  if (late + work <= share(kLateAdmissionShare)) {
-    return AdmissionResult::kLate;
-  }
-  const DurationUs expected_start =
+  const auto stages = OutlookOf(*request);
+  AdmissionCase it;
+  it.in_time = ForecastPath(stages, request->priority, false);
+  it.late = ForecastPath(stages, request->priority, true);
+  it.work = ExpectedWork(*request);
+  it.until_target = request->target_by - now;
+  it.until_client_leaves = request->first_response_by - now;
+  it.parked_ahead =
       kParkedStartPeriod * static_cast<DurationUs>(parked.size() + 1);
-  if (late + expected_start + work <= share(kParkedAdmissionShare)) {
-    return AdmissionResult::kParked;
+  request->expected_wait = it.in_time.wait;
+  request->stage_waits.OnForecast(it.in_time.waits);
+  const AdmissionResult result = StageAdmission::Decide(it);
+  if (request->elapsed_before > 0) {
+    metrics->Count("acaciachute_gateway_returns_total", Name(result));
   }
-  const DurationUs longest = left / kRetryAfterDivisor;
+  if (result == AdmissionResult::kRefused) {
+    *refusal = NoRoom(*request, it);
+  }
+  return result;
+}
+
+LocalReply Gateway::Impl::NoRoom(const ServingRequest& request,
+                                 const AdmissionCase& it) {
+  const DurationUs longest = it.until_client_leaves / kRetryAfterDivisor;
   const auto shortest = std::min(
       longest,
       static_cast<DurationUs>(kMinRetryAfterShare *
-                              static_cast<double>(request->call.deadline)));
-  const DurationUs suggested_wait = std::clamp(late, shortest, longest);
+                              static_cast<double>(request.call.deadline)));
+  const DurationUs suggested_wait =
+      std::clamp(StageAdmission::WaitUntilAdmitted(it), shortest, longest);
   const auto spread = static_cast<DurationUs>(random->Below(
       static_cast<std::uint64_t>(longest - suggested_wait) / 2 + 1));
-  *refusal = {
-      Refusal::kFull, Verdict::kNotRun, suggested_wait + spread,
-      StrCat(request->route->name, ": work ", work / kMillisecond, " ms, wait ",
-             in_time / kMillisecond, " or if late ", late / kMillisecond,
-             ", until late ", (request->target_by - now) / kMillisecond,
-             ", until its client leaves ", left / kMillisecond)};
-  return AdmissionResult::kRefused;
+  return {Refusal::kFull, Verdict::kNotRun, suggested_wait + spread,
+          StrCat(request.route->name, ": ", StageAdmission::Describe(it),
+                 ", waits ", request.stage_waits.Text())};
 }
 
 void Gateway::Impl::BeginParked() {
@@ -344,7 +335,9 @@
     if (blocked_routes.contains(request->route)) {
       continue;
     }
-    if (EstimateWaits(*request).late > kParkedStartWait) {
+    const auto stages = OutlookOf(*request);
+    if (!StageAdmission::MayStartParked(
+            ForecastPath(stages, request->priority, true))) {
       blocked_routes.insert(request->route);
       continue;
     }
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -65,6 +65,10 @@
   if (!request->stream_begun) {
     request->stream_begun = true;
     request->stream_begun_at = output->Now();
+    if (request->stages_done && !request->route->stages.empty()) {
+      first_event_times.Add(request->stream_begun_at, request->service,
+                            request->stream_begun_at - request->stages_done_at);
+    }
     SetExpiry(request, request->deadline_at);
     metrics->Observe("acaciachute_gateway_first_event_seconds",
                      request->route->name,
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -15,6 +15,9 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "coordination/admission/first_event_times.h"
+#include "coordination/admission/stage_admission.h"
+#include "coordination/admission/stage_waits.h"
 #include "coordination/choice/plain_choice.h"
 #include "coordination/choice/rate_loan_exchange.h"
 #include "coordination/choice/replica_rate_limiter.h"
@@ -54,18 +57,9 @@
   bool retry_in_transit = false;
 };
 
-// Result of the admission decision: on time, admitted although it will be late,
-// parked until the queues are short, or refused.
-enum class AdmissionResult { kInTime, kLate, kParked, kRefused };
-inline constexpr std::array<std::string_view, 4> kAdmissionResultNames = {
-    "in_time", "late", "parked", "refused"};
-constexpr std::string_view Name(AdmissionResult v) {
-  return detail::NameIn(kAdmissionResultNames, v);
-}
-
-// Assumed time from the end of the last stage to the engine's first event:
-// reading a prompt of the usual length takes 30 to 80 ms, plus waiting for
-// other requests.
+// Shortest time left for the engine's first event after the last stage, and
+// what is expected until `FirstEventTimes` has learned it: reading a prompt of
+// the usual length takes 30 to 80 ms, plus waiting for other requests.
 inline constexpr DurationUs kEngineFirstEventTime = 150 * kMillisecond;
 
 // Retry-After if another gateway can serve the client: its next connection
@@ -122,6 +116,9 @@
   AdmissionResult admission = AdmissionResult::kInTime;
   // Expected wait in the stages' queues, at admission.
   DurationUs expected_wait = 0;
+  StageWaits stage_waits;
+  // See `Gateway::Impl::ElapsedBefore`.
+  DurationUs elapsed_before = 0;
   // No stage was started yet; see `Gateway::Impl::DecideAdmission`.
   bool parked = false;
   // All stage results that the replica needs are available.
@@ -195,16 +192,12 @@
   // Decides whether the stages can be completed in time for the client; fills
   // `refusal` if not.
   AdmissionResult DecideAdmission(ServingRequest* request, LocalReply* refusal);
-  // Expected queueing and processing times of a request's stages.
-  struct WaitEstimate {
-    // Sum of the queue waits if the request is on time.
-    DurationUs in_time = 0;
-    // Longest queue wait of a stage if the request is late.
-    DurationUs late = 0;
-    // Processing time until the first event, without queueing.
-    DurationUs work = 0;
-  };
-  WaitEstimate EstimateWaits(const ServingRequest& request) const;
+  // The request's stages, with the waits that their queues report.
+  std::vector<StageOutlook> OutlookOf(const ServingRequest& request) const;
+  // Processing time until the first event, without the stages' queues.
+  DurationUs ExpectedWork(const ServingRequest& request) const;
+  // The refusal of a request that cannot be served in time.
+  LocalReply NoRoom(const ServingRequest& request, const AdmissionCase& it);
   // Starts the first parked request whose queues have become short enough.
   void BeginParked();
   // Estimates how long ago the client first sent this request, if this is a
@@ -233,6 +226,8 @@
   // The failure domain that holds the most results of `handles`.
   std::string MostCommonDomain(const std::vector<std::string>& handles) const;
   void RunStages(ServingRequest* request);
+  // Compares how long the stage waited with its forecast.
+  void OnStageMade(ServingRequest* request, std::uint32_t stage);
   void OnStagesDone(ServingRequest* request);
   // Discards all results and starts the stages again. `why` is logged.
   void RestartStages(ServingRequest* request, std::string_view why);
@@ -458,6 +453,7 @@
   bool peer_can_check_keys = false;
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
+  FirstEventTimes first_event_times{kEngineFirstEventTime};
   ReplicaRateLimiter replica_rate_limiter;
   RateLoanExchange rate_loans;
   LeavingStatements leaving_statements;
--- a/src/coordination/gateway/gateway_stages.cc
+++ b/src/coordination/gateway/gateway_stages.cc
@@ -81,8 +81,7 @@
       request.progress.TimeAfter(stage) + kEngineFirstEventTime;
   task.time_left = request.first_response_by - now - remaining_work;
   task.waited = now - request.received_at;
-  task.time_to_begin = request.target_by - now - request.progress.TimeLeft() -
-                       kEngineFirstEventTime;
+  task.time_to_begin = request.target_by - now - ExpectedWork(request);
   for (const std::uint32_t needed : spec.after) {
     task.holds_bytes += request.route->stages[needed].result_bytes *
                         request.progress.Pieces(needed);
@@ -109,6 +108,7 @@
 void Gateway::Impl::RunStages(ServingRequest* request) {
   const TimeUs now = output->Now();
   const ExchangeId id = request->id;
+  bool submitted = false;
   for (const std::uint32_t stage : request->progress.TakeReady()) {
     std::vector<PieceTask> tasks = TasksOf(*request, stage);
     if (tasks.empty()) {
@@ -120,16 +120,31 @@
     }
     request->submitted_stages.insert(stage);
     request->reserved_pieces.erase(stage);
+    request->stage_waits.OnSubmitted(now, stage);
     dispatcher->Submit(now, std::move(tasks));
     if (FindByExchange(id) == nullptr) {
       return;  // The request was refused during `Submit`.
     }
+    submitted = true;
+  }
+  if (submitted) {
+    dispatcher->Announce(now, ComingOf(request->call.id, OutlookOf(*request),
+                                       request->priority));
   }
   if (request->progress.Complete()) {
     OnStagesDone(request);
   }
 }
 
+void Gateway::Impl::OnStageMade(ServingRequest* request, std::uint32_t stage) {
+  const auto beyond = request->stage_waits.OnMade(
+      output->Now(), stage, request->progress.TimeOf(stage));
+  if (beyond) {
+    metrics->Observe("acaciachute_gateway_wait_beyond_forecast_seconds",
+                     request->route->stages[stage].service, *beyond);
+  }
+}
+
 void Gateway::Impl::OnStagesDone(ServingRequest* request) {
   request->stages_done = true;
   request->stages_done_at = output->Now();
--- a/src/coordination/stages/local_piece_dispatcher.cc
+++ b/src/coordination/stages/local_piece_dispatcher.cc
@@ -68,6 +68,22 @@
   }
 }
 
+void LocalPieceDispatcher::Announce(TimeUs now,
+                                    const std::vector<ComingPieces>& coming) {
+  for (const ComingPieces& it : coming) {
+    if (const auto batcher = batchers_.find(it.service);
+        batcher != batchers_.end()) {
+      batcher->second->Announce(now, it);
+    }
+  }
+}
+
+double LocalPieceDispatcher::WorkOf(const std::string& service,
+                                    std::uint64_t result_bytes) const {
+  const auto it = batchers_.find(service);
+  return it == batchers_.end() ? 0 : it->second->WorkOf(result_bytes);
+}
+
 bool LocalPieceDispatcher::Idle() const {
   return std::all_of(batchers_.begin(), batchers_.end(),
                      [](const auto& it) { return it.second->Idle(); });
--- a/src/coordination/stages/local_piece_dispatcher.h
+++ b/src/coordination/stages/local_piece_dispatcher.h
@@ -24,6 +24,9 @@
   void Submit(TimeUs now, std::vector<PieceTask> tasks) override;
   void CancelRequest(const std::string& request) override;
   void ReleaseResults(const std::vector<std::string>& handles) override;
+  void Announce(TimeUs now, const std::vector<ComingPieces>& coming) override;
+  // See `QueueForecast`; zero for an unknown service.
+  double WorkOf(const std::string& service, std::uint64_t result_bytes) const;
   void FreeForService(const std::string& service,
                       const std::vector<std::string>& handles);
   QueueWait ExpectedWait(TimeUs now, const std::string& service) const override;
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -32,6 +32,7 @@
                               const BatchLimits& limits) {
   replicas_.SetService(name, limits);
   limits_ = limits;
+  forecast_.SetLimits(limits);
 }
 
 void PieceBatcher::Add(TimeUs now, PieceTask task) {
@@ -61,6 +62,7 @@
   piece.rank.request_arrived_at = now - task.waited;
   piece.rank.key = key;
   piece.task = std::move(task);
+  ForecastPiece(now, piece);
   Enqueue(now, &piece);
 }
 
@@ -133,6 +135,7 @@
     DropRetries(it->second);
     it = pieces_.erase(it);
   }
+  forecast_.OnRequestLeft(request);
   auto read = inputs_read_.lower_bound({request, 0});
   while (read != inputs_read_.end() && read->first.first == request) {
     read = inputs_read_.erase(read);
@@ -277,7 +280,9 @@
       replicas_.Reserve(replica.id, piece.task.result_bytes);
       piece.queued = false;
       ++piece.calls;
-      ++piece.attempts;
+      if (++piece.attempts == 1) {
+        forecast_.OnStarted(now, it->key);
+      }
       piece.tried_replicas.insert(replica.id);
       piece.task.time_left = piece.deadline - now;
       taken.push_back(piece.task);
@@ -308,7 +313,11 @@
   for (const PieceTask& it : call.call.pieces) {
     PrioritizeSiblings(it.key);
   }
-  queue_rate_.OnPiecesStarted(now, call.call.pieces.size(), !waiting_.empty());
+  double work = 0;
+  for (const PieceTask& it : call.call.pieces) {
+    work += forecast_.WorkOf(it.result_bytes);
+  }
+  forecast_.OnCallStarted(now, work, !waiting_.empty());
   const BatchId id = call.call.id;
   calls_.emplace(id, std::move(call));
   output_->StartCall(calls_.at(id).call);
@@ -525,10 +534,12 @@
   }
   for (const auto& key : late) {
     Piece& piece = pieces_.at(key);
+    forecast_.OnGroupLeft(now, key);
     waiting_.erase(piece.rank);
     Enqueue(now, &piece);
   }
   for (const auto& key : expired) {
+    forecast_.OnGroupLeft(now, key);
     // The handler of the previous result may have cancelled this piece.
     if (const auto it = pieces_.find(key); it != pieces_.end()) {
       Finish(it, {key, PieceOutcome::kLate, ""});
@@ -596,6 +607,7 @@
 
 void PieceBatcher::OnTick(TimeUs now) {
   CheckCalls(now);
+  forecast_.OnTick(now);
   if (now >= next_expiry_scan_) {
     next_expiry_scan_ = now + kExpiryScanPeriod;
     ExpireWaiting(now);
@@ -605,65 +617,32 @@
   Dispatch(now);
 }
 
-// Expected number of pieces per call when many wait: half of a replica's memory
-// is occupied by results that wait for their next stage.
-std::size_t PieceBatcher::ExpectedBatchSize() const {
-  std::uint64_t result_bytes = 0;
-  for (const auto& [id, call] : calls_) {
-    result_bytes =
-        std::max(result_bytes, call.call.pieces.front().result_bytes);
-  }
-  if (result_bytes == 0) {
-    return limits_.batch;
-  }
-  const std::uint64_t fit = limits_.result_memory_bytes / (2 * result_bytes);
-  return std::clamp<std::size_t>(fit, 1, limits_.batch);
-}
-
-PieceBatcher::QueueSpeed PieceBatcher::CurrentQueueSpeed(TimeUs now) const {
-  const auto [replicas, time_until_free] = replicas_.NextAvailability(
+QueueForecast::Queue PieceBatcher::QueueAt(TimeUs now) const {
+  const auto [replicas, until_free] = replicas_.NextAvailability(
       now, kCallTimeout,
       [&](const auto& replica) { return output_->NextCall(now, replica); });
-  if (replicas == 0) {
-    return {};
+  QueueForecast::Queue queue{replicas, until_free, {}};
+  for (const Rank& it : waiting_) {
+    const bool first = it.dispatch_class == DispatchClass::kSiblingStarted;
+    const bool late = it.dispatch_class == DispatchClass::kLate;
+    const std::size_t level =
+        first ? 0 : QueueForecast::LevelOf(it.priority, late);
+    queue.ahead[level] +=
+        forecast_.WorkOf(pieces_.at(it.key).task.result_bytes);
   }
-  const std::size_t batch = ExpectedBatchSize();
-  QueueSpeed speed{true, time_until_free,
-                   static_cast<double>(replicas_.CallTime(1, batch)) /
-                       static_cast<double>(replicas * batch)};
-  speed.time_per_piece =
-      std::max(speed.time_per_piece, queue_rate_.TimePerPiece(now).value_or(0));
-  return speed;
+  return queue;
 }
 
-// Time until a piece behind `ahead` others starts.
-DurationUs PieceBatcher::WaitBehind(const QueueSpeed& speed,
-                                    std::size_t ahead) {
-  if (!speed.has_replica) {
-    return kCallTimeout;
-  }
-  return speed.time_until_free +
-         static_cast<DurationUs>(static_cast<double>(ahead) *
-                                 speed.time_per_piece);
+void PieceBatcher::ForecastPiece(TimeUs now, const Piece& piece) {
+  const bool late = piece.demote_when_late && now > piece.latest_start;
+  const bool first_of_group = !forecast_.Waits(piece.task.key);
+  forecast_.OnQueued(
+      now, first_of_group ? QueueAt(now) : QueueForecast::Queue{}, piece.task,
+      QueueForecast::LevelOf(piece.task.priority, late));
 }
 
 QueueWait PieceBatcher::ExpectedWait(TimeUs now) const {
-  std::array<std::size_t, QueueWait::kPriorityLevels> ahead{};
-  for (const Rank& it : waiting_) {
-    const std::size_t first =
-        it.dispatch_class == DispatchClass::kSiblingStarted ? 0
-        : it.dispatch_class == DispatchClass::kLate ? QueueWait::kPriorityLevels
-                                                    : it.priority;
-    for (std::size_t n = first; n < QueueWait::kPriorityLevels; ++n) {
-      ++ahead[n];
-    }
-  }
-  const QueueSpeed speed = CurrentQueueSpeed(now);
-  QueueWait wait;
-  for (std::size_t n = 0; n < QueueWait::kPriorityLevels; ++n) {
-    wait.in_time[n] = WaitBehind(speed, ahead[n]);
-  }
-  wait.late = WaitBehind(speed, waiting_.size());
+  QueueWait wait = forecast_.Expect(now, QueueAt(now));
   wait.memory = replicas_.MemoryShareInUse();
   return wait;
 }
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -35,7 +35,7 @@
 
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/fill_call.h"
-#include "coordination/stages/queue_rate.h"
+#include "coordination/stages/queue_forecast.h"
 #include "coordination/stages/stage_replicas.h"
 #include "state/piece.h"
 #include "state/replica_directory.h"
@@ -157,6 +157,14 @@
 
   void SetService(const std::string& name, const BatchLimits& limits);
 
+  // Pieces that will be added later.
+  void Announce(TimeUs now, const ComingPieces& coming) {
+    forecast_.Announce(now, coming);
+  }
+  // See `QueueForecast`.
+  double WorkOf(std::uint64_t result_bytes) const {
+    return forecast_.WorkOf(result_bytes);
+  }
   void Add(TimeUs now, PieceTask task);
   // Starts the calls that can be started. Must be called after pieces were
   // added.
@@ -227,15 +235,9 @@
     bool requeued = false;
     bool inputs_read = false;
   };
-  // Speed of the queue, from which waits are predicted.
-  struct QueueSpeed {
-    bool has_replica = false;        // Whether any replica takes calls.
-    DurationUs time_until_free = 0;  // Time until the next call starts.
-    double time_per_piece = 0;       // Microseconds per piece.
-  };
-  QueueSpeed CurrentQueueSpeed(TimeUs now) const;
-  static DurationUs WaitBehind(const QueueSpeed& speed, std::size_t ahead);
-  std::size_t ExpectedBatchSize() const;
+  QueueForecast::Queue QueueAt(TimeUs now) const;
+  // Tells the forecast of a piece that was added and is not queued yet.
+  void ForecastPiece(TimeUs now, const Piece& piece);
   void SendReleases(TimeUs now);
   // How long the piece waits for a replica in its preferred failure domain
   // before any replica may take it.
@@ -309,7 +311,7 @@
   std::map<Address, std::vector<std::string>> pending_releases_;
   BatchId next_id_ = 1;
   TimeUs next_expiry_scan_ = 0;
-  QueueRate queue_rate_;
+  QueueForecast forecast_;
 };
 
 }  // namespace acaciachute
--- a/src/coordination/stages/piece_dispatcher.h
+++ b/src/coordination/stages/piece_dispatcher.h
@@ -22,6 +22,12 @@
   virtual void CancelRequest(const std::string& request) = 0;
   // Releases results that no request needs any longer.
   virtual void ReleaseResults(const std::vector<std::string>& handles) = 0;
+  // Announces stages that a request will submit later. `CancelRequest` and the
+  // submit of the stage end it.
+  virtual void Announce(TimeUs now, const std::vector<ComingPieces>& coming) {
+    static_cast<void>(now);
+    static_cast<void>(coming);
+  }
   virtual QueueWait ExpectedWait(TimeUs now,
                                  const std::string& service) const = 0;
 };
--- a/src/coordination/stages/queue_rate.cc
+++ b/src/coordination/stages/queue_rate.cc
@@ -4,9 +4,7 @@
 
 namespace acaciachute {
 
-void QueueRate::OnPiecesStarted(TimeUs now,
-                                std::size_t pieces,
-                                bool more_waiting) {
+void QueueRate::OnPiecesStarted(TimeUs now, double pieces, bool more_waiting) {
   if (!more_waiting) {
     waiting_since_.reset();
     starts_.clear();
@@ -27,11 +25,11 @@
   if (span < kMinRateWindow) {
     return std::nullopt;
   }
-  std::size_t started = 1;
+  double started = 1;
   for (const Start& it : starts_) {
     started += now - it.at <= kRateWindow ? it.pieces : 0;
   }
-  return static_cast<double>(span) / static_cast<double>(started);
+  return static_cast<double>(span) / started;
 }
 
 }  // namespace acaciachute
--- a/src/coordination/stages/queue_rate.h
+++ b/src/coordination/stages/queue_rate.h
@@ -21,8 +21,8 @@
   static constexpr DurationUs kMinRateWindow = 600 * kMillisecond;
 
   // Records that pieces left the queue; `more_waiting` says whether others
-  // still wait.
-  void OnPiecesStarted(TimeUs now, std::size_t pieces, bool more_waiting);
+  // still wait. A piece may count as more than one.
+  void OnPiecesStarted(TimeUs now, double pieces, bool more_waiting);
   // Microseconds per piece; empty until the queue has been observed for
   // `kMinRateWindow`.
   std::optional<double> TimePerPiece(TimeUs now) const;
@@ -30,7 +30,7 @@
  private:
   struct Start {
     TimeUs at = 0;
-    std::size_t pieces = 0;
+    double pieces = 0;
   };
   std::deque<Start> starts_;
   // Since when pieces have been waiting; empty if none wait.
--- a/src/coordination/stages/shared_piece_dispatcher.cc
+++ b/src/coordination/stages/shared_piece_dispatcher.cc
@@ -48,10 +48,46 @@
     local_->Submit(now, std::move(tasks));
   } else {
     owners_[tasks.front().key.request].insert(owner);
+    for (const PieceTask& it : tasks) {
+      peer_queues_[it.service].sent[QueueWait::Level(it.priority)] +=
+          local_->WorkOf(it.service, it.result_bytes);
+    }
     output_->SendToPeer(owner, PieceTasks{std::move(tasks)});
   }
 }
 
+// A cancellation reaches the gateways that got an announcement as it reaches
+// those that got pieces.
+void SharedPieceDispatcher::Announce(TimeUs now,
+                                     const std::vector<ComingPieces>& coming) {
+  std::map<NodeId, PieceAnnouncement> by_owner;
+  for (const ComingPieces& it : coming) {
+    const NodeId owner = peers_->OwnerOf(it.service);
+    by_owner[owner].coming.push_back(it);
+    if (owner == self_) {
+      continue;
+    }
+    owners_[it.request].insert(owner);
+    PeerQueue& queue = peer_queues_[it.service];
+    queue.announced[QueueWait::Level(it.priority)] +=
+        it.pieces * local_->WorkOf(it.service, it.result_bytes);
+    queue.announced_within = std::max(queue.announced_within, it.in);
+  }
+  for (auto& [owner, announcement] : by_owner) {
+    if (owner == self_) {
+      local_->Announce(now, announcement.coming);
+    } else {
+      output_->SendToPeer(owner, announcement);
+    }
+  }
+}
+
+void SharedPieceDispatcher::OnPeerAnnouncement(
+    TimeUs now,
+    const PieceAnnouncement& announcement) {
+  local_->Announce(now, announcement.coming);
+}
+
 std::vector<SharedPieceDispatcher::ResubmittedGroup>
 SharedPieceDispatcher::GroupByRequest(const std::vector<PieceKey>& keys) const {
   using RequestAndService = std::pair<std::string, std::string>;
@@ -219,8 +255,26 @@
   if (peers_->OwnerOf(service) == self_) {
     return local_->ExpectedWait(now, service);
   }
-  const auto it = peer_waits_.find(service);
-  return it == peer_waits_.end() ? QueueWait{} : it->second;
+  const auto it = peer_queues_.find(service);
+  return it == peer_queues_.end() ? QueueWait{} : WithOwnShare(it->second);
+}
+
+QueueWait SharedPieceDispatcher::WithOwnShare(const PeerQueue& queue) {
+  QueueWait wait = queue.wait;
+  if (wait.speed <= 0) {
+    return wait;
+  }
+  double sent = 0;
+  double announced = 0;
+  for (std::size_t n = 0; n < QueueWait::kPriorityLevels; ++n) {
+    sent += queue.sent[n];
+    announced += queue.announced[n];
+    wait.in_time[n] += static_cast<DurationUs>(sent / wait.speed);
+    wait.coming[n] += static_cast<DurationUs>(announced / wait.speed);
+  }
+  wait.late += static_cast<DurationUs>(sent / wait.speed);
+  wait.coming_within = std::max(wait.coming_within, queue.announced_within);
+  return wait;
 }
 
 double SharedPieceDispatcher::MemoryShareInUse(
@@ -228,8 +282,8 @@
   if (peers_->OwnerOf(service) == self_) {
     return local_->MemoryShareInUse(service);
   }
-  const auto it = peer_waits_.find(service);
-  return it == peer_waits_.end() ? 0 : it->second.memory;
+  const auto it = peer_queues_.find(service);
+  return it == peer_queues_.end() ? 0 : it->second.wait.memory;
 }
 
 bool SharedPieceDispatcher::ShortOfMemory(
@@ -266,7 +320,7 @@
 void SharedPieceDispatcher::OnPeerQueueWaits(
     const std::vector<ServiceQueueWait>& waits) {
   for (const ServiceQueueWait& it : waits) {
-    peer_waits_[it.service] = it.wait;
+    peer_queues_[it.service] = {it.wait, {}, {}, 0};
   }
 }
 
--- a/src/coordination/stages/shared_piece_dispatcher.h
+++ b/src/coordination/stages/shared_piece_dispatcher.h
@@ -10,6 +10,7 @@
 #ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_SHARED_PIECE_DISPATCHER_H_
 #define ACACIACHUTE_SRC_COORDINATION_STAGES_SHARED_PIECE_DISPATCHER_H_
 
+#include <array>
 #include <map>
 #include <set>
 #include <string>
@@ -48,6 +49,7 @@
   void Submit(TimeUs now, std::vector<PieceTask> tasks) override;
   void CancelRequest(const std::string& request) override;
   void ReleaseResults(const std::vector<std::string>& handles) override;
+  void Announce(TimeUs now, const std::vector<ComingPieces>& coming) override;
   QueueWait ExpectedWait(TimeUs now, const std::string& service) const override;
 
   // Whether one of the services that produced these results uses more than
@@ -60,6 +62,7 @@
   // Result of a piece that this gateway's batchers ran or failed to run.
   void OnLocalPiece(const PieceResult& result);
   void OnPeerTasks(TimeUs now, const NodeId& from, const PieceTasks& tasks);
+  void OnPeerAnnouncement(TimeUs now, const PieceAnnouncement& announcement);
   void OnPeerCancel(const PieceCancel& cancel);
   void OnPeerRelease(const PieceRelease& release);
   void OnPeerResults(const PieceResults& results);
@@ -93,6 +96,16 @@
     bool retry_in_transit = false;
   };
 
+  // What another gateway that batches a service reported last, and the work
+  // that this gateway sent or announced to it since, by priority.
+  struct PeerQueue {
+    QueueWait wait;
+    std::array<double, QueueWait::kPriorityLevels> sent{};
+    std::array<double, QueueWait::kPriorityLevels> announced{};
+    DurationUs announced_within = 0;
+  };
+  static QueueWait WithOwnShare(const PeerQueue& queue);
+
   double MemoryShareInUse(const std::string& service) const;
   void SendToOwner(TimeUs now, std::vector<PieceTask> tasks);
   // Pieces of one request and service that are submitted again.
@@ -134,7 +147,7 @@
   // Requests of other gateways with pieces in progress here, and the gateway
   // that sent each.
   std::map<std::string, NodeId> requesters_;
-  std::map<std::string, QueueWait> peer_waits_;
+  std::map<std::string, PeerQueue> peer_queues_;  // By service.
   // By receiver, not sent yet.
   std::map<NodeId, std::vector<PieceResult>> results_;
 };
--- a/src/coordination/stages/stage_progress.cc
+++ b/src/coordination/stages/stage_progress.cc
@@ -50,6 +50,13 @@
   return stages_[stage].critical_path - stages_[stage].time;
 }
 
+DurationUs StageProgress::DeferredFor(std::uint32_t stage) const {
+  const Stage& it = stages_[stage];
+  return it.started ? 0
+                    : std::max<DurationUs>(
+                          0, TimeLeft() - it.critical_path - kStageLeadTime);
+}
+
 std::vector<std::uint32_t> StageProgress::TakeReady() {
   std::vector<std::uint32_t> ready;
   const DurationUs left = TimeLeft();
--- a/src/coordination/stages/stage_progress.h
+++ b/src/coordination/stages/stage_progress.h
@@ -38,6 +38,11 @@
   // `stage` until all stages that depend on it are done.
   DurationUs TimeLeft() const;
   DurationUs TimeAfter(std::uint32_t stage) const;
+  // Expected duration of the stage; zero if it is skipped.
+  DurationUs TimeOf(std::uint32_t stage) const { return stages_[stage].time; }
+  // Time for which `TakeReady` defers the stage, if no other stage waits.
+  DurationUs DeferredFor(std::uint32_t stage) const;
+  bool IsStarted(std::uint32_t stage) const { return stages_[stage].started; }
 
   std::uint32_t Pieces(std::uint32_t stage) const;
   // Handles of the results of all pieces of all stages that `stage` needs.
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -107,6 +107,8 @@
   const TimeUs now = Now();
   if (const auto* tasks = std::get_if<PieceTasks>(&message)) {
     dispatcher.OnPeerTasks(now, from, *tasks);
+  } else if (const auto* coming = std::get_if<PieceAnnouncement>(&message)) {
+    dispatcher.OnPeerAnnouncement(now, *coming);
   } else if (const auto* cancel = std::get_if<PieceCancel>(&message)) {
     dispatcher.OnPeerCancel(*cancel);
   } else if (const auto* release = std::get_if<PieceRelease>(&message)) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -295,6 +295,12 @@
 struct PieceRelease {
   std::vector<std::string> handles;
 };
+// Gateway to the gateway that batches a service's pieces: pieces that requests
+// of the sender will submit there later. Each item replaces what was announced
+// of the same request and stage.
+struct PieceAnnouncement {
+  std::vector<ComingPieces> coming;
+};
 // Gateway to gateway: results of the tasks that the receiver sent.
 struct PieceResults {
   std::vector<PieceResult> results;
@@ -403,7 +409,8 @@
                              ServiceVersionReport,
                              RateLoanRequest,
                              RateLoan,
-                             RateLoanReturn>;
+                             RateLoanReturn,
+                             PieceAnnouncement>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include <algorithm>
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
@@ -9,6 +10,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <cmath>
 #include <cstring>
 #include <sstream>
 
@@ -105,9 +107,56 @@
 void serialize(A& a, EngineWork& v) {
   a(v.replica, v.incarnation, v.running, v.unread_tokens);
 }
+// A queue's report is in each heartbeat of a gateway that batches, so its
+// numbers are narrow: times end at an hour.
+std::uint32_t NarrowTime(DurationUs time) {
+  return static_cast<std::uint32_t>(
+      std::clamp<DurationUs>(time, 0, 3600 * kSecond));
+}
+template <class A, std::size_t N>
+void SaveTimes(A& a, const std::array<DurationUs, N>& times) {
+  for (const DurationUs it : times) {
+    a(NarrowTime(it));
+  }
+}
+template <class A, std::size_t N>
+void LoadTimes(A& a, std::array<DurationUs, N>* times) {
+  for (DurationUs& it : *times) {
+    std::uint32_t time = 0;
+    a(time);
+    it = time;
+  }
+}
+template <class A>
+void save(A& a, const QueueWait& v) {
+  SaveTimes(a, v.in_time);
+  SaveTimes(a, v.coming);
+  a(NarrowTime(v.late), NarrowTime(v.coming_within),
+    static_cast<float>(v.memory), static_cast<float>(v.speed));
+}
+template <class A>
+void load(A& a, QueueWait& v) {
+  LoadTimes(a, &v.in_time);
+  LoadTimes(a, &v.coming);
+  std::uint32_t late = 0;
+  std::uint32_t within = 0;
+  float memory = 0;
+  float speed = 0;
+  a(late, within, memory, speed);
+  v.late = late;
+  v.coming_within = within;
+  v.memory = memory;
+  // Another process's number may be anything.
+  constexpr float kMinSpeed = 1e-3F;
+  v.speed = speed >= kMinSpeed && std::isfinite(speed) ? speed : 0;
+}
+template <class A>
+void serialize(A& a, ComingPieces& v) {
+  a(v.request, v.stage, v.service, v.priority, v.pieces, v.result_bytes, v.in);
+}
 template <class A>
-void serialize(A& a, QueueWait& v) {
-  a(v.in_time, v.late, v.memory);
+void serialize(A& a, PieceAnnouncement& v) {
+  a(v.coming);
 }
 template <class A>
 void serialize(A& a, ServiceQueueWait& v) {
@@ -255,7 +304,7 @@
 
 // "AC", the version of the frame format, which changes with the layout of any
 // message, and a reserved byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 9, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 10, 0};
 constexpr std::size_t kHmacSize = 32;  // HMAC-SHA-256.
 constexpr std::size_t kMinFrameBytes = kFramePrefixSize + kHmacSize;
 
--- a/src/state/piece.h
+++ b/src/state/piece.h
@@ -75,6 +75,17 @@
   return detail::NameIn(kPieceOutcomeNames, v);
 }
 
+// Pieces of a stage that its request has not reached yet.
+struct ComingPieces {
+  std::string request;  // Id of the client's request.
+  std::uint32_t stage = 0;
+  std::string service;
+  std::uint32_t priority = 0;
+  std::uint32_t pieces = 0;
+  std::uint64_t result_bytes = 0;  // Of each.
+  DurationUs in = 0;               // Expected time until they are submitted.
+};
+
 // Expected time that a piece queued now would wait until its call begins.
 struct QueueWait {
   // Number of priorities that are distinguished. Less urgent ones count as the
@@ -84,9 +95,40 @@
   std::array<DurationUs, kPriorityLevels> in_time{};
   DurationUs late = 0;  // For requests that can no longer meet their target.
   double memory = 0;    // Share of the replicas' result memory in use.
+  // By priority: how much longer the queue gets by the pieces of this and more
+  // urgent priorities that are on their way. They arrive evenly over
+  // `coming_within`.
+  std::array<DurationUs, kPriorityLevels> coming{};
+  DurationUs coming_within = 0;
+  double speed = 0;  // See `QueueForecast`; zero: not known.
 
+  static std::size_t Level(std::uint32_t priority) {
+    return std::min<std::size_t>(priority, kPriorityLevels - 1);
+  }
   DurationUs Of(std::uint32_t priority) const {
-    return in_time[std::min<std::size_t>(priority, kPriorityLevels - 1)];
+    return in_time[Level(priority)];
+  }
+  // For a piece that is queued after the time `in`.
+  DurationUs OfArrival(std::uint32_t priority, DurationUs in) const {
+    return AfterChange(Of(priority), coming[Level(priority)], in);
+  }
+  DurationUs LateOfArrival(DurationUs in) const {
+    return AfterChange(late, coming.back(), in);
+  }
+
+ private:
+  // A queue that takes `wait` now and grows by `grows`, after it has moved for
+  // the time `in`.
+  DurationUs AfterChange(DurationUs wait,
+                         DurationUs grows,
+                         DurationUs in) const {
+    const double arrived =
+        in < coming_within
+            ? static_cast<double>(in) / static_cast<double>(coming_within)
+            : 1;
+    const auto more = static_cast<DurationUs>(static_cast<double>(grows) *
+                                              (in > 0 ? arrived : 0));
+    return std::max<DurationUs>(0, wait + more - in);
   }
 };
 
--- a/tests/decoder_mutation_test.cc
+++ b/tests/decoder_mutation_test.cc
@@ -65,7 +65,7 @@
   for (const Message& message : std::vector<Message>{
            call, heartbeat, StageChunk{}, StageFailure{}, ControlOrder{},
            TableRequest{}, TableReply{}, GatewayHeartbeat{}, PieceTasks{},
-           SettingsBodies{}}) {
+           PieceAnnouncement{}, SettingsBodies{}}) {
     const std::string good = EncodeFrame({"entry-1", 1, 1, message}, kKey);
     ForEachMutation(good, [&](const std::string& frame) {
       EXPECT_TRUE(frame == good || !DecodeFrame(frame, kKey).ok());
--- a/tests/frame_test.cc
+++ b/tests/frame_test.cc
@@ -53,6 +53,46 @@
   }
 }
 
+// Guards against reports of queues that lose what admission is decided by.
+TEST(FrameTest, CarriesTheForecastOfAQueue) {
+  GatewayHeartbeat heartbeat;
+  ServiceQueueWait& queue = heartbeat.waits.emplace_back();
+  queue.service = "s";
+  queue.wait.in_time.fill(5 * kSecond);
+  queue.wait.late = 7 * kSecond;
+  queue.wait.memory = 0.5;
+  queue.wait.coming.fill(2 * kSecond);
+  queue.wait.coming_within = 3 * kSecond;
+  queue.wait.speed = 12;
+  const auto out =
+      DecodeFrame(EncodeFrame({"g", 11, 3, heartbeat}, kKey), kKey);
+  ASSERT_TRUE(out.ok()) << out.status();
+  const QueueWait& wait =
+      std::get<GatewayHeartbeat>(out->message).waits.at(0).wait;
+  EXPECT_EQ(wait.in_time, queue.wait.in_time);
+  EXPECT_EQ(wait.late, queue.wait.late);
+  EXPECT_EQ(wait.memory, queue.wait.memory);
+  EXPECT_EQ(wait.coming, queue.wait.coming);
+  EXPECT_EQ(wait.coming_within, queue.wait.coming_within);
+  EXPECT_EQ(wait.speed, queue.wait.speed);
+}
+
+TEST(FrameTest, CarriesAnnouncedPieces) {
+  PieceAnnouncement announcement;
+  announcement.coming = {{"r", 1, "s", 2, 4, 8000, kSecond}};
+  const auto out =
+      DecodeFrame(EncodeFrame({"g", 11, 3, announcement}, kKey), kKey);
+  ASSERT_TRUE(out.ok()) << out.status();
+  const auto& it = std::get<PieceAnnouncement>(out->message).coming.at(0);
+  EXPECT_EQ(it.request, "r");
+  EXPECT_EQ(it.stage, 1U);
+  EXPECT_EQ(it.service, "s");
+  EXPECT_EQ(it.priority, 2U);
+  EXPECT_EQ(it.pieces, 4U);
+  EXPECT_EQ(it.result_bytes, 8000U);
+  EXPECT_EQ(it.in, kSecond);
+}
+
 TEST(FrameTest, EveryChangedByteIsRefused) {
   const std::string frame = EncodeFrame(MakeEnvelope(), kKey);
   for (std::size_t n = 0; n < frame.size(); ++n) {
