--- a/src/coordination/admission/stage_admission.cc
+++ b/src/coordination/admission/stage_admission.cc
@@ -65,7 +65,8 @@
     for (const std::uint32_t needed : stage.after) {
       if (needed < n && stages[needed].result_lifetime > 0 &&
           stages[needed].pieces > 0) {
-        path.inputs_expire |=
+        path.inputs_expire =
+            path.inputs_expire ||
             start + wait - ends[needed] >= stages[needed].result_lifetime;
       }
     }
--- a/src/coordination/stages/queue_forecast.h
+++ b/src/coordination/stages/queue_forecast.h
@@ -45,7 +45,7 @@
   static constexpr std::size_t kMinLevelOutcomes = 5;
   // Outcomes of one, that is, of correct forecasts, that are added, so that a
   // single request does not determine the correction.
-  static constexpr std::size_t kAddedOutcomes = 2;
+  static constexpr std::size_t kAddedOutcomes = 4;
   static constexpr double kMinCorrection = 0.5;
   static constexpr double kMaxCorrection = 4;
   // Period at which the corrections are computed.
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -109,7 +109,7 @@
 }
 // A queue's report is in each heartbeat of a gateway that batches, so its
 // numbers are narrow: times end at an hour.
-std::uint32_t NarrowTime(DurationUs time) {
+inline std::uint32_t NarrowTime(DurationUs time) {
   return static_cast<std::uint32_t>(
       std::clamp<DurationUs>(time, 0, 3600 * kSecond));
 }
--- a/tests/gateway/stage_admission_fleet_test.cc
+++ b/tests/gateway/stage_admission_fleet_test.cc
@@ -3,6 +3,8 @@
 // used for such requests.
 #include <gtest/gtest.h>
 
+#include <iostream>
+
 #include "tests/gateway/stage_fleet.h"
 
 namespace acaciachute {
--- a/tests/gateway/stage_fleet.h
+++ b/tests/gateway/stage_fleet.h
@@ -3,7 +3,7 @@
 #ifndef ACACIACHUTE_TESTS_GATEWAY_STAGE_FLEET_H_
 #define ACACIACHUTE_TESTS_GATEWAY_STAGE_FLEET_H_
 
-#include <cmath>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
