--- a/src/coordination/stages/queue_forecast.cc
+++ b/src/coordination/stages/queue_forecast.cc
@@ -185,6 +185,17 @@
   return static_cast<double>(queue.until_free) + (ahead > 0 ? ahead / left : 0);
 }
 
+double QueueForecast::Growth(TimeUs now,
+                             const Queue& queue,
+                             std::size_t level) const {
+  const double speed = Speed(now, queue);
+  if (speed <= 0 || level == kLateLevel) {
+    return 0;
+  }
+  return std::max(0.0, UrgentArrivals(now, level + 1) / speed - 1) *
+         static_cast<double>(kReportAge);
+}
+
 DurationUs QueueForecast::CorrectedWait(TimeUs now,
                                         const Queue& queue,
                                         std::size_t level) const {
@@ -192,8 +203,8 @@
   if (groups_.empty()) {
     return ToDuration(raw);
   }
-  const double corrected =
-      corrections_[level] * (raw + Granularity()) - Granularity();
+  const double corrected = corrections_[level] * (raw + Granularity()) -
+                           Granularity() + Growth(now, queue, level);
   return ToDuration(corrected);
 }
 
--- a/src/coordination/stages/queue_forecast.h
+++ b/src/coordination/stages/queue_forecast.h
@@ -53,6 +53,8 @@
   // Forecast while no replica takes calls.
   static constexpr DurationUs kNoReplicaWait = 4 * kSecond;
 
+  // Longest time for which a report of the queue is used before the next.
+  static constexpr DurationUs kReportAge = 150 * kMillisecond;
   static constexpr DurationUs kMaxForecast = 3600 * kSecond;
 
   // What the batcher sees of its queue.
@@ -116,6 +118,9 @@
   double Speed(TimeUs now, const Queue& queue) const;
   // Work of more urgent levels that arrives per microsecond.
   double UrgentArrivals(TimeUs now, std::size_t level) const;
+  // By how much the wait grows until the next report, as more work arrives than
+  // starts.
+  double Growth(TimeUs now, const Queue& queue, std::size_t level) const;
   // Without correction.
   double RawWait(TimeUs now, const Queue& queue, std::size_t level) const;
   DurationUs CorrectedWait(TimeUs now,
