--- a/src/coordination/admission/stage_admission.cc
+++ b/src/coordination/admission/stage_admission.cc
@@ -23,7 +23,9 @@
     it.time = progress.TimeOf(n);
     it.not_before = progress.DeferredFor(n);
     if (service != nullptr && service->batching) {
-      it.result_lifetime = service->batching->result_lifetime;
+      const BatchLimits& limits = *service->batching;
+      it.result_lifetime = limits.result_lifetime;
+      it.more_if_full = limits.piece * (limits.batch - limits.batch / 2);
     }
     it.wait = wait_of(spec.service);
   }
@@ -70,7 +72,7 @@
             start + wait - ends[needed] >= stages[needed].result_lifetime;
       }
     }
-    ends[n] = start + wait + stage.time;
+    ends[n] = start + wait + stage.time + (wait > 0 && !late ? stage.more_if_full : 0);
     ends_unqueued[n] = start_unqueued + stage.time;
     last = std::max(last, ends[n]);
     last_unqueued = std::max(last_unqueued, ends_unqueued[n]);
--- a/src/coordination/admission/stage_admission.h
+++ b/src/coordination/admission/stage_admission.h
@@ -35,7 +35,9 @@
   std::uint64_t result_bytes = 0;    // Of each piece.
   bool submitted = false;
   bool made = false;
-  DurationUs time = 0;        // In its calls, without waiting.
+  DurationUs time = 0;  // In its calls, without waiting.
+  // Behind a queue, calls are full and take longer than `time` by this.
+  DurationUs more_if_full = 0;
   DurationUs not_before = 0;  // Time to which its start is deferred.
   // Its results are deleted after this; zero: not known.
   DurationUs result_lifetime = 0;
