--- a/src/coordination/admission/stage_admission.cc
+++ b/src/coordination/admission/stage_admission.cc
@@ -72,7 +72,8 @@
             start + wait - ends[needed] >= stages[needed].result_lifetime;
       }
     }
-    ends[n] = start + wait + stage.time + (wait > 0 && !late ? stage.more_if_full : 0);
+    ends[n] = start + wait + stage.time +
+              (wait > 0 && !late ? stage.more_if_full : 0);
     ends_unqueued[n] = start_unqueued + stage.time;
     last = std::max(last, ends[n]);
     last_unqueued = std::max(last_unqueued, ends_unqueued[n]);
--- a/src/coordination/stages/queue_forecast.h
+++ b/src/coordination/stages/queue_forecast.h
@@ -40,12 +40,12 @@
   static constexpr DurationUs kOutcomeWindow = kSecond;
   static constexpr std::size_t kMaxOutcomes = 256;
   // The share of the outcomes that the corrected forecast covers.
-  static constexpr double kCoveredShare = 0.8;
+  static constexpr double kCoveredShare = 0.9;
   // Below this number of outcomes of a level, those of all levels count.
   static constexpr std::size_t kMinLevelOutcomes = 5;
   // Outcomes of one, that is, of correct forecasts, that are added, so that a
   // single request does not determine the correction.
-  static constexpr std::size_t kAddedOutcomes = 4;
+  static constexpr std::size_t kAddedOutcomes = 9;
   static constexpr double kMinCorrection = 0.5;
   static constexpr double kMaxCorrection = 4;
   // Period at which the corrections are computed.
