Count memory of stage replicas by what was released and by what they report

Cause: after a restart replicas are full of the results of ended gateways, the account says empty, and each refusal needs a second send that the budget does not pay; and memory counted as free when a release was decided.

Change: ResultMemory keeps own bytes until the release was answered, and bytes of others by the replica's report, which is asked for where nothing is known. Pieces that the retry budget does not pay for yet wait instead of ending their requests. A large group that has waited long gets the memory of one replica.

--- a/src/coordination/stages/local_piece_dispatcher.cc
+++ b/src/coordination/stages/local_piece_dispatcher.cc
@@ -85,6 +85,23 @@
   return it == batchers_.end() ? 0 : it->second->MemoryShareInUse();
 }
 
+// All are from one replica, which may not be listed any longer.
+void LocalPieceDispatcher::OnReleased(const std::vector<std::string>& handles) {
+  for (auto& [name, batcher] : batchers_) {
+    batcher->OnReleased(handles);
+  }
+}
+
+void LocalPieceDispatcher::OnReport(
+    TimeUs now,
+    const std::string& service,
+    const ReplicaId& replica,
+    const std::optional<ReplicaReport>& report) {
+  if (const auto it = batchers_.find(service); it != batchers_.end()) {
+    it->second->OnReport(now, replica, report);
+  }
+}
+
 void LocalPieceDispatcher::OnCallEnd(TimeUs now,
                                      const std::string& service,
                                      BatchId id,
--- a/src/coordination/stages/local_piece_dispatcher.h
+++ b/src/coordination/stages/local_piece_dispatcher.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "coordination/stages/piece_batcher.h"
 #include "coordination/stages/piece_dispatcher.h"
@@ -30,6 +32,12 @@
   // See `PieceBatcher::MemoryShareInUse`.
   double MemoryShareInUse(const std::string& service) const;
 
+  // A replica has released these results.
+  void OnReleased(const std::vector<std::string>& handles);
+  void OnReport(TimeUs now,
+                const std::string& service,
+                const ReplicaId& replica,
+                const std::optional<ReplicaReport>& report);
   void OnCallEnd(TimeUs now,
                  const std::string& service,
                  BatchId id,
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -5,8 +5,6 @@
 #include <limits>
 #include <utility>
 
-#include "address_text.h"
-
 namespace acaciachute {
 namespace {
 
@@ -26,11 +24,17 @@
 PieceBatcher::PieceBatcher(const ReplicaDirectory* directory,
                            ServiceRetryBudget* budget,
                            PieceBatcherOutput* output)
-    : replicas_(directory), budget_(budget), output_(output) {}
+    : replicas_(directory),
+      memory_([output](const MemoryBelief& belief) {
+        output->OnMemoryBelief(belief);
+      }),
+      budget_(budget),
+      output_(output) {}
 
 void PieceBatcher::SetService(const std::string& name,
                               const BatchLimits& limits) {
   replicas_.SetService(name, limits);
+  memory_.SetService(name, limits);
   limits_ = limits;
 }
 
@@ -119,17 +123,13 @@
   }
 }
 
-std::uint64_t PieceBatcher::LateMemoryBytes() const {
-  return static_cast<std::uint64_t>(
-      kLateMemoryShare * static_cast<double>(limits_.result_memory_bytes));
-}
-
 void PieceBatcher::CancelRequest(const std::string& request) {
   auto it = pieces_.lower_bound(PieceKey{request, 0, 0});
   while (it != pieces_.end() && it->first.request == request) {
     if (it->second.queued) {
       waiting_.erase(it->second.rank);
     }
+    postponed_.Remove(PlaceOf(it->second));
     DropRetries(it->second);
     it = pieces_.erase(it);
   }
@@ -143,9 +143,10 @@
   if (waiting_.empty()) {
     return;
   }
+  AskReports(now);
   std::vector<const ReplicaEntry*> free = replicas_.FreeReplicas(now);
   std::erase_if(free, [&](const ReplicaEntry* it) {
-    return !output_->MayCall(now, *it);
+    return !memory_.AcceptsCalls(now, it->id) || !output_->MayCall(now, *it);
   });
   for (std::size_t n = 0; n < free.size() && !waiting_.empty(); ++n) {
     if (!replicas_.ShouldUse(now, *free[n], waiting_.size())) {
@@ -190,17 +191,6 @@
   return n;
 }
 
-// Result memory for the pieces that should start together with this one: all
-// waiting pieces of its request and stage or, if their results would take more
-// than half of a replica's result memory, this piece alone.
-std::uint64_t PieceBatcher::GroupResultBytes(const Piece& piece) const {
-  const std::uint64_t piece_bytes = piece.task.result_bytes;
-  const std::uint64_t group_bytes =
-      WaitingInStage(piece.task.key) * piece_bytes;
-  return group_bytes <= limits_.result_memory_bytes / 2 ? group_bytes
-                                                        : piece_bytes;
-}
-
 PieceBatcher::Rank PieceBatcher::LastOfGroup(const Rank& rank) {
   Rank last = rank;
   last.key.piece = std::numeric_limits<std::uint32_t>::max();
@@ -212,11 +202,12 @@
 PieceBatcher::Groups PieceBatcher::EligibleGroups(TimeUs now,
                                                   const ReplicaEntry& replica) {
   Groups groups;
-  const std::uint64_t held = replicas_.HeldBytes(replica.id);
+  const std::uint64_t held = memory_.UsedBytes(replica.id);
   // Result memory of the replica if all groups that fit together were started.
   std::uint64_t held_if_started = held;
   std::size_t skipped = 0;
   std::size_t pieces = 0;
+  without_memory_ = 0;
   for (auto it = waiting_.begin(); it != waiting_.end() &&
                                    skipped < kMaxSkippedGroups &&
                                    pieces < kCandidateCalls * limits_.batch;) {
@@ -231,6 +222,10 @@
     group.memory_limit = first.dispatch_class == DispatchClass::kLate
                              ? LateMemoryBytes()
                              : limits_.result_memory_bytes;
+    if (first.dispatch_class != DispatchClass::kSiblingStarted) {
+      group.memory_limit -= std::min(
+          group.memory_limit, hold_.BytesKeptFrom(replica.id, first.key));
+    }
     group.inputs_near = piece.task.near_domain.empty() ||
                         piece.task.near_domain == replica.domain;
     group.pieces =
@@ -238,8 +233,13 @@
           return !pieces_.at(rank.key).tried_replicas.contains(replica.id);
         }));
     it = end;
-    if (group.pieces == 0 || held + group.result_bytes > group.memory_limit ||
-        !MayRunInDomain(now, piece, replica.domain)) {
+    if (group.pieces == 0 || !MayRunInDomain(now, piece, replica.domain)) {
+      ++skipped;
+      continue;
+    }
+    if (held + group.result_bytes > group.memory_limit) {
+      memory_.OnDoesNotFit(replica.id);
+      without_memory_ += group.pieces;
       ++skipped;
       continue;
     }
@@ -259,7 +259,7 @@
                                                 const ReplicaEntry& replica,
                                                 std::size_t max_pieces) {
   const Groups groups = EligibleGroups(now, replica);
-  std::uint64_t held = replicas_.HeldBytes(replica.id);
+  std::uint64_t held = memory_.UsedBytes(replica.id);
   std::vector<PieceTask> taken;
   for (const std::size_t n :
        FillCall(groups.candidates, {max_pieces, limits_.batch, held})) {
@@ -274,7 +274,7 @@
         continue;
       }
       held += piece.task.result_bytes;
-      replicas_.Reserve(replica.id, piece.task.result_bytes);
+      memory_.Reserve(replica.id, piece.task.result_bytes);
       piece.queued = false;
       ++piece.calls;
       ++piece.attempts;
@@ -304,7 +304,7 @@
   call.call.address = replica.address;
   call.call.expected = replicas_.CallTime(1, call.call.pieces.size());
   call.call.left_waiting = waiting_.size();
-  call.call.held_bytes = replicas_.HeldBytes(replica.id);
+  call.call.held_bytes = memory_.UsedBytes(replica.id);
   for (const PieceTask& it : call.call.pieces) {
     PrioritizeSiblings(it.key);
   }
@@ -315,40 +315,7 @@
 }
 
 StageReplicas::CallView PieceBatcher::ViewOf(const Call& call) {
-  StageReplicas::CallView view{call.started, call.call.expected, 0,
-                               call.requeued};
-  for (const PieceTask& it : call.call.pieces) {
-    view.result_bytes += it.result_bytes;
-  }
-  return view;
-}
-
-void PieceBatcher::ReleaseResults(const std::vector<std::string>& handles) {
-  for (const auto& handle : handles) {
-    const auto producer =
-        ParseAddress(std::string_view(handle).substr(0, handle.find('/')));
-    if (!producer) {
-      continue;  // No result was produced.
-    }
-    // Includes results that were produced for another gateway's batcher.
-    pending_releases_[*producer].push_back(handle);
-    replicas_.RemoveResult(handle);
-  }
-}
-
-// Replicas in an evacuated failure domain are not contacted: their results
-// expire without a message. Replicas that rest get theirs afterwards.
-void PieceBatcher::SendReleases(TimeUs now) {
-  for (auto& [address, handles] : std::exchange(pending_releases_, {})) {
-    if (replicas_.InEvacuatedDomain(handles.front())) {
-      continue;
-    }
-    if (output_->MayRelease(now, handles.front())) {
-      output_->ReleaseAt(address, handles);
-    } else {
-      pending_releases_[address] = std::move(handles);
-    }
-  }
+  return {call.started, call.call.expected, call.requeued};
 }
 
 void PieceBatcher::OnCallEnd(TimeUs now, BatchId id, const PieceCallEnd& end) {
@@ -359,6 +326,7 @@
   const Call call = std::move(it->second);
   calls_.erase(it);
   replicas_.OnCallEnded(now, call.call.replica, ViewOf(call), EndOf(end.kind));
+  memory_.EndProduction(call.call.replica, ResultBytes(call));
   if (end.kind == PieceCallEnd::Kind::kAnswered) {
     EndLostCallsBefore(now, call);
   } else if (end.kind == PieceCallEnd::Kind::kLost) {
@@ -372,10 +340,10 @@
     if (answered) {
       result = end.results[n];
       if (!result.handle.empty()) {
-        replicas_.AddResult(now, call.call.replica, result.handle,
-                            task.result_bytes);
+        memory_.AddResult(now, call.call.replica, result.handle,
+                          task.result_bytes);
       } else if (result.outcome == PieceOutcome::kOutOfMemory) {
-        replicas_.OnOutOfMemory(now, call.call.replica);
+        OnOutOfMemory(now, call.call.replica, task.key);
       }
     }
     result.key = task.key;
@@ -414,15 +382,6 @@
   }
 }
 
-// The results of a lost answer occupy the replica's memory, under handles
-// unknown here, until the replica discards them.
-void PieceBatcher::ReserveLostResults(TimeUs now, const Call& call) {
-  // Replicas never issue a handle with this prefix.
-  const std::string handle = "lost/" + std::to_string(call.call.id);
-  replicas_.AddResult(now, call.call.replica, handle,
-                      ViewOf(call).result_bytes);
-}
-
 void PieceBatcher::EndPiece(TimeUs now,
                             bool answered,
                             const PieceResult& result) {
@@ -457,6 +416,7 @@
   if (it->second.queued) {
     waiting_.erase(it->second.rank);
   }
+  postponed_.Remove(PlaceOf(it->second));
   DropRetries(it->second);
   pieces_.erase(it);
   output_->OnPiece(result);
@@ -493,8 +453,10 @@
     piece->inputs_read = false;
     --inputs_read_.at({key.request, key.stage});
   }
-  if (piece->attempts < kMaxCallsPerPiece && now < piece->deadline &&
-      RetryPiece(now, piece, RetryReason::kPieceFailed)) {
+  if (piece->attempts < kMaxCallsPerPiece && now < piece->deadline) {
+    if (!RetryPiece(now, piece, RetryReason::kPieceFailed)) {
+      Postpone(piece, outcome);
+    }
     return;
   }
   Finish(pieces_.find(key), {key, outcome, ""});
@@ -502,12 +464,14 @@
 
 void PieceBatcher::OnReplicaRemoved(TimeUs now, const ReplicaId& replica) {
   replicas_.OnReplicaRemoved(replica);
+  memory_.OnReplicaRemoved(replica);
   Dispatch(now);
 }
 
 void PieceBatcher::OnReplicaRestarted(TimeUs now, const ReplicaId& replica) {
   EndCallsWhere(now, {PieceCallEnd::Kind::kBroken, "the replica restarted", {}},
                 [&](const Call& call) { return call.call.replica == replica; });
+  memory_.OnReplicaEnded(replica);
   OnReplicaRemoved(now, replica);
 }
 
@@ -528,10 +492,14 @@
     waiting_.erase(piece.rank);
     Enqueue(now, &piece);
   }
+  std::vector<PieceResult> ended = postponed_.TakeEnded(now);
   for (const auto& key : expired) {
+    ended.push_back({key, PieceOutcome::kLate, ""});
+  }
+  for (const PieceResult& result : ended) {
     // The handler of the previous result may have cancelled this piece.
-    if (const auto it = pieces_.find(key); it != pieces_.end()) {
-      Finish(it, {key, PieceOutcome::kLate, ""});
+    if (const auto it = pieces_.find(result.key); it != pieces_.end()) {
+      Finish(it, result);
     }
   }
 }
@@ -599,9 +567,11 @@
   if (now >= next_expiry_scan_) {
     next_expiry_scan_ = now + kExpiryScanPeriod;
     ExpireWaiting(now);
-    replicas_.RemoveExpiredResults(now);
+    memory_.OnTick(now);
   }
   SendReleases(now);
+  RetryPostponed(now);
+  UpdateHold(now);
   Dispatch(now);
 }
 
@@ -664,7 +634,7 @@
     wait.in_time[n] = WaitBehind(speed, ahead[n]);
   }
   wait.late = WaitBehind(speed, waiting_.size());
-  wait.memory = replicas_.MemoryShareInUse();
+  wait.memory = MemoryShareInUse();
   return wait;
 }
 
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -35,7 +35,11 @@
 
 #include "coordination/gateway/service_retry_budget.h"
 #include "coordination/stages/fill_call.h"
+#include "coordination/stages/memory_hold.h"
+#include "coordination/stages/postponed_pieces.h"
 #include "coordination/stages/queue_rate.h"
+#include "coordination/stages/result_memory.h"
+#include "coordination/stages/result_releases.h"
 #include "coordination/stages/stage_replicas.h"
 #include "state/piece.h"
 #include "state/replica_directory.h"
@@ -98,7 +102,17 @@
     return true;
   }
   virtual void OnPiece(const PieceResult& result) = 0;
+  // Asks the replica for its report. `PieceBatcher::OnReport` must follow,
+  // never from inside this call, unless this returns false: it cannot be asked.
+  virtual bool AskReport(const ReplicaEntry& replica) {
+    static_cast<void>(replica);
+    return false;
+  }
+  virtual void OnMemoryBelief(const MemoryBelief& belief) {
+    static_cast<void>(belief);
+  }
   // Sends `replica` a request to release these results.
+  // `PieceBatcher::OnReleased` follows if it is answered.
   virtual void ReleaseAt(const Address& replica,
                          const std::vector<std::string>& handles) = 0;
   // All pieces that need these results are running and have read them.
@@ -161,11 +175,22 @@
   // Starts the calls that can be started. Must be called after pieces were
   // added.
   void Dispatch(TimeUs now);
+  // Whether this gateway batches for the service. What is known of its
+  // replicas' memory is of use only until that changes.
+  void SetOwner(TimeUs now, bool owner);
   // Cancels the request's pieces.
   void CancelRequest(const std::string& request);
   // Releases results that no request needs any longer. The replicas are
   // notified at the next tick, each with one message.
   void ReleaseResults(const std::vector<std::string>& handles);
+  // A replica has answered the request to release these results.
+  void OnReleased(const std::vector<std::string>& handles) {
+    memory_.OnReleased(handles);
+  }
+  // The answer to `PieceBatcherOutput::AskReport`; empty: there is none.
+  void OnReport(TimeUs now,
+                const ReplicaId& replica,
+                const std::optional<ReplicaReport>& report);
   void OnCallEnd(TimeUs now, BatchId id, const PieceCallEnd& end);
   void OnReplicaRemoved(TimeUs now, const ReplicaId& replica);
   // The replica's previous incarnation has ended: its pieces are queued again
@@ -179,7 +204,17 @@
   std::size_t waiting() const { return waiting_.size(); }
   QueueWait ExpectedWait(TimeUs now) const;
   // Share of the replicas' result memory that is in use.
-  double MemoryShareInUse() const { return replicas_.MemoryShareInUse(); }
+  double MemoryShareInUse() const {
+    return memory_.ShareInUse(replicas_.All());
+  }
+  // Bytes at all replicas that results of others occupy.
+  std::uint64_t ForeignBytes() const;
+  // Pieces that wait for the retry budget.
+  std::size_t postponed() const { return postponed_.size(); }
+  // Pieces that did not fit into the replica that was free last.
+  std::size_t without_memory() const {
+    return waiting_.empty() ? 0 : without_memory_;
+  }
 
  private:
   // Primary sort key of the queue, first to last.
@@ -237,6 +272,12 @@
   static DurationUs WaitBehind(const QueueSpeed& speed, std::size_t ahead);
   std::size_t ExpectedBatchSize() const;
   void SendReleases(TimeUs now);
+  void AskReports(TimeUs now);
+  // Begins and ends the hold of memory for a group that fits nowhere.
+  void UpdateHold(TimeUs now);
+  // The replica that lacks the least memory for the piece's group. Null if one
+  // has enough or there is only one.
+  const ReplicaEntry* ReplicaToHold(TimeUs now, const Piece& piece);
   // How long the piece waits for a replica in its preferred failure domain
   // before any replica may take it.
   static DurationUs PreferredDomainWait(TimeUs now, const Piece& piece);
@@ -266,6 +307,11 @@
                    const ReplicaEntry& replica,
                    std::size_t max_pieces);
   void Enqueue(TimeUs now, Piece* piece);
+  // The piece waits until the budget pays for a retry; `outcome`: if it never
+  // does.
+  void Postpone(Piece* piece, PieceOutcome outcome);
+  static PostponedPieces::Place PlaceOf(const Piece& piece);
+  void RetryPostponed(TimeUs now);
   // Takes a retry from the budget and queues the piece; returns whether it did.
   bool RetryPiece(TimeUs now, Piece* piece, RetryReason reason);
   // The piece is no longer in any call; `answered`: the last one was answered.
@@ -291,12 +337,17 @@
                      const std::function<bool(const Call&)>& matches);
   void ReserveLostResults(TimeUs now, const Call& call);
   static StageReplicas::CallView ViewOf(const Call& call);
+  static std::uint64_t ResultBytes(const Call& call);
+  // The replica had no memory for the piece, which has not run.
+  void OnOutOfMemory(TimeUs now, const ReplicaId& replica, const PieceKey& key);
   void MarkInputsRead(const Call& call);
   // Whether the piece's inputs may have been released, so that it cannot run
   // again.
   bool InputsReleased(const Piece& piece) const;
 
   StageReplicas replicas_;
+  ResultMemory memory_;
+  MemoryHold hold_;
   ServiceRetryBudget* const budget_;
   PieceBatcherOutput* const output_;
   BatchLimits limits_;
@@ -306,7 +357,10 @@
   // inputs.
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> inputs_read_;
   std::map<BatchId, Call> calls_;
-  std::map<Address, std::vector<std::string>> pending_releases_;
+  PostponedPieces postponed_;
+  ResultReleases releases_;
+  std::size_t without_memory_ = 0;
+  bool owner_ = false;
   BatchId next_id_ = 1;
   TimeUs next_expiry_scan_ = 0;
   QueueRate queue_rate_;
--- a/src/coordination/stages/shared_piece_dispatcher.cc
+++ b/src/coordination/stages/shared_piece_dispatcher.cc
@@ -339,8 +339,15 @@
   }
 }
 
+void SharedPieceDispatcher::UpdateOwners(TimeUs now) {
+  for (const auto& [service, batcher] : local_->batchers()) {
+    batcher->SetOwner(now, peers_->OwnerOf(service) == self_);
+  }
+}
+
 void SharedPieceDispatcher::OnTick(TimeUs now) {
   SendResults();
+  UpdateOwners(now);
   std::vector<PieceKey> overdue;
   for (const auto& [key, pending] : pending_) {
     const DurationUs beyond = now - pending.sent_at - kResultTimeout;
--- a/src/coordination/stages/shared_piece_dispatcher.h
+++ b/src/coordination/stages/shared_piece_dispatcher.h
@@ -94,6 +94,8 @@
   };
 
   double MemoryShareInUse(const std::string& service) const;
+  // Tells the batchers for which services this gateway batches.
+  void UpdateOwners(TimeUs now);
   void SendToOwner(TimeUs now, std::vector<PieceTask> tasks);
   // Pieces of one request and service that are submitted again.
   struct ResubmittedGroup {
--- a/src/coordination/stages/stage_replicas.cc
+++ b/src/coordination/stages/stage_replicas.cc
@@ -48,7 +48,7 @@
   for (const ReplicaEntry* it : All()) {
     const ReplicaState& state = states_[it->id];
     if (state.calls < limits_.slots && state.overdue <= limits_.queue &&
-        now >= state.backoff_until && now >= state.out_of_memory_until) {
+        now >= state.backoff_until) {
       found.emplace_back(SlownessOf(now, state), it);
     }
   }
@@ -155,7 +155,6 @@
   if (calls > 0) {
     --calls;
   }
-  Release(id, call.result_bytes);
   if (end == End::kLost) {
     return;
   }
@@ -173,59 +172,4 @@
   state.measured_at = now;
 }
 
-void StageReplicas::OnOutOfMemory(TimeUs now, const ReplicaId& id) {
-  states_[id].out_of_memory_until = now + kOutOfMemoryBackoff;
-}
-
-std::uint64_t StageReplicas::HeldBytes(const ReplicaId& id) const {
-  const ReplicaState* state = Find(id);
-  return state == nullptr ? 0 : state->held_bytes;
-}
-
-void StageReplicas::Reserve(const ReplicaId& id, std::uint64_t bytes) {
-  states_[id].held_bytes += bytes;
-}
-
-void StageReplicas::Release(const ReplicaId& id, std::uint64_t bytes) {
-  if (const auto it = states_.find(id); it != states_.end()) {
-    it->second.held_bytes -= std::min(it->second.held_bytes, bytes);
-  }
-}
-
-void StageReplicas::AddResult(TimeUs now,
-                              const ReplicaId& id,
-                              const std::string& handle,
-                              std::uint64_t bytes) {
-  results_[handle] = {id, bytes, now + limits_.result_lifetime};
-  Reserve(id, bytes);
-}
-
-void StageReplicas::RemoveResult(const std::string& handle) {
-  if (const auto it = results_.find(handle); it != results_.end()) {
-    Release(it->second.producer, it->second.bytes);
-    results_.erase(it);
-  }
-}
-
-void StageReplicas::RemoveExpiredResults(TimeUs now) {
-  for (auto it = results_.begin(); it != results_.end();) {
-    if (now < it->second.expires_at) {
-      ++it;
-      continue;
-    }
-    Release(it->second.producer, it->second.bytes);
-    it = results_.erase(it);
-  }
-}
-
-double StageReplicas::MemoryShareInUse() const {
-  double held = 0;
-  for (const ReplicaEntry* it : All()) {
-    held += static_cast<double>(HeldBytes(it->id));
-  }
-  const double capacity = static_cast<double>(limits_.result_memory_bytes) *
-                          static_cast<double>(All().size());
-  return capacity > 0 ? held / capacity : 0;
-}
-
 }  // namespace acaciachute
--- a/src/coordination/stages/stage_replicas.h
+++ b/src/coordination/stages/stage_replicas.h
@@ -1,12 +1,11 @@
 // State of the replicas of one service as its batcher sees them: which are
-// free, how slow each is, which failed recently, and how much of their memory
-// results occupy.
+// free, how slow each is, and which failed recently. See `ResultMemory` for
+// their memory.
 #ifndef ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_REPLICAS_H_
 #define ACACIACHUTE_SRC_COORDINATION_STAGES_STAGE_REPLICAS_H_
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -24,10 +23,6 @@
   // replica is found by a single call.
   static constexpr DurationUs kFailureBackoff = 400 * kMillisecond;
   static constexpr DurationUs kMaxFailureBackoff = 3200 * kMillisecond;
-  // Time without calls to a replica that reported being out of memory although
-  // the account kept here shows free memory: another gateway's batcher has
-  // filled it, and those results are released as they are used.
-  static constexpr DurationUs kOutOfMemoryBackoff = 300 * kMillisecond;
   // Weight of the newest call in the moving average of a replica's slowness,
   // and the time after which the weight of an old observation has fallen to
   // 1/e.
@@ -40,8 +35,7 @@
   // The data of one call that a replica's state is updated from.
   struct CallView {
     TimeUs started = 0;
-    DurationUs expected = 0;         // By a replica of normal speed.
-    std::uint64_t result_bytes = 0;  // Memory for its results.
+    DurationUs expected = 0;  // By a replica of normal speed.
     bool overdue = false;
   };
   enum class End {
@@ -90,24 +84,8 @@
                    const ReplicaId& id,
                    const CallView& call,
                    End end);
-  void OnOutOfMemory(TimeUs now, const ReplicaId& id);
   void OnReplicaRemoved(const ReplicaId& id) { states_.erase(id); }
 
-  // Result memory in use at a replica, including results that are being
-  // produced.
-  std::uint64_t HeldBytes(const ReplicaId& id) const;
-  void Reserve(const ReplicaId& id, std::uint64_t bytes);
-  // Records a stored result. It occupies the replica's memory until it is
-  // removed or expires.
-  void AddResult(TimeUs now,
-                 const ReplicaId& id,
-                 const std::string& handle,
-                 std::uint64_t bytes);
-  void RemoveResult(const std::string& handle);
-  void RemoveExpiredResults(TimeUs now);
-  // Share of the result memory of all replicas that is in use.
-  double MemoryShareInUse() const;
-
  private:
   struct ReplicaState {
     std::uint32_t calls = 0;    // In progress and not overdue.
@@ -117,26 +95,15 @@
     TimeUs backoff_until = 0;
     DurationUs backoff = kFailureBackoff;
     TimeUs free_at = 0;
-    // Backoff after the replica reported being out of memory.
-    TimeUs out_of_memory_until = 0;
-    // Results stored there and those being produced.
-    std::uint64_t held_bytes = 0;
-  };
-  struct StoredResult {
-    ReplicaId producer;
-    std::uint64_t bytes = 0;
-    TimeUs expires_at = 0;  // When the replica discards the result.
   };
 
   static double SlownessOf(TimeUs now, const ReplicaState& state);
   const ReplicaState* Find(const ReplicaId& id) const;
-  void Release(const ReplicaId& id, std::uint64_t bytes);
 
   const ReplicaDirectory* const directory_;
   std::string service_;
   BatchLimits limits_;
   absl::flat_hash_map<ReplicaId, ReplicaState> states_;
-  std::map<std::string, StoredResult> results_;  // By handle.
 };
 
 }  // namespace acaciachute
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -101,8 +101,11 @@
                  const PieceCallEnd& end) { OnPieceCallEnd(service, id, end); },
           [this](const ReplicaId& replica, const ReplicaStatement& statement) {
             OnPieceStatement(replica, statement);
+          },
+          [this](const std::vector<std::string>& handles) {
+            batchers.OnReleased(handles);
           }),
-      replica_starts(&channels),
+      replica_reports(&channels),
       directory(this),
       evacuations(&directory, &metrics, &log),
       incarnation(RandomSeed()),
@@ -211,6 +214,7 @@
   TickPeers(now);
   batchers.OnTick(now);
   dispatcher.OnTick(now);
+  ReportStageMemory(now);
   gateway->OnTick();
   TickCrashes(now);
   versions_recorded = versions_recorded ||
@@ -385,10 +389,11 @@
 
 void GatewayNode::Impl::AskReplicaStart(const ReplicaId& replica,
                                         const Address& address) {
-  replica_starts.Ask(address,
-                     [this, replica](std::optional<Incarnation> start) {
-                       gateway->OnReplicaStart(replica, start);
-                     });
+  replica_reports.Ask(
+      address, [this, replica](const std::optional<ReplicaReport>& report) {
+        gateway->OnReplicaStart(
+            replica, report ? std::optional(report->start) : std::nullopt);
+      });
 }
 
 void GatewayNode::Impl::OnPieceStatement(const ReplicaId& replica,
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -21,7 +21,7 @@
 #include "daemon/gateway_node.h"
 #include "platform/config.h"
 #include "platform/pieces.h"
-#include "platform/replica_starts.h"
+#include "platform/replica_reports.h"
 #include "platform/requests.h"
 #include "platform/rows.h"
 #include "platform/store_client.h"
@@ -222,6 +222,8 @@
   void OnPiece(const PieceResult& result) override {
     dispatcher.OnLocalPiece(result);
   }
+  bool AskReport(const ReplicaEntry& replica) override;
+  void OnMemoryBelief(const MemoryBelief& belief) override;
   void ReleaseAt(const Address& replica,
                  const std::vector<std::string>& handles) override;
   void OnInputsRead(const std::vector<std::string>& handles) override {
@@ -286,6 +288,7 @@
   void LiftCrashes(ExchangeId id, const std::string& body);
 
   void TickPeers(TimeUs now);
+  void ReportStageMemory(TimeUs now);
   void UpdateKnownGateways(TimeUs now);
   void SendHeartbeats(TimeUs now);
   GatewayHeartbeat CurrentHeartbeat(TimeUs now) const;
@@ -301,7 +304,7 @@
   HttpChannels channels;
   ConnectProbes probes;
   platform::PieceCalls pieces;
-  platform::ReplicaStarts replica_starts;
+  platform::ReplicaReports replica_reports;
   ReplicaDirectory directory;
   Evacuations evacuations;
   std::unique_ptr<Gateway> gateway;
@@ -314,6 +317,7 @@
   CrashExchange crash_exchange;
   TimeUs started_at = 0;
   TimeUs next_peer_check_at = 0;
+  TimeUs next_stage_memory_at = 0;
   TimeUs next_known_gateways_at = 0;
   platform::StoreClient store;
   // The whole row with the configuration that is being read, if any.
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -103,6 +103,7 @@
   void ReleaseAt(const Address&,
                  const std::vector<std::string>& handles) override {
     freed.insert(freed.end(), handles.begin(), handles.end());
+    batcher.OnReleased(handles);
   }
   void OnReplica(const ReplicaEntry& replica, DirectoryChange change) override {
     if (change == DirectoryChange::kRemoved) {
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -165,7 +165,7 @@
                                std::string body) {
   open_.insert(id);
   if (head.target == "/report") {
-    Reply(id, kOk, {{"Content-Type", "application/json"}}, "{}");
+    Reply(id, kOk, {{"Content-Type", "application/json"}}, Report());
     return;
   }
   const std::string expected = ValueOf(head.fields, "Expect-Replica");
@@ -454,6 +454,15 @@
   });
 }
 
+std::string StandinReplica::Report() const {
+  constexpr int kFreeMegabytes = 15;
+  if (!full_until_) {
+    return "{}";
+  }
+  const bool full = Loop::Now() < *full_until_;
+  return Json({{"free_mb", full ? 0 : kFreeMegabytes}}).dump();
+}
+
 void StandinReplica::EndStageCall(const StageCall& call) {
   Json items = Json::array();
   const Json asked = Json::parse(call.body);
@@ -461,6 +470,11 @@
     if (!it.contains("key") && !it.contains("inputs")) {
       ledger_->OnViolation("a piece was sent without its inputs", it.at("id"));
     }
+    if (full_until_ && Loop::Now() < *full_until_) {
+      ++pieces_without_memory_;
+      items.push_back({{"reason", "room"}});
+      continue;
+    }
     const std::string handle =
         StrCat(AddressText(address_), "/", ++next_result_);
     items.push_back({{"handle", handle}});
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -90,6 +90,12 @@
     fault_ = fault;
     fault_percent_ = percent;
   }
+  // A stage's memory is full of results until then: it makes no pieces, and its
+  // report says so.
+  void SetFullUntil(TimeUs time) { full_until_ = time; }
+  // Pieces that were turned away for lack of memory, and that were made.
+  int pieces_without_memory() const { return pieces_without_memory_; }
+  int pieces_made() const { return next_result_; }
   // Simulates a crash and restart: breaks every connection, drops all work, and
   // continues as the incarnation `id`.
   void Crash(std::string id);
@@ -185,6 +191,7 @@
   void BeginStream(ExchangeId id, const std::string& attempt, int next);
   void SendEvent(ExchangeId id, int next);
   void BeginStageCall();
+  std::string Report() const;
   void EndStageCall(const StageCall& call);
   void After(DurationUs delay, std::function<void()> task);
 
@@ -218,6 +225,8 @@
   std::vector<TimeUs> arrivals_;
   CrashHandler on_crash_;
   int next_result_ = 0;
+  std::optional<TimeUs> full_until_;  // Empty: never full, and does not say.
+  int pieces_without_memory_ = 0;
   int answers_to_lose_ = 0;
   int slowdown_factor_ = 1;
   ReplicaFault fault_ = ReplicaFault::kNone;
