--- a/src/coordination/stages/memory_hold.h
+++ b/src/coordination/stages/memory_hold.h
@@ -9,9 +9,9 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "state/piece.h"
 #include "state/replica_directory.h"
@@ -24,8 +24,10 @@
   // Share of the time between a piece's arrival and its latest start after
   // which its group has waited for long.
   static constexpr double kHoldShare = 0.25;
-  // The hold ends after this time; the next one begins no sooner than that
-  // after it.
+  // One replica of this many may be held.
+  static constexpr std::size_t kReplicasPerHold = 3;
+  // A hold ends after this time; the next one begins no sooner than that after
+  // it.
   static constexpr DurationUs kMaxHold = 600 * kMillisecond;
   // Number of groups at the head of the queue for which memory may be held.
   static constexpr std::size_t kHeadGroups = 4;
@@ -40,16 +42,19 @@
 
   static bool WaitedLong(TimeUs now, TimeUs queued_at, TimeUs latest_start);
 
-  bool MayBegin(TimeUs now) const { return !held_ && now >= next_at_; }
-  void Begin(Held held) { held_ = std::move(held); }
-  // Ends the hold if its group no longer waits or its time is over.
+  // Whether memory may be held at one more of this many replicas.
+  bool MayBegin(TimeUs now, std::size_t replicas) const;
+  bool HoldsFor(const PieceKey& key) const;
+  bool HoldsAt(const ReplicaId& replica) const;
+  void Begin(Held held) { held_.push_back(std::move(held)); }
+  // Ends the holds whose groups no longer wait or whose time is over.
   void OnTick(TimeUs now, const std::function<bool(const Held&)>& waits);
   // Memory at the replica that is not for pieces of this request and stage.
   std::uint64_t BytesKeptFrom(const ReplicaId& replica,
                               const PieceKey& key) const;
 
  private:
-  std::optional<Held> held_;
+  std::vector<Held> held_;
   TimeUs next_at_ = 0;
 };
 
--- a/src/coordination/stages/piece_batcher_memory.cc
+++ b/src/coordination/stages/piece_batcher_memory.cc
@@ -38,7 +38,7 @@
   std::size_t usable = 0;
   for (const ReplicaEntry* it : replicas_.All()) {
     if (replicas_.InBackoff(now, it->id) ||
-        piece.tried_replicas.contains(it->id) ||
+        piece.tried_replicas.contains(it->id) || hold_.HoldsAt(it->id) ||
         !MayRunInDomain(now, piece, it->domain)) {
       continue;
     }
@@ -61,12 +61,12 @@
   std::size_t groups = 0;
   for (auto it = waiting_.begin();
        it != waiting_.end() && groups < MemoryHold::kHeadGroups &&
-       hold_.MayBegin(now);
+       hold_.MayBegin(now, replicas_.All().size());
        ++groups) {
     const Piece& piece = pieces_.at(it->key);
     const bool on_time = it->dispatch_class != DispatchClass::kLate;
     it = waiting_.upper_bound(LastOfGroup(*it));
-    if (!on_time ||
+    if (!on_time || hold_.HoldsFor(piece.task.key) ||
         !MemoryHold::WaitedLong(now, piece.queued_at, piece.latest_start)) {
       continue;
     }
