--- a/src/coordination/stages/result_memory.cc
+++ b/src/coordination/stages/result_memory.cc
@@ -17,7 +17,9 @@
 }
 
 void ResultMemory::Reserve(const ReplicaId& id, std::uint64_t bytes) {
-  accounts_[id].own += bytes;
+  Account& account = accounts_[id];
+  account.own += bytes;
+  account.own_peak = std::max(account.own_peak, account.own);
 }
 
 void ResultMemory::EndProduction(const ReplicaId& id, std::uint64_t bytes) {
@@ -56,7 +58,19 @@
   }
 }
 
+// Two windows, so that a peak counts for one to two report lags.
+void ResultMemory::RotatePeaks(TimeUs now) {
+  if (now < next_rotation_at_) {
+    return;
+  }
+  next_rotation_at_ = now + kReportLag;
+  for (auto& [id, account] : accounts_) {
+    account.own_peak_before = std::exchange(account.own_peak, account.own);
+  }
+}
+
 void ResultMemory::OnTick(TimeUs now) {
+  RotatePeaks(now);
   for (auto it = results_.begin(); it != results_.end();) {
     const StoredResult& result = it->second;
     const bool released = result.free_at != 0 && now >= result.free_at;
@@ -129,7 +143,6 @@
   Account& account = accounts_[id];
   account.asked_at = now;
   account.asking = asked;
-  account.own_when_asked = account.own;
   account.wanted = false;
   if (!asked) {
     account.in_doubt = false;
@@ -162,8 +175,11 @@
     UseWithoutReport(now, id, MemoryNews::kAboveCapacity, std::to_string(free));
     return;
   }
-  const std::uint64_t used = limits_.result_memory_bytes - free;
-  const std::uint64_t foreign = used - std::min(used, account.own_when_asked);
+  const std::uint64_t used =
+      limits_.result_memory_bytes -
+      std::min(limits_.result_memory_bytes, free + report->rounding_bytes);
+  const std::uint64_t own = std::max(account.own_peak, account.own_peak_before);
+  const std::uint64_t foreign = used - std::min(used, own);
   const bool counts =
       static_cast<double>(foreign) >=
       kLeastForeignShare * static_cast<double>(limits_.result_memory_bytes);
--- a/src/coordination/stages/result_memory.h
+++ b/src/coordination/stages/result_memory.h
@@ -81,6 +81,10 @@
   // not count as foreign.
   static constexpr double kLeastForeignShare = 0.02;
 
+  // Age of what a report states, at most. Results that were released since then
+  // still count in it; without this, they would be taken for foreign ones.
+  static constexpr DurationUs kReportLag = 500 * kMillisecond;
+
   using NewsFn = std::function<void(const MemoryBelief& belief)>;
 
   explicit ResultMemory(NewsFn on_news) : on_news_(std::move(on_news)) {}
@@ -136,7 +140,9 @@
     bool in_doubt = true;
     bool asking = false;
     TimeUs asked_at = 0;  // Zero: never.
-    std::uint64_t own_when_asked = 0;
+    // Highest own bytes in the present and in the previous window.
+    std::uint64_t own_peak = 0;
+    std::uint64_t own_peak_before = 0;
     TimeUs silent_until = 0;
     TimeUs refused_until = 0;
     bool wanted = false;   // A waiting piece did not fit since the last report.
@@ -150,6 +156,7 @@
   };
 
   const Account* Find(const ReplicaId& id) const;
+  void RotatePeaks(TimeUs now);
   void Free(const ReplicaId& id, std::uint64_t bytes);
   void Doubt(TimeUs now, const ReplicaId& id, MemoryNews why);
   // The replica does not say what is free.
@@ -167,6 +174,7 @@
   BatchLimits limits_;
   absl::flat_hash_map<ReplicaId, Account> accounts_;
   std::map<std::string, StoredResult> results_;  // By handle.
+  TimeUs next_rotation_at_ = 0;
 };
 
 }  // namespace acaciachute
--- a/src/state/replica_report.h
+++ b/src/state/replica_report.h
@@ -15,6 +15,8 @@
   Incarnation start = 0;
   // Memory that is free for results; empty: not stated, or unreadable.
   std::optional<std::uint64_t> free_result_bytes;
+  // Up to this much more may be free, as the figure was rounded down.
+  std::uint64_t rounding_bytes = 0;
   // What was stated for it if that is unreadable; else empty.
   std::string unreadable;
 };
