Check the process behind a first connection; learn versions from late rows

Not for merging yet: unit tests were not built or run with it.

Cause: a gateway without a connection to a replica does not notice that it was replaced under its id; what begins before the new row comes is not known.

Change: the first connection to a replica is a doubt where clients take streams up; the answer to a stream that goes on there is read once the process has said when it started. A stream that began at a process with another start than its row gets its version once the row of that process is read.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -279,6 +279,7 @@
 
 void Gateway::OnReplica(const ReplicaEntry& replica, DirectoryChange change) {
   impl_->versions_changed = true;
+  impl_->LearnVersions();
   const bool restarted = change == DirectoryChange::kRestarted;
   if (restarted || (change == DirectoryChange::kRemoved && !replica.leaving)) {
     impl_->OnReplicaEnded(replica.id, Name(change));
@@ -339,6 +340,7 @@
       impl_->output->AskReplicaStart(attempt.replica.id,
                                      attempt.replica.address);
     }
+    impl_->AwaitStart(request);
   }
 }
 
