--- a/tests/gateway/account_shares_test.cc
+++ b/tests/gateway/account_shares_test.cc
@@ -334,8 +334,10 @@
   rig.wait.in_time.fill(300 * kMillisecond);
   rig.wait.late = 10 * kMillisecond;
   rig.Call("staged", "k2", {1, 1});
+  constexpr int kCalls = 20;
   std::vector<ExchangeId> calls;
-  for (int n = 0; n < 20; ++n) {
+  calls.reserve(kCalls);
+  for (int n = 0; n < kCalls; ++n) {
     calls.push_back(rig.Call("staged", "k1", {1, 1}));
   }
   const ExchangeId small = rig.Call("staged", "k2", {1, 1});
