--- a/tests/gateway/uneven_service.h
+++ b/tests/gateway/uneven_service.h
@@ -48,7 +48,8 @@
     double InTime() const { return static_cast<double>(in_time) / sent; }
   };
 
-  UnevenService(std::vector<UnevenMachine> machines, std::size_t gateways)
+  UnevenService(const std::vector<UnevenMachine>& machines,
+                std::size_t gateways)
       : random_(7) {
     for (const auto& it : machines) {
       Add("r" + std::to_string(servers_.size()), it);
