--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -394,8 +394,13 @@
 
 
 def free_ports(ip, count):
-    """The first of `count` ports in a row that are free for TCP and UDP."""
-    for first in range(21000 + secrets.randbelow(20000), 60000, count):
+    """The first of `count` ports in a row that are free for TCP and UDP.
+
+    They are below those that the kernel gives to outgoing connections.
+    """
+    firsts = list(range(12000, 32000, count))
+    turn = secrets.randbelow(len(firsts))
+    for first in firsts[turn:] + firsts[:turn]:
         held = []
         try:
             for port in range(first, first + count):
