Give an answer to a call only if nothing else can have caused it

Cause: an answer was tied to its call by the id of the client's request, which its attempts share, and on calls for pieces, releases, reports and calls to the store by its turn on a kept connection alone. An answer without an id passed for anybody's. Evidence: with one connection and no gateway the second call gets the 409 of the first (HttpChannelsTest.ALateRefusalDoesNotAnswerTheNextAttempt), and calls that name no id exchange their answers (ACopyWithoutAnIdAnswersNoCall). Ruled out: the choice of the same replica; it is sound on another connection. Change: a connection never carries an id twice, an answer without an id counts on its first call only, and a connection whose answer bore none is not used again. Calls of our own carry an id of their own. An answer for pieces has as many results as were asked for. The gateway's own refusals repeat the client's id. What no call is given is logged. Why it is enough: a copy bears the id of an earlier call of its connection, or none; neither is ever expected there. Tests that reused one id on one connection now use one a call, as requests do; what they expect is unchanged. Without the change these fail: ALateRefusalDoesNotAnswerTheNextAttempt, NoConnectionCarriesAnIdTwice, ACopyWithoutAnIdAnswersNoCall, AnUnnamedAnswerOnAUsedConnectionIsNone.

--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -160,6 +160,13 @@
                &log) {
   gateway = std::make_unique<Gateway>(OptionsOf(settings), this, &dispatcher,
                                       &directory, &random, &metrics, &log);
+  channels.SetEventHandler([this](const ChannelEvent& event) {
+    metrics.Count("acaciachute_gateway_channel_events_total", Name(event.kind));
+    log.Write(Name(event.kind),
+              {{"address", StrCat(event.address.ip, ":", event.address.port)},
+               {"expected", event.expected},
+               {"received", event.received}});
+  });
   channels.SetLostHandler([this](const Address& address) {
     if (const ReplicaEntry* it = directory.FindAt(address)) {
       gateway->OnConnectionsLost(it->id);
@@ -181,6 +188,7 @@
 absl::Status GatewayNode::Impl::Start() {
   started_at = Now();
   clients.SetLimits(ClientLimitsOf({}));
+  clients.SetEchoField(platform::kRequestIdField);
   if (auto status = readiness.Listen(settings.readiness); !status.ok()) {
     return status;
   }
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -1,12 +1,15 @@
 #include "transport/http_channels.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 #include <deque>
 #include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/hash/hash.h"
 #include "text.h"
 #include "transport/loop.h"
 #include "transport/socket_stream.h"
@@ -55,19 +58,26 @@
   }
   ~Impl() { loop->Cancel(sweep); }
 
-  Channel* TakeIdle(const Address& address, DurationUs max_idle_time);
+  Channel* TakeIdle(const Address& address,
+                    const std::optional<HttpField>& echo,
+                    DurationUs max_idle_time);
   void Remove(Channel* channel);
+  void Notify(const ChannelEvent& event) const;
   void Sweep();
 
   Loop* const loop;
   Loop::TimerId sweep = 0;
   CallId next_id = 1;
+  // Tells the calls of this process from those of others in servers' logs.
+  const std::uint32_t name_prefix = g_random_int();
+  std::uint32_t next_name = 0;
   std::uint64_t opened = 0;
   absl::flat_hash_map<CallId, Channel*> calls;
   absl::flat_hash_map<Address, std::vector<Channel*>> idle;
   absl::flat_hash_map<Channel*, std::unique_ptr<Channel>> channels;
   absl::flat_hash_map<Address, std::size_t> connected;  // Connections.
   std::function<void(const Address&)> lost;
+  std::function<void(const ChannelEvent&)> on_event;
   const std::shared_ptr<const int> alive = std::make_shared<const int>();
 };
 
@@ -105,13 +115,18 @@
              CallSink* sink) {
     id_ = id;
     sink_ = sink;
-    expected_echo_ = request.echo;
+    echo_ = request.echo;
+    ++calls_;
+    if (echo_) {
+      carried_.push_back(absl::HashOf(echo_->value));
+    }
     started_ = Loop::Now();
     connect_deadline_ = started_ + options.connect;
     answer_deadline_ = options.total > 0 ? started_ + options.total : 0;
     progress_timeout_ = options.progress;
     max_kept_ = std::min(kMaxIdlePerAddress,
                          options.max_kept.value_or(kMaxIdlePerAddress));
+    is_own_named_ = false;
     is_head_request_ = request.method == "HEAD";
     reader_.emplace(is_head_request_);
     head_delivered_ = false;
@@ -145,7 +160,11 @@
 
   void OnBytes(std::string_view bytes) override {
     if (id_ == 0) {
-      owner_->Remove(this);  // Bytes that belong to no request.
+      Impl* owner = owner_;
+      const ChannelEvent event = {ChannelEvent::Kind::kUnaskedBytes, address_,
+                                  "", ""};
+      owner->Remove(this);  // `this` is deleted.
+      owner->Notify(event);
       return;
     }
     if (answer_deadline_ != 0 && progress_timeout_ != 0) {
@@ -183,6 +202,13 @@
     }
   }
 
+  // Whether an answer to an earlier call on this connection could be taken for
+  // the one to a call with this id.
+  bool HasCarried(const HttpField& echo) const {
+    return std::find(carried_.begin(), carried_.end(),
+                     absl::HashOf(echo.value)) != carried_.end();
+  }
+
   bool IsFresh(TimeUs now, DurationUs max_idle_time) const {
     return now - idle_since_ <= std::min(max_idle_time, idle_timeout_);
   }
@@ -228,8 +254,8 @@
     if (state == HttpAnswerReader::State::kHead) {
       return false;
     }
-    if (!head_delivered_ && !discarding_) {
-      discarding_ = IsForAnotherRequest(reader_->head());
+    if (!head_delivered_ && !discarding_ && !TakeHead(reader_->head())) {
+      return false;
     }
     if (discarding_) {
       return DiscardAnswer(state);
@@ -237,12 +263,24 @@
     return Deliver(state);
   }
 
-  bool IsForAnotherRequest(const HttpAnswerHead& head) const {
-    if (!expected_echo_) {
+  // Finds out whether the answer belongs to this call. Returns false if the
+  // call has failed.
+  bool TakeHead(const HttpAnswerHead& head) {
+    if (!echo_) {
+      return true;  // The only call on its connection.
+    }
+    const std::string* id = FindField(head.fields, echo_->name);
+    is_own_named_ = id != nullptr && *id == echo_->value;
+    discarding_ = id != nullptr && !is_own_named_;
+    if (discarding_) {
+      owner_->Notify(
+          {ChannelEvent::Kind::kForeignAnswer, address_, echo_->value, *id});
+    } else if (id == nullptr && calls_ > 1) {
+      Fail(CallFailureKind::kBadAnswer,
+           "an answer without an id on a connection that was used before");
       return false;
     }
-    const std::string* id = FindField(head.fields, expected_echo_->name);
-    return id != nullptr && *id != expected_echo_->value;
+    return true;
   }
 
   bool DiscardAnswer(HttpAnswerReader::State state) {
@@ -282,14 +320,16 @@
   }
 
   // Ends the call. The connection is kept for reuse if neither side has unread
-  // or unsent bytes of this call.
+  // or unsent bytes of this call, and a second copy of its answer could be told
+  // from the next one.
   void Finish() {
     const CallId id = std::exchange(id_, 0);
     CallSink* sink = std::exchange(sink_, nullptr);
     const AnswerEnd end = reader_->end();
     Impl* owner = owner_;
     owner->calls.erase(id);
-    const bool keep = !closed_by_peer_ && reader_->head().keep_alive &&
+    const bool keep = is_own_named_ && calls_ < kMaxCallsPerConnection &&
+                      !closed_by_peer_ && reader_->head().keep_alive &&
                       input_.empty() && stream_->unsent() == 0;
     if (keep) {
       KeepIdle();
@@ -340,7 +380,10 @@
   std::string unsent_request_;  // Buffered until connected.
   CallId id_ = 0;               // Zero while the connection is idle.
   CallSink* sink_ = nullptr;
-  std::optional<HttpField> expected_echo_;
+  std::optional<HttpField> echo_;
+  std::size_t calls_ = 0;             // On this connection.
+  std::vector<std::size_t> carried_;  // Hashes of the ids of its calls.
+  bool is_own_named_ = false;         // The call's answer carries its id.
   TimeUs started_ = 0;
   TimeUs connect_deadline_ = 0;
   TimeUs answer_deadline_ = 0;
@@ -361,25 +404,38 @@
 
 HttpChannels::Impl::Channel* HttpChannels::Impl::TakeIdle(
     const Address& address,
+    const std::optional<HttpField>& echo,
     DurationUs max_idle_time) {
-  const auto it = idle.find(address);
-  if (it == idle.end() || it->second.empty()) {
+  const auto of_address = idle.find(address);
+  if (!echo || of_address == idle.end() || of_address->second.empty()) {
     return nullptr;
   }
+  std::vector<Channel*>& all = of_address->second;
   // The most recently used connection is the least likely to have been closed
   // by the server.
-  Channel* channel = it->second.back();
-  if (!channel->IsFresh(Loop::Now(), max_idle_time)) {
-    // All others have been idle for longer. The oldest is closed in exchange
-    // for the new connection; otherwise each request that needs a fresh
-    // connection would add an idle one, until the replica refuses further
-    // connections.
-    Remove(it->second.front());
-    return nullptr;
+  for (auto it = all.rbegin(); it != all.rend(); ++it) {
+    Channel* channel = *it;
+    if (!channel->IsFresh(Loop::Now(), max_idle_time)) {
+      // All others have been idle for longer. The oldest is closed in exchange
+      // for the new connection; otherwise each request that needs a fresh
+      // connection would add an idle one, until the replica refuses further
+      // connections.
+      Remove(all.front());
+      return nullptr;
+    }
+    if (!channel->HasCarried(*echo)) {
+      all.erase(std::next(it).base());
+      channel->sent_ = false;
+      return channel;
+    }
+  }
+  return nullptr;
+}
+
+void HttpChannels::Impl::Notify(const ChannelEvent& event) const {
+  if (on_event) {
+    on_event(event);
   }
-  it->second.pop_back();
-  channel->sent_ = false;
-  return channel;
 }
 
 void HttpChannels::Impl::Remove(Channel* channel) {
@@ -425,7 +481,8 @@
                            const ChannelOptions& options,
                            CallSink* sink) {
   const CallId id = impl_->next_id++;
-  Impl::Channel* channel = impl_->TakeIdle(address, options.max_idle_time);
+  Impl::Channel* channel =
+      impl_->TakeIdle(address, request.echo, options.max_idle_time);
   if (channel == nullptr) {
     auto made = std::make_unique<Impl::Channel>(impl_.get(), address);
     channel = made.get();
@@ -461,6 +518,19 @@
   }
 }
 
+std::string HttpChannels::NewCallName() {
+  constexpr std::size_t kDigits = 16;
+  std::array<char, kDigits + 1> text{};
+  std::snprintf(text.data(), text.size(), "%08x%08x", impl_->name_prefix,
+                ++impl_->next_name);
+  return text.data();
+}
+
+void HttpChannels::SetEventHandler(
+    std::function<void(const ChannelEvent&)> handle) {
+  impl_->on_event = std::move(handle);
+}
+
 void HttpChannels::SetLostHandler(std::function<void(const Address&)> lost) {
   impl_->lost = std::move(lost);
 }
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -4,10 +4,14 @@
 // General client libraries open a second connection and resend a request by
 // themselves when a kept connection turns out to be closed, so that a request
 // that must run once runs twice. Here a request is sent at most once, on one
-// connection, and a failure states whether any byte of it may have been sent. A
-// connection that receives bytes without a request is closed, and an answer
-// that carries another request's id is discarded, so that no answer is
-// delivered to the wrong request.
+// connection, and a failure states whether any byte of it may have been sent.
+//
+// A server may send an answer a second time, late, when the next one is
+// expected. An answer is therefore delivered to a call only if nothing else can
+// have caused it: it carries the call's id, and its connection carried that id
+// once, or the call is the first one on its connection. A connection whose last
+// answer carried no id is not used again, as a second copy could not be told
+// from the answer to the next call.
 #ifndef ACACIACHUTE_SRC_TRANSPORT_HTTP_CHANNELS_H_
 #define ACACIACHUTE_SRC_TRANSPORT_HTTP_CHANNELS_H_
 
@@ -55,13 +59,27 @@
   virtual void OnCallFailed(CallId id, const CallFailure& failure) = 0;
 };
 
+// Something that a server sent and that no call was given.
+struct ChannelEvent {
+  enum class Kind { kForeignAnswer, kUnaskedBytes };
+  Kind kind = Kind::kForeignAnswer;
+  Address address;
+  std::string expected;  // The call's id; empty without a call.
+  std::string received;  // The answer's id; empty if it carries none.
+};
+inline constexpr std::array<std::string_view, 2> kChannelEventNames = {
+    "foreign_answer", "unasked_bytes"};
+constexpr std::string_view Name(ChannelEvent::Kind v) {
+  return detail::NameIn(kChannelEventNames, v);
+}
+
 struct ChannelRequest {
   std::string method = "GET";
   std::string target;
   HttpFields fields;  // Without Content-Length, which is added.
   std::string body;
-  // A field that the server repeats in its answer. An answer with another value
-  // of it belongs to another request and is discarded.
+  // The id of the call: one of `fields`, which the server repeats in its
+  // answer. Attempts of one client request may share it.
   std::optional<HttpField> echo;
 };
 
@@ -86,6 +104,8 @@
  public:
   // Maximum number of idle connections kept per address.
   static constexpr std::size_t kMaxIdlePerAddress = 64;
+  // Maximum number of calls on one connection, whose ids are remembered.
+  static constexpr std::size_t kMaxCallsPerConnection = 256;
 
   explicit HttpChannels(Loop* loop);
   ~HttpChannels();
@@ -104,6 +124,11 @@
   bool CancelIfUnsent(CallId id);
   // Pauses or resumes reading the answer.
   void SetReading(CallId id, bool reading);
+  // Returns an id that no other call of this object has.
+  std::string NewCallName();
+  // `handle` is called, from the loop, when something is received that is given
+  // to no call.
+  void SetEventHandler(std::function<void(const ChannelEvent&)> handle);
   // `lost` is called, from the loop, when the other side ended the last
   // connection to an address, or refused one while none was open.
   void SetLostHandler(std::function<void(const Address&)> lost);
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -56,6 +56,7 @@
   ListenerHandler* const handler;
   Loop* const loop;
   ListenerLimits limits;
+  std::string echo_field;
   GPtr<GSocket> socket;
   GSource* accept_source = nullptr;
   Loop::TimerId sweep = 0;
@@ -240,6 +241,10 @@
     keep_alive_ = head.keep_alive;
     chunked_ = head.chunked_answer;
     head_request_ = head.method == "HEAD";
+    const std::string* echo = FindField(head.fields, owner_->echo_field);
+    echo_ = echo == nullptr
+                ? std::nullopt
+                : std::optional(HttpField{owner_->echo_field, *echo});
     continued_ = false;
     reading_since_ = 0;
     reader_.Reset(owner_->limits.read);
@@ -248,11 +253,14 @@
     owner_->handler->OnRequest(id_, std::move(head), std::move(body));
   }
 
-  // Adds the Connection field. Returns whether the connection is closed after
-  // this answer.
+  // Adds the fields that concern the connection and the call. Returns whether
+  // the connection is closed after this answer.
   bool AddConnectionField(HttpFields* fields, bool ends_by_close) const {
     const bool close = ends_by_close || owner_->draining || !keep_alive_;
     fields->push_back({"Connection", close ? "close" : "keep-alive"});
+    if (echo_ && FindField(*fields, echo_->name) == nullptr) {
+      fields->push_back(*echo_);
+    }
     return close;
   }
 
@@ -311,6 +319,7 @@
   ExchangeId id_ = 0;              // Zero if no request is in progress.
   bool keep_alive_ = true;
   bool chunked_ = true;
+  std::optional<HttpField> echo_;  // Of the current request.
   bool head_request_ = false;
   bool continued_ = false;
   bool close_after_ = false;
@@ -393,6 +402,10 @@
   impl_->limits = limits;
 }
 
+void HttpListener::SetEchoField(std::string name) {
+  impl_->echo_field = std::move(name);
+}
+
 AnswerEnd HttpListener::Reply(ExchangeId id,
                               int status,
                               HttpFields fields,
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -65,6 +65,9 @@
 
   absl::Status Listen(const Address& address);
   void SetLimits(const ListenerLimits& limits);
+  // A field that each answer repeats from its request, so that clients can tell
+  // which call an answer belongs to. Answers that have it keep theirs.
+  void SetEchoField(std::string name);
 
   // Sends an answer that is at hand. `end`: how it ended at its source. If
   // nothing stated its end there, no length is stated here either, and the
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -115,29 +115,48 @@
   std::optional<CallFailure> failure;
 };
 
-ChannelRequest Get() {
+ChannelRequest Get(const std::string& id = "mine") {
   ChannelRequest request;
   request.target = "/x";
-  request.fields = {{"Host", "h"}, {"Attempt-Id", "mine"}};
-  request.echo = HttpField{"Attempt-Id", "mine"};
+  request.fields = {{"Host", "h"}, {"Attempt-Id", id}};
+  request.echo = HttpField{"Attempt-Id", id};
   return request;
 }
 
+std::string AnswerTo(std::string_view id,
+                     std::string_view body = "ok",
+                     int status = 200) {
+  return StrCat("HTTP/1.1 ", status, " OK\r\nAttempt-Id: ", id,
+                "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+}
+
 constexpr char kMatchingAnswer[] =
     "HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 2\r\n\r\nok";
 constexpr char kAnswerToOtherRequest[] =
     "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 3\r\n\r\nbad";
 
+// The id of the last request that arrived; empty if it has none.
+std::string LastId(const RawServer::Peer& peer) {
+  constexpr std::string_view kField = "Attempt-Id: ";
+  const auto head = peer.received.rfind("GET ");
+  const auto at = peer.received.find(kField, head);
+  if (at == std::string::npos) {
+    return "";
+  }
+  const auto from = at + kField.size();
+  return peer.received.substr(from, peer.received.find("\r\n", from) - from);
+}
+
 TEST(HttpChannelsTest, KeepsAConnectionForTheNextCall) {
   Loop loop;
   RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) {
-    peer->stream->Write(kMatchingAnswer);
+    peer->stream->Write(AnswerTo(LastId(*peer)));
   };
   HttpChannels channels(&loop);
   for (int n = 0; n < 3; ++n) {
     Sink sink;
-    channels.Start(server.address, Get(), {}, &sink);
+    channels.Start(server.address, Get(StrCat(n)), {}, &sink);
     RunUntil(&loop, [&] { return sink.over(); });
     EXPECT_EQ(sink.body, "ok");
   }
@@ -217,6 +236,161 @@
   EXPECT_EQ(channels.opened(), 2U);
 }
 
+// Answers each request, and sends that answer once more when the next request
+// arrives on the connection, before the answer to it.
+class LateTwice {
+ public:
+  explicit LateTwice(RawServer* server,
+                     std::function<std::string(const RawServer::Peer&)> answer)
+      : answer_(std::move(answer)) {
+    server->on_bytes = [this](RawServer::Peer* peer) {
+      std::string& last = last_[peer];
+      peer->stream->Write(last);
+      last = answer_(*peer);
+      peer->stream->Write(last);
+    };
+  }
+
+ private:
+  const std::function<std::string(const RawServer::Peer&)> answer_;
+  std::map<RawServer::Peer*, std::string> last_;
+};
+
+// Guards against a request that runs twice: a late copy of the refusal of its
+// first attempt was taken for the answer to the second one, which has its id.
+TEST(HttpChannelsTest, ALateRefusalDoesNotAnswerTheNextAttempt) {
+  Loop loop;
+  RawServer server(&loop);
+  int attempts = 0;
+  const LateTwice replica(&server, [&](const RawServer::Peer& peer) {
+    return AnswerTo(LastId(peer), "", ++attempts == 1 ? 409 : 200);
+  });
+  HttpChannels channels(&loop);
+  for (const int status : {409, 200}) {
+    Sink sink;
+    channels.Start(server.address, Get("request"), {}, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    EXPECT_EQ(sink.status, status);
+  }
+  EXPECT_EQ(attempts, 2);
+}
+
+// Guards against the same among other calls: the refused attempt's connection
+// has served others since, and its late copy is an old one.
+TEST(HttpChannelsTest, NoConnectionCarriesAnIdTwice) {
+  Loop loop;
+  RawServer server(&loop);
+  const LateTwice replica(&server, [](const RawServer::Peer& peer) {
+    return AnswerTo(LastId(peer), LastId(peer));
+  });
+  HttpChannels channels(&loop);
+  for (const char* id : {"a", "b", "c", "a", "b", "d"}) {
+    Sink sink;
+    channels.Start(server.address, Get(id), {}, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    EXPECT_EQ(sink.body, id);
+  }
+  EXPECT_EQ(channels.opened(), 2U);
+}
+
+// Guards against results of other requests: a server that names no call in its
+// answers sent one twice, and the copy was taken for the answer to a later
+// call.
+TEST(HttpChannelsTest, ACopyWithoutAnIdAnswersNoCall) {
+  struct Case {
+    bool named_call;
+    bool named_answer;
+  };
+  for (const Case it : {Case{true, false}, Case{false, true}}) {
+    Loop loop;
+    RawServer server(&loop);
+    int n = 0;
+    const LateTwice replica(&server, [&](const RawServer::Peer& peer) {
+      const std::string body = StrCat("answer ", n++);
+      return it.named_answer
+                 ? AnswerTo("x", body)
+                 : StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(),
+                          "\r\n\r\n", body);
+    });
+    HttpChannels channels(&loop);
+    for (int k = 0; k < 4; ++k) {
+      Sink sink;
+      channels.Start(server.address,
+                     it.named_call ? Get(StrCat(k)) : ChannelRequest(), {},
+                     &sink);
+      RunUntil(&loop, [&] { return sink.over(); });
+      EXPECT_EQ(sink.body, StrCat("answer ", k));
+    }
+    EXPECT_EQ(channels.opened(), 4U);
+  }
+}
+
+// Guards against taking an unnamed answer for a call's own where an earlier
+// call may have caused it: whether the call ran is then not known.
+TEST(HttpChannelsTest, AnUnnamedAnswerOnAUsedConnectionIsNone) {
+  Loop loop;
+  RawServer server(&loop);
+  int n = 0;
+  server.on_bytes = [&](RawServer::Peer* peer) {
+    peer->stream->Write(n++ == 0
+                            ? AnswerTo(LastId(*peer))
+                            : "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  };
+  HttpChannels channels(&loop);
+  Sink first;
+  channels.Start(server.address, Get("1"), {}, &first);
+  RunUntil(&loop, [&] { return first.over(); });
+  Sink second;
+  channels.Start(server.address, Get("2"), {}, &second);
+  RunUntil(&loop, [&] { return second.over(); });
+  ASSERT_TRUE(second.failure);
+  EXPECT_EQ(second.failure->kind, CallFailureKind::kBadAnswer);
+  EXPECT_TRUE(second.failure->sent);
+  EXPECT_EQ(channels.open(), 0U);
+}
+
+// Guards against ids that are remembered without a limit.
+TEST(HttpChannelsTest, AConnectionCarriesABoundedNumberOfCalls) {
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) {
+    peer->stream->Write(AnswerTo(LastId(*peer)));
+    peer->received.clear();
+  };
+  HttpChannels channels(&loop);
+  for (std::size_t n = 0; n <= HttpChannels::kMaxCallsPerConnection; ++n) {
+    Sink sink;
+    channels.Start(server.address, Get(StrCat(n)), {}, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    ASSERT_EQ(sink.body, "ok");
+  }
+  EXPECT_EQ(channels.opened(), 2U);
+}
+
+// The log tells which call received what belongs to none.
+TEST(HttpChannelsTest, ReportsWhatIsGivenToNoCall) {
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) {
+    peer->stream->Write(StrCat(kAnswerToOtherRequest, kMatchingAnswer));
+  };
+  HttpChannels channels(&loop);
+  std::vector<ChannelEvent> events;
+  channels.SetEventHandler(
+      [&](const ChannelEvent& it) { events.push_back(it); });
+  Sink sink;
+  channels.Start(server.address, Get(), {}, &sink);
+  RunUntil(&loop, [&] { return sink.over(); });
+  server.peers[0]->stream->Write("more");
+  RunUntil(&loop, [&] { return channels.open() == 0; });
+  ASSERT_EQ(events.size(), 2U);
+  EXPECT_EQ(events[0].kind, ChannelEvent::Kind::kForeignAnswer);
+  EXPECT_EQ(events[0].expected, "mine");
+  EXPECT_EQ(events[0].received, "other");
+  EXPECT_EQ(events[1].kind, ChannelEvent::Kind::kUnaskedBytes);
+  EXPECT_EQ(events[1].address, server.address);
+}
+
 // The caller learns whether its request may have run: once with bytes sent
 // before the replica closed, once without a connection.
 TEST(HttpChannelsTest, TellsWhetherAnythingWasSent) {
@@ -268,7 +442,7 @@
   Loop loop;
   RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) {
-    peer->stream->Write(kMatchingAnswer);
+    peer->stream->Write(AnswerTo(LastId(*peer)));
   };
   HttpChannels channels(&loop);
   Sink cancelled;
@@ -280,7 +454,8 @@
   channels.Start(server.address, Get(), {}, &first);
   RunUntil(&loop, [&] { return first.over(); });
   Sink second;
-  const CallId reuses = channels.Start(server.address, Get(), {}, &second);
+  const CallId reuses =
+      channels.Start(server.address, Get("other"), {}, &second);
   EXPECT_FALSE(channels.CancelIfUnsent(reuses));
   RunUntil(&loop, [&] { return second.over(); });
   EXPECT_EQ(second.body, "ok");
@@ -300,12 +475,12 @@
   Loop loop;
   RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) {
-    peer->stream->Write(kMatchingAnswer);
+    peer->stream->Write(AnswerTo(LastId(*peer)));
   };
   HttpChannels channels(&loop);
   for (int n = 0; n < 2; ++n) {
     Connecting sink;
-    channels.Start(server.address, Get(), {}, &sink);
+    channels.Start(server.address, Get(StrCat(n)), {}, &sink);
     RunUntil(&loop, [&] { return sink.over(); });
     EXPECT_EQ(sink.connected, n == 0 ? 1 : 0);
   }
@@ -317,7 +492,7 @@
   Loop loop;
   RawServer server(&loop);
   server.on_bytes = [](RawServer::Peer* peer) {
-    peer->stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    peer->stream->Write(AnswerTo(LastId(*peer)));
   };
   HttpChannels channels(&loop);
   int lost = 0;
@@ -327,8 +502,8 @@
   });
   Sink first;
   Sink second;
-  channels.Start(server.address, {}, {}, &first);
-  channels.Start(server.address, {}, {}, &second);
+  channels.Start(server.address, Get("1"), {}, &first);
+  channels.Start(server.address, Get("2"), {}, &second);
   RunUntil(&loop, [&] { return first.over() && second.over(); });
   ASSERT_EQ(server.peers.size(), 2U);
   server.peers[0]->stream->Close();
@@ -339,7 +514,7 @@
   EXPECT_EQ(lost, 1);
   // This side's own end of a connection shows nothing.
   Sink third;
-  channels.Start(server.address, {}, {}, &third);
+  channels.Start(server.address, Get("3"), {}, &third);
   RunUntil(&loop, [&] { return third.over(); });
   channels.DropIdle(server.address);
   EXPECT_EQ(channels.open(), 0U);
--- a/tests/platform/piece_calls_test.cc
+++ b/tests/platform/piece_calls_test.cc
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "tests/soak/loopback.h"
+#include "tests/soak/raw_listener.h"
+#include "text.h"
 #include "transport/http_listener.h"
 #include "transport/loop.h"
 
@@ -121,6 +123,96 @@
   EXPECT_EQ(leaving, 3);
 }
 
+// A replica that makes one result for each call, with a name of its own, and
+// sends each answer once more, late.
+struct LateReplica : ListenerHandler {
+  LateReplica(Loop* loop, bool names_calls_in)
+      : names_calls(names_calls_in), listener(this, loop, address) {
+    listener.SetLateCopies(1);
+  }
+  void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
+    const std::string body =
+        StrCat(R"({"items":[{"handle":"result )", ++calls, R"("}]})");
+    const std::string* name = FindField(head.fields, "Attempt-Id");
+    listener.Write(
+        id, StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n",
+                   names_calls && name != nullptr
+                       ? StrCat("Attempt-Id: ", *name, "\r\n")
+                       : "",
+                   "\r\n", body));
+    listener.Keep(id);
+  }
+  void OnClientDisconnected(ExchangeId) override {}
+  void OnWritten(ExchangeId) override {}
+  void OnListenerEvent(const ListenerEvent&) override {}
+
+  const bool names_calls;
+  const Address address = FreeAddress();
+  RawListener listener;
+  int calls = 0;
+};
+
+// Guards against pieces that get the results of others: a late copy of a stage
+// replica's answer was taken for the answer to the next call.
+TEST(PieceCallsTest, ALateCopyOfAnAnswerEndsNoOtherCall) {
+  for (const bool names_calls : {true, false}) {
+    Loop loop;
+    LateReplica replica(&loop, names_calls);
+    HttpChannels channels(&loop);
+    std::optional<PieceCallEnd> end;
+    PieceCalls calls(
+        &channels,
+        [&](const std::string&, BatchId, const PieceCallEnd& it) {
+          end = it;
+          loop.Quit();
+        },
+        [](const ReplicaId&, const ReplicaStatement&) {});
+    PieceCall call;
+    call.id = 7;
+    call.address = replica.address;
+    call.pieces.resize(1);
+    for (int n = 0; n < 5; ++n) {
+      calls.Run(call);
+      loop.Run();
+      ASSERT_TRUE(end);
+      ASSERT_EQ(end->results.size(), 1U) << end->why;
+      EXPECT_EQ(end->results[0].handle, StrCat("result ", replica.calls));
+      calls.ReleaseResults({}, replica.address, {end->results[0].handle});
+      const int made = replica.calls;
+      while (replica.calls == made) {
+        loop.After(kMillisecond, [&] { loop.Quit(); });
+        loop.Run();
+      }
+    }
+    EXPECT_EQ(channels.opened() < 10, names_calls);
+  }
+}
+
+// Guards against results that are given to other pieces of a call: they are
+// told apart by their position alone, so their number has to be right.
+TEST(PieceCallsTest, AnAnswerWithAnotherNumberOfResultsIsNone) {
+  Loop loop;
+  Replica replica(&loop);
+  HttpChannels channels(&loop);
+  std::optional<PieceCallEnd> end;
+  PieceCalls calls(
+      &channels,
+      [&](const std::string&, BatchId, const PieceCallEnd& it) {
+        end = it;
+        loop.Quit();
+      },
+      [](const ReplicaId&, const ReplicaStatement&) {});
+  PieceCall call;
+  call.id = 7;
+  call.address = replica.address;
+  call.pieces.resize(2);
+  calls.Run(call);
+  loop.Run();
+  ASSERT_TRUE(end);
+  EXPECT_EQ(end->kind, PieceCallEnd::Kind::kBroken);
+  EXPECT_TRUE(end->results.empty());
+}
+
 // Guards against a batch that is sent to a replica which has stated meanwhile
 // that it leaves, because the connection for it was still being made.
 TEST(PieceCallsTest, EndsCallsThatAreNotSentYet) {
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -88,6 +88,18 @@
   }
 }
 
+void Ledger::OnResultMade(const std::string& handle, const std::string& id) {
+  made_for_[handle] = id;
+}
+
+void Ledger::OnInputUsed(const std::string& id, const std::string& handle) {
+  const auto it = made_for_.find(handle);
+  if (it != made_for_.end() && it->second != id) {
+    OnViolation(StrCat("was given a result that was made for ", it->second),
+                id);
+  }
+}
+
 void Ledger::OnUnknownEnd(const std::string& id) {
   if (const auto it = entries_.find(id); it != entries_.end()) {
     it->second.unknown_end = true;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -72,6 +72,10 @@
                       const std::string& piece);
   // A replica starts to run the attempt, for `account`.
   void OnRun(const std::string& id, const std::string& account);
+  // A replica made a result for a piece of the attempt, or used one as its
+  // input.
+  void OnResultMade(const std::string& handle, const std::string& id);
+  void OnInputUsed(const std::string& id, const std::string& handle);
   // A replica broke its answer to the attempt off, or a call's (no id), and
   // nothing that it sent shows that.
   void OnUnknownEnd(const std::string& id);
@@ -137,6 +141,7 @@
   void AddSoundViolations(std::vector<std::string>* all) const;
 
   std::map<std::string, LedgerEntry> entries_;
+  std::map<std::string, std::string> made_for_;  // Attempt by result.
   std::vector<std::string> violations_;
   std::size_t open_ = 0;
   RetryJudge retry_judge_;
--- a/tests/soak/raw_listener.cc
+++ b/tests/soak/raw_listener.cc
@@ -34,8 +34,17 @@
     }
   }
 
-  void Write(std::string_view bytes) { stream_->Write(bytes); }
+  void Write(std::string_view bytes) {
+    if (owner_->late_copy_period_ != 0) {
+      answer_ += bytes;
+    }
+    stream_->Write(bytes);
+  }
   void Keep() {
+    const int period = owner_->late_copy_period_;
+    if (period != 0 && ++owner_->kept_answers_ % period == 0) {
+      late_copy_ = answer_;
+    }
     EndExchange();
     ReadNext();
   }
@@ -51,6 +60,7 @@
   void EndExchange() {
     owner_->exchanges_.erase(id_);
     id_ = 0;
+    answer_.clear();
   }
   void ReadNext() {
     if (id_ != 0 || closing_ ||
@@ -62,13 +72,16 @@
     reader_.Reset({});
     id_ = owner_->next_id_++;
     owner_->exchanges_[id_] = this;
+    stream_->Write(std::exchange(late_copy_, {}));
     owner_->handler_->OnRequest(id_, std::move(head), std::move(body));
   }
 
   RawListener* const owner_;
   HttpRequestReader reader_{{}};
   std::string input_;
-  ExchangeId id_ = 0;  // Zero if no request is in progress.
+  std::string answer_;     // Of the request in progress, if copies are sent.
+  std::string late_copy_;  // Sent when the next request arrives.
+  ExchangeId id_ = 0;      // Zero if no request is in progress.
   bool closing_ = false;
   std::shared_ptr<SocketStream> stream_;
 };
--- a/tests/soak/raw_listener.h
+++ b/tests/soak/raw_listener.h
@@ -32,6 +32,10 @@
   void Listen();
   bool listening() const { return socket_ != nullptr; }
 
+  // Sends one in `period` answers once more, late: when the next request
+  // arrives on its connection, before the answer to that. Zero: none.
+  void SetLateCopies(int period) { late_copy_period_ = period; }
+
   // Unknown ids are ignored here and below.
   void Write(ExchangeId id, std::string_view bytes);
   // Ends the exchange; the connection accepts another request.
@@ -55,6 +59,8 @@
   const Address address_;
   GPtr<GSocket> socket_;  // Null while it does not listen.
   GSource* source_ = nullptr;
+  int late_copy_period_ = 0;
+  int kept_answers_ = 0;
   ExchangeId next_id_ = 1;
   std::map<ExchangeId, Connection*> exchanges_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -165,7 +165,10 @@
                                std::string body) {
   open_.insert(id);
   if (head.target == "/report") {
-    Reply(id, kOk, {{"Content-Type", "application/json"}}, "{}");
+    Reply(id, kOk,
+          {{"Content-Type", "application/json"},
+           {"Attempt-Id", ValueOf(head.fields, "Attempt-Id")}},
+          "{}");
     return;
   }
   const std::string expected = ValueOf(head.fields, "Expect-Replica");
@@ -177,7 +180,7 @@
   if (!expected.empty() && expected != id_) {
     Reply(id, kWrongReplica, NotRun(attempt));
   } else if (release) {
-    Reply(id, kOk, FieldsOf({}));
+    Reply(id, kOk, FieldsOf({{"Attempt-Id", attempt}}));
   } else if (ApplyFault(id, head, attempt)) {
     arrivals_.push_back(Loop::Now());
   } else if (!rest_.empty()) {
@@ -188,10 +191,10 @@
     Reply(id, kFull, fields);
   } else if (head.target == "/stage-run" && calls_.size() >= kMaxQueuedCalls) {
     arrivals_.push_back(Loop::Now());
-    Reply(id, kFull, FieldsOf(NotRun("")));
+    Reply(id, kFull, FieldsOf(NotRun(attempt)));
   } else if (head.target == "/stage-run") {
     arrivals_.push_back(Loop::Now());
-    calls_.push_back({id, std::move(body)});
+    calls_.push_back({id, attempt, std::move(body)});
     BeginStageCall();
   } else {
     arrivals_.push_back(Loop::Now());
@@ -290,6 +293,12 @@
     ledger_->OnViolation("a client's Authorization field was forwarded",
                          attempt);
   }
+  if (const std::string inputs = ValueOf(head.fields, "Inputs");
+      !inputs.empty()) {
+    for (const std::string& it : Split(inputs, ',')) {
+      ledger_->OnInputUsed(attempt, it);
+    }
+  }
   const auto last = ParseNumber<int>(ValueOf(head.fields, "Last-Event-Id"));
   const int next = last ? *last + 1 : 0;  // Continues a resumed stream.
   if (work_.slots > 0) {
@@ -463,9 +472,15 @@
     }
     const std::string handle =
         StrCat(AddressText(address_), "/", ++next_result_);
+    ledger_->OnResultMade(handle, it.at("id"));
+    for (const Json& input : it.value("inputs", Json::array())) {
+      ledger_->OnInputUsed(it.at("id"), input);
+    }
     items.push_back({{"handle", handle}});
   }
-  Reply(call.id, kOk, FieldsOf({{"Content-Type", "application/json"}}),
+  Reply(call.id, kOk,
+        FieldsOf(
+            {{"Content-Type", "application/json"}, {"Attempt-Id", call.name}}),
         Json({{"items", items}}).dump());
 }
 
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -63,6 +63,8 @@
     random_.emplace(seed);
     framing_ = framing;
   }
+  // Sends one in `period` answers once more, late; zero: none.
+  void SetLateCopies(int period) { listener_.SetLateCopies(period); }
   // Breaks `percent` of the answers off; only if answers are drawn.
   void SetCutPercent(int percent) { cut_percent_ = percent; }
 
@@ -138,6 +140,7 @@
   // A stage call that waits for its turn.
   struct StageCall {
     ExchangeId id = 0;
+    std::string name;  // Repeated in the answer.
     std::string body;
   };
 
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -25,6 +25,8 @@
 constexpr std::size_t kChatSlots = 4;
 // If replicas draw their answers, one in this many requests is HTTP/1.0.
 constexpr std::uint64_t kHttp10Period = 4;
+// The same: of the answers of each replica that keep their connection.
+constexpr int kLateCopyPeriod = 9;
 
 Json RouteJson(const std::string& name,
                const std::string& kind,
@@ -180,6 +182,12 @@
       ledger_(options.retries),
       store_(loop),
       channels_(loop) {
+  channels_.SetEventHandler([this](const ChannelEvent& event) {
+    if (event.kind == ChannelEvent::Kind::kForeignAnswer) {
+      ledger_.OnViolation(StrCat("got the answer to ", event.received),
+                          event.expected);
+    }
+  });
   const auto ms = [](int n) { return n * kMillisecond; };
   AddReplicas("plain", {ReplicaWork::Kind::kPlain, ms(15), 0, 0},
               options.plain_replicas);
@@ -223,6 +231,7 @@
           EndReplica(replica, resets);
         });
     if (options_.answer_seed) {
+      replicas_.back()->SetLateCopies(kLateCopyPeriod);
       replicas_.back()->DrawAnswers(*options_.answer_seed + replicas_.size(),
                                     options_.framing);
     }
@@ -375,6 +384,7 @@
                     {"Attempt-Id", id},
                     {"Deadline-Ms", StrCat(kDeadlineMs)},
                     {"Authorization", StrCat("Bearer ", kApiKey)}};
+  request.echo = HttpField{"Attempt-Id", id};
   if (chat || staged) {
     request.fields.push_back({"Model", "m"});
     request.fields.push_back({"Token-Usage", "1200,300"});
