Bound all bytes that are read on the way to an answer

Cause: time was bounded, bytes were not. Each reader bounded what it took for an answer, none what it read to find one. Change: bounds on head with interim answers, unparsed bytes, framing, foreign answers, collected bodies (each call says its own, 64 KB by default), events, refusals, answers of the store one by one and together, and on bodies and events of the product's own calls. An answer that can't be used is closed at its first byte. Past a bound the connection is closed, the reason logged, and the request tried elsewhere or refused; a head that said that nothing ran still counts. Plain answers are held in blocks, as a string takes three times their size. Found on the way: bytes of a feed without end counted as a newer configuration on its way, so requests were refused while the store was in trouble. After bytes that were no answer they say nothing until the store answers again.

--- a/src/coordination/gateway/event_splitter.h
+++ b/src/coordination/gateway/event_splitter.h
@@ -17,11 +17,16 @@
 
 class EventSplitter {
  public:
+  // Limit on one event, with the comments before it.
+  static constexpr std::size_t kMaxEventBytes = 1 << 20;
+
   // Returns the events that `bytes` completes, unchanged; may be empty. A line
   // ends with LF, CR or CRLF, and a blank line ends an event.
   std::string Add(std::string_view bytes);
   // Bytes received after the last complete event.
   const std::string& partial_event() const { return partial_event_; }
+  // Whether the partial event exceeds its limit; such a stream is to be ended.
+  bool EventIsTooLong() const { return partial_event_.size() > kMaxEventBytes; }
   // Whether a stream that ends here breaks off an event. Comments after the
   // last event are no event.
   bool InsideEvent() const;
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -132,6 +132,9 @@
   // Limit on the body of a plain answer, which is buffered until it is
   // complete; a longer one fails.
   static constexpr std::size_t kMaxAnswerBytes = 8 << 20;
+  // Limit on the body of an answer that says that the request was not run. Only
+  // its head is used.
+  static constexpr std::size_t kMaxRefusalBytes = 64 << 10;
   // Limit on the replicas that one request is sent to, including those that
   // refused it.
   static constexpr std::size_t kMaxReplicasPerRequest = 3;
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -21,16 +21,24 @@
 void Gateway::Impl::OnBody(ServingRequest* request, std::string_view bytes) {
   Attempt& attempt = request->attempt;
   attempt.received_bytes += bytes.size();
-  if (!IsStream(*request)) {
-    attempt.body += bytes;
-    if (attempt.body.size() > kMaxAnswerBytes) {
-      CancelAttempt(request);
-      OnMayHaveRun(request, "the answer is too long");
+  if (attempt.head->not_run || attempt.head->other_replica) {
+    if (attempt.received_bytes > kMaxRefusalBytes) {
+      AbandonAnswer(request, "the refusal is too long");
     }
     return;
   }
-  if (!attempt.head->sealed || attempt.head->encoded) {
-    return;  // Such an answer is rejected in `OnEnd`.
+  if (const auto why = WhyUnusable(*attempt.head); !why.empty()) {
+    CancelAttempt(request);
+    OnMayHaveRun(request, why);
+    return;
+  }
+  if (!IsStream(*request)) {
+    if (attempt.body.size() + bytes.size() > kMaxAnswerBytes) {
+      AbandonAnswer(request, "the answer is too long");
+      return;
+    }
+    attempt.body.Append(absl::string_view(bytes.data(), bytes.size()));
+    return;
   }
   if (request->stream_version && !attempt.first_event_received &&
       version_doubts.InDoubt(attempt.replica.id)) {
@@ -42,6 +50,42 @@
   if (!events.empty()) {
     PassEvents(request, events);
   }
+  if (request->events.EventIsTooLong()) {
+    AbandonAnswer(request, "an event is too long");
+  }
+}
+
+// What the head said holds: a replica that refuses at length has still not run
+// the request. The replica has not ended either, so the request is not
+// suspected of it.
+void Gateway::Impl::AbandonAnswer(ServingRequest* request,
+                                  std::string_view why) {
+  Attempt& attempt = request->attempt;
+  const bool not_run = attempt.head->not_run || attempt.head->other_replica;
+  attempt.end = AnswerEnd::kBroken;
+  metrics->Count("acaciachute_gateway_answer_ends_total",
+                 Name(AnswerEnd::kBroken));
+  log->Write("answer_abandoned", {{"id", request->call.id},
+                                  {"replica", attempt.replica.id.name},
+                                  {"status", attempt.head->status},
+                                  {"bytes", attempt.received_bytes},
+                                  {"why", why}});
+  ReportFailure(*request);
+  CancelAttempt(request);
+  if (not_run) {
+    OnNotRun(request);
+  } else {
+    OnMayHaveRun(request, why);
+  }
+}
+
+std::string_view Gateway::Impl::WhyUnusable(const ReplicaHead& head) {
+  if (!head.ok()) {
+    return "";
+  }
+  return !head.sealed   ? "the answer bears no proof"
+         : head.encoded ? "the body is encoded"
+                        : "";
 }
 
 void Gateway::Impl::LearnTime(const ServingRequest& request) {
@@ -96,10 +140,9 @@
     OnNotRun(request);
     return;
   }
-  if (head.ok() && (!head.sealed || head.encoded)) {
+  if (const auto why = WhyUnusable(head); !why.empty()) {
     EndAttempt(request);
-    OnMayHaveRun(request, head.sealed ? "the body is encoded"
-                                      : "the answer bears no proof");
+    OnMayHaveRun(request, why);
     return;
   }
   if (!IsStream(*request)) {
@@ -180,8 +223,8 @@
     StartAttempt(request);
     return;
   }
-  request->client_end =
-      output->Answer(request->id, *attempt.head, attempt.body, *attempt.end);
+  request->client_end = output->Answer(request->id, *attempt.head,
+                                       std::string(attempt.body), *attempt.end);
   Finish(request, failed ? "replica_failed" : Name(Verdict::kAnswered),
          attempt.head->status);
 }
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -284,12 +284,7 @@
                    Name(AnswerEnd::kBroken));
   }
   const Attempt attempt = request->attempt;
-  const TimeUs now = output->Now();
-  if (IsEngine(*request)) {
-    engines.OnFailure(now, attempt.replica.id);
-  } else {
-    PlainChoiceOf(request->service).OnFailure(now, attempt.replica.id);
-  }
+  ReportFailure(*request);
   const bool said_not_run =
       attempt.head && (attempt.head->not_run || attempt.head->other_replica);
   if (!sent) {
@@ -305,6 +300,15 @@
   }
 }
 
+void Gateway::Impl::ReportFailure(const ServingRequest& request) {
+  const ReplicaId& replica = request.attempt.replica.id;
+  if (IsEngine(request)) {
+    engines.OnFailure(output->Now(), replica);
+  } else {
+    PlainChoiceOf(request.service).OnFailure(output->Now(), replica);
+  }
+}
+
 std::vector<CallId> Gateway::Impl::CallsAt(const ReplicaId& replica) const {
   std::vector<CallId> calls;
   for (const auto& [call, request] : by_call) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -15,6 +15,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "absl/strings/cord.h"
 #include "coordination/admission/account_shares.h"
 #include "coordination/admission/startup_hold.h"
 #include "coordination/choice/learned_capacity.h"
@@ -45,8 +46,9 @@
   std::optional<ReplicaHead> head;
   std::optional<AnswerEnd> end;  // Not set if no answer ended.
   std::size_t received_bytes = 0;
-  // Body of a plain answer, buffered until it is complete.
-  std::string body;
+  // Body of a plain answer, buffered until it is complete. A string would take
+  // three times its size while it grows.
+  absl::Cord body;
   bool first_event_received = false;
   ReplicaWork work;  // What the request found at the replica.
   // The cold replica limiter was notified that the request arrived or was not
@@ -310,6 +312,8 @@
   std::optional<std::size_t> MaxIdleConnections(
       const ServingRequest& request) const;
   void OnFailed(ServingRequest* request, bool sent, std::string_view why);
+  // Updates the choice of replicas after a failed attempt.
+  void ReportFailure(const ServingRequest& request);
   std::vector<CallId> CallsAt(const ReplicaId& replica) const;
   void FailAttemptsAt(const ReplicaId& replica);
   void OnNotRun(ServingRequest* request);
@@ -347,6 +351,10 @@
   static std::string_view WhyIncomplete(const ServingRequest& request,
                                         AnswerEnd end);
   void FinishPlainAnswer(ServingRequest* request);
+  // Why no answer with this head is passed on; empty if one may be.
+  static std::string_view WhyUnusable(const ReplicaHead& head);
+  // Closes the connection of an answer that exceeds a limit.
+  void AbandonAnswer(ServingRequest* request, std::string_view why);
 
   // gateway_statements.cc
   // `request`: id of the request that was answered, for the log; empty: a call
--- a/src/coordination/tables/table_source.cc
+++ b/src/coordination/tables/table_source.cc
@@ -79,8 +79,8 @@
 
 bool TableSource::ReceivesChanges() const {
   const StoreRequests::Sent* const awaited = store_requests_.AwaitedRequest();
-  const bool from_store =
-      store_requests_.IsReceiving() && !awaited->query.complete_table;
+  const bool from_store = !store_malformed_ && store_requests_.IsReceiving() &&
+                          !awaited->query.complete_table;
   return from_store || ReceivesPages();
 }
 
@@ -206,6 +206,7 @@
   }
   LogLateAnswer(now, *sent);
   store_failed_ = false;
+  store_malformed_ = false;
   if (answer.store_time && answer.known_after) {
     answer.known_after =
         store_clock_.LocalTimeOf(*answer.store_time, sent->sent_at, now) -
@@ -253,6 +254,7 @@
 void TableSource::OnStoreFailed(TimeUs now,
                                 TimeUs sent_at,
                                 const TableAnswer& answer) {
+  store_malformed_ = store_malformed_ || answer.malformed;
   // A single refusal, for example because of the store's rate limit, is not yet
   // an outage.
   if (!std::exchange(store_failed_, true) && !relay_lost_store_) {
--- a/src/coordination/tables/table_source.h
+++ b/src/coordination/tables/table_source.h
@@ -93,7 +93,8 @@
   void OnTick(TimeUs now);
 
   // Whether changes are arriving that are not complete yet. An answer of the
-  // store without changes is too small to be seen on its way.
+  // store without changes is too small to be seen on its way. After bytes that
+  // were no answer, those of the store say nothing until it answers again.
   bool ReceivesChanges() const;
   // When the last request that the store failed to answer was sent; negative if
   // it never failed.
@@ -173,6 +174,7 @@
   TimeUs known_at_ = -1;
   std::uint64_t version_ = 0;  // Highest version received.
   bool store_failed_ = false;
+  bool store_malformed_ = false;
   TimeUs store_failed_at_ = -1;  // See `store_failed_at`.
   int relay_failures_ = 0;       // Successive.
   // Whether a relay reported since the last answer that it does not reach the
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -379,6 +379,8 @@
   }
   options.connect = replicas.plan.Connect();
   options.max_kept = attempt.max_idle_connections;
+  // `Gateway` bounds what it holds of an answer, by what its head says.
+  options.max_body_bytes = kUnlimitedBodyBytes;
   return channels.Start(attempt.address, platform::WriteAttemptRequest(attempt),
                         options, this);
 }
--- a/src/protocol/event_stream.h
+++ b/src/protocol/event_stream.h
@@ -18,6 +18,8 @@
  public:
   // Appends `bytes` and returns the events that are complete now.
   std::vector<StreamEvent> Add(std::string_view bytes);
+  // Limit on `pending`; a stream beyond it is to be ended.
+  static constexpr std::size_t kMaxPendingBytes = 1 << 20;
   // Number of bytes buffered of the incomplete event.
   std::size_t pending() const { return pending_.size(); }
 
--- a/src/protocol/http1.cc
+++ b/src/protocol/http1.cc
@@ -194,8 +194,6 @@
   explicit Impl(bool to_head_request) : to_head(to_head_request) { Reset(); }
 
   void Reset() {
-    // Upstreams may send larger heads than clients, but not unlimited ones.
-    constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
     parser.emplace();
     parser->header_limit(kMaxHeadBytes);
     // Without any limit, Beast refuses a head with Content-Length that arrives
@@ -216,8 +214,7 @@
     if (!OnlyChunked(head.fields) ||
         (FindField(head.fields, "transfer-encoding") != nullptr &&
          FindField(head.fields, "content-length") != nullptr)) {
-      state = State::kBad;
-      error = "an ambiguous body length";
+      Fail("an ambiguous body length");
     }
   }
 
@@ -242,11 +239,15 @@
     boost::beast::error_code ec;
     const std::size_t n =
         parser->put(boost::asio::buffer(buf->data(), buf->size()), ec);
-    received.append(part.data(), part.size() - body.size);
+    const std::size_t body_part = part.size() - body.size;
+    received.append(part.data(), body_part);
     buf->erase(0, n);
     if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
-      state = State::kBad;
-      error = ec.message();
+      Fail(ec.message());
+      return false;
+    }
+    if (const char* why = Count(n - body_part, body_part, buf->size())) {
+      Fail(why);
       return false;
     }
     if (state == State::kHead && parser->is_header_done()) {
@@ -259,6 +260,31 @@
     return n > 0;
   }
 
+  // Counts bytes that were parsed. `unparsed`: bytes left in the buffer.
+  // Returns which limit they exceed, if any.
+  const char* Count(std::size_t other, std::size_t body, std::size_t unparsed) {
+    if (state == State::kHead) {
+      head_bytes += other;
+      return head_bytes > kMaxHeadBytes ? "too many bytes before the body"
+                                        : nullptr;
+    }
+    framing_bytes += other;
+    body_bytes += body;
+    const bool stalls = other == 0 && body == 0;
+    if (stalls && unparsed > kMaxUnparsedBytes) {
+      return "a chunk's head or a trailer is too long";
+    }
+    return framing_bytes >
+                   kMaxFramingBytes + kMaxFramingPerBodyByte * body_bytes
+               ? "too much framing"
+               : nullptr;
+  }
+
+  void Fail(std::string why) {
+    state = State::kBad;
+    error = std::move(why);
+  }
+
   // Discards an interim answer such as "100 Continue", which precedes the final
   // one.
   void SkipInterim() {
@@ -274,6 +300,9 @@
   std::optional<Parser> parser;
   State state = State::kHead;
   HttpAnswerHead head;
+  std::size_t head_bytes = 0;  // With interim answers.
+  std::size_t framing_bytes = 0;
+  std::uint64_t body_bytes = 0;
   std::string received;
   std::string error;
 };
--- a/src/protocol/http1.h
+++ b/src/protocol/http1.h
@@ -73,11 +73,23 @@
   std::unique_ptr<Impl> impl_;
 };
 
-// Parses one answer, whose body can be taken in parts.
+// Parses one answer, whose body can be taken in parts. Bounds all bytes that
+// are no body, so that neither a head, nor interim answers, nor the framing of
+// a body go on without end.
 class HttpAnswerReader {
  public:
   enum class State { kHead, kBody, kDone, kBad };
 
+  // Limit on the head with all interim answers before it. Upstreams may send
+  // larger heads than clients.
+  static constexpr std::size_t kMaxHeadBytes = 64 << 10;
+  // Limit on one chunk's head and on the trailer.
+  static constexpr std::size_t kMaxUnparsedBytes = 16 << 10;
+  // Limit on the bytes of framing: this many, and so many times the body. A
+  // body that is sent byte by byte in chunks has five times its bytes.
+  static constexpr std::size_t kMaxFramingBytes = 64 << 10;
+  static constexpr std::size_t kMaxFramingPerBodyByte = 8;
+
   // `to_head_request`: the answer is to a HEAD request and has no body,
   // whatever its fields say.
   explicit HttpAnswerReader(bool to_head_request);
--- a/src/state/table_rows.h
+++ b/src/state/table_rows.h
@@ -62,6 +62,8 @@
   bool truncated = false;     // There are more rows after the last key.
   std::uint64_t version = 0;  // Version of the store, not of one table.
   std::string why;            // The reason, if the request failed.
+  // What arrived was no answer, so that it came says nothing about the table.
+  bool malformed = false;
   // Changes of the table's split row, if a gateway answered.
   std::optional<SplitRowPage> split_row;
   // The store's monotonic clock when it answered, if the answer has it.
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -126,6 +126,10 @@
     progress_timeout_ = options.progress;
     max_kept_ = std::min(kMaxIdlePerAddress,
                          options.max_kept.value_or(kMaxIdlePerAddress));
+    max_body_bytes_ = options.max_body_bytes;
+    body_bytes_ = 0;
+    foreign_answers_ = 0;
+    foreign_bytes_ = 0;
     is_own_named_ = false;
     is_head_request_ = request.method == "HEAD";
     reader_.emplace(is_head_request_);
@@ -246,7 +250,9 @@
   // Parses the bytes received so far. Returns true if more can be parsed at
   // once.
   bool Step() {
+    const std::size_t before = input_.size();
     const auto state = reader_->Read(&input_);
+    const std::size_t consumed = before - input_.size();
     if (state == HttpAnswerReader::State::kBad) {
       Fail(CallFailureKind::kBadAnswer, reader_->error());
       return false;
@@ -258,7 +264,7 @@
       return false;
     }
     if (discarding_) {
-      return DiscardAnswer(state);
+      return DiscardAnswer(state, consumed);
     }
     return Deliver(state);
   }
@@ -275,6 +281,10 @@
     if (discarding_) {
       owner_->Notify(
           {ChannelEvent::Kind::kForeignAnswer, address_, echo_->value, *id});
+      if (++foreign_answers_ > kMaxForeignAnswers) {
+        Fail(CallFailureKind::kBadAnswer, "too many other answers");
+        return false;
+      }
     } else if (id == nullptr && calls_ > 1) {
       Fail(CallFailureKind::kBadAnswer,
            "an answer without an id on a connection that was used before");
@@ -283,8 +293,13 @@
     return true;
   }
 
-  bool DiscardAnswer(HttpAnswerReader::State state) {
+  bool DiscardAnswer(HttpAnswerReader::State state, std::size_t consumed) {
     reader_->TakeBody();
+    foreign_bytes_ += consumed;
+    if (foreign_bytes_ > kMaxForeignBytes) {
+      Fail(CallFailureKind::kBadAnswer, "too many bytes of other answers");
+      return false;
+    }
     if (state != HttpAnswerReader::State::kDone) {
       return false;
     }
@@ -307,6 +322,12 @@
       }
     }
     const std::string body = reader_->TakeBody();
+    body_bytes_ += body.size();
+    if (max_body_bytes_ != kUnlimitedBodyBytes &&
+        body_bytes_ > max_body_bytes_) {
+      Fail(CallFailureKind::kBadAnswer, "the answer is too long");
+      return false;
+    }
     if (!body.empty()) {
       sink_->OnAnswerBody(id, body);
       if (!still_running()) {
@@ -383,7 +404,12 @@
   std::optional<HttpField> echo_;
   std::size_t calls_ = 0;             // On this connection.
   std::vector<std::size_t> carried_;  // Hashes of the ids of its calls.
-  bool is_own_named_ = false;         // The call's answer carries its id.
+  std::size_t max_body_bytes_ = kUnlimitedBodyBytes;
+  std::size_t body_bytes_ = 0;  // Of the call's answer.
+  // Discarded during the call.
+  std::size_t foreign_answers_ = 0;
+  std::size_t foreign_bytes_ = 0;
+  bool is_own_named_ = false;  // The call's answer carries its id.
   TimeUs started_ = 0;
   TimeUs connect_deadline_ = 0;
   TimeUs answer_deadline_ = 0;
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -12,6 +12,10 @@
 // once, or the call is the first one on its connection. A connection whose last
 // answer carried no id is not used again, as a second copy could not be told
 // from the answer to the next call.
+//
+// Bytes that lead to no answer may come without end. Each buffer has a bound,
+// and so have the bytes that are read and discarded; past it the connection is
+// closed and the call fails.
 #ifndef ACACIACHUTE_SRC_TRANSPORT_HTTP_CHANNELS_H_
 #define ACACIACHUTE_SRC_TRANSPORT_HTTP_CHANNELS_H_
 
@@ -83,6 +87,10 @@
   std::optional<HttpField> echo;
 };
 
+// Far above the answers that acknowledge something.
+inline constexpr std::size_t kMaxSmallBodyBytes = 64 << 10;
+inline constexpr std::size_t kUnlimitedBodyBytes = 0;
+
 struct ChannelOptions {
   // Maximum idle time of a connection that is reused for this request.
   DurationUs max_idle_time = 4 * kSecond;
@@ -95,6 +103,9 @@
   // If not zero, the time limit moves on with each byte of the answer: it is
   // never less than this after the last one.
   DurationUs progress = 0;
+  // Maximum length of the body. For answers that are collected; who passes
+  // bytes on as they arrive bounds what it holds, and sets no limit here.
+  std::size_t max_body_bytes = kMaxSmallBodyBytes;
   // Maximum number of idle connections to the address, including this one, that
   // are kept after the answer; `kMaxIdlePerAddress` if not set.
   std::optional<std::size_t> max_kept;
@@ -106,6 +117,10 @@
   static constexpr std::size_t kMaxIdlePerAddress = 64;
   // Maximum number of calls on one connection, whose ids are remembered.
   static constexpr std::size_t kMaxCallsPerConnection = 256;
+  // Maximum number and bytes of answers to other calls that one call reads and
+  // discards: a few late copies, one of them of the longest answer.
+  static constexpr std::size_t kMaxForeignAnswers = 16;
+  static constexpr std::size_t kMaxForeignBytes = 8 << 20;
 
   explicit HttpChannels(Loop* loop);
   ~HttpChannels();
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -24,6 +24,7 @@
   HttpClient::PartFn part;
   HttpResult result;
   std::uint64_t received = 0;  // Bytes of the body.
+  std::size_t parts = 0;       // In which a collected body arrived.
   bool ended = false;  // Cancelled, finished, or the client was destroyed.
   std::map<HttpClient::CallId, std::shared_ptr<PendingCall>>* calls = nullptr;
 };
@@ -92,6 +93,16 @@
     return;
   }
   call->received += g_bytes_get_size(bytes.get());
+  const bool collects = !call->part || call->result.status != kHttpOk;
+  if (collects && (call->received > HttpClient::kMaxBodyBytes ||
+                   ++call->parts > HttpClient::kMaxBodyParts)) {
+    call->result.error = "the answer is too long";
+    call->result.body.clear();
+    // Closing the stream alone would read the answer to its end.
+    g_cancellable_cancel(call->cancellable.get());
+    Finish(call);
+    return;
+  }
   if (call->part && call->result.status == kHttpOk) {
     call->part(TextOf(bytes.get()));
   } else {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -2,6 +2,7 @@
 #ifndef ACACIACHUTE_SRC_TRANSPORT_HTTP_CLIENT_H_
 #define ACACIACHUTE_SRC_TRANSPORT_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -43,6 +44,12 @@
 
 class HttpClient {
  public:
+  // Limit on a body that is collected; a longer one fails. It is as long as the
+  // longest answer of a pipeline.
+  static constexpr std::size_t kMaxBodyBytes = 8 << 20;
+  // The same for the parts in which it arrives, which chunks can make tiny.
+  static constexpr std::size_t kMaxBodyParts = 16 << 10;
+
   using CallId = std::uint64_t;
   using DoneFn = std::function<void(const HttpResult&)>;
   using PartFn = std::function<void(std::string part)>;
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -137,6 +137,12 @@
     return;
   }
   const auto events = it->second.reader.Add(part);
+  if (it->second.reader.pending() > EventStreamReader::kMaxPendingBytes) {
+    calls.Cancel(it->second.http);
+    running.erase(it);
+    callbacks.error(id, UpstreamError::kMalformed);
+    return;
+  }
   for (const auto& event : events) {
     const auto still_running = running.find(id);
     if (still_running == running.end()) {
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -12,6 +12,8 @@
 #include <map>
 #include <string>
 
+#include "tests/soak/loopback.h"
+#include "tests/soak/raw_listener.h"
 #include "text.h"
 #include "transport/http_channels.h"
 #include "transport/http_client.h"
@@ -367,6 +369,92 @@
   EXPECT_EQ(channels.opened(), 2U);
 }
 
+// Sends `begin` and then `endless` without end in answer to each request.
+struct EndlessServer : ListenerHandler {
+  EndlessServer(Loop* loop, std::string begin_in, std::string_view endless_in)
+      : begin(std::move(begin_in)), listener(this, loop, address) {
+    while (endless.size() < (64 << 10)) {
+      endless += endless_in;
+    }
+  }
+  void OnRequest(ExchangeId id, HttpRequestHead, std::string) override {
+    listener.Write(id, begin);
+    listener.WriteWithoutEnd(id, endless);
+  }
+  void OnClientDisconnected(ExchangeId) override {}
+  void OnWritten(ExchangeId) override {}
+  void OnListenerEvent(const ListenerEvent&) override {}
+
+  const Address address = FreeAddress();
+  const std::string begin;
+  std::string endless;
+  RawListener listener;
+};
+
+// Guards against an answer without end that fills the memory of whoever
+// collects it, such as a report of a replica.
+TEST(HttpChannelsTest, ACollectedAnswerIsBounded) {
+  Loop loop;
+  EndlessServer server(&loop, "HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\n\r\n",
+                       "x");
+  HttpChannels channels(&loop);
+  Sink sink;
+  channels.Start(server.address, Get(), {}, &sink);
+  RunUntil(&loop, [&] { return sink.over(); });
+  ASSERT_TRUE(sink.failure);
+  EXPECT_EQ(sink.failure->reason, "the answer is too long");
+  EXPECT_LE(sink.body.size(), kMaxSmallBodyBytes);
+  EXPECT_EQ(channels.open(), 0U);
+}
+
+// Guards against the same in calls of the product's own interface.
+TEST(HttpClientTest, AnAnswerWithoutEndFails) {
+  struct Place {
+    const char* begin;
+    const char* endless;
+  };
+  for (const Place place :
+       {Place{"", "no HTTP "}, Place{"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+        Place{"HTTP/1.1 200 OK\r\nName: ", "x"},
+        Place{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+        Place{"HTTP/1.1 503 Full\r\n\r\n", "x"},
+        Place{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+              "1\r\nx\r\n"},
+        Place{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+              "x"}}) {
+    Loop loop;
+    EndlessServer server(&loop, place.begin, place.endless);
+    HttpClient client(kSecond);
+    std::optional<HttpResult> result;
+    HttpRequest request;
+    request.url = StrCat("http://127.0.0.1:", server.address.port, "/");
+    client.Call(request, [&](const HttpResult& it) { result = it; });
+    RunUntil(&loop, [&] { return result && server.listener.endless() == 0; });
+    ASSERT_TRUE(result) << place.begin << place.endless;
+    EXPECT_EQ(result->end, AnswerEnd::kBroken) << place.begin << place.endless;
+    EXPECT_EQ(server.listener.endless(), 0U) << place.begin << place.endless;
+    EXPECT_LE(result->body.size(), HttpClient::kMaxBodyBytes);
+  }
+}
+
+// Guards against an event without end of an upstream's stream.
+TEST(UpstreamClientTest, AnEventWithoutEndFails) {
+  Loop loop;
+  EndlessServer server(&loop, "HTTP/1.1 200 OK\r\n\r\ndata: ", "x");
+  std::optional<UpstreamError> error;
+  UpstreamClient client(
+      StrCat("http://127.0.0.1:", server.address.port),
+      {[](UpstreamCallId, const std::string&, bool) {},
+       [&](UpstreamCallId, UpstreamError it) { error = it; }});
+  StageCall call;
+  call.stream = true;
+  client.Call(1, call, kSecond);
+  RunUntil(&loop, [&] { return error && server.listener.endless() == 0; });
+  ASSERT_TRUE(error);
+  EXPECT_EQ(*error, UpstreamError::kMalformed);
+  EXPECT_EQ(server.listener.endless(), 0U);
+}
+
 // The log tells which call received what belongs to none.
 TEST(HttpChannelsTest, ReportsWhatIsGivenToNoCall) {
   Loop loop;
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <vector>
@@ -114,6 +115,17 @@
                  ParseNumber<std::int64_t>(parts[kSystem]).value_or(0));
 }
 
+std::uint64_t GatewayProcess::PeakMemoryBytes() const {
+  constexpr std::string_view kField = "VmHWM:";
+  constexpr std::uint64_t kKilobyte = 1024;
+  const std::string text = ReadProcFile("status");
+  const auto at = text.find(kField);
+  return at == std::string::npos
+             ? 0
+             : kKilobyte * std::strtoull(text.c_str() + at + kField.size(),
+                                         nullptr, 10);
+}
+
 std::uint64_t GatewayProcess::MemoryBytes() const {
   const auto parts = Split(ReadProcFile("statm"), ' ');
   return ParseNumber<std::uint64_t>(parts[1]).value_or(0) *
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -40,6 +40,8 @@
   DurationUs ProcessorTime() const;
   // Resident memory of the process.
   std::uint64_t MemoryBytes() const;
+  // The highest that it ever was.
+  std::uint64_t PeakMemoryBytes() const;
   const Address& clients() const { return clients_; }
   const Address& readiness() const { return readiness_; }
 
--- a/tests/soak/raw_listener.cc
+++ b/tests/soak/raw_listener.cc
@@ -1,10 +1,12 @@
 #include "tests/soak/raw_listener.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "glog/logging.h"
+#include "tests/soak/loopback.h"
 #include "transport/socket_stream.h"
 
 namespace acaciachute {
@@ -48,6 +50,11 @@
     EndExchange();
     ReadNext();
   }
+  void WriteWithoutEnd(std::string bytes) {
+    endless_ = std::move(bytes);
+    Pump();
+  }
+  bool endless() const { return !endless_.empty(); }
   void Close() {
     EndExchange();
     closing_ = true;
@@ -57,6 +64,14 @@
   bool idle() const { return id_ == 0 && !closing_; }
 
  private:
+  void Pump() {
+    constexpr int kMostAtOnce = 16;
+    for (int n = 0; n < kMostAtOnce && stream_->unsent() == 0; ++n) {
+      owner_->endless_bytes_ += endless_.size();
+      stream_->Write(endless_);
+    }
+    RunAfter(owner_->loop_, kMillisecond, alive_, [this] { Pump(); });
+  }
   void EndExchange() {
     owner_->exchanges_.erase(id_);
     id_ = 0;
@@ -81,7 +96,9 @@
   std::string input_;
   std::string answer_;     // Of the request in progress, if copies are sent.
   std::string late_copy_;  // Sent when the next request arrives.
-  ExchangeId id_ = 0;      // Zero if no request is in progress.
+  std::string endless_;    // Written without end; empty: nothing is.
+  const std::shared_ptr<int> alive_ = std::make_shared<int>();
+  ExchangeId id_ = 0;  // Zero if no request is in progress.
   bool closing_ = false;
   std::shared_ptr<SocketStream> stream_;
 };
@@ -149,6 +166,16 @@
     it->Write(bytes);
   }
 }
+void RawListener::WriteWithoutEnd(ExchangeId id, std::string bytes) {
+  if (auto* it = Find(id)) {
+    it->WriteWithoutEnd(std::move(bytes));
+  }
+}
+std::size_t RawListener::endless() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& it) { return it.second->endless(); }));
+}
 void RawListener::Keep(ExchangeId id) {
   if (auto* it = Find(id)) {
     it->Keep();
--- a/tests/soak/raw_listener.h
+++ b/tests/soak/raw_listener.h
@@ -38,6 +38,13 @@
 
   // Unknown ids are ignored here and below.
   void Write(ExchangeId id, std::string_view bytes);
+  // Writes `bytes` again and again, as fast as they are read, until the other
+  // side closes the connection.
+  void WriteWithoutEnd(ExchangeId id, std::string bytes);
+  // Bytes written so on all connections.
+  std::uint64_t endless_bytes() const { return endless_bytes_; }
+  // Connections on which they go on.
+  std::size_t endless() const;
   // Ends the exchange; the connection accepts another request.
   void Keep(ExchangeId id);
   // Ends the exchange and closes its connection in order.
@@ -61,6 +68,7 @@
   GSource* source_ = nullptr;
   int late_copy_period_ = 0;
   int kept_answers_ = 0;
+  std::uint64_t endless_bytes_ = 0;
   ExchangeId next_id_ = 1;
   std::map<ExchangeId, Connection*> exchanges_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
--- a/tests/soak/standin_store.cc
+++ b/tests/soak/standin_store.cc
@@ -27,6 +27,7 @@
     : loop_(loop), address_(FreeAddress()), listener_(this, loop) {
   PCHECK(listener_.Listen(address_).ok());
   RunEvery(loop_, kFeedCheckPeriod, alive_, [this] { AnswerFeeds(); });
+  RunEvery(loop_, kMillisecond, alive_, [this] { WriteEndless(); });
 }
 
 void StandinStore::Put(const std::string& table,
@@ -61,6 +62,9 @@
     listener_.Break(id);
   } else if (fault_mode_ == FaultMode::kUnresponsive) {
     return;
+  } else if (fault_mode_ == FaultMode::kEndless) {
+    listener_.BeginStream(id, kOk, {});
+    endless_.insert(id);
   } else if (head.target.starts_with("/rows-tx")) {
     AnswerTransaction(id, body);
   } else if (head.target.starts_with("/rows-feed")) {
@@ -106,6 +110,16 @@
   }
 }
 
+void StandinStore::WriteEndless() {
+  static const std::string kBytes(64 << 10, ' ');
+  constexpr int kMostAtOnce = 16;
+  for (const ExchangeId id : std::set<ExchangeId>(endless_)) {
+    for (int n = 0; n < kMostAtOnce && listener_.Unsent(id) == 0; ++n) {
+      listener_.StreamData(id, kBytes);
+    }
+  }
+}
+
 void StandinStore::AnswerFeeds() {
   if (fault_mode_ != FaultMode::kServing &&
       fault_mode_ != FaultMode::kLosingAnswers) {
--- a/tests/soak/standin_store.h
+++ b/tests/soak/standin_store.h
@@ -26,6 +26,7 @@
     kResetting,      // Breaks connections without any effect.
     kUnresponsive,   // Does not answer.
     kLosingAnswers,  // Applies transactions but loses their answers.
+    kEndless,        // Answers with bytes without end.
   };
 
   explicit StandinStore(Loop* loop);
@@ -46,7 +47,10 @@
   void OnRequest(ExchangeId id,
                  HttpRequestHead head,
                  std::string body) override;
-  void OnClientDisconnected(ExchangeId id) override { feeds_.erase(id); }
+  void OnClientDisconnected(ExchangeId id) override {
+    feeds_.erase(id);
+    endless_.erase(id);
+  }
   void OnWritten(ExchangeId) override {}
   void OnListenerEvent(const ListenerEvent&) override {}
 
@@ -69,6 +73,8 @@
   void Write(const Key& key, std::string value, bool removed);
   void AnswerRows(ExchangeId id, const std::string& table);
   void AnswerTransaction(ExchangeId id, const std::string& body);
+  // Writes more to the answers that have no end.
+  void WriteEndless();
   // Answers the feeds that have changes to report, whose wait time is over, or
   // whose history was dropped.
   void AnswerFeeds();
@@ -84,6 +90,7 @@
   std::uint64_t dropped_version_ = 0;
   std::map<Key, Row> rows_;
   std::map<ExchangeId, Feed> feeds_;
+  std::set<ExchangeId> endless_;
   const std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
