Drain until the answers that clients still read are with the kernel

Cause: an exchange ended when its answer was handed to the socket; the drain and CloseIdle looked at exchanges alone, not at bytes that were still in the process. Change: connections with such bytes are counted (HttpListener::writing) and waited for, up to the grace period; they are not idle, and the time limit of idle connections counts from the last byte that was passed on. Ruled out: the time limit on silent peers, as these clients read all the time.

--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -251,11 +251,12 @@
   }
   const bool idle = elapsed >= kMinDrainDuration &&
                     gateway->in_progress() == 0 && clients.exchanges() == 0 &&
-                    dispatcher.HasNoPeerRequests();
+                    clients.writing() == 0 && dispatcher.HasNoPeerRequests();
   if (!idle && elapsed < settings.grace - kExitReserve) {
     return;
   }
   log.Write("stop", {{"in_progress", gateway->in_progress()},
+                     {"writing", clients.writing()},
                      {"after_ms", elapsed / kMillisecond}});
   log.Flush();
   loop->Quit();
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -2,6 +2,7 @@
 
 #include <gio/gio.h>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -115,6 +116,7 @@
     if (closing_) {
       closing_since_ = Loop::Now();
     }
+    idle_since_ = Loop::Now();
     if (id_ != 0) {
       owner_->handler->OnWritten(id_);
     }
@@ -177,7 +179,8 @@
   std::size_t unsent() const { return stream_->unsent(); }
 
   bool idle() const {
-    return id_ == 0 && !closing_ && reading_since_ == 0 && input_.empty();
+    return id_ == 0 && !closing_ && reading_since_ == 0 && input_.empty() &&
+           unsent() == 0;
   }
 
   // Whether a time limit of the connection has passed. Refuses a request that
@@ -195,7 +198,10 @@
       Refuse(408, "the request was not sent in time");
       return false;
     }
-    return reading_since_ == 0 && now - idle_since_ > owner_->limits.idle;
+    // A client that reads slowly is not idle, and one that does not read at all
+    // loses its connection by `SocketStream::kPeerTimeout`.
+    return reading_since_ == 0 && unsent() == 0 &&
+           now - idle_since_ > owner_->limits.idle;
   }
 
  private:
@@ -461,6 +467,11 @@
     impl_->Remove(it);
   }
 }
+std::size_t HttpListener::writing() const {
+  return static_cast<std::size_t>(
+      std::count_if(impl_->connections.begin(), impl_->connections.end(),
+                    [](const auto& it) { return it.second->unsent() > 0; }));
+}
 std::size_t HttpListener::connections() const {
   return impl_->connections.size();
 }
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -100,8 +100,11 @@
 
   // From now on each answer carries "Connection: close".
   void BeginDrain();
-  // Closes connections on which no byte of a request has arrived.
+  // Closes connections on which no byte of a request has arrived and whose
+  // answers are with the kernel.
   void CloseIdle();
+  // Connections whose answers are not all passed to the kernel yet.
+  std::size_t writing() const;
   std::size_t connections() const;
   std::size_t exchanges() const;
 
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -3,9 +3,14 @@
 #include <gio/gio.h>
 #include <glib/gstdio.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fstream>
 #include <functional>
@@ -53,9 +58,8 @@
     }
     const HttpFields fields = {{"Attempt-Id", ids.back()},
                                {"Replica-Seal", "proof"}};
-    RunAfter(loop_, delay, alive_, [this, id, fields] {
-      listener_.Reply(id, 200, fields, "answer");
-    });
+    RunAfter(loop_, delay, alive_,
+             [this, id, fields] { listener_.Reply(id, 200, fields, answer); });
   }
   void OnClientDisconnected(ExchangeId) override {}
   void OnWritten(ExchangeId) override {}
@@ -66,6 +70,7 @@
   enum class Domain { kInUse, kEvacuated, kEvacuationEnded };
   Domain domain = Domain::kInUse;
   DurationUs delay = 0;
+  std::string answer = "answer";
   int runs = 0;
   std::vector<std::string> ids;
   std::string account;
@@ -277,6 +282,74 @@
   EXPECT_TRUE(gateway_->ExitedCleanly());
 }
 
+// A client behind a slow link: small buffers, and a few bytes at a time.
+class SlowReader {
+ public:
+  SlowReader(Loop* loop, const Address& address, const std::string& request)
+      : loop_(loop), fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    constexpr int kBuffer = 32 << 10;
+    constexpr int kEthernetSegment = 1460;
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &kBuffer, sizeof kBuffer);
+    setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &kEthernetSegment,
+               sizeof kEthernetSegment);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    EXPECT_EQ(send(fd_, request.data(), request.size(), 0),
+              static_cast<ssize_t>(request.size()));
+    timer_ = loop_->Every(10 * kMillisecond, [this] { Read(); });
+  }
+  ~SlowReader() {
+    loop_->Cancel(timer_);
+    close(fd_);
+  }
+  SlowReader(const SlowReader&) = delete;
+  SlowReader& operator=(const SlowReader&) = delete;
+
+  bool ended = false;
+  HttpAnswerReader answer{false};
+  std::size_t body_bytes = 0;
+
+ private:
+  void Read() {
+    std::array<char, 6 << 10> part{};
+    const ssize_t n = recv(fd_, part.data(), part.size(), MSG_DONTWAIT);
+    if (n > 0) {
+      input_.append(part.data(), static_cast<std::size_t>(n));
+      answer.Read(&input_);
+      body_bytes += answer.TakeBody().size();
+    }
+    ended = ended || n == 0 || (n < 0 && errno != EAGAIN) ||
+            answer.state() == HttpAnswerReader::State::kDone;
+  }
+
+  Loop* const loop_;
+  const int fd_;
+  Loop::TimerId timer_ = 0;
+  std::string input_;
+};
+
+// Guards against answers that are cut by planned work: the process exited while
+// clients still read what it had not passed to the kernel.
+TEST_F(GatewayProcessTest, FinishesAnswersThatAreReadSlowlyOnSigterm) {
+  Start();
+  standin_.answer.assign(4 << 20, 'a');
+  const std::string request =
+      "POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: c1\r\n"
+      "Deadline-Ms: 4000\r\nAuthorization: Bearer k1\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  SlowReader client(&loop_, gateway_->clients(), request);
+  ASSERT_TRUE(WaitFor([&] { return client.body_bytes > 0; }));
+  gateway_->Signal(SIGTERM);
+  ASSERT_TRUE(WaitFor([&] { return client.ended; }));
+  EXPECT_EQ(client.answer.state(), HttpAnswerReader::State::kDone);
+  EXPECT_EQ(client.body_bytes, standin_.answer.size());
+  ASSERT_TRUE(WaitFor([&] { return gateway_->Ended(); }));
+  EXPECT_TRUE(gateway_->ExitedCleanly());
+}
+
 // A gateway starts while the failure domain of the only replica is evacuated.
 // Callers get 503 with Retry-After at once and no request runs; after the
 // evacuation has ended, requests are served.
