--- a/src/daemon/gateway_node_crashes.cc
+++ b/src/daemon/gateway_node_crashes.cc
@@ -124,7 +124,8 @@
   const bool lifted = gateway->LiftBlock(ParseCause(fingerprint));
   readiness.Reply(id, lifted ? kHttpOk : kHttpNotFound,
                   {{"Content-Type", "application/json"}},
-                  Json({{"lifted", fingerprint}}).dump());
+                  Json({{"lifted", fingerprint}})
+                      .dump(-1, ' ', true, Json::error_handler_t::replace));
 }
 
 }  // namespace acaciachute
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -303,6 +303,20 @@
   EXPECT_FALSE(ReadClientRequest(head, "").ok());
 }
 
+// Guards against a request whose bytes end the gateway: JSON for the calls of
+// its pieces could not be written, and nothing caught that.
+TEST(RequestsTest, RefusesPiecesWhoseKeysAreNotText) {
+  for (const char* name : {"Attempt-Id", "Piece-Key"}) {
+    HttpRequestHead head = Head();
+    for (HttpField& it : head.fields) {
+      if (it.name == name) {
+        it.value = "a\xff";
+      }
+    }
+    EXPECT_FALSE(ReadClientRequest(head, "").ok()) << name;
+  }
+}
+
 TEST(RequestsTest, ReadsFieldsThatReplicasState) {
   HttpAnswerHead head;
   head.status = 503;
