Let calls share a connection only where a late copy cannot matter

Cause: after the fix of late answers each release of a result took a connection of its own, and libsoup's calls of the product's own interface that carry no id (reports, fences, the platform's table) still shared theirs. Change: calls without an id whose answers all mean the same (releases) share connections among themselves; HttpClient keeps a connection only for calls whose answers name them. Ruled out: sending releases less often, which holds the memory of stages longer. Tests: HttpChannelsTest.CallsThatAreAlikeShareConnectionsAmongThemselves, HttpClientTest.ALateCopyAnswersNoOtherCall (on the code before, the second call gets the first answer).

--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -59,7 +59,7 @@
   ~Impl() { loop->Cancel(sweep); }
 
   Channel* TakeIdle(const Address& address,
-                    const std::optional<HttpField>& echo,
+                    const ChannelRequest& request,
                     DurationUs max_idle_time);
   void Remove(Channel* channel);
   void Notify(const ChannelEvent& event) const;
@@ -116,6 +116,7 @@
     id_ = id;
     sink_ = sink;
     echo_ = request.echo;
+    alike_ = request.alike;
     ++calls_;
     if (echo_) {
       carried_.push_back(absl::HashOf(echo_->value));
@@ -206,11 +207,16 @@
     }
   }
 
-  // Whether an answer to an earlier call on this connection could be taken for
-  // the one to a call with this id.
-  bool HasCarried(const HttpField& echo) const {
-    return std::find(carried_.begin(), carried_.end(),
-                     absl::HashOf(echo.value)) != carried_.end();
+  // Whether no answer to an earlier call on this connection can be taken for
+  // the one to this request, or none that says anything else.
+  bool MayCarry(const ChannelRequest& request) const {
+    if (request.alike != alike_) {
+      return false;
+    }
+    return request.echo
+               ? std::find(carried_.begin(), carried_.end(),
+                           absl::HashOf(request.echo->value)) == carried_.end()
+               : !alike_.empty();
   }
 
   bool IsFresh(TimeUs now, DurationUs max_idle_time) const {
@@ -273,7 +279,7 @@
   // call has failed.
   bool TakeHead(const HttpAnswerHead& head) {
     if (!echo_) {
-      return true;  // The only call on its connection.
+      return true;  // The only call on its connection, or one of many alike.
     }
     const std::string* id = FindField(head.fields, echo_->name);
     is_own_named_ = id != nullptr && *id == echo_->value;
@@ -349,9 +355,10 @@
     const AnswerEnd end = reader_->end();
     Impl* owner = owner_;
     owner->calls.erase(id);
-    const bool keep = is_own_named_ && calls_ < kMaxCallsPerConnection &&
-                      !closed_by_peer_ && reader_->head().keep_alive &&
-                      input_.empty() && stream_->unsent() == 0;
+    const bool keep = (is_own_named_ || !alike_.empty()) &&
+                      calls_ < kMaxCallsPerConnection && !closed_by_peer_ &&
+                      reader_->head().keep_alive && input_.empty() &&
+                      stream_->unsent() == 0;
     if (keep) {
       KeepIdle();
     } else if (!closed_by_peer_ && stream_->unsent() > 0 && input_.empty()) {
@@ -402,6 +409,7 @@
   CallId id_ = 0;               // Zero while the connection is idle.
   CallSink* sink_ = nullptr;
   std::optional<HttpField> echo_;
+  std::string alike_;                 // See `ChannelRequest`; of all calls.
   std::size_t calls_ = 0;             // On this connection.
   std::vector<std::size_t> carried_;  // Hashes of the ids of its calls.
   std::size_t max_body_bytes_ = kUnlimitedBodyBytes;
@@ -430,10 +438,10 @@
 
 HttpChannels::Impl::Channel* HttpChannels::Impl::TakeIdle(
     const Address& address,
-    const std::optional<HttpField>& echo,
+    const ChannelRequest& request,
     DurationUs max_idle_time) {
   const auto of_address = idle.find(address);
-  if (!echo || of_address == idle.end() || of_address->second.empty()) {
+  if (of_address == idle.end() || of_address->second.empty()) {
     return nullptr;
   }
   std::vector<Channel*>& all = of_address->second;
@@ -449,7 +457,7 @@
       Remove(all.front());
       return nullptr;
     }
-    if (!channel->HasCarried(*echo)) {
+    if (channel->MayCarry(request)) {
       all.erase(std::next(it).base());
       channel->sent_ = false;
       return channel;
@@ -508,7 +516,7 @@
                            CallSink* sink) {
   const CallId id = impl_->next_id++;
   Impl::Channel* channel =
-      impl_->TakeIdle(address, request.echo, options.max_idle_time);
+      impl_->TakeIdle(address, request, options.max_idle_time);
   if (channel == nullptr) {
     auto made = std::make_unique<Impl::Channel>(impl_.get(), address);
     channel = made.get();
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -11,7 +11,7 @@
 // have caused it: it carries the call's id, and its connection carried that id
 // once, or the call is the first one on its connection. A connection whose last
 // answer carried no id is not used again, as a second copy could not be told
-// from the answer to the next call.
+// from the answer to the next call, unless all its calls are alike.
 //
 // Bytes that lead to no answer may come without end. Each buffer has a bound,
 // and so have the bytes that are read and discarded; past it the connection is
@@ -85,6 +85,10 @@
   // The id of the call: one of `fields`, which the server repeats in its
   // answer. Attempts of one client request may share it.
   std::optional<HttpField> echo;
+  // For calls without an id whose answers all mean the same, such as "done":
+  // the kind of these calls. A late copy of one answer may then pass for
+  // another, so they share connections among themselves, and with no others.
+  std::string alike;
 };
 
 // Far above the answers that acknowledge something.
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -192,7 +192,8 @@
   }
   if (request.repeatable) {
     soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
-  } else {
+  }
+  if (!request.repeatable || !request.named) {
     soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
     soup_message_headers_replace(soup_message_get_request_headers(message),
                                  "Connection", "close");
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -25,6 +25,10 @@
   // repeatable request on another connection. A request that is not repeatable
   // gets a connection of its own, which is closed after the answer.
   bool repeatable = false;
+  // Whether the answer names its call, and whoever reads it checks that. Other
+  // calls get connections of their own: on a kept one, a second, late answer
+  // would be taken for the next.
+  bool named = false;
 };
 
 struct HttpResult {
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -171,6 +171,7 @@
   request.url = StrCat(impl_->url, call.path);
   request.body = call.body;
   request.repeatable = call.idempotent;
+  request.named = true;
   request.headers = {
       {kRequestIdHeader, it.name},
       {"X-Priority", std::string(Name(call.caller_class))},
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -351,6 +351,38 @@
   EXPECT_EQ(channels.open(), 0U);
 }
 
+// Calls whose answers all mean the same share connections, and only they do: a
+// late copy of such an answer would be another call's first one.
+TEST(HttpChannelsTest, CallsThatAreAlikeShareConnectionsAmongThemselves) {
+  Loop loop;
+  RawServer server(&loop);
+  server.on_bytes = [](RawServer::Peer* peer) {
+    const std::string id = LastId(*peer);
+    peer->stream->Write(id.empty()
+                            ? "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+                            : AnswerTo(id, id));
+    peer->received.clear();
+  };
+  HttpChannels channels(&loop);
+  const auto body_of = [&](const ChannelRequest& request) {
+    Sink sink;
+    channels.Start(server.address, request, {}, &sink);
+    RunUntil(&loop, [&] { return sink.over(); });
+    return sink.body;
+  };
+  ChannelRequest release;
+  release.alike = "release";
+  for (const char* id : {"a", "b", "c"}) {
+    EXPECT_EQ(body_of(release), "done");
+    EXPECT_EQ(body_of(Get(id)), id);
+  }
+  EXPECT_EQ(channels.opened(), 2U);
+  ChannelRequest other;
+  other.alike = "other";
+  EXPECT_EQ(body_of(other), "done");
+  EXPECT_EQ(channels.opened(), 3U);
+}
+
 // Guards against ids that are remembered without a limit.
 TEST(HttpChannelsTest, AConnectionCarriesABoundedNumberOfCalls) {
   Loop loop;
@@ -437,6 +469,41 @@
   }
 }
 
+// Guards against a row of the platform's table, or a report, that is taken from
+// the answer to an earlier call: nothing in these answers names their calls.
+TEST(HttpClientTest, ALateCopyAnswersNoOtherCall) {
+  struct Server : ListenerHandler {
+    explicit Server(Loop* loop) : listener(this, loop, address) {
+      listener.SetLateCopies(1);
+    }
+    void OnRequest(ExchangeId id, HttpRequestHead, std::string) override {
+      const std::string body = StrCat("answer ", ++calls);
+      listener.Write(id, StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                                body.size(), "\r\n\r\n", body));
+      listener.Keep(id);
+    }
+    void OnClientDisconnected(ExchangeId) override {}
+    void OnWritten(ExchangeId) override {}
+    void OnListenerEvent(const ListenerEvent&) override {}
+    const Address address = FreeAddress();
+    RawListener listener;
+    int calls = 0;
+  };
+  Loop loop;
+  Server server(&loop);
+  HttpClient client(kSecond);
+  for (int n = 1; n <= 4; ++n) {
+    HttpRequest request;
+    request.url = StrCat("http://127.0.0.1:", server.address.port, "/");
+    request.repeatable = true;
+    std::optional<HttpResult> result;
+    client.Call(request, [&](const HttpResult& it) { result = it; });
+    RunUntil(&loop, [&] { return result.has_value(); });
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->body, StrCat("answer ", n));
+  }
+}
+
 // Guards against an event without end of an upstream's stream.
 TEST(UpstreamClientTest, AnEventWithoutEndFails) {
   Loop loop;
