--- a/tests/process/endless_answer_test.cc
+++ b/tests/process/endless_answer_test.cc
@@ -196,9 +196,6 @@
     options.name = "front-1";
     options.store = store_.address();
     options.retries = {1.0, 100000, 10 * kSecond};
-    if (const char* log = std::getenv("ENDLESS_LOG")) {
-      options.log = log;
-    }
     gateway_ = std::make_unique<GatewayProcess>(options);
     gateway_->Start();
   }
