Log whom a replica's start was asked of, and what came back

Cause: the record of the unasked calls can't be told apart: no line named the address of the question or the status of its answer, so one process that took another's address looks like one that has no such page. Change: replica_start names replica, address, status, start and the failure. No functional change

--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -396,10 +396,15 @@
 
 void GatewayNode::Impl::AskReplicaStart(const ReplicaId& replica,
                                         const Address& address) {
-  replica_starts.Ask(address,
-                     [this, replica](std::optional<Incarnation> start) {
-                       gateway->OnReplicaStart(replica, start);
-                     });
+  replica_starts.Ask(
+      address, [this, replica, address](const platform::StartAnswer& answer) {
+        log.Write("replica_start", {{"replica", replica.name},
+                                    {"address", AddressText(address)},
+                                    {"status", answer.status},
+                                    {"start", answer.start.value_or(0)},
+                                    {"why", answer.why}});
+        gateway->OnReplicaStart(replica, answer.start);
+      });
 }
 
 void GatewayNode::Impl::OnPieceStatement(const ReplicaId& replica,
--- a/tests/platform/replica_starts_test.cc
+++ b/tests/platform/replica_starts_test.cc
@@ -36,8 +36,8 @@
   HttpChannels channels(loop);
   platform::ReplicaStarts starts(&channels);
   std::optional<Incarnation> out;
-  starts.Ask(address, [&](std::optional<Incarnation> start) {
-    out = start;
+  starts.Ask(address, [&](const platform::StartAnswer& answer) {
+    out = answer.start;
     loop->Quit();
   });
   loop->Run();
