Write calls of the system's own without ids, for the replica they are meant for

Cause: the fix of late answers gave calls of our own a request id, which on the platform's pages is the mark of work; the question for a replica's start also named no replica, and it is sent when a connection is lost, when the address is likeliest to be another process's. Pieces carried an id too (kept out by Expect-Replica alone), releases named nobody. A release to an address where nobody is listed is dropped. Why it is enough: without an id a process of another kind answers 400 and does not run it; one of the same kind answers 421 unless it is the one that is named. Stand-ins know the calls of their own kind only and judge ids that no client sent, on each arrival.

--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -397,7 +397,8 @@
 void GatewayNode::Impl::AskReplicaStart(const ReplicaId& replica,
                                         const Address& address) {
   replica_starts.Ask(
-      address, [this, replica, address](const platform::StartAnswer& answer) {
+      replica, address,
+      [this, replica, address](const platform::StartAnswer& answer) {
         log.Write("replica_start", {{"replica", replica.name},
                                     {"address", AddressText(address)},
                                     {"status", answer.status},
@@ -474,11 +475,18 @@
   pieces.Run(call);
 }
 
+// A replica that is listed no more may have gone, with its results, and left
+// its address to another process.
 void GatewayNode::Impl::ReleaseAt(const Address& replica,
                                   const std::vector<std::string>& handles) {
   const ReplicaEntry* producer = directory.ProducerOf(handles.front());
-  pieces.ReleaseResults(producer != nullptr ? producer->id : ReplicaId(),
-                        replica, handles);
+  if (producer == nullptr) {
+    metrics.Count("acaciachute_gateway_releases_dropped_total");
+    log.Write("release_dropped",
+              {{"address", AddressText(replica)}, {"results", handles.size()}});
+    return;
+  }
+  pieces.ReleaseResults(producer->id, replica, handles);
 }
 
 GatewayNode::GatewayNode(const HostSettings& settings, Loop* loop)
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstdio>
 #include <deque>
 #include <utility>
 #include <vector>
@@ -68,9 +67,6 @@
   Loop* const loop;
   Loop::TimerId sweep = 0;
   CallId next_id = 1;
-  // Tells the calls of this process from those of others in servers' logs.
-  const std::uint32_t name_prefix = g_random_int();
-  std::uint32_t next_name = 0;
   std::uint64_t opened = 0;
   absl::flat_hash_map<CallId, Channel*> calls;
   absl::flat_hash_map<Address, std::vector<Channel*>> idle;
@@ -552,14 +548,6 @@
   }
 }
 
-std::string HttpChannels::NewCallName() {
-  constexpr std::size_t kDigits = 16;
-  std::array<char, kDigits + 1> text{};
-  std::snprintf(text.data(), text.size(), "%08x%08x", impl_->name_prefix,
-                ++impl_->next_name);
-  return text.data();
-}
-
 void HttpChannels::SetEventHandler(
     std::function<void(const ChannelEvent&)> handle) {
   impl_->on_event = std::move(handle);
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -143,8 +143,6 @@
   bool CancelIfUnsent(CallId id);
   // Pauses or resumes reading the answer.
   void SetReading(CallId id, bool reading);
-  // Returns an id that no other call of this object has.
-  std::string NewCallName();
   // `handle` is called, from the loop, when something is received that is given
   // to no call.
   void SetEventHandler(std::function<void(const ChannelEvent&)> handle);
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -72,6 +72,22 @@
              : 0;
 }
 
+// Writes a call of this system's own. It has no request id: whatever has one is
+// work for the process that reads it.
+HttpRequest WriteOwnCall(const std::string& url, std::string_view path) {
+  HttpRequest request;
+  request.url = StrCat(url, path);
+  return request;
+}
+HttpRequest WriteOwnCall(const std::string& url,
+                         std::string_view path,
+                         const Json& body) {
+  HttpRequest request = WriteOwnCall(url, path);
+  request.method = "POST";
+  request.body = body.dump();
+  return request;
+}
+
 OrderOutcome OutcomeOf(const HttpResult& result) {
   if (!result.sent || result.status == kHttpUnavailable ||
       result.status == kHttpTooMany) {
@@ -197,10 +213,8 @@
     return;
   }
   impl_->calls.Cancel(it->second.http);
-  HttpRequest request;
-  request.method = "POST";
-  request.url = StrCat(impl_->url, "/v1/cancel");
-  request.body = Json{{"id", it->second.name}}.dump();
+  HttpRequest request =
+      WriteOwnCall(impl_->url, "/v1/cancel", {{"id", it->second.name}});
   request.repeatable = true;
   impl_->running.erase(it);
   // Closing the connection already cancels the call; this request only frees
@@ -211,8 +225,7 @@
 void UpstreamClient::ReadFence(
     const std::function<void(bool known, bool enforces_fence, FenceNumber)>&
         done) {
-  HttpRequest request;
-  request.url = StrCat(impl_->url, "/v1/fence");
+  HttpRequest request = WriteOwnCall(impl_->url, "/v1/fence");
   request.repeatable = true;
   impl_->reports.Call(request, [done](const HttpResult& result) {
     const bool enforces_fence = result.status == kHttpOk && result.ended();
@@ -224,15 +237,12 @@
 void UpstreamClient::ForwardOrder(
     const ControlOrder& order,
     const std::function<void(OrderOutcome, FenceNumber)>& done) {
-  HttpRequest request;
-  request.method = "POST";
-  request.url = StrCat(impl_->url, "/v1/orders");
-  request.body = Json{{"order_id", order.order_id},
-                      {"fence", order.fence},
-                      {"kind", Name(order.kind)},
-                      {"model", order.model},
-                      {"version", order.model_version}}
-                     .dump();
+  const HttpRequest request = WriteOwnCall(impl_->url, "/v1/orders",
+                                           {{"order_id", order.order_id},
+                                            {"fence", order.fence},
+                                            {"kind", Name(order.kind)},
+                                            {"model", order.model},
+                                            {"version", order.model_version}});
   impl_->calls.Call(request, [done](const HttpResult& result) {
     done(OutcomeOf(result), ParseFence(result));
   });
@@ -240,8 +250,7 @@
 
 void UpstreamClient::FetchReport(
     const std::function<void(const UpstreamReport&)>& done) {
-  HttpRequest request;
-  request.url = StrCat(impl_->url, "/v1/load");
+  HttpRequest request = WriteOwnCall(impl_->url, "/v1/load");
   request.repeatable = true;
   impl_->reports.Call(request, [done](const HttpResult& result) {
     UpstreamReport report;
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -1,6 +1,7 @@
 // Tests the HTTP listener and client, the sockets, the event loop and the log
 // writer, over loopback sockets.
 #include <fcntl.h>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -522,6 +523,51 @@
   EXPECT_EQ(server.listener.endless(), 0U);
 }
 
+// Guards against an upstream that takes a call of this system's own for work:
+// it runs what has a request id.
+TEST(UpstreamClientTest, OnlyWorkHasARequestId) {
+  // Answers everything but work.
+  struct Server : ListenerHandler {
+    explicit Server(Loop* loop) : listener(this, loop) {
+      EXPECT_TRUE(listener.Listen(address).ok());
+    }
+    void OnRequest(ExchangeId id, HttpRequestHead head, std::string) override {
+      names_work[head.target] =
+          FindField(head.fields, "X-Request-Id") != nullptr;
+      if (head.target != "/work") {
+        listener.Reply(id, 200, {}, "{}");
+      }
+    }
+    void OnClientDisconnected(ExchangeId) override {}
+    void OnWritten(ExchangeId) override {}
+    void OnListenerEvent(const ListenerEvent&) override {}
+
+    const Address address = FreeAddress();
+    HttpListener listener;
+    std::map<std::string, bool> names_work;  // By target.
+  };
+  Loop loop;
+  Server server(&loop);
+  UpstreamClient client(StrCat("http://127.0.0.1:", server.address.port),
+                        {[](UpstreamCallId, const std::string&, bool) {},
+                         [](UpstreamCallId, UpstreamError) {}});
+  client.FetchReport([](const UpstreamReport&) {});
+  client.ReadFence([](bool, bool, FenceNumber) {});
+  client.ForwardOrder({}, [](OrderOutcome, FenceNumber) {});
+  StageCall call;
+  call.path = "/work";
+  client.Call(1, call, kSecond);
+  RunUntil(&loop, [&] { return server.names_work.size() == 4; });
+  client.Cancel(1);
+  RunUntil(&loop, [&] { return server.names_work.size() == 5; });
+  EXPECT_THAT(server.names_work,
+              testing::ElementsAre(testing::Pair("/v1/cancel", false),
+                                   testing::Pair("/v1/fence", false),
+                                   testing::Pair("/v1/load", false),
+                                   testing::Pair("/v1/orders", false),
+                                   testing::Pair("/work", true)));
+}
+
 // The log tells which call received what belongs to none.
 TEST(HttpChannelsTest, ReportsWhatIsGivenToNoCall) {
   Loop loop;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -61,6 +61,8 @@
   void OnSent(const std::string& id,
               LedgerEntry entry,
               const std::vector<std::string>& services);
+  // Whether a client sent it.
+  bool Knows(const std::string& id) const { return entries_.contains(id); }
   // A replica received the attempt, with `time_left` as its deadline (negative:
   // none), or a piece of one; it may turn it away.
   void OnRequestArrived(TimeUs now,
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -104,6 +104,10 @@
   static constexpr DurationUs kRowLifetime = 2500 * kMillisecond;
   // `resets`: its connections are reset, not closed.
   void EndReplica(StandinReplica* replica, bool resets = false);
+  // A process that hangs ends, with its connections, and a new plain replica
+  // has its address at once. The rows say so after `kRowDelay`.
+  static constexpr DurationUs kRowDelay = 300 * kMillisecond;
+  void GiveAddressToPlain(StandinReplica* silent);
   // Crashes a replica and lists its next incarnation in the store.
   void CrashReplica(std::size_t n);
 
