Admit streams that clients take up on their own merits

Cause: admission looks at a request before anybody looks whether it takes a stream up. The time since the stream's first attempt counted against its aim, so what its client already holds half of was refused as new and late ("full", until late -9941 ms). Change: the aim of a stream that is taken up counts from the try, and it is admitted wherever it can go on before its client leaves; what certainly can't is refused at once. Shares of accounts are as before: it needs no credit and counts against its own account. Why it is enough: its stages may have to be made again, as for any admitted request; nobody else's share pays for that.

--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -235,9 +235,12 @@
   request->service = ChooseService(*route);
   request->priority = PriorityOf(*route, account);
   request->received_at = received_at;
+  request->resume_after = request->call.resume_after;
   const DurationUs elapsed = ElapsedBefore(*route, request->call);
-  request->target_by =
-      received_at + route->target - kClientTransitTime - elapsed;
+  request->target_by = received_at + route->target - kClientTransitTime;
+  if (!TakesUpStream(*request)) {
+    request->target_by -= elapsed;
+  }
   const DurationUs time_limit =
       request->call.deadline > 0
           ? std::min(request->call.deadline - kClientTransitTime,
@@ -250,7 +253,6 @@
         std::min(request->first_response_by,
                  received_at + route->FirstEventTimeout() - kClientTransitTime);
   }
-  request->resume_after = request->call.resume_after;
   const std::vector<PoolDemand> demands = DemandsOf(*request);
   request->admission = HasNoReplica(*request, &refusal) ||
                                HasNoTurn(*request, &refusal) ||
@@ -406,6 +408,11 @@
   const auto share = [left](double part) {
     return static_cast<DurationUs>(part * static_cast<double>(left));
   };
+  // Its client holds a part of the answer, which is lost with a refusal. Only
+  // what certainly comes too late is refused.
+  if (TakesUpStream(*request) && in_time + work <= left) {
+    return AdmissionResult::kLate;
+  }
   if (late + work <= share(kLateAdmissionShare)) {
     return AdmissionResult::kLate;
   }
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -139,16 +139,18 @@
     call.body = "body " + std::to_string(last_exchange + 1);
     return Send(route, "k1", std::move(call));
   }
+  // `elapsed`: of the client's deadline.
   ExchangeId Send(const std::string& route,
                   const std::string& key,
-                  ClientRequest call) {
+                  ClientRequest call,
+                  DurationUs elapsed = 0) {
     const ExchangeId id = ++last_exchange;
     call.id = "c" + std::to_string(id);
     call.method = "POST";
     call.host = "h.example";
     call.target = "/" + route + "/x";
     call.key = key;
-    call.deadline = 10 * kSecond;
+    call.deadline = 10 * kSecond - elapsed;
     call.prompt_tokens = 100;
     call.piece_key = "source";
     core.OnCall(id, call);
