Record streams from a second version on, the newest first

Cause: rows were written only once a client had named the attempt that began its stream, and clients name it after a failure only; and the backlog at the coming of a second version was written oldest first, while most of it had ended. Change: rows are written while a service has several versions, named or not, of each write the newest streams. The bounds on calls and bytes stay. Why it is enough: what is missed is what began within a write interval before the kill. Where no client ever names an attempt the rows are of no use, at most 50 writes a second of the whole fleet.

--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -54,9 +54,6 @@
 }
 
 void Gateway::Impl::TakeUpStream(ServingRequest* request) {
-  if (!request->call.resumed_attempt.empty()) {
-    stream_recorder.OnNamed();
-  }
   if (const auto origin = FindOrigin(OriginQueryOf(*request))) {
     GoOnFrom(request, *origin, "here");
     return;
@@ -269,9 +266,6 @@
 
 void Gateway::OnStreamOriginQuery(const NodeId& from,
                                   const StreamOriginQuery& query) {
-  if (!query.attempt.empty()) {
-    impl_->stream_recorder.OnNamed();
-  }
   StreamOriginAnswer answer = {query.request, {}};
   if (auto origin = impl_->FindOrigin(query)) {
     answer.origins.push_back(std::move(*origin));
--- a/src/coordination/streams/stream_recorder.cc
+++ b/src/coordination/streams/stream_recorder.cc
@@ -13,12 +13,6 @@
   }
 }
 
-void StreamRecorder::OnNamed() {
-  if (!std::exchange(named_, true)) {
-    log_->Write("stream_rows", {{"recording", true}});
-  }
-}
-
 void StreamRecorder::RemoveOld(TimeUs now) {
   while (!remembered_.empty() &&
          now - remembered_.front().began_at > kLifetime) {
@@ -28,7 +22,7 @@
 
 void StreamRecorder::OnTick(TimeUs now, std::size_t gateways) {
   RemoveOld(now);
-  if (!named_ || writing_ || now < next_write_at_) {
+  if (writing_ || now < next_write_at_) {
     return;
   }
   const DurationUs interval =
@@ -52,14 +46,23 @@
 }
 
 void StreamRecorder::Place(std::uint64_t most) {
+  const auto is_due = [this](const Stream& it) {
+    return several_(it.origin.service);
+  };
+  const auto due = static_cast<std::uint64_t>(
+      std::count_if(remembered_.begin(), remembered_.end(), is_due));
+  // The older ones are more likely to have ended.
+  std::uint64_t wait = due - std::min(most, due);
   std::deque<Stream> left;
   for (Stream& it : remembered_) {
-    if (most > 0 && several_(it.origin.service)) {
-      --most;
+    if (!is_due(it)) {
+      left.push_back(std::move(it));
+    } else if (wait > 0) {
+      --wait;
+      left.push_back(std::move(it));
+    } else {
       ++next_number_;
       recorded_.push_back(std::move(it));
-    } else {
-      left.push_back(std::move(it));
     }
   }
   remembered_ = std::move(left);
--- a/src/coordination/streams/stream_recorder.h
+++ b/src/coordination/streams/stream_recorder.h
@@ -6,9 +6,9 @@
 // memory. If all of them end at once, as in a failure of the platform that
 // restarts every host, nobody knows, and all streams in progress are refused.
 // So each gateway writes rows with the streams that begin there, of services
-// with several versions, once any client has named the attempt that began its
-// stream; where clients do not name it, rows would be of no use. A stream never
-// waits for its row.
+// with several versions, from the second version on: clients name the attempt
+// that began their stream only after a failure, which is too late to begin. A
+// stream never waits for its row.
 //
 // Bounds: a gateway has `kRows` rows, written in turn over one another, with
 // `kRowStreams` streams each. It writes one transaction an interval, with the
@@ -118,10 +118,6 @@
 
   // A stream began here.
   void OnBegun(TimeUs now, const StreamOrigin& origin);
-  // A client, here or at another gateway, named the attempt that began its
-  // stream.
-  void OnNamed();
-  bool named() const { return named_; }
   // `gateways`: those that write. Call it every 10 ms.
   void OnTick(TimeUs now, std::size_t gateways);
   // What the rows say of a stream that a client took up at `since`. Asks the
@@ -141,7 +137,7 @@
   };
 
   void RemoveOld(TimeUs now);
-  // Appends the streams that are to be written to the rows.
+  // Appends the streams that are to be written to the rows, the newest `most`.
   void Place(std::uint64_t most);
   void Write(TimeUs now);
   void BeginRead(TimeUs now);
@@ -153,10 +149,9 @@
   const SeveralFn several_;
   Metrics* const metrics_;
   EventLog* const log_;
-  bool named_ = false;
-  // In order of their beginning, as are those in the rows.
-  std::deque<Stream> remembered_;
-  // The streams in the rows have consecutive numbers; `number / kRowStreams`
+  std::deque<Stream> remembered_;  // In order of their beginning.
+  // In order of their writing, of each write in that of their beginning. The
+  // streams in the rows have consecutive numbers; `number / kRowStreams`
   // modulo `kRows` is the slot of the row.
   std::deque<Stream> recorded_;
   std::uint64_t next_number_ = 0;  // Of the stream after the last.
