Check the process behind a first connection; learn versions from late rows

Cause: a gateway without a connection to a replica does not notice that it was replaced; and what begins before the new row comes has no version. Once clients name the attempt that began their stream, the first connection to a replica that states its start is a doubt; the answer to a stream that goes on there is read once the process has said when it started. A stream that began at a process with another start than its row gets its version once the row of that process is read.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -281,6 +281,7 @@
 
 void Gateway::OnReplica(const ReplicaEntry& replica, DirectoryChange change) {
   impl_->versions_changed = true;
+  impl_->LearnVersions();
   const bool restarted = change == DirectoryChange::kRestarted;
   if (restarted || (change == DirectoryChange::kRemoved && !replica.leaving)) {
     impl_->OnReplicaEnded(replica.id, Name(change));
@@ -346,6 +347,7 @@
       impl_->output->AskReplicaStart(attempt.replica.id,
                                      attempt.replica.address);
     }
+    impl_->AwaitStart(request);
   }
 }
 
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -192,6 +192,8 @@
   void OnReplicaConnected(CallId id);
   // The other side ended the last connection to the replica, or refused one.
   void OnConnectionsLost(const ReplicaId& replica);
+  // A connection to the replica was made while there was none.
+  void OnFirstConnection(const ReplicaId& replica);
   // Zero if the process does not say it, empty if it does not answer.
   void OnReplicaStart(const ReplicaId& replica,
                       std::optional<Incarnation> start);
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -107,13 +107,7 @@
     // released.
     dispatcher->ReleaseResults(request->progress.TakeAll());
   }
-  if (!request->origin_told && request->events.complete_events() > 0 &&
-      !version_doubts.InDoubt(attempt.replica.id)) {
-    request->origin_told = true;
-    request->stream_version =
-        request->stream_version.value_or(attempt.replica.version);
-    OnStreamBegun(*request);
-  }
+  TellOrigin(request);
   if (!request->stream_begun) {
     request->stream_begun = true;
     request->stream_begun_at = output->Now();
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -177,6 +177,7 @@
                    request->service, request->attempt.replica_list_age);
   request->attempt.call = output->Send(attempt_request);
   by_call[request->attempt.call] = request;
+  AwaitStart(request);
 }
 
 std::optional<std::size_t> Gateway::Impl::MaxIdleConnections(
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -30,6 +30,7 @@
 #include "coordination/gateway/version_doubts.h"
 #include "coordination/gateway/version_ledger.h"
 #include "coordination/stages/stage_progress.h"
+#include "coordination/streams/begun_in_doubt.h"
 #include "coordination/streams/stream_recorder.h"
 
 namespace acaciachute {
@@ -54,6 +55,8 @@
   // The cold replica limiter was notified that the request arrived or was not
   // sent.
   bool arrival_reported = false;
+  // Reading is stopped until the replica's process has said when it started.
+  bool awaits_start = false;
   // Reading from the replica is stopped until the client has read more.
   bool paused = false;
   // This attempt took a token of the retry budget, and its arrival is not
@@ -172,7 +175,8 @@
   // Software version of the replica whose event the client got first. What
   // another version writes does not continue the stream. Empty: no event yet.
   std::optional<std::string> stream_version;
-  bool origin_told = false;  // See `Gateway::Impl::OnStreamBegun`.
+  bool origin_told = false;     // See `Gateway::Impl::TellOrigin`.
+  bool began_in_doubt = false;  // See `Gateway::Impl::begun_in_doubt`.
   std::optional<OriginSearch> origin_search;
   std::string fingerprint;  // Empty until it is needed.
   // The only blocked cause of the request, if it may try it.
@@ -294,7 +298,8 @@
                      const ReplicaEntry& replica) const {
     return !request.stream_version ||
            (*request.stream_version == replica.version &&
-            !version_doubts.InDoubt(replica.id));
+            (!version_doubts.InDoubt(replica.id) ||
+             version_doubts.IsChecked(replica.id)));
   }
   // Whether it has, and a stream may begin at its version.
   bool MayServe(const ServingRequest& request,
@@ -421,8 +426,17 @@
 
   // gateway_streams.cc: streams that clients take up again.
   static bool TakesUpStream(const ServingRequest& request);
-  // The client got the first event; others may be asked where it began.
-  void OnStreamBegun(const ServingRequest& request);
+  // The client got an event; others may be asked where the stream began.
+  void TellOrigin(ServingRequest* request);
+  void OnStreamBegun(const StreamOrigin& origin);
+  void OnStreamNamed();
+  // The rows of processes in doubt may have been read.
+  void LearnVersions();
+  // Holds back the answer to a stream that goes on at a replica which is being
+  // asked for its start.
+  void AwaitStart(ServingRequest* request);
+  // The replica of a call was asked. `same`: its process is the one of its row.
+  void OnStartKnown(CallId call, bool same);
   static StreamOriginQuery OriginQueryOf(const ServingRequest& request);
   std::optional<StreamOrigin> FindOrigin(const StreamOriginQuery& query) const;
   // Begins the request where its stream began, once that is known.
@@ -524,6 +538,10 @@
   VersionLedger version_ledger;
   StreamRecorder stream_recorder;
   VersionDoubts version_doubts;
+  BegunInDoubt begun_in_doubt;
+  // A client, here or at another gateway, has named the attempt that began its
+  // stream.
+  bool streams_are_named = false;
   bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
   LearnedCapacity capacity;
--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -29,11 +29,34 @@
          (request.resume_after || !request.call.resumed_attempt.empty());
 }
 
+// Where the replica is in doubt, the version in the list is not the stream's.
+void Gateway::Impl::TellOrigin(ServingRequest* request) {
+  const ReplicaEntry& replica = request->attempt.replica;
+  if (request->origin_told || request->events.complete_events() == 0) {
+    return;
+  }
+  StreamOrigin origin = {request->call.id, AccountOf(*request),
+                         request->service, "", 0};
+  if (!version_doubts.InDoubt(replica.id)) {
+    request->origin_told = true;
+    request->stream_version = request->stream_version.value_or(replica.version);
+    origin.version = *request->stream_version;
+    OnStreamBegun(origin);
+    return;
+  }
+  const Incarnation start = version_doubts.StartOf(replica.id);
+  if (!request->stream_version && !request->began_in_doubt && start != 0) {
+    request->began_in_doubt = true;
+    begun_in_doubt.Add({std::move(origin),
+                        {replica.id.name, start},
+                        request->id,
+                        output->Now()});
+  }
+}
+
 // Streams that cannot be taken up are told too: a later configuration may allow
 // it. A client may name the attempt that took the stream up last.
-void Gateway::Impl::OnStreamBegun(const ServingRequest& request) {
-  const StreamOrigin origin = {request.call.id, AccountOf(request),
-                               request.service, *request.stream_version, 0};
+void Gateway::Impl::OnStreamBegun(const StreamOrigin& origin) {
   stream_origins.Add(output->Now(), origin);
   stream_recorder.OnBegun(output->Now(), origin);
   for (const NodeId& it : StreamOrigins::Holders(
@@ -42,6 +65,55 @@
   }
 }
 
+void Gateway::Impl::LearnVersions() {
+  const auto version_of =
+      [this](const ReplicaId& process) -> std::optional<std::string> {
+    const ReplicaEntry* entry = directory->Find(process);
+    return entry == nullptr ? std::nullopt : std::optional(entry->version);
+  };
+  for (const auto& it : begun_in_doubt.TakeKnown(output->Now(), version_of)) {
+    ServingRequest* request = FindByExchange(it.request);
+    if (request != nullptr && request->call.id == it.origin.attempt) {
+      request->origin_told = true;
+      request->stream_version = it.origin.version;
+    }
+    OnStreamBegun(it.origin);
+    log->Write("stream_version_learned", {{"id", it.origin.attempt},
+                                          {"replica", it.process.name},
+                                          {"start", it.process.incarnation},
+                                          {"version", it.origin.version}});
+  }
+}
+
+void Gateway::Impl::AwaitStart(ServingRequest* request) {
+  Attempt& attempt = request->attempt;
+  if (request->stream_version && version_doubts.IsChecked(attempt.replica.id)) {
+    attempt.awaits_start = true;
+    output->SetReading(attempt.call, false);
+  }
+}
+
+void Gateway::Impl::OnStartKnown(CallId call, bool same) {
+  ServingRequest* request = FindByCall(call);
+  if (request == nullptr) {
+    return;  // It ended with one before it.
+  }
+  if (!std::exchange(request->attempt.awaits_start, false)) {
+    TellOrigin(request);
+  } else if (same) {
+    output->SetReading(call, true);
+  } else {
+    CancelAttempt(request);
+    OnMayHaveRun(request, "another version may have taken the replica's place");
+  }
+}
+
+void Gateway::Impl::OnStreamNamed() {
+  if (!std::exchange(streams_are_named, true)) {
+    log->Write("streams_named", {});
+  }
+}
+
 StreamOriginQuery Gateway::Impl::OriginQueryOf(const ServingRequest& request) {
   return {request.id, request.call.resumed_attempt, AccountOf(request)};
 }
@@ -100,6 +172,12 @@
 void Gateway::Impl::ConcludeOrigin(ServingRequest* request) {
   OriginSearch& search = *request->origin_search;
   search.asked_all = true;
+  if (version_doubts.AnyOtherProcess()) {
+    RefuseUnknownStream(request,
+                        "a process whose version is not known took a "
+                        "replica's place");
+    return;
+  }
   if (version_ledger.Several()) {
     ConcludeFromRows(request);
     return;
@@ -226,15 +304,48 @@
   impl_->output->AskReplicaStart(replica, entry->address);
 }
 
+// Where it matters: for streams that are taken up, and for all streams where
+// clients name the attempt that began theirs.
+void Gateway::OnFirstConnection(const ReplicaId& replica) {
+  const ReplicaEntry* entry = impl_->directory->Find(replica);
+  if (impl_->config == nullptr || entry == nullptr ||
+      !impl_->config->HasStreams(entry->service)) {
+    return;
+  }
+  const auto calls = impl_->CallsAt(replica);
+  const bool check =
+      replica.incarnation != 0 &&
+      (impl_->streams_are_named ||
+       std::any_of(calls.begin(), calls.end(), [this](CallId it) {
+         return impl_->FindByCall(it)->stream_version.has_value();
+       }));
+  if (impl_->version_doubts.OnFirstConnection(impl_->output->Now(), replica,
+                                              check)) {
+    impl_->metrics->Count("acaciachute_gateway_version_checks_total",
+                          entry->service);
+    impl_->output->AskReplicaStart(replica, entry->address);
+  }
+}
+
 void Gateway::OnReplicaStart(const ReplicaId& replica,
                              std::optional<Incarnation> start) {
   const bool same = start && *start != 0 && *start == replica.incarnation;
+  const bool was_checked = impl_->version_doubts.IsChecked(replica);
   if (same) {
     impl_->version_doubts.Clear(replica);
-  } else if (start) {
-    // Its connection was made for the question.
-    std::ignore =
-        impl_->version_doubts.OnConnected(impl_->output->Now(), replica);
+  } else {
+    if (start) {
+      // Its connection was made for the question.
+      std::ignore =
+          impl_->version_doubts.OnConnected(impl_->output->Now(), replica);
+    }
+    impl_->version_doubts.OnStart(replica, start.value_or(0));
+  }
+  for (const CallId it : impl_->CallsAt(replica)) {
+    impl_->OnStartKnown(it, same);
+  }
+  if (same && was_checked) {
+    return;  // The usual case.
   }
   impl_->log->Write("version_doubt", {{"replica", replica.name},
                                       {"life", replica.incarnation},
@@ -266,6 +377,9 @@
 
 void Gateway::OnStreamOriginQuery(const NodeId& from,
                                   const StreamOriginQuery& query) {
+  if (!query.attempt.empty()) {
+    impl_->OnStreamNamed();
+  }
   StreamOriginAnswer answer = {query.request, {}};
   if (auto origin = impl_->FindOrigin(query)) {
     answer.origins.push_back(std::move(*origin));
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -172,6 +172,11 @@
       gateway->OnConnectionsLost(it->id);
     }
   });
+  channels.SetFirstHandler([this](const Address& address) {
+    if (const ReplicaEntry* it = directory.FindAt(address)) {
+      gateway->OnFirstConnection(it->id);
+    }
+  });
   ApplyBounds();
 }
 
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -74,6 +74,7 @@
   absl::flat_hash_map<Address, std::size_t> connected;  // Connections.
   std::function<void(const Address&)> lost;
   std::function<void(const ChannelEvent&)> on_event;
+  std::function<void(const Address&)> first;
   const std::shared_ptr<const int> alive = std::make_shared<const int>();
 };
 
@@ -148,12 +149,15 @@
   // here: the caller may prefer another address by now.
   void OnConnected() override {
     connected_ = true;
-    ++owner_->connected[address_];
+    const bool is_first = ++owner_->connected[address_] == 1;
     if (id_ != 0 && Loop::Now() > connect_deadline_) {
       Fail(CallFailureKind::kConnect, "no connection in time");
       return;
     }
     SendPending();
+    if (is_first && owner_->first) {
+      owner_->first(address_);
+    }
     if (sink_ != nullptr) {
       sink_->OnConnected(id_);
     }
@@ -557,6 +561,10 @@
   impl_->lost = std::move(lost);
 }
 
+void HttpChannels::SetFirstHandler(std::function<void(const Address&)> first) {
+  impl_->first = std::move(first);
+}
+
 void HttpChannels::DropIdle(const Address& address) {
   const auto it = impl_->idle.find(address);
   if (it == impl_->idle.end()) {
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -149,6 +149,9 @@
   // `lost` is called, from the loop, when the other side ended the last
   // connection to an address, or refused one while none was open.
   void SetLostHandler(std::function<void(const Address&)> lost);
+  // `first` is called, from the loop, when a connection to an address was made
+  // while none was open, before anything is read from it.
+  void SetFirstHandler(std::function<void(const Address&)> first);
   // Closes the idle connections to an address, whose process has ended.
   void DropIdle(const Address& address);
   std::size_t open() const;      // Open connections.
