Check first connections before any client has taken a stream up

Cause: first connections were checked only once a client had named the attempt that began its stream. Replicas that were replaced before that were taken for those of their rows, as were all connections that stayed open since. Change: checked always where the row states a start. Where it states none the answer could decide nothing, and nothing is asked. Cost: a question for each first connection to such a replica. Test: BegunInDoubtTest.AFirstConnectionIsCheckedBeforeAStreamIsKnown takes the place of AsksNothingWhereNoStreamIsTakenUp, which asked for the fault; AsksNothingOfReplicasWhoseRowStatesNoStart bounds the questions.

--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -240,8 +240,6 @@
   request->target_by = received_at + route->target - kClientTransitTime;
   if (!TakesUpStream(*request)) {
     request->target_by -= elapsed;
-  } else if (!request->call.resumed_attempt.empty()) {
-    OnStreamNamed();
   }
   const DurationUs time_limit =
       request->call.deadline > 0
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -429,7 +429,6 @@
   // The client got an event; others may be asked where the stream began.
   void TellOrigin(ServingRequest* request);
   void OnStreamBegun(const StreamOrigin& origin);
-  void OnStreamNamed();
   // The rows of processes in doubt may have been read.
   void LearnVersions();
   // Holds back the answer to a stream that goes on at a replica which is being
@@ -539,9 +538,6 @@
   StreamRecorder stream_recorder;
   VersionDoubts version_doubts;
   BegunInDoubt begun_in_doubt;
-  // A client, here or at another gateway, has named the attempt that began its
-  // stream.
-  bool streams_are_named = false;
   bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
   LearnedCapacity capacity;
--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -108,12 +108,6 @@
   }
 }
 
-void Gateway::Impl::OnStreamNamed() {
-  if (!std::exchange(streams_are_named, true)) {
-    log->Write("streams_named", {});
-  }
-}
-
 StreamOriginQuery Gateway::Impl::OriginQueryOf(const ServingRequest& request) {
   return {request.id, request.call.resumed_attempt, AccountOf(request)};
 }
@@ -304,21 +298,14 @@
   impl_->output->AskReplicaStart(replica, entry->address);
 }
 
-// Where it matters: for streams that are taken up, and for all streams where
-// clients name the attempt that began theirs.
+// A replica whose row states no start can't be told from another process.
 void Gateway::OnFirstConnection(const ReplicaId& replica) {
   const ReplicaEntry* entry = impl_->directory->Find(replica);
   if (impl_->config == nullptr || entry == nullptr ||
       !impl_->config->HasStreams(entry->service)) {
     return;
   }
-  const auto calls = impl_->CallsAt(replica);
-  const bool check =
-      replica.incarnation != 0 &&
-      (impl_->streams_are_named ||
-       std::any_of(calls.begin(), calls.end(), [this](CallId it) {
-         return impl_->FindByCall(it)->stream_version.has_value();
-       }));
+  const bool check = replica.incarnation != 0;
   if (impl_->version_doubts.OnFirstConnection(impl_->output->Now(), replica,
                                               check)) {
     impl_->metrics->Count("acaciachute_gateway_version_checks_total",
@@ -377,9 +364,6 @@
 
 void Gateway::OnStreamOriginQuery(const NodeId& from,
                                   const StreamOriginQuery& query) {
-  if (!query.attempt.empty()) {
-    impl_->OnStreamNamed();
-  }
   StreamOriginAnswer answer = {query.request, {}};
   if (auto origin = impl_->FindOrigin(query)) {
     answer.origins.push_back(std::move(*origin));
--- a/src/coordination/gateway/version_doubts.h
+++ b/src/coordination/gateway/version_doubts.h
@@ -11,8 +11,8 @@
 // long that row stays.
 //
 // A gateway without a connection to a replica does not notice that it was
-// replaced. So where it matters, the first connection is a doubt too, and what
-// the process says about its start is awaited.
+// replaced. So the first connection is a doubt too where the row states a
+// start, until the process has said its own.
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_VERSION_DOUBTS_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_VERSION_DOUBTS_H_
 
--- a/tests/gateway/begun_in_doubt_test.cc
+++ b/tests/gateway/begun_in_doubt_test.cc
@@ -14,13 +14,11 @@
 namespace acaciachute {
 namespace {
 
-// Replicas of version v1 that state when they started, and clients that name
-// the attempt that began their stream.
+// Replicas of version v1 that state when they started.
 struct ReplacedRig : GatewayRig {
   ReplacedRig() {
     Put("e1", 5, "v1");
     Put("e2", 5, "v1");
-    TakeUp("unknown");
   }
   void Put(const std::string& name,
            Incarnation start,
@@ -74,18 +72,36 @@
   }
 }
 
-// Guards against questions to replicas where clients take no streams up.
-TEST(BegunInDoubtTest, AsksNothingWhereNoStreamIsTakenUp) {
+// Guards against a stream that begins, before any client has taken one up, at a
+// process that has replaced the one of the row, and is known as the row's.
+TEST(BegunInDoubtTest, AFirstConnectionIsCheckedBeforeAStreamIsKnown) {
   GatewayRig rig;
   ReplicaEntry entry;
   entry.id = {"e1", 5};
   entry.service = "engine";
   entry.address = {"10.0.1.1", 80};
+  entry.version = "v1";
   entry.slots = 8;
   rig.directory.Put(entry);
+  rig.peers = {"g2"};
   rig.Call("resume");
   rig.core.OnFirstConnection(entry.id);
   rig.core.OnReplicaConnected(rig.sent.back().call);
+  EXPECT_EQ(rig.asked_start.size(), 1U);
+  EXPECT_FALSE(rig.paused[rig.sent.back().call]);
+  rig.core.OnReplicaStart(entry.id, 9);
+  rig.core.OnReplicaHead(rig.sent.back().call, GatewayRig::Head());
+  rig.core.OnReplicaBody(rig.sent.back().call, "id: 0\ndata: x\n\n");
+  EXPECT_TRUE(rig.datagrams.empty());
+}
+
+// Guards against questions to replicas whose answer could decide nothing.
+TEST(BegunInDoubtTest, AsksNothingOfReplicasWhoseRowStatesNoStart) {
+  GatewayRig rig;
+  rig.AddReplica("e1", "engine");
+  rig.Call("resume");
+  rig.core.OnFirstConnection("e1");
+  rig.core.OnReplicaConnected(rig.sent.back().call);
   EXPECT_TRUE(rig.asked_start.empty());
 }
 
