--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -407,19 +407,27 @@
   void AnswerNothing() { SetReplicaFault(ReplicaFault::kSilent); }
   void LoseInputs() { SetReplicaFault(ReplicaFault::kInputsGone); }
   void FailRequests() { SetReplicaFault(ReplicaFault::kFail); }
+  // Runs a fault of a series, which ends with the injection.
+  void InSeries(DurationUs delay, std::function<void()> fault) {
+    After(delay, [this, fault = std::move(fault)] {
+      if (injecting_) {
+        fault();
+      }
+    });
+  }
   void KillInSeries() {
     for (int n = 0; n < 6; ++n) {
-      After(n * kSeriesInterval, [this] { Kill(); });
+      InSeries(n * kSeriesInterval, [this] { Kill(); });
     }
   }
   void KillAllInSeries() {
     for (int n = 0; n < 3; ++n) {
-      After(2 * n * kSeriesInterval, [this] { KillAll(); });
+      InSeries(2 * n * kSeriesInterval, [this] { KillAll(); });
     }
   }
   void RestartInTurn() {
     for (std::size_t n = 0; n < world_.gateways().size(); ++n) {
-      After(static_cast<DurationUs>(n) * kSeriesInterval, [this, n] {
+      InSeries(static_cast<DurationUs>(n) * kSeriesInterval, [this, n] {
         world_.gateways()[n]->Signal(SIGTERM);
         OnDisturbed(world_.gateways()[n].get());
       });
@@ -432,7 +440,7 @@
   }
   void CrashReplicasInSeries() {
     for (int n = 0; n < 4; ++n) {
-      After(n * kSeriesInterval / 2, [this] { CrashReplica(); });
+      InSeries(n * kSeriesInterval / 2, [this] { CrashReplica(); });
     }
   }
   void SetCuts(int percent) {
