Kill all gateways as an old version vanishes, and while answers are lost

The users' last report: streams joined from two versions after all gateways were killed. No functional change

--- a/tests/process/version_roll_test.cc
+++ b/tests/process/version_roll_test.cc
@@ -179,6 +179,7 @@
       it->listed_at.clear();
     });
   }
+  StandinStore* store() { return &store_; }
   void WriteConfig(const std::string& service) {
     route_service_ = service;
     const Json route = {{"name", "resumed"},     {"host", "h.example"},
@@ -400,6 +401,22 @@
          fleet->KillAll();
          fleet->Run(7 * kSecond);
        }},
+      {"AllGatewaysAreKilledAsTheOldVersionVanishes", 3,
+       [](RollFleet* fleet) {
+         ReplaceVersion(fleet, "");
+         fleet->Run(300 * kMillisecond);
+         fleet->KillAll();
+         fleet->Run(6 * kSecond);
+       }},
+      {"AllGatewaysAreKilledWhileTheStoreLosesAnswers", 3,
+       [](RollFleet* fleet) {
+         fleet->store()->SetFaultMode(StandinStore::FaultMode::kLosingAnswers);
+         ReplaceVersion(fleet, "draining");
+         fleet->Run(2 * kSecond);
+         fleet->KillAll();
+         fleet->store()->SetFaultMode(StandinStore::FaultMode::kServing);
+         fleet->Run(6 * kSecond);
+       }},
       {"AllGatewaysAreKilledBesideTwoVersions", 5,
        [](RollFleet* fleet) {
          fleet->StartHalf(1, "v2");
