Let a question for a replica's start ask no other

What was read (last look at the change, not seen to happen): the connection of a question is the first one again if the question before it is answered and closed by then, so each could ask the next. Change: a first connection counts only where a request is on its way to the replica. Test: BegunInDoubtTest.AQuestionAsksNoOther, which fails before.

--- a/src/coordination/gateway/gateway_streams.cc
+++ b/src/coordination/gateway/gateway_streams.cc
@@ -298,11 +298,13 @@
   impl_->output->AskReplicaStart(replica, entry->address);
 }
 
-// A replica whose row states no start can't be told from another process.
+// A replica whose row states no start can't be told from another process. A
+// connection without a request was made for a question, which asks no other.
 void Gateway::OnFirstConnection(const ReplicaId& replica) {
   const ReplicaEntry* entry = impl_->directory->Find(replica);
   if (impl_->config == nullptr || entry == nullptr ||
-      !impl_->config->HasStreams(entry->service)) {
+      !impl_->config->HasStreams(entry->service) ||
+      impl_->CallsAt(replica).empty()) {
     return;
   }
   const bool check = replica.incarnation != 0;
--- a/tests/gateway/begun_in_doubt_test.cc
+++ b/tests/gateway/begun_in_doubt_test.cc
@@ -95,6 +95,19 @@
   EXPECT_TRUE(rig.datagrams.empty());
 }
 
+// Guards against questions without end: the connection of each one is the first
+// again once the one before it is answered and closed.
+TEST(BegunInDoubtTest, AQuestionAsksNoOther) {
+  ReplacedRig rig;
+  rig.core.OnFirstConnection({"e1", 5});
+  EXPECT_TRUE(rig.asked_start.empty());
+  rig.core.OnConnectionsLost({"e1", 5});
+  rig.core.OnFirstConnection({"e1", 5});
+  rig.core.OnReplicaStart({"e1", 5}, 9);
+  rig.core.OnFirstConnection({"e1", 5});
+  EXPECT_EQ(rig.asked_start.size(), 1U);
+}
+
 // Guards against questions to replicas whose answer could decide nothing.
 TEST(BegunInDoubtTest, AsksNothingOfReplicasWhoseRowStatesNoStart) {
   GatewayRig rig;
