Record streams wherever nothing can be concluded of them

What callers saw: where a route moves to a service of another version and all gateways are killed, under half of the tries to take a stream up go on (77 of 158, 79 of 165; three gateways). Cause: streams were recorded only where one service has several versions, while nothing is concluded once several versions are known of any services, as routes move. Change: both ask the same question, whether several versions are known.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -28,9 +28,7 @@
       stream_recorder(
           options.node,
           output_in,
-          [this](const std::string& service) {
-            return version_ledger.SeveralOf(service);
-          },
+          [this] { return version_ledger.Several(); },
           metrics_in,
           log_in),
       capacity(directory_in, metrics_in, log_in),
--- a/src/coordination/streams/stream_recorder.cc
+++ b/src/coordination/streams/stream_recorder.cc
@@ -1,6 +1,7 @@
 #include "coordination/streams/stream_recorder.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace acaciachute {
@@ -28,10 +29,7 @@
   const DurationUs interval =
       std::max(kMinWriteInterval,
                kFleetWriteInterval * static_cast<DurationUs>(gateways));
-  const bool any_to_place = std::any_of(
-      remembered_.begin(), remembered_.end(),
-      [&](const Stream& it) { return several_(it.origin.service); });
-  if (!any_to_place && written_ == next_number_) {
+  if ((remembered_.empty() || !several_()) && written_ == next_number_) {
     next_write_at_ = now + kCheckInterval;
     return;
   }
@@ -46,26 +44,16 @@
 }
 
 void StreamRecorder::Place(std::uint64_t most) {
-  const auto is_due = [this](const Stream& it) {
-    return several_(it.origin.service);
-  };
-  const auto due = static_cast<std::uint64_t>(
-      std::count_if(remembered_.begin(), remembered_.end(), is_due));
-  // The older ones are more likely to have ended.
-  std::uint64_t wait = due - std::min(most, due);
-  std::deque<Stream> left;
-  for (Stream& it : remembered_) {
-    if (!is_due(it)) {
-      left.push_back(std::move(it));
-    } else if (wait > 0) {
-      --wait;
-      left.push_back(std::move(it));
-    } else {
-      ++next_number_;
-      recorded_.push_back(std::move(it));
-    }
+  if (several_()) {
+    // The older ones are more likely to have ended.
+    const std::uint64_t count =
+        std::min<std::uint64_t>(most, remembered_.size());
+    const auto first = remembered_.end() - static_cast<std::ptrdiff_t>(count);
+    recorded_.insert(recorded_.end(), std::make_move_iterator(first),
+                     std::make_move_iterator(remembered_.end()));
+    remembered_.erase(first, remembered_.end());
+    next_number_ += count;
   }
-  remembered_ = std::move(left);
   if (recorded_.empty()) {
     return;
   }
--- a/src/coordination/streams/stream_recorder.h
+++ b/src/coordination/streams/stream_recorder.h
@@ -1,14 +1,14 @@
 // Records streams in the store, so that clients can take them up after all
 // gateways that remember them have ended.
 //
-// Beside one version of a service a stream can go on anywhere; beside several
-// it goes on only at the one that began it, which gateways remember in their
-// memory. If all of them end at once, as in a failure of the platform that
-// restarts every host, nobody knows, and all streams in progress are refused.
-// So each gateway writes rows with the streams that begin there, of services
-// with several versions, from the second version on: clients name the attempt
-// that began their stream only after a failure, which is too late to begin. A
-// stream never waits for its row.
+// Beside one version a stream can go on anywhere; beside several, of one
+// service or, as routes move, of two, it goes on only at the one that began it,
+// which gateways remember in their memory. If all of them end at once, as in a
+// failure of the platform that restarts every host, nobody knows, and all
+// streams in progress are refused. So each gateway writes rows with the streams
+// that begin there, from the second version on: clients name the attempt that
+// began their stream only after a failure, which is too late to begin. A stream
+// never waits for its row.
 //
 // Bounds: a gateway has `kRows` rows, written in turn over one another, with
 // `kRowStreams` streams each. It writes one transaction an interval, with the
@@ -102,9 +102,9 @@
   // The store returns at most 500 rows, or 1 MB, at once.
   static constexpr int kMaxPages = 8;
 
-  using SeveralFn = std::function<bool(const std::string& service)>;
+  using SeveralFn = std::function<bool()>;
 
-  // `several`: whether several versions of a service are known.
+  // `several`: whether several versions are known.
   StreamRecorder(NodeId node,
                  StreamRecorderOutput* output,
                  SeveralFn several,
--- a/tests/gateway/stream_recorder_test.cc
+++ b/tests/gateway/stream_recorder_test.cc
@@ -34,8 +34,7 @@
       : table(table_in), it(MakeIt(node)) {}
 
   StreamRecorder MakeIt(const NodeId& node) {
-    return {node, this, [this](const std::string&) { return several; },
-            &metrics, &log};
+    return {node, this, [this] { return several; }, &metrics, &log};
   }
   void WriteStreamRows(const std::vector<StreamRow>& rows) override {
     ++writes;
