Let streams begin at versions with a record first

Cause: after two seconds without a record streams begin at a version all the same. Once all gateways have ended nobody knows of it, and the version that has a record is taken for the only one there ever was. Change: such a version comes last: streams begin there only where they can begin at none with a record. Why it is not a wait without end: the rule that an outage of the store stops nobody from serving holds; replicas of a version with a record serve meanwhile.

--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -32,7 +32,7 @@
     return excluded;
   }
   const TimeUs now = output->Now();
-  std::vector<ReplicaId> in_doubt;
+  std::vector<ReplicaId> uncertain;
   const auto& replicas = directory->Of(request.service);
   for (const ReplicaEntry* it : replicas) {
     const ServiceVersion version = {it->service, it->version};
@@ -41,13 +41,15 @@
     }
     if (!MayServe(request, *it)) {
       excluded.push_back(it->id);
-    } else if (version_doubts.InDoubt(it->id)) {
-      in_doubt.push_back(it->id);
+    } else if (version_doubts.InDoubt(it->id) ||
+               !version_ledger.IsRecorded(version)) {
+      uncertain.push_back(it->id);
     }
   }
-  // A stream that begins there can't be taken up, so others go first.
-  if (excluded.size() + in_doubt.size() < replicas.size()) {
-    excluded.insert(excluded.end(), in_doubt.begin(), in_doubt.end());
+  // A stream that begins there can't be taken up, or, after all gateways have
+  // ended, is taken for one of a version that has a record. Others go first.
+  if (excluded.size() + uncertain.size() < replicas.size()) {
+    excluded.insert(excluded.end(), uncertain.begin(), uncertain.end());
   }
   return excluded;
 }
--- a/src/coordination/gateway/version_ledger.cc
+++ b/src/coordination/gateway/version_ledger.cc
@@ -1,7 +1,6 @@
 #include "coordination/gateway/version_ledger.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace acaciachute {
@@ -29,6 +28,11 @@
   }
 }
 
+bool VersionLedger::IsRecorded(const ServiceVersion& version) const {
+  const auto it = entries_.find(version);
+  return it != entries_.end() && it->second.recorded;
+}
+
 bool VersionLedger::MayBegin(TimeUs now, const ServiceVersion& version) const {
   const auto it = entries_.find(version);
   return it != entries_.end() &&
@@ -43,13 +47,6 @@
   });
 }
 
-bool VersionLedger::SeveralOf(const std::string& service) const {
-  const auto first = entries_.lower_bound({service, ""});
-  return first != entries_.end() && first->first.service == service &&
-         std::next(first) != entries_.end() &&
-         std::next(first)->first.service == service;
-}
-
 std::optional<ServiceVersion> VersionLedger::Only() const {
   if (entries_.size() != 1 || !entries_.begin()->second.recorded) {
     return std::nullopt;
--- a/src/coordination/gateway/version_ledger.h
+++ b/src/coordination/gateway/version_ledger.h
@@ -13,9 +13,10 @@
 // which are recorded, so that hundreds of them do not all write the same row.
 //
 // An outage of the store does not keep replicas of a new version out of use for
-// long: after `kMaxRecordWait` streams begin there. While the store is away
-// nobody concludes anything from it; if it only turns this gateway away, the
-// others have been told of the version.
+// long: after `kMaxRecordWait` streams begin there if they can begin at no
+// version with a record. While the store is away nobody concludes anything from
+// it; if it only turns this gateway away, the others have been told of the
+// version.
 #ifndef ACACIACHUTE_SRC_COORDINATION_GATEWAY_VERSION_LEDGER_H_
 #define ACACIACHUTE_SRC_COORDINATION_GATEWAY_VERSION_LEDGER_H_
 
@@ -65,6 +66,7 @@
   void Need(TimeUs now, const ServiceVersion& version);
   // A stream is to begin at the version now.
   void NeedAtOnce(TimeUs now, const ServiceVersion& version);
+  bool IsRecorded(const ServiceVersion& version) const;
   // Whether streams may begin at the version.
   bool MayBegin(TimeUs now, const ServiceVersion& version) const;
   // Whether they may at all versions that are needed.
@@ -72,8 +74,6 @@
 
   // Whether more than one version is known.
   bool Several() const { return entries_.size() > 1; }
-  // The same, of one service.
-  bool SeveralOf(const std::string& service) const;
   // The one version that is known, if it has a record.
   std::optional<ServiceVersion> Only() const;
   // Reads the records, unless a reading that begins now or later is due.
--- a/tests/gateway/stream_origins_test.cc
+++ b/tests/gateway/stream_origins_test.cc
@@ -301,6 +301,10 @@
   const ExchangeId id = other.TakeUp("forgotten", 3);
   EXPECT_EQ(other.refused[id].reason, Refusal::kUnknownStream);
   rig.Pass(VersionLedger::kMaxRecordWait);
+  for (int n = 0; n < 20; ++n) {
+    rig.Begin();
+    EXPECT_EQ(rig.sent.back().replica.name, "e1");
+  }
   rig.directory.Remove(rig.now, "e1");
   rig.Begin();
   EXPECT_EQ(rig.sent.back().replica.name, "e3");
