Kill all gateways after versions without a record, twice, and as a route moves

Five cases of VersionRollTest and a stand-in store that refuses writes only. Weighed, not built: a claim in the store that all versions have a record, renewed every few seconds (it ends with a long kill, and then all streams are refused for a minute); no streams at such versions at all (an outage of the store would stop them from serving). No functional change

--- a/tests/process/version_roll_test.cc
+++ b/tests/process/version_roll_test.cc
@@ -201,6 +201,12 @@
                 {"services", services},
                 {"tenants", Json::array()}});
   }
+  // A gateway, which then starts again under its name.
+  void KillOne(std::size_t n) {
+    gateways_[n]->Signal(SIGKILL);
+    WaitFor(5 * kSecond, [&] { return gateways_[n]->Ended(); });
+    gateways_[n]->Start();
+  }
   void KillAll() {
     for (const auto& it : gateways_) {
       it->Signal(SIGKILL);
@@ -417,6 +423,62 @@
          fleet->store()->SetFaultMode(StandinStore::FaultMode::kServing);
          fleet->Run(6 * kSecond);
        }},
+      {"AllGatewaysAreKilledAfterAVersionWithoutRecord", 3,
+       [](RollFleet* fleet) {
+         fleet->Run(2 * kSecond);
+         fleet->store()->SetFaultMode(StandinStore::FaultMode::kReadOnly);
+         fleet->StartHalf(1, "v2");
+         fleet->ListHalf(1, "engine");
+         fleet->Run(5 * kSecond);
+         fleet->UnlistHalf(1);
+         fleet->Run(500 * kMillisecond);
+         fleet->KillAll();
+         fleet->store()->SetFaultMode(StandinStore::FaultMode::kServing);
+         fleet->Run(6 * kSecond);
+       }},
+      {"AllGatewaysAreKilledAfterTheOnlyVersionHadNoRecord", 3,
+       [](RollFleet* fleet) {
+         fleet->Run(2 * kSecond);
+         fleet->store()->SetFaultMode(StandinStore::FaultMode::kReadOnly);
+         fleet->StartHalf(1, "v2");
+         fleet->ListHalf(1, "engine");
+         fleet->Run(500 * kMillisecond);
+         fleet->UnlistHalf(0);
+         fleet->Run(5 * kSecond);
+         fleet->UnlistHalf(1);
+         fleet->ListHalf(0, "engine");
+         fleet->Run(500 * kMillisecond);
+         fleet->KillAll();
+         fleet->store()->SetFaultMode(StandinStore::FaultMode::kServing);
+         fleet->Run(6 * kSecond);
+       }},
+      {"AllGatewaysAreKilledTwiceWithinAStream", 3,
+       [](RollFleet* fleet) {
+         ReplaceVersion(fleet, "draining");
+         fleet->Run(kSecond);
+         fleet->KillAll();
+         fleet->Run(kSecond);
+         fleet->KillAll();
+         fleet->Run(6 * kSecond);
+       }},
+      {"TheRouteMovesAndAllGatewaysAreKilled", 3,
+       [](RollFleet* fleet) {
+         fleet->Run(2 * kSecond);
+         fleet->StartHalf(1, "v2");
+         fleet->ListHalf(1, "other-engine");
+         fleet->Run(kSecond);
+         fleet->WriteConfig("other-engine");
+         fleet->Run(kSecond);
+         fleet->KillAll();
+         fleet->Run(6 * kSecond);
+       }},
+      {"OneGatewayReturnsUnderItsNameAfterARoll", 3,
+       [](RollFleet* fleet) {
+         ReplaceVersion(fleet, "");
+         fleet->Run(300 * kMillisecond);
+         fleet->KillOne(0);
+         fleet->Run(6 * kSecond);
+       }},
       {"AllGatewaysAreKilledBesideTwoVersions", 5,
        [](RollFleet* fleet) {
          fleet->StartHalf(1, "v2");
--- a/tests/soak/standin_store.cc
+++ b/tests/soak/standin_store.cc
@@ -65,6 +65,9 @@
   } else if (fault_mode_ == FaultMode::kEndless) {
     listener_.BeginStream(id, kOk, {});
     endless_.insert(id);
+  } else if (head.target.starts_with("/rows-tx") &&
+             fault_mode_ == FaultMode::kReadOnly) {
+    Answer(id, kBusy, Json::array());
   } else if (head.target.starts_with("/rows-tx")) {
     AnswerTransaction(id, body);
   } else if (head.target.starts_with("/rows-feed")) {
@@ -122,7 +125,8 @@
 
 void StandinStore::AnswerFeeds() {
   if (fault_mode_ != FaultMode::kServing &&
-      fault_mode_ != FaultMode::kLosingAnswers) {
+      fault_mode_ != FaultMode::kLosingAnswers &&
+      fault_mode_ != FaultMode::kReadOnly) {
     return;
   }
   const TimeUs now = Loop::Now();
--- a/tests/soak/standin_store.h
+++ b/tests/soak/standin_store.h
@@ -26,6 +26,7 @@
     kResetting,      // Breaks connections without any effect.
     kUnresponsive,   // Does not answer.
     kLosingAnswers,  // Applies transactions but loses their answers.
+    kReadOnly,       // Answers transactions 503 without any effect.
     kEndless,        // Answers with bytes without end.
   };
 
