--- a/tests/soak/standin_store.cc
+++ b/tests/soak/standin_store.cc
@@ -56,7 +56,9 @@
 void StandinStore::OnRequest(ExchangeId id,
                              HttpRequestHead head,
                              std::string body) {
-  if (fault_mode_ == FaultMode::kBusy) {
+  const bool is_transaction = head.target.starts_with("/rows-tx");
+  if (fault_mode_ == FaultMode::kBusy ||
+      (fault_mode_ == FaultMode::kReadOnly && is_transaction)) {
     Answer(id, kBusy, Json::array());
   } else if (fault_mode_ == FaultMode::kResetting) {
     listener_.Break(id);
@@ -65,10 +67,7 @@
   } else if (fault_mode_ == FaultMode::kEndless) {
     listener_.BeginStream(id, kOk, {});
     endless_.insert(id);
-  } else if (head.target.starts_with("/rows-tx") &&
-             fault_mode_ == FaultMode::kReadOnly) {
-    Answer(id, kBusy, Json::array());
-  } else if (head.target.starts_with("/rows-tx")) {
+  } else if (is_transaction) {
     AnswerTransaction(id, body);
   } else if (head.target.starts_with("/rows-feed")) {
     feeds_[id] = {
