Show what clients that do not behave make each process hold

Users saw a process run out of memory: many large bodies of legal size at once, most of them short of their end and open, trailers without end behind a chunked body.

crowd_tests starts a real gateway with a quarter of a front machine (64 MB, 700 descriptors, bodies of 1 MB), an entry and a sidecar (260 MB), plays one crowd at a time for 4 s, and checks that the process lives, its resident memory with what the kernel holds unread, its descriptors, and one ordinary request of 100 KB while the crowd keeps its connections. Crowd and bounds are fixed here, before the product changes.

No functional change

--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -25,18 +25,24 @@
   close(g_file_open_tmp("acaciachute-XXXXXX", &path, nullptr));
   file_ = path;
   g_free(path);
-  std::ofstream(file_) << "node_name=" << options_.name
-                       << "\nip=127.0.0.1\nzone=" << options_.domain
-                       << "\nlisten.front=" << AddressText(clients_)
-                       << "\nlisten.ready_addr=" << AddressText(readiness_)
-                       << "\ninternal_ports=" << peers.port << "," << peers.port
-                       << "\nplatform.address=" << AddressText(options_.store)
-                       << "\nbounds.grace_s=8\nbounds.revoke_ms=5000"
-                       << "\nbounds.retry_budget_ratio="
-                       << options_.retries.ratio
-                       << "\nbounds.retry_slack=" << options_.retries.slack
-                       << "\nbounds.retry_window_s="
-                       << options_.retries.window / kSecond << "\n";
+  std::ofstream file(file_);
+  file << "node_name=" << options_.name
+       << "\nip=127.0.0.1\nzone=" << options_.domain
+       << "\nlisten.front=" << AddressText(clients_)
+       << "\nlisten.ready_addr=" << AddressText(readiness_)
+       << "\ninternal_ports=" << peers.port << "," << peers.port
+       << "\nplatform.address=" << AddressText(options_.store)
+       << "\nbounds.grace_s=8\nbounds.revoke_ms=5000"
+       << "\nbounds.retry_budget_ratio=" << options_.retries.ratio
+       << "\nbounds.retry_slack=" << options_.retries.slack
+       << "\nbounds.retry_window_s=" << options_.retries.window / kSecond
+       << "\n";
+  if (options_.memory_megabytes != 0) {
+    file << "limits.memory_mb=" << options_.memory_megabytes << "\n";
+  }
+  if (options_.max_descriptors != 0) {
+    file << "limits.max_fds=" << options_.max_descriptors << "\n";
+  }
 }
 
 GatewayProcess::~GatewayProcess() {
@@ -97,6 +103,10 @@
          g_subprocess_get_successful(process_.get());
 }
 
+int GatewayProcess::pid() const {
+  return ParseNumber<int>(pid_).value_or(0);
+}
+
 std::string GatewayProcess::ReadProcFile(const std::string& name) const {
   std::ifstream in(StrCat("/proc/", pid_, "/", name));
   std::stringstream text;
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -19,6 +19,9 @@
   std::string domain = "a";  // Failure domain.
   Address store;
   ServiceRetryBudgetLimits retries;
+  // Of the process; zero: not stated.
+  std::uint64_t memory_megabytes = 0;
+  std::uint32_t max_descriptors = 0;
   std::string log;  // File for its stdout; empty: output is dropped.
 };
 
@@ -38,6 +41,7 @@
   bool ExitedCleanly() const;
   // User and system CPU time of the process so far.
   DurationUs ProcessorTime() const;
+  int pid() const;
   // Resident memory of the process.
   std::uint64_t MemoryBytes() const;
   // The highest that it ever was.
