Bound a chunk's head and a trailer of a request as a head

What callers saw: 20 clients whose trailer or chunk extension never ends made a gateway hold 540 MB, and it was killed. Beside it, a body lay in the parser's own string, reserved for the stated length before a byte of it came, and each chunk of one byte moved all bytes behind it.

HttpRequestReaderTest.BoundsChunkHeadsAndTrailersAsHeads: a chunk's head and a trailer of 15 KB are read.

--- a/src/protocol/http1.cc
+++ b/src/protocol/http1.cc
@@ -6,7 +6,6 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -78,10 +77,11 @@
   return nullptr;
 }
 
+constexpr int kHeadTooLarge = 431;
+
 int StatusOf(const boost::beast::error_code& ec) {
   constexpr int kBadRequest = 400;
   constexpr int kTooLarge = 413;
-  constexpr int kHeadTooLarge = 431;
   if (ec == http::error::header_limit) {
     return kHeadTooLarge;
   }
@@ -91,7 +91,7 @@
 }  // namespace
 
 struct HttpRequestReader::Impl {
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<http::buffer_body>;
 
   explicit Impl(const HttpReadLimits& limits) { Reset(limits); }
 
@@ -100,8 +100,10 @@
     parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser->body_limit(limits.body_bytes);
     parser->eager(false);
+    max_unparsed = limits.head_bytes;
     state = State::kHead;
     head = {};
+    std::string().swap(received);  // An assignment would keep the memory.
     error_status = 0;
     error.clear();
   }
@@ -131,21 +133,29 @@
     }
   }
 
-  // Parses more of `buf`. Returns whether any bytes were consumed.
-  bool Step(std::string* buf) {
+  // Parses more of `rest`. Returns whether any bytes were consumed.
+  bool Step(std::string_view* rest) {
+    std::array<char, 16 << 10> part;
+    auto& body = parser->get().body();
+    body.data = part.data();
+    body.size = part.size();
+    body.more = true;
     boost::beast::error_code ec;
     const std::size_t n =
-        parser->put(boost::asio::buffer(buf->data(), buf->size()), ec);
-    if (ec && ec != http::error::need_more) {
+        parser->put(boost::asio::buffer(rest->data(), rest->size()), ec);
+    if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
       Fail(StatusOf(ec), ec.message());
       return false;
     }
+    received.append(part.data(), part.size() - body.size);
     if (state == State::kHead && parser->is_header_done()) {
-      SetHead(std::string_view(*buf).substr(0, n));
+      SetHead(rest->substr(0, n));
     }
-    buf->erase(0, n);
+    rest->remove_prefix(n);
     if (state == State::kBody && parser->is_done()) {
       state = State::kDone;
+    } else if (state == State::kBody && n == 0 && rest->size() > max_unparsed) {
+      Fail(kHeadTooLarge, "a chunk's head or a trailer is too long");
     }
     return n > 0;
   }
@@ -153,6 +163,8 @@
   std::optional<Parser> parser;
   State state = State::kHead;
   HttpRequestHead head;
+  std::string received;  // Of the body.
+  std::size_t max_unparsed = 0;
   int error_status = 0;
   std::string error;
 };
@@ -162,8 +174,10 @@
 HttpRequestReader::~HttpRequestReader() = default;
 
 HttpRequestReader::State HttpRequestReader::Read(std::string* buf) {
-  while (!buf->empty() && impl_->state <= State::kBody && impl_->Step(buf)) {
+  std::string_view rest = *buf;
+  while (!rest.empty() && impl_->state <= State::kBody && impl_->Step(&rest)) {
   }
+  buf->erase(0, buf->size() - rest.size());
   return impl_->state;
 }
 HttpRequestReader::State HttpRequestReader::state() const {
@@ -182,7 +196,10 @@
   return std::move(impl_->head);
 }
 std::string HttpRequestReader::TakeBody() {
-  return std::move(impl_->parser->get().body());
+  return std::exchange(impl_->received, {});
+}
+std::size_t HttpRequestReader::body_bytes() const {
+  return impl_->received.size();
 }
 void HttpRequestReader::Reset(const HttpReadLimits& limits) {
   impl_->Reset(limits);
--- a/src/protocol/http1.h
+++ b/src/protocol/http1.h
@@ -44,7 +44,9 @@
   std::size_t body_bytes = 4 << 20;
 };
 
-// Parses the consecutive requests of one connection.
+// Parses the consecutive requests of one connection. A chunk's head and a
+// trailer may be as long as a head: the parser keeps them until they are
+// complete, and a client may never end one.
 class HttpRequestReader {
  public:
   enum class State { kHead, kBody, kDone, kBad };
@@ -65,6 +67,8 @@
   const HttpRequestHead& head() const;
   HttpRequestHead TakeHead();
   std::string TakeBody();
+  // Bytes of the body that are held.
+  std::size_t body_bytes() const;
   // Prepares for the next request on the connection.
   void Reset(const HttpReadLimits& limits);
 
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -117,6 +117,38 @@
   EXPECT_EQ(body.Read(&buf), RequestState::kBad);
   EXPECT_EQ(body.error_status(), 413);
 }
+// Guards against a chunk's head or a trailer without end, which the parser
+// keeps until it is complete.
+TEST(HttpRequestReaderTest, BoundsChunkHeadsAndTrailersAsHeads) {
+  const HttpReadLimits limits;
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string begin : {"1;", "1\r\nx\r\n0\r\nName: "}) {
+    const std::string last = begin == "1;" ? "\r\nx\r\n0\r\n\r\n" : "\r\n\r\n";
+    HttpRequestReader legal(limits);
+    std::string buf = head + begin;
+    EXPECT_EQ(legal.Read(&buf), RequestState::kBody);
+    buf += std::string(limits.head_bytes - 1000, 'e');
+    EXPECT_EQ(legal.Read(&buf), RequestState::kBody);
+    buf += last;
+    EXPECT_EQ(legal.Read(&buf), RequestState::kDone) << legal.error();
+    EXPECT_EQ(legal.TakeBody(), "x");
+    HttpRequestReader endless(limits);
+    buf = head + begin + std::string(limits.head_bytes + 1, 'e');
+    EXPECT_EQ(endless.Read(&buf), RequestState::kBad);
+    EXPECT_EQ(endless.error_status(), 431);
+  }
+}
+
+// Guards against a body that is mistaken for a line that goes on in its head.
+TEST(HttpRequestReaderTest, ReadsABodyThatLooksLikeAFoldedLine) {
+  HttpRequestReader reader({});
+  std::string buf =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n\r\n xNEXT";
+  EXPECT_EQ(reader.Read(&buf), RequestState::kDone);
+  EXPECT_EQ(reader.TakeBody(), "\r\n x");
+  EXPECT_EQ(buf, "NEXT");
+}
 
 TEST(HttpAnswerReaderTest, ReadsABodyThatEndsWithItsConnection) {
   HttpAnswerReader reader(false);
