Keep a body once, however many attempts and sockets send it

What callers saw: 120 whole bodies of 4 MB, 52 MB as the gateway counted them, took 326 MB and ended it. Cause: a body was copied for the call, once more into the bytes that wait for the connection, whose string kept its capacity after it was sent, and once more into the socket's unsent bytes; an answer was copied as often on its way out.

SharedBytes has one copy for all of them; SendQueue refers to long ones and frees each part once it is sent. Nothing else changes: what is sent is the same, with the head and a short body still in one packet. Tests of requests' bodies changed in type only.

--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -79,7 +79,7 @@
   // the client receives.
   virtual AnswerEnd Answer(ExchangeId id,
                            const ReplicaHead& head,
-                           std::string_view body,
+                           const SharedBytes& body,
                            AnswerEnd end) = 0;
   // Returns the end that the client receives if the stream is complete.
   virtual AnswerEnd BeginStream(ExchangeId id, const ReplicaHead& head) = 0;
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -125,7 +125,7 @@
   void Refuse(ExchangeId id, const LocalReply& answer) override;
   AnswerEnd Answer(ExchangeId id,
                    const ReplicaHead& head,
-                   std::string_view body,
+                   const SharedBytes& body,
                    AnswerEnd end) override {
     return clients.Reply(id, head.status, head.fields, body, end);
   }
--- a/src/state/client_request.h
+++ b/src/state/client_request.h
@@ -11,6 +11,7 @@
 #include "state/answer_end.h"
 #include "state/http_fields.h"
 #include "state/replica_statement.h"
+#include "state/shared_bytes.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -30,7 +31,7 @@
   std::string target;  // Byte for byte as received.
   std::string host;
   HttpFields fields;  // The fields that are forwarded to the replica.
-  std::string body;
+  SharedBytes body;
   std::optional<std::string> key;  // Key of the client account.
   DurationUs deadline = 0;         // Relative to when the client sent it.
   std::string model;
--- a/src/state/request_fingerprint.cc
+++ b/src/state/request_fingerprint.cc
@@ -40,7 +40,7 @@
   Add(sum, HostName(call.host));
   Add(sum, call.method);
   Add(sum, call.body.empty() ? target : path);
-  Add(sum, call.body);
+  Add(sum, call.body.view());
   std::string digits(g_checksum_get_string(sum), kDigits);
   g_checksum_free(sum);
   return digits;
--- a/src/transport/http_channels.cc
+++ b/src/transport/http_channels.cc
@@ -137,8 +137,8 @@
     if (!request.body.empty() || request.method != "GET") {
       fields.push_back({"Content-Length", std::to_string(request.body.size())});
     }
-    unsent_request_ = WriteRequestHead(request.method, request.target, fields);
-    unsent_request_ += request.body;
+    unsent_head_ = WriteRequestHead(request.method, request.target, fields);
+    unsent_body_ = request.body;
     if (stream_ != nullptr && stream_->connected()) {
       SendPending();
     }
@@ -245,12 +245,13 @@
 
  private:
   void SendPending() {
-    if (unsent_request_.empty()) {
+    if (unsent_head_.empty()) {
       return;
     }
     sent_ = true;
-    stream_->Write(unsent_request_);
-    unsent_request_.clear();
+    // The head goes first, with a short body in the same packet.
+    stream_->Write(std::exchange(unsent_head_, {}),
+                   std::exchange(unsent_body_, {}));
   }
 
   // Parses the bytes received so far. Returns true if more can be parsed at
@@ -405,8 +406,9 @@
   std::shared_ptr<SocketStream> stream_;
   std::optional<HttpAnswerReader> reader_;
   std::string input_;
-  std::string unsent_request_;  // Buffered until connected.
-  CallId id_ = 0;               // Zero while the connection is idle.
+  std::string unsent_head_;  // With the body, held until connected.
+  SharedBytes unsent_body_;
+  CallId id_ = 0;  // Zero while the connection is idle.
   CallSink* sink_ = nullptr;
   std::optional<HttpField> echo_;
   std::string alike_;                 // See `ChannelRequest`; of all calls.
--- a/src/transport/http_channels.h
+++ b/src/transport/http_channels.h
@@ -28,6 +28,7 @@
 #include <string_view>
 
 #include "protocol/http1.h"
+#include "state/shared_bytes.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -81,7 +82,7 @@
   std::string method = "GET";
   std::string target;
   HttpFields fields;  // Without Content-Length, which is added.
-  std::string body;
+  SharedBytes body;
   // The id of the call: one of `fields`, which the server repeats in its
   // answer. Attempts of one client request may share it.
   std::optional<HttpField> echo;
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -124,7 +124,7 @@
 
   AnswerEnd Reply(int status,
                   HttpFields fields,
-                  std::string_view body,
+                  const SharedBytes& body,
                   AnswerEnd end) {
     const bool no_body = head_request_ || HasNoBody(status);
     const bool ends_by_close = !no_body && !StatesComplete(end);
@@ -132,12 +132,9 @@
       fields.push_back({"Content-Length", std::to_string(body.size())});
     }
     const bool close = AddConnectionField(&fields, ends_by_close);
-    std::string out = WriteAnswerHead(status, ReasonOf(status), fields);
-    if (!head_request_) {
-      out += body;
-    }
     stream_->SetResetOnClose(ends_by_close);
-    stream_->Write(out);
+    stream_->Write(WriteAnswerHead(status, ReasonOf(status), fields),
+                   head_request_ ? SharedBytes() : body);
     EndExchange(close);
     return no_body         ? AnswerEnd::kNoBody
            : ends_by_close ? AnswerEnd::kClosed
@@ -415,7 +412,7 @@
 AnswerEnd HttpListener::Reply(ExchangeId id,
                               int status,
                               HttpFields fields,
-                              std::string_view body,
+                              const SharedBytes& body,
                               AnswerEnd end) {
   auto* it = impl_->Find(id);
   return it == nullptr ? AnswerEnd::kBroken
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -17,6 +17,7 @@
 
 #include "absl/status/status.h"
 #include "protocol/http1.h"
+#include "state/shared_bytes.h"
 #include "types.h"
 
 namespace acaciachute {
@@ -79,7 +80,7 @@
   AnswerEnd Reply(ExchangeId id,
                   int status,
                   HttpFields fields,
-                  std::string_view body,
+                  const SharedBytes& body,
                   AnswerEnd end = AnswerEnd::kLength);
   // `expected_end`: how the stream ends at its source if it is complete there.
   // Returns the end that the client receives then. Only a stream whose source
--- a/src/transport/socket_stream.cc
+++ b/src/transport/socket_stream.cc
@@ -111,11 +111,16 @@
 }
 
 void SocketStream::Write(std::string_view bytes) {
+  Write(bytes, {});
+}
+
+void SocketStream::Write(std::string_view head, const SharedBytes& body) {
   if (handler_ == nullptr) {
     return;
   }
   const bool was_empty = unsent_.empty();
-  unsent_ += bytes;
+  unsent_.Add(head);
+  unsent_.Add(body);
   if (connected_ && was_empty) {
     Flush();
   }
@@ -124,11 +129,11 @@
 // Errors are stored and reported from the loop, because the caller of `Write`
 // may not expect a callback.
 void SocketStream::Flush() {
-  std::size_t done = 0;
-  while (done < unsent_.size()) {
+  while (!unsent_.empty()) {
+    const std::string_view part = unsent_.front();
     GError* raw_error = nullptr;
-    const gssize n = g_socket_send(socket_.get(), unsent_.data() + done,
-                                   unsent_.size() - done, nullptr, &raw_error);
+    const gssize n = g_socket_send(socket_.get(), part.data(), part.size(),
+                                   nullptr, &raw_error);
     if (n < 0) {
       const GErrorPtr error(raw_error);
       if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
@@ -136,9 +141,8 @@
       }
       break;
     }
-    done += static_cast<std::size_t>(n);
+    unsent_.RemoveFront(static_cast<std::size_t>(n));
   }
-  unsent_.erase(0, done);
   Watch(watches_readable_, !unsent_.empty());
   if (unsent_.empty() && finishing_) {
     ShutDownWriting();
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -11,7 +11,9 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "state/shared_bytes.h"
 #include "transport/glib_ptr.h"
+#include "transport/send_queue.h"
 #include "transport/socket_poller.h"
 #include "types.h"
 
@@ -53,6 +55,9 @@
   SocketStream& operator=(const SocketStream&) = delete;
 
   void Write(std::string_view bytes);
+  // Writes both, and keeps a reference to `body` until it has been passed to
+  // the kernel.
+  void Write(std::string_view head, const SharedBytes& body);
   // Pauses or resumes reading. While paused, the receive window fills, so that
   // the peer stops sending, and a disconnect is not detected.
   void SetReading(bool reading);
@@ -90,7 +95,7 @@
   SocketPoller* const poller_;
   const GPtr<GSocket> socket_;
   SocketHandler* handler_;
-  std::string unsent_;
+  SendQueue unsent_;
   std::string send_error_;  // Reported from the loop.
   bool connected_ = false;
   bool refused_ = false;
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -211,9 +211,9 @@
   }
   AnswerEnd Answer(ExchangeId id,
                    const ReplicaHead& head,
-                   std::string_view body,
+                   const SharedBytes& body,
                    AnswerEnd end) override {
-    answered[id] = {head.status, std::string(body)};
+    answered[id] = {head.status, std::string(body.view())};
     client_ends[id] = end;
     return end;
   }
--- a/tests/gateway/startup_hold_test.cc
+++ b/tests/gateway/startup_hold_test.cc
@@ -108,7 +108,7 @@
   StartupHold hold;
   ClientRequest call;
   call.deadline = 10 * kSecond;
-  call.body.assign(StartupHold::kMaxBodyBytes / 2, 'x');
+  call.body = std::string(StartupHold::kMaxBodyBytes / 2, 'x');
   ClientRequest copy = call;
   EXPECT_TRUE(hold.Add(0, 1, &copy));
   copy = call;
@@ -117,7 +117,7 @@
   EXPECT_FALSE(hold.Add(0, 3, &copy));
   EXPECT_TRUE(hold.Remove(1));
   EXPECT_TRUE(hold.Add(0, 3, &copy));
-  call.body.clear();
+  call.body = {};
   for (ExchangeId id = 4; hold.size() < StartupHold::kMaxRequests; ++id) {
     copy = call;
     ASSERT_TRUE(hold.Add(0, id, &copy));
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -782,7 +782,7 @@
   HttpChannels channels(&loop);
   ChannelRequest request = Get();
   request.method = "POST";
-  request.body.assign(16 << 20, 'b');
+  request.body = std::string(16 << 20, 'b');
   Sink sink;
   channels.Start(server.address, request, {}, &sink);
   RunUntil(&loop, [&] { return sink.over(); });
@@ -795,7 +795,8 @@
            next.over();
   });
   const std::string& received = server.peers[0]->received;
-  EXPECT_EQ(received.substr(received.find("\r\n\r\n") + 4), request.body);
+  EXPECT_EQ(received.substr(received.find("\r\n\r\n") + 4),
+            request.body.view());
 }
 
 // Guards against a request that never ends: the handler of one socket's event
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -104,7 +104,7 @@
     std::string head = WriteRequestHead(request.method, request.target, fields);
     head.replace(head.find("HTTP/1.1"), 8, "HTTP/1.0");
     http10_ = std::make_unique<RawClient>(
-        world_->loop_, gateway, head + request.body, [this] {
+        world_->loop_, gateway, StrCat(head, request.body.view()), [this] {
           // Not from inside the client's own callback.
           RunAfter(world_->loop_, 0, alive_, [this] { EndHttp10(); });
         });
