Give the bytes that clients make a gateway hold one owner

What callers saw: a process that ran out of memory before bodies of legal size, and, while it lived, ordinary bodies of 100 KB refused for as long as a crowd was stuck. Cause: HttpListener counted parsed bodies and unread input against a fifth of the memory; answers that a client does not read, answers that are collected, streams' unsent bytes, what the kernel keeps for a connection that is not read, and bodies of refused requests whose connections linger were counted nowhere, and each listener had a limit of its own. A next request was read while the last answer was still here, so a client that reads none added one with each request. Above the limit the newcomer was refused, whoever held the rest.

ClientMemory is the one owner; every connection of every listener of the gateway tells it what it holds and when it made progress (16 KB received or sent). Above the limit those give way that hold most for least progress: an upload is refused (503, not run, with its id, Retry-After, and a linger while the client still sends), a request that waits is refused (not run), one that was sent goes on without the copy of its body for another attempt, what was sent behind a request is not read, an unread answer is reset. The next request is taken once the last answer is with the kernel; the receive buffer is fixed at what a connection begins with.

Ruled out: refusing by address (clients come through a balancer), pausing uploads (a crowd that is stuck would hold the memory as long as it likes).

--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "coordination/admission/account_shares.h"
+#include "coordination/admission/client_memory.h"
 #include "coordination/choice/engine_choice.h"
 #include "coordination/choice/leaving_statements.h"
 #include "coordination/choice/replica_rate_limiter.h"
@@ -89,6 +90,8 @@
   virtual AnswerEnd EndStream(ExchangeId id, AnswerEnd end) = 0;
   // Bytes queued for the client that are not sent yet.
   virtual std::size_t Unsent(ExchangeId id) = 0;
+  // Bytes of a plain answer that are held until it is complete.
+  virtual void SetCollected(ExchangeId id, std::size_t bytes) = 0;
 
   // Sends an attempt to its replica; the events of the returned call come back
   // through `Gateway::OnReplica...`.
@@ -187,6 +190,8 @@
   // Bytes queued for the client were written; reading from the replica may
   // resume.
   void OnWritten(ExchangeId id);
+  // Memory is short, and this request holds most for least progress.
+  GaveWay OnMemoryShort(ExchangeId id);
 
   // The request was sent on a newly opened connection.
   void OnReplicaConnected(CallId id);
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -38,6 +38,7 @@
       return;
     }
     attempt.body.Append(absl::string_view(bytes.data(), bytes.size()));
+    output->SetCollected(request->id, attempt.body.size());
     return;
   }
   if (request->stream_version && !attempt.first_event_received &&
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -86,6 +86,11 @@
 }
 
 void Gateway::Impl::StartAttempt(ServingRequest* request) {
+  if (request->body_released) {
+    Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
+                     "memory was short, and its body is gone"});
+    return;
+  }
   const bool may_send = request->sends < kMaxReplicasPerRequest;
   const ReplicaEntry* replica = may_send ? ChooseReplica(request) : nullptr;
   if (replica == nullptr && may_send && !LimitedReplicas(*request).empty()) {
@@ -201,7 +206,7 @@
       request->events.complete_events() > 0 &&
       (!request->events.last_event_id() || !request->stream_version);
   return request->route->MayRepeat() && !cannot_resume &&
-         !MayCrashReplicas(request) &&
+         !request->body_released && !MayCrashReplicas(request) &&
          request->possible_runs < request->route->max_attempts &&
          request->sends < kMaxReplicasPerRequest &&
          output->Now() < request->deadline_at;
@@ -368,6 +373,9 @@
   }
   by_call.erase(attempt.call);
   attempt.call = 0;
+  if (!attempt.body.empty()) {
+    output->SetCollected(request->id, 0);
+  }
   ReportArrival(request);
   if (std::exchange(attempt.retry_in_transit, false)) {
     ServiceBudget(request->service).OnUnconfirmed();
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -113,7 +113,7 @@
   }
 
   const ExchangeId id;
-  const ClientRequest call;
+  ClientRequest call;  // Changed by `ReleaseBody` only.
   const std::shared_ptr<const ServingConfig> config;  // Owns `route`.
   const Route* const route;
   const ClientAccount* account = nullptr;
@@ -181,7 +181,8 @@
   std::string fingerprint;  // Empty until it is needed.
   // The only blocked cause of the request, if it may try it.
   std::optional<CrashCause> tried_cause;
-  bool tells_apart = false;  // It was let through by `TellsApart`.
+  bool tells_apart = false;    // It was let through by `TellsApart`.
+  bool body_released = false;  // See `Gateway::Impl::ReleaseBody`.
 };
 
 struct Gateway::Impl : public RateLoanOutput {
@@ -361,6 +362,11 @@
   // Closes the connection of an answer that exceeds a limit.
   void AbandonAnswer(ServingRequest* request, std::string_view why);
 
+  // gateway_memory.cc: requests that give way when memory is short.
+  GaveWay GiveWay(ServingRequest* request);
+  // Frees a body that was sent and would only serve further attempts.
+  void ReleaseBody(ServingRequest* request);
+
   // gateway_statements.cc
   // `request`: id of the request that was answered, for the log; empty: a call
   // with pieces or a release of results.
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -29,9 +29,9 @@
 // Share of the key revocation bound for which a confirmed configuration may be
 // used to check keys. Below one, so that a revocation is in force in time.
 constexpr double kKeyAgeShare = 0.9;
-// The process's memory limit, divided by this, is available to buffer the
-// bodies of clients' requests.
-constexpr std::size_t kBodyMemoryDivisor = 5;
+// The process's memory limit, divided by this, is what clients may make it
+// hold; see `ClientMemory`.
+constexpr std::size_t kClientMemoryDivisor = 5;
 // Share of the process's file descriptors, less `kReservedDescriptors`, that is
 // available for client connections. The other descriptors are for connections
 // to replicas and for files.
@@ -43,6 +43,11 @@
 // serving.
 constexpr DurationUs kMaxCrashRowsWait = 2 * kSecond;
 
+// Retry-After of a request that is refused because memory is short here: where
+// there is another gateway, a new connection most likely reaches it.
+constexpr DurationUs kRetryElsewhereDelay = 20 * kMillisecond;
+constexpr DurationUs kRetryHereDelay = 300 * kMillisecond;
+
 // Share of the key revocation bound for which the store delays its answer to a
 // request for changes of the configuration while there are none. Longer waits
 // save calls to the store, each of which has a cost. Shorter waits extend
@@ -89,9 +94,10 @@
       loop(loop_in),
       random(RandomSeed()),
       log(STDOUT_FILENO, settings.node, loop_in),
-      clients(this, loop_in),
+      memory(settings.memory_bytes / kClientMemoryDivisor),
+      clients(this, loop_in, &memory),
       readiness_handler(this),
-      readiness(&readiness_handler, loop_in),
+      readiness(&readiness_handler, loop_in, &memory),
       channels(loop_in),
       probes(loop_in),
       pieces(
@@ -160,6 +166,10 @@
                &log) {
   gateway = std::make_unique<Gateway>(OptionsOf(settings), this, &dispatcher,
                                       &directory, &random, &metrics, &log);
+  memory.SetReliefHandler(
+      [this](const ClientMemory::Relief& relief) { OnRelief(relief); });
+  memory.SetShortHandler(
+      [this] { loop->After(0, [this] { memory.Relieve(Loop::Now()); }); });
   channels.SetEventHandler([this](const ChannelEvent& event) {
     metrics.Count("acaciachute_gateway_channel_events_total", Name(event.kind));
     log.Write(Name(event.kind),
@@ -322,6 +332,8 @@
   } else if (head.target == "/healthz") {
     readiness.Reply(id, kHttpOk, {}, "");
   } else if (head.target == "/metrics") {
+    metrics.SetGauge("acaciachute_gateway_client_bytes", "",
+                     static_cast<double>(memory.held()));
     readiness.Reply(id, kHttpOk, {{"Content-Type", "text/plain"}},
                     metrics.PrometheusText());
   } else if (head.target == "/quarantine" && head.method == "GET") {
@@ -340,7 +352,6 @@
   out.read.body_bytes = limits.body_bytes;
   out.request_time = limits.request_time;
   out.idle = limits.idle_time;
-  out.buffered_bytes = settings.memory_bytes / kBodyMemoryDivisor;
   out.connections = static_cast<std::size_t>(
       kClientDescriptorShare *
       static_cast<double>(settings.max_descriptors - kReservedDescriptors));
@@ -364,9 +375,33 @@
 
 void GatewayNode::Impl::OnListenerEvent(const ListenerEvent& event) {
   metrics.Count("acaciachute_gateway_listener_total", event.what);
-  log.Write(
-      "listener",
-      {{"what", event.what}, {"status", event.status}, {"why", event.reason}});
+  log.Write("listener", {{"what", event.what},
+                         {"status", event.status},
+                         {"why", event.reason},
+                         {"id", event.id}});
+}
+
+ListenerRefusal GatewayNode::Impl::WriteRefusal(int status,
+                                                const std::string& reason) {
+  if (status != Info(Refusal::kFull).http_status) {
+    return ListenerHandler::WriteRefusal(status, reason);
+  }
+  const DurationUs delay =
+      peers.LivePeers().empty() ? kRetryHereDelay : kRetryElsewhereDelay;
+  const DurationUs spread =
+      static_cast<DurationUs>(random.Below(static_cast<std::uint64_t>(delay)));
+  const auto reply = platform::WriteLocalReply(
+      {Refusal::kFull, Verdict::kNotRun, delay + spread, reason});
+  return {reply.fields, reply.body};
+}
+
+void GatewayNode::Impl::OnRelief(const ClientMemory::Relief& relief) {
+  metrics.Count("acaciachute_gateway_gave_way_total", Name(relief.how));
+  log.Write("gave_way", {{"how", Name(relief.how)},
+                         {"held", relief.held},
+                         {"stalled_ms", relief.stalled / kMillisecond},
+                         {"sum", relief.sum},
+                         {"limit", relief.limit}});
 }
 
 void GatewayNode::Impl::Refuse(ExchangeId id, const LocalReply& answer) {
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -119,6 +119,11 @@
   }
   void OnWritten(ExchangeId id) override { gateway->OnWritten(id); }
   void OnListenerEvent(const ListenerEvent& event) override;
+  ListenerRefusal WriteRefusal(int status, const std::string& reason) override;
+  GaveWay OnMemoryShort(ExchangeId id) override {
+    return gateway->OnMemoryShort(id);
+  }
+  void OnRelief(const ClientMemory::Relief& relief);
 
   // GatewayPorts:
   TimeUs Now() override { return Loop::BootNow(); }
@@ -139,6 +144,9 @@
     return clients.EndStream(id, end);
   }
   std::size_t Unsent(ExchangeId id) override { return clients.Unsent(id); }
+  void SetCollected(ExchangeId id, std::size_t bytes) override {
+    clients.SetCollected(id, bytes);
+  }
   CallId Send(const AttemptRequest& attempt) override;
   void Cancel(CallId id) override { channels.Cancel(id); }
   bool CancelIfUnsent(CallId id) override {
@@ -302,6 +310,7 @@
   Random random;
   Metrics metrics;
   LogWriter log;
+  ClientMemory memory;
   HttpListener clients;
   ReadinessHandler readiness_handler;
   HttpListener readiness;
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -9,6 +9,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "text.h"
 #include "transport/glib_ptr.h"
+#include "transport/listen_options.h"
 #include "transport/loop.h"
 #include "transport/socket_stream.h"
 
@@ -21,11 +22,16 @@
 // before the client reads it.
 constexpr DurationUs kLingerTimeout = kSecond;
 // Maximum number of bytes buffered behind a request in progress.
-constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
-// How often the time limits are checked; the limits are seconds long.
-constexpr DurationUs kSweepPeriod = 250 * kMillisecond;
-// Maximum number of connections waiting to be accepted; see http_server.cc.
-constexpr int kListenBacklog = 1024;
+constexpr std::size_t kMaxPipelinedBytes = 16 << 10;
+constexpr int kHttpUnavailable = 503;
+
+std::size_t BytesOf(const HttpRequestHead& head) {
+  std::size_t bytes = head.target.size();
+  for (const HttpField& it : head.fields) {
+    bytes += sizeof it + it.name.size() + it.value.size();
+  }
+  return bytes;
+}
 
 bool HasNoBody(int status) {
   return status == 204 || status == 304;
@@ -36,8 +42,11 @@
 struct HttpListener::Impl {
   class Connection;
 
-  Impl(ListenerHandler* handler_in, Loop* loop_in)
-      : handler(handler_in), loop(loop_in) {}
+  Impl(ListenerHandler* handler_in, Loop* loop_in, ClientMemory* shared)
+      : handler(handler_in),
+        loop(loop_in),
+        own_memory(limits.buffered_bytes),
+        memory(shared == nullptr ? &own_memory : shared) {}
   ~Impl() {
     loop->Cancel(sweep);
     if (accept_source != nullptr) {
@@ -62,14 +71,16 @@
   GSource* accept_source = nullptr;
   Loop::TimerId sweep = 0;
   bool draining = false;
-  std::size_t buffered = 0;
+  ClientMemory own_memory;
+  ClientMemory* const memory;
   ExchangeId next_id = 1;
   absl::flat_hash_map<ExchangeId, Connection*> exchanges;
   absl::flat_hash_map<Connection*, std::unique_ptr<Connection>> connections;
   const std::shared_ptr<const int> alive = std::make_shared<const int>();
 };
 
-class HttpListener::Impl::Connection : public SocketHandler {
+class HttpListener::Impl::Connection : public SocketHandler,
+                                       public MemoryHolder {
  public:
   Connection(Impl* owner, GPtr<GSocket> socket)
       : owner_(owner),
@@ -77,9 +88,11 @@
         idle_since_(Loop::Now()),
         stream_(SocketStream::Accepted(owner->loop->sockets(),
                                        std::move(socket),
-                                       this)) {}
+                                       this)) {
+    owner_->memory->Add(this, idle_since_);
+  }
   ~Connection() override {
-    owner_->buffered -= counted_bytes_;
+    owner_->memory->Remove(this);
     if (id_ != 0) {
       owner_->exchanges.erase(id_);
     }
@@ -87,19 +100,21 @@
   }
 
   void OnBytes(std::string_view bytes) override {
-    if (closing_) {
-      return;  // Discarded, see `kLingerTimeout`.
+    if (closing_ || discards_input_) {
+      discarded_at_ = Loop::Now();
+      return;  // See `kLingerTimeout` and `DropPipeline`.
     }
     input_ += bytes;
-    CountBuffered();
-    if (id_ != 0) {
+    if (!Receives()) {
       // Reading continues while a request is in progress, to detect that the
       // client closes the connection.
       if (input_.size() > kMaxPipelinedBytes) {
-        stream_->SetReading(false);
+        SetReading(false);
       }
+      CountHeld();
       return;
     }
+    CountProgress(bytes.size());
     ReadNext();
   }
 
@@ -117,11 +132,31 @@
       closing_since_ = Loop::Now();
     }
     idle_since_ = Loop::Now();
+    ClientMemory::OnProgress(this, idle_since_);
+    CountHeld();
     if (id_ != 0) {
       owner_->handler->OnWritten(id_);
+    } else if (!closing_) {
+      SetReading(true);
+      ReadNext();
     }
   }
 
+  GaveWay GiveWay() override {
+    if (unsent() > held_ / 2 || (id_ == 0 && unsent() > 0)) {
+      ResetUnread();
+      return GaveWay::kAnswerReset;  // `this` is deleted.
+    }
+    if (id_ != 0) {
+      return !input_.empty() || !reads_ ? DropPipeline() : FreeRequest();
+    }
+    if (reading_since_ == 0) {
+      return GaveWay::kNothing;
+    }
+    Refuse(kHttpUnavailable, "memory is short, and others make more of it");
+    return GaveWay::kRefused;
+  }
+
   AnswerEnd Reply(int status,
                   HttpFields fields,
                   const SharedBytes& body,
@@ -155,9 +190,15 @@
   void StreamData(std::string_view bytes) {
     if (!bytes.empty()) {
       stream_->Write(chunked_ ? WriteChunk(bytes) : std::string(bytes));
+      CountHeld();
     }
   }
 
+  void SetCollected(std::size_t bytes) {
+    collected_bytes_ = bytes;
+    CountHeld();
+  }
+
   // Whether the stream may end as it would if it were complete.
   bool MayEnd(AnswerEnd end) const {
     return chunked_ ? StatesComplete(end) : end != AnswerEnd::kBroken;
@@ -183,9 +224,12 @@
   // Whether a time limit of the connection has passed. Refuses a request that
   // was not sent in time.
   bool Expired(TimeUs now) {
+    if (unsent() > 0) {
+      CountSent(now);
+    }
     if (closing_) {
-      return now - closing_since_ >
-             (stream_->unsent() > 0 ? owner_->limits.idle : kLingerTimeout);
+      return unsent() > 0 ? now - closing_since_ > owner_->limits.idle
+                          : HasLingered(now);
     }
     if (id_ != 0) {
       return false;
@@ -202,9 +246,48 @@
   }
 
  private:
-  void CountBuffered() {
-    owner_->buffered += input_.size() + body_bytes_ - counted_bytes_;
-    counted_bytes_ = input_.size() + body_bytes_;
+  // Whether bytes that arrive are parsed at once. No request is taken before
+  // the last answer is with the kernel, or a client that reads none would add
+  // one with each request.
+  bool Receives() const { return id_ == 0 && unsent() == 0; }
+
+  void SetReading(bool reading) {
+    reads_ = reading;
+    stream_->SetReading(reading);
+  }
+
+  // An assignment would keep the memory.
+  void FreeInput() { std::string().swap(input_); }
+
+  // The kernel's buffer counts as full while nothing is read from it.
+  void CountHeld() {
+    held_ = input_.size() + reader_.body_bytes() + head_bytes_ + body_bytes_ +
+            collected_bytes_ + unsent() +
+            (reads_ ? 0 : detail::kReceiveBufferBytes);
+    owner_->memory->SetHeld(this, held_);
+  }
+
+  void CountProgress(std::size_t bytes) {
+    progress_bytes_ += bytes;
+    if (progress_bytes_ >= ClientMemory::kProgressBytes) {
+      progress_bytes_ = 0;
+      ClientMemory::OnProgress(this, Loop::Now());
+    }
+  }
+
+  // Sending in parts is seen here only, as `OnFlushed` tells of its end.
+  void CountSent(TimeUs now) {
+    if (unsent() + ClientMemory::kProgressBytes <= last_unsent_) {
+      ClientMemory::OnProgress(this, now);
+    }
+    last_unsent_ = unsent();
+    CountHeld();
+  }
+
+  // A refusal is lost if its client still sends when the connection is closed.
+  bool HasLingered(TimeUs now) const {
+    return now - std::max(closing_since_, discarded_at_) > kLingerTimeout ||
+           now - closing_since_ > owner_->limits.request_time;
   }
 
   void ReadNext() {
@@ -213,11 +296,21 @@
     }
     if (reading_since_ == 0) {
       reading_since_ = Loop::Now();
+      ClientMemory::OnProgress(this, reading_since_);
     }
-    const std::size_t before = input_.size();
     const auto state = reader_.Read(&input_);
-    body_bytes_ += before - input_.size();
-    CountBuffered();
+    if (input_.empty()) {
+      FreeInput();
+    }
+    CountHeld();
+    // What is above the limit goes before more is taken, this one perhaps.
+    if (state < HttpRequestReader::State::kDone && owner_->memory->IsShort()) {
+      Impl* owner = owner_;
+      owner->memory->Relieve(Loop::Now());
+      if (!owner->connections.contains(this) || closing_) {
+        return;
+      }
+    }
     if (state == HttpRequestReader::State::kBad) {
       Refuse(reader_.error_status(), reader_.error());
     } else if (state == HttpRequestReader::State::kBody) {
@@ -228,10 +321,6 @@
   }
 
   void OnPartOfBody() {
-    if (owner_->buffered > owner_->limits.buffered_bytes) {
-      Refuse(503, "too many bytes of requests are held");
-      return;
-    }
     if (reader_.head().expects_continue && !continued_) {
       continued_ = true;
       stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -244,13 +333,14 @@
     keep_alive_ = head.keep_alive;
     chunked_ = head.chunked_answer;
     head_request_ = head.method == "HEAD";
-    const std::string* echo = FindField(head.fields, owner_->echo_field);
-    echo_ = echo == nullptr
-                ? std::nullopt
-                : std::optional(HttpField{owner_->echo_field, *echo});
+    echo_ = EchoOf(head);
     continued_ = false;
     reading_since_ = 0;
+    progress_bytes_ = 0;
+    head_bytes_ = BytesOf(head);
+    body_bytes_ = body.size();
     reader_.Reset(owner_->limits.read);
+    CountHeld();
     id_ = owner_->next_id++;
     owner_->exchanges[id_] = this;
     owner_->handler->OnRequest(id_, std::move(head), std::move(body));
@@ -270,14 +360,22 @@
   void EndExchange(bool close) {
     owner_->exchanges.erase(id_);
     id_ = 0;
+    head_bytes_ = 0;
     body_bytes_ = 0;
-    CountBuffered();
+    collected_bytes_ = 0;
     idle_since_ = Loop::Now();
+    last_unsent_ = unsent();
+    ClientMemory::OnProgress(this, idle_since_);
     if (close) {
       FinishAndLinger();
       return;
     }
-    stream_->SetReading(true);
+    if (unsent() > 0) {
+      CountHeld();
+      return;  // `OnFlushed` goes on.
+    }
+    SetReading(true);
+    CountHeld();
     // Continues from the loop: the handler must not receive the next request
     // while it is still inside the call that answered this one.
     if (!input_.empty()) {
@@ -294,32 +392,92 @@
   void FinishAndLinger() {
     closing_ = true;
     closing_since_ = Loop::Now();
-    input_.clear();
-    CountBuffered();
-    stream_->SetReading(true);
+    reading_since_ = 0;
+    FreeInput();
+    reader_.Reset(owner_->limits.read);
+    SetReading(true);
+    CountHeld();
     stream_->FinishWriting();
   }
 
+  std::optional<HttpField> EchoOf(const HttpRequestHead& head) const {
+    const std::string* value = FindField(head.fields, owner_->echo_field);
+    return value == nullptr
+               ? std::nullopt
+               : std::optional(HttpField{owner_->echo_field, *value});
+  }
+
   void Refuse(int status, const std::string& reason) {
-    owner_->handler->OnListenerEvent({"refused", status, reason});
+    echo_ = EchoOf(reader_.head());
+    owner_->handler->OnListenerEvent(
+        {"refused", status, reason, echo_ ? echo_->value : std::string()});
     keep_alive_ = false;
-    head_request_ = false;
-    HttpFields fields = {{"Content-Type", "text/plain"},
-                         {"Connection", "close"},
-                         {"Content-Length", std::to_string(reason.size())}};
-    stream_->Write(WriteAnswerHead(status, ReasonOf(status), fields) + reason);
+    ListenerRefusal refusal = owner_->handler->WriteRefusal(status, reason);
+    refusal.fields.push_back(
+        {"Content-Length", std::to_string(refusal.body.size())});
+    AddConnectionField(&refusal.fields, true);
+    stream_->Write(WriteAnswerHead(status, ReasonOf(status), refusal.fields) +
+                   refusal.body);
     FinishAndLinger();
   }
 
+  void Report(const char* what) const {
+    owner_->handler->OnListenerEvent(
+        {what, 0, "memory is short", echo_ ? echo_->value : std::string()});
+  }
+
+  // The client knows from the reset that its answer is incomplete.
+  void ResetUnread() {
+    const ExchangeId id = id_;
+    ListenerHandler* handler = owner_->handler;
+    Report("answer_reset");
+    stream_->Abort();
+    owner_->Remove(this);  // `this` is deleted.
+    if (id != 0) {
+      handler->OnClientDisconnected(id);
+    }
+  }
+
+  // The requests behind the one in progress are not read; the connection is
+  // closed after its answer, so that their client knows.
+  GaveWay DropPipeline() {
+    Report("pipeline_dropped");
+    keep_alive_ = false;
+    close_after_ = true;
+    discards_input_ = true;
+    FreeInput();
+    SetReading(true);
+    CountHeld();
+    return GaveWay::kPipelineDropped;
+  }
+
+  GaveWay FreeRequest() {
+    const ExchangeId id = id_;
+    Impl* owner = owner_;
+    const GaveWay how = owner->handler->OnMemoryShort(id);
+    if (how == GaveWay::kBodyReleased && owner->Find(id) == this) {
+      body_bytes_ = 0;
+      CountHeld();
+    }
+    return how;
+  }
+
   Impl* const owner_;
   HttpRequestReader reader_;
   TimeUs idle_since_;
   TimeUs reading_since_ = 0;  // Zero if no byte of a request has arrived.
   TimeUs closing_since_ = 0;
+  TimeUs discarded_at_ = 0;  // Bytes were discarded last.
   std::string input_;
-  std::size_t body_bytes_ = 0;     // Body bytes of the current request.
-  std::size_t counted_bytes_ = 0;  // Share of `Impl::buffered`.
-  ExchangeId id_ = 0;              // Zero if no request is in progress.
+  std::size_t head_bytes_ = 0;       // Of the request in progress.
+  std::size_t body_bytes_ = 0;       // The same, unless released.
+  std::size_t collected_bytes_ = 0;  // Of its answer, see `SetCollected`.
+  std::size_t held_ = 0;             // The sum, as `ClientMemory` knows it.
+  std::size_t progress_bytes_ = 0;   // Received since the last progress.
+  std::size_t last_unsent_ = 0;      // At the last sweep.
+  bool reads_ = true;
+  bool discards_input_ = false;  // See `DropPipeline`.
+  ExchangeId id_ = 0;            // Zero if no request is in progress.
   bool keep_alive_ = true;
   bool chunked_ = true;
   std::optional<HttpField> echo_;  // Of the current request.
@@ -338,12 +496,12 @@
   if (socket == nullptr) {
     const GErrorPtr error(raw_error);
     if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-      self->handler->OnListenerEvent({"accept_failed", 0, error->message});
+      self->handler->OnListenerEvent({"accept_failed", 0, error->message, ""});
     }
     return G_SOURCE_CONTINUE;
   }
   if (self->connections.size() >= self->limits.connections) {
-    self->handler->OnListenerEvent({"too_many_connections", 0, ""});
+    self->handler->OnListenerEvent({"too_many_connections", 0, "", ""});
     g_socket_close(socket.get(), nullptr);
     return G_SOURCE_CONTINUE;
   }
@@ -370,8 +528,15 @@
   connections.erase(connection);
 }
 
-HttpListener::HttpListener(ListenerHandler* handler, Loop* loop)
-    : impl_(std::make_unique<Impl>(handler, loop)) {}
+HttpListener::HttpListener(ListenerHandler* handler,
+                           Loop* loop,
+                           ClientMemory* memory)
+    : impl_(std::make_unique<Impl>(handler, loop, memory)) {
+  impl_->own_memory.SetShortHandler([impl = impl_.get()] {
+    impl->loop->AfterIfAlive(impl->alive, 0,
+                             [impl] { impl->own_memory.Relieve(Loop::Now()); });
+  });
+}
 HttpListener::~HttpListener() = default;
 
 absl::Status HttpListener::Listen(const Address& address) {
@@ -385,7 +550,7 @@
         StrCat("cannot listen on ", address.ip, ":", address.port));
   }
   g_socket_set_blocking(impl_->socket.get(), FALSE);
-  g_socket_set_listen_backlog(impl_->socket.get(), kListenBacklog);
+  detail::SetListenOptions(impl_->socket.get());
   if (!g_socket_bind(impl_->socket.get(), bound.get(), TRUE, &raw_error) ||
       !g_socket_listen(impl_->socket.get(), &raw_error)) {
     const GErrorPtr error(raw_error);
@@ -403,6 +568,7 @@
 
 void HttpListener::SetLimits(const ListenerLimits& limits) {
   impl_->limits = limits;
+  impl_->own_memory.SetLimit(limits.buffered_bytes);
 }
 
 void HttpListener::SetEchoField(std::string name) {
@@ -446,6 +612,11 @@
     impl_->Remove(it);
   }
 }
+void HttpListener::SetCollected(ExchangeId id, std::size_t bytes) {
+  if (auto* it = impl_->Find(id)) {
+    it->SetCollected(bytes);
+  }
+}
 std::size_t HttpListener::Unsent(ExchangeId id) const {
   const auto* it = impl_->Find(id);
   return it == nullptr ? 0 : it->unsent();
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -4,9 +4,10 @@
 //
 // Clients that stall in the middle of a head or a body, do not read their
 // answers or open ever more connections would exhaust memory or file
-// descriptors, and then no client could be served. Time, bytes and connections
-// are bounded by the limits below; the listener itself refuses or closes what
-// exceeds one.
+// descriptors, and then no client could be served. Time and connections are
+// bounded by the limits below, bytes by `ClientMemory`, which every connection
+// tells what it holds. When places or memory run short, a connection gives way
+// that makes least of what it holds, not the one that just came.
 #ifndef ACACIACHUTE_SRC_TRANSPORT_HTTP_LISTENER_H_
 #define ACACIACHUTE_SRC_TRANSPORT_HTTP_LISTENER_H_
 
@@ -16,6 +17,7 @@
 #include <string_view>
 
 #include "absl/status/status.h"
+#include "coordination/admission/client_memory.h"
 #include "protocol/http1.h"
 #include "state/shared_bytes.h"
 #include "types.h"
@@ -31,9 +33,7 @@
   // Time for which a connection may be idle between requests.
   DurationUs idle = 15 * kSecond;
   std::size_t connections = 2000;
-  // Buffered bytes of all connections' requests, from their arrival to their
-  // answer. Above this limit further bodies are refused, so that stalled
-  // uploads cannot exhaust the process's memory.
+  // Limit of the listener's own `ClientMemory`, if it shares none.
   std::size_t buffered_bytes = 48 << 20;
 };
 
@@ -41,6 +41,13 @@
   const char* what;  // Kind of event, such as "refused".
   int status = 0;
   std::string reason;
+  std::string id;  // Value of the echo field, if the head had come.
+};
+
+// The listener's own answer to a request that it does not pass on.
+struct ListenerRefusal {
+  HttpFields fields;
+  std::string body;
 };
 
 class ListenerHandler {
@@ -55,11 +62,21 @@
   virtual void OnWritten(ExchangeId id) = 0;
   // The listener refused a request or a connection without passing it on.
   virtual void OnListenerEvent(const ListenerEvent& event) = 0;
+  // Writes what such a request is answered.
+  virtual ListenerRefusal WriteRefusal(int status, const std::string& reason) {
+    return {{{"Content-Type", "text/plain"}}, reason};
+  }
+  // Memory is short: frees what the request in progress holds here, or ends it.
+  virtual GaveWay OnMemoryShort(ExchangeId id) { return GaveWay::kNothing; }
 };
 
 class HttpListener {
  public:
-  HttpListener(ListenerHandler* handler, Loop* loop);
+  // `memory`: shared with the process's other listeners, outlives this one.
+  // Without it the listener has its own.
+  HttpListener(ListenerHandler* handler,
+               Loop* loop,
+               ClientMemory* memory = nullptr);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
@@ -96,6 +113,8 @@
   // Resets the connection, so that the client cannot mistake what was sent for
   // a complete answer.
   void Break(ExchangeId id);
+  // Bytes of the answer to `id` that are collected elsewhere before it is sent.
+  void SetCollected(ExchangeId id, std::size_t bytes);
   // Bytes written for `id` that are not yet passed to the kernel.
   std::size_t Unsent(ExchangeId id) const;
 
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -231,6 +231,9 @@
     return end;
   }
   std::size_t Unsent(ExchangeId id) override { return unsent; }
+  void SetCollected(ExchangeId id, std::size_t bytes) override {
+    collected[id] = bytes;
+  }
   CallId Send(const AttemptRequest& attempt) override {
     sent.push_back({++last_call, attempt.replica, attempt.time_left,
                     attempt.account, attempt.inputs, attempt.resume_after,
@@ -315,6 +318,7 @@
   int last_host = 0;
   ExchangeId last_exchange = 0;
   CallId last_call = 0;
+  std::map<ExchangeId, std::size_t> collected;
   // Returned by `Unsent`.
   std::size_t unsent = 0;
   // Returned by `ExpectedWait`.
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -1186,6 +1186,44 @@
   EXPECT_EQ(rig.events, std::vector<std::string>{"refused 503"});
 }
 
+// Guards against a client that asks on and on and reads nothing: the next
+// request is taken once the last answer is with the kernel.
+TEST(HttpListenerTest, TakesNoRequestBeforeTheLastAnswerIsRead) {
+  ListenerRig rig;
+  rig.Ask("HTTP/1.1");
+  rig.client->SetReading(false);
+  const std::string body(32 << 20, 'x');
+  rig.listener.Reply(rig.last, 200, {}, body);
+  rig.answer_at_once = true;
+  rig.client->Write("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  bool paused = true;
+  rig.loop.After(200 * kMs, [&] { paused = false; });
+  RunUntil(&rig.loop, [&] { return !paused; });
+  EXPECT_EQ(rig.requests.size(), 1U);
+  rig.client->SetReading(true);
+  RunUntil(&rig.loop, [&] { return rig.received.ends_with("ok"); });
+  EXPECT_EQ(rig.requests.size(), 2U);
+}
+
+// Guards against a refusal that its client cannot tell from another call's, or
+// loses because its connection is reset while it still sends.
+TEST(HttpListenerTest, ARefusalRepeatsTheIdAndIsRead) {
+  ListenerLimits limits;
+  limits.buffered_bytes = 100'000;
+  ListenerRig rig(limits);
+  rig.listener.SetEchoField("Id");
+  rig.Connect();
+  rig.client->Write(
+      "POST /a HTTP/1.1\r\nHost: h\r\nId: seven\r\nContent-Length: "
+      "2000000\r\n\r\n" +
+      std::string(2'000'000, 'x'));
+  RunUntil(&rig.loop, [&] { return rig.ended; });
+  EXPECT_FALSE(rig.reset);
+  EXPECT_TRUE(rig.received.starts_with("HTTP/1.1 503"));
+  EXPECT_TRUE(Contains(rig.received, "Id: seven\r\n"));
+  EXPECT_TRUE(rig.requests.empty());
+}
+
 TEST(HttpListenerTest, AsksToCloseWhileItDrains) {
   ListenerRig rig;
   rig.Connect();
