Let connections that send nothing give their places to newcomers

What callers saw: beside 5,000 connections that send nothing, or heads without their end, 2 or 3 of 29 ordinary requests were answered. Cause: when all places were taken, the newcomer was closed, whatever those that held them had sent; and one connection was accepted a turn of the loop.

Now the connection that makes least of its place is closed for it: one that is being closed, then one that never sent a whole request, then an idle one, each the one that stalled longest; never one with a request in progress or an answer on its way. Up to 64 are accepted a turn.

crowd_tests HeadsWithoutEnd and ConnectionsThatSendNothing: the ordinary request had no answer, and has one. HttpListenerTest.AConnectionThatSendsNothingGivesItsPlace.

--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -23,6 +23,11 @@
 constexpr DurationUs kLingerTimeout = kSecond;
 // Maximum number of bytes buffered behind a request in progress.
 constexpr std::size_t kMaxPipelinedBytes = 16 << 10;
+// Maximum number of connections accepted before others are served.
+constexpr int kMaxAcceptsPerTurn = 64;
+// How often the time limits are checked; the limits are seconds long.
+constexpr DurationUs kSweepPeriod = 250 * kMillisecond;
+
 constexpr int kHttpUnavailable = 503;
 
 std::size_t BytesOf(const HttpRequestHead& head) {
@@ -56,6 +61,11 @@
   }
 
   static gboolean OnAccept(GSocket*, GIOCondition, gpointer data);
+  // Accepts a connection; returns false if none waits.
+  bool Accept();
+  // Closes the connection that makes least of its place; returns false if all
+  // are in use.
+  bool MakePlace();
   void Sweep();
   void Remove(Connection* connection);
   Connection* Find(ExchangeId id) const {
@@ -157,6 +167,19 @@
     return GaveWay::kRefused;
   }
 
+  // Whether the connection could be closed without breaking off a request or
+  // an answer, and how much others need its place less, highest first.
+  std::optional<std::pair<int, DurationUs>> Dispensable(TimeUs now) const {
+    if (id_ != 0 || (!closing_ && unsent() > 0)) {
+      return std::nullopt;
+    }
+    constexpr int kClosing = 2;
+    constexpr int kNeverServed = 1;
+    constexpr int kIdle = 0;
+    const int rank = closing_ ? kClosing : served_ == 0 ? kNeverServed : kIdle;
+    return std::pair(rank, ClientMemory::Stalled(*this, now));
+  }
+
   AnswerEnd Reply(int status,
                   HttpFields fields,
                   const SharedBytes& body,
@@ -337,6 +360,7 @@
     continued_ = false;
     reading_since_ = 0;
     progress_bytes_ = 0;
+    ++served_;
     head_bytes_ = BytesOf(head);
     body_bytes_ = body.size();
     reader_.Reset(owner_->limits.read);
@@ -475,6 +499,7 @@
   std::size_t held_ = 0;             // The sum, as `ClientMemory` knows it.
   std::size_t progress_bytes_ = 0;   // Received since the last progress.
   std::size_t last_unsent_ = 0;      // At the last sweep.
+  std::size_t served_ = 0;           // Requests that were complete.
   bool reads_ = true;
   bool discards_input_ = false;  // See `DropPipeline`.
   ExchangeId id_ = 0;            // Zero if no request is in progress.
@@ -490,25 +515,51 @@
 
 gboolean HttpListener::Impl::OnAccept(GSocket*, GIOCondition, gpointer data) {
   auto* self = static_cast<Impl*>(data);
+  int n = 0;
+  while (n < kMaxAcceptsPerTurn && self->Accept()) {
+    ++n;
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+bool HttpListener::Impl::Accept() {
   GError* raw_error = nullptr;
-  GPtr<GSocket> socket(
-      g_socket_accept(self->socket.get(), nullptr, &raw_error));
-  if (socket == nullptr) {
+  GPtr<GSocket> accepted(g_socket_accept(socket.get(), nullptr, &raw_error));
+  if (accepted == nullptr) {
     const GErrorPtr error(raw_error);
     if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-      self->handler->OnListenerEvent({"accept_failed", 0, error->message, ""});
+      handler->OnListenerEvent({"accept_failed", 0, error->message, ""});
     }
-    return G_SOURCE_CONTINUE;
+    return false;
   }
-  if (self->connections.size() >= self->limits.connections) {
-    self->handler->OnListenerEvent({"too_many_connections", 0, "", ""});
-    g_socket_close(socket.get(), nullptr);
-    return G_SOURCE_CONTINUE;
+  if (connections.size() >= limits.connections && !MakePlace()) {
+    handler->OnListenerEvent({"too_many_connections", 0, "", ""});
+    g_socket_close(accepted.get(), nullptr);
+    return true;
   }
-  auto connection = std::make_unique<Connection>(self, std::move(socket));
+  auto connection = std::make_unique<Connection>(this, std::move(accepted));
   Connection* key = connection.get();
-  self->connections.emplace(key, std::move(connection));
-  return G_SOURCE_CONTINUE;
+  connections.emplace(key, std::move(connection));
+  return true;
+}
+
+bool HttpListener::Impl::MakePlace() {
+  const TimeUs now = Loop::Now();
+  Connection* least = nullptr;
+  std::pair<int, DurationUs> most = {-1, 0};
+  for (const auto& [key, connection] : connections) {
+    const auto rank = connection->Dispensable(now);
+    if (rank && *rank > most) {
+      most = *rank;
+      least = key;
+    }
+  }
+  if (least == nullptr) {
+    return false;
+  }
+  handler->OnListenerEvent({"place_taken", 0, "", ""});
+  Remove(least);
+  return true;
 }
 
 void HttpListener::Impl::Sweep() {
--- a/tests/gateway/transport_test.cc
+++ b/tests/gateway/transport_test.cc
@@ -1022,6 +1022,21 @@
   bool reset = false;
 };
 
+// Another client of the same listener.
+struct RawPeer : SocketHandler {
+  RawPeer(Loop* loop, const Address& address) {
+    auto made = SocketStream::Connect(loop->sockets(), address, this);
+    EXPECT_TRUE(made.ok());
+    stream = *made;
+  }
+  ~RawPeer() override { stream->Close(); }
+  void OnBytes(std::string_view) override {}
+  void OnEnd(const char*) override { ended = true; }
+
+  std::shared_ptr<SocketStream> stream;
+  bool ended = false;
+};
+
 TEST(HttpListenerTest, ServesRequestsOfOneConnectionInOrder) {
   ListenerRig rig;
   rig.Connect();
@@ -1224,6 +1239,27 @@
   EXPECT_TRUE(rig.requests.empty());
 }
 
+// Guards against connections that send nothing and shut out who comes later:
+// the one that has waited longest gives way, never one in use.
+TEST(HttpListenerTest, AConnectionThatSendsNothingGivesItsPlace) {
+  ListenerLimits limits;
+  limits.connections = 2;
+  ListenerRig rig(limits);
+  rig.Ask("HTTP/1.1");
+  RawPeer silent(&rig.loop, rig.address);
+  RunUntil(&rig.loop, [&] { return rig.listener.connections() == 2; });
+  RawPeer later(&rig.loop, rig.address);
+  later.stream->Write("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(&rig.loop, [&] { return rig.requests.size() == 2; });
+  RunUntil(&rig.loop, [&] { return silent.ended; });
+  EXPECT_TRUE(silent.ended);
+  EXPECT_FALSE(rig.ended);
+  EXPECT_EQ(rig.listener.connections(), 2U);
+  RawPeer last(&rig.loop, rig.address);
+  RunUntil(&rig.loop, [&] { return last.ended; });
+  EXPECT_FALSE(rig.ended);
+}
+
 TEST(HttpListenerTest, AsksToCloseWhileItDrains) {
   ListenerRig rig;
   rig.Connect();
