Bound the port of the balancer and the operators for what it is for

Cause: the readiness port had the limits of a listener for clients, whatever the machine: 2,000 connections beside the 1,925 of clients, and bodies of 4 MB against 48 MB of its own. 800 connections that send nothing made 813 descriptors of 700, bodies short of one byte 69 MB of 64.

--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -32,6 +32,9 @@
 // The process's memory limit, divided by this, is what clients may make it
 // hold; see `ClientMemory`.
 constexpr std::size_t kClientMemoryDivisor = 5;
+// The port for the balancer and operators: a few connections, short orders.
+constexpr std::size_t kMaxOperatorConnections = 64;
+constexpr std::size_t kMaxOperatorBody = 64 << 10;
 // Share of the process's file descriptors, less `kReservedDescriptors`, that is
 // available for client connections. The other descriptors are for connections
 // to replicas and for files.
@@ -204,6 +207,10 @@
   started_at = Now();
   clients.SetLimits(ClientLimitsOf({}));
   clients.SetEchoField(platform::kRequestIdField);
+  ListenerLimits operators;
+  operators.read.body_bytes = kMaxOperatorBody;
+  operators.connections = kMaxOperatorConnections;
+  readiness.SetLimits(operators);
   if (auto status = readiness.Listen(settings.readiness); !status.ok()) {
     return status;
   }
