Bound what callers make an entry or a sidecar hold together

Exchanges ask a ClientMemory as connections of the gateway do (client_memory_bytes, 48 MiB): bodies that arrive are refused as not run, the rest discarded so that the refusal is read; unread answers are reset; requests in progress go on. A sidecar's bodies are 64 KB. The connection that waited longest for a request gives its place.

--- a/src/daemon/entry_node.cc
+++ b/src/daemon/entry_node.cc
@@ -61,6 +61,7 @@
   HttpLimits limits;
   limits.max_body = kMaxBodySize;
   limits.max_connections = settings.max_connections;
+  limits.client_memory = settings.client_memory;
   return limits;
 }
 
@@ -216,6 +217,9 @@
     entry.OnCallerDisconnected(Loop::Now(), handle);
     Rearm();
   }
+  void OnHttpRelief(const ClientMemory::Relief& relief) override {
+    ReportRelief(settings.node, relief, &metrics);
+  }
 
   void OnOperatorRequest(std::uint64_t handle, const HttpHead& head);
   std::string StatusJson();
--- a/src/daemon/node_pages.cc
+++ b/src/daemon/node_pages.cc
@@ -1,5 +1,7 @@
 #include "daemon/node_pages.h"
 
+#include <glog/logging.h>
+
 #include <string_view>
 
 #include "text.h"
@@ -36,4 +38,18 @@
   return reply;
 }
 
+// Of a crowd that gives way, a line in a second tells enough; the counter has
+// the rest.
+void ReportRelief(const NodeId& node,
+                  const ClientMemory::Relief& relief,
+                  Metrics* metrics) {
+  constexpr double kLogIntervalSeconds = 1.0;
+  metrics->Count("acaciachute_gave_way_total", Name(relief.how));
+  LOG_EVERY_T(INFO, kLogIntervalSeconds)
+      << "event=gave_way node=" << node << " how=" << Name(relief.how)
+      << " held=" << relief.held
+      << " stalled_ms=" << relief.stalled / kMillisecond
+      << " sum=" << relief.sum << " limit=" << relief.limit;
+}
+
 }  // namespace acaciachute
--- a/src/daemon/node_pages.h
+++ b/src/daemon/node_pages.h
@@ -2,6 +2,7 @@
 #ifndef ACACIACHUTE_SRC_DAEMON_NODE_PAGES_H_
 #define ACACIACHUTE_SRC_DAEMON_NODE_PAGES_H_
 
+#include "coordination/admission/client_memory.h"
 #include "protocol/caller_http.h"
 #include "state/metrics.h"
 #include "transport/trace_log.h"
@@ -14,6 +15,11 @@
                         const Metrics& metrics,
                         const TraceLog& traces);
 
+// Counts and logs that a client gave way.
+void ReportRelief(const NodeId& node,
+                  const ClientMemory::Relief& relief,
+                  Metrics* metrics);
+
 }  // namespace acaciachute
 
 #endif  // ACACIACHUTE_SRC_DAEMON_NODE_PAGES_H_
--- a/src/daemon/sidecar_node.cc
+++ b/src/daemon/sidecar_node.cc
@@ -40,6 +40,15 @@
 // entries learn of it by heartbeats.
 constexpr DurationUs kLeavingGracePeriod = 500 * kMillisecond;
 constexpr DurationUs kDrainPollPeriod = 20 * kMillisecond;
+// Operators' orders are short.
+constexpr std::size_t kMaxOperatorBody = 64 << 10;
+
+HttpLimits LimitsOf(const NodeSettings& settings) {
+  HttpLimits limits;
+  limits.max_body = kMaxOperatorBody;
+  limits.client_memory = settings.client_memory;
+  return limits;
+}
 
 }  // namespace
 
@@ -61,7 +70,7 @@
         mesh({settings.node, incarnation, settings.frame_key, settings.listen},
              this,
              &metrics),
-        server(this),
+        server(this, LimitsOf(settings)),
         upstream(settings.upstream_url,
                  {[this](UpstreamCallId id, std::string body, bool last) {
                     sidecar.OnUpstreamChunk(Loop::Now(), id, std::move(body),
@@ -136,6 +145,9 @@
                      const HttpHead& head,
                      std::string_view body) override;
   void OnHttpDisconnected(std::uint64_t handle) override {}
+  void OnHttpRelief(const ClientMemory::Relief& relief) override {
+    ReportRelief(settings.node, relief, &metrics);
+  }
 
   void FetchReport();
   void LogState();
--- a/src/protocol/node_settings.cc
+++ b/src/protocol/node_settings.cc
@@ -131,6 +131,7 @@
   out.upstream_url = GetUrl(in, "upstream");
   out.max_requests = in.value("max_requests", out.max_requests);
   out.max_connections = in.value("max_connections", out.max_connections);
+  out.client_memory = in.value("client_memory_bytes", out.client_memory);
   out.claim_transactions_per_second = in.value(
       "claim_transactions_per_second", out.claim_transactions_per_second);
   out.balancer_grace =
--- a/src/protocol/node_settings.h
+++ b/src/protocol/node_settings.h
@@ -37,6 +37,9 @@
   std::uint32_t max_requests = 4096;
   // Maximum number of callers' connections.
   std::uint32_t max_connections = 4096;
+  // Bytes that all clients together may make the process hold; see
+  // `HttpLimits::client_memory`.
+  std::uint64_t client_memory = 48 << 20;
   // Maximum rate of an entry's claim transactions at the platform's table: its
   // share of the table's capacity.
   double claim_transactions_per_second = 100;
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -56,6 +56,7 @@
 }
 
 void HttpConnection::ShutDown() {
+  shut_down_ = true;
   g_socket_shutdown(socket_.get(), TRUE, TRUE, nullptr);
 }
 
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 
+#include "coordination/admission/client_memory.h"
 #include "transport/glib_ptr.h"
 #include "types.h"
 
@@ -30,6 +31,7 @@
   void StopTimer();
   // Shuts the socket down; libsoup then aborts the request in progress.
   void ShutDown();
+  bool is_shut_down() const { return shut_down_; }
   // Between requests: closes the socket when the client does. libsoup 3.2 keeps
   // a connection that the client closed open for ever, and with it the file
   // descriptor.
@@ -37,21 +39,27 @@
   void StopWatch();
   bool closed() const { return g_socket_is_closed(socket_.get()) != FALSE; }
 
+  // When it was accepted, or its last request ended.
+  TimeUs waiting_since = 0;
+  bool served = false;  // A request was complete.
+  bool in_use = false;  // From the end of a request to that of its answer.
+
  private:
   static gboolean OnTimer(gpointer data);
   static gboolean OnIdle(GSocket*, GIOCondition, gpointer data);
 
   const GPtr<GSocket> socket_;
+  bool shut_down_ = false;
   guint timer_ = 0;
   GSource* watch_ = nullptr;
 };
 
 // One request and its answer, from the end of the request's head to the end of
 // the answer.
-class HttpExchange {
+class HttpExchange : public MemoryHolder {
  public:
   HttpExchange(SoupServerMessage* message, HttpConnection* connection);
-  ~HttpExchange() { StopWatch(); }
+  ~HttpExchange() override { StopWatch(); }
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
@@ -62,9 +70,17 @@
   SoupServerMessage* message() const { return message_.get(); }
   HttpConnection* connection() const { return connection_; }
 
+  // A body that is received was refused, or an answer that is not read is
+  // broken off. A request in progress goes on.
+  GaveWay GiveWay() override { return give_way(); }
+  std::function<GaveWay()> give_way;
+
   std::uint64_t handle = 0;  // Zero until the request is complete.
   std::size_t received = 0;  // Bytes of the body received.
-  bool refused = false;      // Refused for the size of its body.
+  std::size_t held = 0;      // Bytes of the body, then of the answer.
+  std::size_t progress = 0;  // Bytes since the last progress.
+  // Why the body was refused before it was complete; `kNone`: it was not.
+  Refusal refused = Refusal::kNone;
   bool streaming = false;
   bool complete = false;  // The complete answer was passed to libsoup.
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -10,6 +10,7 @@
 #include "text.h"
 #include "transport/glib_ptr.h"
 #include "transport/http_connection.h"
+#include "transport/listen_options.h"
 #include "transport/loop.h"
 
 namespace acaciachute {
@@ -18,11 +19,6 @@
 using detail::HttpConnection;
 using detail::HttpExchange;
 
-// Maximum number of connections waiting to be accepted; the kernel lowers it to
-// its own bound. GIO's default of ten resets some clients when forty connect at
-// once, as at the start of an event.
-constexpr int kListenBacklog = 1024;
-
 // File descriptors reserved for frames, platform connections and logs.
 constexpr rlim_t kReservedDescriptors = 256;
 // A refused body is read and discarded up to this multiple of the limit, so
@@ -82,7 +78,18 @@
   Impl(HttpHandler* handler, const HttpLimits& limits)
       : handler(handler),
         limits(limits),
-        max_connections(ClampConnections(limits.max_connections)) {}
+        max_connections(ClampConnections(limits.max_connections)),
+        memory(limits.client_memory) {
+    memory.SetReliefHandler([handler](const ClientMemory::Relief& relief) {
+      handler->OnHttpRelief(relief);
+    });
+    memory.SetShortHandler([this] { RelieveSoon(); });
+  }
+  ~Impl() {
+    if (relief_source != 0) {
+      g_source_remove(relief_source);
+    }
+  }
 
   void OnStarted(SoupServerMessage* message);
   void RemoveClosed();
@@ -91,7 +98,15 @@
   void OnRequest(SoupServerMessage* message, const char* path);
   void OnEnded(SoupServerMessage* message);
   void OnHangUp(SoupServerMessage* message);
-  void RefuseBody(HttpExchange& exchange);
+  void RefuseBody(HttpExchange& exchange, Refusal why);
+  // Shuts down the connection that has waited longest for a request; returns
+  // false if all are in use.
+  bool MakePlace(const HttpConnection* newcomer);
+  void SetHeld(HttpExchange* exchange, std::size_t bytes);
+  static void CountProgress(HttpExchange* exchange, std::size_t bytes);
+  GaveWay GiveWay(HttpExchange* exchange);
+  void RelieveSoon();
+  void OnWrote(SoupServerMessage* message, std::size_t bytes);
   HttpExchange* Find(SoupServerMessage* message);
   HttpExchange* Find(std::uint64_t handle);
 
@@ -112,6 +127,8 @@
   std::size_t sweep_threshold = kSweepSlack;
   std::map<SoupServerMessage*, std::unique_ptr<HttpExchange>> exchanges;
   std::map<std::uint64_t, HttpExchange*> open;
+  ClientMemory memory;
+  guint relief_source = 0;
 };
 
 HttpExchange* HttpServer::Impl::Find(SoupServerMessage* message) {
@@ -139,8 +156,9 @@
   auto& connection = connections[socket];
   if (!connection) {
     connection = std::make_unique<HttpConnection>(socket);
+    connection->waiting_since = Loop::Now();
   }
-  if (connections.size() > max_connections) {
+  if (connections.size() > max_connections && !MakePlace(connection.get())) {
     connection->ShutDown();
   } else {
     connection->StopWatch();
@@ -148,6 +166,26 @@
   }
 }
 
+// Those that never sent a whole request go before those that did. libsoup
+// notices the shutdown and ends the message, if there is one.
+bool HttpServer::Impl::MakePlace(const HttpConnection* newcomer) {
+  HttpConnection* least = nullptr;
+  const auto rank = [](const HttpConnection& it) {
+    return std::pair(it.served, it.waiting_since);
+  };
+  for (const auto& [socket, it] : connections) {
+    if (!it->in_use && !it->is_shut_down() && it.get() != newcomer &&
+        (least == nullptr || rank(*it) < rank(*least))) {
+      least = it.get();
+    }
+  }
+  if (least == nullptr) {
+    return false;
+  }
+  least->ShutDown();
+  return true;
+}
+
 // libsoup signals the end of a request but not of a connection, so closed
 // connections are removed here.
 void HttpServer::Impl::RemoveClosed() {
@@ -166,6 +204,14 @@
   HttpExchange& exchange = *owned;
   exchanges[message] = std::move(owned);
   exchange.connection()->ShutDownAfter(limits.body);
+  exchange.give_way = [this, &exchange] { return GiveWay(&exchange); };
+  memory.Add(&exchange, Loop::Now());
+  g_signal_connect(
+      message, "wrote-body-data",
+      G_CALLBACK(+[](SoupServerMessage* it, guint size, gpointer data) {
+        static_cast<Impl*>(data)->OnWrote(it, size);
+      }),
+      this);
   g_signal_connect(
       message, "got-chunk",
       G_CALLBACK(+[](SoupServerMessage* it, GBytes* bytes, gpointer data) {
@@ -175,14 +221,71 @@
   const auto length = soup_message_headers_get_content_length(
       soup_server_message_get_request_headers(message));
   if (length > static_cast<goffset>(limits.max_body)) {
-    RefuseBody(exchange);
+    RefuseBody(exchange, Refusal::kTooLarge);
   }
 }
 
-void HttpServer::Impl::RefuseBody(HttpExchange& exchange) {
-  exchange.refused = true;
-  soup_message_body_set_accumulate(
-      soup_server_message_get_request_body(exchange.message()), FALSE);
+// What is still to come is read and discarded, so that the client reads its
+// refusal.
+void HttpServer::Impl::RefuseBody(HttpExchange& exchange, Refusal why) {
+  exchange.refused = why;
+  SoupMessageBody* body =
+      soup_server_message_get_request_body(exchange.message());
+  soup_message_body_set_accumulate(body, FALSE);
+  soup_message_body_truncate(body);
+  SetHeld(&exchange, 0);
+}
+
+void HttpServer::Impl::SetHeld(HttpExchange* exchange, std::size_t bytes) {
+  exchange->held = bytes;
+  memory.SetHeld(exchange, bytes);
+}
+
+void HttpServer::Impl::CountProgress(HttpExchange* exchange,
+                                     std::size_t bytes) {
+  exchange->progress += bytes;
+  if (exchange->progress >= ClientMemory::kProgressBytes) {
+    exchange->progress = 0;
+    ClientMemory::OnProgress(exchange, Loop::Now());
+  }
+}
+
+GaveWay HttpServer::Impl::GiveWay(HttpExchange* exchange) {
+  if (exchange->handle == 0 && exchange->refused == Refusal::kNone) {
+    RefuseBody(*exchange, Refusal::kFull);
+    return GaveWay::kRefused;
+  }
+  if (!exchange->complete && !exchange->streaming) {
+    return GaveWay::kNothing;
+  }
+  // libsoup frees the answer once it notices.
+  SetHeld(exchange, 0);
+  exchange->connection()->ShutDown();
+  return GaveWay::kAnswerReset;
+}
+
+// From the loop, as the caller may be inside a signal of libsoup's.
+void HttpServer::Impl::RelieveSoon() {
+  relief_source = g_timeout_add(
+      0,
+      +[](gpointer data) -> gboolean {
+        auto* it = static_cast<Impl*>(data);
+        it->relief_source = 0;
+        it->memory.Relieve(Loop::Now());
+        return G_SOURCE_REMOVE;
+      },
+      this);
+}
+
+void HttpServer::Impl::OnWrote(SoupServerMessage* message, std::size_t bytes) {
+  HttpExchange* exchange = Find(message);
+  if (exchange == nullptr) {
+    return;
+  }
+  CountProgress(exchange, bytes);
+  if (exchange->streaming) {  // Its parts are freed as they are written.
+    SetHeld(exchange, exchange->held - std::min(exchange->held, bytes));
+  }
 }
 
 void HttpServer::Impl::OnChunk(SoupServerMessage* message, gsize size) {
@@ -193,8 +296,15 @@
   exchange->received += size;
   if (exchange->received > kDiscardFactor * limits.max_body) {
     exchange->connection()->ShutDown();
-  } else if (exchange->received > limits.max_body && !exchange->refused) {
-    RefuseBody(*exchange);
+  } else if (exchange->refused != Refusal::kNone) {
+    return;
+  } else if (exchange->received > limits.max_body) {
+    RefuseBody(*exchange, Refusal::kTooLarge);
+  } else {
+    // At once: libsoup reads a body to its end before others have their turn.
+    CountProgress(exchange, size);
+    SetHeld(exchange, exchange->received);
+    memory.Relieve(Loop::Now());
   }
 }
 
@@ -204,11 +314,16 @@
     return;
   }
   exchange->connection()->StopTimer();
-  if (exchange->refused) {
-    FillResponse(message,
-                 FormatAnswer(MakeRefusal(
-                     Verdict::kNotRun, Refusal::kTooLarge,
-                     StrCat("the body is over ", limits.max_body, " bytes"))));
+  exchange->connection()->in_use = true;
+  exchange->connection()->served = true;
+  if (exchange->refused != Refusal::kNone) {
+    FillResponse(
+        message,
+        FormatAnswer(MakeRefusal(
+            Verdict::kNotRun, exchange->refused,
+            exchange->refused == Refusal::kTooLarge
+                ? StrCat("the body is over ", limits.max_body, " bytes")
+                : "memory is short, and others make more of it")));
     SetConnectionClose(message);
     exchange->connection()->ShutDownAfter(limits.answer);
     return;
@@ -249,7 +364,10 @@
   }
   const auto exchange = std::move(it->second);
   exchanges.erase(it);
+  memory.Remove(exchange.get());
   g_signal_handlers_disconnect_by_data(message, this);
+  exchange->connection()->in_use = false;
+  exchange->connection()->waiting_since = Loop::Now();
   exchange->connection()->ShutDownAfter(limits.idle);
   exchange->connection()->WatchIdle();
   const bool was_open = open.erase(exchange->handle) > 0;
@@ -306,7 +424,7 @@
       g_socket_new(g_socket_address_get_family(target.get()),
                    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error));
   if (socket) {
-    g_socket_set_listen_backlog(socket.get(), kListenBacklog);
+    detail::SetListenOptions(socket.get());
   }
   if (!socket || !g_socket_bind(socket.get(), target.get(), TRUE, &error) ||
       !g_socket_listen(socket.get(), &error) ||
@@ -333,6 +451,8 @@
   }
   it->complete = true;
   FillResponse(it->message(), reply);
+  impl_->SetHeld(it, reply.body.size());
+  ClientMemory::OnProgress(it, Loop::Now());
   if (impl_->closing) {
     SetConnectionClose(it->message());
   }
@@ -359,6 +479,7 @@
   SoupMessageBody* body = soup_server_message_get_response_body(message);
   if (!it->streaming) {
     it->streaming = true;
+    impl_->SetHeld(it, 0);
     soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
     SoupMessageHeaders* headers =
         soup_server_message_get_response_headers(message);
@@ -371,6 +492,7 @@
     soup_message_body_set_accumulate(body, FALSE);
   }
   soup_message_body_append(body, SOUP_MEMORY_COPY, bytes.data(), bytes.size());
+  impl_->SetHeld(it, it->held + bytes.size());
   soup_server_message_unpause(message);
 }
 
@@ -395,6 +517,8 @@
   const GPtr<SoupServerMessage> message = Share(it->message());
   g_signal_handlers_disconnect_by_data(message.get(), impl_.get());
   impl_->open.erase(handle);
+  it->connection()->in_use = false;
+  impl_->memory.Remove(it);
   impl_->exchanges.erase(message.get());
   const GPtr<GIOStream> stream(
       soup_server_message_steal_connection(message.get()));
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -2,7 +2,9 @@
 //
 // Clients that send endless or slow requests, send nothing, or open ever more
 // connections would exhaust memory or file descriptors, and then nobody could
-// be served. Bodies, connections and the time to send a request are bounded. A
+// be served. Bodies, connections, the time to send a request, and the bytes of
+// all clients together are bounded; who holds most for least progress gives
+// way. A
 // client that disconnects is detected while its request is in progress,
 // although libsoup reads nothing from a paused message.
 #ifndef ACACIACHUTE_SRC_TRANSPORT_HTTP_SERVER_H_
@@ -14,6 +16,7 @@
 #include <string_view>
 
 #include "absl/status/status.h"
+#include "coordination/admission/client_memory.h"
 #include "protocol/caller_http.h"
 #include "protocol/node_settings.h"
 
@@ -36,6 +39,9 @@
   DurationUs body = 10 * kSecond;
   // Time limit for the client to read a complete answer.
   DurationUs answer = 30 * kSecond;
+  // Bytes of all clients' bodies and answers; see `ClientMemory`. Three of the
+  // longest bodies.
+  std::size_t client_memory = 48 << 20;
 };
 
 class HttpHandler {
@@ -48,6 +54,8 @@
                              std::string_view body) = 0;
   // The client disconnected before its answer was complete.
   virtual void OnHttpDisconnected(std::uint64_t handle) = 0;
+  // Memory was short, and a client gave way.
+  virtual void OnHttpRelief(const ClientMemory::Relief& relief) {}
 };
 
 class HttpServer {
