Remember prompt parts by a hash, not by an id that clients choose

Cause, found by writing the table of what others make a process hold: an id of a prompt part may be as long as a head, 16 KB, and 4,096 are remembered of each engine, 64 MB of a gateway's 260. Not seen on a machine, worked out. The set keeps 8 bytes a part now; two parts with one hash would only be taken for each other in an estimate of what an engine has to read.

No functional change for ids of any length that are told apart

--- a/src/coordination/choice/engine_choice.cc
+++ b/src/coordination/choice/engine_choice.cc
@@ -14,6 +14,10 @@
   return prompt.empty() ? 0 : prompt.size() - 1;
 }
 
+std::uint64_t HashOf(const PromptPart& part) {
+  return XXH3_64bits(part.id.data(), part.id.size());
+}
+
 // Cost of fetching the results from another failure domain, in prompt tokens.
 double FetchTokens(const EngineRequest& request, const ReplicaEntry& replica) {
   constexpr double kMegabyte = 1e6;
@@ -49,7 +53,7 @@
     const PromptPart& part = (*request.prompt)[n];
     listed += part.tokens;
     must_read = must_read || (!(home && n < shared) &&
-                              !engine.cached_parts.contains(part.id));
+                              !engine.cached_parts.contains(HashOf(part)));
     if (must_read) {
       (n < shared ? uncached.shared : uncached.own) += part.tokens;
     }
@@ -246,7 +250,7 @@
     cached_parts.clear();
   }
   for (const PromptPart& it : *request.prompt) {
-    cached_parts.insert(it.id);
+    cached_parts.insert(HashOf(it));
   }
 }
 
--- a/src/coordination/choice/engine_choice.h
+++ b/src/coordination/choice/engine_choice.h
@@ -128,8 +128,9 @@
 
  private:
   struct Engine {
-    // Ids of the prompt parts assumed to be cached.
-    absl::flat_hash_set<std::string> cached_parts;
+    // Hashes of the ids of the prompt parts assumed to be cached: clients
+    // choose the ids, which may be as long as a head.
+    absl::flat_hash_set<std::uint64_t> cached_parts;
     ReplicaHealth health;
   };
 
