Refuse many pieces with a long id or key

Cause, found by writing the same table: every piece carries the request's id and key, so a head of 16 KB with 1,000 pieces a stage made the gateway hold 15 MB for each stage, a thousand times what it was sent. Worked out, not seen.

RequestsTest.RefusesManyPiecesWithALongKey.

--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -317,6 +317,25 @@
   }
 }
 
+// Guards against a head that makes the gateway hold a thousand times its bytes:
+// every piece carries the id and the key of its request.
+TEST(RequestsTest, RefusesManyPiecesWithALongKey) {
+  HttpRequestHead head = Head();
+  const auto set = [&](std::string_view name, const std::string& value) {
+    for (HttpField& it : head.fields) {
+      if (it.name == name) {
+        it.value = value;
+      }
+    }
+  };
+  set("Pieces", "1000,1000");
+  EXPECT_TRUE(ReadClientRequest(head, "").ok());
+  set("Piece-Key", std::string(8000, 'k'));
+  EXPECT_FALSE(ReadClientRequest(head, "").ok());
+  set("Pieces", "20,40");
+  EXPECT_TRUE(ReadClientRequest(head, "").ok());
+}
+
 TEST(RequestsTest, ReadsFieldsThatReplicasState) {
   HttpAnswerHead head;
   head.status = 503;
