Take no place from a connection whose last answer is still being sent

Found by reading: a connection that is to be closed counted as one that others need first, also while its last answer was not with the kernel, so a newcomer could cut it when all places were taken. It counts as in use until then, as the connections that stay open did.

No functional change otherwise

--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -170,7 +170,7 @@
   // Whether the connection could be closed without breaking off a request or
   // an answer, and how much others need its place less, highest first.
   std::optional<std::pair<int, DurationUs>> Dispensable(TimeUs now) const {
-    if (id_ != 0 || (!closing_ && unsent() > 0)) {
+    if (id_ != 0 || unsent() > 0) {
       return std::nullopt;
     }
     constexpr int kClosing = 2;
