--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,7 @@
-"""A request that crashes its replicas comes again with another query.
+"""A request makes its replicas go dark, and its deadline passes before that shows.
 
-One device sends GET /stops/poison/today?at=N every four seconds: the same path,
-caller and (empty) body, and a time stamp that differs in the query.
+One device sends the same request every five seconds. Each replica that runs it
+falls silent, and is back, under a new id, after four seconds.
 """
 
 import asyncio
@@ -12,15 +12,15 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import crashing  # noqa: E402
 
-SENDS = 12
-PERIOD_S = 4.0
+SENDS = 14
+PERIOD_S = 5.0
 
 
 async def play(world):
     for n in range(SENDS):
-        await world.send(n, "%s?at=%d" % (crashing.POISON, 1733000000 + n))
+        await world.send(n, crashing.POISON)
         await asyncio.sleep(PERIOD_S)
     return world.judge(SENDS)
 
 
-crashing.main(crashing.World(HERE, replicas=8), play)
+crashing.main(crashing.World(HERE, replicas=8, crash="dark", back_s=4.0), play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,7 @@
-"""A request that was answered before crashes its replicas.
+"""A request that crashes its replicas comes again in several copies at a time.
 
-One device sends the same request every five seconds. The first one is answered;
-from then on it crashes each replica that begins to run it.
+Six devices of one caller send the same request (same path, caller and body)
+every six seconds, to three gateways.
 """
 
 import asyncio
@@ -12,19 +12,17 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import crashing  # noqa: E402
 
-SENDS = 12
-PERIOD_S = 5.0
+DEVICES = 6
+WAVES = 5
+PERIOD_S = 6.0
 
 
 async def play(world):
-    if await world.send(0, crashing.POISON) != 200:
-        return 2
-    world.runs.clear()
-    world.begin_to_crash()
-    for n in range(SENDS):
+    for _ in range(WAVES):
+        copies = [world.send(n, crashing.POISON) for n in range(DEVICES)]
+        await asyncio.gather(*copies)
         await asyncio.sleep(PERIOD_S)
-        await world.send(n, crashing.POISON)
-    return world.judge(SENDS)
+    return world.judge(WAVES * DEVICES)
 
 
-crashing.main(crashing.World(HERE, replicas=8, crash="none"), play)
+crashing.main(crashing.World(HERE, replicas=8), play)
