Pieces of a stage share their inputs: no product of pieces and results

Cause: each piece's task held a copy of the handles of all results that its stage needs: in the task, the copy for a second send, the message, its frame, what the receiver decodes, the batcher, the call and its JSON tree. The frame, above the limit, cost the connection between two gateways besides. Nothing of it counted in the sum of what clients make a process hold.

Change: PieceInputs is one immutable list for all pieces of a stage; a frame has each list once; messages with pieces, results and releases are split below the frame limit, and a frame above it is never sent; a call states at most 512 KB of inputs; requests count their pieces in the sum and give way with it; pieces of other gateways have an eighth of the process's memory and are refused as not run beyond it. What had a cost of the same product in time is asked once per list.

--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -90,7 +90,8 @@
   virtual AnswerEnd EndStream(ExchangeId id, AnswerEnd end) = 0;
   // Bytes queued for the client that are not sent yet.
   virtual std::size_t Unsent(ExchangeId id) = 0;
-  // Bytes of a plain answer that are held until it is complete.
+  // Bytes that are held for the request besides what its client sent: its
+  // pieces, or a plain answer until it is complete.
   virtual void SetCollected(ExchangeId id, std::size_t bytes) = 0;
 
   // Sends an attempt to its replica; the events of the returned call come back
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -257,6 +257,7 @@
   // gateway_stages.cc
   std::vector<PieceTask> TasksOf(const ServingRequest& request,
                                  std::uint32_t stage) const;
+  static std::size_t PieceMemory(const ServingRequest& request);
   static bool EarnsRetries(const ServingRequest& request, std::uint32_t stage);
   // Failure domain in which the pieces of `stage` are best made; empty if it
   // does not matter.
--- a/src/coordination/gateway/gateway_stages.cc
+++ b/src/coordination/gateway/gateway_stages.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "coordination/gateway/gateway_impl.h"
+#include "coordination/stages/piece_messages.h"
 #include "text.h"
 
 namespace acaciachute {
@@ -110,6 +111,18 @@
   return tasks;
 }
 
+// Memory of the pieces that have no result yet and of the inputs they share.
+std::size_t Gateway::Impl::PieceMemory(const ServingRequest& request) {
+  std::size_t bytes = 0;
+  for (const std::uint32_t it : request.submitted_stages) {
+    if (!request.progress.IsMade(it)) {
+      bytes += request.progress.Missing(it).size() * kPieceMemoryBytes +
+               PieceInputs(request.progress.InputsOf(it)).memory_bytes();
+    }
+  }
+  return bytes;
+}
+
 void Gateway::Impl::RunStages(ServingRequest* request) {
   const TimeUs now = output->Now();
   const ExchangeId id = request->id;
@@ -118,12 +131,20 @@
     if (tasks.empty()) {
       continue;
     }
+    if (tasks.front().inputs.bytes() > kMaxStageInputBytes) {
+      Refuse(request,
+             {Refusal::kFull, Verdict::kNotRun, 0,
+              StrCat("stage ", stage, " needs ", tasks.front().inputs.bytes(),
+                     " bytes of handles")});
+      return;
+    }
     if (tasks.front().earns_retries) {
       ServiceBudget(tasks.front().service)
           .OnRequest(now, 1 - PieceTask::kOwnerEarnings);
     }
     request->submitted_stages.insert(stage);
     request->reserved_pieces.erase(stage);
+    output->SetCollected(id, PieceMemory(*request));
     dispatcher->Submit(now, std::move(tasks));
     if (FindByExchange(id) == nullptr) {
       return;  // The request was refused during `Submit`.
@@ -137,6 +158,7 @@
 void Gateway::Impl::OnStagesDone(ServingRequest* request) {
   request->stages_done = true;
   request->stages_done_at = output->Now();
+  output->SetCollected(request->id, 0);
   if (!std::exchange(request->stages_were_done, true)) {
     for (const std::string_view it : SharedPoolsOf(*request)) {
       account_shares.OnAnswer(request->stages_done_at, it);
--- a/src/coordination/stages/piece_batcher.cc
+++ b/src/coordination/stages/piece_batcher.cc
@@ -277,6 +277,7 @@
   const Groups groups = EligibleGroups(now, replica);
   std::uint64_t held = replicas_.HeldBytes(replica.id);
   std::vector<PieceTask> taken;
+  std::size_t input_bytes = 0;
   for (const std::size_t n :
        FillCall(groups.candidates, {max_pieces, limits_.batch, held})) {
     const Rank last = LastOfGroup(groups.first_ranks[n]);
@@ -285,11 +286,13 @@
       Piece& piece = pieces_.at(it->key);
       const bool has_memory =
           held + piece.task.result_bytes <= groups.candidates[n].memory_limit;
-      if (!has_memory || piece.tried_replicas.contains(replica.id)) {
+      if (!has_memory || piece.tried_replicas.contains(replica.id) ||
+          !FitsInputs(input_bytes, piece.task)) {
         ++it;
         continue;
       }
       held += piece.task.result_bytes;
+      input_bytes += piece.task.inputs.bytes();
       replicas_.Reserve(replica.id, piece.task.result_bytes);
       piece.queued = false;
       piece.calls.insert(call);
@@ -575,13 +578,24 @@
       [&](const Call& call) { return now - call.started > kCallTimeout; });
 }
 
+bool PieceBatcher::FitsInputs(std::size_t taken, const PieceTask& task) {
+  return taken == 0 || taken + task.inputs.bytes() <= kMaxCallInputBytes;
+}
+
 void PieceBatcher::MarkInputsRead(const Call& call) {
   std::vector<std::string> unneeded;
+  const PieceTask* previous = nullptr;
+  bool short_of_memory = false;
   for (const PieceTask& it : call.call.pieces) {
+    if (previous == nullptr || !previous->inputs.IsSame(it.inputs)) {
+      short_of_memory =
+          !it.inputs.empty() && output_->ShortOfMemory(it.inputs.list());
+    }
+    previous = &it;
     const auto piece = pieces_.find(it.key);
     if (it.sole_users == 0 || it.inputs.empty() || piece == pieces_.end() ||
         !piece->second.calls.contains(call.call.id) ||
-        piece->second.inputs_read || !output_->ShortOfMemory(it.inputs)) {
+        piece->second.inputs_read || !short_of_memory) {
       continue;
     }
     piece->second.inputs_read = true;
--- a/src/coordination/stages/piece_batcher.h
+++ b/src/coordination/stages/piece_batcher.h
@@ -148,6 +148,10 @@
   static constexpr std::size_t kCandidateCalls = 4;
   // Period of the scan for expired waiting pieces and results.
   static constexpr DurationUs kExpiryScanPeriod = 50 * kMillisecond;
+  // Limit on the inputs of the pieces of one call, in bytes, unless it has one
+  // piece. A call states the inputs of each of its pieces, so a call with many
+  // pieces that need many results would take as much memory as both multiplied.
+  static constexpr std::size_t kMaxCallInputBytes = 512 << 10;
   // Limit on the calls that one piece takes part in.
   static constexpr std::uint32_t kMaxCallsPerPiece = 4;
 
@@ -299,6 +303,9 @@
                      const std::function<bool(const Call&)>& matches);
   void ReserveLostResults(TimeUs now, const Call& call);
   static StageReplicas::CallView ViewOf(const Call& call);
+  // Whether the call has room for the piece's inputs; `taken`: those of the
+  // pieces before it.
+  static bool FitsInputs(std::size_t taken, const PieceTask& task);
   void MarkInputsRead(const Call& call);
   // Whether the piece's inputs may have been released, so that it cannot run
   // again.
--- a/src/coordination/stages/shared_piece_dispatcher.cc
+++ b/src/coordination/stages/shared_piece_dispatcher.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "coordination/stages/piece_messages.h"
+
 namespace acaciachute {
 
 SharedPieceDispatcher::SharedPieceDispatcher(
@@ -48,7 +50,9 @@
     local_->Submit(now, std::move(tasks));
   } else {
     owners_[tasks.front().key.request].insert(owner);
-    output_->SendToPeer(owner, PieceTasks{std::move(tasks)});
+    for (PieceTasks& it : SplitTasks(std::move(tasks))) {
+      output_->SendToPeer(owner, std::move(it));
+    }
   }
 }
 
@@ -225,7 +229,9 @@
     if (owner == self_) {
       local_->FreeForService(service, released);
     } else {
-      output_->SendToPeer(owner, PieceRelease{std::move(released)});
+      for (PieceRelease& it : SplitRelease(std::move(released))) {
+        output_->SendToPeer(owner, std::move(it));
+      }
     }
   }
 }
@@ -288,9 +294,13 @@
 }
 
 void SharedPieceDispatcher::OnLocalPiece(const PieceResult& result) {
-  const auto it = requesters_.find(result.key.request);
-  if (it != requesters_.end()) {
-    results_[it->second].push_back(result);
+  const auto it = peer_requests_.find(result.key.request);
+  if (it != peer_requests_.end()) {
+    PeerRequest& request = it->second;
+    const std::size_t freed = std::min(request.memory, kPieceMemoryBytes);
+    request.memory -= freed;
+    peer_memory_ -= freed;
+    results_[request.gateway].push_back(result);
     return;
   }
   OnOwnResult(result);
@@ -309,10 +319,35 @@
 void SharedPieceDispatcher::OnPeerTasks(TimeUs now,
                                         const NodeId& from,
                                         const PieceTasks& tasks) {
-  for (const PieceTask& it : tasks.tasks) {
-    requesters_[it.key.request] = from;
+  if (!tasks.tasks.empty() && AcceptPeerTasks(from, tasks.tasks)) {
+    local_->Submit(now, tasks.tasks);
+  }
+}
+
+// All tasks belong to one request.
+bool SharedPieceDispatcher::AcceptPeerTasks(
+    const NodeId& from,
+    const std::vector<PieceTask>& tasks) {
+  const std::string& id = tasks.front().key.request;
+  const std::size_t memory = MemoryOf(tasks);
+  if (peer_memory_limit_ > 0 && peer_memory_ + memory > peer_memory_limit_) {
+    log_->Write("peer_pieces_refused", {{"id", id},
+                                        {"from", from},
+                                        {"service", tasks.front().service},
+                                        {"pieces", tasks.size()},
+                                        {"bytes", memory},
+                                        {"held", peer_memory_},
+                                        {"limit", peer_memory_limit_}});
+    for (const PieceTask& it : tasks) {
+      results_[from].push_back({it.key, PieceOutcome::kNotMade, ""});
+    }
+    return false;
   }
-  local_->Submit(now, tasks.tasks);
+  PeerRequest& request = peer_requests_[id];
+  request.gateway = from;
+  request.memory += memory;
+  peer_memory_ += memory;
+  return true;
 }
 
 void SharedPieceDispatcher::OnPeerCancel(const PieceCancel& cancel) {
@@ -320,7 +355,11 @@
     local_->CancelStage(cancel.request, *cancel.stage);
     return;
   }
-  requesters_.erase(cancel.request);
+  if (const auto it = peer_requests_.find(cancel.request);
+      it != peer_requests_.end()) {
+    peer_memory_ -= it->second.memory;
+    peer_requests_.erase(it);
+  }
   local_->CancelRequest(cancel.request);
 }
 
@@ -336,9 +375,9 @@
 
 void SharedPieceDispatcher::OnPeerLost(TimeUs now, const NodeId& peer) {
   std::vector<std::string> dropped;
-  for (const auto& [request, node] : requesters_) {
-    if (node == peer) {
-      dropped.push_back(request);
+  for (const auto& [id, request] : peer_requests_) {
+    if (request.gateway == peer) {
+      dropped.push_back(id);
     }
   }
   for (const auto& request : dropped) {
@@ -356,7 +395,9 @@
 
 void SharedPieceDispatcher::SendResults() {
   for (auto& [peer, results] : std::exchange(results_, {})) {
-    output_->SendToPeer(peer, PieceResults{std::move(results)});
+    for (PieceResults& it : SplitResults(std::move(results))) {
+      output_->SendToPeer(peer, std::move(it));
+    }
   }
 }
 
--- a/src/coordination/stages/shared_piece_dispatcher.h
+++ b/src/coordination/stages/shared_piece_dispatcher.h
@@ -58,6 +58,10 @@
   // it, at least as much memory is free as results occupy.
   static constexpr double kMemoryShortageShare = 0.5;
 
+  // Limits the memory of other gateways' pieces here, in bytes; zero: no limit.
+  // Pieces beyond it are refused, and their requests with them.
+  void SetPeerMemory(std::size_t limit) { peer_memory_limit_ = limit; }
+
   // Result of a piece that this gateway's batchers ran or failed to run.
   void OnLocalPiece(const PieceResult& result);
   void OnPeerTasks(TimeUs now, const NodeId& from, const PieceTasks& tasks);
@@ -76,7 +80,7 @@
   // local call ends, so that no stage waits for the next tick.
   void SendResults();
   // Whether no piece of another gateway's request is in progress here.
-  bool HasNoPeerRequests() const { return requesters_.empty(); }
+  bool HasNoPeerRequests() const { return peer_requests_.empty(); }
 
  private:
   // A piece of a request of this gateway that has no result yet.
@@ -94,7 +98,15 @@
     bool retry_in_transit = false;
   };
 
+  // A request of another gateway with pieces in progress here.
+  struct PeerRequest {
+    NodeId gateway;  // That sent the pieces.
+    std::size_t memory = 0;
+  };
+
   double MemoryShareInUse(const std::string& service) const;
+  // Whether there is memory for the tasks. If not, refuses them.
+  bool AcceptPeerTasks(const NodeId& from, const std::vector<PieceTask>& tasks);
   void SendToOwner(TimeUs now, std::vector<PieceTask> tasks);
   // Pieces of one request and service that are submitted again.
   struct ResubmittedGroup {
@@ -132,9 +144,9 @@
   std::map<PieceKey, Pending> pending_;
   // By request of this gateway: the other gateways that received pieces of it.
   std::map<std::string, std::set<NodeId>> owners_;
-  // Requests of other gateways with pieces in progress here, and the gateway
-  // that sent each.
-  std::map<std::string, NodeId> requesters_;
+  std::map<std::string, PeerRequest> peer_requests_;  // By request.
+  std::size_t peer_memory_ = 0;                       // Sum of all of them.
+  std::size_t peer_memory_limit_ = 0;
   std::map<std::string, QueueWait> peer_waits_;
   // By receiver, not sent yet.
   std::map<NodeId, std::vector<PieceResult>> results_;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -32,6 +32,8 @@
 // The process's memory limit, divided by this, is what clients may make it
 // hold; see `ClientMemory`.
 constexpr std::size_t kClientMemoryDivisor = 5;
+// The part of it that pieces of other gateways' requests may take.
+constexpr std::size_t kPeerPiecesDivisor = 8;
 // The port for the balancer and operators: a few connections, short orders.
 constexpr std::size_t kMaxOperatorConnections = 64;
 constexpr std::size_t kMaxOperatorBody = 64 << 10;
@@ -190,6 +192,7 @@
       gateway->OnFirstConnection(it->id);
     }
   });
+  dispatcher.SetPeerMemory(settings.memory_bytes / kPeerPiecesDivisor);
   ApplyBounds();
 }
 
--- a/src/daemon/gateway_node_impl.h
+++ b/src/daemon/gateway_node_impl.h
@@ -259,6 +259,12 @@
     peers.OnUnreachable(Now(), peer);
     OnPeerLost(peer);
   }
+  void OnTooLong(const NodeId& peer,
+                 std::size_t index,
+                 std::size_t bytes) override {
+    log.Write("message_too_long",
+              {{"peer", peer}, {"message", index}, {"bytes", bytes}});
+  }
 
   // GatewayJoinOutput
   void ReadGateways() override {
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include <algorithm>
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
@@ -11,6 +12,8 @@
 #include <cereal/types/vector.hpp>
 #include <cstring>
 #include <sstream>
+#include <utility>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "protocol/frame_reader.h"
@@ -145,13 +148,52 @@
 }
 template <class A>
 void serialize(A& a, PieceTask& v) {
-  a(v.key, v.service, v.source, v.inputs, v.time_left, v.time_to_begin,
-    v.waited, v.holds_bytes, v.priority, v.result_bytes, v.sole_users, v.send,
+  a(v.key, v.service, v.source, v.time_left, v.time_to_begin, v.waited,
+    v.holds_bytes, v.priority, v.result_bytes, v.sole_users, v.send,
     v.earns_retries, v.near_domain);
 }
+// The lists of inputs come first, each one once, then the tasks, then the
+// number of each task's list.
+template <class A>
+void CEREAL_SAVE_FUNCTION_NAME(A& a, const PieceTasks& v) {
+  std::vector<PieceInputs> lists;
+  std::vector<std::uint32_t> numbers;
+  for (const PieceTask& it : v.tasks) {
+    auto known = std::find_if(
+        lists.begin(), lists.end(),
+        [&](const PieceInputs& list) { return list.IsSame(it.inputs); });
+    if (known == lists.end()) {
+      known = lists.insert(known, it.inputs);
+    }
+    numbers.push_back(static_cast<std::uint32_t>(known - lists.begin()));
+  }
+  a(cereal::make_size_tag(static_cast<cereal::size_type>(lists.size())));
+  for (const PieceInputs& it : lists) {
+    a(it.list());
+  }
+  a(v.tasks, numbers);
+}
 template <class A>
-void serialize(A& a, PieceTasks& v) {
-  a(v.tasks);
+void CEREAL_LOAD_FUNCTION_NAME(A& a, PieceTasks& v) {
+  cereal::size_type count = 0;
+  a(cereal::make_size_tag(count));
+  std::vector<PieceInputs> lists;
+  for (; count > 0; --count) {
+    PieceInputs::List list;
+    a(list);
+    lists.emplace_back(std::move(list));
+  }
+  std::vector<std::uint32_t> numbers;
+  a(v.tasks, numbers);
+  if (numbers.size() != v.tasks.size()) {
+    throw cereal::Exception("tasks without a list of inputs");
+  }
+  for (std::size_t n = 0; n < numbers.size(); ++n) {
+    if (numbers[n] >= lists.size()) {
+      throw cereal::Exception("unknown list of inputs");
+    }
+    v.tasks[n].inputs = lists[numbers[n]];
+  }
 }
 template <class A>
 void serialize(A& a, PieceCancel& v) {
@@ -268,7 +310,7 @@
 
 // "AC", the version of the frame format, which changes with the layout of any
 // message, and a reserved byte.
-constexpr std::array<char, 4> kMagic = {'A', 'C', 10, 0};
+constexpr std::array<char, 4> kMagic = {'A', 'C', 11, 0};
 constexpr std::size_t kHmacSize = 32;  // HMAC-SHA-256.
 constexpr std::size_t kMinFrameBytes = kFramePrefixSize + kHmacSize;
 
--- a/src/state/piece.h
+++ b/src/state/piece.h
@@ -6,9 +6,13 @@
 #include <algorithm>
 #include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <initializer_list>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "types.h"
@@ -22,6 +26,61 @@
   auto operator<=>(const PieceKey&) const = default;
 };
 
+// Handles of the results that the pieces of one stage of a request need. All
+// of these pieces share one list. A list for each would take the number of
+// pieces times the number of results: two stages of 1,000 pieces each would
+// fill a process's memory.
+class PieceInputs {
+ public:
+  using List = std::vector<std::string>;
+  using const_iterator = List::const_iterator;
+
+  PieceInputs() = default;
+  // Implicit, as it stands where a list of handles would.
+  PieceInputs(List handles) {
+    if (!handles.empty()) {
+      shared_ = std::make_shared<const Shared>(std::move(handles));
+    }
+  }
+  PieceInputs(std::initializer_list<std::string> handles)
+      : PieceInputs(List(handles)) {}
+
+  const List& list() const {
+    static const List kEmpty;
+    return shared_ == nullptr ? kEmpty : shared_->handles;
+  }
+  bool empty() const { return shared_ == nullptr; }
+  std::size_t size() const { return list().size(); }
+  const_iterator begin() const { return list().begin(); }
+  const_iterator end() const { return list().end(); }
+  // Length of all handles.
+  std::size_t bytes() const { return shared_ == nullptr ? 0 : shared_->bytes; }
+  // Memory that the list takes, once for all its owners.
+  std::size_t memory_bytes() const {
+    return bytes() + size() * sizeof(std::string);
+  }
+  // Whether both are the same list in memory.
+  bool IsSame(const PieceInputs& other) const {
+    return shared_ == other.shared_;
+  }
+
+  friend bool operator==(const PieceInputs& a, const PieceInputs& b) {
+    return a.IsSame(b) || a.list() == b.list();
+  }
+
+ private:
+  struct Shared {
+    explicit Shared(List list) : handles(std::move(list)) {
+      for (const std::string& it : handles) {
+        bytes += it.size();
+      }
+    }
+    List handles;
+    std::size_t bytes = 0;
+  };
+  std::shared_ptr<const Shared> shared_;  // Null if empty.
+};
+
 // Whether a piece was sent before, and which gateway's retry budget pays.
 enum class PieceSend : std::uint8_t {
   kFirst,
@@ -37,9 +96,9 @@
 
   PieceKey key;
   std::string service;
-  std::string source;               // Input of a stage that needs no other.
-  std::vector<std::string> inputs;  // Handles of the results it needs.
-  DurationUs time_left = 0;         // Time until the request's deadline.
+  std::string source;        // Input of a stage that needs no other.
+  PieceInputs inputs;        // Results that it needs.
+  DurationUs time_left = 0;  // Time until the request's deadline.
   // Time until the latest start of a call for the piece with which the request
   // can still meet its target.
   DurationUs time_to_begin = 0;
--- a/src/transport/peer_mesh.cc
+++ b/src/transport/peer_mesh.cc
@@ -86,6 +86,9 @@
         {options.node, options.incarnation, ++next_sequence, message},
         options.frame_key);
   }
+  // Queues the message, unless its frame is too long: the peer would close the
+  // connection, and what others sent on it would be lost.
+  void QueueMessage(const ConnectionPtr& connection, const Message& message);
   // Binds TCP and UDP sockets to one port.
   absl::Status Bind(GSocketAddress* address);
   void Accept(GSocketConnection* socket);
@@ -299,11 +302,22 @@
   connection->socket.reset(socket);
   connection->StartReading();
   for (const auto& it : connection->unsent_messages) {
-    connection->Queue(SealFrame(it));
+    QueueMessage(connection, it);
   }
   connection->unsent_messages.clear();
 }
 
+void PeerMeshImpl::QueueMessage(const ConnectionPtr& connection,
+                                const Message& message) {
+  const std::string frame = SealFrame(message);
+  if (frame.size() <= kMaxFrameSize) {
+    connection->Queue(frame);
+    return;
+  }
+  metrics->Count("acaciachute_frames_too_long_total");
+  handler->OnTooLong(connection->peer, message.index(), frame.size());
+}
+
 void PeerMeshImpl::OnFrame(const ConnectionPtr& connection) {
   metrics->Count("acaciachute_frame_bytes_total", "tcp_in",
                  connection->frame.size());
@@ -458,7 +472,7 @@
     it = impl_->connections.find(peer);
   }
   if (it->second->socket) {
-    it->second->Queue(impl_->SealFrame(message));
+    impl_->QueueMessage(it->second, message);
   } else {
     it->second->unsent_messages.push_back(message);
   }
--- a/src/transport/peer_mesh.h
+++ b/src/transport/peer_mesh.h
@@ -3,6 +3,7 @@
 #ifndef ACACIACHUTE_SRC_TRANSPORT_PEER_MESH_H_
 #define ACACIACHUTE_SRC_TRANSPORT_PEER_MESH_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -32,6 +33,15 @@
   virtual void OnPeerLost(const NodeId& peer) = 0;
   // The connection could not be established, so `message` was not sent.
   virtual void OnUnsent(const NodeId& peer, const Message& message) = 0;
+  // A message, the one with this index in `Message`, would have made a frame
+  // above the limit and was not sent.
+  virtual void OnTooLong(const NodeId& peer,
+                         std::size_t index,
+                         std::size_t bytes) {
+    static_cast<void>(peer);
+    static_cast<void>(index);
+    static_cast<void>(bytes);
+  }
 };
 
 struct PeerOptions {
--- a/tests/frame_test.cc
+++ b/tests/frame_test.cc
@@ -6,6 +6,7 @@
 #include <cereal/types/string.hpp>
 #include <chrono>
 
+#include "coordination/stages/piece_messages.h"
 #include "protocol/frame_reader.h"
 #include "protocol/replay_guard.h"
 #include "tests/sealed_frame.h"
@@ -53,6 +54,80 @@
   }
 }
 
+PieceTasks TasksWith(const PieceInputs& inputs) {
+  PieceTasks tasks;
+  for (std::uint32_t n = 0; n < 1000; ++n) {
+    tasks.tasks.emplace_back();
+    tasks.tasks.back().key = {"14da6f38e5b2907c", 1, n};
+    tasks.tasks.back().inputs = inputs;
+  }
+  return tasks;
+}
+
+// Guards against a message whose size is the number of pieces times that of
+// their inputs, and against a receiver that holds as much.
+TEST(FrameTest, PiecesOfAStageShareTheirInputs) {
+  const PieceInputs inputs(
+      PieceInputs::List(1000, "10.1.64.9:8080/5c1e07a2e440"));
+  const std::string frame =
+      EncodeFrame({"front-1", 11, 3, TasksWith(inputs)}, kKey);
+  EXPECT_LT(frame.size(), 300'000U);
+  const auto out = DecodeFrame(frame, kKey);
+  ASSERT_TRUE(out.ok()) << out.status();
+  const auto& tasks = std::get<PieceTasks>(out->message).tasks;
+  ASSERT_EQ(tasks.size(), 1000U);
+  for (const PieceTask& it : tasks) {
+    EXPECT_TRUE(it.inputs.IsSame(tasks[0].inputs));
+  }
+  EXPECT_EQ(tasks[999].inputs, inputs);
+  EXPECT_EQ(tasks[999].key.piece, 999U);
+}
+
+TEST(FrameTest, EachPieceKeepsItsOwnInputs) {
+  PieceTasks tasks = TasksWith({"a"});
+  tasks.tasks[1].inputs = {};
+  tasks.tasks[2].inputs = {"b", "c"};
+  const auto out =
+      DecodeFrame(EncodeFrame({"front-1", 11, 3, tasks}, kKey), kKey);
+  ASSERT_TRUE(out.ok()) << out.status();
+  const auto& read = std::get<PieceTasks>(out->message).tasks;
+  for (std::size_t n = 0; n < tasks.tasks.size(); ++n) {
+    EXPECT_EQ(read[n].inputs, tasks.tasks[n].inputs) << n;
+  }
+}
+
+// Guards against a frame above the limit, whose receiver closes the connection
+// with the pieces of all other requests on it.
+TEST(FrameTest, MessagesWithPiecesFitIntoFrames) {
+  PieceTasks tasks = TasksWith(
+      PieceInputs::List(1000, std::string(kMaxStageInputBytes / 1000, 'h')));
+  std::vector<PieceResult> results;
+  for (PieceTask& it : tasks.tasks) {
+    it.source = std::string(16 << 10, 'k');
+    results.push_back(
+        {it.key, PieceOutcome::kMade, std::string(60 << 10, 'h')});
+  }
+  std::vector<Message> messages;
+  std::size_t sum = 0;
+  for (PieceTasks& it : SplitTasks(tasks.tasks)) {
+    sum += it.tasks.size();
+    messages.emplace_back(std::move(it));
+  }
+  for (PieceResults& it : SplitResults(results)) {
+    sum += it.results.size();
+    messages.emplace_back(std::move(it));
+  }
+  for (PieceRelease& it : SplitRelease(
+           std::vector<std::string>(1000, std::string(60 << 10, 'h')))) {
+    sum += it.handles.size();
+    messages.emplace_back(std::move(it));
+  }
+  EXPECT_EQ(sum, 3000U);
+  for (const Message& it : messages) {
+    EXPECT_LE(EncodeFrame({"front-1", 11, 3, it}, kKey).size(), kMaxFrameSize);
+  }
+}
+
 TEST(FrameTest, EveryChangedByteIsRefused) {
   const std::string frame = EncodeFrame(MakeEnvelope(), kKey);
   for (std::size_t n = 0; n < frame.size(); ++n) {
--- a/tests/gateway/piece_batcher_test.cc
+++ b/tests/gateway/piece_batcher_test.cc
@@ -442,6 +442,27 @@
   EXPECT_EQ(rig.calls[0].pieces.size(), 10U);
 }
 
+// Guards against a call that states as many inputs as its pieces times the
+// pieces of the stage before; the others go into further calls.
+TEST(PieceBatcherTest, BoundsTheInputsOfACall) {
+  BatcherRig rig;
+  rig.AddReplicas(1);
+  const PieceInputs inputs(PieceInputs::List(
+      1000, std::string(PieceBatcher::kMaxCallInputBytes / 4000, 'h')));
+  for (std::uint32_t n = 0; n < 10; ++n) {
+    PieceTask task = BatcherRig::Task("r", n);
+    task.inputs = inputs;
+    rig.Add(task);
+  }
+  rig.batcher.Dispatch(rig.now);
+  for (std::size_t n = 0; n < 3; ++n) {
+    ASSERT_EQ(rig.calls.size(), n + 1);
+    EXPECT_EQ(rig.calls[n].pieces.size(), n < 2 ? 4U : 2U);
+    rig.CompleteCall(rig.calls[n]);
+  }
+  EXPECT_EQ(rig.results.size(), 10U);
+}
+
 // A burst fills the replicas of the preceding stage with results that are kept
 // only while this stage works on them. Its calls read their inputs at the
 // beginning. When the last of a request's pieces has done so, the results are
--- a/tests/gateway/shared_piece_dispatcher_test.cc
+++ b/tests/gateway/shared_piece_dispatcher_test.cc
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "coordination/stages/piece_messages.h"
 #include "tests/gateway/quiet_log.h"
 
 namespace acaciachute {
@@ -184,6 +185,30 @@
   EXPECT_EQ(owner.received[1].key.request, "s");
 }
 
+// Guards against clients of other gateways that fill the memory of the one that
+// batches: what goes beyond the limit is refused as not made, the rest is made,
+// and what has ended counts no longer.
+TEST(SharedPieceDispatcherTest, BoundsTheMemoryOfOtherGatewaysPieces) {
+  DispatcherNet net(2);
+  auto& owner = net.At(net.owner);
+  auto& other = net.At(net.other);
+  owner.dispatcher.SetPeerMemory(2 * kPieceMemoryBytes + 100);
+  for (const char* request : {"first", "second", "third"}) {
+    other.dispatcher.Submit(net.now, {DispatcherNet::Task(request)});
+  }
+  net.Deliver();
+  net.Advance(10 * kMillisecond);
+  ASSERT_EQ(other.received.size(), 1U);
+  EXPECT_EQ(other.received[0].key.request, "third");
+  EXPECT_EQ(other.received[0].outcome, PieceOutcome::kNotMade);
+  other.dispatcher.CancelRequest("first");
+  net.Deliver();
+  other.dispatcher.Submit(net.now, {DispatcherNet::Task("fourth")});
+  net.Deliver();
+  net.Advance(10 * kMillisecond);
+  EXPECT_EQ(other.received.size(), 1U);
+}
+
 // Requests continue although the batching gateway crashes with their pieces:
 // the pieces are sent to the next one at once.
 TEST(SharedPieceDispatcherTest, ResubmitsPiecesWhenTheBatchingGatewayIsLost) {
--- a/tests/soak/raw_listener.cc
+++ b/tests/soak/raw_listener.cc
@@ -11,6 +11,9 @@
 
 namespace acaciachute {
 
+// Heads with the handles of 1,000 results are longer than a client's.
+constexpr HttpReadLimits kReadLimits = {.head_bytes = 64 << 10};
+
 class RawListener::Connection : public SocketHandler {
  public:
   Connection(RawListener* owner, GPtr<GSocket> socket)
@@ -84,7 +87,7 @@
     }
     HttpRequestHead head = reader_.TakeHead();
     std::string body = reader_.TakeBody();
-    reader_.Reset({});
+    reader_.Reset(kReadLimits);
     id_ = owner_->next_id_++;
     owner_->exchanges_[id_] = this;
     stream_->Write(std::exchange(late_copy_, {}));
@@ -92,7 +95,7 @@
   }
 
   RawListener* const owner_;
-  HttpRequestReader reader_{{}};
+  HttpRequestReader reader_{kReadLimits};
   std::string input_;
   std::string answer_;     // Of the request in progress, if copies are sent.
   std::string late_copy_;  // Sent when the next request arrives.
