Crashes: copies of a request in doubt are sent one at a time

Cause: ends at the same time counted as one, since a power loss looks alike, and three in sequence were asked for. Until then all copies were sent.

Change: from three ends in any order a request is in doubt, and one copy at a time is sent in the whole fleet: a gateway chosen by hash decides which, the others ask it. The rest is held as long as it can be answered, then refused as not run. An answer clears the request for all; three ends in sequence, or three copies that tried it and ended replicas, make it certain. A sound request whose copies ran when all replicas lost power is so served, not refused.

EndsOfRunsAtTheSameTimeCountNotForARequest asked that such ends block nothing; its successor asks that nothing is refused without a trial, and that an answer lifts the doubt. Three others ask the same by IsRefused.

No functional change for requests under which no three replicas end.

--- a/src/coordination/crashes/broken_attempts.h
+++ b/src/coordination/crashes/broken_attempts.h
@@ -25,7 +25,8 @@
   // What may have ended the replica: the request and, unless its answer had
   // begun, the parts of its prompt.
   std::vector<CrashCause> causes;
-  std::optional<CrashCause> tried;  // The one that the request was to try.
+  std::optional<CrashCause> tried;  // The part that the request was to try.
+  bool request_tried = false;       // The request itself was tried.
   std::string account;
   std::string request;  // Id of the attempt, for logs.
   std::string parts;    // Ids of the prompt's parts, for logs.
--- a/src/coordination/crashes/crash_judgement.cc
+++ b/src/coordination/crashes/crash_judgement.cc
@@ -23,8 +23,17 @@
 };
 using Explanations = std::map<ReplicaId, Explanation>;
 
+std::size_t TriedRuns(const std::vector<EndedRun>& runs) {
+  return static_cast<std::size_t>(std::count_if(
+      runs.begin(), runs.end(), [](const EndedRun& it) { return it.tried; }));
+}
+
 bool HasTooMany(const JudgedCause& cause, const std::vector<EndedRun>& runs) {
   const CauseLimits limits = LimitsOf(cause.kind);
+  if (cause.kind == CauseKind::kRequest &&
+      TriedRuns(runs) >= kMaxFailedTrials) {
+    return true;
+  }
   if (cause.cleared_before) {
     return runs.size() >= limits.ends_if_cleared &&
            InSequence(runs) >= limits.sequence_if_cleared;
@@ -116,11 +125,15 @@
 void SetVerdict(JudgedCause* cause, const Explanations& explanations) {
   const std::vector<EndedRun> runs = CountedRuns(*cause, explanations);
   cause->counted = runs.size();
-  cause->blocked = HasTooMany(*cause, runs);
-  cause->decided_at = EndOfNth(runs, LimitsOf(cause->kind).ends);
+  const CauseLimits limits = LimitsOf(cause->kind);
+  const bool has_too_many = HasTooMany(*cause, runs);
+  const bool is_request = cause->kind == CauseKind::kRequest;
+  cause->blocked = has_too_many || (is_request && runs.size() >= limits.ends);
+  cause->decided_at = EndOfNth(runs, limits.ends);
   cause->rivals = Rivals(*cause, explanations);
-  cause->doubtful = cause->blocked && cause->kind == CauseKind::kPromptPart &&
-                    !TrialFailed(*cause, explanations);
+  cause->doubtful =
+      cause->blocked &&
+      (is_request ? !has_too_many : !TrialFailed(*cause, explanations));
 }
 
 }  // namespace
--- a/src/coordination/crashes/crash_judgement.h
+++ b/src/coordination/crashes/crash_judgement.h
@@ -7,6 +7,9 @@
 //   they were in progress beside it.
 // - The ends of one such request count once for a part, as all copies of the
 //   request have the part: it is the part only if others with it end replicas.
+// - A verdict on a request is doubtful until enough ends were in sequence, or
+//   copies that tried it ended replicas: one copy at a time is sent then (see
+//   `RequestTrials`).
 // - A verdict on a part is doubtful until a request that tried it ended a
 //   replica too: what goes with the guilty part has the same ends while no
 //   answer has begun on it, as after a restart of all gateways.
@@ -25,7 +28,12 @@
 
 namespace acaciachute {
 
-// When causes of a kind are blocked.
+// Copies that tried a request and ended replicas after which it is certain that
+// the request ends them: as many may reach replicas late.
+inline constexpr std::size_t kMaxFailedTrials = 3;
+
+// When causes of a kind are blocked. Requests are from `ends` on in any order,
+// in doubt.
 struct CauseLimits {
   // Replicas that end under it in sequence, or in any order.
   std::size_t ends = 0;
@@ -42,7 +50,7 @@
 
 // A request is blocked for an hour: by then whoever runs the replicas has had
 // time to mend or replace them, and one more end blocks it again. Its copies
-// run at many replicas at once, so ends at the same time do not count. Of a
+// run at many replicas at once, so ends at the same time leave a doubt. Of a
 // part, requests that differ come at all gateways at once, and without
 // `ends_at_once` each wave of them would end as many replicas.
 constexpr CauseLimits LimitsOf(CauseKind kind) {
--- a/src/coordination/crashes/crash_records.h
+++ b/src/coordination/crashes/crash_records.h
@@ -60,7 +60,7 @@
   struct Verdict {
     std::size_t ends = 0;  // Replicas that count.
     bool blocked = false;
-    bool doubtful = false;  // Blocked, but one request may try it.
+    bool doubtful = false;  // Blocked, but one request at a time may try it.
     // Blocked parts with the same ends, this one included.
     std::size_t rivals = 0;
     // Since the end that made them as many as the limit.
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -24,6 +24,7 @@
       replica_rate_limiter(options.node),
       rate_loans(&replica_rate_limiter, this, metrics_in, log_in),
       cause_trials(options.node),
+      request_trials(options.node, this, log),
       version_ledger(output_in, random_in, log_in),
       stream_recorder(
           options.node,
@@ -129,6 +130,10 @@
                            int status) {
   CancelAttempt(request);
   cause_trials.OnEnded(request->id, request->arrivals > 0);
+  request_trials.OnEnded(output->Now(), request->id,
+                         request->arrivals > 0
+                             ? RequestTrials::Result::kUnknown
+                             : RequestTrials::Result::kNotSent);
   ReturnReservedRetries(request);
   if (!request->route->stages.empty()) {
     dispatcher->CancelRequest(request->call.id);
@@ -189,6 +194,7 @@
         {request->priority, request->received_at, request->id});
   }
   awaiting_origin.erase(request->id);
+  awaiting_trial.erase(request->id);
   const auto it = by_request_id.find(request->call.id);
   if (it != by_request_id.end() && it->second == request) {
     by_request_id.erase(it);
@@ -203,6 +209,12 @@
 }
 
 void Gateway::Impl::Expire(ServingRequest* request) {
+  if (awaiting_trial.contains(request->id)) {
+    Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
+                     "replicas ended under copies of it, and the trial of one "
+                     "took too long"});
+    return;
+  }
   if (request->attempt.call == 0 && request->possible_runs == 0) {
     Refuse(request, {Refusal::kFull, Verdict::kNotRun, 0,
                      "the time was over before a replica was reached"});
@@ -444,6 +456,8 @@
   impl_->account_shares.OnTick(impl_->output->Now());
   impl_->BeginParked();
   impl_->RetryAwaitingLimited();
+  impl_->request_trials.OnTick(impl_->output->Now());
+  impl_->RetryAwaitingTrial();
   const TimeUs now = impl_->output->Now();
   while (!impl_->deadlines.empty() && impl_->deadlines.begin()->first <= now) {
     impl_->Expire(impl_->FindByExchange(impl_->deadlines.begin()->second));
@@ -495,6 +509,20 @@
   impl_->rate_loans.OnReturn(from, unused);
 }
 
+void Gateway::OnTrialRequest(const NodeId& from,
+                             const CrashTrialRequest& request) {
+  impl_->request_trials.OnRequest(impl_->output->Now(), from, request);
+}
+
+void Gateway::OnTrialGrant(const NodeId& from, const CrashTrialGrant& grant) {
+  impl_->request_trials.OnGrant(impl_->output->Now(), from, grant);
+  impl_->RetryAwaitingTrial();
+}
+
+void Gateway::OnTrialEnd(const NodeId& from, const CrashTrialEnd& end) {
+  impl_->request_trials.OnEnd(impl_->output->Now(), from, end);
+}
+
 const LeavingStatements& Gateway::leaving_statements() const {
   return impl_->leaving_statements;
 }
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -225,6 +225,10 @@
   void OnRateLoanRequest(const NodeId& from, const RateLoanRequest& request);
   void OnRateLoan(const NodeId& from, const RateLoan& loan);
   void OnRateLoanReturn(const NodeId& from, const RateLoanReturn& unused);
+  // About requests in doubt; see `RequestTrials`.
+  void OnTrialRequest(const NodeId& from, const CrashTrialRequest& request);
+  void OnTrialGrant(const NodeId& from, const CrashTrialGrant& grant);
+  void OnTrialEnd(const NodeId& from, const CrashTrialEnd& end);
   // A gateway has started or was not known before.
   void OnNewPeer(const NodeId& peer);
   // What the store, or another gateway, knows of versions at which streams can
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -141,6 +141,10 @@
     Refuse(request, std::move(refusal));
     return;
   }
+  if (!MaySendInDoubt(request)) {
+    AwaitTrial(request);
+    return;
+  }
   if (!ReserveAttempt(request, RetryReason::kNotRun)) {
     Refuse(request,
            {Refusal::kFull, Verdict::kNotRun, 0, "the retry budget is spent"});
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -94,6 +94,7 @@
   BrokenAttempt attempt;
   attempt.causes = SuspectsOf(request);
   attempt.tried = request->tried_cause;
+  attempt.request_tried = request_trials.IsTrial(request->id);
   attempt.account = AccountOf(*request);
   attempt.request = request->call.id;
   attempt.parts = PartIds(request->call);
@@ -111,10 +112,10 @@
   std::vector<CrashRecords::Suspect> suspects;
   for (const BrokenAttempt& attempt : attempts) {
     for (const CrashCause& it : attempt.causes) {
+      const bool tried = it.kind == CauseKind::kRequest ? attempt.request_tried
+                                                        : attempt.tried == it;
       suspects.push_back(
-          {it,
-           attempt.account,
-           {attempt.began_at, attempt.broken_at, attempt.tried == it}});
+          {it, attempt.account, {attempt.began_at, attempt.broken_at, tried}});
     }
   }
   const auto added = crash_records.OnReplicaEnded(now, replica, suspects);
@@ -314,8 +315,13 @@
   return true;
 }
 
+// A request that is in doubt itself waits for a trial when it is to be sent.
 bool Gateway::Impl::IsBlocked(ServingRequest* request, LocalReply* refusal) {
-  const std::vector<CrashCause> blocked = BlockedCauses(request);
+  std::vector<CrashCause> blocked = BlockedCauses(request);
+  std::erase_if(blocked, [this](const CrashCause& it) {
+    return it.kind == CauseKind::kRequest &&
+           crash_records.Of(output->Now(), it).doubtful;
+  });
   if (blocked.empty() || MayTry(request, blocked)) {
     return false;
   }
@@ -361,6 +367,8 @@
 // series of ends tells less. Fingerprints of large bodies take too long for
 // that.
 void Gateway::Impl::OnAnsweredWhole(ServingRequest* request) {
+  request_trials.OnEnded(output->Now(), request->id,
+                         RequestTrials::Result::kAnswered);
   constexpr std::size_t kMaxRememberedBody = 64 << 10;
   if (crash_records.HasRequestOf(AccountOf(*request)) ||
       request->call.body.size() <= kMaxRememberedBody) {
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -23,6 +23,7 @@
 #include "coordination/choice/rate_loan_exchange.h"
 #include "coordination/choice/replica_rate_limiter.h"
 #include "coordination/crashes/cause_trials.h"
+#include "coordination/crashes/request_trials.h"
 #include "coordination/gateway/config_freshness.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/gateway.h"
@@ -185,7 +186,7 @@
   bool body_released = false;  // See `Gateway::Impl::ReleaseBody`.
 };
 
-struct Gateway::Impl : public RateLoanOutput {
+struct Gateway::Impl : public RateLoanOutput, public RequestTrialsOutput {
   Impl(GatewayOptions options_in,
        GatewayOutput* output_in,
        PieceDispatcher* dispatcher_in,
@@ -431,6 +432,20 @@
   // Refuses requests that are not at a replica yet and became blocked.
   void RefuseBlocked();
 
+  // gateway_trials.cc: requests of which copies ended replicas at the same
+  // time, so that only one copy at a time is sent.
+  // The request itself, if its verdict is doubtful.
+  std::optional<CrashCause> DoubtfulRequest(ServingRequest* request) const;
+  bool MaySendInDoubt(ServingRequest* request);
+  // Holds the request until it may be sent, as long as it can be answered.
+  void AwaitTrial(ServingRequest* request);
+  void RetryAwaitingTrial();
+  // RequestTrialsOutput
+  std::vector<NodeId> LivePeers() override { return output->LivePeers(); }
+  void SendTrialMessage(const NodeId& peer, const Message& message) override {
+    output->SendDatagram(peer, message);
+  }
+
   // gateway_streams.cc: streams that clients take up again.
   static bool TakesUpStream(const ServingRequest& request);
   // The client got an event; others may be asked where the stream began.
@@ -532,6 +547,7 @@
   BrokenAttempts broken_attempts;
   CrashRecords crash_records;
   CauseTrials cause_trials;
+  RequestTrials request_trials;
   CrashNews crash_news;
   // Suspects that were cleared before and are still to be told to others.
   struct LateSuspects {
@@ -547,6 +563,7 @@
   BegunInDoubt begun_in_doubt;
   bool versions_changed = false;  // See `RecordVersions`.
   std::set<ExchangeId> awaiting_origin;
+  std::set<ExchangeId> awaiting_trial;  // See `AwaitTrial`.
   LearnedCapacity capacity;
   EngineChoice engines;
   AccountShares account_shares;
--- a/src/daemon/gateway_node_peers.cc
+++ b/src/daemon/gateway_node_peers.cc
@@ -174,6 +174,18 @@
     gateway->OnRateLoanReturn(from, *unused);
     return;
   }
+  if (const auto* trial = std::get_if<CrashTrialRequest>(&message)) {
+    gateway->OnTrialRequest(from, *trial);
+    return;
+  }
+  if (const auto* grant = std::get_if<CrashTrialGrant>(&message)) {
+    gateway->OnTrialGrant(from, *grant);
+    return;
+  }
+  if (const auto* end = std::get_if<CrashTrialEnd>(&message)) {
+    gateway->OnTrialEnd(from, *end);
+    return;
+  }
   const auto* heartbeat = std::get_if<GatewayHeartbeat>(&message);
   if (heartbeat == nullptr) {
     return;
--- a/src/messages.h
+++ b/src/messages.h
@@ -405,6 +405,25 @@
   std::vector<RateTurns> unused;
 };
 
+// Gateway to the one that decides which copy of a request tries whether it ends
+// replicas: this copy waits, or still tries. See `RequestTrials`.
+struct CrashTrialRequest {
+  std::string cause;  // Fingerprint of the request.
+  ExchangeId copy = 0;
+};
+// The answer: this copy may try. There is none while it may not.
+struct CrashTrialGrant {
+  std::string cause;
+  ExchangeId copy = 0;
+};
+// The copy has ended.
+struct CrashTrialEnd {
+  std::string cause;
+  ExchangeId copy = 0;
+  bool sent = false;      // To a replica.
+  bool answered = false;  // Whole.
+};
+
 using Message = std::variant<StageCall,
                              StageCancel,
                              StageChunk,
@@ -431,7 +450,10 @@
                              ServiceVersionReport,
                              RateLoanRequest,
                              RateLoan,
-                             RateLoanReturn>;
+                             RateLoanReturn,
+                             CrashTrialRequest,
+                             CrashTrialGrant,
+                             CrashTrialEnd>;
 
 }  // namespace acaciachute
 
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -302,6 +302,18 @@
   a(v.asked_at, v.unused);
 }
 template <class A>
+void serialize(A& a, CrashTrialRequest& v) {
+  a(v.cause, v.copy);
+}
+template <class A>
+void serialize(A& a, CrashTrialGrant& v) {
+  a(v.cause, v.copy);
+}
+template <class A>
+void serialize(A& a, CrashTrialEnd& v) {
+  a(v.cause, v.copy, v.sent, v.answered);
+}
+template <class A>
 void serialize(A& a, Envelope& v) {
   a(v.sender, v.incarnation, v.sequence, v.message);
 }
--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -13,10 +13,12 @@
 #include "coordination/crashes/cause_trials.h"
 #include "coordination/crashes/crash_exchange.h"
 #include "coordination/crashes/crash_judgement.h"
+#include "coordination/crashes/request_trials.h"
 #include "protocol/crash_codec.h"
 #include "state/random.h"
 #include "state/request_fingerprint.h"
 #include "tests/gateway/gateway_rig.h"
+#include "tests/gateway/quiet_log.h"
 
 namespace acaciachute {
 namespace {
@@ -50,6 +52,14 @@
   records->OnReplicaEnded(at, Replica(replica), suspects);
 }
 
+// Whether requests with the cause are refused without a trial.
+bool IsRefused(const CrashRecords& records,
+               TimeUs now,
+               const CrashCause& cause) {
+  const auto verdict = records.Of(now, cause);
+  return verdict.blocked && !verdict.doubtful;
+}
+
 // Guards against a count that grows with the gateways that saw one end.
 TEST(CrashRecordsTest, AnEndThatSeveralGatewaysSawCountsOnce) {
   CrashRecords a;
@@ -114,15 +124,43 @@
 }
 
 // Guards against refusing a request whose copies were in progress at many
-// replicas when all of them ended at once.
-TEST(CrashRecordsTest, EndsOfRunsAtTheSameTimeCountNotForARequest) {
+// replicas when all of them ended at once, and against sending all of its
+// copies on if it ended them.
+TEST(CrashRecordsTest, EndsOfRunsAtTheSameTimeLeaveADoubt) {
   CrashRecords records;
   for (int n = 0; n < 6; ++n) {
+    EXPECT_EQ(records.Of(2 * kSecond, kPopular).doubtful, n >= 3) << n;
     EndUnder(&records, kSecond + n * kMillisecond, {kPopular}, n);
   }
+  EXPECT_TRUE(records.Of(2 * kSecond, kPopular).doubtful);
+  EXPECT_FALSE(IsRefused(records, 2 * kSecond, kPopular));
+  EXPECT_TRUE(records.IsStored(2 * kSecond, kPopular));
+  records.OnCleared(2 * kSecond, kPopular);
   EXPECT_FALSE(records.Of(2 * kSecond, kPopular).blocked);
 }
 
+// Guards against trial after trial of a request that was answered before, so
+// that many ends in sequence are asked for.
+TEST(CrashRecordsTest, ThreeTrialsThatEndReplicasAreCertain) {
+  for (const bool cleared : {false, true}) {
+    CrashRecords records;
+    if (cleared) {
+      records.OnCleared(kSecond, kPoison);
+    }
+    for (int n = 0; n < 3; ++n) {
+      EndUnder(&records, 2 * kSecond, {kPoison}, n);
+    }
+    int trials = 0;
+    while (!IsRefused(records, 20 * kSecond, kPoison)) {
+      ASSERT_LT(trials, 3);
+      const TimeUs at = (3 + trials) * kSecond;
+      records.OnReplicaEnded(at, Replica(10 + trials++),
+                             {{kPoison, "acme", {at - kRun, at, true}}});
+    }
+    EXPECT_EQ(trials, cleared ? 3 : 2);
+  }
+}
+
 // Guards against ends that are known only after the answer that came after
 // them, at a gateway that tells of them late.
 TEST(CrashRecordsTest, AnAnswerTakesBackEndsThatAreKnownLater) {
@@ -148,9 +186,11 @@
       EndUnder(&records, (n + 2) * kSecond, {cause}, n);
     }
     EXPECT_EQ(records.Of(8 * kSecond, cause).ends, 5U);
-    EXPECT_FALSE(records.Of(8 * kSecond, cause).blocked);
+    EXPECT_FALSE(IsRefused(records, 8 * kSecond, cause));
     EndUnder(&records, 8 * kSecond, {cause}, 5);
     EXPECT_TRUE(records.Of(8 * kSecond, cause).blocked);
+    EXPECT_EQ(records.Of(8 * kSecond, cause).doubtful,
+              cause.kind == CauseKind::kPromptPart);
   }
 }
 
@@ -306,6 +346,8 @@
   static constexpr DurationUs kStep = 10 * kMillisecond;
   // Arrivals count from this long after the last end that may be.
   static constexpr DurationUs kContact = 3 * kSecond;
+  // Clients whose answers take as long as a trial wait for both.
+  static constexpr DurationUs kLongestTrialWait = 8 * kSecond;
 
   struct Options {
     int gateways = 20;
@@ -326,6 +368,7 @@
   void Run(DurationUs time, bool crashes) {
     for (const TimeUs end = now_ + time; now_ < end; now_ += kStep) {
       Deliver();
+      TryWaiting();
       Arrive(crashes);
       BeginAnswers();
       if (crashes && options_.kills) {
@@ -342,6 +385,8 @@
     gateways_.clear();
     StartGateways();
     datagrams_.clear();
+    trial_datagrams_.clear();
+    waiting_.clear();
   }
 
   struct Guilty {
@@ -356,11 +401,27 @@
   int TakeSoundRefused() { return std::exchange(sound_refused_, 0); }
 
  private:
+  // Sends a gateway's messages about trials of requests.
+  struct Port : RequestTrialsOutput {
+    Port(CrashFleet* fleet_in, int self_in) : fleet(fleet_in), self(self_in) {}
+    std::vector<NodeId> LivePeers() override { return fleet->PeersOf(self); }
+    void SendTrialMessage(const NodeId& to, const Message& message) override {
+      fleet->SendTrialMessage(self, std::stoi(to.substr(1)), message);
+    }
+    CrashFleet* const fleet;
+    const int self;
+  };
   struct Gateway {
-    explicit Gateway(NodeId name_in) : name(std::move(name_in)), trials(name) {}
+    Gateway(CrashFleet* fleet, int n)
+        : name("g" + std::to_string(n)),
+          trials(name),
+          port(std::make_unique<Port>(fleet, n)),
+          request_trials(name, port.get(), &fleet->log_) {}
     NodeId name;
     CrashRecords records;
     CauseTrials trials;
+    std::unique_ptr<Port> port;
+    RequestTrials request_trials;
   };
   struct Item {
     int gateway = 0;
@@ -370,6 +431,8 @@
     TimeUs begins_at = 0;
     Guilty* guilty = nullptr;  // Null: it ends nothing.
     std::optional<CrashCause> tried = {};
+    bool request_tried = false;
+    TimeUs waits_until = 0;  // For a trial of its request.
   };
   struct ReplicaState {
     int incarnation = 0;
@@ -381,10 +444,16 @@
     int to = 0;
     CrashReport report;
   };
+  struct TrialDatagram {
+    TimeUs at = 0;
+    int from = 0;
+    int to = 0;
+    Message message;
+  };
 
   void StartGateways() {
     for (int n = 0; n < options_.gateways; ++n) {
-      gateways_.emplace_back("g" + std::to_string(n));
+      gateways_.emplace_back(this, n);
     }
   }
 
@@ -433,6 +502,9 @@
       if (!verdict.doubtful) {
         return true;
       }
+      if (it.kind == CauseKind::kRequest) {
+        continue;
+      }
       blocked.push_back(it);
       rivals = std::min(rivals, verdict.rivals);
       decided_age = std::max(decided_age, verdict.decided_age);
@@ -441,15 +513,13 @@
                             decided_age < CrashRecords::kTellApartWindow)) {
       return false;
     }
-    std::vector<NodeId> peers;
-    for (const Gateway& it : gateways_) {
-      if (it.name != gateway->name) {
-        peers.push_back(it.name);
-      }
+    if (gateway->trials.IsTrial(blocked, item->id)) {
+      return false;
     }
     const bool all = blocked.size() > 1 && blocked.size() >= rivals;
     if (!gateway->trials.Begin(blocked, item->id,
-                               all ? 1 : CauseTrials::kMaxTrials, peers)) {
+                               all ? 1 : CauseTrials::kMaxTrials,
+                               PeersOf(item->gateway))) {
       return true;
     }
     if (blocked.size() == 1) {
@@ -460,12 +530,48 @@
 
   void Send(const std::vector<CrashCause>& causes, Guilty* guilty) {
     Item item = {Draw(options_.gateways), ++next_, causes, now_, 0, guilty};
-    Gateway& gateway = gateways_[static_cast<std::size_t>(item.gateway)];
     sound_ += guilty == nullptr;
+    item.waits_until = now_ + kLongestTrialWait;
+    TrySend(item);
+  }
+
+  void TryWaiting() {
+    for (const Item& it : std::exchange(waiting_, {})) {
+      TrySend(it);
+    }
+    for (Gateway& it : gateways_) {
+      it.request_trials.OnTick(now_);
+    }
+  }
+
+  void Refuse(const Item& item) {
+    sound_refused_ += item.guilty == nullptr;
+    Gateway& gateway = gateways_[static_cast<std::size_t>(item.gateway)];
+    gateway.trials.OnEnded(item.id, false);
+    gateway.request_trials.OnEnded(now_, item.id,
+                                   RequestTrials::Result::kNotSent);
+  }
+
+  void TrySend(Item item) {
+    Gateway& gateway = gateways_[static_cast<std::size_t>(item.gateway)];
     if (IsRefused(&gateway, &item)) {
-      sound_refused_ += guilty == nullptr;
+      Refuse(item);
       return;
     }
+    const CrashCause& request = item.causes.front();
+    if (gateway.records.Of(now_, request).doubtful) {
+      if (!gateway.request_trials.Ask(now_, request.id, item.id)) {
+        if (now_ < item.waits_until) {
+          waiting_.push_back(item);
+        } else {
+          Refuse(item);
+        }
+        return;
+      }
+      item.request_tried = true;
+    }
+    item.began_at = now_;
+    Guilty* const guilty = item.guilty;
     const int most_deaths = guilty == &poison_ ? 3 : 5;
     if (guilty != nullptr && guilty->deaths >= most_deaths &&
         now_ > guilty->last_allowed + kContact) {
@@ -487,6 +593,8 @@
       }
     }
     gateway.trials.OnEnded(item.id, false);
+    gateway.request_trials.OnEnded(now_, item.id,
+                                   RequestTrials::Result::kNotSent);
   }
 
   void BeginAnswers() {
@@ -520,6 +628,8 @@
   void Clear(const Item& item) {
     Gateway& gateway = gateways_[static_cast<std::size_t>(item.gateway)];
     gateway.trials.OnEnded(item.id, true);
+    gateway.request_trials.OnEnded(now_, item.id,
+                                   RequestTrials::Result::kAnswered);
     for (const CrashCause& it : item.causes) {
       if (gateway.records.OnCleared(now_, it)) {
         Spread({{}, {{it, 0}}});
@@ -533,11 +643,15 @@
     replica.up_at = now_ + 2 * kSecond;
     std::map<int, std::vector<CrashRecords::Suspect>> seen;
     for (const Item& it : std::exchange(replica.items, {})) {
-      gateways_[static_cast<std::size_t>(it.gateway)].trials.OnEnded(it.id,
-                                                                     true);
+      Gateway& gateway = gateways_[static_cast<std::size_t>(it.gateway)];
+      gateway.trials.OnEnded(it.id, true);
+      gateway.request_trials.OnEnded(now_, it.id,
+                                     RequestTrials::Result::kUnknown);
       for (const CrashCause& cause : it.causes) {
-        seen[it.gateway].push_back(
-            {cause, "acme", {it.began_at, now_, it.tried == cause}});
+        const bool tried = cause.kind == CauseKind::kRequest
+                               ? it.request_tried
+                               : it.tried == cause;
+        seen[it.gateway].push_back({cause, "acme", {it.began_at, now_, tried}});
       }
     }
     for (const auto& [gateway, suspects] : seen) {
@@ -591,7 +705,46 @@
           {now_, Draw(options_.gateways), it.records.Report(now_, some)});
     }
   }
+  std::vector<NodeId> PeersOf(int self) const {
+    std::vector<NodeId> peers;
+    for (int n = 0; n < options_.gateways; ++n) {
+      if (n != self) {
+        peers.push_back("g" + std::to_string(n));
+      }
+    }
+    return peers;
+  }
+  void SendTrialMessage(int from, int to, const Message& message) {
+    if (trial_random_.Below(10) >= 2) {
+      const auto delay =
+          static_cast<DurationUs>(trial_random_.Below(50)) * kMillisecond;
+      trial_datagrams_.push_back({now_ + delay, from, to, message});
+    }
+  }
+  void DeliverTrials() {
+    std::vector<TrialDatagram> due;
+    std::erase_if(trial_datagrams_, [&](const TrialDatagram& it) {
+      if (it.at <= now_) {
+        due.push_back(it);
+      }
+      return it.at <= now_;
+    });
+    for (const TrialDatagram& it : due) {
+      RequestTrials& to =
+          gateways_[static_cast<std::size_t>(it.to)].request_trials;
+      const NodeId from = "g" + std::to_string(it.from);
+      if (const auto* ask = std::get_if<CrashTrialRequest>(&it.message)) {
+        to.OnRequest(now_, from, *ask);
+      } else if (const auto* grant =
+                     std::get_if<CrashTrialGrant>(&it.message)) {
+        to.OnGrant(now_, from, *grant);
+      } else if (const auto* end = std::get_if<CrashTrialEnd>(&it.message)) {
+        to.OnEnd(now_, from, *end);
+      }
+    }
+  }
   void Deliver() {
+    DeliverTrials();
     std::vector<Datagram> due;
     std::erase_if(datagrams_, [&](const Datagram& it) {
       if (it.at <= now_) {
@@ -606,10 +759,14 @@
 
   const Options options_;
   Random random_;
+  Random trial_random_{random_};  // Leaves what else is drawn as it is.
   TimeUs now_ = kSecond;
   std::vector<Gateway> gateways_;
   std::vector<ReplicaState> replicas_;
   std::vector<Datagram> datagrams_;
+  std::vector<TrialDatagram> trial_datagrams_;
+  std::vector<Item> waiting_;
+  QuietLog log_;
   ExchangeId next_ = 0;
   Guilty poison_;
   Guilty bad_part_;
@@ -871,6 +1028,86 @@
   EXPECT_EQ(rig.sent.size(), sent + 2);
 }
 
+// Sends `n` copies, which run at replicas of their own, and ends all of these.
+void EndCopies(GatewayRig* rig, int n) {
+  const std::size_t before = rig->sent.size();
+  for (int k = 0; k < n; ++k) {
+    rig->AddReplica("c" + std::to_string(rig->last_host), "app");
+    rig->Call("plain");
+  }
+  const auto sent = rig->sent;
+  for (std::size_t k = before; k < sent.size(); ++k) {
+    rig->core.OnReplicaFailed(sent[k].call, true, "reset");
+  }
+  rig->Pass(BrokenAttempts::kProbeDelay);
+  for (const ReplicaId& it : std::exchange(rig->probed, {})) {
+    rig->core.OnReplicaProbed(it, ProbeOutcome::kRefused, rig->now);
+    rig->directory.Remove(rig->now, it.name);
+  }
+}
+
+// Guards against a request that comes in many copies at once and ends as many
+// replicas each time: one copy is sent, the others wait and are refused once it
+// is certain.
+TEST(GatewayCrashTest, CopiesInDoubtAreSentOneAtATime) {
+  GatewayRig rig;
+  EndCopies(&rig, 6);
+  for (int k = 0; k < 4; ++k) {
+    rig.AddReplica("r" + std::to_string(k), "app");
+  }
+  const std::size_t sent = rig.sent.size();
+  std::vector<ExchangeId> copies;
+  for (int k = 0; k < 6; ++k) {
+    copies.push_back(rig.Call("plain"));
+  }
+  for (std::size_t trials = 1; trials <= 2; ++trials) {
+    ASSERT_EQ(rig.sent.size(), sent + trials);
+    EXPECT_EQ(rig.refused.count(copies.back()), 0U);
+    EndReplica(&rig, rig.sent.back().replica);
+    rig.Pass(RequestTrials::kSettleTime);
+  }
+  EXPECT_EQ(rig.sent.size(), sent + 2);
+  for (std::size_t k = 2; k < copies.size(); ++k) {
+    EXPECT_EQ(rig.refused[copies[k]].reason, Refusal::kCrashesReplicas);
+    EXPECT_EQ(rig.refused[copies[k]].verdict, Verdict::kNotRun);
+  }
+}
+
+// Guards against refusing, or holding back for good, a sound request whose
+// copies ran at replicas that lost power: one answer lets all go on.
+TEST(GatewayCrashTest, ASoundRequestIsServedAfterItsReplicasEnded) {
+  GatewayRig rig;
+  EndCopies(&rig, 6);
+  rig.AddReplica("r", "app");
+  const std::size_t sent = rig.sent.size();
+  std::vector<ExchangeId> copies;
+  for (int k = 0; k < 6; ++k) {
+    copies.push_back(rig.Call("plain"));
+  }
+  ASSERT_EQ(rig.sent.size(), sent + 1);
+  rig.AnswerWith(rig.sent.back().call, GatewayRig::Head(), "good");
+  rig.Pass(20 * kMillisecond);
+  EXPECT_EQ(rig.sent.size(), sent + 6);
+  for (const ExchangeId it : copies) {
+    EXPECT_EQ(rig.refused.count(it), 0U);
+  }
+}
+
+// Guards against copies that wait for a trial until their clients have left:
+// they are refused in time, as not run.
+TEST(GatewayCrashTest, ACopyThatWaitsInVainIsRefusedAsNotRun) {
+  GatewayRig rig;
+  EndCopies(&rig, 6);
+  rig.AddReplica("r", "app");
+  rig.Call("plain");
+  const ExchangeId id = rig.Send("plain", "k1", {}, 8 * kSecond);
+  rig.Pass(kSecond);
+  EXPECT_EQ(rig.refused.count(id), 0U);
+  rig.Pass(900 * kMillisecond);
+  EXPECT_EQ(rig.refused[id].reason, Refusal::kFull);
+  EXPECT_EQ(rig.refused[id].verdict, Verdict::kNotRun);
+}
+
 // Guards against taking connections that break for replicas that ended.
 TEST(GatewayCrashTest, BreaksAtReplicasThatLiveDoNotCount) {
   GatewayRig rig;
@@ -928,9 +1165,9 @@
         "acme",
         {kSecond + kMillisecond, kSecond + 2 * kMillisecond}}});
   EndUnder(&records, 3 * kSecond, {kPoison}, 3);
-  EXPECT_FALSE(records.Of(4 * kSecond, kPoison).blocked);
+  EXPECT_FALSE(IsRefused(records, 4 * kSecond, kPoison));
   EndUnder(&records, 4 * kSecond, {kPoison}, 4);
-  EXPECT_TRUE(records.Of(4 * kSecond, kPoison).blocked);
+  EXPECT_TRUE(IsRefused(records, 4 * kSecond, kPoison));
 }
 
 // Guards against requests that are not blocked yet, as their ends were not in
@@ -944,7 +1181,7 @@
   EXPECT_EQ(records.TakeStoreChanges(kSecond), std::vector{kPoison});
   EXPECT_TRUE(records.TakeStoreChanges(kSecond).empty());
   EndUnder(&records, 2 * kSecond, {kPoison, Part("0a")}, 3);
-  EXPECT_FALSE(records.Of(2 * kSecond, kPoison).blocked);
+  EXPECT_FALSE(IsRefused(records, 2 * kSecond, kPoison));
   EXPECT_FALSE(records.IsStored(2 * kSecond, Part("0a")));
   EXPECT_EQ(records.TakeStoreChanges(2 * kSecond), std::vector{kPoison});
 
@@ -952,8 +1189,9 @@
   CrashRecords after;
   after.Merge(3 * kSecond, row);
   EXPECT_TRUE(after.TakeStoreChanges(3 * kSecond).empty());
+  EXPECT_TRUE(after.Of(3 * kSecond, kPoison).doubtful);
   EndUnder(&after, 4 * kSecond, {kPoison}, 4);
-  EXPECT_TRUE(after.Of(4 * kSecond, kPoison).blocked);
+  EXPECT_TRUE(IsRefused(after, 4 * kSecond, kPoison));
 }
 
 // Guards against sound requests that the store remembers for good.
--- /dev/null
+++ b/tests/process/crashing_copies_test.cc
@@ -0,0 +1,127 @@
+// Process tests of real gateways and requests that come in many copies at a
+// time: one that ends the replicas which run it, and a sound one whose replicas
+// ended at once.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/soak/world.h"
+
+namespace acaciachute {
+namespace {
+
+WorldOptions Deployment() {
+  WorldOptions options;
+  options.gateways = 3;
+  options.plain_replicas = 8;
+  return options;
+}
+
+void SendCopies(World* world,
+                const std::string& route,
+                const std::string& body,
+                int n) {
+  for (int k = 0; k < n; ++k) {
+    world->Send(route, static_cast<std::size_t>(k) % 3, 0, body);
+  }
+}
+
+// Waits, and sends sound requests to all gateways in turn meanwhile.
+void SendSound(World* world, DurationUs time) {
+  constexpr DurationUs kPeriod = 25 * kMillisecond;
+  const TimeUs end = Loop::Now() + time;
+  TimeUs next = Loop::Now();
+  std::size_t sent = 0;
+  world->WaitFor(time + kSecond, [&] {
+    for (; Loop::Now() >= next && next < end; next += kPeriod) {
+      ClientCall call;
+      call.route = "safe";
+      call.gateway = sent++ % 3;
+      call.body = "sound";
+      call.beside = "copies";
+      world->Send(call);
+    }
+    return Loop::Now() >= end;
+  });
+}
+
+struct Copies {
+  const char* route;
+  int at_a_time;
+};
+
+class CrashingCopiesProcessTest : public ::testing::TestWithParam<Copies> {};
+
+// Guards against a request whose copies come at the same time and count as one
+// end however many replicas they end, wave after wave.
+TEST_P(CrashingCopiesProcessTest, ReachFewReplicasAfterTheThird) {
+  constexpr int kWaves = 4;
+  constexpr DurationUs kWavePeriod = 3500 * kMillisecond;
+  Loop loop;
+  World world(&loop, Deployment());
+  ASSERT_TRUE(world.Start());
+  for (int n = 0; n < kWaves; ++n) {
+    SendCopies(&world, GetParam().route, "crash", GetParam().at_a_time);
+    SendSound(&world, kWavePeriod);
+  }
+  EXPECT_GE(world.ledger()->crashes().deaths(), CrashJudge::kDeaths);
+  EXPECT_LE(world.ledger()->crashes().MostLateArrivals(),
+            CrashJudge::kMaxLateArrivals);
+  EXPECT_EQ(world.ledger()->crashes().InnocentsRefused(), 0U);
+  const BegunShare sound = world.ledger()->BegunOf("copies");
+  EXPECT_GT(sound.sent, 500U);
+  EXPECT_GE(sound.share(), 0.95);
+}
+
+INSTANTIATE_TEST_SUITE_P(Waves,
+                         CrashingCopiesProcessTest,
+                         ::testing::Values(Copies{"safe", 3},
+                                           Copies{"safe", 6},
+                                           Copies{"unsafe", 12}),
+                         [](const auto& test) {
+                           return std::to_string(test.param.at_a_time);
+                         });
+
+class SoundCopiesProcessTest : public ::testing::TestWithParam<int> {};
+
+// Guards against refusing a sound request whose copies ran at replicas that all
+// lost power at once: whether its copies come one by one or together, all are
+// served.
+TEST_P(SoundCopiesProcessTest, AreServedAfterAllReplicasEnded) {
+  constexpr int kSent = 20;
+  Loop loop;
+  World world(&loop, Deployment());
+  ASSERT_TRUE(world.Start());
+  SendCopies(&world, "unsafe", "victim", 12);
+  world.WaitFor(10 * kMillisecond, [] { return false; });
+  for (auto& it : world.replicas()) {
+    if (it->service() == "plain") {
+      world.EndReplica(it.get(), true);
+    }
+  }
+  world.WaitFor(World::kRowLifetime + kSecond, [] { return false; });
+  for (int n = 0; n < kSent; ++n) {
+    ClientCall call;
+    call.route = "unsafe";
+    call.gateway = static_cast<std::size_t>(n) % 3;
+    call.body = "victim";
+    call.beside = "again";
+    world.Send(call);
+    if ((n + 1) % GetParam() == 0) {
+      ASSERT_TRUE(world.WaitFor(10 * kSecond,
+                                [&] { return world.ledger()->open() == 0; }));
+    }
+  }
+  const BegunShare again = world.ledger()->BegunOf("again");
+  EXPECT_EQ(again.begun, static_cast<std::size_t>(kSent));
+}
+
+INSTANTIATE_TEST_SUITE_P(AtATime,
+                         SoundCopiesProcessTest,
+                         ::testing::Values(1, 10),
+                         [](const auto& test) {
+                           return std::to_string(test.param);
+                         });
+
+}  // namespace
+}  // namespace acaciachute
