Crashes: what was given up on is a suspect where a replica falls silent

Cause: an attempt became a suspect only by a break. One that the gateway cancels, as its deadline passes or its client leaves, was forgotten before the replica's row went, and one whose row went first was passed over as not listed.

It counts only if the replica really ends; what the replica sends clears it, an accepted connection does not, as the kernel accepts for a frozen process. An attempt of which nothing was sent is not reported as arrived.

No functional change for requests whose replicas do not end.

--- a/src/coordination/crashes/broken_attempts.cc
+++ b/src/coordination/crashes/broken_attempts.cc
@@ -13,7 +13,7 @@
   Suspected& suspected = suspected_[replica];
   suspected.attempts.push_back(attempt);
   suspected.attempts.back().broken_at = now;
-  suspected.probe_due = true;
+  suspected.probe_due = suspected.probe_due || !attempt.abandoned;
   if (suspected.attempts.size() > kMaxAttemptsPerReplica) {
     suspected.attempts.erase(suspected.attempts.begin());
   }
@@ -39,13 +39,26 @@
     return;
   }
   std::erase_if(it->second.attempts, [sent_at](const BrokenAttempt& attempt) {
-    return attempt.broken_at <= sent_at;
+    return !attempt.abandoned && attempt.broken_at <= sent_at;
   });
   if (it->second.attempts.empty()) {
     suspected_.erase(it);
   }
 }
 
+void BrokenAttempts::OnAnswering(const ReplicaId& replica) {
+  ended_.erase(replica);
+  const auto it = suspected_.find(replica);
+  if (it == suspected_.end()) {
+    return;
+  }
+  std::erase_if(it->second.attempts,
+                [](const BrokenAttempt& attempt) { return attempt.abandoned; });
+  if (it->second.attempts.empty()) {
+    suspected_.erase(it);
+  }
+}
+
 std::vector<ReplicaId> BrokenAttempts::TakeProbes(TimeUs now) {
   std::erase_if(ended_, [now](const auto& it) {
     return now - it.second > kEndedRetention;
--- a/src/coordination/crashes/broken_attempts.h
+++ b/src/coordination/crashes/broken_attempts.h
@@ -5,6 +5,13 @@
 // address is probed by a new connection, which a process that ended refuses.
 // Where the probe tells nothing, because the replica's host is gone, the end of
 // its row tells. A replica that leaves ends as planned.
+//
+// An attempt that the gateway cancelled, as its time was over or its client
+// left, has no break: a replica that falls silent under a request would never
+// be seen to end under it, and each copy of the request would reach one more.
+// So such attempts are kept too. A process that is frozen accepts connections,
+// so no probe is sent for them and none clears them; what the replica sends
+// does.
 #ifndef ACACIACHUTE_SRC_COORDINATION_CRASHES_BROKEN_ATTEMPTS_H_
 #define ACACIACHUTE_SRC_COORDINATION_CRASHES_BROKEN_ATTEMPTS_H_
 
@@ -20,7 +27,8 @@
 
 namespace acaciachute {
 
-// A request that was in progress at a replica when its connection broke.
+// A request that was in progress at a replica when its connection broke, or
+// when it was abandoned.
 struct BrokenAttempt {
   // What may have ended the replica: the request and, unless its answer had
   // begun, the parts of its prompt.
@@ -33,6 +41,7 @@
   bool begun = false;   // The first event of its answer had arrived.
   TimeUs began_at = 0;  // When it was sent to the replica.
   TimeUs broken_at = 0;
+  bool abandoned = false;  // Cancelled, without a break.
 };
 
 // What a new connection to a replica's address showed.
@@ -64,8 +73,9 @@
   // Limit on the attempts kept; beyond it the oldest of a replica are dropped.
   static constexpr std::size_t kMaxAttemptsPerReplica = 256;
 
-  // The connection of an attempt broke after the request was sent. Returns true
-  // if the replica is known to have ended: the attempt is not kept then.
+  // The connection of an attempt broke after the request was sent, or the
+  // attempt was abandoned. Returns true if the replica is known to have ended:
+  // the attempt is not kept then.
   bool OnBroken(TimeUs now,
                 const ReplicaId& replica,
                 const BrokenAttempt& attempt);
@@ -74,6 +84,12 @@
                                             const ReplicaId& replica);
   // A probe that was sent at `sent_at` found the replica's process listening.
   void OnReplicaAlive(const ReplicaId& replica, TimeUs sent_at);
+  // The replica sent something: it had not ended under what was abandoned.
+  void OnAnswering(const ReplicaId& replica);
+  // Whether the replica ended not long ago, and not as planned.
+  bool HasEnded(const ReplicaId& replica) const {
+    return ended_.contains(replica);
+  }
   // The replicas to probe now; call it every 10 ms.
   std::vector<ReplicaId> TakeProbes(TimeUs now);
 
@@ -81,7 +97,7 @@
   struct Suspected {
     std::vector<BrokenAttempt> attempts;  // Oldest first.
     TimeUs probed_at = 0;
-    bool probe_due = true;
+    bool probe_due = false;
   };
 
   std::map<ReplicaId, Suspected> suspected_;
--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -128,7 +128,7 @@
 void Gateway::Impl::Finish(ServingRequest* request,
                            std::string_view outcome,
                            int status) {
-  CancelAttempt(request);
+  AbandonAttempt(request);
   cause_trials.OnEnded(request->id, request->arrivals > 0);
   request_trials.OnEnded(output->Now(), request->id,
                          request->arrivals > 0
@@ -373,6 +373,7 @@
 }
 void Gateway::OnReplicaBody(CallId id, std::string_view bytes) {
   if (auto* request = impl_->FindByCall(id)) {
+    impl_->broken_attempts.OnAnswering(request->attempt.replica.id);
     impl_->OnBody(request, bytes);
   }
 }
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -13,6 +13,9 @@
 }
 
 void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
+  if (!head.other_replica) {
+    broken_attempts.OnAnswering(request->attempt.replica.id);
+  }
   OnStatement(request->attempt.replica.id, head.statement, request->call.id);
   request->attempt.head = std::move(head);
   ReportArrival(request);
--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -84,14 +84,17 @@
 }
 
 // What ends at a replica that leaves, or that is not listed any more, ends as
-// planned.
-void Gateway::Impl::OnBroken(ServingRequest* request) {
+// planned, unless the replica is known to have ended otherwise: one that fell
+// silent loses its row before the deadlines of its requests.
+void Gateway::Impl::RecordSuspects(ServingRequest* request, bool abandoned) {
   const ReplicaId& replica = request->attempt.replica.id;
   const ReplicaEntry* listed = directory->Find(replica);
-  if (listed == nullptr || listed->leaving) {
+  if (listed == nullptr ? !broken_attempts.HasEnded(replica)
+                        : listed->leaving) {
     return;
   }
   BrokenAttempt attempt;
+  attempt.abandoned = abandoned;
   attempt.causes = SuspectsOf(request);
   attempt.tried = request->tried_cause;
   attempt.request_tried = request_trials.IsTrial(request->id);
@@ -106,6 +109,24 @@
   }
 }
 
+void Gateway::Impl::OnBroken(ServingRequest* request) {
+  RecordSuspects(request, false);
+}
+
+void Gateway::Impl::AbandonAttempt(ServingRequest* request) {
+  const CallId call = request->attempt.call;
+  if (call == 0) {
+    return;
+  }
+  if (output->CancelIfUnsent(call)) {
+    ReportNotSent(request);
+    EndAttempt(request);
+    return;
+  }
+  RecordSuspects(request, true);
+  CancelAttempt(request);
+}
+
 void Gateway::Impl::OnEndedUnder(const ReplicaId& replica,
                                  const std::vector<BrokenAttempt>& attempts) {
   const TimeUs now = output->Now();
@@ -225,6 +246,9 @@
   const auto begun = static_cast<std::size_t>(
       std::count_if(attempts.begin(), attempts.end(),
                     [](const BrokenAttempt& it) { return it.begun; }));
+  const auto abandoned = static_cast<std::size_t>(
+      std::count_if(attempts.begin(), attempts.end(),
+                    [](const BrokenAttempt& it) { return it.abandoned; }));
   metrics->Count("acaciachute_gateway_ended_under_total", "begun", begun);
   metrics->Count("acaciachute_gateway_ended_under_total", "waiting",
                  attempts.size() - begun);
@@ -234,6 +258,7 @@
               {"evidence", evidence},
               {"in_progress", attempts.size()},
               {"begun", begun},
+              {"abandoned", abandoned},
               {"after_ms", (now - attempts.front().broken_at) / kMillisecond}});
   OnEndedUnder(replica, attempts);
 }
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -400,6 +400,10 @@
   std::vector<CrashCause> SuspectsOf(ServingRequest* request) const;
   // The connection of the current attempt broke after the request was sent.
   void OnBroken(ServingRequest* request);
+  // Cancels the current attempt, if any, as nobody waits for it any more. The
+  // replica may have ended under it.
+  void AbandonAttempt(ServingRequest* request);
+  void RecordSuspects(ServingRequest* request, bool abandoned);
   // The replica ended while the attempts were in progress there.
   void OnEndedUnder(const ReplicaId& replica,
                     const std::vector<BrokenAttempt>& attempts);
--- a/src/coordination/gateway/gateway_memory.cc
+++ b/src/coordination/gateway/gateway_memory.cc
@@ -15,7 +15,7 @@
     return GaveWay::kBodyReleased;
   }
   if (!request->attempt.body.empty()) {
-    CancelAttempt(request);
+    AbandonAttempt(request);
     ++request->possible_runs;
     Refuse(request, {Refusal::kUpstreamFailed, Verdict::kMayHaveRun, 0,
                      "memory is short for its answer"});
--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -1108,6 +1109,75 @@
   EXPECT_EQ(rig.refused[id].verdict, Verdict::kNotRun);
 }
 
+// A replica falls silent under a request, whose end at the gateway is `end`,
+// and loses its row.
+void FallSilentUnder(GatewayRig* rig,
+                     const std::function<void(ExchangeId)>& end) {
+  rig->AddReplica("s" + std::to_string(rig->last_host), "app");
+  const ExchangeId id = rig->Call("plain");
+  const ReplicaId replica = rig->sent.back().replica;
+  end(id);
+  rig->directory.Remove(rig->now, replica.name);
+  rig->Pass(kSecond);
+  rig->core.OnConfirmed(rig->now);
+}
+
+// Guards against a request under which replicas fall silent, so that its
+// deadline passes or its client leaves, and no break is ever seen.
+TEST(GatewayCrashTest, RefusesWhatReplicasFellSilentUnder) {
+  GatewayRig rig;
+  FallSilentUnder(&rig, [&](ExchangeId) { rig.Pass(10 * kSecond); });
+  FallSilentUnder(&rig, [&](ExchangeId id) {
+    rig.Pass(kSecond);
+    rig.core.OnClientDisconnected(id);
+  });
+  // The row goes before the deadline.
+  rig.AddReplica("early", "app");
+  rig.Call("plain");
+  rig.directory.Remove(rig.now + 4 * kSecond, "early");
+  rig.Pass(10 * kSecond);
+  rig.core.OnConfirmed(rig.now);
+  rig.AddReplica("r", "app");
+  const std::size_t sent = rig.sent.size();
+  const ExchangeId id = rig.Call("plain");
+  EXPECT_EQ(rig.sent.size(), sent);
+  EXPECT_EQ(rig.refused[id].reason, Refusal::kCrashesReplicas);
+}
+
+// Guards against refusing what clients give up on, where the replica goes on,
+// leaves as planned, or ends long after.
+TEST(GatewayCrashTest, WhatClientsLeaveIsNoSuspectWhereTheReplicaGoesOn) {
+  GatewayRig rig;
+  for (int n = 0; n < 4; ++n) {
+    FallSilentUnder(&rig, [&](ExchangeId id) {
+      rig.Call("repeat");  // At the same replica.
+      rig.core.OnClientDisconnected(id);
+      rig.AnswerWith(rig.sent.back().call, GatewayRig::Head(), "good");
+    });
+    FallSilentUnder(&rig, [&](ExchangeId id) {
+      rig.core.OnClientDisconnected(id);
+      rig.directory.OnLeavingStated(rig.now, rig.sent.back().replica);
+    });
+    FallSilentUnder(&rig, [&](ExchangeId id) {
+      rig.core.OnClientDisconnected(id);
+      rig.Pass(BrokenAttempts::kEvidenceWindow + kSecond);
+    });
+  }
+  EXPECT_TRUE(rig.core.crash_records()->All(rig.now).empty());
+}
+
+// Guards against a probe, which a frozen process accepts too, that clears what
+// its replica fell silent under.
+TEST(GatewayCrashTest, AnAcceptedConnectionClearsNothingAbandoned) {
+  GatewayRig rig;
+  FallSilentUnder(&rig, [&](ExchangeId id) {
+    rig.core.OnClientDisconnected(id);
+    rig.core.OnReplicaProbed(rig.sent.back().replica, ProbeOutcome::kAccepted,
+                             rig.now + kSecond);
+  });
+  EXPECT_EQ(rig.core.crash_records()->All(rig.now).size(), 1U);
+}
+
 // Guards against taking connections that break for replicas that ended.
 TEST(GatewayCrashTest, BreaksAtReplicasThatLiveDoNotCount) {
   GatewayRig rig;
--- a/tests/process/crashing_test.cc
+++ b/tests/process/crashing_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "tests/soak/world.h"
+#include "text.h"
 
 namespace acaciachute {
 namespace {
@@ -61,6 +62,51 @@
                          CrashingProcessTest,
                          ::testing::Values("unsafe", "safe", "resumed"));
 
+struct Leaves {
+  const char* name;
+  DurationUs deadline;
+  DurationUs leaves_after;
+};
+
+class SilentCrashProcessTest : public ::testing::TestWithParam<Leaves> {};
+
+// Guards against a request under which replicas fall silent, and whose deadline
+// passes, or whose client leaves, before that shows: each copy reaches one more
+// replica for as long as it is sent.
+TEST_P(SilentCrashProcessTest, IsSentNoMoreAfterThreeReplicas) {
+  constexpr int kSends = 8;
+  constexpr DurationUs kPeriod = 3200 * kMillisecond;
+  Loop loop;
+  WorldOptions options;
+  options.gateways = 3;
+  options.plain_replicas = 8;
+  World world(&loop, options);
+  ASSERT_TRUE(world.Start());
+  for (std::size_t n = 0; n < kSends; ++n) {
+    ClientCall call;
+    call.route = "safe";
+    call.gateway = n % 3;
+    call.body = StrCat(StandinReplica::kCrashingBody, StandinReplica::kSilent);
+    call.deadline = GetParam().deadline;
+    call.leaves_after = GetParam().leaves_after;
+    world.Send(call);
+    SendBesideOthers(&world, "safe", kUsualBody, kPeriod);
+  }
+  EXPECT_GE(world.ledger()->crashes().deaths(), CrashJudge::kDeaths);
+  EXPECT_LE(world.ledger()->crashes().deaths(), CrashJudge::kDeaths + 1);
+  EXPECT_LE(world.ledger()->crashes().MostLateArrivals(),
+            CrashJudge::kMaxLateArrivals);
+  EXPECT_EQ(world.ledger()->crashes().InnocentsRefused(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ways,
+    SilentCrashProcessTest,
+    ::testing::Values(Leaves{"Deadline", kSecond, 0},
+                      Leaves{"ClientLeaves", 6 * kSecond, kSecond / 2},
+                      Leaves{"DeadlineAfterTheRow", 6 * kSecond, 0}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 // Guards against gateways that forget, when all of them are killed at once,
 // which requests ended replicas, so that each mass restart costs three more.
 TEST(CrashingProcessRestartTest, IsRememberedWhenAllGatewaysAreKilled) {
--- a/tests/soak/standin_replica.cc
+++ b/tests/soak/standin_replica.cc
@@ -106,6 +106,7 @@
 
 void StandinReplica::ComeBack(std::string id) {
   id_ = std::move(id);
+  silent_ = false;
   listener_.Listen();
 }
 
--- a/tests/soak/standin_replica.h
+++ b/tests/soak/standin_replica.h
@@ -102,6 +102,8 @@
   // the body goes on with `kInStream`, after the first event of its stream.
   static constexpr std::string_view kCrashingBody = "crash";
   static constexpr std::string_view kInStream = "-in-stream";
+  // If it goes on with this, the process hangs; see `World::kSilentTime`.
+  static constexpr std::string_view kSilent = "-silent";
   using CrashHandler = std::function<void(const std::string& key, bool resets)>;
   void SetCrashHandler(CrashHandler on_crash) {
     on_crash_ = std::move(on_crash);
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -230,7 +230,15 @@
     replica->SetCrashHandler(
         [this, replica](const std::string& key, bool resets) {
           ledger_.crashes().OnDied(Loop::Now(), key);
-          EndReplica(replica, resets);
+          const bool silent = key.starts_with(
+              StrCat(StandinReplica::kCrashingBody, StandinReplica::kSilent));
+          if (!silent) {
+            EndReplica(replica, resets);
+            return;
+          }
+          replica->FallSilent();
+          RunAfter(loop_, kSilentTime, alive_,
+                   [this, replica, resets] { EndReplica(replica, resets); });
         });
     if (options_.answer_seed) {
       replicas_.back()->SetLateCopies(kLateCopyPeriod);
@@ -397,7 +405,7 @@
   request.target = "/" + call.route + "/x";
   request.fields = {{"Host", "h.example"},
                     {"Attempt-Id", id},
-                    {"Deadline-Ms", StrCat(kDeadlineMs)},
+                    {"Deadline-Ms", StrCat(call.deadline / kMillisecond)},
                     {"Authorization", StrCat("Bearer ", kApiKey)}};
   request.echo = HttpField{"Attempt-Id", id};
   if (chat || staged) {
@@ -417,7 +425,7 @@
   entry.idempotent = call.route != "unsafe" && call.route != "chat-unsafe" &&
                      call.route != "staged";
   entry.sent_at = Loop::Now();
-  entry.deadline = kDeadlineMs * kMillisecond;
+  entry.deadline = call.deadline;
   entry.max_attempts = kMaxAttempts;
   entry.beside = call.beside;
   const std::vector<std::string> services =
@@ -425,7 +433,8 @@
              : std::vector<std::string>{chat ? "chat" : "plain"};
   ledger_.OnSent(id, entry, services);
   ChannelOptions options;
-  options.total = (kDeadlineMs + 1000) * kMillisecond;
+  options.total =
+      call.leaves_after > 0 ? call.leaves_after : call.deadline + kSecond;
   options.max_idle_time = call.keeps_connection ? kSecond : 0;
   std::function<void()> send_again;
   if (call.client_retries > 0) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -57,6 +57,8 @@
   std::string crash_key;
   std::string beside;
   bool keeps_connection = true;  // False: it is sent on one of its own.
+  DurationUs deadline = 6 * kSecond;
+  DurationUs leaves_after = 0;  // The client does; zero: it waits.
 };
 
 // The deployment; all parts but the gateways run in the process of the test.
@@ -102,6 +104,8 @@
   static constexpr DurationUs kDownTime = 700 * kMillisecond;
   static constexpr DurationUs kChatDownTime = 2000 * kMillisecond;
   static constexpr DurationUs kRowLifetime = 2500 * kMillisecond;
+  // One that falls silent under a request ends after this time.
+  static constexpr DurationUs kSilentTime = 2500 * kMillisecond;
   // `resets`: its connections are reset, not closed.
   void EndReplica(StandinReplica* replica, bool resets = false);
   // A process that hangs ends, with its connections, and a new plain replica
