Answers whose status is none are bad answers

Callers saw: a replica in trouble answers with status 000 (or 001, 099, 101), and its client waits until its deadline, 504 after 4 to 7 s, though another replica would serve it; 600 and 999 were passed on.

Cause: the reader took each status below 200 for an interim answer.

Change: a status outside 100 to 599, and 101, fails the call at once as a bad answer (RFC 9110, 15).

Before, with the old program: OddStatusTest.IsNoAnswer fails at 000 (504, 4.0 to 7.0 s where 1 s is allowed; broken off after 45 s). After: 740 ms in all. The reset beside an upload does not show here: 502 in 48 of 48 before and after; its test stays as a guard.

No functional change for statuses from 200 to 599.

--- a/src/protocol/http1.cc
+++ b/src/protocol/http1.cc
@@ -233,6 +233,19 @@
          FindField(head.fields, "content-length") != nullptr)) {
       Fail("an ambiguous body length");
     }
+    if (!IsStatus(head.status)) {
+      Fail(StrCat("a status that is none: ", head.status));
+    }
+  }
+
+  // Others are no statuses (RFC 9110, 15); the end of such an answer is not
+  // known, and what follows would be taken for it. No request asks for another
+  // protocol.
+  static bool IsStatus(int status) {
+    constexpr int kFirst = 100;
+    constexpr int kLast = 599;
+    constexpr int kSwitchingProtocols = 101;
+    return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
   }
 
   AnswerEnd ExpectedEnd() const {
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "text.h"
+
 namespace acaciachute {
 namespace {
 
@@ -192,6 +194,22 @@
   EXPECT_EQ(reader.TakeBody(), "abc");
 }
 
+// Guards against a status that is none and is taken for an interim answer, so
+// that the call waits until its deadline, or for a final one, so that the
+// client gets it.
+TEST(HttpAnswerReaderTest, RejectsAStatusThatIsNone) {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    for (const char* rest :
+         {"Content-Length: 2\r\n\r\nok", "\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}) {
+      HttpAnswerReader reader(false);
+      std::string buf = StrCat("HTTP/1.1 ", status, " Odd\r\n", rest);
+      EXPECT_EQ(reader.Read(&buf), HttpAnswerReader::State::kBad) << status;
+      EXPECT_NE(std::string(reader.error()).find("status"), std::string::npos);
+    }
+  }
+}
+
 TEST(HttpAnswerReaderTest, SkipsInterimAnswers) {
   HttpAnswerReader reader(false);
   std::string buf =
--- a/tests/process/endless_answer_test.cc
+++ b/tests/process/endless_answer_test.cc
@@ -46,7 +46,8 @@
 struct Place {
   const char* name;
   std::string begin;
-  std::string endless;
+  std::string endless;  // Empty: the answer ends after `begin`.
+  bool closes = false;  // With its connection.
 };
 
 // Places in answers of any kind.
@@ -140,7 +141,17 @@
       begin.replace(at + 2, 2, name == nullptr ? "" : *name);
     }
     listener_.Write(id, begin);
-    listener_.WriteWithoutEnd(id, plan_->place->endless);
+    if (!plan_->place->endless.empty()) {
+      listener_.WriteWithoutEnd(id, plan_->place->endless);
+    } else if (plan_->place->closes) {
+      listener_.Close(id);
+    } else {
+      listener_.Keep(id);
+    }
+  }
+  // See `RawListener::AnswerEarly`.
+  void AnswerEarly(const std::string& bytes, DurationUs until_reset) {
+    listener_.AnswerEarly(bytes, until_reset);
   }
   void OnClientDisconnected(ExchangeId) override {}
   void OnWritten(ExchangeId) override {}
@@ -350,6 +361,79 @@
   }
 }
 
+// Whole answers whose status is none, in each framing.
+std::vector<Place> OddStatuses() {
+  std::vector<Place> places;
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    const std::string head = StrCat("HTTP/1.1 ", status,
+                                    " Odd\r\nAttempt-Id: ID\r\n"
+                                    "Replica-Seal: s\r\n");
+    places.push_back({status, head + "Content-Length: 2\r\n\r\nok", ""});
+    places.push_back({status,
+                      head + "Transfer-Encoding: chunked\r\n\r\n"
+                             "2\r\nok\r\n0\r\n\r\n",
+                      ""});
+    places.push_back({status, head + "\r\nok", "", true});
+  }
+  return places;
+}
+
+class OddStatusTest : public EndlessAnswerTest {};
+
+// Guards against an answer whose status is none and that reaches the client, or
+// keeps it waiting until its deadline.
+TEST_F(OddStatusTest, IsNoAnswer) {
+  ASSERT_TRUE(Ready("safe") && Ready("unsafe") && Ready("resumed") &&
+              Ready("other"));
+  for (const Place& place : OddStatuses()) {
+    for (const char* route : {"safe", "resumed"}) {
+      for (const auto& it : Play(place, route, StrCat("/", route))) {
+        EXPECT_EQ(it->status(), kHttpOk) << route << " " << place.name;
+      }
+    }
+    for (const auto& it : Play(place, "unsafe", "/unsafe")) {
+      EXPECT_TRUE(it->status() == kHttpBadGateway || it->status() == kHttpOk)
+          << place.name << ": " << it->status();
+    }
+  }
+}
+
+// Guards against the same in answers to calls with pieces.
+TEST_F(OddStatusTest, PiecesAreMadeElsewhere) {
+  ASSERT_TRUE(Ready("staged") && Ready("other"));
+  for (const Place& place : OddStatuses()) {
+    for (const auto& it : Play(place, "staged", "/stage-run")) {
+      EXPECT_EQ(it->status(), kHttpOk) << place.name;
+    }
+  }
+}
+
+// Guards against a part of an answer without a length that is taken for all of
+// it, as its replica resets the connection while the request is still being
+// written: the failed write must not hide the reset from the next read.
+TEST_F(OddStatusTest, AResetBesideAnUploadIsNoEndOfAnAnswer) {
+  constexpr std::size_t kUpload = 3 << 20;
+  ASSERT_TRUE(Ready("unsafe"));
+  for (const DurationUs until_reset :
+       {DurationUs{0}, kMillisecond, 3 * kMillisecond, 10 * kMillisecond}) {
+    for (const auto& it : replicas_.at("app")) {
+      it->AnswerEarly(
+          "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Seal: s\r\n\r\npart",
+          until_reset);
+    }
+    for (int n = 0; n < 12; ++n) {
+      const RawClient client(
+          &loop_, gateway_->clients(),
+          StrCat("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: u",
+                 next_++, "\r\nDeadline-Ms: 7000\r\nContent-Length: ", kUpload,
+                 "\r\n\r\n", std::string(kUpload, 'u')),
+          [] {});
+      WaitFor([&] { return client.ended(); });
+      EXPECT_EQ(client.status(), kHttpBadGateway) << until_reset;
+    }
+  }
+}
+
 // Guards against a release of results that does so; nothing waits for it.
 TEST_F(EndlessAnswerTest, AReleaseOfResultsEndsToo) {
   ASSERT_TRUE(Ready("staged") && Ready("other"));
--- a/tests/soak/raw_listener.cc
+++ b/tests/soak/raw_listener.cc
@@ -28,6 +28,10 @@
 
   void OnBytes(std::string_view bytes) override {
     input_ += bytes;
+    if (!owner_->early_answer_.empty()) {
+      AnswerEarly();
+      return;
+    }
     ReadNext();
   }
   void OnEnd(const char*) override {
@@ -67,6 +71,23 @@
   bool idle() const { return id_ == 0 && !closing_; }
 
  private:
+  // Repeats the id of the request, if it has arrived.
+  void AnswerEarly() {
+    if (std::exchange(closing_, true)) {
+      return;
+    }
+    std::string answer = owner_->early_answer_;
+    constexpr std::string_view kField = "Attempt-Id: ";
+    const auto begin = input_.find(kField) + kField.size();
+    const auto end = input_.find("\r\n", begin);
+    if (const auto at = answer.find("ID"); at != std::string::npos) {
+      answer.replace(at, 2, input_.substr(begin, end - begin));
+    }
+    stream_->SetReading(false);
+    stream_->Write(answer);
+    RunAfter(owner_->loop_, owner_->until_reset_, alive_,
+             [this] { stream_->Abort(); });
+  }
   void Pump() {
     constexpr int kMostAtOnce = 16;
     for (int n = 0; n < kMostAtOnce && stream_->unsent() == 0; ++n) {
--- a/tests/soak/raw_listener.h
+++ b/tests/soak/raw_listener.h
@@ -10,7 +10,9 @@
 
 #include <map>
 #include <memory>
+#include <string>
 #include <string_view>
+#include <utility>
 
 #include "transport/glib_ptr.h"
 #include "transport/http_listener.h"
@@ -36,6 +38,13 @@
   // arrives on its connection, before the answer to that. Zero: none.
   void SetLateCopies(int period) { late_copy_period_ = period; }
 
+  // Answers `bytes` as soon as a request begins to arrive, reads no more of it,
+  // and resets its connection after `until_reset`. Empty: waits for requests.
+  void AnswerEarly(std::string bytes, DurationUs until_reset) {
+    early_answer_ = std::move(bytes);
+    until_reset_ = until_reset;
+  }
+
   // Unknown ids are ignored here and below.
   void Write(ExchangeId id, std::string_view bytes);
   // Writes `bytes` again and again, as fast as they are read, until the other
@@ -66,6 +75,8 @@
   const Address address_;
   GPtr<GSocket> socket_;  // Null while it does not listen.
   GSource* source_ = nullptr;
+  std::string early_answer_;
+  DurationUs until_reset_ = 0;
   int late_copy_period_ = 0;
   int kept_answers_ = 0;
   std::uint64_t endless_bytes_ = 0;
