Drain: what can't be answered before the end of the grace isn't sent

Callers saw: in a planned stop, requests that came in the last part of the grace were passed on and got 502, may have run, 0.9 s before its end; they may run once only, so their clients could not repeat them.

Cause: nothing compared the time of an answer with the time that is left.

No functional change while a gateway doesn't leave.

--- a/src/coordination/gateway/gateway.cc
+++ b/src/coordination/gateway/gateway.cc
@@ -425,6 +425,10 @@
   impl_->refuses_streams = true;
 }
 
+void Gateway::AnswerUntil(TimeUs until) {
+  impl_->answers_until = until;
+}
+
 void Gateway::RefuseAll() {
   for (const HeldRequest& it : impl_->startup_hold.TakeAll()) {
     impl_->RefuseUnadmitted(
--- a/src/coordination/gateway/gateway.h
+++ b/src/coordination/gateway/gateway.h
@@ -255,6 +255,9 @@
   // which is shutting down. Called once load balancers have had time to notice
   // the shutdown.
   void RefuseStreams();
+  // What is not answered by then will be broken off: from now on, requests are
+  // not sent if their answers are likely to come later.
+  void AnswerUntil(TimeUs until);
   // Refuses all requests whose stream has not begun, just before the process
   // exits.
   void RefuseAll();
--- a/src/coordination/gateway/gateway_admission.cc
+++ b/src/coordination/gateway/gateway_admission.cc
@@ -144,6 +144,24 @@
   return true;
 }
 
+bool Gateway::Impl::IsTooLate(const ServingRequest& request,
+                              LocalReply* refusal) {
+  if (!answers_until || request.route->kind == RouteKind::kStream) {
+    return false;
+  }
+  const DurationUs left = *answers_until - output->Now();
+  const DurationUs needed =
+      request.progress.TimeLeft() +
+      answer_times.LongestOf(request.route->name, request.route->target);
+  if (needed <= left) {
+    return false;
+  }
+  *refusal = {Refusal::kLeaving, Verdict::kNotRun, kRetryElsewhereDelay,
+              StrCat("its answer may take ", needed / kMillisecond,
+                     " ms, and the node leaves in ", left / kMillisecond)};
+  return true;
+}
+
 std::string Gateway::Impl::ChooseService(const Route& route) {
   std::uint64_t sum = 0;
   for (const auto& it : route.split) {
@@ -254,7 +272,8 @@
                  received_at + route->FirstEventTimeout() - kClientTransitTime);
   }
   const std::vector<PoolDemand> demands = DemandsOf(*request);
-  request->admission = HasNoReplica(*request, &refusal) ||
+  request->admission = IsTooLate(*request, &refusal) ||
+                               HasNoReplica(*request, &refusal) ||
                                HasNoTurn(*request, &refusal) ||
                                IsOverShare(*request, demands, &refusal)
                            ? AdmissionResult::kRefused
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -203,6 +203,7 @@
   EndAttempt(request);
   ++request->possible_runs;
   if (attempt.head->ok() && !may_have_ended) {
+    answer_times.OnAnswer(request->route->name, now - attempt.sent_at);
     if (!IsEngine(*request)) {
       LearnTime(*request);
     }
--- a/src/coordination/gateway/gateway_attempt.cc
+++ b/src/coordination/gateway/gateway_attempt.cc
@@ -137,7 +137,8 @@
 // The only place that sends requests to replicas.
 void Gateway::Impl::SendTo(ServingRequest* request,
                            const ReplicaEntry& replica) {
-  if (LocalReply refusal; IsBlocked(request, &refusal)) {
+  if (LocalReply refusal;
+      IsTooLate(*request, &refusal) || IsBlocked(request, &refusal)) {
     Refuse(request, std::move(refusal));
     return;
   }
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -17,6 +17,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/cord.h"
 #include "coordination/admission/account_shares.h"
+#include "coordination/admission/answer_times.h"
 #include "coordination/admission/startup_hold.h"
 #include "coordination/choice/learned_capacity.h"
 #include "coordination/choice/plain_choice.h"
@@ -215,6 +216,9 @@
   // Whether a service that the request still needs has no replica that accepts
   // work; fills `refusal` if so.
   bool HasNoReplica(const ServingRequest& request, LocalReply* refusal);
+  // Whether the process is likely to end before the answer, so that it would
+  // be broken off; fills `refusal` if so. Streams: see `refuses_streams`.
+  bool IsTooLate(const ServingRequest& request, LocalReply* refusal);
   // Decides whether the stages can be completed in time for the client; fills
   // `refusal` if not.
   AdmissionResult DecideAdmission(ServingRequest* request, LocalReply* refusal);
@@ -541,6 +545,8 @@
   std::size_t known_gateway_count = 0;
   // Set during shutdown; see `Gateway::RefuseStreams`.
   bool refuses_streams = false;
+  std::optional<TimeUs> answers_until;  // See `Gateway::AnswerUntil`.
+  AnswerTimes answer_times;
   bool peer_can_check_keys = false;
   // By route: 90th percentile of its clients' deadlines, in microseconds.
   std::map<std::string, double> deadline_p90_us;
--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -267,6 +267,7 @@
 
 void GatewayNode::Impl::CheckDrained() {
   const DurationUs elapsed = Now() - drain_started_at;
+  gateway->AnswerUntil(drain_started_at + settings.grace - kAnswerReserve);
   if (elapsed >= kMinDrainDuration) {
     gateway->RefuseStreams();
     clients.CloseIdle();
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -589,6 +589,27 @@
   EXPECT_EQ(rig.sent.size(), 1U);
 }
 
+// Guards against a request that is sent shortly before the process ends and
+// whose answer is then cut, though it may run once only.
+TEST(GatewayDrainTest, RefusesWhatWouldBeAnsweredTooLate) {
+  GatewayRig rig;
+  rig.AddReplica("r1", "app");
+  for (int n = 0; n < 5; ++n) {
+    rig.Call("plain");
+    rig.Pass(300 * kMillisecond);
+    rig.AnswerWith(rig.sent.back().call, GatewayRig::Head(), "good");
+  }
+  rig.core.AnswerUntil(rig.now + kSecond);
+  rig.Call("plain");
+  EXPECT_EQ(rig.sent.size(), 6U);
+  rig.Pass(500 * kMillisecond);
+  const ExchangeId late = rig.Call("plain");
+  EXPECT_EQ(rig.sent.size(), 6U);
+  EXPECT_EQ(rig.refused[late].reason, Refusal::kLeaving);
+  EXPECT_EQ(rig.refused[late].verdict, Verdict::kNotRun);
+  EXPECT_GT(rig.refused[late].retry_after, 0);
+}
+
 // When the process must exit, clients with requests in progress get an answer
 // with the correct verdict instead of a closed connection.
 TEST(GatewayDrainTest, AnswersEverythingBeforeTheEnd) {
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -12,6 +12,7 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -282,6 +283,43 @@
   EXPECT_TRUE(gateway_->ExitedCleanly());
 }
 
+// Guards against requests that come late in the grace of a planned stop, are
+// passed on and cut at its end, though they may not be repeated: what can't be
+// answered in time is refused as not run.
+TEST_F(GatewayProcessTest, RequestsLateInTheGraceAreNotCut) {
+  constexpr DurationUs kPeriod = 20 * kMillisecond;
+  Start();
+  standin_.delay = 400 * kMillisecond;
+  std::deque<Answer> answers;
+  const auto send = [&] {
+    Send(StrCat("c", answers.size()), &answers.emplace_back());
+  };
+  for (int n = 0; n < 20; ++n) {
+    send();
+  }
+  ASSERT_TRUE(WaitFor([&] { return answers.back().ended; }));
+  gateway_->Signal(SIGTERM);
+  TimeUs next = Loop::Now();
+  ASSERT_TRUE(WaitFor([&] {
+    for (; next <= Loop::Now(); next += kPeriod) {
+      send();
+    }
+    return gateway_->Ended();
+  }));
+  const auto count = [&](int status) {
+    return std::count_if(
+        answers.begin(), answers.end(),
+        [status](const Answer& it) { return it.status == status; });
+  };
+  EXPECT_EQ(count(502), 0);
+  EXPECT_EQ(count(200), standin_.runs);
+  EXPECT_GT(count(200), 200);
+  EXPECT_GT(count(503), 0);
+  for (const Answer& it : answers) {
+    EXPECT_TRUE(it.status != 503 || it.retry_after);
+  }
+}
+
 // A client behind a slow link: small buffers, and a few bytes at a time.
 class SlowReader {
  public:
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -19,20 +19,31 @@
 namespace acaciachute {
 
 GatewayProcess::GatewayProcess(const GatewayProcessOptions& options)
-    : options_(options), clients_(FreeAddress()), readiness_(FreeAddress()) {
-  const Address peers = FreeAddress();
+    : options_(options),
+      clients_(FreeAddress()),
+      readiness_(FreeAddress()),
+      peers_(FreeAddress()) {
+  constexpr int kGraceSeconds = 8;
   gchar* path = nullptr;
   close(g_file_open_tmp("acaciachute-XXXXXX", &path, nullptr));
   file_ = path;
   g_free(path);
+  WriteSettings(kGraceSeconds);
+}
+
+void GatewayProcess::SetGrace(int seconds) {
+  WriteSettings(seconds);
+}
+
+void GatewayProcess::WriteSettings(int grace_seconds) const {
   std::ofstream file(file_);
   file << "node_name=" << options_.name
        << "\nip=127.0.0.1\nzone=" << options_.domain
        << "\nlisten.front=" << AddressText(clients_)
        << "\nlisten.ready_addr=" << AddressText(readiness_)
-       << "\ninternal_ports=" << peers.port << "," << peers.port
+       << "\ninternal_ports=" << peers_.port << "," << peers_.port
        << "\nplatform.address=" << AddressText(options_.store)
-       << "\nbounds.grace_s=8\nbounds.revoke_ms=5000"
+       << "\nbounds.grace_s=" << grace_seconds << "\nbounds.revoke_ms=5000"
        << "\nbounds.retry_budget_ratio=" << options_.retries.ratio
        << "\nbounds.retry_slack=" << options_.retries.slack
        << "\nbounds.retry_window_s=" << options_.retries.window / kSecond
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -35,6 +35,9 @@
   // Starts the process, also after its end. It keeps its addresses.
   void Start();
   void Signal(int signal);
+  // Changes the grace period in the settings file, as the platform may while
+  // the process runs.
+  void SetGrace(int seconds);
   // Whether the process has exited or was killed by a signal.
   bool Ended() const;
   // Whether the process exited with status 0; call only after `Ended`.
@@ -50,11 +53,13 @@
   const Address& readiness() const { return readiness_; }
 
  private:
+  void WriteSettings(int grace_seconds) const;
   std::string ReadProcFile(const std::string& name) const;
 
   const GatewayProcessOptions options_;
   const Address clients_;
   const Address readiness_;
+  const Address peers_;
   std::string file_;
   GPtr<GSubprocess> process_;
   std::string pid_;
