Settings: a changed grace period is in force without a restart

Cause: Reload neither compares nor takes over the grace.

Change: it does both, and the settings line states it.

No functional change while the grace does not change.

--- a/src/daemon/gateway_node.cc
+++ b/src/daemon/gateway_node.cc
@@ -305,7 +305,8 @@
   }
   const GatewayOptions before = OptionsOf(settings);
   const GatewayOptions after = OptionsOf(*reloaded);
-  if (after == before && reloaded->freshness == settings.freshness) {
+  if (after == before && reloaded->freshness == settings.freshness &&
+      reloaded->grace == settings.grace) {
     return;
   }
   log.Write("settings", {{"key_age_ms", after.key_age / kMillisecond},
@@ -313,6 +314,7 @@
                          {"retry_slack", after.budget.slack},
                          {"cold_over", after.cold_rate_bound.factor},
                          {"cold_slack", after.cold_rate_bound.slack},
+                         {"grace_ms", reloaded->grace / kMillisecond},
                          {"drain_ms", reloaded->freshness.drain / kMillisecond},
                          {"config_apply_ms",
                           reloaded->freshness.config_apply / kMillisecond}});
@@ -321,6 +323,7 @@
   settings.cold_rate_bound = reloaded->cold_rate_bound;
   settings.replica_heartbeat_period = reloaded->replica_heartbeat_period;
   settings.freshness = reloaded->freshness;
+  settings.grace = reloaded->grace;
   ApplyBounds();
   gateway->SetOptions(after);
 }
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -320,6 +320,26 @@
   }
 }
 
+// Guards against a grace period that was changed while the process runs and is
+// not in force: the platform kills the process before it has answered.
+TEST_F(GatewayProcessTest, AShorterGraceIsTakenOver) {
+  constexpr int kGraceSeconds = 3;
+  Start();
+  gateway_->SetGrace(kGraceSeconds);
+  const TimeUs read_by = Loop::Now() + 2 * kSecond;
+  ASSERT_TRUE(WaitFor([&] { return Loop::Now() >= read_by; }));
+  standin_.delay = 20 * kSecond;
+  Answer answer;
+  Send("c1", &answer);
+  ASSERT_TRUE(WaitFor([&] { return standin_.runs == 1; }));
+  const TimeUs stopped_at = Loop::Now();
+  gateway_->Signal(SIGTERM);
+  ASSERT_TRUE(WaitFor([&] { return gateway_->Ended(); }));
+  EXPECT_LT(Loop::Now() - stopped_at, kGraceSeconds * kSecond);
+  EXPECT_TRUE(gateway_->ExitedCleanly());
+  EXPECT_EQ(answer.status, 502);
+}
+
 // A client behind a slow link: small buffers, and a few bytes at a time.
 class SlowReader {
  public:
