Tests: a gateway that stands still while a version joins or is replaced

The report of other systems: a front machine out of step during a release, and streams that are taken up there at another version. It does not show here. A gateway that is cut off from the others only was not played.

No functional change

--- a/tests/process/version_roll_test.cc
+++ b/tests/process/version_roll_test.cc
@@ -207,6 +207,7 @@
     WaitFor(5 * kSecond, [&] { return gateways_[n]->Ended(); });
     gateways_[n]->Start();
   }
+  void SignalOne(std::size_t n, int signal) { gateways_[n]->Signal(signal); }
   void KillAll() {
     for (const auto& it : gateways_) {
       it->Signal(SIGKILL);
@@ -493,6 +494,25 @@
          fleet->KillAll();
          fleet->Run(6 * kSecond);
        }},
+      {"AGatewayStandsStillAsAVersionJoins", 5,
+       [](RollFleet* fleet) {
+         fleet->Run(3 * kSecond);
+         fleet->SignalOne(0, SIGSTOP);
+         fleet->StartHalf(1, "v2");
+         fleet->ListHalf(1, "engine");
+         fleet->Run(4 * kSecond);
+         fleet->SignalOne(0, SIGCONT);
+         fleet->Run(5 * kSecond);
+       }},
+      {"AGatewayStandsStillWhileAVersionIsReplaced", 5,
+       [](RollFleet* fleet) {
+         fleet->Run(2 * kSecond);
+         fleet->SignalOne(0, SIGSTOP);
+         ReplaceVersion(fleet, "");
+         fleet->Run(1500 * kMillisecond);
+         fleet->SignalOne(0, SIGCONT);
+         fleet->Run(6 * kSecond);
+       }},
       {"ReplicasAreReplacedUnderTheirId", 7,
        [](RollFleet* fleet) {
          fleet->Run(3 * kSecond);
