--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -1058,6 +1058,7 @@
   }
   const std::size_t sent = rig.sent.size();
   std::vector<ExchangeId> copies;
+  copies.reserve(6);
   for (int k = 0; k < 6; ++k) {
     copies.push_back(rig.Call("plain"));
   }
@@ -1082,6 +1083,7 @@
   rig.AddReplica("r", "app");
   const std::size_t sent = rig.sent.size();
   std::vector<ExchangeId> copies;
+  copies.reserve(6);
   for (int k = 0; k < 6; ++k) {
     copies.push_back(rig.Call("plain"));
   }
--- a/tests/process/piece_memory_test.cc
+++ b/tests/process/piece_memory_test.cc
@@ -168,6 +168,7 @@
   ASSERT_TRUE(Ready());
   for (std::size_t n = 0; n < gateways_.size(); ++n) {
     std::vector<std::uint64_t> before;
+    before.reserve(gateways_.size());
     for (const auto& it : gateways_) {
       before.push_back(it->MemoryBytes());
     }
