Crashes: a request without a body is also charged without its query

Cause: without a body the query was part of the fingerprint, so each copy was another request.

Change: such a request is two causes, with and without its query. A whole answer to any query clears the path, so what is in use is not refused for one query.

No functional change for requests with a body or without a query.

--- a/src/coordination/gateway/gateway_crashes.cc
+++ b/src/coordination/gateway/gateway_crashes.cc
@@ -38,12 +38,20 @@
   if (request->fingerprint.empty()) {
     request->fingerprint =
         RequestFingerprint(AccountOf(*request), request->call);
+    request->path_fingerprint =
+        PathFingerprint(AccountOf(*request), request->call);
   }
   return request->fingerprint;
 }
 
-CrashCause Gateway::Impl::RequestCause(ServingRequest* request) const {
-  return {CauseKind::kRequest, FingerprintOf(request)};
+std::vector<CrashCause> Gateway::Impl::RequestCauses(
+    ServingRequest* request) const {
+  std::vector<CrashCause> causes = {
+      {CauseKind::kRequest, FingerprintOf(request)}};
+  if (!request->path_fingerprint.empty()) {
+    causes.push_back({CauseKind::kRequest, request->path_fingerprint});
+  }
+  return causes;
 }
 
 // For logs, so of limited length.
@@ -63,7 +71,7 @@
 // time.
 std::vector<CrashCause> Gateway::Impl::SuspectsOf(
     ServingRequest* request) const {
-  std::vector<CrashCause> suspects = {RequestCause(request)};
+  std::vector<CrashCause> suspects = RequestCauses(request);
   if (request->attempt.first_event_received) {
     return suspects;
   }
@@ -273,7 +281,9 @@
     }
   };
   if (crash_records.HasRequestOf(AccountOf(*request))) {
-    add_if_blocked(RequestCause(request));
+    for (const CrashCause& it : RequestCauses(request)) {
+      add_if_blocked(it);
+    }
   }
   if (crash_records.HasBlockedPart()) {
     for (const CrashCause& it : PartCauses(request->call)) {
@@ -380,12 +390,12 @@
     return verdict.ends >=
            (sound_part ? 2 : 1) * CrashRecords::kMaxEndsToRepeat;
   };
-  if (crash_records.HasRequestOf(AccountOf(*request)) &&
-      may_crash(RequestCause(request))) {
-    return true;
+  std::vector<CrashCause> causes = PartCauses(request->call);
+  if (crash_records.HasRequestOf(AccountOf(*request))) {
+    const auto own = RequestCauses(request);
+    causes.insert(causes.end(), own.begin(), own.end());
   }
-  const auto parts = PartCauses(request->call);
-  return std::any_of(parts.begin(), parts.end(), may_crash);
+  return std::any_of(causes.begin(), causes.end(), may_crash);
 }
 
 // Also without a record: of a request that is known to have been answered, a
@@ -397,7 +407,7 @@
   constexpr std::size_t kMaxRememberedBody = 64 << 10;
   if (crash_records.HasRequestOf(AccountOf(*request)) ||
       request->call.body.size() <= kMaxRememberedBody) {
-    Clear({RequestCause(request)}, request->call.id);
+    Clear(RequestCauses(request), request->call.id);
   }
 }
 
--- a/src/coordination/gateway/gateway_impl.h
+++ b/src/coordination/gateway/gateway_impl.h
@@ -180,7 +180,8 @@
   bool origin_told = false;     // See `Gateway::Impl::TellOrigin`.
   bool began_in_doubt = false;  // See `Gateway::Impl::begun_in_doubt`.
   std::optional<OriginSearch> origin_search;
-  std::string fingerprint;  // Empty until it is needed.
+  std::string fingerprint;       // Empty until it is needed.
+  std::string path_fingerprint;  // With it; empty if there is none.
   // The only blocked cause of the request, if it may try it.
   std::optional<CrashCause> tried_cause;
   bool tells_apart = false;    // It was let through by `TellsApart`.
@@ -398,7 +399,9 @@
   // Empty without an account.
   static const std::string& AccountOf(const ServingRequest& request);
   const std::string& FingerprintOf(ServingRequest* request) const;
-  CrashCause RequestCause(ServingRequest* request) const;
+  // The request itself and, if its query may be another one in each copy, the
+  // request without it. An answer to either clears both.
+  std::vector<CrashCause> RequestCauses(ServingRequest* request) const;
   static std::string PartIds(const ClientRequest& call);
   // What may have ended the replica of the current attempt.
   std::vector<CrashCause> SuspectsOf(ServingRequest* request) const;
@@ -442,7 +445,7 @@
 
   // gateway_trials.cc: requests of which copies ended replicas at the same
   // time, so that only one copy at a time is sent.
-  // The request itself, if its verdict is doubtful.
+  // The request, with or without its query, if its verdict is doubtful.
   std::optional<CrashCause> DoubtfulRequest(ServingRequest* request) const;
   bool MaySendInDoubt(ServingRequest* request);
   // Holds the request until it may be sent, as long as it can be answered.
--- a/src/coordination/gateway/gateway_trials.cc
+++ b/src/coordination/gateway/gateway_trials.cc
@@ -1,6 +1,7 @@
 // Requests of which copies ended replicas at the same time: one copy at a time
 // is sent, in the whole fleet, until an answer or more ends show what they are.
 #include <algorithm>
+#include <utility>
 
 #include "coordination/gateway/gateway_impl.h"
 
@@ -18,12 +19,13 @@
   if (!crash_records.HasRequestOf(AccountOf(*request))) {
     return std::nullopt;
   }
-  CrashCause cause = RequestCause(request);
-  const auto verdict = crash_records.Of(output->Now(), cause);
-  if (!verdict.blocked || !verdict.doubtful) {
-    return std::nullopt;
+  for (CrashCause& it : RequestCauses(request)) {
+    const auto verdict = crash_records.Of(output->Now(), it);
+    if (verdict.blocked && verdict.doubtful) {
+      return std::move(it);
+    }
   }
-  return cause;
+  return std::nullopt;
 }
 
 bool Gateway::Impl::MaySendInDoubt(ServingRequest* request) {
--- a/src/state/crash_cause.h
+++ b/src/state/crash_cause.h
@@ -16,7 +16,9 @@
 namespace acaciachute {
 
 enum class CauseKind {
-  kRequest,     // One request, in whichever attempt; see `RequestFingerprint`.
+  // One request, in whichever attempt and with whichever query; see
+  // `RequestFingerprint` and `PathFingerprint`.
+  kRequest,
   kPromptPart,  // One part of a prompt, whatever else the request holds.
 };
 inline constexpr std::array<std::string_view, 2> kCauseKindNames = {
--- a/src/state/request_fingerprint.cc
+++ b/src/state/request_fingerprint.cc
@@ -29,21 +29,41 @@
   return name;
 }
 
-}  // namespace
-
-std::string RequestFingerprint(std::string_view account,
-                               const ClientRequest& call) {
+std::string_view PathOf(const ClientRequest& call) {
   const std::string_view target = call.target;
-  const std::string_view path = target.substr(0, target.find('?'));
+  return target.substr(0, target.find('?'));
+}
+
+// `target`: its part that counts.
+std::string FingerprintOf(std::string_view account,
+                          const ClientRequest& call,
+                          std::string_view target) {
   GChecksum* sum = g_checksum_new(G_CHECKSUM_SHA256);
   Add(sum, account);
   Add(sum, HostName(call.host));
   Add(sum, call.method);
-  Add(sum, call.body.empty() ? target : path);
+  Add(sum, target);
   Add(sum, call.body.view());
   std::string digits(g_checksum_get_string(sum), kDigits);
   g_checksum_free(sum);
   return digits;
 }
 
+}  // namespace
+
+std::string RequestFingerprint(std::string_view account,
+                               const ClientRequest& call) {
+  return FingerprintOf(
+      account, call,
+      call.body.empty() ? std::string_view(call.target) : PathOf(call));
+}
+
+std::string PathFingerprint(std::string_view account,
+                            const ClientRequest& call) {
+  const std::string_view path = PathOf(call);
+  return call.body.empty() && path.size() < call.target.size()
+             ? FingerprintOf(account, call, path)
+             : std::string();
+}
+
 }  // namespace acaciachute
--- a/tests/gateway/crash_records_test.cc
+++ b/tests/gateway/crash_records_test.cc
@@ -864,6 +864,27 @@
   EXPECT_NE(RequestFingerprint("acme", call), fingerprint);
 }
 
+// Guards against copies of which each has a query of its own, such as a time
+// stamp, and that are all different requests.
+TEST(RequestFingerprintTest, ThatOfThePathLeavesTheQueryOut) {
+  ClientRequest call;
+  call.host = "h";
+  call.method = "GET";
+  call.target = "/a/b?at=1";
+  const std::string fingerprint = RequestFingerprint("acme", call);
+  const std::string of_path = PathFingerprint("acme", call);
+  EXPECT_NE(of_path, fingerprint);
+  call.target = "/a/b?at=2";
+  EXPECT_NE(RequestFingerprint("acme", call), fingerprint);
+  EXPECT_EQ(PathFingerprint("acme", call), of_path);
+  call.target = "/a/b";
+  EXPECT_EQ(RequestFingerprint("acme", call), of_path);
+  EXPECT_EQ(PathFingerprint("acme", call), "");
+  call.target = "/a/b?at=1";
+  call.body = "x";
+  EXPECT_EQ(PathFingerprint("acme", call), "");
+}
+
 TEST(CrashCodecTest, ReadsWhatItWrites) {
   const CrashReport report = {
       {{"i-1",
@@ -1029,6 +1050,42 @@
   EXPECT_EQ(rig.sent.size(), sent + 2);
 }
 
+ExchangeId Ask(GatewayRig* rig, const std::string& query) {
+  ClientRequest call;
+  call.id = "q" + query;
+  call.method = "GET";
+  call.host = "h.example";
+  call.target = "/plain/x?at=" + query;
+  call.key = "k1";
+  call.deadline = 10 * kSecond;
+  const ExchangeId id = ++rig->last_exchange;
+  rig->core.OnCall(id, call);
+  return id;
+}
+
+// Guards against a request without a body that ends its replicas and is never
+// blocked, as each copy has another query, and against refusing others with its
+// path that were answered meanwhile.
+TEST(GatewayCrashTest, RefusesWhatDiffersInItsQueryOnly) {
+  for (const bool others_are_answered : {false, true}) {
+    GatewayRig rig;
+    for (int n = 0; n < 3; ++n) {
+      rig.AddReplica("r" + std::to_string(n), "app");
+      if (others_are_answered) {
+        Ask(&rig, "sound");
+        rig.AnswerWith(rig.sent.back().call, GatewayRig::Head(), "good");
+      }
+      Ask(&rig, std::to_string(n));
+      EndReplica(&rig, rig.sent.back().replica);
+    }
+    rig.AddReplica("r3", "app");
+    const std::size_t sent = rig.sent.size();
+    const ExchangeId id = Ask(&rig, "4");
+    EXPECT_EQ(rig.sent.size(), sent + (others_are_answered ? 1 : 0));
+    EXPECT_EQ(rig.refused.count(id), others_are_answered ? 0U : 1U);
+  }
+}
+
 // Sends `n` copies, which run at replicas of their own, and ends all of these.
 void EndCopies(GatewayRig* rig, int n) {
   const std::size_t before = rig->sent.size();
--- a/tests/process/piece_memory_test.cc
+++ b/tests/process/piece_memory_test.cc
@@ -187,6 +187,7 @@
   constexpr int kRequests = 40;
   ASSERT_TRUE(Ready());
   std::vector<std::unique_ptr<RawClient>> clients;
+  clients.reserve(kRequests);
   for (int n = 0; n < kRequests; ++n) {
     clients.push_back(Send(n % 2, "750,1000"));
   }
