Entries: connections and own descriptors stay below 4,096

Where a process may open fewer files the limit is lowered to fit, which hid it; here it may open 20,000.

Cause: the default of 4,096 connections left no room for the process's own.

Change: the default is 3,840; the test passes, 3 of 3.

No functional change where max_connections is set.

--- a/src/protocol/node_settings.h
+++ b/src/protocol/node_settings.h
@@ -35,8 +35,9 @@
   std::uint32_t upstream_limit = 4;
   std::uint32_t max_queued = 256;
   std::uint32_t max_requests = 4096;
-  // Maximum number of callers' connections.
-  std::uint32_t max_connections = 4096;
+  // Maximum number of callers' connections: with the process's own descriptors,
+  // below 4,096 in all.
+  std::uint32_t max_connections = 3840;
   // Bytes that all clients together may make the process hold; see
   // `HttpLimits::client_memory`.
   std::uint64_t client_memory = 48 << 20;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -28,7 +28,7 @@
   std::size_t max_body = 16 << 20;
   // Maximum number of connections; lowered to fit the process's limit on open
   // files.
-  std::size_t max_connections = 4096;
+  std::size_t max_connections = 3840;
   // Maximum idle time between requests; a load balancer keeps an idle
   // connection for a minute.
   DurationUs idle = 75 * kSecond;
