Choice: ended replicas whose address another one has come last

Cause: a 421 taught the choice nothing, and the rows of ended replicas look least loaded until they expire. Each request went to one of them first, and beyond the retry budget it was refused, though eight successors were free. A request could also spend all of its three tries on probes of replicas that had failed before.

Change: rows whose address a later start has, and replicas whose address answered for another one, are chosen after all others; a request probes one replica at most.

The new unit tests do not compile with the code before.

UnevenEnginesTest gives its engines addresses.

--- a/src/coordination/choice/engine_choice.cc
+++ b/src/coordination/choice/engine_choice.cc
@@ -183,7 +183,14 @@
 
 EngineChoice::Rank EngineChoice::RankOf(const Choice& choice,
                                         const ReplicaEntry& replica) const {
-  if (replica_rate_limiter_->refusals().IsAvoided(choice.now, replica.id)) {
+  const RecentRefusals& refusals = replica_rate_limiter_->refusals();
+  if (refusals.IsMisdirected(choice.now, replica.id)) {
+    return Rank::kMisdirected;
+  }
+  if (replica.superseded) {
+    return Rank::kSuperseded;
+  }
+  if (refusals.IsAvoided(choice.now, replica.id)) {
     return Rank::kRefused;
   }
   if (choice.learned == nullptr || choice.request.pause == 0) {
--- a/src/coordination/choice/engine_choice.h
+++ b/src/coordination/choice/engine_choice.h
@@ -160,7 +160,7 @@
     const LearnedCapacity::Service* learned = nullptr;
   };
   // Engines of a lower rank are chosen first.
-  enum class Rank { kNormal, kSlowSteps, kRefused };
+  enum class Rank { kNormal, kSlowSteps, kRefused, kSuperseded, kMisdirected };
   Rank RankOf(const Choice& choice, const ReplicaEntry& replica) const;
   // Expected work until the first token, in prompt tokens, or the expected time
   // for it in milliseconds, if learned; lower is better.
--- a/src/coordination/choice/plain_choice.cc
+++ b/src/coordination/choice/plain_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace acaciachute {
 
@@ -60,13 +61,23 @@
   return time * state.health.Penalty();
 }
 
-bool PlainChoice::IsLast(const Choice& choice,
-                         const ReplicaEntry& replica) const {
-  return replica_rate_limiter_->refusals().IsAvoided(choice.now, replica.id) ||
-         (choice.learned != nullptr &&
-          capacity_->IsFull(choice.now, replica.id));
+PlainChoice::Rank PlainChoice::RankOf(const Choice& choice,
+                                      const ReplicaEntry& replica) const {
+  const RecentRefusals& refusals = replica_rate_limiter_->refusals();
+  if (refusals.IsMisdirected(choice.now, replica.id)) {
+    return Rank::kMisdirected;
+  }
+  if (replica.superseded) {
+    return Rank::kSuperseded;
+  }
+  const bool full =
+      choice.learned != nullptr && capacity_->IsFull(choice.now, replica.id);
+  return full || refusals.IsAvoided(choice.now, replica.id) ? Rank::kLast
+                                                            : Rank::kNormal;
 }
 
+// A request probes at most one replica: where many ended at once, all of its
+// tries would go to such, and it would be refused though others are free.
 const ReplicaEntry* PlainChoice::Choose(TimeUs now,
                                         const std::string& service,
                                         const std::string& domain,
@@ -74,9 +85,7 @@
                                         bool may_repeat) {
   const ReplicaEntry* best = nullptr;
   const ReplicaEntry* avoided = nullptr;
-  const ReplicaEntry* last = nullptr;
-  double best_score = 0;
-  double last_score = 0;
+  std::pair<Rank, double> best_score;
   const Choice choice = {
       now, domain,
       capacity_ == nullptr ? nullptr : capacity_->Find(now, service)};
@@ -86,11 +95,15 @@
       continue;
     }
     ReplicaHealth& health = states_[it->id].health;
-    if (!health.AcceptsCall(now, may_repeat)) {
+    const Rank rank = RankOf(choice, *it);
+    const bool has_ended = rank >= Rank::kSuperseded;
+    const bool probing = health.probing(now);
+    if (!health.AcceptsCall(now, may_repeat) ||
+        (probing && (has_ended || !tried.empty()))) {
       avoided = it;
       continue;
     }
-    if (health.probing(now)) {
+    if (probing) {
       health.OnProbe(now);
       return it;
     }
@@ -98,23 +111,13 @@
     // the same replica at once.
     const double jitter =
         1 + 0.1 * static_cast<double>(random_->Below(100)) / 100;
-    const double score = Score(choice, *it) * jitter;
-    if (IsLast(choice, *it)) {
-      if (last == nullptr || score < last_score) {
-        last = it;
-        last_score = score;
-      }
-      continue;
-    }
+    const std::pair score = {rank, Score(choice, *it) * jitter};
     if (best == nullptr || score < best_score) {
       best = it;
       best_score = score;
     }
   }
-  if (best != nullptr) {
-    return best;
-  }
-  return last != nullptr ? last : avoided;
+  return best != nullptr ? best : avoided;
 }
 
 void PlainChoice::OnSent(TimeUs now, const ReplicaId& replica) {
--- a/src/coordination/choice/plain_choice.h
+++ b/src/coordination/choice/plain_choice.h
@@ -83,8 +83,11 @@
   double OwnEstimate(TimeUs now, const State& state) const;
   // Expected answer time in microseconds; lower is better.
   double Score(const Choice& choice, const ReplicaEntry& replica);
-  // It refused lately or is full by its own statement.
-  bool IsLast(const Choice& choice, const ReplicaEntry& replica) const;
+  // Replicas of a lower rank are chosen first. `kLast`: it refused lately or is
+  // full by its own statement. The others most likely ended: their answers that
+  // another replica has the address cost the request one of its few tries.
+  enum class Rank { kNormal, kLast, kSuperseded, kMisdirected };
+  Rank RankOf(const Choice& choice, const ReplicaEntry& replica) const;
 
   const ReplicaDirectory* const directory_;
   ReplicaRateLimiter* const replica_rate_limiter_;
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -13,8 +13,16 @@
 }
 
 void Gateway::Impl::OnHead(ServingRequest* request, ReplicaHead head) {
+  const ReplicaId& replica = request->attempt.replica.id;
   if (!head.other_replica) {
-    broken_attempts.OnAnswering(request->attempt.replica.id);
+    broken_attempts.OnAnswering(replica);
+  } else if (directory->Find(replica) != nullptr) {
+    log->Write("replica_misdirected",
+               {{"replica", replica.name},
+                {"life", replica.incarnation},
+                {"id", request->call.id},
+                {"list_ms", directory->Age(output->Now()) / kMillisecond}});
+    replica_rate_limiter.refusals().OnMisdirected(output->Now(), replica);
   }
   OnStatement(request->attempt.replica.id, head.statement, request->call.id);
   request->attempt.head = std::move(head);
--- a/src/coordination/stages/stage_replicas.cc
+++ b/src/coordination/stages/stage_replicas.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace acaciachute {
@@ -44,19 +45,21 @@
 }
 
 std::vector<const ReplicaEntry*> StageReplicas::FreeReplicas(TimeUs now) {
-  std::vector<std::pair<double, const ReplicaEntry*>> found;
+  std::vector<std::tuple<bool, double, const ReplicaEntry*>> found;
   for (const ReplicaEntry* it : All()) {
     const ReplicaState& state = states_[it->id];
     if (state.calls < limits_.slots && state.overdue <= limits_.queue &&
         now >= state.backoff_until && now >= state.out_of_memory_until) {
-      found.emplace_back(SlownessOf(now, state), it);
+      found.emplace_back(it->superseded, SlownessOf(now, state), it);
     }
   }
-  std::sort(found.begin(), found.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::sort(found.begin(), found.end(), [](const auto& a, const auto& b) {
+    return std::pair(std::get<0>(a), std::get<1>(a)) <
+           std::pair(std::get<0>(b), std::get<1>(b));
+  });
   std::vector<const ReplicaEntry*> free;
   free.reserve(found.size());
-  for (const auto& [slowness, it] : found) {
+  for (const auto& [superseded, slowness, it] : found) {
     free.push_back(it);
   }
   return free;
--- a/src/state/replica_directory.cc
+++ b/src/state/replica_directory.cc
@@ -47,6 +47,18 @@
   if (entry.leaving) {
     watcher_->OnReplica(entry, DirectoryChange::kLeaving);
   }
+  std::vector<ReplicaEntry> superseded;
+  if (const auto it = by_address_.find(AddressText(entry.address));
+      it != by_address_.end()) {
+    for (const Row* row : it->second) {
+      if (row->entry.superseded) {
+        superseded.push_back(row->entry);
+      }
+    }
+  }
+  for (const ReplicaEntry& it : superseded) {
+    watcher_->OnReplica(it, DirectoryChange::kSuperseded);
+  }
 }
 
 // Applies another row of the same incarnation. Leaving is final: an older row
@@ -319,7 +331,9 @@
 
 void ReplicaDirectory::AddToIndexes(Row* row) {
   row->address = AddressText(row->entry.address);
-  by_address_[row->address].push_back(row);
+  std::vector<Row*>& same_address = by_address_[row->address];
+  same_address.push_back(row);
+  MarkSuperseded(same_address);
   ServiceRows& service = services_[row->entry.service];
   if (row->entry.id.incarnation == 0) {
     service.without_incarnation.insert(row);
@@ -334,6 +348,7 @@
 void ReplicaDirectory::RemoveFromIndexes(Row* row) {
   const auto address = by_address_.find(row->address);
   std::erase(address->second, row);
+  MarkSuperseded(address->second);
   if (address->second.empty()) {
     by_address_.erase(address);
   }
@@ -352,6 +367,23 @@
   }
 }
 
+// Rows that state their start are compared by it, others by the order in which
+// they were listed. Only one process has an address, but the row of the one
+// before stays until it expires.
+void ReplicaDirectory::MarkSuperseded(const std::vector<Row*>& rows) {
+  const auto started_before = [](const Row& a, const Row& b) {
+    const Incarnation start = a.entry.id.incarnation;
+    const Incarnation other = b.entry.id.incarnation;
+    const bool known = start != 0 && other != 0 && start != other;
+    return known ? start < other : a.added < b.added;
+  };
+  for (Row* row : rows) {
+    row->entry.superseded =
+        std::any_of(rows.begin(), rows.end(),
+                    [&](const Row* it) { return started_before(*row, *it); });
+  }
+}
+
 void ReplicaDirectory::UpdateEligible(Row* row) {
   if (!IsEligible(*row)) {
     RemoveFromEligible(row);
--- a/src/state/replica_directory.h
+++ b/src/state/replica_directory.h
@@ -80,6 +80,9 @@
   // Number of calls that this incarnation has accepted, as the row states it;
   // it never decreases.
   std::uint64_t orders = 0;
+  // Another entry of this address is of a replica that started later, so this
+  // one has most likely ended. Set by `ReplicaDirectory`.
+  bool superseded = false;
 };
 
 // Changes of an entry, for logs and for components that keep state by replica.
@@ -95,10 +98,11 @@
   // `ReplicaEntry::orders` decreased within an incarnation, so another writer
   // must have written the row.
   kCountFell,
+  kSuperseded,  // Another replica was listed with its address.
 };
-inline constexpr std::array<std::string_view, 9> kDirectoryChangeNames = {
-    "added",      "leaving",  "gone",       "restarted", "kept_in_outage",
-    "unreadable", "readable", "older_life", "count_fell"};
+inline constexpr std::array<std::string_view, 10> kDirectoryChangeNames = {
+    "added",      "leaving",  "gone",       "restarted",  "kept_in_outage",
+    "unreadable", "readable", "older_life", "count_fell", "superseded"};
 constexpr std::string_view Name(DirectoryChange v) {
   return detail::NameIn(kDirectoryChangeNames, v);
 }
@@ -233,6 +237,8 @@
   // not in the indexes.
   void AddToIndexes(Row* row);
   void RemoveFromIndexes(Row* row);
+  // Sets `superseded` of the rows of one address.
+  static void MarkSuperseded(const std::vector<Row*>& rows);
   // Adds the row to its service's eligible entries, or removes it from them,
   // according to `IsEligible`.
   void UpdateEligible(Row* row);
--- a/tests/gateway/choices_test.cc
+++ b/tests/gateway/choices_test.cc
@@ -161,6 +161,80 @@
   }
 }
 
+// Lists a replica that started at the address of `ended`, whose row stays.
+void Replace(Fleet* fleet, const ReplicaId& ended, const ReplicaId& started) {
+  ReplicaEntry entry = *fleet->directory.Find(ended);
+  entry.id = started;
+  fleet->directory.Put(entry);
+}
+
+// Guards against sending to ended replicas, which have nothing in progress, as
+// long as their rows stay, though others have started at their addresses.
+TEST(PlainChoiceTest, ChoosesWhoeverStartedLaterAtAnAddress) {
+  Fleet fleet(2);
+  Replace(&fleet, "r0", "s0");
+  Replace(&fleet, "r1", "s1");
+  PlainChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
+                     &fleet.random);
+  for (int n = 0; n < 20; ++n) {
+    const ReplicaId id = choice.Choose(0, "s", "a", {}, true)->id;
+    EXPECT_TRUE(id == "s0" || id == "s1") << id.name;
+    choice.OnSent(0, id);
+  }
+  fleet.directory.Remove(0, "s0");
+  EXPECT_FALSE(fleet.directory.Find("r0")->superseded);
+}
+
+// Guards against a row of another writer which names the address of a running
+// replica, and would take all of its work.
+TEST(PlainChoiceTest, ChoosesWhoeverTheAddressAnswersFor) {
+  Fleet fleet(1);
+  Replace(&fleet, "r0", "wrong");
+  PlainChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
+                     &fleet.random);
+  EXPECT_EQ(choice.Choose(0, "s", "a", {}, true)->id, "wrong");
+  fleet.replica_rate_limiter.refusals().OnMisdirected(0, "wrong");
+  EXPECT_EQ(choice.Choose(0, "s", "a", {}, true)->id, "r0");
+  EXPECT_EQ(
+      choice.Choose(RecentRefusals::kMisdirectedBackoff, "s", "a", {}, true)
+          ->id,
+      "wrong");
+}
+
+// Guards against refusing a request after all of its tries probed replicas that
+// had ended, though others are free: half of a service ended at once.
+TEST(PlainChoiceTest, ARequestProbesOneReplica) {
+  constexpr int kFailures = 3;
+  Fleet fleet(16);
+  PlainChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
+                     &fleet.random);
+  for (int n = 0; n < kFailures; ++n) {
+    for (int k = 0; k < 8; ++k) {
+      choice.OnFailure(0, "r" + std::to_string(k));
+    }
+  }
+  const TimeUs now = ReplicaHealth::kProbeEvery;
+  const ReplicaId first = choice.Choose(now, "s", "a", {}, true)->id;
+  const ReplicaId second = choice.Choose(now, "s", "a", {first}, true)->id;
+  const std::set<ReplicaId> free = {"r8",  "r9",  "r10", "r11",
+                                    "r12", "r13", "r14", "r15"};
+  EXPECT_FALSE(free.contains(first));
+  EXPECT_TRUE(free.contains(second)) << second.name;
+}
+
+TEST(EngineChoiceTest, ChoosesWhoeverStartedLaterAtAnAddress) {
+  Fleet fleet(2);
+  Replace(&fleet, "r0", "s0");
+  fleet.replica_rate_limiter.refusals().OnMisdirected(0, "r1");
+  EngineChoice choice(&fleet.directory, &fleet.replica_rate_limiter,
+                      &fleet.random);
+  const std::vector<PromptPart> prompt = {{"q", 1000}};
+  for (int n = 0; n < 20; ++n) {
+    EXPECT_EQ(choice.Choose(0, "s", Prompt(&prompt), {}, false)->id, "s0");
+    choice.OnSent("s0", Prompt(&prompt));
+  }
+}
+
 // Every call fails. The retries of all gateways together stay within the
 // allowance, for any number of gateways.
 TEST(ServiceRetryBudgetTest, KeepsTheSumOverGateways) {
--- a/tests/gateway/learned_capacity_test.cc
+++ b/tests/gateway/learned_capacity_test.cc
@@ -208,6 +208,7 @@
       ReplicaEntry entry;
       entry.id = ReplicaId("e" + std::to_string(k), 1);
       entry.service = "s";
+      entry.address = {"10.0.0." + std::to_string(k), 80};
       entry.domain = "a";
       entry.slots = 48;
       directory.Put(entry);
--- a/tests/gateway/replica_directory_test.cc
+++ b/tests/gateway/replica_directory_test.cc
@@ -71,6 +71,20 @@
   EXPECT_TRUE(rig.directory.Of("s").empty());
 }
 
+// Guards against taking the row of an ended replica for the later one because
+// both were read from the store's list at once, in any order.
+TEST(ReplicaDirectoryTest, TheLaterStartSupersedesTheEarlierOne) {
+  DirectoryRig rig;
+  rig.directory.Replace(
+      0, {DirectoryRig::Entry({"b", 2000}), DirectoryRig::Entry({"a", 1000})},
+      {});
+  EXPECT_TRUE(rig.directory.Find({"a", 1000})->superseded);
+  EXPECT_FALSE(rig.directory.Find({"b", 2000})->superseded);
+  EXPECT_EQ(rig.changes.back(), "a superseded");
+  rig.directory.Put(DirectoryRig::Entry({"a", 1000}));
+  EXPECT_TRUE(rig.directory.Find({"a", 1000})->superseded);
+}
+
 // A replica that announced that it leaves gets no new work, also during an
 // outage, and an older row that is read late does not revert that.
 TEST(ReplicaDirectoryTest, BelievesThatAReplicaLeavesForGood) {
