Crashes: streams try one at a time, until one has begun

Streams were left out of the trials of copies, as copies of a sound stream that waited for a whole answer of 5 s were hardly taken up.

Change: a stream in doubt tries alone like any request, but its first event lets its copies go on for a second, and for longer as they begin, too. An end without an answer makes them wait again. What is sent beside others is no trial, so ends under it do not make the verdict certain.

--- a/src/coordination/crashes/request_trials.cc
+++ b/src/coordination/crashes/request_trials.cc
@@ -8,7 +8,7 @@
 
 bool RequestTrials::Ask(TimeUs now, const std::string& cause, ExchangeId copy) {
   Copy& it = copies_[copy];
-  if (it.may_try) {
+  if (it.may_send) {
     return true;
   }
   it.cause = cause;
@@ -18,18 +18,25 @@
     it.next_ask_at = now;
   }
   if (decider == self_) {
-    it.may_try = Decide(now, self_, cause, copy);
+    const Decision decision = Decide(now, self_, cause, copy);
+    it.may_send = decision != Decision::kWait;
+    it.alone = decision == Decision::kAlone;
     it.next_ask_at = now + kRenewInterval;
   } else if (now >= it.next_ask_at) {
     it.next_ask_at = now + kAskInterval;
     output_->SendTrialMessage(decider, CrashTrialRequest{cause, copy});
   }
-  return it.may_try;
+  return it.may_send;
+}
+
+bool RequestTrials::MaySend(ExchangeId copy) const {
+  const auto it = copies_.find(copy);
+  return it != copies_.end() && it->second.may_send;
 }
 
 bool RequestTrials::IsTrial(ExchangeId copy) const {
   const auto it = copies_.find(copy);
-  return it != copies_.end() && it->second.may_try;
+  return it != copies_.end() && it->second.may_send && it->second.alone;
 }
 
 // A copy that may not try yet may be let try by a message on its way: `OnGrant`
@@ -41,22 +48,28 @@
   }
   const Copy ended = it->second;
   copies_.erase(it);
-  if (!ended.may_try) {
+  if (!ended.may_send) {
     return;
   }
   const bool sent = result != Result::kNotSent;
   const bool answered = result == Result::kAnswered;
-  log_->Write("trial_ended",
-              {{"cause", ended.cause}, {"sent", sent}, {"answered", answered}});
-  TellEnd(now, ended.decider, {ended.cause, copy, sent, answered});
+  const bool begun = result == Result::kBegun;
+  log_->Write("trial_ended", {{"cause", ended.cause},
+                              {"alone", ended.alone},
+                              {"sent", sent},
+                              {"answered", answered},
+                              {"begun", begun}});
+  TellEnd(now, ended.decider, {ended.cause, copy, sent, answered, begun});
 }
 
 void RequestTrials::OnRequest(TimeUs now,
                               const NodeId& from,
                               const CrashTrialRequest& request) {
-  if (Decide(now, from, request.cause, request.copy)) {
+  const Decision decision = Decide(now, from, request.cause, request.copy);
+  if (decision != Decision::kWait) {
     output_->SendTrialMessage(from,
-                              CrashTrialGrant{request.cause, request.copy});
+                              CrashTrialGrant{request.cause, request.copy,
+                                              decision == Decision::kAlone});
   }
 }
 
@@ -65,11 +78,12 @@
                             const CrashTrialGrant& grant) {
   const auto it = copies_.find(grant.copy);
   if (it == copies_.end() || it->second.cause != grant.cause) {
-    TellEnd(now, from, {grant.cause, grant.copy, false, false});
+    TellEnd(now, from, {grant.cause, grant.copy, false, false, false});
     return;
   }
-  if (!it->second.may_try) {
-    it->second.may_try = true;
+  if (!it->second.may_send) {
+    it->second.may_send = true;
+    it->second.alone = grant.alone;
     it->second.decider = from;
     it->second.next_ask_at = now + kRenewInterval;
   }
@@ -87,25 +101,29 @@
   std::erase_if(trials_, [now](const auto& it) {
     const Trials& trials = it.second;
     return now >= trials.lease_until && now >= trials.next_at &&
+           now >= trials.begun_until &&
            (trials.open.empty() || now - trials.open.back() > kOpenTime);
   });
 }
 
-bool RequestTrials::Decide(TimeUs now,
-                           const NodeId& from,
-                           const std::string& cause,
-                           ExchangeId copy) {
+RequestTrials::Decision RequestTrials::Decide(TimeUs now,
+                                              const NodeId& from,
+                                              const std::string& cause,
+                                              ExchangeId copy) {
   Trials& trials = trials_[cause];
   const bool in_progress = now < trials.lease_until;
   if (in_progress && trials.gateway == from && trials.copy == copy) {
     trials.lease_until = now + kLease;
-    return true;
+    return Decision::kAlone;
+  }
+  if (now < trials.begun_until) {
+    return Decision::kWithOthers;
   }
   std::erase_if(trials.open,
                 [now](TimeUs begun) { return now - begun > kOpenTime; });
   if (in_progress || now < trials.next_at ||
       trials.open.size() >= kMaxOpenTrials) {
-    return false;
+    return Decision::kWait;
   }
   trials.gateway = from;
   trials.copy = copy;
@@ -114,21 +132,28 @@
   log_->Write(
       "trial_begun",
       {{"cause", cause}, {"gateway", from}, {"open", trials.open.size()}});
-  return true;
+  return Decision::kAlone;
 }
 
 void RequestTrials::Close(TimeUs now,
                           const NodeId& from,
                           const CrashTrialEnd& end) {
   const auto it = trials_.find(end.cause);
-  if (it == trials_.end() || it->second.gateway != from ||
-      it->second.copy != end.copy) {
+  if (it == trials_.end()) {
     return;
   }
   Trials& trials = it->second;
+  if (end.begun) {
+    trials.begun_until = now + kBegunTime;
+  } else if (end.sent && !end.answered) {
+    trials.begun_until = 0;
+  }
+  if (trials.gateway != from || trials.copy != end.copy) {
+    return;
+  }
   trials.gateway.clear();
   trials.lease_until = 0;
-  if (end.answered) {
+  if (end.answered || end.begun) {
     trials.open.clear();
   } else if (end.sent) {
     trials.next_at = now + kSettleTime;
@@ -162,7 +187,7 @@
 
 void RequestTrials::Renew(TimeUs now) {
   for (auto& [copy, it] : copies_) {
-    if (!it.may_try || now < it.next_ask_at) {
+    if (!it.may_send || !it.alone || now < it.next_ask_at) {
       continue;
     }
     it.next_ask_at = now + kRenewInterval;
--- a/src/coordination/crashes/request_trials.h
+++ b/src/coordination/crashes/request_trials.h
@@ -8,6 +8,10 @@
 // for good. So one copy is sent and the others wait: its answer shows that the
 // request is sound, and each end of its replica brings the verdict nearer.
 //
+// Streams are too long for that. Once one has begun, others need not wait for a
+// while, and for longer as they begin, too. What ends its replicas in the
+// middle of a stream is thus not held back.
+//
 // One of the live gateways, the one with the highest hash of the cause and its
 // name, decides which copy that is; the others ask it, again and again, as
 // datagrams are lost. A copy is its gateway's exchange. The lease of a trial
@@ -55,14 +59,19 @@
   // The end of a trial is told so many times.
   static constexpr int kEndSends = 3;
 
-  // How a copy that asked for a trial ended.
-  enum class Result { kNotSent, kUnknown, kAnswered };
+  // Time from the beginning of a stream in which its copies need not wait.
+  static constexpr DurationUs kBegunTime = kSecond;
+
+  // How a copy that asked for a trial ended, or that its stream has begun.
+  enum class Result { kNotSent, kUnknown, kBegun, kAnswered };
 
   RequestTrials(NodeId self, RequestTrialsOutput* output, EventLog* log)
       : self_(std::move(self)), output_(output), log_(log) {}
 
   // Whether this copy may be sent. If not, ask again: call it every 10 ms.
   bool Ask(TimeUs now, const std::string& cause, ExchangeId copy);
+  bool MaySend(ExchangeId copy) const;
+  // Whether it is sent alone, so that an end of its replica tells of it.
   bool IsTrial(ExchangeId copy) const;
   // The copy ended, or needs no trial any more.
   void OnEnded(TimeUs now, ExchangeId copy, Result result);
@@ -81,7 +90,8 @@
     std::string cause;
     NodeId decider;
     TimeUs next_ask_at = 0;
-    bool may_try = false;
+    bool may_send = false;
+    bool alone = false;
   };
   // What this gateway decided on a cause.
   struct Trials {
@@ -89,6 +99,7 @@
     ExchangeId copy = 0;
     TimeUs lease_until = 0;
     TimeUs next_at = 0;        // No trial begins before.
+    TimeUs begun_until = 0;    // Copies need not wait before.
     std::vector<TimeUs> open;  // Beginnings of those without a result.
   };
   struct UntoldEnd {
@@ -99,11 +110,12 @@
   };
 
   NodeId DeciderOf(const std::string& cause) const;
-  // Whether this copy may try now, or does already.
-  bool Decide(TimeUs now,
-              const NodeId& from,
-              const std::string& cause,
-              ExchangeId copy);
+  enum class Decision { kWait, kAlone, kWithOthers };
+  // Whether this copy may be sent now, or has been.
+  Decision Decide(TimeUs now,
+                  const NodeId& from,
+                  const std::string& cause,
+                  ExchangeId copy);
   void Close(TimeUs now, const NodeId& from, const CrashTrialEnd& end);
   void TellEnd(TimeUs now, const NodeId& decider, const CrashTrialEnd& end);
   void TellEnds(TimeUs now);
--- a/src/coordination/gateway/gateway_answer.cc
+++ b/src/coordination/gateway/gateway_answer.cc
@@ -113,6 +113,8 @@
   if (!attempt.first_event_received) {
     attempt.first_event_received = true;
     OnBegun(*request);
+    request_trials.OnEnded(output->Now(), request->id,
+                           RequestTrials::Result::kBegun);
     LearnTime(*request);
     engines.OnFirstEvent(attempt.replica.id, request->ForEngine());
     // The replica fetched its inputs before it read the prompt, so they can be
--- a/src/coordination/gateway/gateway_trials.cc
+++ b/src/coordination/gateway/gateway_trials.cc
@@ -14,13 +14,8 @@
 
 }  // namespace
 
-// Not of streams: their answers take too long for copies to wait for a whole
-// one, and copies of one stream run at all replicas that are replaced.
 std::optional<CrashCause> Gateway::Impl::DoubtfulRequest(
     ServingRequest* request) const {
-  if (request->route->kind == RouteKind::kStream) {
-    return std::nullopt;
-  }
   if (!crash_records.HasRequestOf(AccountOf(*request))) {
     return std::nullopt;
   }
@@ -36,7 +31,7 @@
 bool Gateway::Impl::MaySendInDoubt(ServingRequest* request) {
   const TimeUs now = output->Now();
   const std::optional<CrashCause> cause = DoubtfulRequest(request);
-  if (!cause || request_trials.IsTrial(request->id)) {
+  if (!cause || request_trials.MaySend(request->id)) {
     return true;
   }
   if (!request_trials.Ask(now, cause->id, request->id)) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -415,6 +415,7 @@
 struct CrashTrialGrant {
   std::string cause;
   ExchangeId copy = 0;
+  bool alone = true;  // False: others may be sent at the same time.
 };
 // The copy has ended.
 struct CrashTrialEnd {
@@ -422,6 +423,7 @@
   ExchangeId copy = 0;
   bool sent = false;      // To a replica.
   bool answered = false;  // Whole.
+  bool begun = false;     // Its answer, a stream, has begun.
 };
 
 using Message = std::variant<StageCall,
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -307,11 +307,11 @@
 }
 template <class A>
 void serialize(A& a, CrashTrialGrant& v) {
-  a(v.cause, v.copy);
+  a(v.cause, v.copy, v.alone);
 }
 template <class A>
 void serialize(A& a, CrashTrialEnd& v) {
-  a(v.cause, v.copy, v.sent, v.answered);
+  a(v.cause, v.copy, v.sent, v.answered, v.begun);
 }
 template <class A>
 void serialize(A& a, Envelope& v) {
--- a/tests/gateway/request_trials_test.cc
+++ b/tests/gateway/request_trials_test.cc
@@ -153,6 +153,39 @@
   }
 }
 
+// Guards against streams of many clients that wait for one another, though the
+// first one has begun: all are copies of one request.
+TEST(RequestTrialsTest, CopiesOfAStreamThatHasBegunDoNotWait) {
+  TrialNet net(8);
+  const auto trying = net.Ask(kSecond);
+  ASSERT_EQ(trying.size(), 1U);
+  net.End(*trying.begin(), RequestTrials::Result::kBegun);
+  EXPECT_EQ(net.Ask(RequestTrials::kBegunTime / 2, 2).size(), 0U)
+      << "they are not sent alone";
+  for (const auto& [name, node] : net.nodes) {
+    EXPECT_TRUE(node->trials.MaySend(2)) << name;
+  }
+}
+
+// Guards against copies that go on without limit because one began before: an
+// end without an answer makes them wait again.
+TEST(RequestTrialsTest, CopiesOfAStreamThatFailsWaitAgain) {
+  TrialNet net(3);
+  const auto trying = net.Ask(kSecond);
+  ASSERT_EQ(trying.size(), 1U);
+  net.End(*trying.begin(), RequestTrials::Result::kBegun);
+  net.Ask(kStep * 20, 2);
+  net.nodes.at("g0")->trials.OnEnded(net.now, 2,
+                                     RequestTrials::Result::kUnknown);
+  net.Ask(kStep * 5, 2);
+  net.Ask(kStep * 20, 3);
+  std::size_t sent = 0;
+  for (const auto& [name, node] : net.nodes) {
+    sent += node->trials.MaySend(3) ? 1 : 0;
+  }
+  EXPECT_LE(sent, 1U);
+}
+
 // Guards against a long trial beside which a second one begins.
 TEST(RequestTrialsTest, ALongTrialIsRenewed) {
   TrialNet net(3);
