Tests: a gateway cut off from the others while a version joins

Reported of other systems: streams that began at a new version through other machines were taken up at one out of step and went on at another version. Tried here with a gateway that is cut off from all others but not from the store: it does not happen.

No functional change.

--- a/tests/gateway/stream_origins_test.cc
+++ b/tests/gateway/stream_origins_test.cc
@@ -253,6 +253,30 @@
   EXPECT_EQ(rig.version_reads, 1);
 }
 
+// Guards against going on at the old version by what was read before: a gateway
+// that is cut off from the others has not heard of a version that joined, and a
+// stream that began there through them is taken up here.
+TEST(GatewayStreamTest, ReadsTheStoreAfreshWhereTheOthersAreCutOff) {
+  OneVersion rig;
+  rig.peers = {"g2", "g3"};  // They get no datagram, and send none.
+  const auto wait = [&] {
+    for (int n = 0; n < 100; ++n) {
+      rig.Pass(10 * kMillisecond);
+    }
+  };
+  const ExchangeId before = rig.TakeUp("old", 3);
+  wait();
+  EXPECT_EQ(rig.version_reads, 1);
+  ASSERT_EQ(rig.sent.size(), 1U);
+  EXPECT_FALSE(rig.refused.contains(before));
+  rig.recorded.push_back({"engine", "v2"});
+  const ExchangeId after = rig.TakeUp("new", 3);
+  wait();
+  EXPECT_EQ(rig.sent.size(), 1U);
+  EXPECT_EQ(rig.refused[after].reason, Refusal::kUnknownStream);
+  EXPECT_EQ(rig.refused[after].verdict, Verdict::kNotRun);
+}
+
 // Guards against a conclusion for a stream of another service: the route moved.
 TEST(GatewayStreamTest, RefusesWhereTheOnlyVersionIsOfAnotherService) {
   GatewayRig rig;
