Sidecars: entries hear of a crash before its callers

Cause: a sidecar whose upstream ended failed its calls first and told the entries after that, so the answer and the news raced.

Change: it tells the entries before it fails the calls, and again after it, as then its load is another one.

What is left is a sidecar that has just started and does not know all entries yet; the entry in KNOWN-RED.txt stays, with that cause. SidecarTest.EntriesHearOfACrashBeforeItsCallers failed before.

--- a/src/coordination/sidecar/sidecar_upstream.cc
+++ b/src/coordination/sidecar/sidecar_upstream.cc
@@ -60,6 +60,9 @@
   if (crashed) {
     metrics->Count("acaciachute_sidecar_upstream_crashes_total");
     quarantine.OnCrash(now, options.node, in_progress_at_crash);
+    // Before the failures: a caller that has its answer may send the request
+    // again at once, to an entry that has to know of the crash by then.
+    output->SendHeartbeatToEntries();
   }
   std::vector<StageKey> connection_lost;
   for (const auto& [unused, key] : running) {
--- a/tests/process/sidecar_test.cc
+++ b/tests/process/sidecar_test.cc
@@ -2,6 +2,7 @@
 // fenced control orders.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -102,11 +103,14 @@
   const auto resend = poison(1);
   EXPECT_EQ(resend.status, 422) << resend.body;
   EXPECT_TRUE(Contains(resend.body, "\"verdict\":\"not_run\"")) << resend.body;
-  int dead = 0;
-  for (const auto& [unused, upstream] : deployment.upstreams) {
-    dead += upstream->Running() ? 0 : 1;
-  }
-  EXPECT_EQ(dead, 2);
+  const auto dead = [&] {
+    return std::count_if(deployment.upstreams.begin(),
+                         deployment.upstreams.end(),
+                         [](const auto& it) { return !it.second->Running(); });
+  };
+  // The harness learns of the end of a process only after its connections.
+  deployment.WaitFor([&] { return dead() >= 2; }, kWaitTimeout);
+  EXPECT_EQ(dead(), 2);
   const auto listed = Json::parse(
       deployment.Get(deployment.entries[1]->url() + "/quarantine").body,
       nullptr, false);
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -30,6 +30,7 @@
   // SidecarOutput:
   void Send(const NodeId& entry, const Message& message) override {
     if (const auto* it = std::get_if<StageFailure>(&message)) {
+      heartbeats_before_failures.push_back(heartbeats);
       failures.push_back(*it);
     } else if (const auto* chunk = std::get_if<StageChunk>(&message)) {
       chunks.push_back(*chunk);
@@ -44,6 +45,7 @@
   void CancelUpstream(UpstreamCallId id) override { cancelled.push_back(id); }
   void CheckUpstream() override { ++checks; }
   void Export(const Span& span) override {}
+  void SendHeartbeatToEntries() override { ++heartbeats; }
 
   // Makes a call that the entry sends now, with `time_left`.
   StageCall Call(std::uint64_t request,
@@ -104,6 +106,8 @@
   std::vector<UpstreamCallId> ids;
   std::vector<UpstreamCallId> cancelled;
   int checks = 0;
+  int heartbeats = 0;  // That were not asked for.
+  std::vector<int> heartbeats_before_failures;
   Sidecar core;
 };
 
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -270,5 +270,21 @@
   EXPECT_EQ(ages.Of(1, 110 * kSecond, resumed_at), 90 * kSecond);
 }
 
+// Guards against a caller that has the answer of a request under which an
+// upstream ended, sends it again through another entry, and finds one that has
+// not heard of the end.
+TEST(SidecarTest, EntriesHearOfACrashBeforeItsCallers) {
+  SidecarRig rig;
+  rig.Report();
+  StageCall call = rig.Call(1);
+  call.fingerprint = 7;
+  rig.Deliver(call);
+  rig.core.OnUpstreamError(rig.now, rig.ids[0], UpstreamError::kBroken);
+  rig.core.OnUpstreamReport(rig.now, rig.now, {});
+  ASSERT_EQ(rig.failures.size(), 1U);
+  EXPECT_FALSE(rig.failures[0].quarantined.empty());
+  EXPECT_GE(rig.heartbeats_before_failures[0], 1);
+}
+
 }  // namespace
 }  // namespace acaciachute
